--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -63,7 +63,7 @@
     for name in touched {
         if let Some(director) = instances.get_mut(&name) {
             director.news_in(now);
-            director.host().drain_into(&mut orders);
+            director.host.drain_into(&mut orders);
         }
     }
     Ok(serde_json::json!({ "do": orders }))
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -107,7 +107,7 @@
     }
     if kind == "halt" {
         if let Some(mut stopped) = instances.remove(name) {
-            stopped.host().drain_into(orders);
+            stopped.host.drain_into(orders);
         }
         return Ok(None);
     }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -13,6 +13,7 @@
 //!  6. peers' notes: each supervisor tells its demand by zone, so that spill counts all traffic.
 
 use crate::host::*;
+use crate::samples::{Samples, mean};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
@@ -31,7 +32,7 @@
 /// Time between steps of the weights, in report intervals and at least in seconds: feedback is older than
 /// an interval, and steps that outrun it oscillate.
 const STEP_INTERVALS: f64 = 2.0;
-const STEP_LEAST: f64 = 2.5;
+const STEP_LEAST: Duration = Duration::from_millis(2500);
 /// Part of a relative gap taken in one step, the largest step, and the gap that is ignored.
 const GAIN: f64 = 0.4;
 const STEP_MOST: f64 = 0.2;
@@ -42,18 +43,27 @@
 /// Samples kept of each thing measured, and how old they may be when used.
 const KEPT: usize = 12;
 const FRESH: Duration = Duration::from_secs(6);
-/// Suspicion: least tries and aborted share; tries that must be missing for silence.
-const ABORTS: (f64, f64) = (3.0, 0.5);
+/// Suspicion: least tries, and aborted share above that of the healthier servers; tries missing for silence.
+const ABORTS: (f64, f64) = (3.0, 0.4);
 const MISSING: f64 = 5.0;
 /// Part of its weight that a suspect keeps, so that its return is seen.
 const TRICKLE: f64 = 0.04;
 /// Suspects beyond this part of the listed weight are believed to share a cause that is not theirs.
-const PANIC: f64 = 0.5;
+const PANIC: f64 = 0.7;
 /// A cleared suspect eases in from this part over this time.
 const CLEARED: (f64, Duration) = (0.3, Duration::from_secs(4));
 /// A zone may be this much busier than the fleet before it spills.
 const SPILL: f64 = 1.08;
 
+const LINE_EVERY: Duration = Duration::from_secs(1);
+/// Pressure at which the line comes down, and the pressure it then aims at.
+const PRESSED: f64 = 0.96;
+const EASY: f64 = 0.88;
+/// Least share of the ops that is let in.
+const LEAST_IN: f64 = 0.2;
+/// Ops waiting at a server whose cores are about half busy: tells busyness where only queues are reported.
+const HALF_BUSY: f64 = 0.7;
+
 type Table = BTreeMap<String, f64>;
 
 /// Way back to full weight: of a fresh server, or of a cleared suspect.
@@ -62,8 +72,10 @@
     since: Duration,
     over: Duration,
     from: f64,
+    cold: bool,
 }
 
+#[derive(Default)]
 struct Server {
     zone: usize,
     size: f64,
@@ -71,19 +83,16 @@
     started: Option<Duration>,
     ease: Option<Ease>,
     factor: f64,
-    met: VecDeque<(Duration, Met)>,
-    loads: VecDeque<(Duration, f64)>,
-    probes: VecDeque<(Duration, Probed)>,
+    met: Samples<Met>,
+    loads: Samples<f64>,
+    waiting: Samples<f64>,
     suspect: Option<Duration>,
 }
 
 impl Server {
-    fn last_heard(&self) -> Duration {
-        self.met.back().map_or(Duration::ZERO, |m| m.0)
-    }
     /// Tries, aborted ones and the time of good ones since a moment.
     fn sums(&self, since: Duration) -> (f64, f64, f64) {
-        self.met.iter().filter(|m| m.0 >= since).fold((0.0, 0.0, 0.0), |a, (_, m)| {
+        self.met.since(since).fold((0.0, 0.0, 0.0), |a, m| {
             (a.0 + m.total, a.1 + m.aborted, a.2 + m.good_ms * (m.total - m.aborted))
         })
     }
@@ -93,31 +102,32 @@
             (e.from + (1.0 - e.from) * gone).clamp(e.from, 1.0)
         })
     }
-    fn weight(&self, now: Duration, panic: bool) -> f64 {
-        let trickle = if self.suspect.is_some() && !panic { TRICKLE } else { 1.0 };
-        self.size * self.factor * self.ramp(now) * trickle
+    fn cold(&self, now: Duration) -> bool {
+        self.ease.is_some_and(|e| e.cold && now < e.since + e.over)
     }
 }
 
 /// An update: the lines a proxy should hold, and by op type what is let in and when it tries again.
-#[derive(Clone, PartialEq)]
+#[derive(Clone, Default, PartialEq)]
 struct Update {
     lines: Table,
     levels: Vec<(f64, Retry)>,
 }
 
+#[derive(Default)]
 struct Proxy {
     zone: usize,
     usual: f64,
-    came: Vec<VecDeque<(Duration, f64, f64, Duration)>>,
+    /// By op type: ops that came, those let in that were aborted, and over what span.
+    came: Vec<Samples<(f64, f64, Duration)>>,
     joined: bool,
+    bound: bool,
     dirty: bool,
     urgent: bool,
     next_rebuild: Duration,
-    /// What the table was last sent, and what of that is known to be applied.
+    /// What the table was last sent, and what of it was answered; stamp and time of the update in flight.
     sent: Update,
-    acked: Option<Update>,
-    bound: bool,
+    acked: Update,
     in_flight: Option<(u16, Duration)>,
     pending: Option<Update>,
     unanswered: VecDeque<(u16, f64)>,
@@ -125,7 +135,7 @@
 }
 
 pub struct Director<H> {
-    host: H,
+    pub host: H,
     rng: fastrand::Rng,
     now: Duration,
     op_types: Vec<OpType>,
@@ -146,7 +156,9 @@
     next_step: Duration,
     next_line: Duration,
     panic: bool,
-    admitted: f64,
+    let_in: Samples<f64>,
+    share: f64,
+    stress: f64,
     eager: bool,
     peer_demand: BTreeMap<u32, (Duration, Vec<f64>)>,
     list_retry: Option<Duration>,
@@ -190,11 +202,13 @@
             budget: 0.0,
             budget_at: now,
             stamp: 0,
-            next_tick: now,
+            next_tick: now + TICK,
             next_step: now + REBUILD,
-            next_line: now + REBUILD,
+            next_line: now,
             panic: false,
-            admitted: 1.0,
+            let_in: Samples::default(),
+            share: 1.0,
+            stress: 1.0,
             eager: true,
             peer_demand: BTreeMap::new(),
             list_retry: None,
@@ -202,10 +216,6 @@
         }
     }
 
-    pub fn host(&mut self) -> &mut H {
-        &mut self.host
-    }
-
     // ---- what can happen ----
 
     pub fn list_changed(&mut self, now: Duration, news: ListNews, entries: Vec<Listed>) {
@@ -244,36 +254,24 @@
         }
         self.send_probes();
         self.judge_servers();
+        if now >= self.next_line {
+            self.next_line = now + LINE_EVERY;
+            self.move_line();
+        }
         if now >= self.next_step {
-            let period = (self.reporting.interval.as_secs_f64() * STEP_INTERVALS).max(STEP_LEAST);
-            self.next_step = now + Duration::from_secs_f64(period);
+            self.next_step = now + self.reporting.interval.mul_f64(STEP_INTERVALS).max(STEP_LEAST);
             self.step_weights();
             self.tell_demand();
         }
-        if now >= self.next_line {
-            self.next_line = now + Duration::from_secs(1);
-            self.move_line();
-        }
-        let due: Vec<u32> = self
-            .proxies
-            .iter()
-            .filter(|(_, p)| p.joined && now >= p.next_rebuild)
-            .map(|(id, _)| *id)
-            .collect();
-        for id in due {
+        for id in self.proxies_where(|p| p.joined && now >= p.next_rebuild) {
             let jitter = 0.8 + 0.4 * self.rng.f64();
-            if let Some(p) = self.proxies.get_mut(&id) {
-                p.next_rebuild = now + REBUILD.mul_f64(jitter);
-            }
+            self.proxies.entry(id).and_modify(|p| p.next_rebuild = now + REBUILD.mul_f64(jitter));
             self.mark(id, false);
         }
     }
 
-    pub fn probe_answered(&mut self, now: Duration, server: &str, result: Probed, load: &[f64]) {
+    pub fn probe_answered(&mut self, now: Duration, server: &str, _result: Probed, load: &[f64]) {
         self.now = now;
-        if let Some(s) = self.servers.get_mut(server) {
-            keep(&mut s.probes, (now, result));
-        }
         self.load_heard(server, load);
     }
 
@@ -286,35 +284,17 @@
 
     /// Guards against a join with no break seen before it: whatever was known of the proxy is void.
     pub fn proxy_joined(&mut self, now: Duration, proxy: u32, zone: usize, usual: f64) {
-        self.now = now;
-        let types = self.op_types.len();
-        let full = Update { lines: Table::new(), levels: vec![(f64::INFINITY, self.usual_retry); types] };
-        let p = self.proxies.entry(proxy).or_insert_with(|| Proxy {
-            zone,
-            usual,
-            came: vec![VecDeque::new(); types],
-            joined: true,
-            dirty: false,
-            urgent: false,
-            next_rebuild: now,
-            sent: full,
-            acked: None,
-            bound: false,
-            in_flight: None,
-            pending: None,
-            unanswered: VecDeque::new(),
-            messages: VecDeque::new(),
-        });
-        (p.zone, p.usual, p.joined, p.bound) = (zone, usual, true, false);
-        (p.in_flight, p.pending, p.acked) = (None, None, None);
-        p.unanswered.clear();
+        self.proxy_left(now, proxy);
+        let p = self.proxies.entry(proxy).or_default();
+        if p.came.is_empty() {
+            p.came.resize_with(self.op_types.len(), Samples::default);
+            p.sent.levels.resize(self.op_types.len(), (f64::INFINITY, self.usual_retry));
+        }
+        (p.zone, p.usual, p.joined) = (zone, usual, true);
         p.messages.clear();
         p.next_rebuild = now + REBUILD.mul_f64(1.0 + self.rng.f64());
         // A standing table may name servers that drain, are gone or cold: then the join cannot wait.
-        let hurry = self
-            .servers
-            .values()
-            .any(|s| s.state != ServerState::Ready || s.ease.is_some() || s.suspect.is_some());
+        let hurry = self.servers.values().any(|s| s.state != ServerState::Ready || s.ease.is_some());
         self.mark(proxy, hurry);
     }
 
@@ -322,7 +302,7 @@
         self.now = now;
         if let Some(p) = self.proxies.get_mut(&proxy) {
             (p.joined, p.bound, p.urgent, p.dirty) = (false, false, false, false);
-            (p.in_flight, p.pending, p.acked) = (None, None, None);
+            (p.in_flight, p.pending) = (None, None);
             p.unanswered.clear();
         }
         self.queue.retain(|q| *q != proxy);
@@ -331,7 +311,7 @@
     pub fn server_met(&mut self, now: Duration, server: &str, met: Met, load: &[f64]) {
         self.now = now;
         if let Some(s) = self.servers.get_mut(server) {
-            keep(&mut s.met, (now, met));
+            s.met.add(now, met, KEPT);
         }
         self.load_heard(server, load);
     }
@@ -347,7 +327,7 @@
     ) {
         self.now = now;
         if let Some(came) = self.proxies.get_mut(&proxy).and_then(|p| p.came.get_mut(op_type)) {
-            keep(came, (now, total, aborted, span));
+            came.add(now, (total, aborted, span), KEPT);
         }
     }
 
@@ -359,8 +339,7 @@
             p.unanswered.drain(..=at);
         }
         if p.in_flight.is_some_and(|f| f.0 == stamp) {
-            p.in_flight = None;
-            p.acked = Some(p.sent.clone());
+            (p.in_flight, p.acked) = (None, p.sent.clone());
         }
     }
 
@@ -372,23 +351,18 @@
         self.budget = (self.budget + idle * rate).min(rate * 0.5);
         self.budget_at = now;
         let mut wrote = false;
-        let urgent: Vec<u32> =
-            self.proxies.iter().filter(|(_, p)| p.joined && p.urgent).map(|(id, _)| *id).collect();
-        for id in urgent {
+        for id in self.proxies_where(|p| p.joined && p.urgent) {
             let update = self.build(id);
             wrote |= self.send(id, update, true);
         }
-        while self.budget > 0.0 {
-            let Some(id) = self.queue.pop_front() else { break };
+        while self.budget > 0.0
+            && let Some(id) = self.queue.pop_front()
+        {
             let update = self.build(id);
-            let Some(p) = self.proxies.get_mut(&id) else { continue };
-            p.dirty = false;
-            p.pending = Some(update);
+            self.proxies.entry(id).and_modify(|p| (p.dirty, p.pending) = (false, Some(update)));
             wrote |= self.flush_pending(id);
         }
-        let waiting: Vec<u32> =
-            self.proxies.iter().filter(|(_, p)| p.pending.is_some()).map(|(id, _)| *id).collect();
-        for id in waiting {
+        for id in self.proxies_where(|p| p.pending.is_some()) {
             wrote |= self.flush_pending(id);
         }
         if wrote {
@@ -404,63 +378,55 @@
             self.removed(&entry.server, entry.state);
             return;
         }
-        let now = self.now;
         let known = self.servers.contains_key(&entry.server);
-        let s = self.servers.entry(entry.server.clone()).or_insert_with(|| Server {
-            zone: entry.zone,
-            size: 1.0,
-            state: ServerState::Gone,
-            started: None,
-            ease: None,
-            factor: 1.0,
-            met: VecDeque::new(),
-            loads: VecDeque::new(),
-            probes: VecDeque::new(),
-            suspect: None,
-        });
+        let s = self.servers.entry(entry.server.clone()).or_default();
+        if !known {
+            s.factor = 1.0;
+        }
         // A restart may show without any removal before it: only the start time tells.
         let restarted = entry.started.is_some() && entry.started != s.started;
-        let news = !known || s.state != ServerState::Ready || restarted;
         let size = entry.size.filter(|x| *x > 0.0).unwrap_or(1.0);
-        let resized = size != s.size;
+        let news = restarted || s.state != ServerState::Ready || size != s.size;
         (s.zone, s.size, s.state) = (entry.zone, size, ServerState::Ready);
+        let mut cold = false;
         if restarted {
-            s.started = entry.started;
-            s.suspect = None;
+            (s.started, s.suspect) = (entry.started, None);
             s.met.clear();
             s.loads.clear();
-            s.probes.clear();
-            let since = entry.started.unwrap_or(now);
-            if now < since + self.cold.over {
-                s.ease = Some(Ease { since, over: self.cold.over, from: self.cold.from });
-            }
+            s.waiting.clear();
+            let since = entry.started.unwrap_or(self.now);
+            cold = self.now < since + self.cold.over;
+            s.ease = cold.then_some(Ease { since, over: self.cold.over, from: self.cold.from, cold });
         }
-        if news || resized {
-            let cold = restarted && s.ease.is_some();
+        if news {
             self.mark_all(cold.then_some(entry.server.as_str()));
         }
     }
 
     fn removed(&mut self, server: &str, state: ServerState) {
-        let Some(s) = self.servers.get_mut(server) else { return };
-        if s.state == state {
-            return;
+        if let Some(s) = self.servers.get_mut(server)
+            && s.state != state
+        {
+            s.state = state;
+            self.mark_all(Some(server));
         }
-        s.state = state;
-        self.mark_all(Some(server));
+    }
+
+    fn ready(&self) -> impl Iterator<Item = (&String, &Server)> {
+        self.servers.iter().filter(|(_, s)| s.state == ServerState::Ready)
     }
 
     // ---- marks, builds, sending ----
 
-    /// Marks every table; those that were sent a line of the named server are urgent.
+    fn proxies_where(&self, test: impl Fn(&Proxy) -> bool) -> Vec<u32> {
+        self.proxies.iter().filter(|(_, p)| test(p)).map(|(id, _)| *id).collect()
+    }
+
+    /// Marks every table; those that may hold the named server are urgent.
     fn mark_all(&mut self, holding: Option<&str>) {
-        let ids: Vec<(u32, bool)> = self
-            .proxies
-            .iter()
-            .filter(|(_, p)| p.joined)
-            .map(|(id, p)| (*id, holding.is_some_and(|s| !p.bound || p.sent.lines.contains_key(s))))
-            .collect();
-        for (id, urgent) in ids {
+        for id in self.proxies_where(|p| p.joined) {
+            let p = &self.proxies[&id];
+            let urgent = holding.is_some_and(|s| !p.bound || p.sent.lines.contains_key(s));
             self.mark(id, urgent);
         }
     }
@@ -474,104 +440,104 @@
         }
     }
 
-    fn demand_of(&self, p: &Proxy) -> f64 {
-        let (mut total, mut heard) = (0.0, false);
-        for came in &p.came {
-            let recent = came.iter().rev().take(3).filter(|c| c.0 + FRESH >= self.now);
-            let (n, span) = recent.fold((0.0, 0.0), |a, c| (a.0 + c.1, a.1 + c.3.as_secs_f64()));
-            if span > 0.0 {
-                heard = true;
-                total += n / span;
-            }
-        }
-        if heard { total } else { p.usual }
+    /// Ops a second of one op type that reach a proxy, client repeats and rejected ones included.
+    fn demand(&self, p: &Proxy, op_type: usize) -> f64 {
+        let recent = p.came[op_type].since(self.now.saturating_sub(FRESH)).take(3);
+        let (n, span) = recent.fold((0.0, 0.0), |a, c| (a.0 + c.0, a.1 + c.2.as_secs_f64()));
+        if span > 0.0 { n / span } else { p.usual / self.op_types.len() as f64 }
     }
 
     fn own_demand(&self, zones: usize) -> Vec<f64> {
         let mut demand = vec![0.0; zones];
         for p in self.proxies.values().filter(|p| p.joined && p.zone < zones) {
-            demand[p.zone] += self.demand_of(p).max(0.1);
+            demand[p.zone] += (0..self.op_types.len()).map(|t| self.demand(p, t)).sum::<f64>().max(0.1);
         }
         demand
     }
 
-    /// How a line's weight counts for proxies of one zone, by the server's zone: 1 in the own zone, less
-    /// elsewhere. A zone spills only what it cannot carry at (a little over) the fleet's common load.
-    fn reach(&self, zone: usize) -> Vec<f64> {
-        let zones = 1 + self
+    fn zones(&self) -> usize {
+        1 + self
             .servers
             .values()
             .map(|s| s.zone)
             .chain(self.proxies.values().map(|p| p.zone))
             .max()
-            .unwrap_or(0);
+            .unwrap_or(0)
+    }
+
+    fn weight(&self, s: &Server) -> f64 {
+        // A suspect keeps a trickle. A cold server's work counts every try, also those turned away: it gets
+        // less by as much as tries outnumber what the fleet can do.
+        let held = if s.suspect.is_some() && !self.panic { TRICKLE } else { 1.0 };
+        let stress = if s.cold(self.now) { self.stress } else { 1.0 };
+        s.size * s.factor * s.ramp(self.now) * held / stress
+    }
+
+    /// How a line's weight counts for proxies of one zone, by the server's zone: 1 in the own zone, less
+    /// elsewhere. A zone spills only what it cannot carry at (a little over) the fleet's common load.
+    fn reach(&self, zone: usize) -> Vec<f64> {
+        let zones = self.zones();
         let mut room = vec![0.0; zones];
-        for s in self.servers.values().filter(|s| s.state == ServerState::Ready) {
-            room[s.zone] += s.weight(self.now, self.panic);
-        }
-        let mut demand = self.own_demand(zones);
-        let mut unheard = self.peers.others;
-        for (at, told) in self.peer_demand.values() {
-            if *at + FRESH * 2 >= self.now {
-                unheard = unheard.saturating_sub(1);
-                for (d, t) in demand.iter_mut().zip(told) {
-                    *d += t;
-                }
-            }
+        for (_, s) in self.ready() {
+            room[s.zone] += self.weight(s);
         }
-        let mut own = vec![0.0; zones];
-        own[zone] = 1.0;
         if room[zone] <= 0.0 {
             return vec![1.0; zones];
         }
+        let mut demand = self.own_demand(zones);
+        let mut unheard = self.peers.others;
+        for (_, told) in self.peer_demand.values().filter(|d| d.0 + FRESH * 2 >= self.now) {
+            unheard = unheard.saturating_sub(1);
+            demand.iter_mut().zip(told).for_each(|(d, t)| *d += t);
+        }
         if unheard > 0 {
-            // Other supervisors' traffic is unknown: count every zone at least as busy as our busiest.
+            // Other supervisors' traffic is unknown: count every zone as busy as our busiest.
             let busiest = demand.iter().zip(&room).map(|(d, r)| d / r.max(0.001)).fold(0.0, f64::max);
-            demand = demand.iter().zip(&room).map(|(d, r)| d.max(busiest * r)).collect();
+            demand = room.iter().map(|r| busiest * r).collect();
         }
+        let mut part = vec![0.0; zones];
+        part[zone] = 1.0;
         let common = demand.iter().sum::<f64>() / room.iter().sum::<f64>();
         let excess = demand[zone] - common * SPILL * room[zone];
         let free: Vec<f64> = demand.iter().zip(&room).map(|(d, r)| (common * r - d).max(0.0)).collect();
         let all_free: f64 = free.iter().sum();
-        if excess <= 0.0 || all_free <= 0.0 {
-            return own;
-        }
-        let kept = (demand[zone] - excess) / room[zone];
-        for y in (0..zones).filter(|y| *y != zone && room[*y] > 0.0) {
-            let part = excess * free[y] / all_free / room[y] / kept;
-            own[y] = (part * 20.0).round() / 20.0;
+        if excess > 0.0 && all_free > 0.0 {
+            let kept = (demand[zone] - excess) / room[zone];
+            for y in (0..zones).filter(|y| *y != zone && room[*y] > 0.0) {
+                part[y] = (excess * free[y] / all_free / room[y] / kept * 20.0).round() / 20.0;
+            }
         }
-        own
+        part
     }
 
     fn build(&self, id: u32) -> Update {
-        let mut lines = Table::new();
-        let mut levels = Vec::new();
-        let Some(p) = self.proxies.get(&id) else { return Update { lines, levels } };
+        let Some(p) = self.proxies.get(&id) else { return Update::default() };
+        let mut update = Update::default();
         let mut reach = self.reach(p.zone);
         if self.op_types.iter().any(|t| t.own_zone) {
             reach.iter_mut().enumerate().for_each(|(z, r)| *r = if z == p.zone { 1.0 } else { 0.0 });
         }
-        for (server, s) in self.servers.iter().filter(|(_, s)| s.state == ServerState::Ready) {
-            let part = s.weight(self.now, self.panic) * reach.get(s.zone).copied().unwrap_or(0.0);
+        for (server, s) in self.ready() {
+            let part = self.weight(s) * reach[s.zone];
             if part > 0.0 {
                 let old = p.sent.lines.get(server).copied().unwrap_or(0.0);
-                let same = old > 0.0 && (part / old - 1.0).abs() < SAME;
-                lines.insert(server.clone(), if same { old } else { (part * 1e4).round().max(1.0) / 1e4 });
+                let same = (part / old - 1.0).abs() < SAME;
+                update
+                    .lines
+                    .insert(server.clone(), if same { old } else { (part * 1e4).round().max(1.0) / 1e4 });
             }
         }
-        for t in 0..self.op_types.len() {
-            let share = self.share_let_in(t);
+        for (t, share) in self.shares().into_iter().enumerate() {
             let level = match self.admission {
-                Admission::Rate if share < 1.0 => (share * self.demand_for(p, t)).max(0.05),
                 _ if share >= 1.0 => f64::INFINITY,
+                Admission::Rate => (share * self.demand(p, t)).max(0.05),
                 _ => share,
             };
-            let old = p.sent.levels[t];
-            let same = level.is_finite() && old.0.is_finite() && (level / old.0 - 1.0).abs() < SAME;
-            levels.push((if same { old.0 } else { level }, self.retry_for(t)));
+            let old = p.sent.levels[t].0;
+            let same = (level / old - 1.0).abs() < SAME;
+            update.levels.push((if same { old } else { level }, self.retry_for(t)));
         }
-        Update { lines, levels }
+        update
     }
 
     fn flush_pending(&mut self, id: u32) -> bool {
@@ -579,24 +545,20 @@
         if p.in_flight.is_some_and(|f| self.now < f.1 + ANSWER_WAIT) {
             return false;
         }
-        let Some(update) = p.pending.take() else { return false };
-        self.send(id, update, false)
+        p.pending.take().is_some_and(|update| self.send(id, update, false))
     }
 
-    /// Sends the difference from what was last sent, or the whole table to a proxy that is not bound yet.
-    /// An urgent build also voids the pending slot. Held back, it stays pending or urgent.
+    /// Sends the difference from what was last sent (from what was answered, if an answer is overdue), or
+    /// the whole table to a proxy not bound yet. An urgent build voids the pending slot. What the limits
+    /// hold back stays pending or urgent.
     fn send(&mut self, id: u32, update: Update, urgent: bool) -> bool {
         let waiting: f64 = self.proxies.values().flat_map(|p| &p.unanswered).map(|u| u.1).sum();
         let Some(p) = self.proxies.get_mut(&id) else { return false };
-        let mut changes: Vec<(&String, f64)> = Vec::new();
-        for (server, part) in &update.lines {
-            if p.sent.lines.get(server) != Some(part) {
-                changes.push((server, *part));
-            }
-        }
-        for server in p.sent.lines.keys().filter(|s| !update.lines.contains_key(*s)) {
-            changes.push((server, 0.0));
-        }
+        let base = if p.in_flight.is_some() && !urgent { &p.acked } else { &p.sent };
+        let lines = update.lines.iter().filter(|(s, part)| base.lines.get(*s) != Some(*part));
+        let mut changes: Vec<(&String, f64)> = lines.map(|(s, part)| (s, *part)).collect();
+        let left = p.sent.lines.keys().chain(base.lines.keys()).filter(|s| !update.lines.contains_key(*s));
+        changes.extend(left.collect::<BTreeSet<_>>().into_iter().map(|s| (s, 0.0)));
         let levels: Vec<usize> =
             (0..update.levels.len()).filter(|t| update.levels[*t] != p.sent.levels[*t]).collect();
         let unusual = update.levels.iter().filter(|l| **l != (f64::INFINITY, self.usual_retry)).count();
@@ -611,23 +573,19 @@
         let most = self.channel.messages_most;
         let spent = most > 0 && p.messages.len() + SPARE[urgent as usize] >= most;
         if spent || waiting + cost > self.channel.backlog * FILL[urgent as usize] {
-            if !urgent {
-                p.pending = Some(update);
-            }
+            p.pending = (!urgent).then_some(update);
             return false;
         }
         for (server, part) in changes {
             self.host.set_line(id, server, part);
         }
         for t in levels {
-            let (level, retry) = update.levels[t];
-            self.host.admit(id, t, level, retry);
+            self.host.admit(id, t, update.levels[t].0, update.levels[t].1);
         }
         if !p.bound {
             self.host.bind(id, id);
         }
-        (p.bound, p.urgent, p.pending) = (true, false, None);
-        p.sent = update;
+        (p.bound, p.urgent, p.pending, p.sent) = (true, false, None, update);
         p.in_flight = Some((self.stamp, self.now));
         p.unanswered.push_back((self.stamp, cost));
         p.messages.push_back(self.now);
@@ -638,23 +596,23 @@
     // ---- what is heard of servers ----
 
     fn load_heard(&mut self, server: &str, load: &[f64]) {
-        let Some(s) = self.servers.get_mut(server) else { return };
-        if load.is_empty() {
-            return;
-        }
-        let field = |f| self.reporting.fields.iter().position(|x| *x == f).and_then(|i| load.get(i).copied());
-        let weight = (s.factor * s.size).max(0.001);
-        let value = match (field(LoadField::Busy), field(LoadField::Active), field(LoadField::ServiceMs)) {
-            (Some(busy), _, _) => busy,
-            (_, Some(active), _) => active / s.size,
+        let Some(s) = self.servers.get_mut(server).filter(|_| !load.is_empty()) else { return };
+        let fields = &self.reporting.fields;
+        let field = |f| fields.iter().position(|x| *x == f).and_then(|i| load.get(i).copied());
+        let waiting = field(LoadField::Waiting);
+        let load = match (field(LoadField::Busy), field(LoadField::Active), field(LoadField::ServiceMs)) {
+            (Some(busy), _, _) => Some(busy),
+            (_, Some(active), _) => Some(active / s.size),
             // Service time alone does not fall with the load: what a server is given, times that, does.
-            (_, _, Some(ms)) => weight * ms * (1.0 + field(LoadField::Waiting).unwrap_or(0.0) / 8.0),
-            _ => match field(LoadField::Waiting) {
-                Some(waiting) => (1.0 + waiting) / s.size,
-                None => return,
-            },
+            (_, _, Some(ms)) => Some(s.factor * ms * (1.0 + waiting.unwrap_or(0.0) / 8.0)),
+            _ => waiting.map(|w| (1.0 + w) / s.size),
         };
-        keep(&mut s.loads, (self.now, value));
+        if let Some(load) = load {
+            s.loads.add(self.now, load, KEPT);
+        }
+        if let Some(waiting) = waiting {
+            s.waiting.add(self.now, waiting, KEPT);
+        }
     }
 
     fn send_probes(&mut self) {
@@ -672,52 +630,37 @@
 
     /// Load of a server: its last reports, or the time of good answers where none come.
     fn load_of(&self, s: &Server) -> Option<f64> {
-        let recent: Vec<f64> =
-            s.loads.iter().rev().take(3).filter(|l| l.0 + FRESH >= self.now).map(|l| l.1).collect();
-        if !recent.is_empty() {
-            return Some(recent.iter().sum::<f64>() / recent.len() as f64);
-        }
-        let (total, aborted, ms) = s.sums(self.now.saturating_sub(FRESH));
-        (self.reporting.fields.is_empty() && total > aborted).then(|| ms / (total - aborted))
+        let since = self.now.saturating_sub(FRESH);
+        let (total, aborted, ms) = s.sums(since);
+        let good_ms = self.reporting.fields.is_empty() && total > aborted;
+        mean(s.loads.since(since).take(3)).or(good_ms.then(|| ms / (total - aborted)))
     }
 
+    /// The design's step: each heard server's weight moves against its load minus the mean. Fresh servers
+    /// and suspects are free of it.
     fn step_weights(&mut self) {
-        let now = self.now;
-        let loads: Vec<(String, f64)> = self
-            .servers
-            .iter()
-            .filter(|(_, s)| s.state == ServerState::Ready && s.suspect.is_none() && s.ramp(now) >= 1.0)
-            .filter_map(|(id, s)| self.load_of(s).map(|l| (id.clone(), l)))
-            .collect();
-        let mean = loads.iter().map(|l| l.1).sum::<f64>() / loads.len().max(1) as f64;
-        let mut moved = false;
+        let heard = self.ready().filter(|(_, s)| s.suspect.is_none() && s.ease.is_none());
+        let loads: Vec<(String, f64)> =
+            heard.filter_map(|(id, s)| self.load_of(s).map(|l| (id.clone(), l))).collect();
+        let common = mean(loads.iter().map(|l| &l.1)).unwrap_or(0.0).max(1e-9);
         for (id, load) in loads {
-            let gap = load / mean.max(1e-9) - 1.0;
-            if gap.abs() >= GAP
-                && let Some(s) = self.servers.get_mut(&id)
-            {
-                s.factor =
-                    (s.factor * (1.0 - (GAIN * gap).clamp(-STEP_MOST, STEP_MOST))).clamp(BOUND[0], BOUND[1]);
-                moved = true;
-            }
+            let gap = load / common - 1.0;
+            let step = if gap.abs() < GAP { 0.0 } else { (GAIN * gap).clamp(-STEP_MOST, STEP_MOST) };
+            let moved = |s: &mut Server| s.factor = (s.factor * (1.0 - step)).clamp(BOUND[0], BOUND[1]);
+            self.servers.entry(id).and_modify(moved);
         }
-        let mut easing = false;
-        for s in self.servers.values_mut().filter(|s| s.ease.is_some()) {
-            easing = true;
-            if s.ramp(now) >= 1.0 {
-                s.ease = None;
-            }
-        }
-        if moved || easing {
-            self.mark_all(None);
+        for s in self.servers.values_mut().filter(|s| s.ramp(self.now) >= 1.0) {
+            s.ease = None;
         }
+        self.mark_all(None);
     }
 
     /// Expected tries a second at each server, by the tables as last sent.
     fn expected(&self) -> BTreeMap<&String, f64> {
         let mut expected = BTreeMap::new();
         for p in self.proxies.values().filter(|p| p.joined && p.bound) {
-            let (sum, demand) = (p.sent.lines.values().sum::<f64>(), self.demand_of(p));
+            let demand: f64 = (0..self.op_types.len()).map(|t| self.demand(p, t)).sum();
+            let sum = p.sent.lines.values().sum::<f64>();
             for (server, part) in &p.sent.lines {
                 *expected.entry(server).or_insert(0.0) += demand * part / sum;
             }
@@ -726,165 +669,150 @@
     }
 
     /// Guards against servers that abort fast or take ops and answer none: both look idle to load feedback.
-    /// Aborts show in what proxies met; silence shows as reports that stop while the others' go on.
+    /// Aborts show in what proxies met, against the healthier servers' so that overload or a proxy's own
+    /// trouble accuses nobody; silence shows as reports that stop while the others' go on.
     fn judge_servers(&mut self) {
         let now = self.now;
         let interval = self.reporting.interval;
+        let recent = now.saturating_sub(interval.mul_f64(2.0).max(Duration::from_secs(2)));
         let expected = self.expected();
-        let mut gaps: Vec<Duration> = self
-            .servers
-            .values()
-            .filter(|s| s.state == ServerState::Ready && !s.met.is_empty())
-            .map(|s| now - s.last_heard())
-            .collect();
-        gaps.sort();
-        let usual = gaps.get(gaps.len() / 2).copied().unwrap_or_default();
-        let (mut found, mut cleared) = (Vec::new(), Vec::new());
-        for (id, s) in self.servers.iter().filter(|(_, s)| s.state == ServerState::Ready) {
-            let recent = now.saturating_sub(interval.mul_f64(2.0).max(Duration::from_secs(2)));
+        let quiet_for = |s: &Server| s.met.last().map(|at| now - at);
+        let mut quiet: Vec<Duration> = self.ready().filter_map(|(_, s)| quiet_for(s)).collect();
+        quiet.sort();
+        let usual = quiet.get(quiet.len() / 2).copied().unwrap_or_default();
+        let sums = self.ready().map(|(_, s)| s.sums(recent)).filter(|m| m.0 >= ABORTS.0);
+        let mut aborts: Vec<f64> = sums.map(|m| m.1 / m.0).collect();
+        aborts.sort_by(f64::total_cmp);
+        let healthy = aborts.get(aborts.len() / 4).copied().unwrap_or(0.0);
+        let mut verdicts: Vec<(String, bool, String)> = Vec::new();
+        for (id, s) in self.ready() {
             if let Some(at) = s.suspect {
                 let (total, aborted, _) = s.sums(at + interval.mul_f64(1.5).max(Duration::from_secs(2)));
                 if total >= 2.0 && aborted / total < 0.3 {
-                    cleared.push((id.clone(), total, aborted));
+                    verdicts.push((id.clone(), false, format!("{aborted:.0} of {total:.0} tries aborted")));
                 }
                 continue;
             }
             let (total, aborted, _) = s.sums(recent);
-            if total >= ABORTS.0 && aborted / total >= ABORTS.1 {
-                found.push((id.clone(), format!("{aborted:.0} of {total:.0} tries aborted")));
-                continue;
-            }
-            let quiet = (now - s.last_heard()).saturating_sub(usual);
-            let span: f64 = s.met.iter().map(|m| m.1.span.as_secs_f64()).sum();
-            let met = s.met.iter().map(|m| m.1.total).sum::<f64>() / span.max(0.1);
-            let rate = expected.get(id).copied().unwrap_or(0.0).min(met);
-            if quiet > interval.mul_f64(1.2) && rate * quiet.as_secs_f64() >= MISSING {
-                let missing = rate * quiet.as_secs_f64();
-                found.push((
+            let extra = quiet_for(s).unwrap_or_default().saturating_sub(usual);
+            let met = s
+                .met
+                .since(Duration::ZERO)
+                .fold((0.0, 0.0), |a, m| (a.0 + m.total, a.1 + m.span.as_secs_f64()));
+            let missing =
+                expected.get(id).copied().unwrap_or(0.0).min(met.0 / met.1.max(0.1)) * extra.as_secs_f64();
+            if total >= ABORTS.0 && aborted / total >= healthy + ABORTS.1 {
+                verdicts.push((id.clone(), true, format!("{aborted:.0} of {total:.0} tries aborted")));
+            } else if extra > interval.mul_f64(1.2) && missing >= MISSING {
+                verdicts.push((
                     id.clone(),
-                    format!("silent for {:.1} s, {missing:.0} tries missing", quiet.as_secs_f64()),
+                    true,
+                    format!("silent {:.1} s, {missing:.0} tries missing", extra.as_secs_f64()),
                 ));
             }
         }
-        for (id, why) in found {
-            if let Some(s) = self.servers.get_mut(&id) {
-                s.suspect = Some(now);
-            }
-            self.host.log(&format!("suspect {id}: {why}"));
-            self.mark_all(Some(&id));
-        }
-        for (id, total, aborted) in cleared {
-            if let Some(s) = self.servers.get_mut(&id) {
-                s.suspect = None;
+        for (id, bad, why) in verdicts {
+            self.host.log(&format!("{} {id}: {why}", if bad { "suspect" } else { "cleared" }));
+            self.mark_all(bad.then_some(id.as_str()));
+            let ease = Ease { since: now, over: CLEARED.1, from: CLEARED.0, cold: false };
+            self.servers.entry(id).and_modify(|s| {
+                s.suspect = bad.then_some(now);
                 s.loads.clear();
-                s.ease = Some(Ease { since: now, over: CLEARED.1, from: CLEARED.0 });
-            }
-            self.host.log(&format!("cleared {id}: {aborted:.0} of {total:.0} tries aborted"));
-            self.mark_all(None);
-        }
-        let ready = || self.servers.values().filter(|s| s.state == ServerState::Ready);
-        let all: f64 = ready().map(|s| s.size).sum();
-        let bad: f64 = ready().filter(|s| s.suspect.is_some()).map(|s| s.size).sum();
-        let panic = bad > all * PANIC;
-        if panic != self.panic {
-            self.panic = panic;
-            self.host.log(&format!(
-                "panic {}: {bad:.1} of {all:.1} weight suspect",
-                if panic { "on" } else { "off" }
-            ));
+                s.ease = if bad { s.ease } else { Some(ease) };
+            });
+        }
+        let all: f64 = self.ready().map(|(_, s)| s.size).sum();
+        let bad: f64 = self.ready().filter(|(_, s)| s.suspect.is_some()).map(|(_, s)| s.size).sum();
+        if self.panic != (bad > all * PANIC) {
+            self.panic = !self.panic;
+            let mode = if self.panic { "on" } else { "off" };
+            self.host.log(&format!("panic {mode}: {bad:.1} of {all:.1} weight suspect"));
             self.mark_all(None);
         }
     }
 
-    // ---- demand, the line of worth, further tries ----
+    // ---- the line of worth, further tries, peers ----
 
     fn tell_demand(&mut self) {
-        if self.peers.others == 0 || !self.peers.notes_allowed {
-            return;
+        if self.peers.others > 0 && self.peers.notes_allowed {
+            let demand = self.own_demand(self.zones().min(60));
+            self.host.tell_peers(&demand.iter().flat_map(|d| (*d as f32).to_le_bytes()).collect::<Vec<u8>>());
         }
-        let zones = 1 + self.servers.values().map(|s| s.zone).max().unwrap_or(0);
-        let note: Vec<u8> =
-            self.own_demand(zones.min(60)).iter().flat_map(|d| (*d as f32).to_le_bytes()).collect();
-        self.host.tell_peers(&note);
     }
 
-    fn demand_for(&self, p: &Proxy, op_type: usize) -> f64 {
-        let recent = p.came[op_type].iter().rev().take(3).filter(|c| c.0 + FRESH >= self.now);
-        let (n, span) = recent.fold((0.0, 0.0), |a, c| (a.0 + c.1, a.1 + c.3.as_secs_f64()));
-        if span > 0.0 { n / span } else { p.usual / self.op_types.len() as f64 }
-    }
-
-    /// Moves the line by the pressure measured: how busy the servers say they are, or how late good
-    /// answers come against the target latency.
+    /// Moves the line by the pressure measured: how busy servers are, and once they are, how late good
+    /// answers come and how many ops let in got none. What was let in then, not now, made that pressure.
     fn move_line(&mut self) {
-        let ready: Vec<&Server> =
-            self.servers.values().filter(|s| s.state == ServerState::Ready && s.suspect.is_none()).collect();
-        let mut busy = 0.0;
-        if self.reporting.fields.contains(&LoadField::Busy) {
-            let heard: Vec<(f64, f64)> =
-                ready.iter().filter_map(|s| self.load_of(s).map(|l| (l * s.size, s.size))).collect();
-            busy = heard.iter().map(|h| h.0).sum::<f64>() / heard.iter().map(|h| h.1).sum::<f64>().max(0.001);
-        }
-        let since = self.now.saturating_sub(Duration::from_secs(4));
-        let (total, aborted, ms) = ready
-            .iter()
-            .map(|s| s.sums(since))
-            .fold((0.0, 0.0, 0.0), |a, s| (a.0 + s.0, a.1 + s.1, a.2 + s.2));
-        let target = self.op_types.iter().map(|t| t.target_latency.as_secs_f64() * 1e3).sum::<f64>()
-            / self.op_types.len().max(1) as f64;
-        let late = if total > aborted { ms / (total - aborted) / target } else { 0.0 };
-        let failing = if total > 0.0 { aborted / total } else { 0.0 };
-        let before = self.admitted;
-        if busy > 0.95 || late > 0.7 {
-            self.admitted = (self.admitted * 0.93).max(0.3);
-        } else if busy < 0.88 && late < 0.5 {
-            self.admitted = (self.admitted + 0.04).min(1.0);
-        }
-        let eager = if self.eager { late < 0.6 && failing < 0.3 } else { late < 0.4 && failing < 0.15 };
-        if (before < 1.0) != (self.admitted < 1.0) || eager != self.eager {
+        let now = self.now;
+        let since = now.saturating_sub(self.reporting.interval.mul_f64(2.0).max(Duration::from_secs(2)));
+        let well: Vec<&Server> = self.ready().map(|(_, s)| s).filter(|s| s.suspect.is_none()).collect();
+        let busy = if self.reporting.fields.contains(&LoadField::Busy) {
+            let heard = well.iter().filter_map(|s| self.load_of(s).map(|l| (l * s.size, s.size)));
+            let sums = heard.fold((0.0, 0.0), |a, h| (a.0 + h.0, a.1 + h.1));
+            sums.0 / sums.1.max(0.001)
+        } else {
+            let waiting: Vec<f64> = well.iter().filter_map(|s| mean(s.waiting.since(since))).collect();
+            mean(waiting.iter()).map_or(0.0, |w| w / (w + HALF_BUSY))
+        };
+        let sums = well.iter().map(|s| s.sums(since));
+        let (total, aborted, ms) = sums.fold((0.0, 0.0, 0.0), |a, s| (a.0 + s.0, a.1 + s.1, a.2 + s.2));
+        let target: f64 = self.op_types.iter().map(|t| t.target_latency.as_secs_f64() * 1e3).sum();
+        let late = ms / (total - aborted).max(1.0) / (target / self.op_types.len().max(1) as f64);
+        let failing = aborted / total.max(1.0);
+        let then =
+            mean(self.let_in.between(now.saturating_sub(Duration::from_secs(4)), since)).unwrap_or(1.0);
+        let ops = self.proxies.values().flat_map(|p| &p.came).flat_map(|c| c.since(since));
+        let (came, lost) = ops.fold((0.0, 0.0), |a, c| (a.0 + c.0, a.1 + c.1));
+        let answered = (1.0 - lost / (came * then).max(1.0)).clamp(0.3, 1.0);
+        let pressure = if busy < 0.85 { busy } else { busy * (1.0 + (late - 0.5).max(0.0)) / answered };
+        let before = (self.share, self.eager);
+        if self.share < 1.0 || pressure > PRESSED {
+            let aim = then * EASY / pressure.max(0.01);
+            self.share = aim.clamp(self.share * 0.6, self.share + 0.08).clamp(LEAST_IN, 1.0);
+        }
+        self.let_in.add(now, self.share, KEPT);
+        self.stress = pressure.max(1.0) / (1.0 - failing).max(0.15);
+        self.eager =
+            if self.eager { pressure < 0.9 && failing < 0.4 } else { pressure < 0.8 && failing < 0.2 };
+        if (before.0 < 1.0) != (self.share < 1.0) || before.1 != self.eager {
+            let tries = if self.eager { "free" } else { "held" };
             self.host.log(&format!(
-                "line at {:.2}, tries {}: busy {busy:.2}, late {late:.2}, aborted {failing:.2}",
-                self.admitted,
-                if eager { "free" } else { "held" }
+                "line at {:.2}, tries {tries}: busy {busy:.2}, late {late:.2}, answered {answered:.2}, aborted {failing:.2}",
+                self.share
             ));
         }
-        if before != self.admitted || eager != self.eager {
-            self.eager = eager;
+        if before != (self.share, self.eager) {
             self.mark_all(None);
         }
     }
 
-    /// Share of an op type that is let in. The line of worth admits by value and leaves the rest to those
+    /// Share of each op type that is let in. The line of worth admits by value and leaves the rest to those
     /// under it, unless the worst-served op type weighs so much that sharing alike loses less.
-    fn share_let_in(&self, op_type: usize) -> f64 {
-        if self.admitted >= 1.0 {
-            return 1.0;
-        }
+    fn shares(&self) -> Vec<f64> {
         let n = self.op_types.len();
-        let demand: Vec<f64> = (0..n)
-            .map(|t| {
-                self.proxies.values().filter(|p| p.joined).map(|p| self.demand_for(p, t)).sum::<f64>() + 0.01
-            })
-            .collect();
+        if self.share >= 1.0 {
+            return vec![1.0; n];
+        }
+        let joined = || self.proxies.values().filter(|p| p.joined);
+        let demand: Vec<f64> =
+            (0..n).map(|t| joined().map(|p| self.demand(p, t)).sum::<f64>() + 0.01).collect();
         let all: f64 = demand.iter().sum();
         let value: f64 = (0..n).map(|t| demand[t] * self.op_types[t].value).sum::<f64>() / all;
         let mut order: Vec<usize> = (0..n).collect();
         order.sort_by(|a, b| self.op_types[*b].value.total_cmp(&self.op_types[*a].value));
-        let lowest = order[n - 1];
-        let by_value = self.aims.rest * self.op_types[lowest].value / value
-            + self.aims.worst_op_type * all / demand[lowest];
+        let low = order[n - 1];
+        let by_value =
+            self.aims.rest * self.op_types[low].value / value + self.aims.worst_op_type * all / demand[low];
         if by_value >= self.aims.rest + self.aims.worst_op_type {
-            return self.admitted;
+            return vec![self.share; n];
         }
-        let mut left = self.admitted * all;
+        let mut shares = vec![1.0; n];
+        let mut left = self.share * all;
         for t in order {
-            let share = (left / demand[t]).clamp(0.05, 1.0);
-            if t == op_type {
-                return share;
-            }
-            left -= share * demand[t];
+            shares[t] = (left / demand[t]).clamp(0.05, 1.0);
+            left -= shares[t] * demand[t];
         }
-        1.0
+        shares
     }
 
     /// Never a further try that could take effect twice: once-only op types only after proof that the
@@ -899,10 +827,3 @@
         if free && self.eager { Retry::Once } else { Retry::Unsent }
     }
 }
-
-fn keep<T>(samples: &mut VecDeque<T>, sample: T) {
-    if samples.len() == KEPT {
-        samples.pop_front();
-    }
-    samples.push_back(sample);
-}
--- a/src/host.rs
+++ b/src/host.rs
@@ -44,10 +44,11 @@
 }
 
 /// What the list says of a server's process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ServerState {
     Ready,
     Draining,
+    #[default]
     Gone,
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod decide;
 mod host;
+mod samples;
 
 pub use decide::Director;
 pub use host::*;
