Busy servers are not suspected; rates follow what got in

Aborts now accuse only a server that does not report itself busy. Rate levels follow what got in, not what came.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -46,6 +46,8 @@
 /// Suspicion: least tries, and aborted share above that of the healthier servers; tries missing for silence.
 const ABORTS: (f64, f64) = (3.0, 0.4);
 const MISSING: f64 = 5.0;
+/// Busyness, or ops waiting, from which on aborts are believed to be overload.
+const SWAMPED: (f64, f64) = (0.85, 3.0);
 /// Part of its weight that a suspect keeps, so that its return is seen.
 const TRICKLE: f64 = 0.04;
 /// Suspects beyond this part of the listed weight are believed to share a cause that is not theirs.
@@ -655,6 +657,14 @@
         self.mark_all(None);
     }
 
+    /// A server that says it is busy aborts because it is full: that is for the weights and the line.
+    fn swamped(&self, s: &Server) -> bool {
+        let since = self.now.saturating_sub(FRESH);
+        let busy = self.reporting.fields.contains(&LoadField::Busy)
+            && self.load_of(s).is_some_and(|l| l > SWAMPED.0);
+        busy || mean(s.waiting.since(since).take(3)).is_some_and(|w| w > SWAMPED.1)
+    }
+
     /// Expected tries a second at each server, by the tables as last sent.
     fn expected(&self) -> BTreeMap<&String, f64> {
         let mut expected = BTreeMap::new();
@@ -701,7 +711,7 @@
                 .fold((0.0, 0.0), |a, m| (a.0 + m.total, a.1 + m.span.as_secs_f64()));
             let missing =
                 expected.get(id).copied().unwrap_or(0.0).min(met.0 / met.1.max(0.1)) * extra.as_secs_f64();
-            if total >= ABORTS.0 && aborted / total >= healthy + ABORTS.1 {
+            if total >= ABORTS.0 && aborted / total >= healthy + ABORTS.1 && !self.swamped(s) {
                 verdicts.push((id.clone(), true, format!("{aborted:.0} of {total:.0} tries aborted")));
             } else if extra > interval.mul_f64(1.2) && missing >= MISSING {
                 verdicts.push((
@@ -745,7 +755,8 @@
     fn move_line(&mut self) {
         let now = self.now;
         let since = now.saturating_sub(self.reporting.interval.mul_f64(2.0).max(Duration::from_secs(2)));
-        let well: Vec<&Server> = self.ready().map(|(_, s)| s).filter(|s| s.suspect.is_none()).collect();
+        let well: Vec<&Server> =
+            self.ready().map(|(_, s)| s).filter(|s| s.suspect.is_none() || self.panic).collect();
         let busy = if self.reporting.fields.contains(&LoadField::Busy) {
             let heard = well.iter().filter_map(|s| self.load_of(s).map(|l| (l * s.size, s.size)));
             let sums = heard.fold((0.0, 0.0), |a, h| (a.0 + h.0, a.1 + h.1));
@@ -763,12 +774,16 @@
             mean(self.let_in.between(now.saturating_sub(Duration::from_secs(4)), since)).unwrap_or(1.0);
         let ops = self.proxies.values().flat_map(|p| &p.came).flat_map(|c| c.since(since));
         let (came, lost) = ops.fold((0.0, 0.0), |a, c| (a.0 + c.0, a.1 + c.1));
-        let answered = (1.0 - lost / (came * then).max(1.0)).clamp(0.3, 1.0);
+        let let_in = (total - aborted + lost).max(1.0);
+        let answered = ((total - aborted) / let_in).max(0.3);
         let pressure = if busy < 0.85 { busy } else { busy * (1.0 + (late - 0.5).max(0.0)) / answered };
         let before = (self.share, self.eager);
         if self.share < 1.0 || pressure > PRESSED {
-            let aim = then * EASY / pressure.max(0.01);
-            self.share = aim.clamp(self.share * 0.6, self.share + 0.08).clamp(LEAST_IN, 1.0);
+            // Shares are drawn by each op, so what was ordered counts; rates let in what they say, however
+            // many repeats come, so what got in counts.
+            let part =
+                if self.admission == Admission::Rate { (let_in / came.max(1.0)).min(1.0) } else { then };
+            self.share = (part * EASY / pressure.max(0.01)).min(self.share + 0.08).clamp(LEAST_IN, 1.0);
         }
         self.let_in.add(now, self.share, KEPT);
         self.stress = pressure.max(1.0) / (1.0 - failing).max(0.15);
