Weights take larger and earlier steps

Cause: unlisted or roughly listed speeds were learnt too slowly, so slow servers queued through the first 15 s. Gain 0.4 to 0.6, largest step 0.2 to 0.3, first step after 2.5 s instead of 5 s.

--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -91,10 +91,7 @@
 
 /// Tells an instance one event. Returns a remark if the event was odd and has been skipped.
 pub fn tell(
-    instances: &mut BTreeMap<String, Director<Orders>>,
-    name: &str,
-    event: &Value,
-    now: Duration,
+    instances: &mut BTreeMap<String, Director<Orders>>, name: &str, event: &Value, now: Duration,
     orders: &mut Vec<Value>,
 ) -> Result<Option<String>, WireError> {
     let kind = kind(event);
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -34,8 +34,8 @@
 const STEP_INTERVALS: f64 = 2.0;
 const STEP_LEAST: Duration = Duration::from_millis(2500);
 /// Part of a relative gap taken in one step, the largest step, and the gap that is ignored.
-const GAIN: f64 = 0.4;
-const STEP_MOST: f64 = 0.2;
+const GAIN: f64 = 0.6;
+const STEP_MOST: f64 = 0.3;
 const GAP: f64 = 0.1;
 const BOUND: [f64; 2] = [0.4, 2.0];
 /// Changes of a line smaller than this part are not sent.
@@ -170,17 +170,9 @@
 impl<H: Host> Director<H> {
     #[allow(clippy::too_many_arguments)]
     pub fn start(
-        now: Duration,
-        seed: u64,
-        mut host: H,
-        op_types: Vec<OpType>,
-        (admission, usual_retry): (Admission, Retry),
-        channel: Channel,
-        cold: ColdTerms,
-        reporting: Reporting,
-        aims: Aims,
-        peers: Peers,
-        ask_for_list: bool,
+        now: Duration, seed: u64, mut host: H, op_types: Vec<OpType>,
+        (admission, usual_retry): (Admission, Retry), channel: Channel, cold: ColdTerms,
+        reporting: Reporting, aims: Aims, peers: Peers, ask_for_list: bool,
     ) -> Self {
         if ask_for_list {
             host.follow_list();
@@ -205,7 +197,7 @@
             budget_at: now,
             stamp: 0,
             next_tick: now + TICK,
-            next_step: now + REBUILD,
+            next_step: now + STEP_LEAST,
             next_line: now,
             panic: false,
             let_in: Samples::default(),
@@ -319,13 +311,7 @@
     }
 
     pub fn ops_came(
-        &mut self,
-        now: Duration,
-        proxy: u32,
-        op_type: usize,
-        total: f64,
-        aborted: f64,
-        span: Duration,
+        &mut self, now: Duration, proxy: u32, op_type: usize, total: f64, aborted: f64, span: Duration,
     ) {
         self.now = now;
         if let Some(came) = self.proxies.get_mut(&proxy).and_then(|p| p.came.get_mut(op_type)) {
