--- a/src/decide.rs
+++ b/src/decide.rs
@@ -748,8 +748,8 @@
             let sums = heard.fold((0.0, 0.0), |a, h| (a.0 + h.0, a.1 + h.1));
             sums.0 / sums.1.max(0.001)
         } else {
-            let waiting: Vec<f64> = well.iter().filter_map(|s| mean(s.waiting.since(since))).collect();
-            mean(waiting.iter()).map_or(0.0, |w| w / (w + HALF_BUSY))
+            let waiting = well.iter().filter_map(|s| mean(s.waiting.since(since)));
+            mean(waiting.map(|w| w / (w + HALF_BUSY)).collect::<Vec<f64>>().iter()).unwrap_or(0.0)
         };
         let sums = well.iter().map(|s| s.sums(since));
         let (total, aborted, ms) = sums.fold((0.0, 0.0, 0.0), |a, s| (a.0 + s.0, a.1 + s.1, a.2 + s.2));
@@ -769,7 +769,7 @@
             // many repeats come, so what got in counts.
             let part =
                 if self.admission == Admission::Rate { (let_in / came.max(1.0)).min(1.0) } else { then };
-            self.share = (part * EASY / pressure.max(0.01)).min(self.share + 0.08).clamp(LEAST_IN, 1.0);
+            self.share = (part * EASY / pressure.max(0.01)).min(self.share * 1.25).clamp(LEAST_IN, 1.0);
         }
         self.let_in.add(now, self.share, KEPT);
         self.stress = pressure.max(1.0) / (1.0 - failing).max(0.15);
