--- a/src/decide.rs
+++ b/src/decide.rs
@@ -57,6 +57,10 @@
 /// A zone may be this much busier than the fleet before it spills.
 const SPILL: f64 = 1.08;
 
+/// How long a restarted supervisor leaves proxies with the tables they hold, to hear of them first; and how
+/// far cold servers are held down until tries have been heard of.
+const STARTING_OVER: Duration = Duration::from_secs(3);
+const STRESS_UNHEARD: f64 = 3.0;
 const LINE_EVERY: Duration = Duration::from_secs(1);
 /// Pressure at which the line comes down, and the pressure it then aims at.
 const PRESSED: f64 = 0.96;
@@ -123,6 +127,8 @@
     /// By op type: ops that came, those let in that were aborted, and over what span.
     came: Vec<Samples<(f64, f64, Duration)>>,
     joined: bool,
+    /// It came with tables of an earlier stream.
+    kept: bool,
     bound: bool,
     dirty: bool,
     urgent: bool,
@@ -161,6 +167,8 @@
     let_in: Samples<f64>,
     share: f64,
     stress: f64,
+    /// After a restart, proxies that hold tables are left with them until then.
+    open_at: Duration,
     eager: bool,
     peer_demand: BTreeMap<u32, (Duration, Vec<f64>)>,
     list_retry: Option<Duration>,
@@ -202,7 +210,8 @@
             panic: false,
             let_in: Samples::default(),
             share: 1.0,
-            stress: 1.0,
+            stress: STRESS_UNHEARD,
+            open_at: now + STARTING_OVER,
             eager: true,
             peer_demand: BTreeMap::new(),
             list_retry: None,
@@ -277,7 +286,7 @@
     }
 
     /// Guards against a join with no break seen before it: whatever was known of the proxy is void.
-    pub fn proxy_joined(&mut self, now: Duration, proxy: u32, zone: usize, usual: f64) {
+    pub fn proxy_joined(&mut self, now: Duration, proxy: u32, zone: usize, usual: f64, fresh: bool) {
         self.proxy_left(now, proxy);
         let p = self.proxies.entry(proxy).or_default();
         if p.came.is_empty() {
@@ -289,6 +298,7 @@
         p.next_rebuild = now + REBUILD.mul_f64(1.0 + self.rng.f64());
         // A standing table may name servers that drain, are gone or cold: then the join cannot wait.
         let hurry = self.servers.values().any(|s| s.state != ServerState::Ready || s.ease.is_some());
+        p.kept = !fresh && !hurry;
         self.mark(proxy, hurry);
     }
 
@@ -530,7 +540,8 @@
 
     fn flush_pending(&mut self, id: u32) -> bool {
         let Some(p) = self.proxies.get_mut(&id) else { return false };
-        if p.in_flight.is_some_and(|f| self.now < f.1 + ANSWER_WAIT) {
+        let kept = p.kept && !p.bound && self.now < self.open_at;
+        if kept || p.in_flight.is_some_and(|f| self.now < f.1 + ANSWER_WAIT) {
             return false;
         }
         p.pending.take().is_some_and(|update| self.send(id, update, false))
@@ -764,6 +775,10 @@
         let answered = ((total - aborted) / let_in).max(0.3);
         let pressure = if busy < 0.85 { busy } else { busy * (1.0 + (late - 0.5).max(0.0)) / answered };
         let before = (self.share, self.eager);
+        if now >= self.open_at && now < self.open_at + LINE_EVERY && let_in < 0.9 * came {
+            // Starting over: rejections that we did not order tell of the line of before.
+            self.share = (let_in / came).max(LEAST_IN);
+        }
         if self.share < 1.0 || pressure > PRESSED {
             // Shares are drawn by each op, so what was ordered counts; rates let in what they say, however
             // many repeats come, so what got in counts.
@@ -772,7 +787,7 @@
             self.share = (part * EASY / pressure.max(0.01)).min(self.share * 1.25).clamp(LEAST_IN, 1.0);
         }
         self.let_in.add(now, self.share, KEPT);
-        self.stress = pressure.max(1.0) / (1.0 - failing).max(0.15);
+        self.stress = (pressure.max(1.0) / (1.0 - failing).max(0.15)).max(self.stress * 0.7);
         self.eager =
             if self.eager { pressure < 0.9 && failing < 0.4 } else { pressure < 0.8 && failing < 0.2 };
         if (before.0 < 1.0) != (self.share < 1.0) || before.1 != self.eager {
