--- a/crates/wirehost/src/settings.rs
+++ b/crates/wirehost/src/settings.rs
@@ -1,9 +1,7 @@
 //! The wire's settings object, read into the decisions' domain types. Unknown keys are skipped.
 
 use crate::wire::{Orders, duration};
-use fallgap::{
-    Admission, Aims, Channel, ColdTerms, Director, LoadField, OpType, Peers, Repeats, Reporting, Retry,
-};
+use fallgap::{Admission, Aims, Channel, ColdTerms, Director, OpType, Peers, Repeats, Reporting, Retry};
 use serde_json::Value;
 use std::time::Duration;
 
@@ -31,7 +29,6 @@
     let cold = ColdTerms { from: rules["cold_from"].as_f64().unwrap_or(1.0), over: span(&rules["cold"]) };
     let telemetry = &settings["telemetry"];
     let reporting = Reporting {
-        fields: list(&telemetry["fields"]).iter().map(field).collect(),
         by_probe: telemetry["via"].as_str() == Some("pull"),
         probes_allowed: settings["caps"]["probes"].as_bool().unwrap_or(false),
         interval: span(&family["interval"]),
@@ -85,16 +82,6 @@
     }
 }
 
-fn field(name: &Value) -> LoadField {
-    match name.as_str() {
-        Some("active") => LoadField::Active,
-        Some("waiting") => LoadField::Waiting,
-        Some("cpu") => LoadField::Busy,
-        Some("avg_ms") => LoadField::ServiceMs,
-        _ => LoadField::Other,
-    }
-}
-
 fn list(value: &Value) -> &[Value] {
     value.as_array().map_or(&[], |l| l)
 }
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -1,7 +1,7 @@
 //! The wire's events as calls, and orders as the wire's actions.
 
 use crate::settings;
-use fallgap::{Director, Host, ListNews, Listed, Met, Probed, Retry, ServerState};
+use fallgap::{Director, Host, ListNews, Listed, Load, Met, Probed, Retry, ServerState};
 use serde_json::{Map, Value, json};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -16,12 +16,15 @@
 /// A [`Host`] that gathers one instance's orders until the reply is written.
 pub struct Orders {
     instance: String,
+    fields: Vec<String>,
     orders: Vec<Value>,
 }
 
 impl Orders {
-    pub fn new(instance: &str) -> Self {
-        Orders { instance: instance.to_owned(), orders: Vec::new() }
+    pub fn new(instance: &str, settings: &Value) -> Self {
+        let fields = settings["telemetry"]["fields"].as_array().map_or(&[][..], |f| f);
+        let fields = fields.iter().map(|f| f.as_str().unwrap_or("").to_owned()).collect();
+        Orders { instance: instance.to_owned(), fields, orders: Vec::new() }
     }
 
     pub fn drain_into(&mut self, all: &mut Vec<Value>) {
@@ -99,7 +102,7 @@
         let settings = event.get("conf").filter(|c| c.is_object());
         let settings = settings.ok_or_else(|| WireError("no object \"conf\"".into()))?;
         let seed = event.get("rng_seed").and_then(Value::as_u64).unwrap_or(0);
-        instances.insert(name.to_owned(), settings::start(settings, now, seed, Orders::new(name)));
+        instances.insert(name.to_owned(), settings::start(settings, now, seed, Orders::new(name, settings)));
         return Ok(None);
     }
     if kind == "halt" {
@@ -133,7 +136,7 @@
                 2 => Probed::TurnedAway,
                 _ => Probed::Failed,
             };
-            director.probe_answered(now, text(event, "server")?, result, &load(event));
+            director.probe_answered(now, text(event, "server")?, result, load(event, &director.host.fields));
         }
         "datagram" => director.peer_told(now, whole(event, "by") as u32, &bytes(event, "octets")?),
         "connected" => {
@@ -149,7 +152,7 @@
                 good_ms: number(event, "delay_seen"),
                 span: span(event, "span"),
             };
-            director.server_met(now, text(event, "server")?, met, &load(event));
+            director.server_met(now, text(event, "server")?, met, load(event, &director.host.fields));
         }
         "traffic" => {
             let (total, aborted) = (number(event, "total"), number(event, "failed"));
@@ -197,9 +200,12 @@
     duration(number(event, key)).unwrap_or_default()
 }
 
-fn load(event: &Value) -> Vec<f64> {
-    let figures = event.get("load").and_then(Value::as_array);
-    figures.map_or_else(Vec::new, |l| l.iter().map(|x| x.as_f64().unwrap_or(0.0)).collect())
+/// A load report: a row of figures, in the order of the settings' field names.
+fn load(event: &Value, fields: &[String]) -> Option<Load> {
+    let figures = event.get("load").and_then(Value::as_array).filter(|l| !l.is_empty())?;
+    let figure = |name: &str| fields.iter().position(|f| f == name).and_then(|i| figures.get(i)?.as_f64());
+    let (active, waiting) = (figure("active"), figure("waiting"));
+    Some(Load { active, waiting, busy: figure("cpu"), service_ms: figure("avg_ms") })
 }
 
 fn proxy(event: &Value) -> Result<u32, WireError> {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -46,8 +46,8 @@
 /// Suspicion: least tries, and aborted share above that of the healthier servers; tries missing for silence.
 const ABORTS: (f64, f64) = (3.0, 0.4);
 const MISSING: f64 = 5.0;
-/// Busyness, or ops waiting, from which on aborts are believed to be overload.
-const SWAMPED: (f64, f64) = (0.85, 3.0);
+/// Busyness from which on aborts are believed to be overload: that is for the weights and the line.
+const SWAMPED: f64 = 0.83;
 /// Part of its weight that a suspect keeps, so that its return is seen.
 const TRICKLE: f64 = 0.04;
 /// Suspects beyond this part of the listed weight are believed to share a cause that is not theirs.
@@ -61,7 +61,7 @@
 /// far cold servers are held down until tries have been heard of.
 const STARTING_OVER: Duration = Duration::from_secs(3);
 const STRESS_UNHEARD: f64 = 3.0;
-const LINE_EVERY: Duration = Duration::from_secs(1);
+const LINE_TICKS: u64 = 4;
 /// Pressure at which the line comes down, and the pressure it then aims at.
 const PRESSED: f64 = 0.96;
 const EASY: f64 = 0.88;
@@ -90,8 +90,7 @@
     ease: Option<Ease>,
     factor: f64,
     met: Samples<Met>,
-    loads: Samples<f64>,
-    waiting: Samples<f64>,
+    loads: Samples<Load>,
     suspect: Option<Duration>,
 }
 
@@ -160,9 +159,7 @@
     budget: f64,
     budget_at: Duration,
     stamp: u16,
-    next_tick: Duration,
-    next_step: Duration,
-    next_line: Duration,
+    ticks: u64,
     panic: bool,
     let_in: Samples<f64>,
     share: f64,
@@ -204,9 +201,7 @@
             budget: 0.0,
             budget_at: now,
             stamp: 0,
-            next_tick: now + TICK,
-            next_step: now + STEP_LEAST,
-            next_line: now,
+            ticks: 0,
             panic: false,
             let_in: Samples::default(),
             share: 1.0,
@@ -244,25 +239,24 @@
         self.host.log("list call failed: keeping the old list");
     }
 
-    pub fn woke(&mut self, now: Duration, _cookie: u64) {
+    pub fn woke(&mut self, now: Duration, cookie: u64) {
         self.now = now;
-        if now < self.next_tick {
+        if cookie != self.ticks {
             return;
         }
-        self.next_tick = now + TICK;
-        self.host.wake_at(self.next_tick, 0);
+        self.ticks += 1;
+        self.host.wake_at(now + TICK, self.ticks);
         if self.list_retry.is_some_and(|at| now >= at) {
             self.list_retry = None;
             self.host.follow_list();
         }
         self.send_probes();
         self.judge_servers();
-        if now >= self.next_line {
-            self.next_line = now + LINE_EVERY;
+        if self.ticks.is_multiple_of(LINE_TICKS) {
             self.move_line();
         }
-        if now >= self.next_step {
-            self.next_step = now + self.reporting.interval.mul_f64(STEP_INTERVALS).max(STEP_LEAST);
+        let step = self.reporting.interval.mul_f64(STEP_INTERVALS).max(STEP_LEAST);
+        if self.ticks.is_multiple_of((step.as_millis() / TICK.as_millis()) as u64) {
             self.step_weights();
             self.tell_demand();
         }
@@ -273,7 +267,7 @@
         }
     }
 
-    pub fn probe_answered(&mut self, now: Duration, server: &str, _result: Probed, load: &[f64]) {
+    pub fn probe_answered(&mut self, now: Duration, server: &str, _result: Probed, load: Option<Load>) {
         self.now = now;
         self.load_heard(server, load);
     }
@@ -312,7 +306,7 @@
         self.queue.retain(|q| *q != proxy);
     }
 
-    pub fn server_met(&mut self, now: Duration, server: &str, met: Met, load: &[f64]) {
+    pub fn server_met(&mut self, now: Duration, server: &str, met: Met, load: Option<Load>) {
         self.now = now;
         if let Some(s) = self.servers.get_mut(server) {
             s.met.add(now, met, KEPT);
@@ -391,7 +385,6 @@
             (s.started, s.suspect) = (entry.started, None);
             s.met.clear();
             s.loads.clear();
-            s.waiting.clear();
             let since = entry.started.unwrap_or(self.now);
             cold = self.now < since + self.cold.over;
             s.ease = cold.then_some(Ease { since, over: self.cold.over, from: self.cold.from, cold });
@@ -499,7 +492,7 @@
         let excess = demand[zone] - common * SPILL * room[zone];
         let free: Vec<f64> = demand.iter().zip(&room).map(|(d, r)| (common * r - d).max(0.0)).collect();
         let all_free: f64 = free.iter().sum();
-        if excess > 0.0 && all_free > 0.0 {
+        if excess > 0.0 && all_free > 0.0 && !self.op_types.iter().any(|t| t.own_zone) {
             let kept = (demand[zone] - excess) / room[zone];
             for y in (0..zones).filter(|y| *y != zone && room[*y] > 0.0) {
                 part[y] = (excess * free[y] / all_free / room[y] / kept * 20.0).round() / 20.0;
@@ -511,18 +504,13 @@
     fn build(&self, id: u32) -> Update {
         let Some(p) = self.proxies.get(&id) else { return Update::default() };
         let mut update = Update::default();
-        let mut reach = self.reach(p.zone);
-        if self.op_types.iter().any(|t| t.own_zone) {
-            reach.iter_mut().enumerate().for_each(|(z, r)| *r = if z == p.zone { 1.0 } else { 0.0 });
-        }
+        let reach = self.reach(p.zone);
+        let settle = |old: f64, new: f64| if (new / old - 1.0).abs() < SAME { old } else { new };
         for (server, s) in self.ready() {
             let part = self.weight(s) * reach[s.zone];
             if part > 0.0 {
                 let old = p.sent.lines.get(server).copied().unwrap_or(0.0);
-                let same = (part / old - 1.0).abs() < SAME;
-                update
-                    .lines
-                    .insert(server.clone(), if same { old } else { (part * 1e4).round().max(1.0) / 1e4 });
+                update.lines.insert(server.clone(), settle(old, (part * 1e4).round().max(1.0) / 1e4));
             }
         }
         for (t, share) in self.shares().into_iter().enumerate() {
@@ -531,9 +519,7 @@
                 Admission::Rate => (share * self.demand(p, t)).max(0.05),
                 _ => share,
             };
-            let old = p.sent.levels[t].0;
-            let same = (level / old - 1.0).abs() < SAME;
-            update.levels.push((if same { old } else { level }, self.retry_for(t)));
+            update.levels.push((settle(p.sent.levels[t].0, level), self.retry_for(t)));
         }
         update
     }
@@ -594,24 +580,10 @@
 
     // ---- what is heard of servers ----
 
-    fn load_heard(&mut self, server: &str, load: &[f64]) {
-        let Some(s) = self.servers.get_mut(server).filter(|_| !load.is_empty()) else { return };
-        let fields = &self.reporting.fields;
-        let field = |f| fields.iter().position(|x| *x == f).and_then(|i| load.get(i).copied());
-        let waiting = field(LoadField::Waiting);
-        let load = match (field(LoadField::Busy), field(LoadField::Active), field(LoadField::ServiceMs)) {
-            (Some(busy), _, _) => Some(busy),
-            (_, Some(active), _) => Some(active / s.size),
-            // Service time alone does not fall with the load: what a server is given, times that, does.
-            (_, _, Some(ms)) => Some(s.factor * ms * (1.0 + waiting.unwrap_or(0.0) / 8.0)),
-            _ => waiting.map(|w| (1.0 + w) / s.size),
-        };
-        if let Some(load) = load {
+    fn load_heard(&mut self, server: &str, load: Option<Load>) {
+        if let (Some(s), Some(load)) = (self.servers.get_mut(server), load) {
             s.loads.add(self.now, load, KEPT);
         }
-        if let Some(waiting) = waiting {
-            s.waiting.add(self.now, waiting, KEPT);
-        }
     }
 
     fn send_probes(&mut self) {
@@ -619,20 +591,32 @@
             return;
         }
         // Each server once a second, a quarter of them each tick.
-        let turn = (self.now.as_millis() / TICK.as_millis()) as usize % 4;
         for (i, (server, s)) in self.servers.iter().enumerate() {
-            if s.state == ServerState::Ready && i % 4 == turn {
+            if s.state == ServerState::Ready && (i as u64 + self.ticks).is_multiple_of(4) {
                 self.host.probe(server);
             }
         }
     }
 
-    /// Load of a server: its last reports, or the time of good answers where none come.
+    /// A figure of a server's last reports.
+    fn figure(&self, s: &Server, pick: fn(&Load) -> Option<f64>) -> Option<f64> {
+        mean(s.loads.since(self.now.saturating_sub(FRESH)).take(3).filter_map(pick))
+    }
+
+    /// Load of a server: its last reports, or the time of good answers where none come. Service time alone
+    /// does not fall with the load: what a server is given, times that, does.
     fn load_of(&self, s: &Server) -> Option<f64> {
-        let since = self.now.saturating_sub(FRESH);
-        let (total, aborted, ms) = s.sums(since);
-        let good_ms = self.reporting.fields.is_empty() && total > aborted;
-        mean(s.loads.since(since).take(3)).or(good_ms.then(|| ms / (total - aborted)))
+        let waiting = self.figure(s, |l| l.waiting);
+        let given = |ms: f64| s.factor * ms * (1.0 + waiting.unwrap_or(0.0) / 8.0);
+        let (total, aborted, ms) = s.sums(self.now.saturating_sub(FRESH));
+        let good_ms = || (total > aborted).then(|| ms / (total - aborted));
+        let busy = self.figure(s, |l| l.busy).or(self.figure(s, |l| l.active).map(|a| a / s.size));
+        busy.or(self.figure(s, |l| l.service_ms).map(given)).or(waiting.map(|w| w / s.size)).or_else(good_ms)
+    }
+
+    /// How busy a server says it is; where only queues are reported, what such a queue tells.
+    fn busy_of(&self, s: &Server) -> Option<f64> {
+        self.figure(s, |l| l.busy).or(self.figure(s, |l| l.waiting).map(|w| w / (w + HALF_BUSY)))
     }
 
     /// The design's step: each heard server's weight moves against its load minus the mean. Fresh servers
@@ -641,7 +625,7 @@
         let heard = self.ready().filter(|(_, s)| s.suspect.is_none() && s.ease.is_none());
         let loads: Vec<(String, f64)> =
             heard.filter_map(|(id, s)| self.load_of(s).map(|l| (id.clone(), l))).collect();
-        let common = mean(loads.iter().map(|l| &l.1)).unwrap_or(0.0).max(1e-9);
+        let common = mean(loads.iter().map(|l| l.1)).unwrap_or(0.0).max(1e-9);
         for (id, load) in loads {
             let gap = load / common - 1.0;
             let step = if gap.abs() < GAP { 0.0 } else { (GAIN * gap).clamp(-STEP_MOST, STEP_MOST) };
@@ -654,14 +638,6 @@
         self.mark_all(None);
     }
 
-    /// A server that says it is busy aborts because it is full: that is for the weights and the line.
-    fn swamped(&self, s: &Server) -> bool {
-        let since = self.now.saturating_sub(FRESH);
-        let busy = self.reporting.fields.contains(&LoadField::Busy)
-            && self.load_of(s).is_some_and(|l| l > SWAMPED.0);
-        busy || mean(s.waiting.since(since).take(3)).is_some_and(|w| w > SWAMPED.1)
-    }
-
     /// Expected tries a second at each server, by the tables as last sent.
     fn expected(&self) -> BTreeMap<&String, f64> {
         let mut expected = BTreeMap::new();
@@ -708,7 +684,10 @@
                 .fold((0.0, 0.0), |a, m| (a.0 + m.total, a.1 + m.span.as_secs_f64()));
             let missing =
                 expected.get(id).copied().unwrap_or(0.0).min(met.0 / met.1.max(0.1)) * extra.as_secs_f64();
-            if total >= ABORTS.0 && aborted / total >= healthy + ABORTS.1 && !self.swamped(s) {
+            if total >= ABORTS.0
+                && aborted / total >= healthy + ABORTS.1
+                && self.busy_of(s).unwrap_or(0.0) < SWAMPED
+            {
                 verdicts.push((id.clone(), true, format!("{aborted:.0} of {total:.0} tries aborted")));
             } else if extra > interval.mul_f64(1.2) && missing >= MISSING {
                 verdicts.push((
@@ -754,28 +733,23 @@
         let since = now.saturating_sub(self.reporting.interval.mul_f64(2.0).max(Duration::from_secs(2)));
         let well: Vec<&Server> =
             self.ready().map(|(_, s)| s).filter(|s| s.suspect.is_none() || self.panic).collect();
-        let busy = if self.reporting.fields.contains(&LoadField::Busy) {
-            let heard = well.iter().filter_map(|s| self.load_of(s).map(|l| (l * s.size, s.size)));
-            let sums = heard.fold((0.0, 0.0), |a, h| (a.0 + h.0, a.1 + h.1));
-            sums.0 / sums.1.max(0.001)
-        } else {
-            let waiting = well.iter().filter_map(|s| mean(s.waiting.since(since)));
-            mean(waiting.map(|w| w / (w + HALF_BUSY)).collect::<Vec<f64>>().iter()).unwrap_or(0.0)
-        };
+        let heard = well.iter().filter_map(|s| self.busy_of(s).map(|b| (b * s.size, s.size)));
+        let (work, room) = heard.fold((0.0, 0.0), |a, h| (a.0 + h.0, a.1 + h.1));
+        let busy = work / f64::max(room, 0.001);
         let sums = well.iter().map(|s| s.sums(since));
         let (total, aborted, ms) = sums.fold((0.0, 0.0, 0.0), |a, s| (a.0 + s.0, a.1 + s.1, a.2 + s.2));
         let target: f64 = self.op_types.iter().map(|t| t.target_latency.as_secs_f64() * 1e3).sum();
         let late = ms / (total - aborted).max(1.0) / (target / self.op_types.len().max(1) as f64);
         let failing = aborted / total.max(1.0);
-        let then =
-            mean(self.let_in.between(now.saturating_sub(Duration::from_secs(4)), since)).unwrap_or(1.0);
+        let then = mean(self.let_in.between(now.saturating_sub(Duration::from_secs(4)), since).copied())
+            .unwrap_or(1.0);
         let ops = self.proxies.values().flat_map(|p| &p.came).flat_map(|c| c.since(since));
         let (came, lost) = ops.fold((0.0, 0.0), |a, c| (a.0 + c.0, a.1 + c.1));
         let let_in = (total - aborted + lost).max(1.0);
         let answered = ((total - aborted) / let_in).max(0.3);
         let pressure = if busy < 0.85 { busy } else { busy * (1.0 + (late - 0.5).max(0.0)) / answered };
         let before = (self.share, self.eager);
-        if now >= self.open_at && now < self.open_at + LINE_EVERY && let_in < 0.9 * came {
+        if now >= self.open_at && now < self.open_at + TICK * LINE_TICKS as u32 && let_in < 0.9 * came {
             // Starting over: rejections that we did not order tell of the line of before.
             self.share = (let_in / came).max(LEAST_IN);
         }
--- a/src/host.rs
+++ b/src/host.rs
@@ -132,24 +132,22 @@
     pub over: Duration,
 }
 
-/// One figure of a server's load report.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum LoadField {
+/// A server's load report: what it holds of these.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
     /// Ops being handled.
-    Active,
+    pub active: Option<f64>,
     /// Ops waiting.
-    Waiting,
+    pub waiting: Option<f64>,
     /// Share of its cores that is busy.
-    Busy,
+    pub busy: Option<f64>,
     /// Recent service time in milliseconds, without waiting.
-    ServiceMs,
-    Other,
+    pub service_ms: Option<f64>,
 }
 
 /// What is reported, and how.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 pub struct Reporting {
-    pub fields: Vec<LoadField>,
     /// Load comes with probes only.
     pub by_probe: bool,
     pub probes_allowed: bool,
--- a/src/samples.rs
+++ b/src/samples.rs
@@ -37,7 +37,7 @@
 }
 
 /// The mean of some figures, if there are any.
-pub fn mean<'a>(figures: impl Iterator<Item = &'a f64>) -> Option<f64> {
+pub fn mean(figures: impl Iterator<Item = f64>) -> Option<f64> {
     let (sum, n) = figures.fold((0.0, 0.0), |a, x| (a.0 + x, a.1 + 1.0));
     (n > 0.0).then(|| sum / n)
 }
