--- a/src/decide.rs
+++ b/src/decide.rs
@@ -747,7 +747,13 @@
         let (came, lost) = ops.fold((0.0, 0.0), |a, c| (a.0 + c.0, a.1 + c.1));
         let let_in = (total - aborted + lost).max(1.0);
         let answered = ((total - aborted) / let_in).max(0.3);
-        let pressure = if busy < 0.85 { busy } else { busy * (1.0 + (late - 0.5).max(0.0)) / answered };
+        // Swamped servers answer too little to say how busy they are: then it shows in what most of them abort.
+        let mut aborts: Vec<f64> =
+            well.iter().map(|s| s.sums(since)).filter(|m| m.0 >= ABORTS.0).map(|m| m.1 / m.0).collect();
+        aborts.sort_by(f64::total_cmp);
+        let common = aborts.get(aborts.len() / 2).copied().unwrap_or(0.0);
+        let full = if common > 0.15 { busy.max(1.0 / (1.0 - common).max(0.3)) } else { busy };
+        let pressure = if full < 0.85 { busy } else { full * (1.0 + (late - 0.5).max(0.0)) / answered };
         let before = (self.share, self.eager);
         if now >= self.open_at && now < self.open_at + TICK * LINE_TICKS as u32 && let_in < 0.9 * came {
             // Starting over: rejections that we did not order tell of the line of before.
