--- a/src/decide.rs
+++ b/src/decide.rs
@@ -31,8 +31,8 @@
 const REBUILD: Duration = Duration::from_secs(5);
 /// Time between steps of the weights, in report intervals and at least in seconds: feedback is older than
 /// an interval, and steps that outrun it oscillate.
-const STEP_INTERVALS: f64 = 2.0;
-const STEP_LEAST: Duration = Duration::from_millis(2500);
+const STEP_INTERVALS: f64 = 1.0;
+const STEP_LEAST: Duration = Duration::from_millis(2000);
 /// Part of a relative gap taken in one step, the largest step, and the gap that is ignored.
 const GAIN: f64 = 0.6;
 const STEP_MOST: f64 = 0.3;
@@ -764,7 +764,7 @@
             // many repeats come, so what got in counts.
             let part =
                 if self.admission == Admission::Rate { (let_in / came.max(1.0)).min(1.0) } else { then };
-            self.share = (part * EASY / pressure.max(0.01)).min(self.share * 1.25).clamp(LEAST_IN, 1.0);
+            self.share = (part * EASY / pressure.max(0.01)).min(self.share * 1.12).clamp(LEAST_IN, 1.0);
         }
         self.let_in.add(now, self.share, KEPT);
         self.stress = (pressure.max(1.0) / (1.0 - failing).max(0.15)).max(self.stress * 0.7);
