--- a/src/decide.rs
+++ b/src/decide.rs
@@ -52,6 +52,9 @@
 const TRICKLE: f64 = 0.04;
 /// Suspects beyond this part of the listed weight are believed to share a cause that is not theirs.
 const PANIC: f64 = 0.7;
+/// A fresh server starts at this multiple of the least share it may have, and is at full weight after this
+/// part of the longest warming: the terms tell the worst server, and fall only at a multiple of it.
+const RAMP: (f64, f64) = (1.6, 0.75);
 /// A cleared suspect eases in from this part over this time.
 const CLEARED: (f64, Duration) = (0.3, Duration::from_secs(4));
 /// A zone may be this much busier than the fleet before it spills.
@@ -65,6 +68,9 @@
 /// Pressure at which the line comes down, and the pressure it then aims at.
 const PRESSED: f64 = 0.96;
 const EASY: f64 = 0.88;
+/// How far the line falls, where that is bounded, and rises in a second.
+const FALL: f64 = 0.85;
+const RISE: f64 = 1.12;
 /// Least share of the ops that is let in.
 const LEAST_IN: f64 = 0.2;
 /// Ops waiting at a server whose cores are about half busy: tells busyness where only queues are reported.
@@ -107,9 +113,6 @@
             (e.from + (1.0 - e.from) * gone).clamp(e.from, 1.0)
         })
     }
-    fn cold(&self, now: Duration) -> bool {
-        self.ease.is_some_and(|e| e.cold && now < e.since + e.over)
-    }
 }
 
 /// An update: the lines a proxy should hold, and by op type what is let in and when it tries again.
@@ -160,12 +163,14 @@
     budget_at: Duration,
     stamp: u16,
     ticks: u64,
+    zones: usize,
     panic: bool,
     let_in: Samples<f64>,
     share: f64,
     stress: f64,
     /// After a restart, proxies that hold tables are left with them until then.
     open_at: Duration,
+    kept: bool,
     eager: bool,
     peer_demand: BTreeMap<u32, (Duration, Vec<f64>)>,
     list_retry: Option<Duration>,
@@ -202,11 +207,13 @@
             budget_at: now,
             stamp: 0,
             ticks: 0,
+            zones: 1,
             panic: false,
             let_in: Samples::default(),
             share: 1.0,
             stress: STRESS_UNHEARD,
             open_at: now + STARTING_OVER,
+            kept: false,
             eager: true,
             peer_demand: BTreeMap::new(),
             list_retry: None,
@@ -288,11 +295,13 @@
             p.sent.levels.resize(self.op_types.len(), (f64::INFINITY, self.usual_retry));
         }
         (p.zone, p.usual, p.joined) = (zone, usual, true);
+        self.zones = self.zones.max(zone + 1);
         p.messages.clear();
         p.next_rebuild = now + REBUILD.mul_f64(1.0 + self.rng.f64());
         // A standing table may name servers that drain, are gone or cold: then the join cannot wait.
         let hurry = self.servers.values().any(|s| s.state != ServerState::Ready || s.ease.is_some());
         p.kept = !fresh && !hurry;
+        self.kept |= !fresh;
         self.mark(proxy, hurry);
     }
 
@@ -370,16 +379,14 @@
             self.removed(&entry.server, entry.state);
             return;
         }
-        let known = self.servers.contains_key(&entry.server);
-        let s = self.servers.entry(entry.server.clone()).or_default();
-        if !known {
-            s.factor = 1.0;
-        }
+        let unknown = || Server { factor: 1.0, ..Server::default() };
+        let s = self.servers.entry(entry.server.clone()).or_insert_with(unknown);
         // A restart may show without any removal before it: only the start time tells.
         let restarted = entry.started.is_some() && entry.started != s.started;
         let size = entry.size.filter(|x| *x > 0.0).unwrap_or(1.0);
         let news = restarted || s.state != ServerState::Ready || size != s.size;
         (s.zone, s.size, s.state) = (entry.zone, size, ServerState::Ready);
+        self.zones = self.zones.max(entry.zone + 1);
         let mut cold = false;
         if restarted {
             (s.started, s.suspect) = (entry.started, None);
@@ -387,7 +394,8 @@
             s.loads.clear();
             let since = entry.started.unwrap_or(self.now);
             cold = self.now < since + self.cold.over;
-            s.ease = cold.then_some(Ease { since, over: self.cold.over, from: self.cold.from, cold });
+            let (from, over) = ((self.cold.from * RAMP.0).min(1.0), self.cold.over.mul_f64(RAMP.1));
+            s.ease = cold.then_some(Ease { since, over, from, cold });
         }
         if news {
             self.mark_all(cold.then_some(entry.server.as_str()));
@@ -438,36 +446,26 @@
         if span > 0.0 { n / span } else { p.usual / self.op_types.len() as f64 }
     }
 
-    fn own_demand(&self, zones: usize) -> Vec<f64> {
-        let mut demand = vec![0.0; zones];
-        for p in self.proxies.values().filter(|p| p.joined && p.zone < zones) {
+    fn own_demand(&self) -> Vec<f64> {
+        let mut demand = vec![0.0; self.zones];
+        for p in self.proxies.values().filter(|p| p.joined) {
             demand[p.zone] += (0..self.op_types.len()).map(|t| self.demand(p, t)).sum::<f64>().max(0.1);
         }
         demand
     }
 
-    fn zones(&self) -> usize {
-        1 + self
-            .servers
-            .values()
-            .map(|s| s.zone)
-            .chain(self.proxies.values().map(|p| p.zone))
-            .max()
-            .unwrap_or(0)
-    }
-
     fn weight(&self, s: &Server) -> f64 {
         // A suspect keeps a trickle. A cold server's work counts every try, also those turned away: it gets
         // less by as much as tries outnumber what the fleet can do.
         let held = if s.suspect.is_some() && !self.panic { TRICKLE } else { 1.0 };
-        let stress = if s.cold(self.now) { self.stress } else { 1.0 };
+        let stress = if s.ease.is_some_and(|e| e.cold) { self.stress } else { 1.0 };
         s.size * s.factor * s.ramp(self.now) * held / stress
     }
 
     /// How a line's weight counts for proxies of one zone, by the server's zone: 1 in the own zone, less
     /// elsewhere. A zone spills only what it cannot carry at (a little over) the fleet's common load.
     fn reach(&self, zone: usize) -> Vec<f64> {
-        let zones = self.zones();
+        let zones = self.zones;
         let mut room = vec![0.0; zones];
         for (_, s) in self.ready() {
             room[s.zone] += self.weight(s);
@@ -475,7 +473,7 @@
         if room[zone] <= 0.0 {
             return vec![1.0; zones];
         }
-        let mut demand = self.own_demand(zones);
+        let mut demand = self.own_demand();
         let mut unheard = self.peers.others;
         for (_, told) in self.peer_demand.values().filter(|d| d.0 + FRESH * 2 >= self.now) {
             unheard = unheard.saturating_sub(1);
@@ -638,17 +636,17 @@
         self.mark_all(None);
     }
 
-    /// Expected tries a second at each server, by the tables as last sent.
-    fn expected(&self) -> BTreeMap<&String, f64> {
-        let mut expected = BTreeMap::new();
-        for p in self.proxies.values().filter(|p| p.joined && p.bound) {
-            let demand: f64 = (0..self.op_types.len()).map(|t| self.demand(p, t)).sum();
-            let sum = p.sent.lines.values().sum::<f64>();
-            for (server, part) in &p.sent.lines {
-                *expected.entry(server).or_insert(0.0) += demand * part / sum;
-            }
-        }
-        expected
+    /// The span that reports are summed over when servers or the line are judged.
+    fn window(&self) -> Duration {
+        self.reporting.interval.mul_f64(2.0).max(Duration::from_secs(2))
+    }
+
+    /// The aborted share that one in so many ready servers stays under.
+    fn aborted_share(&self, since: Duration, one_in: usize) -> f64 {
+        let sums = self.ready().map(|(_, s)| s.sums(since)).filter(|m| m.0 >= ABORTS.0);
+        let mut shares: Vec<f64> = sums.map(|m| m.1 / m.0).collect();
+        shares.sort_by(f64::total_cmp);
+        shares.get(shares.len() / one_in).copied().unwrap_or(0.0)
     }
 
     /// Guards against servers that abort fast or take ops and answer none: both look idle to load feedback.
@@ -656,45 +654,32 @@
     /// trouble accuses nobody; silence shows as reports that stop while the others' go on.
     fn judge_servers(&mut self) {
         let now = self.now;
-        let interval = self.reporting.interval;
-        let recent = now.saturating_sub(interval.mul_f64(2.0).max(Duration::from_secs(2)));
-        let expected = self.expected();
+        let window = self.window();
         let quiet_for = |s: &Server| s.met.last().map(|at| now - at);
         let mut quiet: Vec<Duration> = self.ready().filter_map(|(_, s)| quiet_for(s)).collect();
         quiet.sort();
         let usual = quiet.get(quiet.len() / 2).copied().unwrap_or_default();
-        let sums = self.ready().map(|(_, s)| s.sums(recent)).filter(|m| m.0 >= ABORTS.0);
-        let mut aborts: Vec<f64> = sums.map(|m| m.1 / m.0).collect();
-        aborts.sort_by(f64::total_cmp);
-        let healthy = aborts.get(aborts.len() / 4).copied().unwrap_or(0.0);
+        let healthy = self.aborted_share(now.saturating_sub(window), 4);
         let mut verdicts: Vec<(String, bool, String)> = Vec::new();
         for (id, s) in self.ready() {
             if let Some(at) = s.suspect {
-                let (total, aborted, _) = s.sums(at + interval.mul_f64(1.5).max(Duration::from_secs(2)));
+                let (total, aborted, _) = s.sums(at + window);
                 if total >= 2.0 && aborted / total < 0.3 {
                     verdicts.push((id.clone(), false, format!("{aborted:.0} of {total:.0} tries aborted")));
                 }
                 continue;
             }
-            let (total, aborted, _) = s.sums(recent);
+            let (total, aborted, _) = s.sums(now.saturating_sub(window));
             let extra = quiet_for(s).unwrap_or_default().saturating_sub(usual);
-            let met = s
-                .met
-                .since(Duration::ZERO)
-                .fold((0.0, 0.0), |a, m| (a.0 + m.total, a.1 + m.span.as_secs_f64()));
-            let missing =
-                expected.get(id).copied().unwrap_or(0.0).min(met.0 / met.1.max(0.1)) * extra.as_secs_f64();
-            if total >= ABORTS.0
-                && aborted / total >= healthy + ABORTS.1
-                && self.busy_of(s).unwrap_or(0.0) < SWAMPED
-            {
+            let all = s.met.since(Duration::ZERO);
+            let (tries, span) = all.fold((0.0, 0.1), |a, m| (a.0 + m.total, a.1 + m.span.as_secs_f64()));
+            let missing = tries / span * extra.as_secs_f64();
+            let asked = || self.proxies.values().any(|p| p.bound && p.sent.lines.contains_key(id));
+            let unwell = total >= ABORTS.0 && aborted / total >= healthy + ABORTS.1;
+            if unwell && self.busy_of(s).unwrap_or(0.0) < SWAMPED {
                 verdicts.push((id.clone(), true, format!("{aborted:.0} of {total:.0} tries aborted")));
-            } else if extra > interval.mul_f64(1.2) && missing >= MISSING {
-                verdicts.push((
-                    id.clone(),
-                    true,
-                    format!("silent {:.1} s, {missing:.0} tries missing", extra.as_secs_f64()),
-                ));
+            } else if extra > self.reporting.interval.mul_f64(1.2) && missing >= MISSING && asked() {
+                verdicts.push((id.clone(), true, format!("silent {extra:.1?}, {missing:.0} tries missing")));
             }
         }
         for (id, bad, why) in verdicts {
@@ -721,8 +706,10 @@
 
     fn tell_demand(&mut self) {
         if self.peers.others > 0 && self.peers.notes_allowed {
-            let demand = self.own_demand(self.zones().min(60));
-            self.host.tell_peers(&demand.iter().flat_map(|d| (*d as f32).to_le_bytes()).collect::<Vec<u8>>());
+            let demand = self.own_demand();
+            self.host.tell_peers(
+                &demand.iter().take(64).flat_map(|d| (*d as f32).to_le_bytes()).collect::<Vec<u8>>(),
+            );
         }
     }
 
@@ -730,7 +717,7 @@
     /// answers come and how many ops let in got none. What was let in then, not now, made that pressure.
     fn move_line(&mut self) {
         let now = self.now;
-        let since = now.saturating_sub(self.reporting.interval.mul_f64(2.0).max(Duration::from_secs(2)));
+        let since = now.saturating_sub(self.window());
         let well: Vec<&Server> =
             self.ready().map(|(_, s)| s).filter(|s| s.suspect.is_none() || self.panic).collect();
         let heard = well.iter().filter_map(|s| self.busy_of(s).map(|b| (b * s.size, s.size)));
@@ -748,23 +735,23 @@
         let let_in = (total - aborted + lost).max(1.0);
         let answered = ((total - aborted) / let_in).max(0.3);
         // Swamped servers answer too little to say how busy they are: then it shows in what most of them abort.
-        let mut aborts: Vec<f64> =
-            well.iter().map(|s| s.sums(since)).filter(|m| m.0 >= ABORTS.0).map(|m| m.1 / m.0).collect();
-        aborts.sort_by(f64::total_cmp);
-        let common = aborts.get(aborts.len() / 2).copied().unwrap_or(0.0);
+        let common = self.aborted_share(since, 2);
         let full = if common > 0.15 { busy.max(1.0 / (1.0 - common).max(0.3)) } else { busy };
         let pressure = if full < 0.85 { busy } else { full * (1.0 + (late - 0.5).max(0.0)) / answered };
         let before = (self.share, self.eager);
-        if now >= self.open_at && now < self.open_at + TICK * LINE_TICKS as u32 && let_in < 0.9 * came {
+        if self.kept && now >= self.open_at {
+            self.kept = false;
             // Starting over: rejections that we did not order tell of the line of before.
-            self.share = (let_in / came).max(LEAST_IN);
+            self.share = if let_in < 0.9 * came { (let_in / came).max(LEAST_IN) } else { 1.0 };
         }
         if self.share < 1.0 || pressure > PRESSED {
-            // Shares are drawn by each op, so what was ordered counts; rates let in what they say, however
-            // many repeats come, so what got in counts.
-            let part =
-                if self.admission == Admission::Rate { (let_in / came.max(1.0)).min(1.0) } else { then };
-            self.share = (part * EASY / pressure.max(0.01)).min(self.share * 1.12).clamp(LEAST_IN, 1.0);
+            // Shares are drawn by each op, so what was ordered counts, and what comes of it is known late: they
+            // fall slowly. Rates let in what they say, however many repeats come: what got in counts.
+            let by_rate = self.admission == Admission::Rate;
+            let (part, floor) =
+                if by_rate { (let_in / came.max(1.0), 0.0) } else { (then, self.share * FALL) };
+            let aim = part.min(1.0) * EASY / pressure.max(0.01);
+            self.share = aim.clamp(floor, self.share * RISE).clamp(LEAST_IN, 1.0);
         }
         self.let_in.add(now, self.share, KEPT);
         self.stress = (pressure.max(1.0) / (1.0 - failing).max(0.15)).max(self.stress * 0.7);
