--- a/src/decide.rs
+++ b/src/decide.rs
@@ -34,7 +34,7 @@
 const STEP_INTERVALS: f64 = 1.0;
 const STEP_LEAST: Duration = Duration::from_millis(2000);
 /// Part of a relative gap taken in one step, the largest step, and the gap that is ignored.
-const GAIN: f64 = 0.6;
+const GAIN: f64 = 0.4;
 const STEP_MOST: f64 = 0.3;
 const GAP: f64 = 0.1;
 const BOUND: [f64; 2] = [0.4, 2.0];
@@ -46,6 +46,8 @@
 /// Suspicion: least tries, and aborted share above that of the healthier servers; tries missing for silence.
 const ABORTS: (f64, f64) = (3.0, 0.4);
 const MISSING: f64 = 5.0;
+/// Probes in a row that must fail.
+const PROBES_MISSED: u32 = 2;
 /// Busyness from which on aborts are believed to be overload: that is for the weights and the line.
 const SWAMPED: f64 = 0.83;
 /// Part of its weight that a suspect keeps, so that its return is seen.
@@ -98,6 +100,8 @@
     met: Samples<Met>,
     loads: Samples<Load>,
     suspect: Option<Duration>,
+    /// Probes in a row that failed.
+    missed: u32,
 }
 
 impl Server {
@@ -274,9 +278,12 @@
         }
     }
 
-    pub fn probe_answered(&mut self, now: Duration, server: &str, _result: Probed, load: Option<Load>) {
+    pub fn probe_answered(&mut self, now: Duration, server: &str, result: Probed, load: Option<Load>) {
         self.now = now;
-        self.load_heard(server, load);
+        if let Some(s) = self.servers.get_mut(server) {
+            s.missed = if result == Probed::Failed { s.missed + 1 } else { 0 };
+            load.into_iter().for_each(|load| s.loads.add(now, load, KEPT));
+        }
     }
 
     pub fn peer_told(&mut self, now: Duration, peer: u32, note: &[u8]) {
@@ -319,8 +326,8 @@
         self.now = now;
         if let Some(s) = self.servers.get_mut(server) {
             s.met.add(now, met, KEPT);
+            load.into_iter().for_each(|load| s.loads.add(now, load, KEPT));
         }
-        self.load_heard(server, load);
     }
 
     pub fn ops_came(
@@ -544,8 +551,8 @@
         changes.extend(left.collect::<BTreeSet<_>>().into_iter().map(|s| (s, 0.0)));
         let levels: Vec<usize> =
             (0..update.levels.len()).filter(|t| update.levels[*t] != p.sent.levels[*t]).collect();
-        let unusual = update.levels.iter().filter(|l| **l != (f64::INFINITY, self.usual_retry)).count();
-        let own = if p.bound { changes.len() + levels.len() } else { 1 + update.lines.len() + unusual };
+        let own =
+            if p.bound { changes.len() + levels.len() } else { 1 + update.lines.len() + update.levels.len() };
         if own == 0 {
             p.urgent = false;
             return false;
@@ -578,12 +585,6 @@
 
     // ---- what is heard of servers ----
 
-    fn load_heard(&mut self, server: &str, load: Option<Load>) {
-        if let (Some(s), Some(load)) = (self.servers.get_mut(server), load) {
-            s.loads.add(self.now, load, KEPT);
-        }
-    }
-
     fn send_probes(&mut self) {
         if !self.reporting.probes_allowed || !self.reporting.by_probe {
             return;
@@ -662,25 +663,27 @@
         let healthy = self.aborted_share(now.saturating_sub(window), 4);
         let mut verdicts: Vec<(String, bool, String)> = Vec::new();
         for (id, s) in self.ready() {
-            if let Some(at) = s.suspect {
-                let (total, aborted, _) = s.sums(at + window);
-                if total >= 2.0 && aborted / total < 0.3 {
-                    verdicts.push((id.clone(), false, format!("{aborted:.0} of {total:.0} tries aborted")));
-                }
-                continue;
-            }
-            let (total, aborted, _) = s.sums(now.saturating_sub(window));
+            let (total, aborted, _) = s.sums(s.suspect.map_or(now.saturating_sub(window), |at| at + window));
+            let share = aborted / total.max(1.0);
+            let aborts = format!("{aborted:.0} of {total:.0} tries aborted");
             let extra = quiet_for(s).unwrap_or_default().saturating_sub(usual);
             let all = s.met.since(Duration::ZERO);
             let (tries, span) = all.fold((0.0, 0.1), |a, m| (a.0 + m.total, a.1 + m.span.as_secs_f64()));
             let missing = tries / span * extra.as_secs_f64();
             let asked = || self.proxies.values().any(|p| p.bound && p.sent.lines.contains_key(id));
-            let unwell = total >= ABORTS.0 && aborted / total >= healthy + ABORTS.1;
-            if unwell && self.busy_of(s).unwrap_or(0.0) < SWAMPED {
-                verdicts.push((id.clone(), true, format!("{aborted:.0} of {total:.0} tries aborted")));
+            let unwell = total >= ABORTS.0 && share >= healthy + ABORTS.1;
+            let why = if s.suspect.is_some() {
+                (total >= 2.0 && share < 0.3 && s.missed == 0).then_some(aborts)
+            } else if unwell && self.busy_of(s).unwrap_or(0.0) < SWAMPED {
+                Some(aborts)
+            } else if s.missed >= PROBES_MISSED {
+                Some(format!("{} probes failed", s.missed))
             } else if extra > self.reporting.interval.mul_f64(1.2) && missing >= MISSING && asked() {
-                verdicts.push((id.clone(), true, format!("silent {extra:.1?}, {missing:.0} tries missing")));
-            }
+                Some(format!("silent {extra:.1?}, {missing:.0} tries missing"))
+            } else {
+                None
+            };
+            verdicts.extend(why.map(|why| (id.clone(), s.suspect.is_none(), why)));
         }
         for (id, bad, why) in verdicts {
             self.host.log(&format!("{} {id}: {why}", if bad { "suspect" } else { "cleared" }));
