--- a/src/decide.rs
+++ b/src/decide.rs
@@ -207,7 +207,7 @@
             servers: BTreeMap::new(),
             proxies: BTreeMap::new(),
             queue: VecDeque::new(),
-            budget: 0.0,
+            budget: channel.lines_per_s * CAP * 0.5,
             budget_at: now,
             stamp: 0,
             ticks: 0,
@@ -801,15 +801,19 @@
         shares
     }
 
-    /// Never a further try that could take effect twice: once-only op types only after proof that the
-    /// first never ran, deduplicated ones freely only if every try falls inside the window.
     fn retry_for(&self, op_type: usize) -> Retry {
-        let t = &self.op_types[op_type];
-        let free = match t.repeats {
+        if self.eager && self.op_types[op_type].may_run_again() { Retry::Once } else { Retry::Unsent }
+    }
+}
+
+impl OpType {
+    /// Whether a further try can never take effect twice, whatever became of the first: once-only op types
+    /// never, deduplicated ones only if every try falls inside the window.
+    pub fn may_run_again(&self) -> bool {
+        match self.repeats {
             Repeats::Retryable => true,
-            Repeats::Deduplicated { everywhere, window } => everywhere && window >= t.op_timeout,
+            Repeats::Deduplicated { everywhere, window } => everywhere && window >= self.op_timeout,
             Repeats::OnceOnly => false,
-        };
-        if free && self.eager { Retry::Once } else { Retry::Unsent }
+        }
     }
 }
