--- a/src/decide.rs
+++ b/src/decide.rs
@@ -66,6 +66,8 @@
 /// far cold servers are held down until tries have been heard of.
 const STARTING_OVER: Duration = Duration::from_secs(3);
 const STRESS_UNHEARD: f64 = 3.0;
+/// How far they are held down at least while the line is down: zones that lose servers are then over full.
+const STRESS_PRESSED: f64 = 2.0;
 const LINE_TICKS: u64 = 4;
 /// Pressure at which the line comes down, and the pressure it then aims at.
 const PRESSED: f64 = 0.96;
@@ -631,6 +633,9 @@
             let moved = |s: &mut Server| s.factor = (s.factor * (1.0 - step)).clamp(BOUND[0], BOUND[1]);
             self.servers.entry(id).and_modify(moved);
         }
+        // Steps drift together; a fresh server's weight counts against the others', so their mean stays 1.
+        let drift = mean(self.ready().map(|(_, s)| s.factor)).unwrap_or(1.0);
+        self.servers.values_mut().for_each(|s| s.factor /= drift);
         for s in self.servers.values_mut().filter(|s| s.ramp(self.now) >= 1.0) {
             s.ease = None;
         }
@@ -757,7 +762,8 @@
             self.share = aim.clamp(floor, self.share * RISE).clamp(LEAST_IN, 1.0);
         }
         self.let_in.add(now, self.share, KEPT);
-        self.stress = (pressure.max(1.0) / (1.0 - failing).max(0.15)).max(self.stress * 0.7);
+        let least = if self.share < 1.0 { STRESS_PRESSED } else { 1.0 };
+        self.stress = (pressure.max(least) / (1.0 - failing).max(0.15)).max(self.stress * 0.7);
         self.eager =
             if self.eager { pressure < 0.9 && failing < 0.4 } else { pressure < 0.8 && failing < 0.2 };
         if (before.0 < 1.0) != (self.share < 1.0) || before.1 != self.eager {
