--- a/crates/wirehost/src/settings.rs
+++ b/crates/wirehost/src/settings.rs
@@ -1,7 +1,9 @@
 //! The wire's settings object, read into the decisions' domain types. Unknown keys are skipped.
 
 use crate::wire::{Orders, duration};
-use fallgap::{Admission, Aims, Channel, ColdTerms, Director, OpType, Peers, Repeats, Reporting, Retry};
+use fallgap::{
+    Admission, Aims, Channel, ColdTerms, Director, Habits, OpType, Peers, Repeats, Reporting, Retry,
+};
 use serde_json::Value;
 use std::time::Duration;
 
@@ -18,6 +20,7 @@
         Some(3) => Retry::Twice,
         _ => Retry::Unsent,
     };
+    let habits = Habits { admission, usual_retry };
     let channel = Channel {
         lines_per_s: family["push_rate"].as_f64().unwrap_or(1000.0),
         head: family["envelope"].as_f64().unwrap_or(0.0),
@@ -50,19 +53,7 @@
         .map(|(i, class)| op_type(class, home.get(i).and_then(Value::as_bool).unwrap_or(false)))
         .collect();
     let ask = settings["discovery"].as_str() == Some("on_request");
-    Director::start(
-        now,
-        seed,
-        host,
-        op_types,
-        (admission, usual_retry),
-        channel,
-        cold,
-        reporting,
-        aims,
-        peers,
-        ask,
-    )
+    Director::start(now, seed, host, op_types, habits, channel, cold, reporting, aims, peers, ask)
 }
 
 fn op_type(class: &Value, own_zone: bool) -> OpType {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -2,15 +2,13 @@
 //! tell it each thing that happens by the method of that name, then call `news_in` once: only there do
 //! orders to proxies leave, so that what came together is merged. Times are spans since the clock's start.
 //!
-//! The design (docs/design.md) decides ordinary tables: dirty marks, builds in arrival order under a line
-//! cap, one update in flight and one pending slot a proxy, differences, periodic rebuilds, stepped weights,
-//! ramps. Beside it stand these mechanisms:
+//! The design (docs/design.md) decides ordinary tables. Beside it stand six mechanisms:
 //!  1. urgent builds: removals, cold starts and suspicions pass the ordinary queue inside the hard limits;
-//!  2. suspicion: a server that aborts, or falls silent, keeps a trickle until it answers again;
-//!  3. locality: a proxy stays in its zone and spills only what the zone cannot carry at the fleet's load;
+//!  2. suspicion: a server that aborts, falls silent or misses probes keeps a trickle until it answers again;
+//!  3. locality: a zone spills only what it cannot carry at the fleet's load, peers' demand notes counted;
 //!  4. the line of worth: under pressure op types are let in by value, those under the line get what is left;
 //!  5. further tries: as many as the op type allows while aborts are few, turned back under pressure;
-//!  6. peers' notes: each supervisor tells its demand by zone, so that spill counts all traffic.
+//!  6. starting over: a restarted supervisor hears of proxies that hold tables before it replaces those.
 
 use crate::host::*;
 use crate::samples::{Samples, mean};
@@ -29,24 +27,20 @@
 const LIST_PAUSE: Duration = Duration::from_secs(1);
 const ANSWER_WAIT: Duration = Duration::from_secs(3);
 const REBUILD: Duration = Duration::from_secs(5);
-/// Time between steps of the weights, in report intervals and at least in seconds: feedback is older than
-/// an interval, and steps that outrun it oscillate.
-const STEP_INTERVALS: f64 = 1.0;
-const STEP_LEAST: Duration = Duration::from_millis(2000);
-/// Part of a relative gap taken in one step, the largest step, and the gap that is ignored.
-const GAIN: f64 = 0.4;
-const STEP_MOST: f64 = 0.3;
-const GAP: f64 = 0.1;
+/// Least time between steps of the weights: steps that outrun what is heard oscillate.
+const STEP_LEAST: Duration = Duration::from_secs(2);
+/// Part of a relative gap taken in one step, the largest step, the gap ignored; bounds of the factor.
+const STEP: (f64, f64, f64) = (0.4, 0.3, 0.1);
 const BOUND: [f64; 2] = [0.4, 2.0];
 /// Changes of a line smaller than this part are not sent.
 const SAME: f64 = 0.04;
 /// Samples kept of each thing measured, and how old they may be when used.
 const KEPT: usize = 12;
 const FRESH: Duration = Duration::from_secs(6);
-/// Suspicion: least tries, and aborted share above that of the healthier servers; tries missing for silence.
+/// Suspicion: least tries, and aborted share above that of the healthier servers; tries missing for
+/// silence; probes in a row that fail.
 const ABORTS: (f64, f64) = (3.0, 0.4);
 const MISSING: f64 = 5.0;
-/// Probes in a row that must fail.
 const PROBES_MISSED: u32 = 2;
 /// Busyness from which on aborts are believed to be overload: that is for the weights and the line.
 const SWAMPED: f64 = 0.83;
@@ -55,28 +49,25 @@
 /// Suspects beyond this part of the listed weight are believed to share a cause that is not theirs.
 const PANIC: f64 = 0.7;
 /// A fresh server starts at this multiple of the least share it may have, and is at full weight after this
-/// part of the longest warming: the terms tell the worst server, and fall only at a multiple of it.
+/// part of the longest warming: the terms tell the worst server, and it falls only at a multiple of that.
 const RAMP: (f64, f64) = (1.6, 0.75);
 /// A cleared suspect eases in from this part over this time.
 const CLEARED: (f64, Duration) = (0.3, Duration::from_secs(4));
+/// How far cold servers are held down: until tries have been heard of, and while the line is down, when a
+/// zone that loses servers is over full.
+const STRESS: (f64, f64) = (3.0, 2.0);
 /// A zone may be this much busier than the fleet before it spills.
 const SPILL: f64 = 1.08;
-
-/// How long a restarted supervisor leaves proxies with the tables they hold, to hear of them first; and how
-/// far cold servers are held down until tries have been heard of.
+/// How long a restarted supervisor leaves proxies with the tables they hold.
 const STARTING_OVER: Duration = Duration::from_secs(3);
-const STRESS_UNHEARD: f64 = 3.0;
-/// How far they are held down at least while the line is down: zones that lose servers are then over full.
-const STRESS_PRESSED: f64 = 2.0;
 const LINE_TICKS: u64 = 4;
 /// Pressure at which the line comes down, and the pressure it then aims at.
 const PRESSED: f64 = 0.96;
 const EASY: f64 = 0.88;
-/// How far the line falls, where that is bounded, and rises in a second.
+/// The line's least share, and how far it falls, where that is bounded, and rises in a second.
+const LEAST_IN: f64 = 0.2;
 const FALL: f64 = 0.85;
 const RISE: f64 = 1.12;
-/// Least share of the ops that is let in.
-const LEAST_IN: f64 = 0.2;
 /// Ops waiting at a server whose cores are about half busy: tells busyness where only queues are reported.
 const HALF_BUSY: f64 = 0.7;
 
@@ -155,8 +146,7 @@
     rng: fastrand::Rng,
     now: Duration,
     op_types: Vec<OpType>,
-    admission: Admission,
-    usual_retry: Retry,
+    habits: Habits,
     channel: Channel,
     cold: ColdTerms,
     reporting: Reporting,
@@ -186,9 +176,8 @@
 impl<H: Host> Director<H> {
     #[allow(clippy::too_many_arguments)]
     pub fn start(
-        now: Duration, seed: u64, mut host: H, op_types: Vec<OpType>,
-        (admission, usual_retry): (Admission, Retry), channel: Channel, cold: ColdTerms,
-        reporting: Reporting, aims: Aims, peers: Peers, ask_for_list: bool,
+        now: Duration, seed: u64, mut host: H, op_types: Vec<OpType>, habits: Habits, channel: Channel,
+        cold: ColdTerms, reporting: Reporting, aims: Aims, peers: Peers, ask_for_list: bool,
     ) -> Self {
         if ask_for_list {
             host.follow_list();
@@ -199,8 +188,7 @@
             rng: fastrand::Rng::with_seed(seed),
             now,
             op_types,
-            admission,
-            usual_retry,
+            habits,
             channel,
             cold,
             reporting,
@@ -213,11 +201,11 @@
             budget_at: now,
             stamp: 0,
             ticks: 0,
-            zones: 1,
+            zones: 0,
             panic: false,
             let_in: Samples::default(),
             share: 1.0,
-            stress: STRESS_UNHEARD,
+            stress: STRESS.0,
             open_at: now + STARTING_OVER,
             kept: false,
             eager: true,
@@ -268,7 +256,7 @@
         if self.ticks.is_multiple_of(LINE_TICKS) {
             self.move_line();
         }
-        let step = self.reporting.interval.mul_f64(STEP_INTERVALS).max(STEP_LEAST);
+        let step = self.reporting.interval.max(STEP_LEAST);
         if self.ticks.is_multiple_of((step.as_millis() / TICK.as_millis()) as u64) {
             self.step_weights();
             self.tell_demand();
@@ -301,7 +289,7 @@
         let p = self.proxies.entry(proxy).or_default();
         if p.came.is_empty() {
             p.came.resize_with(self.op_types.len(), Samples::default);
-            p.sent.levels.resize(self.op_types.len(), (f64::INFINITY, self.usual_retry));
+            p.sent.levels.resize(self.op_types.len(), (f64::INFINITY, self.habits.usual_retry));
         }
         (p.zone, p.usual, p.joined) = (zone, usual, true);
         self.zones = self.zones.max(zone + 1);
@@ -493,8 +481,7 @@
             let busiest = demand.iter().zip(&room).map(|(d, r)| d / r.max(0.001)).fold(0.0, f64::max);
             demand = room.iter().map(|r| busiest * r).collect();
         }
-        let mut part = vec![0.0; zones];
-        part[zone] = 1.0;
+        let mut part: Vec<f64> = (0..zones).map(|z| if z == zone { 1.0 } else { 0.0 }).collect();
         let common = demand.iter().sum::<f64>() / room.iter().sum::<f64>();
         let excess = demand[zone] - common * SPILL * room[zone];
         let free: Vec<f64> = demand.iter().zip(&room).map(|(d, r)| (common * r - d).max(0.0)).collect();
@@ -521,7 +508,7 @@
             }
         }
         for (t, share) in self.shares().into_iter().enumerate() {
-            let level = match self.admission {
+            let level = match self.habits.admission {
                 _ if share >= 1.0 => f64::INFINITY,
                 Admission::Rate => (share * self.demand(p, t)).max(0.05),
                 _ => share,
@@ -629,7 +616,7 @@
         let common = mean(loads.iter().map(|l| l.1)).unwrap_or(0.0).max(1e-9);
         for (id, load) in loads {
             let gap = load / common - 1.0;
-            let step = if gap.abs() < GAP { 0.0 } else { (GAIN * gap).clamp(-STEP_MOST, STEP_MOST) };
+            let step = if gap.abs() < STEP.2 { 0.0 } else { (STEP.0 * gap).clamp(-STEP.1, STEP.1) };
             let moved = |s: &mut Server| s.factor = (s.factor * (1.0 - step)).clamp(BOUND[0], BOUND[1]);
             self.servers.entry(id).and_modify(moved);
         }
@@ -729,8 +716,8 @@
         let well: Vec<&Server> =
             self.ready().map(|(_, s)| s).filter(|s| s.suspect.is_none() || self.panic).collect();
         let heard = well.iter().filter_map(|s| self.busy_of(s).map(|b| (b * s.size, s.size)));
-        let (work, room) = heard.fold((0.0, 0.0), |a, h| (a.0 + h.0, a.1 + h.1));
-        let busy = work / f64::max(room, 0.001);
+        let (work, room) = heard.fold((0.0, 0.001), |a, h| (a.0 + h.0, a.1 + h.1));
+        let busy = work / room;
         let sums = well.iter().map(|s| s.sums(since));
         let (total, aborted, ms) = sums.fold((0.0, 0.0, 0.0), |a, s| (a.0 + s.0, a.1 + s.1, a.2 + s.2));
         let target: f64 = self.op_types.iter().map(|t| t.target_latency.as_secs_f64() * 1e3).sum();
@@ -755,14 +742,14 @@
         if self.share < 1.0 || pressure > PRESSED {
             // Shares are drawn by each op, so what was ordered counts, and what comes of it is known late: they
             // fall slowly. Rates let in what they say, however many repeats come: what got in counts.
-            let by_rate = self.admission == Admission::Rate;
+            let by_rate = self.habits.admission == Admission::Rate;
             let (part, floor) =
                 if by_rate { (let_in / came.max(1.0), 0.0) } else { (then, self.share * FALL) };
             let aim = part.min(1.0) * EASY / pressure.max(0.01);
             self.share = aim.clamp(floor, self.share * RISE).clamp(LEAST_IN, 1.0);
         }
         self.let_in.add(now, self.share, KEPT);
-        let least = if self.share < 1.0 { STRESS_PRESSED } else { 1.0 };
+        let least = if self.share < 1.0 { STRESS.1 } else { 1.0 };
         self.stress = (pressure.max(least) / (1.0 - failing).max(0.15)).max(self.stress * 0.7);
         self.eager =
             if self.eager { pressure < 0.9 && failing < 0.4 } else { pressure < 0.8 && failing < 0.2 };
--- a/src/host.rs
+++ b/src/host.rs
@@ -110,6 +110,13 @@
     Twice,
 }
 
+/// What proxies make of levels, and when they try again unless they are told.
+#[derive(Clone, Copy, Debug)]
+pub struct Habits {
+    pub admission: Admission,
+    pub usual_retry: Retry,
+}
+
 /// The supervisor's own channel to its proxies.
 #[derive(Clone, Copy, Debug)]
 pub struct Channel {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -111,7 +111,7 @@
         let aims = Aims { worst_op_type: 0.1, rest: 0.9 };
         let seen = Recorder::default();
         let ask = set.contains_key("asklist");
-        let habits = (admission, Retry::Unsent);
+        let habits = Habits { admission, usual_retry: Retry::Unsent };
         let director = Director::start(
             Duration::ZERO,
             7,
