--- a/src/decide.rs
+++ b/src/decide.rs
@@ -65,9 +65,9 @@
 const PRESSED: f64 = 0.96;
 const EASY: f64 = 0.88;
 /// The line's least share, and how far it falls, where that is bounded, and rises in a second.
-const LEAST_IN: f64 = 0.2;
+const LEAST_IN: f64 = 0.35;
 const FALL: f64 = 0.85;
-const RISE: f64 = 1.12;
+const RISE: f64 = 1.2;
 /// Ops waiting at a server whose cores are about half busy: tells busyness where only queues are reported.
 const HALF_BUSY: f64 = 0.7;
 
