--- a/src/decide.rs
+++ b/src/decide.rs
@@ -40,7 +40,7 @@
 /// Suspicion: least tries, and aborted share above that of the healthier servers; tries missing for
 /// silence; probes in a row that fail.
 const ABORTS: (f64, f64) = (3.0, 0.4);
-const MISSING: f64 = 5.0;
+const MISSING: f64 = 9.0;
 const PROBES_MISSED: u32 = 2;
 /// Busyness from which on aborts are believed to be overload: that is for the weights and the line.
 const SWAMPED: f64 = 0.83;
@@ -68,6 +68,9 @@
 const LEAST_IN: f64 = 0.35;
 const FALL: f64 = 0.85;
 const RISE: f64 = 1.2;
+/// Further tries are free while more than this part of tries aborts and pressure stays under that: else
+/// their time limits turn slow answers into aborts and more work.
+const FREE: (f64, f64) = (0.05, 0.8);
 /// Ops waiting at a server whose cores are about half busy: tells busyness where only queues are reported.
 const HALF_BUSY: f64 = 0.7;
 
@@ -208,7 +211,7 @@
             stress: STRESS.0,
             open_at: now + STARTING_OVER,
             kept: false,
-            eager: true,
+            eager: false,
             peer_demand: BTreeMap::new(),
             list_retry: None,
             list_pause: LIST_PAUSE,
@@ -751,8 +754,7 @@
         self.let_in.add(now, self.share, KEPT);
         let least = if self.share < 1.0 { STRESS.1 } else { 1.0 };
         self.stress = (pressure.max(least) / (1.0 - failing).max(0.15)).max(self.stress * 0.7);
-        self.eager =
-            if self.eager { pressure < 0.9 && failing < 0.4 } else { pressure < 0.8 && failing < 0.2 };
+        self.eager = failing > FREE.0 && pressure < FREE.1;
         if (before.0 < 1.0) != (self.share < 1.0) || before.1 != self.eager {
             let tries = if self.eager { "free" } else { "held" };
             self.host.log(&format!(
