Suspects are cleared by what was heard lately; rate lines in ops a second; gain 0.3

Also a cold server that was accused and cleared stays on its ramp. Tried without gain: shares falling by 0.1 a second, spill at 1.15.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -15,7 +15,6 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-// ---- tuned values ----
 const TICK: Duration = Duration::from_millis(250);
 /// Ordinary lines queued each second, as a part of the channel's rate (the design's start).
 const CAP: f64 = 0.5;
@@ -30,7 +29,7 @@
 /// Least time between steps of the weights: steps that outrun what is heard oscillate.
 const STEP_LEAST: Duration = Duration::from_secs(2);
 /// Part of a relative gap taken in one step, the largest step, the gap ignored; bounds of the factor.
-const STEP: (f64, f64, f64) = (0.4, 0.3, 0.1);
+const STEP: (f64, f64, f64) = (0.3, 0.3, 0.1);
 const BOUND: [f64; 2] = [0.4, 2.0];
 /// Changes of a line smaller than this part are not sent.
 const SAME: f64 = 0.04;
@@ -40,8 +39,7 @@
 /// Suspicion: least tries, and aborted share above that of the healthier servers; tries missing for
 /// silence; probes in a row that fail.
 const ABORTS: (f64, f64) = (3.0, 0.4);
-const MISSING: f64 = 9.0;
-const PROBES_MISSED: u32 = 2;
+const MISSED: (f64, u32) = (9.0, 2);
 /// Busyness from which on aborts are believed to be overload: that is for the weights and the line.
 const SWAMPED: f64 = 0.83;
 /// Part of its weight that a suspect keeps, so that its return is seen.
@@ -62,14 +60,12 @@
 const STARTING_OVER: Duration = Duration::from_secs(3);
 const LINE_TICKS: u64 = 4;
 /// Pressure at which the line comes down, and the pressure it then aims at.
-const PRESSED: f64 = 0.96;
-const EASY: f64 = 0.88;
-/// The line's least share, and how far it falls, where that is bounded, and rises in a second.
+const PRESSED: (f64, f64) = (0.96, 0.88);
+/// The line's least share, and how far it falls (where bounded) and rises in a second.
 const LEAST_IN: f64 = 0.35;
 const FALL: f64 = 0.85;
-const RISE: f64 = 1.2;
-/// Further tries are free while more than this part of tries aborts and pressure stays under that: else
-/// their time limits turn slow answers into aborts and more work.
+const RISE: (f64, f64) = (1.2, 1.5);
+/// Tries are free while more than this part aborts and pressure is under that: else they only add work.
 const FREE: (f64, f64) = (0.05, 0.8);
 /// Ops waiting at a server whose cores are about half busy: tells busyness where only queues are reported.
 const HALF_BUSY: f64 = 0.7;
@@ -165,7 +161,8 @@
     zones: usize,
     panic: bool,
     let_in: Samples<f64>,
-    share: f64,
+    /// Share of the ops, or ops a second where levels are rates, that is let in; infinite: all.
+    line: f64,
     stress: f64,
     /// After a restart, proxies that hold tables are left with them until then.
     open_at: Duration,
@@ -177,7 +174,6 @@
 }
 
 impl<H: Host> Director<H> {
-    #[allow(clippy::too_many_arguments)]
     pub fn start(
         now: Duration, seed: u64, mut host: H, op_types: Vec<OpType>, habits: Habits, channel: Channel,
         cold: ColdTerms, reporting: Reporting, aims: Aims, peers: Peers, ask_for_list: bool,
@@ -207,7 +203,7 @@
             zones: 0,
             panic: false,
             let_in: Samples::default(),
-            share: 1.0,
+            line: f64::INFINITY,
             stress: STRESS.0,
             open_at: now + STARTING_OVER,
             kept: false,
@@ -218,8 +214,6 @@
         }
     }
 
-    // ---- what can happen ----
-
     pub fn list_changed(&mut self, now: Duration, news: ListNews, entries: Vec<Listed>) {
         self.now = now;
         self.list_pause = LIST_PAUSE;
@@ -372,8 +366,6 @@
         }
     }
 
-    // ---- the list ----
-
     fn listed(&mut self, entry: Listed) {
         if entry.state != ServerState::Ready {
             self.removed(&entry.server, entry.state);
@@ -415,8 +407,6 @@
         self.servers.iter().filter(|(_, s)| s.state == ServerState::Ready)
     }
 
-    // ---- marks, builds, sending ----
-
     fn proxies_where(&self, test: impl Fn(&Proxy) -> bool) -> Vec<u32> {
         self.proxies.iter().filter(|(_, p)| test(p)).map(|(id, _)| *id).collect()
     }
@@ -516,7 +506,9 @@
                 Admission::Rate => (share * self.demand(p, t)).max(0.05),
                 _ => share,
             };
-            update.levels.push((settle(p.sent.levels[t].0, level), self.retry_for(t)));
+            let free = self.eager && self.op_types[t].may_run_again();
+            let retry = if free { Retry::Once } else { Retry::Unsent };
+            update.levels.push((settle(p.sent.levels[t].0, level), retry));
         }
         update
     }
@@ -575,8 +567,6 @@
         true
     }
 
-    // ---- what is heard of servers ----
-
     fn send_probes(&mut self) {
         if !self.reporting.probes_allowed || !self.reporting.by_probe {
             return;
@@ -655,10 +645,12 @@
         let mut quiet: Vec<Duration> = self.ready().filter_map(|(_, s)| quiet_for(s)).collect();
         quiet.sort();
         let usual = quiet.get(quiet.len() / 2).copied().unwrap_or_default();
-        let healthy = self.aborted_share(now.saturating_sub(window), 4);
+        // Tries that hung end late: only what was heard lately tells whether a suspect answers again.
+        let recent = now.saturating_sub(window);
+        let healthy = self.aborted_share(recent, 4);
         let mut verdicts: Vec<(String, bool, String)> = Vec::new();
         for (id, s) in self.ready() {
-            let (total, aborted, _) = s.sums(s.suspect.map_or(now.saturating_sub(window), |at| at + window));
+            let (total, aborted, _) = s.sums(s.suspect.map_or(recent, |at| recent.max(at + window)));
             let share = aborted / total.max(1.0);
             let aborts = format!("{aborted:.0} of {total:.0} tries aborted");
             let extra = quiet_for(s).unwrap_or_default().saturating_sub(usual);
@@ -671,9 +663,9 @@
                 (total >= 2.0 && share < 0.3 && s.missed == 0).then_some(aborts)
             } else if unwell && self.busy_of(s).unwrap_or(0.0) < SWAMPED {
                 Some(aborts)
-            } else if s.missed >= PROBES_MISSED {
+            } else if s.missed >= MISSED.1 {
                 Some(format!("{} probes failed", s.missed))
-            } else if extra > self.reporting.interval.mul_f64(1.2) && missing >= MISSING && asked() {
+            } else if extra > self.reporting.interval.mul_f64(1.2) && missing >= MISSED.0 && asked() {
                 Some(format!("silent {extra:.1?}, {missing:.0} tries missing"))
             } else {
                 None
@@ -687,7 +679,8 @@
             self.servers.entry(id).and_modify(|s| {
                 s.suspect = bad.then_some(now);
                 s.loads.clear();
-                s.ease = if bad { s.ease } else { Some(ease) };
+                // A cold server stays on its ramp, whatever it was accused of.
+                s.ease = if bad || s.ease.is_some_and(|e| e.cold) { s.ease } else { Some(ease) };
             });
         }
         let all: f64 = self.ready().map(|(_, s)| s.size).sum();
@@ -700,8 +693,6 @@
         }
     }
 
-    // ---- the line of worth, further tries, peers ----
-
     fn tell_demand(&mut self) {
         if self.peers.others > 0 && self.peers.notes_allowed {
             let demand = self.own_demand();
@@ -732,37 +723,40 @@
         let (came, lost) = ops.fold((0.0, 0.0), |a, c| (a.0 + c.0, a.1 + c.1));
         let let_in = (total - aborted + lost).max(1.0);
         let answered = ((total - aborted) / let_in).max(0.3);
-        // Swamped servers answer too little to say how busy they are: then it shows in what most of them abort.
+        // Swamped servers answer too little to say how busy they are: it shows in what most of them abort.
         let common = self.aborted_share(since, 2);
         let full = if common > 0.15 { busy.max(1.0 / (1.0 - common).max(0.3)) } else { busy };
         let pressure = if full < 0.85 { busy } else { full * (1.0 + (late - 0.5).max(0.0)) / answered };
-        let before = (self.share, self.eager);
+        // Shares are drawn by each op: what was ordered counts, and as what comes of it is known late, they
+        // fall slowly. Rates let in what they say, however many repeats come: what got in counts.
+        let by_rate = self.habits.admission == Admission::Rate;
+        let all: f64 = self.own_demand().iter().sum();
+        let usual: f64 = self.proxies.values().filter(|p| p.joined).map(|p| p.usual).sum();
+        let got_in = (let_in / came.max(1.0)).min(1.0);
+        let (whole, least_in) = if by_rate { (all, LEAST_IN * usual) } else { (1.0, LEAST_IN) };
+        let before = (self.line, self.eager);
         if self.kept && now >= self.open_at {
             self.kept = false;
             // Starting over: rejections that we did not order tell of the line of before.
-            self.share = if let_in < 0.9 * came { (let_in / came).max(LEAST_IN) } else { 1.0 };
-        }
-        if self.share < 1.0 || pressure > PRESSED {
-            // Shares are drawn by each op, so what was ordered counts, and what comes of it is known late: they
-            // fall slowly. Rates let in what they say, however many repeats come: what got in counts.
-            let by_rate = self.habits.admission == Admission::Rate;
-            let (part, floor) =
-                if by_rate { (let_in / came.max(1.0), 0.0) } else { (then, self.share * FALL) };
-            let aim = part.min(1.0) * EASY / pressure.max(0.01);
-            self.share = aim.clamp(floor, self.share * RISE).clamp(LEAST_IN, 1.0);
-        }
-        self.let_in.add(now, self.share, KEPT);
-        let least = if self.share < 1.0 { STRESS.1 } else { 1.0 };
+            self.line = if got_in < 0.9 { got_in * whole } else { f64::INFINITY };
+        }
+        if self.line.is_finite() || pressure > PRESSED.0 {
+            let line = self.line.min(whole);
+            let (part, fall, rise) = if by_rate { (got_in * all, 0.0, RISE.1) } else { (then, FALL, RISE.0) };
+            let aim = (part * PRESSED.1 / pressure.max(0.01)).clamp(line * fall, line * rise).max(least_in);
+            self.line = if aim < whole { aim } else { f64::INFINITY };
+        }
+        self.let_in.add(now, self.line.min(1.0), KEPT);
+        let least = if self.line.is_finite() { STRESS.1 } else { 1.0 };
         self.stress = (pressure.max(least) / (1.0 - failing).max(0.15)).max(self.stress * 0.7);
         self.eager = failing > FREE.0 && pressure < FREE.1;
-        if (before.0 < 1.0) != (self.share < 1.0) || before.1 != self.eager {
+        if before.0.is_finite() != self.line.is_finite() || before.1 != self.eager {
             let tries = if self.eager { "free" } else { "held" };
-            self.host.log(&format!(
-                "line at {:.2}, tries {tries}: busy {busy:.2}, late {late:.2}, answered {answered:.2}, aborted {failing:.2}",
-                self.share
-            ));
+            let at = if self.line.is_finite() { self.line / whole } else { 1.0 };
+            let why = format!("busy {busy:.2}, late {late:.2}, answered {answered:.2}, aborted {failing:.2}");
+            self.host.log(&format!("line at {at:.2}, tries {tries}: {why}"));
         }
-        if before != (self.share, self.eager) {
+        if before != (self.line, self.eager) {
             self.mark_all(None);
         }
     }
@@ -771,13 +765,14 @@
     /// under it, unless the worst-served op type weighs so much that sharing alike loses less.
     fn shares(&self) -> Vec<f64> {
         let n = self.op_types.len();
-        if self.share >= 1.0 {
+        if self.line.is_infinite() {
             return vec![1.0; n];
         }
         let joined = || self.proxies.values().filter(|p| p.joined);
         let demand: Vec<f64> =
             (0..n).map(|t| joined().map(|p| self.demand(p, t)).sum::<f64>() + 0.01).collect();
         let all: f64 = demand.iter().sum();
+        let share = if self.habits.admission == Admission::Rate { self.line / all } else { self.line };
         let value: f64 = (0..n).map(|t| demand[t] * self.op_types[t].value).sum::<f64>() / all;
         let mut order: Vec<usize> = (0..n).collect();
         order.sort_by(|a, b| self.op_types[*b].value.total_cmp(&self.op_types[*a].value));
@@ -785,20 +780,16 @@
         let by_value =
             self.aims.rest * self.op_types[low].value / value + self.aims.worst_op_type * all / demand[low];
         if by_value >= self.aims.rest + self.aims.worst_op_type {
-            return vec![self.share; n];
+            return vec![share.min(1.0); n];
         }
         let mut shares = vec![1.0; n];
-        let mut left = self.share * all;
+        let mut left = share * all;
         for t in order {
             shares[t] = (left / demand[t]).clamp(0.05, 1.0);
             left -= shares[t] * demand[t];
         }
         shares
     }
-
-    fn retry_for(&self, op_type: usize) -> Retry {
-        if self.eager && self.op_types[op_type].may_run_again() { Retry::Once } else { Retry::Unsent }
-    }
 }
 
 impl OpType {
