--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -141,8 +141,7 @@
         "datagram" => director.peer_told(now, whole(event, "by") as u32, &bytes(event, "octets")?),
         "connected" => {
             let (zone, usual) = (whole(event, "locality") as usize, number(event, "size"));
-            let fresh = event.get("active").and_then(Value::as_bool).unwrap_or(false);
-            director.proxy_joined(now, proxy(event)?, zone, usual, fresh);
+            director.proxy_joined(now, proxy(event)?, zone, usual);
         }
         "detached" => director.proxy_left(now, proxy(event)?),
         "traffic_report" => {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -8,7 +8,7 @@
 //!  3. locality: a zone spills only what it cannot carry at the fleet's load, peers' demand notes counted;
 //!  4. the line of worth: under pressure op types are let in by value, those under the line get what is left;
 //!  5. further tries: as many as the op type allows while aborts are few, turned back under pressure;
-//!  6. starting over: a restarted supervisor hears of proxies that hold tables before it replaces those.
+//!  6. the guard of cold servers: bounded, held down by stress, taken back when full.
 
 use crate::host::*;
 use crate::samples::{Samples, mean};
@@ -39,6 +39,9 @@
 /// Suspicion: least tries, and aborted share above that of the healthier servers; tries missing for
 /// silence; probes in a row that fail.
 const ABORTS: (f64, f64) = (3.0, 0.4);
+const COLD_ABORTS: f64 = 0.2;
+/// Most a server gets while it counts as cold: a jam elsewhere sends it a multiple within seconds.
+const COLD_MOST: f64 = 0.65;
 const MISSED: (f64, u32) = (9.0, 2);
 /// Busyness from which on aborts are believed to be overload: that is for the weights and the line.
 const SWAMPED: f64 = 0.83;
@@ -51,13 +54,10 @@
 const RAMP: (f64, f64) = (1.6, 0.75);
 /// A cleared suspect eases in from this part over this time.
 const CLEARED: (f64, Duration) = (0.3, Duration::from_secs(4));
-/// How far cold servers are held down: until tries have been heard of, and while the line is down, when a
-/// zone that loses servers is over full.
+/// How far cold servers are held down: until tries have been heard of, and while the line is down.
 const STRESS: (f64, f64) = (3.0, 2.0);
 /// A zone may be this much busier than the fleet before it spills.
 const SPILL: f64 = 1.08;
-/// How long a restarted supervisor leaves proxies with the tables they hold.
-const STARTING_OVER: Duration = Duration::from_secs(3);
 const LINE_TICKS: u64 = 4;
 /// Pressure at which the line comes down, and the pressure it then aims at.
 const PRESSED: (f64, f64) = (0.96, 0.88);
@@ -78,7 +78,8 @@
     since: Duration,
     over: Duration,
     from: f64,
-    cold: bool,
+    /// Until when a fresh server counts as cold; zero for others.
+    cold_until: Duration,
 }
 
 #[derive(Default)]
@@ -103,10 +104,14 @@
             (a.0 + m.total, a.1 + m.aborted, a.2 + m.good_ms * (m.total - m.aborted))
         })
     }
+    fn cold(&self) -> bool {
+        self.ease.is_some_and(|e| !e.cold_until.is_zero())
+    }
     fn ramp(&self, now: Duration) -> f64 {
         self.ease.map_or(1.0, |e| {
             let gone = now.saturating_sub(e.since).as_secs_f64() / e.over.as_secs_f64().max(0.001);
-            (e.from + (1.0 - e.from) * gone).clamp(e.from, 1.0)
+            let most = if self.cold() { COLD_MOST.max(e.from) } else { 1.0 };
+            (e.from + (1.0 - e.from) * gone).min(most)
         })
     }
 }
@@ -125,8 +130,6 @@
     /// By op type: ops that came, those let in that were aborted, and over what span.
     came: Vec<Samples<(f64, f64, Duration)>>,
     joined: bool,
-    /// It came with tables of an earlier stream.
-    kept: bool,
     bound: bool,
     dirty: bool,
     urgent: bool,
@@ -164,9 +167,6 @@
     /// Share of the ops, or ops a second where levels are rates, that is let in; infinite: all.
     line: f64,
     stress: f64,
-    /// After a restart, proxies that hold tables are left with them until then.
-    open_at: Duration,
-    kept: bool,
     eager: bool,
     peer_demand: BTreeMap<u32, (Duration, Vec<f64>)>,
     list_retry: Option<Duration>,
@@ -205,8 +205,6 @@
             let_in: Samples::default(),
             line: f64::INFINITY,
             stress: STRESS.0,
-            open_at: now + STARTING_OVER,
-            kept: false,
             eager: false,
             peer_demand: BTreeMap::new(),
             list_retry: None,
@@ -281,7 +279,7 @@
     }
 
     /// Guards against a join with no break seen before it: whatever was known of the proxy is void.
-    pub fn proxy_joined(&mut self, now: Duration, proxy: u32, zone: usize, usual: f64, fresh: bool) {
+    pub fn proxy_joined(&mut self, now: Duration, proxy: u32, zone: usize, usual: f64) {
         self.proxy_left(now, proxy);
         let p = self.proxies.entry(proxy).or_default();
         if p.came.is_empty() {
@@ -294,8 +292,6 @@
         p.next_rebuild = now + REBUILD.mul_f64(1.0 + self.rng.f64());
         // A standing table may name servers that drain, are gone or cold: then the join cannot wait.
         let hurry = self.servers.values().any(|s| s.state != ServerState::Ready || s.ease.is_some());
-        p.kept = !fresh && !hurry;
-        self.kept |= !fresh;
         self.mark(proxy, hurry);
     }
 
@@ -387,7 +383,7 @@
             let since = entry.started.unwrap_or(self.now);
             cold = self.now < since + self.cold.over;
             let (from, over) = ((self.cold.from * RAMP.0).min(1.0), self.cold.over.mul_f64(RAMP.1));
-            s.ease = cold.then_some(Ease { since, over, from, cold });
+            s.ease = cold.then_some(Ease { since, over, from, cold_until: since + self.cold.over });
         }
         if news {
             self.mark_all(cold.then_some(entry.server.as_str()));
@@ -448,7 +444,7 @@
         // A suspect keeps a trickle. A cold server's work counts every try, also those turned away: it gets
         // less by as much as tries outnumber what the fleet can do.
         let held = if s.suspect.is_some() && !self.panic { TRICKLE } else { 1.0 };
-        let stress = if s.ease.is_some_and(|e| e.cold) { self.stress } else { 1.0 };
+        let stress = if s.cold() { self.stress } else { 1.0 };
         s.size * s.factor * s.ramp(self.now) * held / stress
     }
 
@@ -507,7 +503,13 @@
                 _ => share,
             };
             let free = self.eager && self.op_types[t].may_run_again();
-            let retry = if free { Retry::Once } else { Retry::Unsent };
+            let retry = if free {
+                Retry::Once
+            } else if self.line.is_finite() {
+                Retry::Never
+            } else {
+                Retry::Unsent
+            };
             update.levels.push((settle(p.sent.levels[t].0, level), retry));
         }
         update
@@ -515,8 +517,7 @@
 
     fn flush_pending(&mut self, id: u32) -> bool {
         let Some(p) = self.proxies.get_mut(&id) else { return false };
-        let kept = p.kept && !p.bound && self.now < self.open_at;
-        if kept || p.in_flight.is_some_and(|f| self.now < f.1 + ANSWER_WAIT) {
+        if p.in_flight.is_some_and(|f| self.now < f.1 + ANSWER_WAIT) {
             return false;
         }
         p.pending.take().is_some_and(|update| self.send(id, update, false))
@@ -616,8 +617,8 @@
         // Steps drift together; a fresh server's weight counts against the others', so their mean stays 1.
         let drift = mean(self.ready().map(|(_, s)| s.factor)).unwrap_or(1.0);
         self.servers.values_mut().for_each(|s| s.factor /= drift);
-        for s in self.servers.values_mut().filter(|s| s.ramp(self.now) >= 1.0) {
-            s.ease = None;
+        for s in self.servers.values_mut() {
+            s.ease = s.ease.filter(|e| self.now < e.cold_until.max(e.since + e.over));
         }
         self.mark_all(None);
     }
@@ -641,7 +642,7 @@
     fn judge_servers(&mut self) {
         let now = self.now;
         let window = self.window();
-        let quiet_for = |s: &Server| s.met.last().map(|at| now - at);
+        let quiet_for = |s: &Server| s.met.last().map(|at| now.saturating_sub(at));
         let mut quiet: Vec<Duration> = self.ready().filter_map(|(_, s)| quiet_for(s)).collect();
         quiet.sort();
         let usual = quiet.get(quiet.len() / 2).copied().unwrap_or_default();
@@ -659,9 +660,12 @@
             let missing = tries / span * extra.as_secs_f64();
             let asked = || self.proxies.values().any(|p| p.bound && p.sent.lines.contains_key(id));
             let unwell = total >= ABORTS.0 && share >= healthy + ABORTS.1;
+            let full = self.busy_of(s).is_some_and(|b| b >= SWAMPED);
+            // A cold server that is full may be about to fall over: it is taken back at its first aborts.
+            let cold_and_aborting = s.cold() && total >= ABORTS.0 && share >= COLD_ABORTS;
             let why = if s.suspect.is_some() {
                 (total >= 2.0 && share < 0.3 && s.missed == 0).then_some(aborts)
-            } else if unwell && self.busy_of(s).unwrap_or(0.0) < SWAMPED {
+            } else if (unwell && !full) || (full && cold_and_aborting) {
                 Some(aborts)
             } else if s.missed >= MISSED.1 {
                 Some(format!("{} probes failed", s.missed))
@@ -675,12 +679,12 @@
         for (id, bad, why) in verdicts {
             self.host.log(&format!("{} {id}: {why}", if bad { "suspect" } else { "cleared" }));
             self.mark_all(bad.then_some(id.as_str()));
-            let ease = Ease { since: now, over: CLEARED.1, from: CLEARED.0, cold: false };
+            let ease = Ease { since: now, over: CLEARED.1, from: CLEARED.0, cold_until: Duration::ZERO };
             self.servers.entry(id).and_modify(|s| {
                 s.suspect = bad.then_some(now);
                 s.loads.clear();
                 // A cold server stays on its ramp, whatever it was accused of.
-                s.ease = if bad || s.ease.is_some_and(|e| e.cold) { s.ease } else { Some(ease) };
+                s.ease = if bad || s.cold() { s.ease } else { Some(ease) };
             });
         }
         let all: f64 = self.ready().map(|(_, s)| s.size).sum();
@@ -735,11 +739,6 @@
         let got_in = (let_in / came.max(1.0)).min(1.0);
         let (whole, least_in) = if by_rate { (all, LEAST_IN * usual) } else { (1.0, LEAST_IN) };
         let before = (self.line, self.eager);
-        if self.kept && now >= self.open_at {
-            self.kept = false;
-            // Starting over: rejections that we did not order tell of the line of before.
-            self.line = if got_in < 0.9 { got_in * whole } else { f64::INFINITY };
-        }
         if self.line.is_finite() || pressure > PRESSED.0 {
             let line = self.line.min(whole);
             let (part, fall, rise) = if by_rate { (got_in * all, 0.0, RISE.1) } else { (then, FALL, RISE.0) };
@@ -748,7 +747,9 @@
         }
         self.let_in.add(now, self.line.min(1.0), KEPT);
         let least = if self.line.is_finite() { STRESS.1 } else { 1.0 };
-        self.stress = (pressure.max(least) / (1.0 - failing).max(0.15)).max(self.stress * 0.7);
+        if total > 0.0 {
+            self.stress = (pressure.max(least) / (1.0 - failing).max(0.15)).max(self.stress * 0.7);
+        }
         self.eager = failing > FREE.0 && pressure < FREE.1;
         if before.0.is_finite() != self.line.is_finite() || before.1 != self.eager {
             let tries = if self.eager { "free" } else { "held" };
@@ -765,7 +766,7 @@
     /// under it, unless the worst-served op type weighs so much that sharing alike loses less.
     fn shares(&self) -> Vec<f64> {
         let n = self.op_types.len();
-        if self.line.is_infinite() {
+        if self.line.is_infinite() || n == 0 {
             return vec![1.0; n];
         }
         let joined = || self.proxies.values().filter(|p| p.joined);
