--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -141,7 +141,8 @@
         "datagram" => director.peer_told(now, whole(event, "by") as u32, &bytes(event, "octets")?),
         "connected" => {
             let (zone, usual) = (whole(event, "locality") as usize, number(event, "size"));
-            director.proxy_joined(now, proxy(event)?, zone, usual);
+            let fresh = event.get("active").and_then(Value::as_bool).unwrap_or(false);
+            director.proxy_joined(now, proxy(event)?, zone, usual, fresh);
         }
         "detached" => director.proxy_left(now, proxy(event)?),
         "traffic_report" => {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -39,9 +39,6 @@
 /// Suspicion: least tries, and aborted share above that of the healthier servers; tries missing for
 /// silence; probes in a row that fail.
 const ABORTS: (f64, f64) = (3.0, 0.4);
-const COLD_ABORTS: f64 = 0.2;
-/// Most a server gets while it counts as cold: a jam elsewhere sends it a multiple within seconds.
-const COLD_MOST: f64 = 0.65;
 const MISSED: (f64, u32) = (9.0, 2);
 /// Busyness from which on aborts are believed to be overload: that is for the weights and the line.
 const SWAMPED: f64 = 0.83;
@@ -49,15 +46,18 @@
 const TRICKLE: f64 = 0.04;
 /// Suspects beyond this part of the listed weight are believed to share a cause that is not theirs.
 const PANIC: f64 = 0.7;
-/// A fresh server starts at this multiple of the least share it may have, and is at full weight after this
-/// part of the longest warming: the terms tell the worst server, and it falls only at a multiple of that.
+/// A fresh server's ramp: from this multiple of the least cold share, over this part of the longest warming.
 const RAMP: (f64, f64) = (1.6, 0.75);
+/// While cold and full, aborts that accuse; most it gets while cold: a jam sends it a multiple in seconds.
+const COLD: (f64, f64) = (0.2, 0.65);
 /// A cleared suspect eases in from this part over this time.
 const CLEARED: (f64, Duration) = (0.3, Duration::from_secs(4));
 /// How far cold servers are held down: until tries have been heard of, and while the line is down.
 const STRESS: (f64, f64) = (3.0, 2.0);
 /// A zone may be this much busier than the fleet before it spills.
 const SPILL: f64 = 1.08;
+/// Room above its demand that an op type above the line gets where levels are rates.
+const HEADROOM: f64 = 1.25;
 const LINE_TICKS: u64 = 4;
 /// Pressure at which the line comes down, and the pressure it then aims at.
 const PRESSED: (f64, f64) = (0.96, 0.88);
@@ -110,7 +110,7 @@
     fn ramp(&self, now: Duration) -> f64 {
         self.ease.map_or(1.0, |e| {
             let gone = now.saturating_sub(e.since).as_secs_f64() / e.over.as_secs_f64().max(0.001);
-            let most = if self.cold() { COLD_MOST.max(e.from) } else { 1.0 };
+            let most = if self.cold() { COLD.1.max(e.from) } else { 1.0 };
             (e.from + (1.0 - e.from) * gone).min(most)
         })
     }
@@ -222,9 +222,7 @@
                 self.removed(&server, ServerState::Gone);
             }
         }
-        for entry in entries {
-            self.listed(entry);
-        }
+        entries.into_iter().for_each(|entry| self.listed(entry));
     }
 
     /// Guards against list calls that fail: the old list stays, and the next call waits longer each time.
@@ -242,8 +240,7 @@
         }
         self.ticks += 1;
         self.host.wake_at(now + TICK, self.ticks);
-        if self.list_retry.is_some_and(|at| now >= at) {
-            self.list_retry = None;
+        if self.list_retry.take_if(|at| now >= *at).is_some() {
             self.host.follow_list();
         }
         self.send_probes();
@@ -279,7 +276,7 @@
     }
 
     /// Guards against a join with no break seen before it: whatever was known of the proxy is void.
-    pub fn proxy_joined(&mut self, now: Duration, proxy: u32, zone: usize, usual: f64) {
+    pub fn proxy_joined(&mut self, now: Duration, proxy: u32, zone: usize, usual: f64, fresh: bool) {
         self.proxy_left(now, proxy);
         let p = self.proxies.entry(proxy).or_default();
         if p.came.is_empty() {
@@ -290,6 +287,11 @@
         self.zones = self.zones.max(zone + 1);
         p.messages.clear();
         p.next_rebuild = now + REBUILD.mul_f64(1.0 + self.rng.f64());
+        // Starting over under an unknown line: until something is heard, rates let in no more than is usual.
+        let unheard = self.servers.values().all(|s| s.met.last().is_none());
+        if !fresh && unheard && self.habits.admission == Admission::Rate {
+            self.line = usual + if self.line.is_finite() { self.line } else { 0.0 };
+        }
         // A standing table may name servers that drain, are gone or cold: then the join cannot wait.
         let hurry = self.servers.values().any(|s| s.state != ServerState::Ready || s.ease.is_some());
         self.mark(proxy, hurry);
@@ -364,8 +366,7 @@
 
     fn listed(&mut self, entry: Listed) {
         if entry.state != ServerState::Ready {
-            self.removed(&entry.server, entry.state);
-            return;
+            return self.removed(&entry.server, entry.state);
         }
         let unknown = || Server { factor: 1.0, ..Server::default() };
         let s = self.servers.entry(entry.server.clone()).or_insert_with(unknown);
@@ -498,8 +499,9 @@
         }
         for (t, share) in self.shares().into_iter().enumerate() {
             let level = match self.habits.admission {
+                _ if self.line.is_infinite() => f64::INFINITY,
+                Admission::Rate => (share.min(HEADROOM) * self.demand(p, t)).max(0.05),
                 _ if share >= 1.0 => f64::INFINITY,
-                Admission::Rate => (share * self.demand(p, t)).max(0.05),
                 _ => share,
             };
             let free = self.eager && self.op_types[t].may_run_again();
@@ -580,7 +582,6 @@
         }
     }
 
-    /// A figure of a server's last reports.
     fn figure(&self, s: &Server, pick: fn(&Load) -> Option<f64>) -> Option<f64> {
         mean(s.loads.since(self.now.saturating_sub(FRESH)).take(3).filter_map(pick))
     }
@@ -616,14 +617,13 @@
         }
         // Steps drift together; a fresh server's weight counts against the others', so their mean stays 1.
         let drift = mean(self.ready().map(|(_, s)| s.factor)).unwrap_or(1.0);
-        self.servers.values_mut().for_each(|s| s.factor /= drift);
         for s in self.servers.values_mut() {
+            s.factor /= drift;
             s.ease = s.ease.filter(|e| self.now < e.cold_until.max(e.since + e.over));
         }
         self.mark_all(None);
     }
 
-    /// The span that reports are summed over when servers or the line are judged.
     fn window(&self) -> Duration {
         self.reporting.interval.mul_f64(2.0).max(Duration::from_secs(2))
     }
@@ -662,7 +662,7 @@
             let unwell = total >= ABORTS.0 && share >= healthy + ABORTS.1;
             let full = self.busy_of(s).is_some_and(|b| b >= SWAMPED);
             // A cold server that is full may be about to fall over: it is taken back at its first aborts.
-            let cold_and_aborting = s.cold() && total >= ABORTS.0 && share >= COLD_ABORTS;
+            let cold_and_aborting = s.cold() && total >= ABORTS.0 && share >= COLD.0;
             let why = if s.suspect.is_some() {
                 (total >= 2.0 && share < 0.3 && s.missed == 0).then_some(aborts)
             } else if (unwell && !full) || (full && cold_and_aborting) {
@@ -739,7 +739,7 @@
         let got_in = (let_in / came.max(1.0)).min(1.0);
         let (whole, least_in) = if by_rate { (all, LEAST_IN * usual) } else { (1.0, LEAST_IN) };
         let before = (self.line, self.eager);
-        if self.line.is_finite() || pressure > PRESSED.0 {
+        if total > 0.0 && (self.line.is_finite() || pressure > PRESSED.0) {
             let line = self.line.min(whole);
             let (part, fall, rise) = if by_rate { (got_in * all, 0.0, RISE.1) } else { (then, FALL, RISE.0) };
             let aim = (part * PRESSED.1 / pressure.max(0.01)).clamp(line * fall, line * rise).max(least_in);
@@ -786,8 +786,8 @@
         let mut shares = vec![1.0; n];
         let mut left = share * all;
         for t in order {
-            shares[t] = (left / demand[t]).clamp(0.05, 1.0);
-            left -= shares[t] * demand[t];
+            shares[t] = (left / demand[t]).clamp(0.05, HEADROOM);
+            left -= shares[t].min(1.0) * demand[t];
         }
         shares
     }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -169,9 +169,9 @@
             "drain" => self.list(ListNews::Changes, ServerState::Draining, words),
             "gone" => self.list(ListNews::Changes, ServerState::Gone, words),
             "listfails" => self.director.list_failed(now),
-            "join" => {
+            "join" | "rejoin" => {
                 let zone = words.get(1).map_or(0, |z| z.parse().expect("zone"));
-                self.director.proxy_joined(now, n(0) as u32, zone, 10.0);
+                self.director.proxy_joined(now, n(0) as u32, zone, 10.0, what == "join");
             }
             "leave" => self.director.proxy_left(now, n(0) as u32),
             "answer" => {
@@ -195,7 +195,7 @@
                 self.director.ops_came(now, n(0) as u32, n(1) as usize, n(2), n(3), span);
             }
             "wrap" => (0..n(0) as usize).for_each(|_| {
-                self.director.proxy_joined(now, 9, 0, 1.0);
+                self.director.proxy_joined(now, 9, 0, 1.0, true);
                 self.director.news_in(now);
                 let stamp = *self.seen.0.borrow().stamps.last().expect("a stamp");
                 self.director.update_answered(now, 9, stamp);
