--- a/src/decide.rs
+++ b/src/decide.rs
@@ -33,9 +33,10 @@
 const BOUND: [f64; 2] = [0.4, 2.0];
 /// Changes of a line smaller than this part are not sent.
 const SAME: f64 = 0.04;
-/// Samples kept of each thing measured, and how old they may be when used.
+/// Samples kept of each thing measured, how old they may be when used, and the span a load is taken over.
 const KEPT: usize = 12;
 const FRESH: Duration = Duration::from_secs(6);
+const FEW: Duration = Duration::from_millis(1500);
 /// Suspicion: least tries, and aborted share above that of the healthier servers; tries missing for
 /// silence; probes in a row that fail.
 const ABORTS: (f64, f64) = (3.0, 0.4);
@@ -248,8 +249,8 @@
         if self.ticks.is_multiple_of(LINE_TICKS) {
             self.move_line();
         }
-        let step = self.reporting.interval.max(STEP_LEAST);
-        if self.ticks.is_multiple_of((step.as_millis() / TICK.as_millis()) as u64) {
+        let step = self.reporting.interval.max(STEP_LEAST).as_millis() / TICK.as_millis();
+        if self.ticks.is_multiple_of(step as u64) {
             self.step_weights();
             self.tell_demand();
         }
@@ -571,19 +572,18 @@
     }
 
     fn send_probes(&mut self) {
-        if !self.reporting.probes_allowed || !self.reporting.by_probe {
-            return;
-        }
+        let probing = self.reporting.by_probe && self.reporting.probes_allowed;
         // Each server once a second, a quarter of them each tick.
         for (i, (server, s)) in self.servers.iter().enumerate() {
-            if s.state == ServerState::Ready && (i as u64 + self.ticks).is_multiple_of(4) {
+            if probing && s.state == ServerState::Ready && (i as u64 + self.ticks).is_multiple_of(4) {
                 self.host.probe(server);
             }
         }
     }
 
     fn figure(&self, s: &Server, pick: fn(&Load) -> Option<f64>) -> Option<f64> {
-        mean(s.loads.since(self.now.saturating_sub(FRESH)).take(3).filter_map(pick))
+        let few = (FEW.as_secs_f64() / self.reporting.interval.as_secs_f64().max(0.1)).max(2.0) as usize;
+        mean(s.loads.since(self.now.saturating_sub(FRESH)).take(few).filter_map(pick))
     }
 
     /// Load of a server: its last reports, or the time of good answers where none come. Service time alone
