Busyness counts servers lost since the reports; demand notes go to the host as numbers

The list tells of lost room at once: what the others reported is raised by it. Also covers suspects that many servers became at once; it could reject for a second too much after a drain that was planned for.

--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -1,7 +1,7 @@
 //! The wire's events as calls, and orders as the wire's actions.
 
 use crate::settings;
-use fallgap::{Director, Host, ListNews, Listed, Load, Met, Probed, Retry, ServerState};
+use fallgap::{Came, Director, Host, ListNews, Listed, Load, Met, Probed, Retry, ServerState};
 use serde_json::{Map, Value, json};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -10,6 +10,9 @@
 #[derive(Debug)]
 pub struct WireError(pub String);
 
+/// What a note to a peer may hold.
+const NOTE_BYTES: usize = 256;
+
 /// Level that lets everything in where levels are ops a second.
 const NO_LIMIT: f64 = 1e6;
 
@@ -77,8 +80,10 @@
     fn probe(&mut self, server: &str) {
         self.order("health_check", json!({ "server": server }));
     }
-    fn tell_peers(&mut self, note: &[u8]) {
-        let octets: String = note.iter().map(|b| format!("{b:02x}")).collect();
+    fn tell_peers(&mut self, demand: &[f64]) {
+        let most = NOTE_BYTES / size_of::<f32>();
+        let bytes = demand.iter().take(most).flat_map(|d| (*d as f32).to_le_bytes());
+        let octets: String = bytes.map(|b| format!("{b:02x}")).collect();
         self.order("notify", json!({ "dst": "all", "octets": octets }));
     }
     fn follow_list(&mut self) {
@@ -138,7 +143,7 @@
             };
             director.probe_answered(now, text(event, "server")?, result, load(event, &director.host.fields));
         }
-        "datagram" => director.peer_told(now, whole(event, "by") as u32, &bytes(event, "octets")?),
+        "datagram" => director.peer_told(now, whole(event, "by") as u32, demand(event, "octets")?),
         "connected" => {
             let (zone, usual) = (whole(event, "locality") as usize, number(event, "size"));
             let fresh = event.get("active").and_then(Value::as_bool).unwrap_or(false);
@@ -156,8 +161,8 @@
         }
         "traffic" => {
             let (total, aborted) = (number(event, "total"), number(event, "failed"));
-            let op_type = whole(event, "class") as usize;
-            director.ops_came(now, proxy(event)?, op_type, total, aborted, span(event, "span"));
+            let came = Came { total, aborted, span: span(event, "span") };
+            director.ops_came(now, proxy(event)?, whole(event, "class") as usize, came);
         }
         "caught_up" => match u16::try_from(whole(event, "epoch")) {
             Ok(stamp) => director.update_answered(now, proxy(event)?, stamp),
@@ -213,12 +218,15 @@
     u32::try_from(number).map_err(|_| WireError(format!("no proxy has the number {number}")))
 }
 
-fn bytes(event: &Value, key: &str) -> Result<Vec<u8>, WireError> {
+/// A peer's demand: what [`Orders::tell_peers`] wrote.
+fn demand(event: &Value, key: &str) -> Result<Vec<f64>, WireError> {
     let digits = text(event, key)?;
-    (0..digits.len() / 2)
+    let bytes: Option<Vec<u8>> = (0..digits.len() / 2)
         .map(|i| digits.get(2 * i..2 * i + 2).and_then(|d| u8::from_str_radix(d, 16).ok()))
-        .collect::<Option<_>>()
-        .ok_or_else(|| WireError(format!("{key:?} holds no hex digits")))
+        .collect();
+    let bytes = bytes.ok_or_else(|| WireError(format!("{key:?} holds no hex digits")))?;
+    let numbers = bytes.chunks_exact(4).map(|c| f64::from(f32::from_le_bytes([c[0], c[1], c[2], c[3]])));
+    Ok(numbers.filter(|d| d.is_finite() && *d >= 0.0).collect())
 }
 
 fn listed(row: &Value) -> Result<Listed, WireError> {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -62,6 +62,8 @@
 const LINE_TICKS: u64 = 4;
 /// Pressure at which the line comes down, and the pressure it then aims at.
 const PRESSED: (f64, f64) = (0.96, 0.88);
+/// Most that lost servers raise what the others reported.
+const SHRUNK: f64 = 1.6;
 /// The line's least share, and how far it falls (where bounded) and rises in a second.
 const LEAST_IN: f64 = 0.35;
 const FALL: f64 = 0.85;
@@ -128,8 +130,8 @@
 struct Proxy {
     zone: usize,
     usual: f64,
-    /// By op type: ops that came, those let in that were aborted, and over what span.
-    came: Vec<Samples<(f64, f64, Duration)>>,
+    /// What came, by op type.
+    came: Vec<Samples<Came>>,
     joined: bool,
     bound: bool,
     dirty: bool,
@@ -164,7 +166,8 @@
     ticks: u64,
     zones: usize,
     panic: bool,
-    let_in: Samples<f64>,
+    /// Share let in, and room of the ready servers.
+    past: Samples<(f64, f64)>,
     /// Share of the ops, or ops a second where levels are rates, that is let in; infinite: all.
     line: f64,
     stress: f64,
@@ -203,7 +206,7 @@
             ticks: 0,
             zones: 0,
             panic: false,
-            let_in: Samples::default(),
+            past: Samples::default(),
             line: f64::INFINITY,
             stress: STRESS.0,
             eager: false,
@@ -219,9 +222,7 @@
         if news == ListNews::Whole {
             let listed: BTreeSet<&String> = entries.iter().map(|e| &e.server).collect();
             let missing: Vec<String> = self.servers.keys().filter(|s| !listed.contains(s)).cloned().collect();
-            for server in missing {
-                self.removed(&server, ServerState::Gone);
-            }
+            missing.iter().for_each(|server| self.removed(server, ServerState::Gone));
         }
         entries.into_iter().for_each(|entry| self.listed(entry));
     }
@@ -269,10 +270,8 @@
         }
     }
 
-    pub fn peer_told(&mut self, now: Duration, peer: u32, note: &[u8]) {
+    pub fn peer_told(&mut self, now: Duration, peer: u32, demand: Vec<f64>) {
         self.now = now;
-        let demand =
-            note.chunks_exact(4).map(|c| f32::from_le_bytes([c[0], c[1], c[2], c[3]]) as f64).collect();
         self.peer_demand.insert(peer, (now, demand));
     }
 
@@ -316,12 +315,10 @@
         }
     }
 
-    pub fn ops_came(
-        &mut self, now: Duration, proxy: u32, op_type: usize, total: f64, aborted: f64, span: Duration,
-    ) {
+    pub fn ops_came(&mut self, now: Duration, proxy: u32, op_type: usize, came: Came) {
         self.now = now;
-        if let Some(came) = self.proxies.get_mut(&proxy).and_then(|p| p.came.get_mut(op_type)) {
-            came.add(now, (total, aborted, span), KEPT);
+        if let Some(samples) = self.proxies.get_mut(&proxy).and_then(|p| p.came.get_mut(op_type)) {
+            samples.add(now, came, KEPT);
         }
     }
 
@@ -430,7 +427,7 @@
     /// Ops a second of one op type that reach a proxy, client repeats and rejected ones included.
     fn demand(&self, p: &Proxy, op_type: usize) -> f64 {
         let recent = p.came[op_type].since(self.now.saturating_sub(FRESH)).take(3);
-        let (n, span) = recent.fold((0.0, 0.0), |a, c| (a.0 + c.0, a.1 + c.2.as_secs_f64()));
+        let (n, span) = recent.fold((0.0, 0.0), |a, c| (a.0 + c.total, a.1 + c.span.as_secs_f64()));
         if span > 0.0 { n / span } else { p.usual / self.op_types.len() as f64 }
     }
 
@@ -443,11 +440,14 @@
     }
 
     fn weight(&self, s: &Server) -> f64 {
+        self.room(s) / if s.cold() { self.stress } else { 1.0 }
+    }
+
+    fn room(&self, s: &Server) -> f64 {
         // A suspect keeps a trickle. A cold server's work counts every try, also those turned away: it gets
         // less by as much as tries outnumber what the fleet can do.
         let held = if s.suspect.is_some() && !self.panic { TRICKLE } else { 1.0 };
-        let stress = if s.cold() { self.stress } else { 1.0 };
-        s.size * s.factor * s.ramp(self.now) * held / stress
+        s.size * s.factor * s.ramp(self.now) * held
     }
 
     /// How a line's weight counts for proxies of one zone, by the server's zone: 1 in the own zone, less
@@ -700,9 +700,7 @@
     fn tell_demand(&mut self) {
         if self.peers.others > 0 && self.peers.notes_allowed {
             let demand = self.own_demand();
-            self.host.tell_peers(
-                &demand.iter().take(64).flat_map(|d| (*d as f32).to_le_bytes()).collect::<Vec<u8>>(),
-            );
+            self.host.tell_peers(&demand);
         }
     }
 
@@ -715,16 +713,19 @@
             self.ready().map(|(_, s)| s).filter(|s| s.suspect.is_none() || self.panic).collect();
         let heard = well.iter().filter_map(|s| self.busy_of(s).map(|b| (b * s.size, s.size)));
         let (work, room) = heard.fold((0.0, 0.001), |a, h| (a.0 + h.0, a.1 + h.1));
-        let busy = work / room;
+        let past = || self.past.between(now.saturating_sub(Duration::from_secs(4)), since);
+        // Servers lost or accused since the reports leave less room than what these tell of: no need to wait.
+        let left: f64 = self.ready().map(|(_, s)| self.room(s)).sum();
+        let told = mean(past().map(|p| p.1)).unwrap_or(left);
+        let busy = work / room * (told / left.max(0.001)).clamp(1.0, SHRUNK);
         let sums = well.iter().map(|s| s.sums(since));
         let (total, aborted, ms) = sums.fold((0.0, 0.0, 0.0), |a, s| (a.0 + s.0, a.1 + s.1, a.2 + s.2));
         let target: f64 = self.op_types.iter().map(|t| t.target_latency.as_secs_f64() * 1e3).sum();
         let late = ms / (total - aborted).max(1.0) / (target / self.op_types.len().max(1) as f64);
         let failing = aborted / total.max(1.0);
-        let then = mean(self.let_in.between(now.saturating_sub(Duration::from_secs(4)), since).copied())
-            .unwrap_or(1.0);
+        let then = mean(past().map(|p| p.0)).unwrap_or(1.0);
         let ops = self.proxies.values().flat_map(|p| &p.came).flat_map(|c| c.since(since));
-        let (came, lost) = ops.fold((0.0, 0.0), |a, c| (a.0 + c.0, a.1 + c.1));
+        let (came, lost) = ops.fold((0.0, 0.0), |a, c| (a.0 + c.total, a.1 + c.aborted));
         let let_in = (total - aborted + lost).max(1.0);
         let answered = ((total - aborted) / let_in).max(0.3);
         // Swamped servers answer too little to say how busy they are: it shows in what most of them abort.
@@ -745,7 +746,7 @@
             let aim = (part * PRESSED.1 / pressure.max(0.01)).clamp(line * fall, line * rise).max(least_in);
             self.line = if aim < whole { aim } else { f64::INFINITY };
         }
-        self.let_in.add(now, self.line.min(1.0), KEPT);
+        self.past.add(now, (self.line.min(1.0), left), KEPT);
         let least = if self.line.is_finite() { STRESS.1 } else { 1.0 };
         if total > 0.0 {
             self.stress = (pressure.max(least) / (1.0 - failing).max(0.15)).max(self.stress * 0.7);
--- a/src/host.rs
+++ b/src/host.rs
@@ -22,8 +22,8 @@
     fn wake_at(&mut self, at: Duration, cookie: u64);
     /// Probes a server.
     fn probe(&mut self, server: &str);
-    /// Sends a short note to every other supervisor.
-    fn tell_peers(&mut self, note: &[u8]);
+    /// Tells every other supervisor our demand, in ops a second by zone; it may be lost.
+    fn tell_peers(&mut self, demand: &[f64]);
     /// Subscribes to changes of the server list.
     fn follow_list(&mut self);
     /// Asks for the whole server list once.
@@ -186,6 +186,15 @@
     pub span: Duration,
 }
 
+/// Ops of one type that reached a proxy, client repeats and rejected ones included.
+#[derive(Clone, Copy, Debug)]
+pub struct Came {
+    pub total: f64,
+    /// Those let in that got no answer.
+    pub aborted: f64,
+    pub span: Duration,
+}
+
 /// How a probe ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Probed {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -57,7 +57,7 @@
     fn probe(&mut self, server: &str) {
         self.other(format!("probe {server}"));
     }
-    fn tell_peers(&mut self, _note: &[u8]) {
+    fn tell_peers(&mut self, _demand: &[f64]) {
         self.other("note".into());
     }
     fn follow_list(&mut self) {
@@ -191,8 +191,8 @@
             }
             // came PROXY OP_TYPE TOTAL ABORTED
             "came" => {
-                let span = Duration::from_secs(1);
-                self.director.ops_came(now, n(0) as u32, n(1) as usize, n(2), n(3), span);
+                let came = Came { total: n(2), aborted: n(3), span: Duration::from_secs(1) };
+                self.director.ops_came(now, n(0) as u32, n(1) as usize, came);
             }
             "wrap" => (0..n(0) as usize).for_each(|_| {
                 self.director.proxy_joined(now, 9, 0, 1.0, true);
