--- a/src/decide.rs
+++ b/src/decide.rs
@@ -44,7 +44,7 @@
 /// Busyness from which on aborts are believed to be overload: that is for the weights and the line.
 const SWAMPED: f64 = 0.83;
 /// Part of its weight that a suspect keeps, so that its return is seen.
-const TRICKLE: f64 = 0.04;
+const TRICKLE: f64 = 0.12;
 /// Suspects beyond this part of the listed weight are believed to share a cause that is not theirs.
 const PANIC: f64 = 0.7;
 /// A fresh server's ramp: from this multiple of the least cold share, over this part of the longest warming.
@@ -731,7 +731,7 @@
         // Swamped servers answer too little to say how busy they are: it shows in what most of them abort.
         let common = self.aborted_share(since, 2);
         let full = if common > 0.15 { busy.max(1.0 / (1.0 - common).max(0.3)) } else { busy };
-        let pressure = if full < 0.85 { busy } else { full * (1.0 + (late - 0.5).max(0.0)) / answered };
+        let pressure = if full < 0.85 { busy } else { full * (1.0 + (late - 0.35).max(0.0)) / answered };
         // Shares are drawn by each op: what was ordered counts, and as what comes of it is known late, they
         // fall slowly. Rates let in what they say, however many repeats come: what got in counts.
         let by_rate = self.habits.admission == Admission::Rate;
