--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -20,6 +20,7 @@
 pub struct Orders {
     instance: String,
     fields: Vec<String>,
+    sized: bool,
     orders: Vec<Value>,
 }
 
@@ -27,7 +28,8 @@
     pub fn new(instance: &str, settings: &Value) -> Self {
         let fields = settings["telemetry"]["fields"].as_array().map_or(&[][..], |f| f);
         let fields = fields.iter().map(|f| f.as_str().unwrap_or("").to_owned()).collect();
-        Orders { instance: instance.to_owned(), fields, orders: Vec::new() }
+        let sized = settings["weights"].as_str() != Some("live");
+        Orders { instance: instance.to_owned(), fields, sized, orders: Vec::new() }
     }
 
     pub fn drain_into(&mut self, all: &mut Vec<Value>) {
@@ -131,7 +133,8 @@
                 _ => ListNews::Changes,
             };
             let rows = event.get("rows_in").and_then(Value::as_array).map_or(&[][..], |r| r);
-            let entries = rows.iter().map(listed).collect::<Result<Vec<_>, _>>()?;
+            let entries =
+                rows.iter().map(|row| listed(row, director.host.sized)).collect::<Result<Vec<_>, _>>()?;
             director.list_changed(now, news, entries);
         }
         "wake" => director.woke(now, whole(event, "cookie")),
@@ -229,11 +232,12 @@
     Ok(numbers.filter(|d| d.is_finite() && *d >= 0.0).collect())
 }
 
-fn listed(row: &Value) -> Result<Listed, WireError> {
+/// A list entry; `sized`: its size is the server's own, not one that moves with its load.
+fn listed(row: &Value, sized: bool) -> Result<Listed, WireError> {
     Ok(Listed {
         server: text(row, "server")?.to_owned(),
         zone: whole(row, "locality") as usize,
-        size: row.get("size").and_then(Value::as_f64),
+        size: row.get("size").and_then(Value::as_f64).filter(|_| sized),
         state: match row.get("mode").and_then(Value::as_str) {
             Some("ready") | None => ServerState::Ready,
             Some("gone") => ServerState::Gone,
