Aborts of most servers press the line only if good answers are late

Cause (tirol incident): a fifth of all tries got lost at every server, which read as overload; 40 in 100 ops were rejected though servers were half idle.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -728,9 +728,9 @@
         let (came, lost) = ops.fold((0.0, 0.0), |a, c| (a.0 + c.total, a.1 + c.aborted));
         let let_in = (total - aborted + lost).max(1.0);
         let answered = ((total - aborted) / let_in).max(0.3);
-        // Swamped servers answer too little to say how busy they are: it shows in what most of them abort.
+        // Swamped servers answer too little, and late, to say how busy they are: most of them abort.
         let common = self.aborted_share(since, 2);
-        let full = if common > 0.15 { busy.max(1.0 / (1.0 - common).max(0.3)) } else { busy };
+        let full = if common > 0.15 && late > 0.25 { busy.max(1.0 / (1.0 - common).max(0.3)) } else { busy };
         let pressure = if full < 0.85 { busy } else { full * (1.0 + (late - 0.35).max(0.0)) / answered };
         // Shares are drawn by each op: what was ordered counts, and as what comes of it is known late, they
         // fall slowly. Rates let in what they say, however many repeats come: what got in counts.
