--- a/src/decide.rs
+++ b/src/decide.rs
@@ -439,13 +439,13 @@
         demand
     }
 
+    /// A cold server's work counts every try, also those turned away: it gets less by as much as tries
+    /// outnumber what the fleet can do.
     fn weight(&self, s: &Server) -> f64 {
         self.room(s) / if s.cold() { self.stress } else { 1.0 }
     }
 
     fn room(&self, s: &Server) -> f64 {
-        // A suspect keeps a trickle. A cold server's work counts every try, also those turned away: it gets
-        // less by as much as tries outnumber what the fleet can do.
         let held = if s.suspect.is_some() && !self.panic { TRICKLE } else { 1.0 };
         s.size * s.factor * s.ramp(self.now) * held
     }
@@ -501,17 +501,14 @@
         for (t, share) in self.shares().into_iter().enumerate() {
             let level = match self.habits.admission {
                 _ if self.line.is_infinite() => f64::INFINITY,
-                Admission::Rate => (share.min(HEADROOM) * self.demand(p, t)).max(0.05),
+                Admission::Rate => (share * self.demand(p, t)).max(0.05),
                 _ if share >= 1.0 => f64::INFINITY,
                 _ => share,
             };
-            let free = self.eager && self.op_types[t].may_run_again();
-            let retry = if free {
-                Retry::Once
-            } else if self.line.is_finite() {
-                Retry::Never
-            } else {
-                Retry::Unsent
+            let retry = match self.line.is_finite() {
+                _ if self.eager && self.op_types[t].may_run_again() => Retry::Once,
+                true => Retry::Never,
+                false => Retry::Unsent,
             };
             update.levels.push((settle(p.sent.levels[t].0, level), retry));
         }
@@ -653,7 +650,7 @@
         for (id, s) in self.ready() {
             let (total, aborted, _) = s.sums(s.suspect.map_or(recent, |at| recent.max(at + window)));
             let share = aborted / total.max(1.0);
-            let aborts = format!("{aborted:.0} of {total:.0} tries aborted");
+            let aborts = || format!("{aborted:.0} of {total:.0} tries aborted");
             let extra = quiet_for(s).unwrap_or_default().saturating_sub(usual);
             let all = s.met.since(Duration::ZERO);
             let (tries, span) = all.fold((0.0, 0.1), |a, m| (a.0 + m.total, a.1 + m.span.as_secs_f64()));
@@ -664,9 +661,9 @@
             // A cold server that is full may be about to fall over: it is taken back at its first aborts.
             let cold_and_aborting = s.cold() && total >= ABORTS.0 && share >= COLD.0;
             let why = if s.suspect.is_some() {
-                (total >= 2.0 && share < 0.3 && s.missed == 0).then_some(aborts)
+                (total >= 2.0 && share < 0.3 && s.missed == 0).then(aborts)
             } else if (unwell && !full) || (full && cold_and_aborting) {
-                Some(aborts)
+                Some(aborts())
             } else if s.missed >= MISSED.1 {
                 Some(format!("{} probes failed", s.missed))
             } else if extra > self.reporting.interval.mul_f64(1.2) && missing >= MISSED.0 && asked() {
