Tables hold a dealt part of the servers; work common to all is done once a moment

Change: a stable even choice of servers per proxy (12, more for those that bring much), lifted to even loads; a plan once a moment; urgent builds in order of waiting, rules first; pace of reports measured; where proxies are dealt to supervisors by chance their demand stands for all.

--- a/crates/wirehost/src/settings.rs
+++ b/crates/wirehost/src/settings.rs
@@ -45,6 +45,7 @@
     let peers = Peers {
         others: settings["balancers"].as_u64().unwrap_or(1).saturating_sub(1) as usize,
         notes_allowed: settings["caps"]["peers"].as_bool().unwrap_or(false),
+        by_zone: family["homed_by_zone"].as_bool().unwrap_or(true),
     };
     let home = list(&family["home_only"]);
     let op_types = list(&settings["classes"])
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -11,19 +11,25 @@
 //!  6. the guard of cold servers: bounded, held down by stress, taken back when full.
 
 use crate::host::*;
-use crate::samples::{Samples, mean};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use crate::samples::{Samples, lowest, mean};
+use crate::state::*;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 const TICK: Duration = Duration::from_millis(250);
 /// Ordinary lines queued each second, as a part of the channel's rate (the design's start).
 const CAP: f64 = 0.5;
-/// Parts of the backlog that ordinary and urgent builds may fill with unanswered lines.
-const FILL: [f64; 2] = [0.4, 0.85];
-/// Messages to one proxy that ordinary and urgent builds leave unused within the limit's span.
-const SPARE: [usize; 2] = [7, 1];
-/// First pause before a failed list call is made again; it doubles up to eight times this.
+/// Parts of the backlog that ordinary builds, urgent ones, and those that a rule needs may fill with unanswered
+/// lines; messages to one proxy that each leaves unused within the limit's span.
+const ORDINARY: usize = 0;
+const URGENT: usize = 1;
+const RULE: usize = 2;
+const FILL: [f64; 3] = [0.4, 0.55, 0.85];
+const SPARE: [usize; 3] = [7, 4, 1];
+/// Pause before a failed list call is made again.
 const LIST_PAUSE: Duration = Duration::from_secs(1);
+const LIST_COOKIE: u64 = u64::MAX >> 1;
 const ANSWER_WAIT: Duration = Duration::from_secs(3);
 const REBUILD: Duration = Duration::from_secs(5);
 /// Least time between steps of the weights: steps that outrun what is heard oscillate.
@@ -57,13 +63,20 @@
 const STRESS: (f64, f64) = (3.0, 2.0);
 /// A zone may be this much busier than the fleet before it spills.
 const SPILL: f64 = 1.08;
+/// Least lines of a table, and lines for each server's worth of ops that its proxy brings: enough that a few bad
+/// servers do not matter, few enough that connections stay in use and every table fits through the channel.
+const LINES: (f64, f64) = (12.0, 4.0);
+/// Bounds of what evens out how unequally servers were dealt to proxies, and rounds of working it out.
+const LIFT: (f64, f64, usize) = (0.25, 4.0, 4);
+/// Ops counted, if heard of at all lately, before a proxy's own demand is believed.
+const COUNTED: f64 = 12.0;
+/// How old what all tables have in common may be, if nothing marked them since.
+const PLAN_OLD: Duration = Duration::from_secs(1);
 /// Room above its demand that an op type above the line gets where levels are rates.
 const HEADROOM: f64 = 1.25;
 const LINE_TICKS: u64 = 4;
 /// Pressure at which the line comes down, and the pressure it then aims at.
 const PRESSED: (f64, f64) = (0.96, 0.88);
-/// Most that lost servers raise what the others reported.
-const SHRUNK: f64 = 1.6;
 /// The line's least share, and how far it falls (where bounded) and rises in a second.
 const LEAST_IN: f64 = 0.35;
 const FALL: f64 = 0.85;
@@ -73,79 +86,6 @@
 /// Ops waiting at a server whose cores are about half busy: tells busyness where only queues are reported.
 const HALF_BUSY: f64 = 0.7;
 
-type Table = BTreeMap<String, f64>;
-
-/// Way back to full weight: of a fresh server, or of a cleared suspect.
-#[derive(Clone, Copy)]
-struct Ease {
-    since: Duration,
-    over: Duration,
-    from: f64,
-    /// Until when a fresh server counts as cold; zero for others.
-    cold_until: Duration,
-}
-
-#[derive(Default)]
-struct Server {
-    zone: usize,
-    size: f64,
-    state: ServerState,
-    started: Option<Duration>,
-    ease: Option<Ease>,
-    factor: f64,
-    met: Samples<Met>,
-    loads: Samples<Load>,
-    suspect: Option<Duration>,
-    /// Probes in a row that failed.
-    missed: u32,
-}
-
-impl Server {
-    /// Tries, aborted ones and the time of good ones since a moment.
-    fn sums(&self, since: Duration) -> (f64, f64, f64) {
-        self.met.since(since).fold((0.0, 0.0, 0.0), |a, m| {
-            (a.0 + m.total, a.1 + m.aborted, a.2 + m.good_ms * (m.total - m.aborted))
-        })
-    }
-    fn cold(&self) -> bool {
-        self.ease.is_some_and(|e| !e.cold_until.is_zero())
-    }
-    fn ramp(&self, now: Duration) -> f64 {
-        self.ease.map_or(1.0, |e| {
-            let gone = now.saturating_sub(e.since).as_secs_f64() / e.over.as_secs_f64().max(0.001);
-            let most = if self.cold() { COLD.1.max(e.from) } else { 1.0 };
-            (e.from + (1.0 - e.from) * gone).min(most)
-        })
-    }
-}
-
-/// An update: the lines a proxy should hold, and by op type what is let in and when it tries again.
-#[derive(Clone, Default, PartialEq)]
-struct Update {
-    lines: Table,
-    levels: Vec<(f64, Retry)>,
-}
-
-#[derive(Default)]
-struct Proxy {
-    zone: usize,
-    usual: f64,
-    /// What came, by op type.
-    came: Vec<Samples<Came>>,
-    joined: bool,
-    bound: bool,
-    dirty: bool,
-    urgent: bool,
-    next_rebuild: Duration,
-    /// What the table was last sent, and what of it was answered; stamp and time of the update in flight.
-    sent: Update,
-    acked: Update,
-    in_flight: Option<(u16, Duration)>,
-    pending: Option<Update>,
-    unanswered: VecDeque<(u16, f64)>,
-    messages: VecDeque<Duration>,
-}
-
 pub struct Director<H> {
     pub host: H,
     rng: fastrand::Rng,
@@ -159,22 +99,22 @@
     peers: Peers,
     servers: BTreeMap<String, Server>,
     proxies: BTreeMap<u32, Proxy>,
-    queue: VecDeque<u32>,
-    budget: f64,
-    budget_at: Duration,
-    stamp: u16,
+    plan: Option<Plan>,
+    out: Outgoing,
+    heard: Duration,
+    /// Time between two reports of one thing: the interval, or more where only some lines come through.
+    pace: Duration,
+    stepped: Duration,
     ticks: u64,
     zones: usize,
     panic: bool,
-    /// Share let in, and room of the ready servers.
-    past: Samples<(f64, f64)>,
+    /// Shares that were let in.
+    past: Samples<f64>,
     /// Share of the ops, or ops a second where levels are rates, that is let in; infinite: all.
     line: f64,
     stress: f64,
     eager: bool,
     peer_demand: BTreeMap<u32, (Duration, Vec<f64>)>,
-    list_retry: Option<Duration>,
-    list_pause: Duration,
 }
 
 impl<H: Host> Director<H> {
@@ -199,10 +139,11 @@
             peers,
             servers: BTreeMap::new(),
             proxies: BTreeMap::new(),
-            queue: VecDeque::new(),
-            budget: channel.lines_per_s * CAP * 0.5,
-            budget_at: now,
-            stamp: 0,
+            plan: None,
+            out: Outgoing { budget: channel.lines_per_s * CAP * 0.5, budget_at: now, ..Outgoing::default() },
+            heard: now,
+            pace: reporting.interval,
+            stepped: now,
             ticks: 0,
             zones: 0,
             panic: false,
@@ -211,14 +152,11 @@
             stress: STRESS.0,
             eager: false,
             peer_demand: BTreeMap::new(),
-            list_retry: None,
-            list_pause: LIST_PAUSE,
         }
     }
 
     pub fn list_changed(&mut self, now: Duration, news: ListNews, entries: Vec<Listed>) {
         self.now = now;
-        self.list_pause = LIST_PAUSE;
         if news == ListNews::Whole {
             let listed: BTreeSet<&String> = entries.iter().map(|e| &e.server).collect();
             let missing: Vec<String> = self.servers.keys().filter(|s| !listed.contains(s)).cloned().collect();
@@ -227,38 +165,41 @@
         entries.into_iter().for_each(|entry| self.listed(entry));
     }
 
-    /// Guards against list calls that fail: the old list stays, and the next call waits longer each time.
+    /// Guards against list calls that fail: the old list stays, and the next call waits.
     pub fn list_failed(&mut self, now: Duration) {
         self.now = now;
-        self.list_retry = Some(now + self.list_pause);
-        self.list_pause = (self.list_pause * 2).min(LIST_PAUSE * 8);
+        self.host.wake_at(now + LIST_PAUSE, LIST_COOKIE);
         self.host.log("list call failed: keeping the old list");
     }
 
     pub fn woke(&mut self, now: Duration, cookie: u64) {
         self.now = now;
-        if cookie != self.ticks {
-            return;
+        match cookie {
+            LIST_COOKIE => return self.host.follow_list(),
+            tick if tick != self.ticks => return,
+            _ => self.ticks += 1,
         }
-        self.ticks += 1;
         self.host.wake_at(now + TICK, self.ticks);
-        if self.list_retry.take_if(|at| now >= *at).is_some() {
-            self.host.follow_list();
-        }
         self.send_probes();
         self.judge_servers();
         if self.ticks.is_multiple_of(LINE_TICKS) {
             self.move_line();
         }
-        let step = self.reporting.interval.max(STEP_LEAST).as_millis() / TICK.as_millis();
-        if self.ticks.is_multiple_of(step as u64) {
+        let spans = self.ready().filter_map(|(_, s)| s.met.since(now.saturating_sub(FRESH)).next());
+        let pace = mean(spans.map(|m| m.span.as_secs_f64())).unwrap_or(0.0);
+        self.pace = self.reporting.interval.max(Duration::from_secs_f64(pace));
+        if now >= self.stepped + self.pace.max(STEP_LEAST) {
+            self.stepped = now;
             self.step_weights();
-            self.tell_demand();
+            if self.peers.others > 0 && self.peers.notes_allowed {
+                let demand = self.own_demand();
+                self.host.tell_peers(&demand);
+            }
         }
         for id in self.proxies_where(|p| p.joined && now >= p.next_rebuild) {
             let jitter = 0.8 + 0.4 * self.rng.f64();
             self.proxies.entry(id).and_modify(|p| p.next_rebuild = now + REBUILD.mul_f64(jitter));
-            self.mark(id, false);
+            self.mark(id, ORDINARY);
         }
     }
 
@@ -278,14 +219,10 @@
     /// Guards against a join with no break seen before it: whatever was known of the proxy is void.
     pub fn proxy_joined(&mut self, now: Duration, proxy: u32, zone: usize, usual: f64, fresh: bool) {
         self.proxy_left(now, proxy);
-        let p = self.proxies.entry(proxy).or_default();
-        if p.came.is_empty() {
-            p.came.resize_with(self.op_types.len(), Samples::default);
-            p.sent.levels.resize(self.op_types.len(), (f64::INFINITY, self.habits.usual_retry));
-        }
+        let unleveled = || Proxy::unleveled(self.op_types.len(), self.habits.usual_retry);
+        let p = self.proxies.entry(proxy).or_insert_with(unleveled);
         (p.zone, p.usual, p.joined) = (zone, usual, true);
         self.zones = self.zones.max(zone + 1);
-        p.messages.clear();
         p.next_rebuild = now + REBUILD.mul_f64(1.0 + self.rng.f64());
         // Starting over under an unknown line: until something is heard, rates let in no more than is usual.
         let unheard = self.servers.values().all(|s| s.met.last().is_none());
@@ -294,17 +231,16 @@
         }
         // A standing table may name servers that drain, are gone or cold: then the join cannot wait.
         let hurry = self.servers.values().any(|s| s.state != ServerState::Ready || s.ease.is_some());
-        self.mark(proxy, hurry);
+        self.plan = None;
+        self.mark(proxy, if hurry { RULE } else { ORDINARY });
     }
 
     pub fn proxy_left(&mut self, now: Duration, proxy: u32) {
         self.now = now;
         if let Some(p) = self.proxies.get_mut(&proxy) {
-            (p.joined, p.bound, p.urgent, p.dirty) = (false, false, false, false);
-            (p.in_flight, p.pending) = (None, None);
-            p.unanswered.clear();
+            self.out.broken.add(now, p.leave(), usize::MAX);
         }
-        self.queue.retain(|q| *q != proxy);
+        self.out.queue.retain(|q| *q != proxy);
     }
 
     pub fn server_met(&mut self, now: Duration, server: &str, met: Met, load: Option<Load>) {
@@ -317,6 +253,7 @@
 
     pub fn ops_came(&mut self, now: Duration, proxy: u32, op_type: usize, came: Came) {
         self.now = now;
+        self.heard = now;
         if let Some(samples) = self.proxies.get_mut(&proxy).and_then(|p| p.came.get_mut(op_type)) {
             samples.add(now, came, KEPT);
         }
@@ -325,29 +262,36 @@
     /// Frees the update in flight; guards against late or repeated answers, whose stamp is another.
     pub fn update_answered(&mut self, now: Duration, proxy: u32, stamp: u16) {
         self.now = now;
-        let Some(p) = self.proxies.get_mut(&proxy) else { return };
-        if let Some(at) = p.unanswered.iter().position(|u| u.0 == stamp) {
-            p.unanswered.drain(..=at);
-        }
-        if p.in_flight.is_some_and(|f| f.0 == stamp) {
-            (p.in_flight, p.acked) = (None, p.sent.clone());
-        }
+        self.proxies.entry(proxy).and_modify(|p| p.answer(stamp));
     }
 
     /// All of this moment's news has been told: builds and sends what may leave now.
     pub fn news_in(&mut self, now: Duration) {
         self.now = now;
         let rate = self.channel.lines_per_s * CAP;
-        let idle = now.saturating_sub(self.budget_at).as_secs_f64();
-        self.budget = (self.budget + idle * rate).min(rate * 0.5);
-        self.budget_at = now;
+        let idle = now.saturating_sub(self.out.budget_at).as_secs_f64();
+        self.out.budget = (self.out.budget + idle * rate).min(rate * 0.5);
+        self.out.budget_at = now;
+        let unanswered = self.proxies.values().flat_map(|p| &p.unanswered).map(|u| &u.1);
+        self.out.waiting = unanswered.chain(self.out.broken.since(now.saturating_sub(ANSWER_WAIT))).sum();
         let mut wrote = false;
-        for id in self.proxies_where(|p| p.joined && p.urgent) {
+        // The longest waiting first: else a flood of changes starves the proxies that come late in any other order.
+        let mut urgent = self.proxies_where(|p| p.hurry > ORDINARY);
+        urgent.sort_by_key(|id| (Reverse(self.proxies[id].hurry), self.proxies[id].hurried));
+        let old = self.plan.as_ref().is_none_or(|p| now >= p.at + PLAN_OLD);
+        if old && !(urgent.is_empty() && self.out.queue.is_empty()) {
+            self.plan = Some(self.plan());
+        }
+        for id in urgent {
+            let hurry = self.proxies[&id].hurry;
+            if self.out.waiting > self.channel.backlog * FILL[hurry] {
+                break;
+            }
             let update = self.build(id);
-            wrote |= self.send(id, update, true);
+            wrote |= self.send(id, update, hurry);
         }
-        while self.budget > 0.0
-            && let Some(id) = self.queue.pop_front()
+        while self.out.budget > 0.0
+            && let Some(id) = self.out.queue.pop_front()
         {
             let update = self.build(id);
             self.proxies.entry(id).and_modify(|p| (p.dirty, p.pending) = (false, Some(update)));
@@ -357,8 +301,8 @@
             wrote |= self.flush_pending(id);
         }
         if wrote {
-            self.host.ask_answer(self.stamp);
-            self.stamp = self.stamp.wrapping_add(1);
+            self.host.ask_answer(self.out.stamp);
+            self.out.stamp = self.out.stamp.wrapping_add(1);
         }
     }
 
@@ -366,7 +310,7 @@
         if entry.state != ServerState::Ready {
             return self.removed(&entry.server, entry.state);
         }
-        let unknown = || Server { factor: 1.0, ..Server::default() };
+        let unknown = || Server { key: key_of(&entry.server), factor: 1.0, ..Server::default() };
         let s = self.servers.entry(entry.server.clone()).or_insert_with(unknown);
         // A restart may show without any removal before it: only the start time tells.
         let restarted = entry.started.is_some() && entry.started != s.started;
@@ -376,16 +320,14 @@
         self.zones = self.zones.max(entry.zone + 1);
         let mut cold = false;
         if restarted {
-            (s.started, s.suspect) = (entry.started, None);
-            s.met.clear();
-            s.loads.clear();
+            s.restart(entry.started);
             let since = entry.started.unwrap_or(self.now);
             cold = self.now < since + self.cold.over;
             let (from, over) = ((self.cold.from * RAMP.0).min(1.0), self.cold.over.mul_f64(RAMP.1));
             s.ease = cold.then_some(Ease { since, over, from, cold_until: since + self.cold.over });
         }
         if news {
-            self.mark_all(cold.then_some(entry.server.as_str()));
+            self.mark_all(cold.then_some(entry.server.as_str()), RULE);
         }
     }
 
@@ -394,7 +336,7 @@
             && s.state != state
         {
             s.state = state;
-            self.mark_all(Some(server));
+            self.mark_all(Some(server), RULE);
         }
     }
 
@@ -406,39 +348,67 @@
         self.proxies.iter().filter(|(_, p)| test(p)).map(|(id, _)| *id).collect()
     }
 
-    /// Marks every table; those that may hold the named server are urgent.
-    fn mark_all(&mut self, holding: Option<&str>) {
+    /// Marks every table; those that may hold the named server hurry.
+    fn mark_all(&mut self, holding: Option<&str>, hurry: usize) {
+        self.plan = None;
         for id in self.proxies_where(|p| p.joined) {
             let p = &self.proxies[&id];
-            let urgent = holding.is_some_and(|s| !p.bound || p.sent.lines.contains_key(s));
-            self.mark(id, urgent);
+            let holds = holding.is_some_and(|s| !p.bound || p.sent.lines.contains_key(s));
+            self.mark(id, if holds { hurry } else { ORDINARY });
         }
     }
 
-    fn mark(&mut self, id: u32, urgent: bool) {
+    fn mark(&mut self, id: u32, hurry: usize) {
         let Some(p) = self.proxies.get_mut(&id) else { return };
-        p.urgent |= urgent;
+        if hurry > p.hurry {
+            (p.hurry, p.hurried) = (hurry, self.now);
+        }
         if !p.dirty {
             p.dirty = true;
-            self.queue.push_back(id);
+            self.out.queue.push_back(id);
         }
     }
 
-    /// Ops a second of one op type that reach a proxy, client repeats and rejected ones included.
+    /// Ops a second of one op type that reach a proxy, client repeats and rejected ones included. A span in
+    /// which none came is not reported, so time passes from the oldest sample used; few ops say little.
     fn demand(&self, p: &Proxy, op_type: usize) -> f64 {
-        let recent = p.came[op_type].since(self.now.saturating_sub(FRESH)).take(3);
-        let (n, span) = recent.fold((0.0, 0.0), |a, c| (a.0 + c.total, a.1 + c.span.as_secs_f64()));
-        if span > 0.0 { n / span } else { p.usual / self.op_types.len() as f64 }
+        let (mut n, mut over, usual) = (0.0, 0.0, p.usual / self.op_types.len() as f64);
+        for (i, (at, c)) in p.came[op_type].timed(self.now.saturating_sub(FRESH)).enumerate() {
+            if i >= 3 && n >= COUNTED {
+                break;
+            }
+            n += c.total;
+            over = (self.heard.saturating_sub(at) + c.span).as_secs_f64();
+        }
+        (n + usual) / (over + 1.0)
     }
 
+    fn brings(&self, p: &Proxy) -> f64 {
+        (0..self.op_types.len()).map(|t| self.demand(p, t)).sum()
+    }
+
+    /// Ops a second by zone: all that was told of lately, over that time.
     fn own_demand(&self) -> Vec<f64> {
         let mut demand = vec![0.0; self.zones];
+        let window = self.window();
+        let since = (self.heard + self.pace / 2).saturating_sub(window);
         for p in self.proxies.values().filter(|p| p.joined) {
-            demand[p.zone] += (0..self.op_types.len()).map(|t| self.demand(p, t)).sum::<f64>().max(0.1);
+            let told = p.came.iter().flat_map(|c| c.since(since)).map(|c| c.total).sum::<f64>();
+            let unheard = p.came.iter().all(|c| c.last().is_none());
+            demand[p.zone] += if unheard { p.usual } else { told / window.as_secs_f64() }.max(0.01);
         }
         demand
     }
 
+    /// How far a fresh server, or a cleared suspect, is on its way back to full weight.
+    fn ramp(&self, s: &Server) -> f64 {
+        s.ease.map_or(1.0, |e| {
+            let gone = self.now.saturating_sub(e.since).as_secs_f64() / e.over.as_secs_f64().max(0.001);
+            let most = if s.cold() { COLD.1.max(e.from) } else { 1.0 };
+            (e.from + (1.0 - e.from) * gone).min(most)
+        })
+    }
+
     /// A cold server's work counts every try, also those turned away: it gets less by as much as tries
     /// outnumber what the fleet can do.
     fn weight(&self, s: &Server) -> f64 {
@@ -447,35 +417,20 @@
 
     fn room(&self, s: &Server) -> f64 {
         let held = if s.suspect.is_some() && !self.panic { TRICKLE } else { 1.0 };
-        s.size * s.factor * s.ramp(self.now) * held
+        s.size * s.factor * self.ramp(s) * held
     }
 
     /// How a line's weight counts for proxies of one zone, by the server's zone: 1 in the own zone, less
     /// elsewhere. A zone spills only what it cannot carry at (a little over) the fleet's common load.
-    fn reach(&self, zone: usize) -> Vec<f64> {
+    fn reach(&self, zone: usize, room: &[f64], demand: &[f64]) -> Vec<f64> {
         let zones = self.zones;
-        let mut room = vec![0.0; zones];
-        for (_, s) in self.ready() {
-            room[s.zone] += self.weight(s);
-        }
         if room[zone] <= 0.0 {
             return vec![1.0; zones];
         }
-        let mut demand = self.own_demand();
-        let mut unheard = self.peers.others;
-        for (_, told) in self.peer_demand.values().filter(|d| d.0 + FRESH * 2 >= self.now) {
-            unheard = unheard.saturating_sub(1);
-            demand.iter_mut().zip(told).for_each(|(d, t)| *d += t);
-        }
-        if unheard > 0 {
-            // Other supervisors' traffic is unknown: count every zone as busy as our busiest.
-            let busiest = demand.iter().zip(&room).map(|(d, r)| d / r.max(0.001)).fold(0.0, f64::max);
-            demand = room.iter().map(|r| busiest * r).collect();
-        }
         let mut part: Vec<f64> = (0..zones).map(|z| if z == zone { 1.0 } else { 0.0 }).collect();
         let common = demand.iter().sum::<f64>() / room.iter().sum::<f64>();
         let excess = demand[zone] - common * SPILL * room[zone];
-        let free: Vec<f64> = demand.iter().zip(&room).map(|(d, r)| (common * r - d).max(0.0)).collect();
+        let free: Vec<f64> = demand.iter().zip(room).map(|(d, r)| (common * r - d).max(0.0)).collect();
         let all_free: f64 = free.iter().sum();
         if excess > 0.0 && all_free > 0.0 && !self.op_types.iter().any(|t| t.own_zone) {
             let kept = (demand[zone] - excess) / room[zone];
@@ -486,24 +441,61 @@
         part
     }
 
+    fn plan(&self) -> Plan {
+        let mut demand = self.own_demand();
+        let all = demand.iter().sum::<f64>() * (self.peers.others + 1) as f64;
+        let mut room = vec![0.0; self.zones];
+        let mut lines: Vec<Line> = Vec::new();
+        for (server, s) in self.ready() {
+            let weight = self.weight(s);
+            room[s.zone] += weight;
+            let (server, key, zone, size) = (server.clone(), s.key, s.zone, s.size);
+            lines.push(Line { server, key, zone, size, weight, lift: 1.0 });
+        }
+        let mut unheard = self.peers.others;
+        for (_, told) in self.peer_demand.values().filter(|d| d.0 + FRESH * 2 >= self.now) {
+            unheard = unheard.saturating_sub(1);
+            demand.iter_mut().zip(told).for_each(|(d, t)| *d += t);
+        }
+        if unheard > 0 && self.peers.by_zone {
+            // Traffic of other zones' supervisors is unknown: count every zone as busy as our busiest. Where
+            // proxies are dealt to supervisors by chance, ours are like all.
+            let busiest = demand.iter().zip(&room).map(|(d, r)| d / r.max(0.001)).fold(0.0, f64::max);
+            demand = room.iter().map(|r| busiest * r).collect();
+        }
+        let reach = (0..self.zones).map(|zone| self.reach(zone, &room, &demand)).collect();
+        let per_server = all / lines.len().max(1) as f64;
+        let mut plan = Plan { at: self.now, lines, room, reach, per_server, shares: self.shares() };
+        let deal = |(id, p): (&u32, &Proxy)| (self.brings(p), plan.deal(*id, p.zone, self.brings(p)));
+        let dealt: Vec<_> = self.proxies.iter().filter(|(_, p)| p.joined).map(deal).collect();
+        // Tables that hold but some servers fill them unevenly: each is lifted towards its part of what all bring.
+        for _ in 0..LIFT.2 {
+            let given = plan.given(&dealt);
+            let mut zones = vec![0.0; self.zones];
+            plan.lines.iter().zip(&given).for_each(|(l, g)| zones[l.zone] += g);
+            for (l, g) in plan.lines.iter_mut().zip(given).filter(|(_, g)| *g > 0.0) {
+                let due = zones[l.zone] * l.weight / plan.room[l.zone].max(1e-9);
+                l.lift = (l.lift * due / g).clamp(LIFT.0, LIFT.1);
+            }
+        }
+        plan
+    }
+
     fn build(&self, id: u32) -> Update {
-        let Some(p) = self.proxies.get(&id) else { return Update::default() };
         let mut update = Update::default();
-        let reach = self.reach(p.zone);
+        let (Some(p), Some(plan)) = (self.proxies.get(&id), &self.plan) else { return update };
         let settle = |old: f64, new: f64| if (new / old - 1.0).abs() < SAME { old } else { new };
-        for (server, s) in self.ready() {
-            let part = self.weight(s) * reach[s.zone];
-            if part > 0.0 {
-                let old = p.sent.lines.get(server).copied().unwrap_or(0.0);
-                update.lines.insert(server.clone(), settle(old, (part * 1e4).round().max(1.0) / 1e4));
-            }
+        for (i, part) in plan.deal(id, p.zone, self.brings(p)) {
+            let Line { server, lift, .. } = &plan.lines[i];
+            let old = p.sent.lines.get(server).copied().unwrap_or(0.0);
+            update.lines.insert(server.clone(), settle(old, (part * lift * 1e4).round().max(1.0) / 1e4));
         }
-        for (t, share) in self.shares().into_iter().enumerate() {
+        for (t, share) in plan.shares.iter().enumerate() {
             let level = match self.habits.admission {
                 _ if self.line.is_infinite() => f64::INFINITY,
                 Admission::Rate => (share * self.demand(p, t)).max(0.05),
-                _ if share >= 1.0 => f64::INFINITY,
-                _ => share,
+                _ if *share >= 1.0 => f64::INFINITY,
+                _ => *share,
             };
             let retry = match self.line.is_finite() {
                 _ if self.eager && self.op_types[t].may_run_again() => Retry::Once,
@@ -520,39 +512,35 @@
         if p.in_flight.is_some_and(|f| self.now < f.1 + ANSWER_WAIT) {
             return false;
         }
-        p.pending.take().is_some_and(|update| self.send(id, update, false))
+        p.pending.take().is_some_and(|update| self.send(id, update, ORDINARY))
     }
 
     /// Sends the difference from what was last sent (from what was answered, if an answer is overdue), or
     /// the whole table to a proxy not bound yet. An urgent build voids the pending slot. What the limits
     /// hold back stays pending or urgent.
-    fn send(&mut self, id: u32, update: Update, urgent: bool) -> bool {
-        let waiting: f64 = self.proxies.values().flat_map(|p| &p.unanswered).map(|u| u.1).sum();
+    fn send(&mut self, id: u32, update: Update, hurry: usize) -> bool {
         let Some(p) = self.proxies.get_mut(&id) else { return false };
-        let base = if p.in_flight.is_some() && !urgent { &p.acked } else { &p.sent };
-        let lines = update.lines.iter().filter(|(s, part)| base.lines.get(*s) != Some(*part));
-        let mut changes: Vec<(&String, f64)> = lines.map(|(s, part)| (s, *part)).collect();
-        let left = p.sent.lines.keys().chain(base.lines.keys()).filter(|s| !update.lines.contains_key(*s));
-        changes.extend(left.collect::<BTreeSet<_>>().into_iter().map(|s| (s, 0.0)));
+        let base = if p.in_flight.is_some() && hurry == ORDINARY { &p.acked } else { &p.sent };
+        let changes = update.changes_from(&base.lines, &p.sent.lines);
         let levels: Vec<usize> =
             (0..update.levels.len()).filter(|t| update.levels[*t] != p.sent.levels[*t]).collect();
         let own =
             if p.bound { changes.len() + levels.len() } else { 1 + update.lines.len() + update.levels.len() };
         if own == 0 {
-            p.urgent = false;
+            p.hurry = ORDINARY;
             return false;
         }
         let cost = own as f64 + self.channel.head + 1.0;
         let over = self.channel.messages_over;
         p.messages.retain(|m| *m + over > self.now);
         let most = self.channel.messages_most;
-        let spent = most > 0 && p.messages.len() + SPARE[urgent as usize] >= most;
-        if spent || waiting + cost > self.channel.backlog * FILL[urgent as usize] {
-            p.pending = (!urgent).then_some(update);
+        let spent = most > 0 && p.messages.len() + SPARE[hurry] >= most;
+        if spent || self.out.waiting + cost > self.channel.backlog * FILL[hurry] {
+            p.pending = (hurry == ORDINARY).then_some(update);
             return false;
         }
-        for (server, part) in changes {
-            self.host.set_line(id, server, part);
+        for (server, part) in &changes {
+            self.host.set_line(id, server, *part);
         }
         for t in levels {
             self.host.admit(id, t, update.levels[t].0, update.levels[t].1);
@@ -560,11 +548,10 @@
         if !p.bound {
             self.host.bind(id, id);
         }
-        (p.bound, p.urgent, p.pending, p.sent) = (true, false, None, update);
-        p.in_flight = Some((self.stamp, self.now));
-        p.unanswered.push_back((self.stamp, cost));
-        p.messages.push_back(self.now);
-        self.budget -= cost;
+        p.hurry = ORDINARY;
+        p.write(self.now, self.out.stamp, cost, update);
+        self.out.budget -= cost;
+        self.out.waiting += cost;
         true
     }
 
@@ -618,19 +605,17 @@
             s.factor /= drift;
             s.ease = s.ease.filter(|e| self.now < e.cold_until.max(e.since + e.over));
         }
-        self.mark_all(None);
+        self.mark_all(None, ORDINARY);
     }
 
     fn window(&self) -> Duration {
-        self.reporting.interval.mul_f64(2.0).max(Duration::from_secs(2))
+        self.pace.mul_f64(2.0).max(Duration::from_secs(2))
     }
 
     /// The aborted share that one in so many ready servers stays under.
     fn aborted_share(&self, since: Duration, one_in: usize) -> f64 {
         let sums = self.ready().map(|(_, s)| s.sums(since)).filter(|m| m.0 >= ABORTS.0);
-        let mut shares: Vec<f64> = sums.map(|m| m.1 / m.0).collect();
-        shares.sort_by(f64::total_cmp);
-        shares.get(shares.len() / one_in).copied().unwrap_or(0.0)
+        lowest(sums.map(|m| m.1 / m.0), one_in)
     }
 
     /// Guards against servers that abort fast or take ops and answer none: both look idle to load feedback.
@@ -639,10 +624,8 @@
     fn judge_servers(&mut self) {
         let now = self.now;
         let window = self.window();
-        let quiet_for = |s: &Server| s.met.last().map(|at| now.saturating_sub(at));
-        let mut quiet: Vec<Duration> = self.ready().filter_map(|(_, s)| quiet_for(s)).collect();
-        quiet.sort();
-        let usual = quiet.get(quiet.len() / 2).copied().unwrap_or_default();
+        let quiet = |s: &Server| s.met.last().map(|at| now.saturating_sub(at).as_secs_f64());
+        let usual = lowest(self.ready().filter_map(|(_, s)| quiet(s)), 2);
         // Tries that hung end late: only what was heard lately tells whether a suspect answers again.
         let recent = now.saturating_sub(window);
         let healthy = self.aborted_share(recent, 4);
@@ -651,10 +634,10 @@
             let (total, aborted, _) = s.sums(s.suspect.map_or(recent, |at| recent.max(at + window)));
             let share = aborted / total.max(1.0);
             let aborts = || format!("{aborted:.0} of {total:.0} tries aborted");
-            let extra = quiet_for(s).unwrap_or_default().saturating_sub(usual);
+            let extra = quiet(s).unwrap_or(0.0) - usual;
             let all = s.met.since(Duration::ZERO);
             let (tries, span) = all.fold((0.0, 0.1), |a, m| (a.0 + m.total, a.1 + m.span.as_secs_f64()));
-            let missing = tries / span * extra.as_secs_f64();
+            let missing = tries / span * extra;
             let asked = || self.proxies.values().any(|p| p.bound && p.sent.lines.contains_key(id));
             let unwell = total >= ABORTS.0 && share >= healthy + ABORTS.1;
             let full = self.busy_of(s).is_some_and(|b| b >= SWAMPED);
@@ -666,8 +649,8 @@
                 Some(aborts())
             } else if s.missed >= MISSED.1 {
                 Some(format!("{} probes failed", s.missed))
-            } else if extra > self.reporting.interval.mul_f64(1.2) && missing >= MISSED.0 && asked() {
-                Some(format!("silent {extra:.1?}, {missing:.0} tries missing"))
+            } else if extra > self.pace.as_secs_f64() * 1.2 && missing >= MISSED.0 && asked() {
+                Some(format!("silent {extra:.1} s, {missing:.0} tries missing"))
             } else {
                 None
             };
@@ -675,7 +658,7 @@
         }
         for (id, bad, why) in verdicts {
             self.host.log(&format!("{} {id}: {why}", if bad { "suspect" } else { "cleared" }));
-            self.mark_all(bad.then_some(id.as_str()));
+            self.mark_all(bad.then_some(id.as_str()), URGENT);
             let ease = Ease { since: now, over: CLEARED.1, from: CLEARED.0, cold_until: Duration::ZERO };
             self.servers.entry(id).and_modify(|s| {
                 s.suspect = bad.then_some(now);
@@ -690,14 +673,7 @@
             self.panic = !self.panic;
             let mode = if self.panic { "on" } else { "off" };
             self.host.log(&format!("panic {mode}: {bad:.1} of {all:.1} weight suspect"));
-            self.mark_all(None);
-        }
-    }
-
-    fn tell_demand(&mut self) {
-        if self.peers.others > 0 && self.peers.notes_allowed {
-            let demand = self.own_demand();
-            self.host.tell_peers(&demand);
+            self.mark_all(None, ORDINARY);
         }
     }
 
@@ -710,17 +686,14 @@
             self.ready().map(|(_, s)| s).filter(|s| s.suspect.is_none() || self.panic).collect();
         let heard = well.iter().filter_map(|s| self.busy_of(s).map(|b| (b * s.size, s.size)));
         let (work, room) = heard.fold((0.0, 0.001), |a, h| (a.0 + h.0, a.1 + h.1));
-        let past = || self.past.between(now.saturating_sub(Duration::from_secs(4)), since);
-        // Servers lost or accused since the reports leave less room than what these tell of: no need to wait.
-        let left: f64 = self.ready().map(|(_, s)| self.room(s)).sum();
-        let told = mean(past().map(|p| p.1)).unwrap_or(left);
-        let busy = work / room * (told / left.max(0.001)).clamp(1.0, SHRUNK);
+        let busy = work / room;
         let sums = well.iter().map(|s| s.sums(since));
         let (total, aborted, ms) = sums.fold((0.0, 0.0, 0.0), |a, s| (a.0 + s.0, a.1 + s.1, a.2 + s.2));
         let target: f64 = self.op_types.iter().map(|t| t.target_latency.as_secs_f64() * 1e3).sum();
         let late = ms / (total - aborted).max(1.0) / (target / self.op_types.len().max(1) as f64);
         let failing = aborted / total.max(1.0);
-        let then = mean(past().map(|p| p.0)).unwrap_or(1.0);
+        let then = mean(self.past.between(now.saturating_sub(Duration::from_secs(4)), since).copied())
+            .unwrap_or(1.0);
         let ops = self.proxies.values().flat_map(|p| &p.came).flat_map(|c| c.since(since));
         let (came, lost) = ops.fold((0.0, 0.0), |a, c| (a.0 + c.total, a.1 + c.aborted));
         let let_in = (total - aborted + lost).max(1.0);
@@ -743,7 +716,7 @@
             let aim = (part * PRESSED.1 / pressure.max(0.01)).clamp(line * fall, line * rise).max(least_in);
             self.line = if aim < whole { aim } else { f64::INFINITY };
         }
-        self.past.add(now, (self.line.min(1.0), left), KEPT);
+        self.past.add(now, self.line.min(1.0), KEPT);
         let least = if self.line.is_finite() { STRESS.1 } else { 1.0 };
         if total > 0.0 {
             self.stress = (pressure.max(least) / (1.0 - failing).max(0.15)).max(self.stress * 0.7);
@@ -756,7 +729,7 @@
             self.host.log(&format!("line at {at:.2}, tries {tries}: {why}"));
         }
         if before != (self.line, self.eager) {
-            self.mark_all(None);
+            self.mark_all(None, ORDINARY);
         }
     }
 
@@ -791,6 +764,33 @@
     }
 }
 
+impl Plan {
+    /// The lines dealt to a proxy, and their parts before the lift: an even and stable choice by chance, the
+    /// same under every supervisor, so that neither a rebuild nor a new stream reopens connections that were good.
+    fn deal(&self, proxy: u32, zone: usize, brings: f64) -> Vec<(usize, f64)> {
+        // Doubled rather than raised by one, so that what is brought may waver and no line changes.
+        let times = LINES.1 * brings / self.per_server.max(1e-9) / LINES.0;
+        let wanted = LINES.0 * times.max(1.0).log2().ceil().min(16.0).exp2();
+        let reach = &self.reach[zone];
+        let whole = |z: usize| self.room[z] * reach[z];
+        let mut dealt = Vec::new();
+        for z in (0..reach.len()).filter(|z| whole(*z) > 0.0) {
+            let most = (wanted * (whole(z) / whole(zone).max(1e-9)).min(1.0)).ceil().max(3.0) as usize;
+            let here = self.lines.iter().enumerate().filter(|(_, l)| l.zone == z && l.weight > 0.0);
+            let mut drawn: Vec<(f64, usize)> = here.map(|(i, l)| (l.draw(proxy), i)).collect();
+            if most < drawn.len() {
+                drawn.select_nth_unstable_by(most, |a, b| a.0.total_cmp(&b.0));
+                drawn.truncate(most);
+            }
+            // A zone of which only a part is held counts as much as all of it would.
+            let held: f64 = drawn.iter().map(|(_, i)| self.lines[*i].weight).sum();
+            dealt.extend(drawn.iter().map(|(_, i)| (*i, z, self.room[z] / held)));
+        }
+        let own = dealt.iter().find(|d| d.1 == zone).map_or(1.0, |d| d.2);
+        dealt.into_iter().map(|(i, z, f)| (i, self.lines[i].weight * reach[z] * f / own)).collect()
+    }
+}
+
 impl OpType {
     /// Whether a further try can never take effect twice, whatever became of the first: once-only op types
     /// never, deduplicated ones only if every try falls inside the window.
--- a/src/host.rs
+++ b/src/host.rs
@@ -174,6 +174,8 @@
 pub struct Peers {
     pub others: usize,
     pub notes_allowed: bool,
+    /// Proxies join a supervisor of their own zone; else they are dealt by chance.
+    pub by_zone: bool,
 }
 
 /// Tries that ended at one server, as one zone's proxies met them.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 mod decide;
 mod host;
 mod samples;
+mod state;
 
 pub use decide::Director;
 pub use host::*;
--- a/src/samples.rs
+++ b/src/samples.rs
@@ -28,7 +28,11 @@
     }
     /// Those that came at a moment or later, the newest first.
     pub fn since(&self, from: Duration) -> impl Iterator<Item = &T> {
-        self.0.iter().rev().take_while(move |s| s.0 >= from).map(|s| &s.1)
+        self.timed(from).map(|s| s.1)
+    }
+    /// As `since`, with when they came.
+    pub fn timed(&self, from: Duration) -> impl Iterator<Item = (Duration, &T)> {
+        self.0.iter().rev().take_while(move |s| s.0 >= from).map(|s| (s.0, &s.1))
     }
     /// Those that came within a span, the newest first.
     pub fn between(&self, from: Duration, to: Duration) -> impl Iterator<Item = &T> {
@@ -41,3 +45,10 @@
     let (sum, n) = figures.fold((0.0, 0.0), |a, x| (a.0 + x, a.1 + 1.0));
     (n > 0.0).then(|| sum / n)
 }
+
+/// The figure that one in so many stays under; 0 if there are none.
+pub fn lowest(figures: impl Iterator<Item = f64>, one_in: usize) -> f64 {
+    let mut figures: Vec<f64> = figures.collect();
+    figures.sort_by(f64::total_cmp);
+    figures.get(figures.len() / one_in).copied().unwrap_or(0.0)
+}
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -107,7 +107,11 @@
         let probes = set.contains_key("probes");
         let reporting = Reporting { by_probe: probes, probes_allowed: probes, interval };
         let admission = if set.contains_key("byrate") { Admission::Rate } else { Admission::Share };
-        let peers = Peers { others: get("peers", 0.0) as usize, notes_allowed: true };
+        let peers = Peers {
+            others: get("peers", 0.0) as usize,
+            notes_allowed: true,
+            by_zone: !set.contains_key("bychance"),
+        };
         let aims = Aims { worst_op_type: 0.1, rest: 0.9 };
         let seen = Recorder::default();
         let ask = set.contains_key("asklist");
@@ -179,9 +183,10 @@
                 let stamp = words.get(1).map_or(last, |s| s.parse().expect("stamp"));
                 self.director.update_answered(now, n(0) as u32, stamp);
             }
-            // met SERVER TOTAL ABORTED GOOD_MS [BUSY]
+            // met SERVER TOTAL ABORTED GOOD_MS [BUSY [SPAN]]
             "met" => {
-                let met = Met { total: n(1), aborted: n(2), good_ms: n(3), span: Duration::from_secs(1) };
+                let span = words.get(5).map_or(Duration::from_secs(1), |s| seconds(s));
+                let met = Met { total: n(1), aborted: n(2), good_ms: n(3), span };
                 let load = (words.len() > 4).then(|| Load { busy: Some(n(4)), ..Load::default() });
                 self.director.server_met(now, words[0], met, load);
             }
@@ -224,6 +229,9 @@
                 let held: Vec<&str> = seen.tables[&id].keys().map(String::as_str).collect();
                 assert_eq!(held, &words[1..], "{at}: servers in table {id}");
             }
+            "lines" => {
+                assert_eq!(seen.tables[&id].len().to_string(), words[1], "{at}: {:?}", seen.tables[&id])
+            }
             // part PROXY SERVER LEAST MOST: the line's share of its table
             "part" => {
                 let table = &seen.tables[&id];
