Shares are held against what was let in when the reports were made

Cause: where reports are slow the window of past shares was empty, so the line fell on as if all were let in (tirol).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -74,7 +74,6 @@
 const PLAN_OLD: Duration = Duration::from_secs(1);
 /// Room above its demand that an op type above the line gets where levels are rates.
 const HEADROOM: f64 = 1.25;
-const LINE_TICKS: u64 = 4;
 /// Pressure at which the line comes down, and the pressure it then aims at.
 const PRESSED: (f64, f64) = (0.96, 0.88);
 /// The line's least share, and how far it falls (where bounded) and rises in a second.
@@ -182,7 +181,7 @@
         self.host.wake_at(now + TICK, self.ticks);
         self.send_probes();
         self.judge_servers();
-        if self.ticks.is_multiple_of(LINE_TICKS) {
+        if self.ticks.is_multiple_of(4) {
             self.move_line();
         }
         let spans = self.ready().filter_map(|(_, s)| s.met.since(now.saturating_sub(FRESH)).next());
@@ -692,8 +691,6 @@
         let target: f64 = self.op_types.iter().map(|t| t.target_latency.as_secs_f64() * 1e3).sum();
         let late = ms / (total - aborted).max(1.0) / (target / self.op_types.len().max(1) as f64);
         let failing = aborted / total.max(1.0);
-        let then = mean(self.past.between(now.saturating_sub(Duration::from_secs(4)), since).copied())
-            .unwrap_or(1.0);
         let ops = self.proxies.values().flat_map(|p| &p.came).flat_map(|c| c.since(since));
         let (came, lost) = ops.fold((0.0, 0.0), |a, c| (a.0 + c.total, a.1 + c.aborted));
         let let_in = (total - aborted + lost).max(1.0);
@@ -712,6 +709,9 @@
         let before = (self.line, self.eager);
         if total > 0.0 && (self.line.is_finite() || pressure > PRESSED.0) {
             let line = self.line.min(whole);
+            // What was let in when what is heard now was sent: a share cut twice for one jam empties the servers.
+            let ago = |windows: f64| now.saturating_sub(self.window().mul_f64(windows));
+            let then = mean(self.past.between(ago(1.5), ago(0.5)).copied()).unwrap_or(1.0);
             let (part, fall, rise) = if by_rate { (got_in * all, 0.0, RISE.1) } else { (then, FALL, RISE.0) };
             let aim = (part * PRESSED.1 / pressure.max(0.01)).clamp(line * fall, line * rise).max(least_in);
             self.line = if aim < whole { aim } else { f64::INFINITY };
