--- a/src/decide.rs
+++ b/src/decide.rs
@@ -457,8 +457,7 @@
             demand.iter_mut().zip(told).for_each(|(d, t)| *d += t);
         }
         if unheard > 0 && self.peers.by_zone {
-            // Traffic of other zones' supervisors is unknown: count every zone as busy as our busiest. Where
-            // proxies are dealt to supervisors by chance, ours are like all.
+            // Other zones' demand is unknown: each counts as our busiest. Dealt by chance, ours stand for all.
             let busiest = demand.iter().zip(&room).map(|(d, r)| d / r.max(0.001)).fold(0.0, f64::max);
             demand = room.iter().map(|r| busiest * r).collect();
         }
