--- a/src/decide.rs
+++ b/src/decide.rs
@@ -27,9 +27,8 @@
 const RULE: usize = 2;
 const FILL: [f64; 3] = [0.4, 0.55, 0.85];
 const SPARE: [usize; 3] = [7, 4, 1];
-/// Pause before a failed list call is made again.
-const LIST_PAUSE: Duration = Duration::from_secs(1);
-const LIST_COOKIE: u64 = u64::MAX >> 1;
+/// Pause before a failed list call is made again, and the cookie of its wake.
+const LIST_AGAIN: (Duration, u64) = (Duration::from_secs(1), u64::MAX >> 1);
 const ANSWER_WAIT: Duration = Duration::from_secs(3);
 const REBUILD: Duration = Duration::from_secs(5);
 /// Least time between steps of the weights: steps that outrun what is heard oscillate.
@@ -167,14 +166,14 @@
     /// Guards against list calls that fail: the old list stays, and the next call waits.
     pub fn list_failed(&mut self, now: Duration) {
         self.now = now;
-        self.host.wake_at(now + LIST_PAUSE, LIST_COOKIE);
+        self.host.wake_at(now + LIST_AGAIN.0, LIST_AGAIN.1);
         self.host.log("list call failed: keeping the old list");
     }
 
     pub fn woke(&mut self, now: Duration, cookie: u64) {
         self.now = now;
         match cookie {
-            LIST_COOKIE => return self.host.follow_list(),
+            again if again == LIST_AGAIN.1 => return self.host.follow_list(),
             tick if tick != self.ticks => return,
             _ => self.ticks += 1,
         }
@@ -389,11 +388,12 @@
     /// Ops a second by zone: all that was told of lately, over that time.
     fn own_demand(&self) -> Vec<f64> {
         let mut demand = vec![0.0; self.zones];
-        let window = self.window();
+        let (window, recent) = (self.window(), self.now.saturating_sub(FRESH));
         let since = (self.heard + self.pace / 2).saturating_sub(window);
         for p in self.proxies.values().filter(|p| p.joined) {
             let told = p.came.iter().flat_map(|c| c.since(since)).map(|c| c.total).sum::<f64>();
-            let unheard = p.came.iter().all(|c| c.last().is_none());
+            // One that has just come back brings its usual: its zone would else spill nothing, onto one cold server.
+            let unheard = p.came.iter().all(|c| c.last() < Some(recent));
             demand[p.zone] += if unheard { p.usual } else { told / window.as_secs_f64() }.max(0.01);
         }
         demand
--- a/src/state.rs
+++ b/src/state.rs
@@ -43,7 +43,7 @@
     }
     /// What was known of the process before says nothing of the new one.
     pub fn restart(&mut self, started: Option<Duration>) {
-        (self.started, self.suspect) = (started, None);
+        (self.started, self.suspect, self.missed) = (started, None, 0);
         self.met.clear();
         self.loads.clear();
     }
