--- a/src/decide.rs
+++ b/src/decide.rs
@@ -75,8 +75,8 @@
 const HEADROOM: f64 = 1.25;
 /// Pressure at which the line comes down, and the pressure it then aims at.
 const PRESSED: (f64, f64) = (0.96, 0.88);
-/// The line's least share, how far shares fall at most in a second, and how far the line rises; rates, then shares.
-const LEAST_IN: [f64; 2] = [0.35, 0.43];
+/// The line's least part of the usual, how far it falls at most in a second, and how far rates and shares rise.
+const LEAST_IN: f64 = 0.43;
 const FALL: f64 = 0.6;
 const RISE: [f64; 2] = [1.5, 1.2];
 /// Tries are free while more than this part aborts and pressure is under that: else they only add work.
@@ -704,16 +704,15 @@
         let all: f64 = self.own_demand().iter().sum();
         let usual: f64 = self.proxies.values().filter(|p| p.joined).map(|p| p.usual).sum();
         let got_in = (let_in / came.max(1.0)).min(1.0);
-        let (whole, least_in) = if by_rate { (all, LEAST_IN[0] * usual) } else { (1.0, LEAST_IN[1]) };
+        let (whole, least_in) = if by_rate { (all, LEAST_IN * usual) } else { (1.0, LEAST_IN) };
         let before = (self.line, self.eager);
         if total > 0.0 && (self.line.is_finite() || pressure > PRESSED.0) {
             let line = self.line.min(whole);
             // What was let in when what is heard now was sent: a share cut twice for one jam empties the servers.
             let ago = |windows: f64| now.saturating_sub(self.window().mul_f64(windows));
             let then = mean(self.past.between(ago(1.5), ago(0.5)).copied()).unwrap_or(1.0);
-            let (part, fall, rise) =
-                if by_rate { (got_in * all, 0.0, RISE[0]) } else { (then, FALL, RISE[1]) };
-            let aim = (part * PRESSED.1 / pressure.max(0.01)).clamp(line * fall, line * rise).max(least_in);
+            let (part, rise) = if by_rate { (got_in * all, RISE[0]) } else { (then, RISE[1]) };
+            let aim = (part * PRESSED.1 / pressure.max(0.01)).clamp(line * FALL, line * rise).max(least_in);
             self.line = if aim < whole { aim } else { f64::INFINITY };
         }
         self.past.add(now, self.line.min(1.0), KEPT);
