--- a/src/decide.rs
+++ b/src/decide.rs
@@ -5,7 +5,7 @@
 //! The design (docs/design.md) decides ordinary tables. Beside it stand six mechanisms:
 //!  1. urgent builds: removals, cold starts and suspicions pass the ordinary queue inside the hard limits;
 //!  2. suspicion: a server that aborts, falls silent or misses probes keeps a trickle until it answers again;
-//!  3. locality: a table holds a dealt part of its zone, which spills only what it cannot carry at the fleet's load;
+//!  3. locality: a table holds a dealt part of its zone, which spills what it cannot carry at the fleet's load;
 //!  4. the line of worth: under pressure op types are let in by value, those under the line get what is left;
 //!  5. further tries: as many as the op type allows while aborts are few, turned back under pressure;
 //!  6. the guard of cold servers: bounded, held down by stress, taken back when full.
@@ -20,7 +20,7 @@
 const TICK: Duration = Duration::from_millis(250);
 /// Ordinary lines queued each second, as a part of the channel's rate (the design's start).
 const CAP: f64 = 0.5;
-/// Parts of the backlog that ordinary builds, urgent ones, and those that a rule needs may fill with unanswered
+/// Parts of the backlog that ordinary builds, urgent ones, and those a rule needs may fill with unanswered
 /// lines; messages to one proxy that each leaves unused within the limit's span.
 const ORDINARY: usize = 0;
 const URGENT: usize = 1;
@@ -62,7 +62,7 @@
 const STRESS: (f64, f64) = (3.0, 2.0);
 /// A zone may be this much busier than the fleet before it spills.
 const SPILL: f64 = 1.08;
-/// Least lines of a table, and lines for each server's worth of ops that its proxy brings: enough that a few bad
+/// Least lines of a table, and lines for each server's worth of ops its proxy brings: enough that a few bad
 /// servers do not matter, few enough that connections stay in use and every table fits through the channel.
 const LINES: (f64, f64) = (12.0, 4.0);
 /// Bounds of what evens out how unequally servers were dealt to proxies, and rounds of working it out.
@@ -75,7 +75,7 @@
 const HEADROOM: f64 = 1.25;
 /// Pressure at which the line comes down, and the pressure it then aims at.
 const PRESSED: (f64, f64) = (0.96, 0.88);
-/// The line's least part of the usual, how far it falls at most in a second, and how far rates and shares rise.
+/// The line's least part of the usual, how far it falls at most in a second, how far rates and shares rise.
 const LEAST_IN: f64 = 0.43;
 const FALL: f64 = 0.6;
 const RISE: [f64; 2] = [1.5, 1.2];
@@ -273,7 +273,7 @@
         let unanswered = self.proxies.values().flat_map(|p| &p.unanswered).map(|u| &u.1);
         self.out.waiting = unanswered.chain(self.out.broken.since(now.saturating_sub(ANSWER_WAIT))).sum();
         let mut wrote = false;
-        // The longest waiting first: else a flood of changes starves the proxies that come late in any other order.
+        // The longest waiting first: else a flood of changes starves proxies late in any other order.
         let mut urgent = self.proxies_where(|p| p.hurry > ORDINARY);
         urgent.sort_by_key(|id| (Reverse(self.proxies[id].hurry), self.proxies[id].hurried));
         let old = self.plan.as_ref().is_none_or(|p| now >= p.at + PLAN_OLD);
@@ -392,7 +392,7 @@
         let since = (self.heard + self.pace / 2).saturating_sub(window);
         for p in self.proxies.values().filter(|p| p.joined) {
             let told = p.came.iter().flat_map(|c| c.since(since)).map(|c| c.total).sum::<f64>();
-            // One that has just come back brings its usual: its zone would else spill nothing, onto one cold server.
+            // One just back brings its usual: else its zone spills nothing, all onto one cold server.
             let unheard = p.came.iter().all(|c| c.last() < Some(recent));
             demand[p.zone] += if unheard { p.usual } else { told / window.as_secs_f64() }.max(0.01);
         }
@@ -457,7 +457,7 @@
             demand.iter_mut().zip(told).for_each(|(d, t)| *d += t);
         }
         if unheard > 0 && self.peers.by_zone {
-            // Other zones' demand is unknown: each counts as our busiest. Dealt by chance, ours stand for all.
+            // Other zones' demand is unknown: each counts as our busiest. By chance, ours stand for all.
             let busiest = demand.iter().zip(&room).map(|(d, r)| d / r.max(0.001)).fold(0.0, f64::max);
             demand = room.iter().map(|r| busiest * r).collect();
         }
@@ -466,7 +466,7 @@
         let mut plan = Plan { at: self.now, lines, room, reach, per_server, shares: self.shares() };
         let deal = |(id, p): (&u32, &Proxy)| (self.brings(p), plan.deal(*id, p.zone, self.brings(p)));
         let dealt: Vec<_> = self.proxies.iter().filter(|(_, p)| p.joined).map(deal).collect();
-        // Tables that hold but some servers fill them unevenly: each is lifted towards its part of what all bring.
+        // Tables of some servers fill them unevenly: each is lifted towards its part of what all bring.
         for _ in 0..LIFT.2 {
             let given = plan.given(&dealt);
             let mut zones = vec![0.0; self.zones];
@@ -708,7 +708,7 @@
         let before = (self.line, self.eager);
         if total > 0.0 && (self.line.is_finite() || pressure > PRESSED.0) {
             let line = self.line.min(whole);
-            // What was let in when what is heard now was sent: a share cut twice for one jam empties the servers.
+            // What was let in when the reports were made: a share cut twice for one jam empties servers.
             let ago = |windows: f64| now.saturating_sub(self.window().mul_f64(windows));
             let then = mean(self.past.between(ago(1.5), ago(0.5)).copied()).unwrap_or(1.0);
             let (part, rise) = if by_rate { (got_in * all, RISE[0]) } else { (then, RISE[1]) };
@@ -765,7 +765,7 @@
 
 impl Plan {
     /// The lines dealt to a proxy, and their parts before the lift: an even and stable choice by chance, the
-    /// same under every supervisor, so that neither a rebuild nor a new stream reopens connections that were good.
+    /// same under every supervisor, so that no rebuild or new stream reopens connections that were good.
     fn deal(&self, proxy: u32, zone: usize, brings: f64) -> Vec<(usize, f64)> {
         // Doubled rather than raised by one, so that what is brought may waver and no line changes.
         let times = LINES.1 * brings / self.per_server.max(1e-9) / LINES.0;
