--- a/src/decide.rs
+++ b/src/decide.rs
@@ -5,7 +5,7 @@
 //! The design (docs/design.md) decides ordinary tables. Beside it stand six mechanisms:
 //!  1. urgent builds: removals, cold starts and suspicions pass the ordinary queue inside the hard limits;
 //!  2. suspicion: a server that aborts, falls silent or misses probes keeps a trickle until it answers again;
-//!  3. locality: a table holds a dealt part of its zone, which spills what it cannot carry at the fleet's load;
+//!  3. locality: a table holds a dealt part of its zone, which spills what it cannot carry at fleet load;
 //!  4. the line of worth: under pressure op types are let in by value, those under the line get what is left;
 //!  5. further tries: as many as the op type allows while aborts are few, turned back under pressure;
 //!  6. the guard of cold servers: bounded, held down by stress, taken back when full.
