Lines of broken streams are noted only if any, and let go of in time

What a proxy brings is worked out once a plan, not twice; the comment on the backlog's parts stands at its constants.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -20,11 +20,11 @@
 const TICK: Duration = Duration::from_millis(250);
 /// Ordinary lines queued each second, as a part of the channel's rate (the design's start).
 const CAP: f64 = 0.5;
-/// Parts of the backlog that ordinary builds, urgent ones, and those a rule needs may fill with unanswered
-/// lines; messages to one proxy that each leaves unused within the limit's span.
 const ORDINARY: usize = 0;
 const URGENT: usize = 1;
 const RULE: usize = 2;
+/// Parts of the backlog that ordinary builds, urgent ones, and those a rule needs may fill with unanswered
+/// lines; messages to one proxy that each leaves unused within the limit's span.
 const FILL: [f64; 3] = [0.4, 0.55, 0.85];
 const SPARE: [usize; 3] = [7, 4, 1];
 /// Pause before a failed list call is made again, and the cookie of its wake.
@@ -236,7 +236,7 @@
     pub fn proxy_left(&mut self, now: Duration, proxy: u32) {
         self.now = now;
         if let Some(p) = self.proxies.get_mut(&proxy) {
-            self.out.broken.add(now, p.leave(), usize::MAX);
+            self.out.lose(now, p.leave(), ANSWER_WAIT);
         }
         self.out.queue.retain(|q| *q != proxy);
     }
@@ -464,8 +464,9 @@
         let reach = (0..self.zones).map(|zone| self.reach(zone, &room, &demand)).collect();
         let per_server = all / lines.len().max(1) as f64;
         let mut plan = Plan { at: self.now, lines, room, reach, per_server, shares: self.shares() };
-        let deal = |(id, p): (&u32, &Proxy)| (self.brings(p), plan.deal(*id, p.zone, self.brings(p)));
-        let dealt: Vec<_> = self.proxies.iter().filter(|(_, p)| p.joined).map(deal).collect();
+        let joined =
+            self.proxies.iter().filter(|(_, p)| p.joined).map(|(id, p)| (*id, p.zone, self.brings(p)));
+        let dealt: Vec<_> = joined.map(|(id, z, brings)| (brings, plan.deal(id, z, brings))).collect();
         // Tables of some servers fill them unevenly: each is lifted towards its part of what all bring.
         for _ in 0..LIFT.2 {
             let given = plan.given(&dealt);
--- a/src/samples.rs
+++ b/src/samples.rs
@@ -22,6 +22,10 @@
     pub fn clear(&mut self) {
         self.0.clear();
     }
+    /// Lets go of those that came before a moment.
+    pub fn forget(&mut self, before: Duration) {
+        self.0.retain(|s| s.0 >= before);
+    }
     /// When the newest came.
     pub fn last(&self) -> Option<Duration> {
         self.0.back().map(|s| s.0)
--- a/src/state.rs
+++ b/src/state.rs
@@ -74,6 +74,16 @@
     pub broken: Samples<f64>,
 }
 
+impl Outgoing {
+    /// Notes lines whose stream broke, and lets go of those noted longer ago than they count.
+    pub fn lose(&mut self, now: Duration, lines: f64, counted: Duration) {
+        self.broken.forget(now.saturating_sub(counted));
+        if lines > 0.0 {
+            self.broken.add(now, lines, usize::MAX);
+        }
+    }
+}
+
 impl Update {
     /// Lines that differ from a base, and those to be taken out of what is held.
     pub fn changes_from(&self, base: &Table, held: &Table) -> Table {
