--- /dev/null
+++ b/crates/daemon/src/kept/mod.rs
@@ -0,0 +1,8 @@
+//! What is kept in memory.
+
+pub mod calls;
+pub mod counters;
+pub mod desk;
+pub mod guests;
+pub mod joined;
+pub mod names;
--- /dev/null
+++ b/crates/daemon/src/kept/names.rs
@@ -0,0 +1,83 @@
+//! Names of zones and op types as numbers of the settings, and names of load figures.
+
+use crate::spoken::discovery::Row;
+use fallgap::{Listed, Load, ServerState};
+
+pub struct Names {
+    pub zones: Vec<String>,
+    pub op_types: Vec<String>,
+    pub load_fields: Vec<String>,
+    /// Listed sizes are the servers' own.
+    pub sized: bool,
+    /// Proxies are numbered from 0 up to this, exclusive.
+    pub proxies: u32,
+}
+
+impl Names {
+    pub fn zone(&self, name: &str) -> Option<usize> {
+        self.zones.iter().position(|z| z == name)
+    }
+    pub fn op_type(&self, name: &str) -> Option<usize> {
+        self.op_types.iter().position(|t| t == name)
+    }
+    pub fn proxy(&self, number: u64) -> Option<u32> {
+        u32::try_from(number).ok().filter(|p| *p < self.proxies)
+    }
+    /// A load report's figures; those that the settings do not name are skipped, as on the simulator's wire.
+    pub fn load(&self, figures: &[(&str, f64)]) -> Load {
+        fallgap_deployment::load(|field| {
+            let named = self.load_fields.iter().any(|f| f == field);
+            let spoken = |name: &str| name == field || load_word(name) == field;
+            named.then(|| figures.iter().find(|(name, _)| spoken(name)).map(|f| f.1)).flatten()
+        })
+    }
+    /// A row of the list; `None` if its zone is none of ours.
+    pub fn listed(&self, row: Row) -> Option<Listed> {
+        let state = match row.state.as_str() {
+            "ready" => ServerState::Ready,
+            "gone" => ServerState::Gone,
+            _ => ServerState::Draining,
+        };
+        let size = row.weight.filter(|w| self.sized && w.is_finite());
+        let started = fallgap_deployment::duration(row.started_ms).filter(|at| !at.is_zero());
+        Some(Listed { zone: self.zone(&row.zone)?, server: row.id, size, state, started })
+    }
+}
+
+/// The settings' name of a load figure, from the one that reports use.
+fn load_word(name: &str) -> &str {
+    match name {
+        "inflight" => "active",
+        "queue" => "waiting",
+        "util" => "cpu",
+        "latency_ms" => "avg_ms",
+        other => other,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn names() -> Names {
+        let words = |w: &str| w.split(' ').map(str::to_owned).collect();
+        let (zones, op_types, load_fields) = (words("a b"), words("lookup box-move"), words("cpu"));
+        Names { zones, op_types, load_fields, sized: true, proxies: 3 }
+    }
+
+    #[test]
+    fn loads_hold_what_the_settings_name() {
+        let load = names().load(&[("inflight", 7.0), ("util", 0.61)]);
+        assert_eq!((load.busy, load.active), (Some(0.61), None));
+    }
+
+    #[test]
+    fn strange_names_and_numbers_are_nobody() {
+        let names = names();
+        assert_eq!((names.zone("b"), names.zone("c"), names.op_type("box-move")), (Some(1), None, Some(1)));
+        assert_eq!((names.proxy(2), names.proxy(3), names.proxy(1 << 40)), (Some(2), None, None));
+        let row =
+            Row { id: "s".into(), zone: "c".into(), state: "ready".into(), weight: None, started_ms: 0.0 };
+        assert!(names.listed(row).is_none());
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/life/configuration.rs
@@ -0,0 +1,82 @@
+//! What a supervisor is told before it starts: the file that `NODE_CONFIG` names. The other variables repeat
+//! what is in it and stand in where it is silent.
+
+use crate::spoken::discovery::{self, List};
+use serde_json::Value;
+use std::net::SocketAddr;
+
+#[derive(Debug)]
+pub struct Told {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub relay: SocketAddr,
+    pub seed: u64,
+    pub peer_listen: Option<SocketAddr>,
+    pub peers: Vec<SocketAddr>,
+    pub peers_all: Option<SocketAddr>,
+    /// The list as it was held last; it may be old.
+    pub known: Option<List>,
+    pub settings: Value,
+}
+
+/// Reads it all, or tells in plain words what is missing.
+pub fn read() -> Result<Told, String> {
+    let path = std::env::var("NODE_CONFIG").map_err(|_| "the variable NODE_CONFIG is not set".to_owned())?;
+    let text = std::fs::read(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
+    parse(&text, |name| std::env::var(name).ok()).map_err(|e| format!("{path}: {e}"))
+}
+
+fn parse(text: &[u8], variable: impl Fn(&str) -> Option<String>) -> Result<Told, String> {
+    let all: Value = serde_json::from_slice(text).map_err(|e| format!("not JSON: {e}"))?;
+    let text = |value: &Value, name: &str| value.as_str().map(str::to_owned).or_else(|| variable(name));
+    let needed = |value: &Value, key: &str, name: &str| {
+        let text = text(value, name).ok_or_else(|| format!("no address \"{key}\""))?;
+        text.parse::<SocketAddr>().map_err(|e| format!("\"{key}\": {text:?}: {e}"))
+    };
+    let address = |value: &Value| value.as_str().and_then(|a| a.parse::<SocketAddr>().ok());
+    let settings = all["settings"].clone();
+    if !settings.is_object() {
+        return Err("no object \"settings\"".into());
+    }
+    let seed = all["seed"].as_str().and_then(|s| u64::from_str_radix(s, 16).ok());
+    Ok(Told {
+        name: text(&all["name"], "NODE_NAME").unwrap_or_else(|| "fallgap".into()),
+        listen: needed(&all["listen"], "listen", "NODE_LISTEN")?,
+        discovery: needed(&all["discovery"], "discovery", "NODE_DISCOVERY")?,
+        relay: needed(&all["store"]["address"], "store.address", "")?,
+        seed: seed.or(all["seed"].as_u64()).unwrap_or(0),
+        peer_listen: address(&all["peer_listen"]),
+        peers: all["peers"].as_array().map(|p| p.iter().filter_map(address).collect()).unwrap_or_default(),
+        peers_all: address(&all["peers_all"]),
+        known: discovery::list_of(&all["known"]).ok(),
+        settings,
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const WHOLE: &str = r#"{"name":"n3","listen":"127.0.0.4:8443","discovery":"127.2.0.1:8500",
+        "seed":"8c1f30d27a5be964","store":{"address":"127.2.0.2:6400"},"peers":["127.3.0.1:7946"],
+        "known":{"version":41,"full":true,"servers":[{"id":"s-1","zone":"a","state":"ready"}]},"settings":{}}"#;
+
+    #[test]
+    fn tells_what_is_missing() {
+        let told = parse(WHOLE.as_bytes(), |_| None).unwrap();
+        assert_eq!((told.name.as_str(), told.seed), ("n3", 0x8c1f_30d2_7a5b_e964));
+        assert_eq!(told.known.map(|k| (k.version, k.rows.len())), Some((41, 1)));
+        let without = |part: &str| parse(WHOLE.replace(part, "\"other\"").as_bytes(), |_| None).unwrap_err();
+        assert_eq!(without("\"settings\""), "no object \"settings\"");
+        assert_eq!(without("\"store\""), "no address \"store.address\"");
+        assert!(parse(b"{", |_| None).is_err());
+    }
+
+    #[test]
+    fn variables_stand_in_for_a_silent_file() {
+        let text = WHOLE.replace("\"listen\"", "\"other\"");
+        let told = parse(text.as_bytes(), |v| (v == "NODE_LISTEN").then(|| "127.0.0.9:1".into())).unwrap();
+        assert_eq!(told.listen.to_string(), "127.0.0.9:1");
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/life/mod.rs
@@ -0,0 +1,8 @@
+//! Start and stop.
+
+pub mod clock;
+pub mod configuration;
+pub mod limits;
+pub mod logger;
+pub mod run;
+pub mod signals;
--- /dev/null
+++ b/crates/daemon/src/life/run.rs
@@ -0,0 +1,152 @@
+//! Joins all parts and runs them until a signal comes or one of them ends.
+
+use crate::kept::counters::Counters;
+use crate::kept::desk::Desk;
+use crate::kept::joined::Joined;
+use crate::kept::names::Names;
+use crate::life::clock::Clock;
+use crate::life::configuration::Told;
+use crate::life::limits::Limits;
+use crate::life::signals;
+use crate::spoken::datagrams::{self, Post};
+use crate::spoken::{client, discovery, listener, news, orders};
+use actix_rt::net::TcpListener;
+use fallgap::{ListNews, Order, Supervisor};
+use fallgap_deployment::Deployment;
+use std::cell::RefCell;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{Notify, mpsc};
+use tokio::time::{sleep, timeout};
+
+/// Serves until it is told to end. A part that ends by itself ends the whole: half a supervisor would hold
+/// its proxies and give them nothing.
+pub async fn run(told: Told, limits: Limits) -> ExitCode {
+    end_on_panic();
+    let clock = Clock::start();
+    let d = Deployment::read(&told.settings);
+    let (own, notes, pause) = (d.number, d.peers.notes_allowed, d.pause);
+    let supervisor = Supervisor::start(
+        clock.now(),
+        told.seed,
+        d.op_types,
+        d.habits,
+        d.channel,
+        d.cold,
+        d.reporting,
+        d.aims,
+        d.peers,
+    );
+    let names = Names {
+        zones: d.zones,
+        op_types: d.op_names,
+        load_fields: d.load_fields,
+        sized: d.sized,
+        proxies: d.proxies,
+    };
+    let desk = Rc::new(Desk {
+        supervisor: RefCell::new(supervisor),
+        joined: RefCell::new(Joined::default()),
+        names,
+        counters: Counters::default(),
+        limits,
+        clock,
+        news: Notify::new(),
+    });
+    if let Some(known) = told.known {
+        discovery::report(&desk, ListNews::Remembered, known);
+    }
+    let post = match told.peer_listen.filter(|_| notes) {
+        Some(at) => match Post::open(at, told.peers, told.peers_all, own).await {
+            Ok(post) => Some(Rc::new(post)),
+            Err(e) => return failed(&format!("cannot listen to peers at {at}: {e}")),
+        },
+        None => None,
+    };
+    let client = client::client(&limits);
+    let (list_stands, news_stand) = (Rc::new(Notify::new()), Rc::new(Notify::new()));
+    let (calls, picked) = mpsc::channel(1);
+    let list =
+        actix_rt::spawn(discovery::watch(desk.clone(), client.clone(), told.discovery, list_stands.clone()));
+    let news = actix_rt::spawn(news::follow(desk.clone(), client.clone(), told.relay, news_stand.clone()));
+    let acting = actix_rt::spawn(act(desk.clone(), pause, calls, post.clone()));
+    let carrying = actix_rt::spawn(carry(desk.clone(), client, told.relay, picked));
+    let hearing = actix_rt::spawn(datagrams::hear(desk.clone(), post));
+    // In use from the first pong on: not before there is something to go by, if that comes soon.
+    let both = async { tokio::join!(list_stands.notified(), news_stand.notified()) };
+    if timeout(limits.start, both).await.is_err() {
+        log::warn!("starting without list or news");
+    }
+    let listener = match TcpListener::bind(told.listen).await {
+        Ok(listener) => listener,
+        Err(e) => return failed(&format!("cannot listen at {}: {e}", told.listen)),
+    };
+    log::info!("{} serves at {}", told.name, told.listen);
+    let listening = actix_rt::spawn(listener::serve(desk.clone(), listener));
+    let signal = tokio::select! {
+        signal = signals::ended() => Some(signal),
+        _ = list => None,
+        _ = news => None,
+        _ = acting => None,
+        _ = carrying => None,
+        _ = hearing => None,
+        _ = listening => None,
+    };
+    log::info!("counts: {}", desk.counters.line());
+    match signal {
+        Some(signal) => {
+            log::info!("ends on {signal}");
+            ExitCode::SUCCESS
+        }
+        None => failed("a part has ended"),
+    }
+}
+
+fn failed(why: &str) -> ExitCode {
+    log::error!("{why}");
+    ExitCode::FAILURE
+}
+
+fn end_on_panic() {
+    std::panic::set_hook(Box::new(|panic| {
+        log::error!("ends by a defect: {panic}");
+        std::process::exit(70);
+    }));
+}
+
+/// Lets the decisions act: when something was reported, after a short pause in which more of the same
+/// moment's news is told, or when they asked to be woken.
+async fn act(desk: Rc<Desk>, pause: Duration, calls: mpsc::Sender<Vec<Order>>, post: Option<Rc<Post>>) {
+    let mut next = desk.clock.now();
+    loop {
+        tokio::select! {
+            () = desk.news.notified() => sleep(pause).await,
+            () = sleep(next.saturating_sub(desk.clock.now())) => {}
+        }
+        let (call, note) = {
+            let mut supervisor = desk.supervisor.borrow_mut();
+            next = supervisor.tick(desk.clock.now());
+            let size = |order: &Order| orders::size(order, &desk.names);
+            (supervisor.pick(desk.limits.call, size), supervisor.pick_note())
+        };
+        if let (Some(note), Some(post)) = (note, &post) {
+            post.tell_all(&desk, &note).await;
+        }
+        // There is room: a call is picked only when the one before is settled.
+        if let Some(call) = call
+            && calls.send(call).await.is_err()
+        {
+            return;
+        }
+    }
+}
+
+async fn carry(
+    desk: Rc<Desk>, client: awc::Client, relay: std::net::SocketAddr, mut picked: mpsc::Receiver<Vec<Order>>,
+) {
+    while let Some(call) = picked.recv().await {
+        orders::carry(&desk, &client, relay, call).await;
+        desk.report(|supervisor, _| supervisor.report_settled());
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/spoken/news.rs
@@ -0,0 +1,142 @@
+//! News from the relay: a stream of JSON lines that stays open.
+
+use crate::kept::desk::Desk;
+use awc::Client;
+use futures_util::StreamExt;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout};
+
+#[derive(Deserialize)]
+struct Line {
+    #[serde(rename = "type")]
+    kind: Option<String>,
+    #[serde(default)]
+    object: Object,
+}
+
+#[derive(Default, Deserialize)]
+struct Object {
+    proxy: Option<u64>,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    weight: f64,
+    #[serde(default)]
+    fresh: bool,
+    mark: Option<u64>,
+}
+
+#[derive(Debug, PartialEq)]
+enum News {
+    Alive,
+    Joined { proxy: u32, zone: usize, usual: f64, fresh: bool },
+    Left { proxy: u32 },
+    Applied { proxy: u32, stamp: u16 },
+    Odd,
+}
+
+/// `None`: the line cannot be read at all.
+fn decode(line: &[u8], desk: &Desk) -> Option<News> {
+    let Line { kind, object } = serde_json::from_slice(line).ok()?;
+    let Some(kind) = kind else { return Some(News::Alive) };
+    let Some(proxy) = object.proxy.and_then(|p| desk.names.proxy(p)) else { return Some(News::Odd) };
+    Some(match kind.as_str() {
+        "joined" => match desk.names.zone(&object.zone) {
+            Some(zone) if object.weight >= 0.0 => {
+                News::Joined { proxy, zone, usual: object.weight, fresh: object.fresh }
+            }
+            _ => News::Odd,
+        },
+        "left" => News::Left { proxy },
+        "applied" => match object.mark.and_then(|m| u16::try_from(m).ok()) {
+            Some(stamp) => News::Applied { proxy, stamp },
+            None => News::Odd,
+        },
+        _ => News::Odd,
+    })
+}
+
+/// Follows the news for ever, dialling again when the stream breaks or falls silent; `stands` is told once
+/// it is open. What stands is named again on each: a proxy that is not has left meanwhile, and one that is
+/// may have left and come back, so it counts as joining anew.
+pub async fn follow(desk: Rc<Desk>, client: Client, relay: SocketAddr, stands: Rc<Notify>) {
+    let mut broken = 0u32;
+    loop {
+        let before = desk.clock.now();
+        let why = stream(&desk, &client, relay, &stands).await;
+        desk.odd("news_broken", &why);
+        // A stream that held for a while broke by itself: it is dialled again at once.
+        let held = desk.clock.now().saturating_sub(before) > desk.limits.news_silent;
+        broken = if held { 0 } else { broken + 1 };
+        let most = (desk.limits.again.0 * (1 << broken.min(8))).min(desk.limits.again.1);
+        sleep(most.mul_f64(0.5 + 0.5 * fastrand::f64())).await;
+    }
+}
+
+async fn stream(desk: &Desk, client: &Client, relay: SocketAddr, stands: &Notify) -> String {
+    let limits = &desk.limits;
+    let opening = timeout(limits.first_answer, client.get(format!("http://{relay}/v3/kv/watch")).send());
+    let mut response = match opening.await {
+        Ok(Ok(response)) if response.status().is_success() => response,
+        Ok(Ok(response)) => return format!("status {}", response.status()),
+        Ok(Err(e)) => return e.to_string(),
+        Err(_) => return "no answer".into(),
+    };
+    desk.counters.one("news_opened");
+    desk.joined.borrow_mut().opens();
+    stands.notify_one();
+    let mut partial: Vec<u8> = Vec::new();
+    loop {
+        match timeout(limits.news_silent, response.next()).await {
+            Ok(Some(Ok(chunk))) => partial.extend_from_slice(&chunk),
+            Ok(Some(Err(e))) => return e.to_string(),
+            Ok(None) => return "ended".into(),
+            Err(_) => return "silent".into(),
+        }
+        let whole = partial.iter().rposition(|b| *b == b'\n').map_or(0, |end| end + 1);
+        for line in partial[..whole].split(|b| *b == b'\n').filter(|l| !l.trim_ascii().is_empty()) {
+            match decode(line, desk) {
+                Some(news) => tell(desk, news),
+                None => return "a line that cannot be read".into(),
+            }
+        }
+        partial.drain(..whole);
+        if partial.len() > limits.news_line {
+            return "a line without end".into();
+        }
+    }
+}
+
+fn tell(desk: &Desk, news: News) {
+    let counters = &desk.counters;
+    let mut joined = desk.joined.borrow_mut();
+    match news {
+        News::Alive => {
+            counters.one("news_alive");
+            let left = joined.opened();
+            counters.add("news_left", left.len());
+            left.into_iter().for_each(|proxy| desk.report(|s, now| s.report_left(now, proxy)));
+        }
+        News::Joined { proxy, zone, usual, fresh } => {
+            counters.one("news_joined");
+            joined.joins(proxy);
+            desk.report(|s, now| s.report_joined(now, proxy, zone, usual, fresh));
+        }
+        News::Left { proxy } => {
+            counters.one("news_left");
+            if joined.leaves(proxy) {
+                desk.report(|s, now| s.report_left(now, proxy));
+            }
+        }
+        News::Applied { proxy, stamp } => {
+            counters.one("news_applied");
+            if joined.holds(proxy) {
+                desk.report(|s, now| s.report_answered(now, proxy, stamp));
+            }
+        }
+        News::Odd => desk.odd("news_odd", "a line of no known kind, proxy or zone"),
+    }
+}
--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -1,7 +1,6 @@
 //! Hosts [`Director`]s on the simulator's wire: decodes batches into calls and encodes what they order.
 //! No decision is taken here; instances share nothing.
 
-mod settings;
 mod wire;
 
 use fallgap::Director;
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -1,7 +1,7 @@
 //! The wire's events as calls, and orders as the wire's actions.
 
-use crate::settings;
 use fallgap::{Came, Director, Host, ListNews, Listed, Load, Met, Probed, Retry, ServerState};
+use fallgap_deployment::{Deployment, duration, level_number, read_note, retry_number, write_note};
 use serde_json::{Map, Value, json};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -10,12 +10,6 @@
 #[derive(Debug)]
 pub struct WireError(pub String);
 
-/// What a note to a peer may hold.
-const NOTE_BYTES: usize = 256;
-
-/// Level that lets everything in where levels are ops a second.
-const NO_LIMIT: f64 = 1e6;
-
 /// A [`Host`] that gathers one instance's orders until the reply is written.
 pub struct Orders {
     instance: String,
@@ -25,10 +19,7 @@
 }
 
 impl Orders {
-    pub fn new(instance: &str, settings: &Value) -> Self {
-        let fields = settings["telemetry"]["fields"].as_array().map_or(&[][..], |f| f);
-        let fields = fields.iter().map(|f| f.as_str().unwrap_or("").to_owned()).collect();
-        let sized = settings["weights"].as_str() != Some("live");
+    fn new(instance: &str, fields: Vec<String>, sized: bool) -> Self {
         Orders { instance: instance.to_owned(), fields, sized, orders: Vec::new() }
     }
 
@@ -61,13 +52,7 @@
         self.order("mask", json!({ "server": server, "active": out }));
     }
     fn admit(&mut self, table: u32, op_type: usize, level: f64, retry: Retry) {
-        let resend = match retry {
-            Retry::Never => 0,
-            Retry::Unsent => 1,
-            Retry::Once => 2,
-            Retry::Twice => 3,
-        };
-        let (bits, amount) = (1u64 << op_type, level.min(NO_LIMIT));
+        let (bits, amount, resend) = (1u64 << op_type, level_number(level), retry_number(retry));
         self.order(
             "throttle",
             json!({ "route_table": table, "class_bits": bits, "amount": amount, "resend": resend }),
@@ -83,9 +68,7 @@
         self.order("health_check", json!({ "server": server }));
     }
     fn tell_peers(&mut self, demand: &[f64]) {
-        let most = NOTE_BYTES / size_of::<f32>();
-        let bytes = demand.iter().take(most).flat_map(|d| (*d as f32).to_le_bytes());
-        let octets: String = bytes.map(|b| format!("{b:02x}")).collect();
+        let octets: String = write_note(demand).iter().map(|b| format!("{b:02x}")).collect();
         self.order("notify", json!({ "dst": "all", "octets": octets }));
     }
     fn follow_list(&mut self) {
@@ -109,7 +92,22 @@
         let settings = event.get("conf").filter(|c| c.is_object());
         let settings = settings.ok_or_else(|| WireError("no object \"conf\"".into()))?;
         let seed = event.get("rng_seed").and_then(Value::as_u64).unwrap_or(0);
-        instances.insert(name.to_owned(), settings::start(settings, now, seed, Orders::new(name, settings)));
+        let d = Deployment::read(settings);
+        let host = Orders::new(name, d.load_fields, d.sized);
+        let director = Director::start(
+            now,
+            seed,
+            host,
+            d.op_types,
+            d.habits,
+            d.channel,
+            d.cold,
+            d.reporting,
+            d.aims,
+            d.peers,
+            d.ask_for_list,
+        );
+        instances.insert(name.to_owned(), director);
         return Ok(None);
     }
     if kind == "halt" {
@@ -146,7 +144,10 @@
             };
             director.probe_answered(now, text(event, "server")?, result, load(event, &director.host.fields));
         }
-        "datagram" => director.peer_told(now, whole(event, "by") as u32, demand(event, "octets")?),
+        "datagram" => match demand(text(event, "octets")?) {
+            Some(demand) => director.peer_told(now, whole(event, "by") as u32, demand),
+            None => return Ok(Some("skipped a note that is none of ours".into())),
+        },
         "connected" => {
             let (zone, usual) = (whole(event, "locality") as usize, number(event, "size"));
             let fresh = event.get("active").and_then(Value::as_bool).unwrap_or(false);
@@ -191,11 +192,6 @@
     event.get(key).and_then(Value::as_str).ok_or_else(|| WireError(format!("no text {key:?}")))
 }
 
-/// A time of the wire: milliseconds, of which microseconds count.
-pub fn duration(ms: f64) -> Option<Duration> {
-    (ms.is_finite() && (0.0..1e15).contains(&ms)).then(|| Duration::from_micros((ms * 1e3).round() as u64))
-}
-
 fn number(event: &Value, key: &str) -> f64 {
     event.get(key).and_then(Value::as_f64).unwrap_or(0.0)
 }
@@ -212,8 +208,7 @@
 fn load(event: &Value, fields: &[String]) -> Option<Load> {
     let figures = event.get("load").and_then(Value::as_array).filter(|l| !l.is_empty())?;
     let figure = |name: &str| fields.iter().position(|f| f == name).and_then(|i| figures.get(i)?.as_f64());
-    let (active, waiting) = (figure("active"), figure("waiting"));
-    Some(Load { active, waiting, busy: figure("cpu"), service_ms: figure("avg_ms") })
+    Some(fallgap_deployment::load(figure))
 }
 
 fn proxy(event: &Value) -> Result<u32, WireError> {
@@ -221,15 +216,10 @@
     u32::try_from(number).map_err(|_| WireError(format!("no proxy has the number {number}")))
 }
 
-/// A peer's demand: what [`Orders::tell_peers`] wrote.
-fn demand(event: &Value, key: &str) -> Result<Vec<f64>, WireError> {
-    let digits = text(event, key)?;
-    let bytes: Option<Vec<u8>> = (0..digits.len() / 2)
-        .map(|i| digits.get(2 * i..2 * i + 2).and_then(|d| u8::from_str_radix(d, 16).ok()))
-        .collect();
-    let bytes = bytes.ok_or_else(|| WireError(format!("{key:?} holds no hex digits")))?;
-    let numbers = bytes.chunks_exact(4).map(|c| f64::from(f32::from_le_bytes([c[0], c[1], c[2], c[3]])));
-    Ok(numbers.filter(|d| d.is_finite() && *d >= 0.0).collect())
+/// A peer's demand: what [`Orders::tell_peers`] wrote, in hex digits.
+fn demand(digits: &str) -> Option<Vec<f64>> {
+    let byte = |i: usize| digits.get(2 * i..2 * i + 2).and_then(|d| u8::from_str_radix(d, 16).ok());
+    read_note(&(0..digits.len() / 2).map(byte).collect::<Option<Vec<u8>>>()?)
 }
 
 /// A list entry; `sized`: its size is the server's own, not one that moves with its load.
--- /dev/null
+++ b/src/facade.rs
@@ -0,0 +1,166 @@
+//! The module for network code, in blocking style: **report** what happened, **tick** to let it act, **pick**
+//! the next call of orders. A [`Supervisor`] knows no socket and no clock; the caller hands in the time.
+//!
+//! One call is out at a time: until it is [settled](Supervisor::report_settled), reports go on but nothing
+//! new is built, so the next build reads the state of that moment and no queue of stale orders grows.
+
+use crate::decide::Director;
+use crate::host::*;
+use std::collections::{BTreeSet, VecDeque};
+use std::time::Duration;
+
+/// One order, with an absolute value: carried out again, it changes nothing.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Order {
+    Line { table: u32, server: String, part: f64 },
+    Clear { table: u32 },
+    Bind { proxy: u32, table: u32 },
+    Withdraw { server: String, out: bool },
+    Admit { table: u32, op_type: usize, level: f64, retry: Retry },
+    Ask { stamp: u16 },
+}
+
+impl Order {
+    /// The table that an order works on: orders on one table in a row travel in one call.
+    fn table(&self) -> Option<u32> {
+        match self {
+            Order::Line { table, .. } | Order::Clear { table } => Some(*table),
+            Order::Bind { table, .. } | Order::Admit { table, .. } => Some(*table),
+            Order::Withdraw { .. } | Order::Ask { .. } => None,
+        }
+    }
+}
+
+/// What the decisions ordered and has not left yet.
+#[derive(Default)]
+struct Gathered {
+    orders: VecDeque<Order>,
+    /// Stamp that each call of this build carries.
+    ask: Option<u16>,
+    wakes: BTreeSet<(Duration, u64)>,
+    note: Option<Vec<f64>>,
+}
+
+impl Host for Gathered {
+    fn set_line(&mut self, table: u32, server: &str, part: f64) {
+        self.orders.push_back(Order::Line { table, server: server.to_owned(), part });
+    }
+    fn clear_table(&mut self, table: u32) {
+        self.orders.push_back(Order::Clear { table });
+    }
+    fn bind(&mut self, proxy: u32, table: u32) {
+        self.orders.push_back(Order::Bind { proxy, table });
+    }
+    fn withdraw(&mut self, server: &str, out: bool) {
+        self.orders.push_back(Order::Withdraw { server: server.to_owned(), out });
+    }
+    fn admit(&mut self, table: u32, op_type: usize, level: f64, retry: Retry) {
+        self.orders.push_back(Order::Admit { table, op_type, level, retry });
+    }
+    fn ask_answer(&mut self, stamp: u16) {
+        self.ask = Some(stamp);
+    }
+    fn wake_at(&mut self, at: Duration, cookie: u64) {
+        self.wakes.insert((at, cookie));
+    }
+    /// Real supervisors have no way to probe: the decisions were told so at start.
+    fn probe(&mut self, _server: &str) {}
+    fn tell_peers(&mut self, demand: &[f64]) {
+        self.note = Some(demand.to_vec());
+    }
+    /// The list is always watched.
+    fn follow_list(&mut self) {}
+    fn fetch_list(&mut self) {}
+    fn log(&mut self, line: &str) {
+        log::info!("{line}");
+    }
+}
+
+/// One supervisor's decisions, for code that talks to the world.
+pub struct Supervisor {
+    director: Director<Gathered>,
+    unsettled: bool,
+}
+
+impl Supervisor {
+    /// `now` may be any time of a clock that never goes back; start times of servers are told in the same.
+    pub fn start(
+        now: Duration, seed: u64, op_types: Vec<OpType>, habits: Habits, channel: Channel, cold: ColdTerms,
+        reporting: Reporting, aims: Aims, peers: Peers,
+    ) -> Self {
+        let reporting = Reporting { probes_allowed: false, ..reporting };
+        let host = Gathered::default();
+        let director =
+            Director::start(now, seed, host, op_types, habits, channel, cold, reporting, aims, peers, false);
+        Supervisor { director, unsettled: false }
+    }
+
+    pub fn report_list(&mut self, now: Duration, news: ListNews, entries: Vec<Listed>) {
+        self.director.list_changed(now, news, entries);
+    }
+    pub fn report_list_failed(&mut self, now: Duration) {
+        self.director.list_failed(now);
+    }
+    /// Also for a proxy that was joined already: its bindings are in doubt then.
+    pub fn report_joined(&mut self, now: Duration, proxy: u32, zone: usize, usual: f64, fresh: bool) {
+        self.director.proxy_joined(now, proxy, zone, usual, fresh);
+    }
+    pub fn report_left(&mut self, now: Duration, proxy: u32) {
+        self.director.proxy_left(now, proxy);
+    }
+    pub fn report_answered(&mut self, now: Duration, proxy: u32, stamp: u16) {
+        self.director.update_answered(now, proxy, stamp);
+    }
+    pub fn report_met(&mut self, now: Duration, server: &str, met: Met, load: Option<Load>) {
+        self.director.server_met(now, server, met, load);
+    }
+    pub fn report_came(&mut self, now: Duration, proxy: u32, op_type: usize, came: Came) {
+        self.director.ops_came(now, proxy, op_type, came);
+    }
+    pub fn report_peer(&mut self, now: Duration, peer: u32, demand: Vec<f64>) {
+        self.director.peer_told(now, peer, demand);
+    }
+    /// The call picked last needs nothing more.
+    pub fn report_settled(&mut self) {
+        self.unsettled = false;
+    }
+
+    /// Lets the decisions act on all that was reported. Returns when to tick next if nothing is reported.
+    pub fn tick(&mut self, now: Duration) -> Duration {
+        let later = self.director.host.wakes.split_off(&(now + Duration::from_nanos(1), 0));
+        let due = std::mem::replace(&mut self.director.host.wakes, later);
+        due.into_iter().for_each(|(_, cookie)| self.director.woke(now, cookie));
+        if !self.unsettled && self.director.host.orders.is_empty() {
+            self.director.host.ask = None;
+            self.director.news_in(now);
+        }
+        self.director.host.wakes.first().map_or(now + Duration::from_secs(1), |w| w.0)
+    }
+
+    /// The next call of orders, of at most `room` as `size` measures them. Where there are more, the cut falls
+    /// between tables: a proxy gets one message of each build. The stamp comes first and in every call, so
+    /// that whoever a call reaches is asked, also if the call is carried out in part.
+    pub fn pick(&mut self, room: usize, size: impl Fn(&Order) -> usize) -> Option<Vec<Order>> {
+        let Gathered { orders, ask, .. } = &mut self.director.host;
+        if self.unsettled || orders.is_empty() {
+            return None;
+        }
+        let mut call: Vec<Order> = ask.iter().map(|stamp| Order::Ask { stamp: *stamp }).collect();
+        let mut used: usize = call.iter().map(&size).sum();
+        let fit = orders.iter().take_while(|order| {
+            used += size(order);
+            used <= room
+        });
+        let fit = fit.count().max(1);
+        let whole = |at: &usize| orders.get(*at).is_none_or(|o| o.table() != orders[at - 1].table());
+        let cut = (1..=fit).rev().find(whole).unwrap_or(fit);
+        call.extend(orders.drain(..cut));
+        self.unsettled = true;
+        Some(call)
+    }
+
+    /// Demand to be told to every other supervisor, in ops a second by zone.
+    pub fn pick_note(&mut self) -> Option<Vec<f64>> {
+        self.director.host.note.take()
+    }
+}
--- a/src/host.rs
+++ b/src/host.rs
@@ -179,7 +179,7 @@
 }
 
 /// Tries that ended at one server, as one zone's proxies met them.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Met {
     pub total: f64,
     pub aborted: f64,
@@ -189,7 +189,7 @@
 }
 
 /// Ops of one type that reached a proxy, client repeats and rejected ones included.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Came {
     pub total: f64,
     /// Those let in that got no answer.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,8 @@
 //! fallgap: the decisions of a traffic director for a fleet of sidecar proxies.
 //!
 //! [`Director`] holds every decision; it is told what happens, one method a thing, and acts through the
-//! [`Host`] handed to it at start. Nothing in this crate knows a wire, a clock or a socket.
+//! [`Host`] handed to it at start. [`Supervisor`] is the same for network code in blocking style. Nothing
+//! in this crate knows a wire, a clock or a socket.
 //!
 //! A deduplicated op is tried again freely only where every try falls inside the window:
 //!
@@ -20,9 +21,11 @@
 //! ```
 
 mod decide;
+mod facade;
 mod host;
 mod samples;
 mod state;
 
 pub use decide::Director;
+pub use facade::{Order, Supervisor};
 pub use host::*;
