--- a/crates/daemon/src/kept/counters.rs
+++ b/crates/daemon/src/kept/counters.rs
@@ -1,6 +1,6 @@
 //! Counts of what is taken in, sent and answered; printed on request and at exit.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::time::{Duration, Instant};
@@ -9,7 +9,7 @@
 #[derive(Default)]
 pub struct Counters {
     counts: RefCell<BTreeMap<&'static str, u64>>,
-    last_odd: Cell<Option<Instant>>,
+    told: RefCell<BTreeMap<&'static str, Instant>>,
 }
 
 impl Counters {
@@ -24,11 +24,13 @@
         let most = counts.entry(name).or_default();
         *most = (*most).max(n as u64);
     }
-    /// Counts something odd; a line tells of it unless one did just now: nobody fills the log from outside.
+    /// Counts something odd; a line tells of it unless one of its name did just now: nobody fills the log
+    /// from outside.
     pub fn odd(&self, name: &'static str, pause: Duration, why: &str) {
         self.one(name);
-        if self.last_odd.get().is_none_or(|at| at.elapsed() >= pause) {
-            self.last_odd.set(Some(Instant::now()));
+        let mut told = self.told.borrow_mut();
+        if told.get(name).is_none_or(|at| at.elapsed() >= pause) {
+            told.insert(name, Instant::now());
             log::warn!("{name}: {}", why.chars().take(160).collect::<String>());
         }
     }
--- a/crates/daemon/src/life/limits.rs
+++ b/crates/daemon/src/life/limits.rs
@@ -35,7 +35,7 @@
     pub again: (Duration, Duration),
     /// How long the start may wait for list and news before guests are let in.
     pub start: Duration,
-    /// Least time between two lines on odd messages.
+    /// Least time between two lines on odd messages of one kind.
     pub odd_line: Duration,
 }
 
@@ -62,7 +62,7 @@
             idle: ms(4000),
             again: (ms(20), ms(250)),
             start: ms(1000),
-            odd_line: ms(1000),
+            odd_line: ms(5000),
         }
     }
 }
--- a/crates/daemon/src/life/run.rs
+++ b/crates/daemon/src/life/run.rs
@@ -82,7 +82,8 @@
         Ok(listener) => listener,
         Err(e) => return failed(&format!("cannot listen at {}: {e}", told.listen)),
     };
-    log::info!("{} serves at {}", told.name, told.listen);
+    let at = listener.local_addr().unwrap_or(told.listen);
+    log::info!("{} serves at {at}", told.name);
     let listening = actix_rt::spawn(listener::serve(desk.clone(), listener));
     let signal = tokio::select! {
         signal = signals::ended() => Some(signal),
--- /dev/null
+++ b/crates/standin/src/relay.rs
@@ -0,0 +1,203 @@
+//! The relay: takes calls of orders, keeps tables, and tells the news. What it does with the next calls can
+//! be set, so that every way a call may end can be met.
+
+use crate::http::Listener;
+use actix_http::body::{BodyStream, BoxBody};
+use actix_http::{Payload, Request, Response};
+use futures_util::StreamExt;
+use serde_json::{Value, json};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{Notify, mpsc};
+
+/// What becomes of a call.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Fate {
+    Taken,
+    /// The connection breaks, and nothing was carried out.
+    BrokenBefore,
+    /// The connection breaks after all was carried out.
+    BrokenAfter,
+    /// Carried out, and the answer cannot be read.
+    Garbled,
+    /// Carried out, and nothing is answered.
+    Silent,
+    /// The run has not begun.
+    TooSoon,
+}
+
+#[derive(Clone, Default)]
+pub struct Table {
+    pub lines: BTreeMap<String, f64>,
+    /// By op type: what is let in, and the way of trying again.
+    pub levels: BTreeMap<String, (f64, u64)>,
+}
+
+#[derive(Default)]
+pub struct Relay {
+    pub fates: RefCell<VecDeque<Fate>>,
+    /// Every call that came, as it came.
+    pub calls: RefCell<Vec<Value>>,
+    pub tables: RefCell<BTreeMap<u64, Table>>,
+    /// Each joined proxy's entry, and the table each is bound to.
+    joined: RefCell<BTreeMap<u64, Value>>,
+    pub bound: RefCell<BTreeMap<u64, u64>>,
+    watchers: RefCell<Vec<(mpsc::UnboundedSender<String>, Rc<Notify>)>>,
+    pub opened: Cell<u64>,
+    /// Told whenever something was carried out or a watch was opened.
+    pub moved: Notify,
+}
+
+impl Relay {
+    pub fn join(&self, proxy: u64, zone: &str, usual: f64, fresh: bool) {
+        let object = json!({ "proxy": proxy, "zone": zone, "weight": usual, "fresh": fresh });
+        self.tell(&json!({ "type": "joined", "object": object }));
+        self.joined.borrow_mut().insert(proxy, object);
+    }
+
+    /// `told`: watchers hear of it.
+    pub fn leave(&self, proxy: u64, told: bool) {
+        self.joined.borrow_mut().remove(&proxy);
+        self.bound.borrow_mut().remove(&proxy);
+        if told {
+            self.tell(&json!({ "type": "left", "object": { "proxy": proxy } }));
+        }
+    }
+
+    fn tell(&self, news: &Value) {
+        self.tell_text(&format!("{news}\n"));
+    }
+
+    /// Writes this to every watcher, in whatever pieces.
+    pub fn tell_text(&self, text: &str) {
+        self.watchers.borrow_mut().retain(|(watcher, _)| watcher.send(text.to_owned()).is_ok());
+    }
+
+    /// Breaks every stream of news off.
+    pub fn break_news(&self) {
+        self.watchers.borrow_mut().drain(..).for_each(|(_, breaker)| breaker.notify_one());
+    }
+
+    /// Waits until something holds that the relay can see.
+    pub async fn until(&self, holds: impl Fn(&Relay) -> bool) {
+        loop {
+            let moved = self.moved.notified();
+            if holds(self) {
+                return;
+            }
+            moved.await;
+        }
+    }
+
+    pub async fn serve(self: Rc<Self>, listener: Listener) {
+        let alive = self.clone();
+        actix_rt::spawn(async move {
+            loop {
+                tokio::time::sleep(Duration::from_secs(1)).await;
+                alive.tell_text("{}\n");
+            }
+        });
+        let serve = move |request, payload, breaker| self.clone().answer(request, payload, breaker);
+        listener.serve(serve).await;
+    }
+
+    async fn answer(
+        self: Rc<Self>, request: Request, payload: Payload, breaker: Rc<Notify>,
+    ) -> Response<BoxBody> {
+        if request.path() == "/v3/kv/watch" {
+            return self.watch(breaker);
+        }
+        let call = serde_json::from_slice::<Value>(&body(payload).await).unwrap_or_default();
+        let fate = self.fates.borrow_mut().pop_front().unwrap_or(Fate::Taken);
+        let orders = call["orders"].as_array().cloned();
+        self.calls.borrow_mut().push(call);
+        let Some(orders) = orders else { return say(&json!({ "error": "malformed" })) };
+        let mut taken = 0;
+        if !matches!(fate, Fate::BrokenBefore | Fate::TooSoon) {
+            taken = self.carry_out(&orders);
+        }
+        self.moved.notify_waiters();
+        match fate {
+            Fate::Taken => return say(&json!({ "accepted": taken })),
+            Fate::TooSoon => return say(&json!({ "error": "limit" })),
+            Fate::Garbled => return Response::ok().set_body("{\"accep").map_into_boxed_body(),
+            Fate::BrokenBefore | Fate::BrokenAfter => breaker.notify_one(),
+            Fate::Silent => {}
+        }
+        std::future::pending().await
+    }
+
+    /// Carries out orders up to the first that cannot be used; tells how many were taken.
+    fn carry_out(&self, orders: &[Value]) -> usize {
+        let mut reached = BTreeSet::new();
+        let mut stamp = None;
+        let taken = orders.iter().take_while(|order| self.carry_one(order, &mut reached, &mut stamp)).count();
+        for proxy in reached.iter().filter(|_| stamp.is_some()) {
+            let object = json!({ "proxy": proxy, "mark": stamp, "took_ms": 1.0 });
+            self.tell(&json!({ "type": "applied", "object": object }));
+        }
+        taken
+    }
+
+    fn carry_one(&self, order: &Value, reached: &mut BTreeSet<u64>, stamp: &mut Option<u64>) -> bool {
+        let (mut tables, mut bound) = (self.tables.borrow_mut(), self.bound.borrow_mut());
+        let group = order["group"].as_u64();
+        let table = tables.entry(group.unwrap_or(u64::MAX)).or_default();
+        match order["do"].as_str().unwrap_or("") {
+            "SET" => {
+                let (Some(server), Some(part)) = (order["server"].as_str(), order["weight"].as_f64()) else {
+                    return false;
+                };
+                table.lines.insert(server.to_owned(), part);
+                table.lines.retain(|_, part| *part > 0.0);
+            }
+            "DEL" => *table = Table::default(),
+            "LIMIT" => {
+                let op_types = order["routes"].as_array().into_iter().flatten().filter_map(Value::as_str);
+                let level = (order["admit"].as_f64().unwrap_or(-1.0), order["policy"].as_u64().unwrap_or(0));
+                op_types.for_each(|t| _ = table.levels.insert(t.to_owned(), level));
+            }
+            "USE" => match (order["proxy"].as_u64(), group) {
+                (Some(proxy), Some(group)) if self.joined.borrow().contains_key(&proxy) => {
+                    bound.insert(proxy, group);
+                }
+                _ => return false,
+            },
+            "SYNC" => *stamp = order["nonce_out"].as_u64(),
+            _ => return false,
+        }
+        reached.extend(bound.iter().filter(|(_, g)| Some(**g) == group).map(|(proxy, _)| *proxy));
+        true
+    }
+
+    fn watch(&self, breaker: Rc<Notify>) -> Response<BoxBody> {
+        let (sender, mut lines) = mpsc::unbounded_channel();
+        for object in self.joined.borrow().values() {
+            // The receiver is held below.
+            let _ = sender.send(format!("{}\n", json!({ "type": "joined", "object": object })));
+        }
+        let _ = sender.send("{}\n".to_owned());
+        self.watchers.borrow_mut().push((sender, breaker));
+        self.opened.set(self.opened.get() + 1);
+        self.moved.notify_waiters();
+        let lines = futures_util::stream::poll_fn(move |cx| {
+            lines.poll_recv(cx).map(|line| line.map(|line| Ok::<_, Infallible>(line.into())))
+        });
+        Response::ok().set_body(BodyStream::new(lines)).map_into_boxed_body()
+    }
+}
+
+fn say(answer: &Value) -> Response<BoxBody> {
+    Response::ok().set_body(answer.to_string()).map_into_boxed_body()
+}
+
+async fn body(mut payload: Payload) -> Vec<u8> {
+    let mut body = Vec::new();
+    while let Some(Ok(chunk)) = payload.next().await {
+        body.extend_from_slice(&chunk);
+    }
+    body
+}
