Tests of the daemon over sockets, and of the facade

Every way a call may end, news that breaks, a silent discovery, strangers, a restart from the known list, a missing configuration; each waits on conditions. The facade is tested alone: cuts between tables, nothing built while a call is unsettled, wakes that are due.

--- /dev/null
+++ b/crates/daemon/tests/sockets.rs
@@ -0,0 +1,296 @@
+//! The real supervisor as a process, against the stand-ins, over sockets of this machine.
+
+use fallgap_standin::Listener;
+use fallgap_standin::collector::{Collector, ping, resp};
+use fallgap_standin::discovery::Discovery;
+use fallgap_standin::relay::{Fate, Relay};
+use serde_json::{Value, json};
+use std::future::Future;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
+use std::sync::mpsc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+const EXAMPLE: &str = include_str!("../../../examples/configuration.json");
+
+/// A supervisor at work, and the lines it has written since.
+struct Node {
+    child: Child,
+    lines: mpsc::Receiver<String>,
+    at: SocketAddr,
+}
+
+struct World {
+    relay: Rc<Relay>,
+    discovery: Rc<Discovery>,
+    configuration: Value,
+    file: std::path::PathBuf,
+}
+
+impl World {
+    /// Relay and discovery with two servers in each zone, and no supervisor yet.
+    async fn open(name: &str) -> World {
+        let (relay, discovery) = (Rc::new(Relay::default()), Rc::new(Discovery::default()));
+        for (server, zone) in [("n-1", "north"), ("n-2", "north"), ("s-1", "south"), ("s-2", "south")] {
+            discovery.set(server, zone, "ready", 0);
+        }
+        let mut configuration: Value = serde_json::from_str(EXAMPLE).unwrap();
+        let listener = Listener::open("127.0.0.1:0").await.unwrap();
+        configuration["store"]["address"] = json!(listener.address);
+        actix_rt::spawn(relay.clone().serve(listener));
+        let listener = Listener::open("127.0.0.1:0").await.unwrap();
+        configuration["discovery"] = json!(listener.address);
+        actix_rt::spawn(discovery.clone().serve(listener));
+        configuration["listen"] = json!("127.0.0.1:0");
+        // Tables hold servers of the proxy's own zone alone: easily told.
+        configuration["settings"]["family_info"]["home_only"] = json!([true, true]);
+        let file = std::env::temp_dir().join(format!("fallgap-{}-{name}.json", std::process::id()));
+        World { relay, discovery, configuration, file }
+    }
+
+    /// Starts a supervisor and waits until it serves.
+    async fn node(&self) -> Node {
+        std::fs::write(&self.file, self.configuration.to_string()).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_fallgap"))
+            .env("NODE_CONFIG", &self.file)
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let (sender, lines) = mpsc::channel();
+        let errors = BufReader::new(child.stderr.take().unwrap());
+        std::thread::spawn(move || errors.lines().map_while(Result::ok).try_for_each(|l| sender.send(l)));
+        let mut node = Node { child, lines, at: "127.0.0.1:0".parse().unwrap() };
+        let line = node.line("serves at").await;
+        node.at = line.rsplit(' ').next().unwrap().parse().unwrap();
+        node
+    }
+
+    /// Joins a proxy and waits until it is bound.
+    async fn bound(&self, proxy: u64, zone: &str) {
+        self.relay.join(proxy, zone, 20.0, true);
+        self.relay.until(|r| r.bound.borrow().contains_key(&proxy)).await;
+    }
+
+    fn lines(&self, proxy: u64) -> Vec<String> {
+        self.relay.tables.borrow().get(&proxy).map_or(Vec::new(), |t| t.lines.keys().cloned().collect())
+    }
+}
+
+impl Node {
+    /// Waits for a line that holds this.
+    async fn line(&mut self, part: &str) -> String {
+        loop {
+            match self.lines.try_recv() {
+                Ok(line) if line.contains(part) => return line,
+                Ok(_) => {}
+                Err(mpsc::TryRecvError::Empty) => sleep(Duration::from_millis(5)).await,
+                Err(mpsc::TryRecvError::Disconnected) => panic!("ended without {part:?}"),
+            }
+        }
+    }
+
+    /// Asks for the counters until one of them has come this far.
+    async fn counted(&self, name: &str, least: u64) {
+        loop {
+            let mut stream = TcpStream::connect(self.at).await.unwrap();
+            stream
+                .write_all(b"GET /counters HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n")
+                .await
+                .unwrap();
+            let mut page = String::new();
+            stream.read_to_string(&mut page).await.unwrap();
+            let count = page.lines().filter_map(|l| l.split_once(' ')).find(|(n, _)| *n == name);
+            if count.is_some_and(|(_, n)| n.parse::<u64>().unwrap() >= least) {
+                return;
+            }
+            sleep(Duration::from_millis(10)).await;
+        }
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+/// Runs a test, which fails if what it waits for never comes.
+fn play<F: Future<Output = ()>>(test: impl FnOnce() -> F) {
+    let ended = actix_rt::System::new().block_on(async { timeout(Duration::from_secs(60), test()).await });
+    ended.expect("what was waited for never came");
+}
+
+#[test]
+fn serves_and_ends_when_told() {
+    play(async || {
+        let world = World::open("serves").await;
+        let mut node = world.node().await;
+        assert!(ping(node.at).await);
+        world.bound(0, "north").await;
+        assert_eq!(world.lines(0), ["n-1", "n-2"]);
+        node.counted("news_applied", 1).await;
+        let id = node.child.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+        assert!(node.line("counts:").await.contains("calls_taken 1"));
+        node.line("ends on SIGTERM").await;
+        assert_eq!(node.child.wait().unwrap().code(), Some(0));
+    });
+}
+
+#[test]
+fn says_what_is_missing() {
+    let told = |path: &str| {
+        let run = Command::new(env!("CARGO_BIN_EXE_fallgap")).env("NODE_CONFIG", path).output().unwrap();
+        (run.status.code(), String::from_utf8(run.stderr).unwrap())
+    };
+    let (code, line) = told("/nowhere/at/all.json");
+    assert!(code == Some(2) && line.contains("cannot read /nowhere/at/all.json"), "{line}");
+    assert_eq!(line.lines().count(), 1);
+}
+
+/// Guards against calls lost, cut or carried out in another order when their answer does not come.
+#[test]
+fn a_call_that_ends_badly_goes_again_as_it_was() {
+    play(async || {
+        let world = World::open("calls").await;
+        let _node = world.node().await;
+        let fates = [Fate::BrokenBefore, Fate::BrokenAfter, Fate::Garbled, Fate::Silent, Fate::TooSoon];
+        for fate in fates {
+            let before = world.relay.calls.borrow().len();
+            world.relay.fates.borrow_mut().extend([fate, fate]);
+            world.relay.join(1, "south", 20.0, true);
+            world.relay.until(|r| r.calls.borrow().len() >= before + 3).await;
+            let calls = world.relay.calls.borrow()[before..].to_vec();
+            assert!(calls[0] == calls[1] && calls[1] == calls[2], "{fate:?}");
+            world.relay.until(|r| r.bound.borrow().contains_key(&1)).await;
+            assert_eq!(world.lines(1), ["s-1", "s-2"], "{fate:?}");
+            world.relay.leave(1, true);
+        }
+    });
+}
+
+/// Guards against a proxy that has just left keeping orders from all that come after it.
+#[test]
+fn an_order_that_cannot_be_used_holds_nothing_up() {
+    play(async || {
+        let world = World::open("left").await;
+        let _node = world.node().await;
+        world.relay.join(0, "north", 20.0, true);
+        world.relay.join(1, "south", 20.0, true);
+        world.relay.leave(1, false);
+        world.relay.join(2, "north", 20.0, true);
+        world.relay.until(|r| r.bound.borrow().contains_key(&2)).await;
+        assert!(world.relay.bound.borrow().contains_key(&0));
+        let calls = world.relay.calls.borrow();
+        let rest = calls.last().unwrap()["orders"].as_array().unwrap();
+        assert!(rest[0]["do"] == "SYNC" && rest.iter().all(|o| o["proxy"] != 1));
+    });
+}
+
+/// Guards against bindings in doubt, and proxies joined for ever, after the stream of news broke.
+#[test]
+fn news_that_breaks_is_read_anew() {
+    play(async || {
+        let world = World::open("news").await;
+        let node = world.node().await;
+        world.bound(0, "north").await;
+        world.bound(1, "south").await;
+        world.relay.leave(1, false);
+        world.relay.bound.borrow_mut().clear();
+        world.relay.break_news();
+        world.relay.until(|r| r.bound.borrow().contains_key(&0)).await;
+        node.counted("news_left", 1).await;
+        assert_eq!(world.relay.opened.get(), 2);
+        // A line may come in pieces, and several at once; what cannot be read breaks the stream.
+        let line = r#"{"type":"left","object":{"proxy":0}}"#;
+        world.relay.tell_text(&format!("{{}}\n{}", &line[..9]));
+        node.counted("news_alive", 2).await;
+        world.relay.tell_text(&format!("{}\n{{}}\n", &line[9..]));
+        node.counted("news_left", 2).await;
+        world.relay.tell_text("{\"type\":\n");
+        world.relay.until(|r| r.opened.get() == 3).await;
+    });
+}
+
+/// Guards against drains not seen, also when discovery falls silent for a while.
+#[test]
+fn the_list_is_followed() {
+    play(async || {
+        let world = World::open("list").await;
+        let node = world.node().await;
+        world.bound(0, "north").await;
+        world.discovery.set("n-1", "north", "draining", 0);
+        world.relay.until(|_| world.lines(0) == ["n-2"]).await;
+        world.discovery.silent.set(true);
+        world.discovery.set("n-3", "north", "ready", 0);
+        node.counted("list_failed", 1).await;
+        world.discovery.silent.set(false);
+        world.relay.until(|_| world.lines(0) == ["n-2", "n-3"]).await;
+    });
+}
+
+/// Guards against strangers who fill the house, say half a thing or declare lengths that are absurd.
+#[test]
+fn strangers_keep_no_collector_out() {
+    play(async || {
+        let world = World::open("strangers").await;
+        let node = world.node().await;
+        let mut collector = Collector::connect(node.at, "north").await.unwrap();
+        node.counted("collectors", 1).await;
+        let mut strangers = Vec::new();
+        for i in 0..530 {
+            let mut stranger = TcpStream::connect(node.at).await.unwrap();
+            if i % 3 == 0 {
+                stranger.write_all(b"*2\r\n$4\r\npi").await.unwrap();
+            }
+            strangers.push(stranger);
+        }
+        node.counted("guests_sent_off", 18).await;
+        for odd in [&b"*1\r\n$999999999999\r\n"[..], b"*99999999\r\n", b"\x16\x03\x01\x02", b"*x\r\n"] {
+            let mut stranger = TcpStream::connect(node.at).await.unwrap();
+            stranger.write_all(odd).await.unwrap();
+            // Closed or reset: either way there is no more of it.
+            assert!(matches!(stranger.read(&mut [0; 9]).await, Ok(0) | Err(_)));
+        }
+        let report = "heard zone north server n-1 tries 9 failed 0 mean_ms 20.0 span_ms 1000.0 load util:0.5";
+        for byte in resp(report) {
+            collector.stream.write_all(&[byte]).await.unwrap();
+        }
+        collector.say("heard zone north server n-1 tries -4").await.unwrap();
+        collector.say(&report.replace("n-1", "n-2")).await.unwrap();
+        node.counted("reports_met", 2).await;
+        node.counted("reports_odd", 1).await;
+        assert!(ping(node.at).await);
+    });
+}
+
+/// Guards against a start that needs more than the list it is handed: discovery may be down just then.
+#[test]
+fn starts_again_from_the_known_list() {
+    play(async || {
+        let mut world = World::open("restart").await;
+        let mut node = world.node().await;
+        world.bound(0, "north").await;
+        node.child.kill().unwrap();
+        node.child.wait().unwrap();
+        world.relay.tables.borrow_mut().clear();
+        world.relay.bound.borrow_mut().clear();
+        world.configuration["known"] = world.discovery.list(None);
+        world.discovery.silent.set(true);
+        let _again = world.node().await;
+        world.relay.until(|r| r.bound.borrow().contains_key(&0)).await;
+        assert_eq!(world.lines(0), ["n-1", "n-2"]);
+    });
+}
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -164,3 +164,95 @@
         self.director.host.note.take()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const MS: Duration = Duration::from_millis(1);
+
+    /// Three servers in one zone and as many proxies as asked for, joined, long after the clock's start.
+    fn supervisor(proxies: u32) -> (Supervisor, Duration) {
+        let now = Duration::from_secs(1_700_000_000);
+        let op = OpType {
+            value: 1.0,
+            target_latency: MS * 500,
+            op_timeout: MS * 2000,
+            repeats: Repeats::Retryable,
+            own_zone: false,
+        };
+        let mut supervisor = Supervisor::start(
+            now,
+            1,
+            vec![op],
+            Habits { admission: Admission::Rate, usual_retry: Retry::Unsent },
+            Channel { lines_per_s: 1e4, head: 5.0, backlog: 1e4, messages_most: 0, messages_over: MS },
+            ColdTerms { from: 0.2, over: MS * 10_000 },
+            Reporting { by_probe: true, probes_allowed: true, interval: MS * 1000 },
+            Aims { worst_op_type: 0.1, rest: 0.9 },
+            Peers { others: 1, notes_allowed: true, by_zone: true },
+        );
+        let state = ServerState::Ready;
+        let listed = |i| Listed { server: format!("s-{i}"), zone: 0, size: None, state, started: None };
+        supervisor.report_list(now, ListNews::Whole, (0..3).map(listed).collect());
+        (0..proxies).for_each(|p| supervisor.report_joined(now, p, 0, 10.0, true));
+        (supervisor, now)
+    }
+
+    fn binds(call: &[Order]) -> Vec<u32> {
+        let proxy = |o: &Order| if let Order::Bind { proxy, .. } = o { Some(*proxy) } else { None };
+        call.iter().filter_map(proxy).collect()
+    }
+
+    /// Guards against proxies that get two messages of one build, and calls that nobody answers.
+    #[test]
+    fn calls_are_cut_between_tables_and_each_asks() {
+        let (mut supervisor, now) = supervisor(5);
+        supervisor.tick(now);
+        let mut seen = Vec::new();
+        // Room for one stamp and two tables of three lines and a binding each, and a bit.
+        while let Some(call) = supervisor.pick(11, |_| 1) {
+            assert!(matches!(call[0], Order::Ask { .. }) && call.len() <= 11);
+            assert!(matches!(call.last(), Some(Order::Bind { .. })), "cut inside a table");
+            assert!(supervisor.pick(11, |_| 1).is_none(), "one call is out at a time");
+            seen.extend(binds(&call));
+            supervisor.report_settled();
+        }
+        assert_eq!(seen, [0, 1, 2, 3, 4]);
+        // A table with more orders than there is room for is cut all the same: it has to leave.
+        let (mut supervisor, now) = self::supervisor(1);
+        supervisor.tick(now);
+        assert_eq!(supervisor.pick(3, |_| 1).map(|call| call.len()), Some(3));
+    }
+
+    /// Guards against a queue of stale orders while the relay does not answer.
+    #[test]
+    fn nothing_is_built_while_a_call_is_unsettled() {
+        let (mut supervisor, now) = supervisor(1);
+        supervisor.tick(now);
+        assert_eq!(supervisor.pick(99, |_| 1).map(|call| binds(&call)), Some(vec![0]));
+        supervisor.report_left(now + MS, 0);
+        (1..4).for_each(|p| supervisor.report_joined(now + MS, p, 0, 10.0, true));
+        supervisor.tick(now + MS);
+        supervisor.report_left(now + MS * 2, 3);
+        supervisor.tick(now + MS * 2);
+        supervisor.report_settled();
+        assert!(supervisor.pick(99, |_| 1).is_none(), "built only when asked to act");
+        supervisor.tick(now + MS * 3);
+        assert_eq!(supervisor.pick(99, |_| 1).map(|call| binds(&call)), Some(vec![1, 2]));
+    }
+
+    /// Guards against decisions that wait for a wake that never comes: they act by the time they asked for.
+    #[test]
+    fn ticks_run_what_is_due() {
+        let (mut supervisor, now) = supervisor(1);
+        let mut next = supervisor.tick(now);
+        for _ in 0..40 {
+            assert!(next > now && next <= now + Duration::from_secs(30));
+            next = supervisor.tick(next);
+        }
+        let note = supervisor.pick_note();
+        assert!(note.is_some_and(|demand| demand.len() == 1 && demand[0] > 0.0));
+        assert!(supervisor.pick_note().is_none(), "a note leaves once");
+    }
+}
