Signals count from the first moment; a silent stream of news is dialled again after 1.7 s

A SIGTERM during the bounded wait for list and news ended the process by the signal's default; it now ends with 0 and its counts. Signs of life come each second: waiting 2.2 s for one left a joining proxy unheard for most of the time a drain may take.

--- a/crates/daemon/src/kept/calls.rs
+++ b/crates/daemon/src/kept/calls.rs
@@ -44,6 +44,8 @@
             Outcome::Taken(n) if *n < self.orders.len() => self.without(*n),
             Outcome::Taken(_) | Outcome::Malformed => Next::Settled,
             Outcome::Uncertain if self.tries == 1 => Next::Again(Duration::ZERO),
+            // The run may begin at any moment, and its proxies have no orders until it does.
+            Outcome::TooSoon => Next::Again(limits.again.0),
             _ => {
                 let (first, longest) = limits.again;
                 Next::Again((first * (1 << self.tries.min(8))).min(longest))
--- a/crates/daemon/src/life/limits.rs
+++ b/crates/daemon/src/life/limits.rs
@@ -56,7 +56,7 @@
             connect: ms(300),
             answer: ms(150),
             first_answer: ms(1000),
-            news_silent: ms(2200),
+            news_silent: ms(1700),
             list_wait: ms(2000),
             list_late: ms(400),
             idle: ms(4000),
--- a/crates/daemon/src/life/run.rs
+++ b/crates/daemon/src/life/run.rs
@@ -24,6 +24,7 @@
 /// its proxies and give them nothing.
 pub async fn run(told: Told, limits: Limits) -> ExitCode {
     end_on_panic();
+    let mut signal = actix_rt::spawn(signals::ended());
     let clock = Clock::start();
     let d = Deployment::read(&told.settings);
     let (own, notes, pause) = (d.number, d.peers.notes_allowed, d.pause);
@@ -75,8 +76,13 @@
     let hearing = actix_rt::spawn(datagrams::hear(desk.clone(), post));
     // In use from the first pong on: not before there is something to go by, if that comes soon.
     let both = async { tokio::join!(list_stands.notified(), news_stand.notified()) };
-    if timeout(limits.start, both).await.is_err() {
-        log::warn!("starting without list or news");
+    tokio::select! {
+        came = &mut signal => return ended(&desk, came.ok()),
+        stand = timeout(limits.start, both) => {
+            if stand.is_err() {
+                log::warn!("starting without list or news");
+            }
+        }
     }
     let listener = match TcpListener::bind(told.listen).await {
         Ok(listener) => listener,
@@ -85,8 +91,8 @@
     let at = listener.local_addr().unwrap_or(told.listen);
     log::info!("{} serves at {at}", told.name);
     let listening = actix_rt::spawn(listener::serve(desk.clone(), listener));
-    let signal = tokio::select! {
-        signal = signals::ended() => Some(signal),
+    let came = tokio::select! {
+        came = &mut signal => came.ok(),
         _ = list => None,
         _ = news => None,
         _ = acting => None,
@@ -94,6 +100,11 @@
         _ = hearing => None,
         _ = listening => None,
     };
+    ended(&desk, came)
+}
+
+/// Prints the counters and tells whether it was time to end.
+fn ended(desk: &Desk, signal: Option<&str>) -> ExitCode {
     log::info!("counts: {}", desk.counters.line());
     match signal {
         Some(signal) => {
