--- a/crates/daemon/src/life/limits.rs
+++ b/crates/daemon/src/life/limits.rs
@@ -17,7 +17,8 @@
     pub write: Duration,
     /// Bytes of orders in one call, as encoded.
     pub call: usize,
-    /// Longest line of news, and longest list.
+    /// Longest answer to a call, longest line of news, and longest list.
+    pub reply: usize,
     pub news_line: usize,
     pub list: usize,
     /// To a connection; to a call's answer; to the first answer of a stream or a list.
@@ -51,6 +52,7 @@
             silent_guest: ms(30_000),
             write: ms(500),
             call: 60_000,
+            reply: 16 << 10,
             news_line: 256 << 10,
             list: 8 << 20,
             connect: ms(300),
--- a/crates/daemon/src/life/mod.rs
+++ b/crates/daemon/src/life/mod.rs
@@ -1,5 +1,6 @@
 //! Start and stop.
 
+pub mod acting;
 pub mod clock;
 pub mod configuration;
 pub mod limits;
--- a/crates/daemon/src/life/run.rs
+++ b/crates/daemon/src/life/run.rs
@@ -4,26 +4,27 @@
 use crate::kept::desk::Desk;
 use crate::kept::joined::Joined;
 use crate::kept::names::Names;
+use crate::life::acting;
 use crate::life::clock::Clock;
 use crate::life::configuration::Told;
 use crate::life::limits::Limits;
 use crate::life::signals;
 use crate::spoken::datagrams::{self, Post};
-use crate::spoken::{client, discovery, listener, news, orders};
+use crate::spoken::{client, discovery, listener, news};
 use actix_rt::net::TcpListener;
-use fallgap::{ListNews, Order, Supervisor};
+use fallgap::{ListNews, Supervisor};
 use fallgap_deployment::Deployment;
 use std::cell::RefCell;
 use std::process::ExitCode;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::sync::{Notify, mpsc};
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 /// Serves until it is told to end. A part that ends by itself ends the whole: half a supervisor would hold
 /// its proxies and give them nothing.
 pub async fn run(told: Told, limits: Limits) -> ExitCode {
     end_on_panic();
+    fastrand::seed(told.seed);
     let mut signal = actix_rt::spawn(signals::ended());
     let clock = Clock::start();
     let d = Deployment::read(&told.settings);
@@ -58,11 +59,13 @@
     if let Some(known) = told.known {
         discovery::report(&desk, ListNews::Remembered, known);
     }
+    // Supervisors decide well enough alone: without a socket for notes this one still serves.
     let post = match told.peer_listen.filter(|_| notes) {
-        Some(at) => match Post::open(at, told.peers, told.peers_all, own).await {
-            Ok(post) => Some(Rc::new(post)),
-            Err(e) => return failed(&format!("cannot listen to peers at {at}: {e}")),
-        },
+        Some(at) => Post::open(at, told.peers, told.peers_all, own)
+            .await
+            .inspect_err(|e| log::error!("no notes: cannot listen to peers at {at}: {e}"))
+            .ok()
+            .map(Rc::new),
         None => None,
     };
     let client = client::client(&limits);
@@ -71,9 +74,9 @@
     let list =
         actix_rt::spawn(discovery::watch(desk.clone(), client.clone(), told.discovery, list_stands.clone()));
     let news = actix_rt::spawn(news::follow(desk.clone(), client.clone(), told.relay, news_stand.clone()));
-    let acting = actix_rt::spawn(act(desk.clone(), pause, calls, post.clone()));
-    let carrying = actix_rt::spawn(carry(desk.clone(), client, told.relay, picked));
-    let hearing = actix_rt::spawn(datagrams::hear(desk.clone(), post));
+    let act = actix_rt::spawn(acting::act(desk.clone(), pause, calls, post.clone()));
+    let carry = actix_rt::spawn(acting::carry(desk.clone(), client, told.relay, picked));
+    let hear = actix_rt::spawn(datagrams::hear(desk.clone(), post));
     // In use from the first pong on: not before there is something to go by, if that comes soon.
     let both = async { tokio::join!(list_stands.notified(), news_stand.notified()) };
     tokio::select! {
@@ -90,15 +93,15 @@
     };
     let at = listener.local_addr().unwrap_or(told.listen);
     log::info!("{} serves at {at}", told.name);
-    let listening = actix_rt::spawn(listener::serve(desk.clone(), listener));
+    let listen = actix_rt::spawn(listener::serve(desk.clone(), listener));
     let came = tokio::select! {
         came = &mut signal => came.ok(),
         _ = list => None,
         _ = news => None,
-        _ = acting => None,
-        _ = carrying => None,
-        _ = hearing => None,
-        _ = listening => None,
+        _ = act => None,
+        _ = carry => None,
+        _ = hear => None,
+        _ = listen => None,
     };
     ended(&desk, came)
 }
@@ -126,39 +129,3 @@
         std::process::exit(70);
     }));
 }
-
-/// Lets the decisions act: when something was reported, after a short pause in which more of the same
-/// moment's news is told, or when they asked to be woken.
-async fn act(desk: Rc<Desk>, pause: Duration, calls: mpsc::Sender<Vec<Order>>, post: Option<Rc<Post>>) {
-    let mut next = desk.clock.now();
-    loop {
-        tokio::select! {
-            () = desk.news.notified() => sleep(pause).await,
-            () = sleep(next.saturating_sub(desk.clock.now())) => {}
-        }
-        let (call, note) = {
-            let mut supervisor = desk.supervisor.borrow_mut();
-            next = supervisor.tick(desk.clock.now());
-            let size = |order: &Order| orders::size(order, &desk.names);
-            (supervisor.pick(desk.limits.call, size), supervisor.pick_note())
-        };
-        if let (Some(note), Some(post)) = (note, &post) {
-            post.tell_all(&desk, &note).await;
-        }
-        // There is room: a call is picked only when the one before is settled.
-        if let Some(call) = call
-            && calls.send(call).await.is_err()
-        {
-            return;
-        }
-    }
-}
-
-async fn carry(
-    desk: Rc<Desk>, client: awc::Client, relay: std::net::SocketAddr, mut picked: mpsc::Receiver<Vec<Order>>,
-) {
-    while let Some(call) = picked.recv().await {
-        orders::carry(&desk, &client, relay, call).await;
-        desk.report(|supervisor, _| supervisor.report_settled());
-    }
-}
--- a/crates/daemon/src/spoken/discovery.rs
+++ b/crates/daemon/src/spoken/discovery.rs
@@ -7,7 +7,7 @@
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
@@ -52,16 +52,22 @@
     let mut newest = 0;
     let mut failed = 0u32;
     loop {
+        let asked = Instant::now();
         match ask(&desk, &client, at, held).await {
             Ok(list) if usable(&list, held, newest) => {
                 failed = 0;
                 desk.counters.one(if list.full { "list_whole" } else { "list_changes" });
                 let news = if list.full { ListNews::Whole } else { ListNews::Changes };
                 (held, newest) = (Some(list.version), list.version);
-                if list.full || !list.rows.is_empty() {
+                let nothing = !list.full && list.rows.is_empty();
+                if !nothing {
                     report(&desk, news, list);
                 }
                 stands.notify_one();
+                // Guards against a discovery that does not wait: short enough for the watch to go on.
+                if nothing && asked.elapsed() < limits.again.0 {
+                    tokio::time::sleep(limits.again.0).await;
+                }
                 continue;
             }
             Ok(list) => {
--- a/crates/daemon/src/spoken/orders.rs
+++ b/crates/daemon/src/spoken/orders.rs
@@ -106,7 +106,7 @@
         let answer = async {
             let request = client.post(&url).insert_header(("content-type", "application/json"));
             let mut response = request.send_body(body).await.map_err(unanswered)?;
-            Ok(response.body().limit(limits.news_line).await.map_or(Outcome::Uncertain, |body| decode(&body)))
+            Ok(response.body().limit(limits.reply).await.map_or(Outcome::Uncertain, |body| decode(&body)))
         };
         let outcome = timeout(limits.answer, answer).await.unwrap_or(Ok(Outcome::Uncertain));
         let outcome = outcome.unwrap_or_else(|failed: Outcome| failed);
--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -13,6 +13,9 @@
 /// Level that lets everything in where levels are ops a second.
 const NO_LIMIT: f64 = 1e6;
 
+/// Proxies have numbers below this on either wire.
+const MOST_PROXIES: u32 = 65_536;
+
 /// All that the settings tell, by part.
 pub struct Deployment {
     pub habits: Habits,
@@ -90,7 +93,7 @@
             sized: settings["weights"].as_str() != Some("live"),
             ask_for_list: settings["discovery"].as_str() == Some("on_request"),
             number: settings["me"].as_u64().unwrap_or(0) as u32,
-            proxies: family["agents"].as_u64().unwrap_or(0) as u32,
+            proxies: family["agents"].as_u64().map_or(MOST_PROXIES, |n| n.min(MOST_PROXIES.into()) as u32),
             pause: span(&settings["period"]),
         }
     }
