Servers that drain or are gone count whatever zone their row names

Found by reading the change again: a row without a known zone was skipped also when it said that a server drains or is gone, so tables would have kept it past the grace. Also: a null start time is none, peers keep their numbers when one address cannot be read, and a relay that takes no order at all is given time between tries.

--- a/crates/daemon/src/kept/calls.rs
+++ b/crates/daemon/src/kept/calls.rs
@@ -29,11 +29,12 @@
 pub struct Unsettled {
     pub orders: Vec<Order>,
     tries: u32,
+    dropped: u32,
 }
 
 impl Unsettled {
     pub fn new(orders: Vec<Order>) -> Self {
-        Unsettled { orders, tries: 0 }
+        Unsettled { orders, tries: 0, dropped: 0 }
     }
 
     /// Every order sets an absolute value, so what may not have been carried out is sent again whole, before
@@ -41,7 +42,7 @@
     pub fn after(&mut self, outcome: &Outcome, limits: &Limits) -> Next {
         self.tries += 1;
         match outcome {
-            Outcome::Taken(n) if *n < self.orders.len() => self.without(*n),
+            Outcome::Taken(n) if *n < self.orders.len() => self.without(*n, limits),
             Outcome::Taken(_) | Outcome::Malformed => Next::Settled,
             Outcome::Uncertain if self.tries == 1 => Next::Again(Duration::ZERO),
             // The run may begin at any moment, and its proxies have no orders until it does.
@@ -55,15 +56,17 @@
 
     /// The order at this place cannot be used, most often since its proxy has just left. It is dropped; the
     /// ones before it stand, and the rest goes again, with the stamp in front.
-    fn without(&mut self, at: usize) -> Next {
-        let (order, before) = (self.orders[at].clone(), self.orders.len());
-        log::info!("relay took {at} of {before} orders and not {order:?}");
+    fn without(&mut self, at: usize, limits: &Limits) -> Next {
+        (self.tries, self.dropped) = (0, self.dropped + 1);
+        let many = self.dropped > limits.dropped_at_once;
+        if !many {
+            log::info!("relay took {at} of {} orders and not {:?}", self.orders.len(), self.orders[at]);
+        }
         let stamp = self.orders.first().filter(|o| at > 0 && matches!(o, Order::Ask { .. })).cloned();
         self.orders.drain(..=at);
         self.orders.splice(0..0, stamp);
-        self.tries = 0;
         let any = self.orders.iter().any(|o| !matches!(o, Order::Ask { .. }));
-        if any { Next::Again(Duration::ZERO) } else { Next::Settled }
+        if any { Next::Again(if many { limits.again.0 } else { Duration::ZERO }) } else { Next::Settled }
     }
 }
 
@@ -99,5 +102,11 @@
         let mut call = self::call();
         assert_eq!(call.after(&Outcome::Taken(0), &limits), Next::Again(Duration::ZERO));
         assert_eq!(call.orders.len(), 3, "a stamp that is not taken is not sent again");
+        let mut call = Unsettled::new((0..99).map(|proxy| Order::Bind { proxy, table: proxy }).collect());
+        let pauses = std::iter::from_fn(|| match call.after(&Outcome::Taken(0), &limits) {
+            Next::Again(pause) => Some(pause),
+            Next::Settled => None,
+        });
+        assert_eq!(pauses.filter(|pause| !pause.is_zero()).count(), 90);
     }
 }
--- a/crates/daemon/src/kept/names.rs
+++ b/crates/daemon/src/kept/names.rs
@@ -31,16 +31,18 @@
             named.then(|| figures.iter().find(|(name, _)| spoken(name)).map(|f| f.1)).flatten()
         })
     }
-    /// A row of the list; `None` if its zone is none of ours.
+    /// A row of the list; `None` for a ready server whose zone is none of ours. One that drains or is gone
+    /// counts wherever it is: tables must lose it.
     pub fn listed(&self, row: Row) -> Option<Listed> {
         let state = match row.state.as_str() {
             "ready" => ServerState::Ready,
             "gone" => ServerState::Gone,
             _ => ServerState::Draining,
         };
+        let zone = self.zone(&row.zone).or((state != ServerState::Ready).then_some(0))?;
         let size = row.weight.filter(|w| self.sized && w.is_finite());
-        let started = fallgap_deployment::duration(row.started_ms).filter(|at| !at.is_zero());
-        Some(Listed { zone: self.zone(&row.zone)?, server: row.id, size, state, started })
+        let started = row.started_ms.and_then(fallgap_deployment::duration).filter(|at| !at.is_zero());
+        Some(Listed { zone, server: row.id, size, state, started })
     }
 }
 
@@ -76,8 +78,11 @@
         let names = names();
         assert_eq!((names.zone("b"), names.zone("c"), names.op_type("box-move")), (Some(1), None, Some(1)));
         assert_eq!((names.proxy(2), names.proxy(3), names.proxy(1 << 40)), (Some(2), None, None));
-        let row =
-            Row { id: "s".into(), zone: "c".into(), state: "ready".into(), weight: None, started_ms: 0.0 };
-        assert!(names.listed(row).is_none());
+        let row = |state: &str| {
+            let row = format!(r#"{{"id":"s","zone":"c","state":"{state}","started_ms":null}}"#);
+            names.listed(serde_json::from_str(&row).unwrap()).map(|listed| listed.state)
+        };
+        assert_eq!(row("ready"), None);
+        assert_eq!((row("gone"), row("draining")), (Some(ServerState::Gone), Some(ServerState::Draining)));
     }
 }
--- a/crates/daemon/src/life/configuration.rs
+++ b/crates/daemon/src/life/configuration.rs
@@ -13,7 +13,8 @@
     pub relay: SocketAddr,
     pub seed: u64,
     pub peer_listen: Option<SocketAddr>,
-    pub peers: Vec<SocketAddr>,
+    /// By their number; `None` where an address cannot be read.
+    pub peers: Vec<Option<SocketAddr>>,
     pub peers_all: Option<SocketAddr>,
     /// The list as it was held last; it may be old.
     pub known: Option<List>,
@@ -47,7 +48,7 @@
         relay: needed(&all["store"]["address"], "store.address", "")?,
         seed: seed.or(all["seed"].as_u64()).unwrap_or(0),
         peer_listen: address(&all["peer_listen"]),
-        peers: all["peers"].as_array().map(|p| p.iter().filter_map(address).collect()).unwrap_or_default(),
+        peers: all["peers"].as_array().map(|p| p.iter().map(address).collect()).unwrap_or_default(),
         peers_all: address(&all["peers_all"]),
         known: discovery::list_of(&all["known"]).ok(),
         settings,
@@ -59,13 +60,14 @@
     use super::*;
 
     const WHOLE: &str = r#"{"name":"n3","listen":"127.0.0.4:8443","discovery":"127.2.0.1:8500",
-        "seed":"8c1f30d27a5be964","store":{"address":"127.2.0.2:6400"},"peers":["127.3.0.1:7946"],
+        "seed":"8c1f30d27a5be964","store":{"address":"127.2.0.2:6400"},"peers":["?","127.3.0.1:7946"],
         "known":{"version":41,"full":true,"servers":[{"id":"s-1","zone":"a","state":"ready"}]},"settings":{}}"#;
 
     #[test]
     fn tells_what_is_missing() {
         let told = parse(WHOLE.as_bytes(), |_| None).unwrap();
         assert_eq!((told.name.as_str(), told.seed), ("n3", 0x8c1f_30d2_7a5b_e964));
+        assert_eq!(told.peers, [None, Some("127.3.0.1:7946".parse().unwrap())], "numbers are places");
         assert_eq!(told.known.map(|k| (k.version, k.rows.len())), Some((41, 1)));
         let without = |part: &str| parse(WHOLE.replace(part, "\"other\"").as_bytes(), |_| None).unwrap_err();
         assert_eq!(without("\"settings\""), "no object \"settings\"");
--- a/crates/daemon/src/life/limits.rs
+++ b/crates/daemon/src/life/limits.rs
@@ -17,6 +17,9 @@
     pub write: Duration,
     /// Bytes of orders in one call, as encoded.
     pub call: usize,
+    /// Orders of one call that may be dropped with a line each and no pause: a relay that takes none at all
+    /// gets time between the next ones.
+    pub dropped_at_once: u32,
     /// Longest answer to a call, longest line of news, and longest list.
     pub reply: usize,
     pub news_line: usize,
@@ -52,6 +55,7 @@
             silent_guest: ms(30_000),
             write: ms(500),
             call: 60_000,
+            dropped_at_once: 8,
             reply: 16 << 10,
             news_line: 256 << 10,
             list: 8 << 20,
--- a/crates/daemon/src/spoken/datagrams.rs
+++ b/crates/daemon/src/spoken/datagrams.rs
@@ -9,14 +9,14 @@
 /// Where notes come in and go out: one socket for both, so that receivers know the sender.
 pub struct Post {
     socket: UdpSocket,
-    peers: Vec<SocketAddr>,
+    peers: Vec<Option<SocketAddr>>,
     all: Option<SocketAddr>,
     own: u32,
 }
 
 impl Post {
     pub async fn open(
-        listen: SocketAddr, peers: Vec<SocketAddr>, all: Option<SocketAddr>, own: u32,
+        listen: SocketAddr, peers: Vec<Option<SocketAddr>>, all: Option<SocketAddr>, own: u32,
     ) -> std::io::Result<Post> {
         Ok(Post { socket: UdpSocket::bind(listen).await?, peers, all, own })
     }
@@ -25,7 +25,8 @@
     pub async fn tell_all(&self, desk: &Desk, demand: &[f64]) {
         let note = write_note(demand);
         let others = self.peers.iter().enumerate().filter(|(i, _)| *i as u32 != self.own);
-        let to: Vec<SocketAddr> = self.all.map_or_else(|| others.map(|p| *p.1).collect(), |all| vec![all]);
+        let to: Vec<SocketAddr> =
+            self.all.map_or_else(|| others.filter_map(|p| *p.1).collect(), |all| vec![all]);
         for address in to {
             match self.socket.send_to(&note, address).await {
                 Ok(_) => desk.counters.one("notes_sent"),
@@ -36,7 +37,7 @@
 
     /// The sender's number is its place among the peers; notes of strangers, and our own, count for nothing.
     fn sender(&self, from: SocketAddr) -> Option<u32> {
-        let place = self.peers.iter().position(|p| *p == from)? as u32;
+        let place = self.peers.iter().position(|p| *p == Some(from))? as u32;
         (place != self.own).then_some(place)
     }
 }
--- a/crates/daemon/src/spoken/discovery.rs
+++ b/crates/daemon/src/spoken/discovery.rs
@@ -27,8 +27,7 @@
     pub zone: String,
     pub state: String,
     pub weight: Option<f64>,
-    #[serde(default)]
-    pub started_ms: f64,
+    pub started_ms: Option<f64>,
 }
 
 pub fn list_of(value: &Value) -> Result<List, serde_json::Error> {
