Limits are filled from what the configuration grants

With fewer than some 560 descriptors a crowd of strangers could have taken the last ones, and relay and discovery would have had none.

--- a/crates/daemon/src/kept/calls.rs
+++ b/crates/daemon/src/kept/calls.rs
@@ -82,7 +82,7 @@
     /// Guards against a call lost or cut when its answer is: it goes again whole, however often.
     #[test]
     fn uncertain_calls_go_again_whole() {
-        let (mut call, limits) = (call(), Limits::default());
+        let (mut call, limits) = (call(), Limits::within(None, None));
         assert_eq!(call.after(&Outcome::Uncertain, &limits), Next::Again(Duration::ZERO));
         for outcome in [Outcome::Uncertain, Outcome::Unsent, Outcome::TooSoon].iter().cycle().take(300) {
             let Next::Again(pause) = call.after(outcome, &limits) else { panic!("{outcome:?} settles") };
@@ -95,7 +95,7 @@
     /// Guards against a loop over an order that the relay cannot use.
     #[test]
     fn an_order_not_taken_is_dropped_and_the_rest_goes_again() {
-        let (mut call, limits) = (call(), Limits::default());
+        let (mut call, limits) = (call(), Limits::within(None, None));
         assert_eq!(call.after(&Outcome::Taken(2), &limits), Next::Again(Duration::ZERO));
         assert_eq!(call.orders, [Order::Ask { stamp: 7 }, Order::Bind { proxy: 3, table: 3 }]);
         assert_eq!(call.after(&Outcome::Taken(1), &limits), Next::Settled);
--- a/crates/daemon/src/life/configuration.rs
+++ b/crates/daemon/src/life/configuration.rs
@@ -12,6 +12,9 @@
     pub discovery: SocketAddr,
     pub relay: SocketAddr,
     pub seed: u64,
+    /// What the machine grants, where that is told.
+    pub memory_mb: Option<u64>,
+    pub sockets: Option<u64>,
     pub peer_listen: Option<SocketAddr>,
     /// By their number; `None` where an address cannot be read.
     pub peers: Vec<Option<SocketAddr>>,
@@ -47,6 +50,8 @@
         discovery: needed(&all["discovery"], "discovery", "NODE_DISCOVERY")?,
         relay: needed(&all["store"]["address"], "store.address", "")?,
         seed: seed.or(all["seed"].as_u64()).unwrap_or(0),
+        memory_mb: all["limits"]["memory_mb"].as_u64(),
+        sockets: all["limits"]["sockets"].as_u64(),
         peer_listen: address(&all["peer_listen"]),
         peers: all["peers"].as_array().map(|p| p.iter().map(address).collect()).unwrap_or_default(),
         peers_all: address(&all["peers_all"]),
@@ -60,13 +65,15 @@
     use super::*;
 
     const WHOLE: &str = r#"{"name":"n3","listen":"127.0.0.4:8443","discovery":"127.2.0.1:8500",
-        "seed":"8c1f30d27a5be964","store":{"address":"127.2.0.2:6400"},"peers":["?","127.3.0.1:7946"],
+        "seed":"8c1f30d27a5be964","limits":{"cores":1.0,"sockets":64},
+        "store":{"address":"127.2.0.2:6400"},"peers":["?","127.3.0.1:7946"],
         "known":{"version":41,"full":true,"servers":[{"id":"s-1","zone":"a","state":"ready"}]},"settings":{}}"#;
 
     #[test]
     fn tells_what_is_missing() {
         let told = parse(WHOLE.as_bytes(), |_| None).unwrap();
         assert_eq!((told.name.as_str(), told.seed), ("n3", 0x8c1f_30d2_7a5b_e964));
+        assert_eq!((told.memory_mb, told.sockets), (None, Some(64)));
         assert_eq!(told.peers, [None, Some("127.3.0.1:7946".parse().unwrap())], "numbers are places");
         assert_eq!(told.known.map(|k| (k.version, k.rows.len())), Some((41, 1)));
         let without = |part: &str| parse(WHOLE.replace(part, "\"other\"").as_bytes(), |_| None).unwrap_err();
--- a/crates/daemon/src/life/limits.rs
+++ b/crates/daemon/src/life/limits.rs
@@ -43,12 +43,17 @@
     pub odd_line: Duration,
 }
 
-impl Default for Limits {
-    fn default() -> Self {
+impl Limits {
+    /// Limits that hold within what this machine grants. Half the descriptors are for guests, so that a crowd
+    /// never leaves none for relay and discovery; and all that guests may have begun to say fits in half the
+    /// memory, with 128 KiB for each that speaks HTTP.
+    pub fn within(memory_mb: Option<u64>, sockets: Option<u64>) -> Limits {
         let ms = Duration::from_millis;
+        let (memory_mb, sockets) = (memory_mb.unwrap_or(192), sockets.unwrap_or(1024));
+        let guests = (sockets / 2).min(memory_mb * 3).clamp(8, 512);
         Limits {
-            guests: 512,
-            collectors: 24,
+            guests: guests as usize,
+            collectors: (memory_mb / 8).min(guests / 2).clamp(4, 24) as usize,
             message: 1 << 20,
             first_message: 32 << 10,
             words: 4096,
@@ -72,3 +77,23 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a crowd that takes the last descriptor, or the last of the memory.
+    #[test]
+    fn guests_leave_half_of_what_there_is() {
+        let most = |memory_mb: u64, sockets: u64| {
+            let limits = Limits::within(Some(memory_mb), Some(sockets));
+            let bytes = limits.guests * (128 << 10) + limits.collectors * limits.message;
+            assert!(bytes as u64 <= (memory_mb << 20) / 2 + (5 << 20) && limits.guests as u64 <= sockets / 2);
+            (limits.guests, limits.collectors)
+        };
+        assert_eq!(most(192, 1024), (512, 24));
+        assert_eq!(most(2048, 4096), (512, 24));
+        assert_eq!(most(64, 1024), (192, 8));
+        assert_eq!(most(192, 64), (32, 16));
+    }
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -17,5 +17,6 @@
             return ExitCode::from(2);
         }
     };
-    actix_rt::System::new().block_on(life::run::run(told, life::limits::Limits::default()))
+    let limits = life::limits::Limits::within(told.memory_mb, told.sockets);
+    actix_rt::System::new().block_on(life::run::run(told, limits))
 }
