--- a/crates/daemon/src/life/run.rs
+++ b/crates/daemon/src/life/run.rs
@@ -13,7 +13,7 @@
 use crate::spoken::{client, discovery, listener, news};
 use actix_rt::net::TcpListener;
 use fallgap::{ListNews, Supervisor};
-use fallgap_deployment::Deployment;
+use fallgap_deployment as deployment;
 use std::cell::RefCell;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -27,25 +27,24 @@
     fastrand::seed(told.seed);
     let mut signal = actix_rt::spawn(signals::ended());
     let clock = Clock::start();
-    let d = Deployment::read(&told.settings);
-    let (own, notes, pause) = (d.number, d.peers.notes_allowed, d.pause);
+    let settings = &told.settings;
     let supervisor = Supervisor::start(
         clock.now(),
         told.seed,
-        d.op_types,
-        d.habits,
-        d.channel,
-        d.cold,
-        d.reporting,
-        d.aims,
-        d.peers,
+        deployment::op_types(settings),
+        deployment::habits(settings),
+        deployment::channel(settings),
+        deployment::cold_terms(settings),
+        deployment::reporting(settings),
+        deployment::aims(settings),
+        deployment::peers(settings),
     );
     let names = Names {
-        zones: d.zones,
-        op_types: d.op_names,
-        load_fields: d.load_fields,
-        sized: d.sized,
-        proxies: d.proxies,
+        zones: deployment::zones(settings),
+        op_types: deployment::op_names(settings),
+        load_fields: deployment::load_fields(settings),
+        sized: deployment::sized(settings),
+        proxies: deployment::proxies(settings),
     };
     let desk = Rc::new(Desk {
         supervisor: RefCell::new(supervisor),
@@ -60,8 +59,9 @@
         discovery::report(&desk, ListNews::Remembered, known);
     }
     // Supervisors decide well enough alone: without a socket for notes this one still serves.
+    let notes = deployment::peers(settings).notes_allowed;
     let post = match told.peer_listen.filter(|_| notes) {
-        Some(at) => Post::open(at, told.peers, told.peers_all, own)
+        Some(at) => Post::open(at, told.peers, told.peers_all, deployment::number(settings))
             .await
             .inspect_err(|e| log::error!("no notes: cannot listen to peers at {at}: {e}"))
             .ok()
@@ -74,7 +74,7 @@
     let list =
         actix_rt::spawn(discovery::watch(desk.clone(), client.clone(), told.discovery, list_stands.clone()));
     let news = actix_rt::spawn(news::follow(desk.clone(), client.clone(), told.relay, news_stand.clone()));
-    let act = actix_rt::spawn(acting::act(desk.clone(), pause, calls, post.clone()));
+    let act = actix_rt::spawn(acting::act(desk.clone(), deployment::pause(settings), calls, post.clone()));
     let carry = actix_rt::spawn(acting::carry(desk.clone(), client, told.relay, picked));
     let hear = actix_rt::spawn(datagrams::hear(desk.clone(), post));
     // In use from the first pong on: not before there is something to go by, if that comes soon.
--- a/crates/deployment/src/notes.rs
+++ b/crates/deployment/src/notes.rs
@@ -16,3 +16,18 @@
     let sound = demand.iter().all(|d| d.is_finite() && *d >= 0.0);
     (sound && rest.is_empty() && bytes.len() <= NOTE_BYTES).then_some(demand)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against notes longer than a datagram may be, and against demand that is none.
+    #[test]
+    fn notes_are_read_back_and_others_are_none() {
+        assert_eq!(read_note(&write_note(&[1.5, 0.0, 240.25])), Some(vec![1.5, 0.0, 240.25]));
+        assert_eq!(write_note(&[1.0; 100]).len(), 256);
+        for odd in [&b"hello"[..], &f32::NAN.to_le_bytes(), &(-1f32).to_le_bytes(), &[0; 260]] {
+            assert_eq!(read_note(odd), None);
+        }
+    }
+}
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -1,7 +1,7 @@
 //! The wire's events as calls, and orders as the wire's actions.
 
 use fallgap::{Came, Director, Host, ListNews, Listed, Load, Met, Probed, Retry, ServerState};
-use fallgap_deployment::{Deployment, duration, level_number, read_note, retry_number, write_note};
+use fallgap_deployment::{self as deployment, duration, level_number, read_note, retry_number, write_note};
 use serde_json::{Map, Value, json};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -92,20 +92,19 @@
         let settings = event.get("conf").filter(|c| c.is_object());
         let settings = settings.ok_or_else(|| WireError("no object \"conf\"".into()))?;
         let seed = event.get("rng_seed").and_then(Value::as_u64).unwrap_or(0);
-        let d = Deployment::read(settings);
-        let host = Orders::new(name, d.load_fields, d.sized);
+        let host = Orders::new(name, deployment::load_fields(settings), deployment::sized(settings));
         let director = Director::start(
             now,
             seed,
             host,
-            d.op_types,
-            d.habits,
-            d.channel,
-            d.cold,
-            d.reporting,
-            d.aims,
-            d.peers,
-            d.ask_for_list,
+            deployment::op_types(settings),
+            deployment::habits(settings),
+            deployment::channel(settings),
+            deployment::cold_terms(settings),
+            deployment::reporting(settings),
+            deployment::aims(settings),
+            deployment::peers(settings),
+            deployment::ask_for_list(settings),
         );
         instances.insert(name.to_owned(), director);
         return Ok(None);
@@ -208,7 +207,7 @@
 fn load(event: &Value, fields: &[String]) -> Option<Load> {
     let figures = event.get("load").and_then(Value::as_array).filter(|l| !l.is_empty())?;
     let figure = |name: &str| fields.iter().position(|f| f == name).and_then(|i| figures.get(i)?.as_f64());
-    Some(fallgap_deployment::load(figure))
+    Some(deployment::load(figure))
 }
 
 fn proxy(event: &Value) -> Result<u32, WireError> {
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -3,6 +3,21 @@
 //!
 //! One call is out at a time: until it is [settled](Supervisor::report_settled), reports go on but nothing
 //! new is built, so the next build reads the state of that moment and no queue of stale orders grows.
+//! A caller's round, whatever it speaks:
+//!
+//! ```
+//! use fallgap::{Order, Supervisor};
+//! use std::time::Duration;
+//! fn round(supervisor: &mut Supervisor, now: Duration, carry_out: impl FnOnce(&[Order])) -> Duration {
+//!     supervisor.report_left(now, 17); // and whatever else has happened
+//!     let next = supervisor.tick(now);
+//!     if let Some(call) = supervisor.pick(500, |_| 1) {
+//!         carry_out(&call); // again and again, until it is certain
+//!         supervisor.report_settled();
+//!     }
+//!     next // when to tick again, if nothing happens before
+//! }
+//! ```
 
 use crate::decide::Director;
 use crate::host::*;
