--- a/crates/daemon/src/spoken/news.rs
+++ b/crates/daemon/src/spoken/news.rs
@@ -1,6 +1,7 @@
 //! News from the relay: a stream of JSON lines that stays open.
 
 use crate::kept::desk::Desk;
+use crate::kept::names::Names;
 use awc::Client;
 use futures_util::StreamExt;
 use serde::Deserialize;
@@ -39,12 +40,12 @@
 }
 
 /// `None`: the line cannot be read at all.
-fn decode(line: &[u8], desk: &Desk) -> Option<News> {
+fn decode(line: &[u8], names: &Names) -> Option<News> {
     let Line { kind, object } = serde_json::from_slice(line).ok()?;
     let Some(kind) = kind else { return Some(News::Alive) };
-    let Some(proxy) = object.proxy.and_then(|p| desk.names.proxy(p)) else { return Some(News::Odd) };
+    let Some(proxy) = object.proxy.and_then(|p| names.proxy(p)) else { return Some(News::Odd) };
     Some(match kind.as_str() {
-        "joined" => match desk.names.zone(&object.zone) {
+        "joined" => match names.zone(&object.zone) {
             Some(zone) if object.weight >= 0.0 => {
                 News::Joined { proxy, zone, usual: object.weight, fresh: object.fresh }
             }
@@ -98,7 +99,7 @@
         }
         let whole = partial.iter().rposition(|b| *b == b'\n').map_or(0, |end| end + 1);
         for line in partial[..whole].split(|b| *b == b'\n').filter(|l| !l.trim_ascii().is_empty()) {
-            match decode(line, desk) {
+            match decode(line, &desk.names) {
                 Some(news) => tell(desk, news),
                 None => return "a line that cannot be read".into(),
             }
@@ -140,3 +141,36 @@
         News::Odd => desk.odd("news_odd", "a line of no known kind, proxy or zone"),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against news that is half told or strange: it changes nothing, and only what cannot be read at
+    /// all breaks the stream.
+    #[test]
+    fn news_is_read_and_strange_news_is_odd() {
+        let (zones, op_types, load_fields) = (vec!["a".into()], vec![], vec![]);
+        let names = Names { zones, op_types, load_fields, sized: true, proxies: 20 };
+        let read = |text: &str| decode(text.as_bytes(), &names);
+        assert_eq!(read("{}"), Some(News::Alive));
+        let joined = r#"{"type":"joined","object":{"proxy":17,"zone":"a","weight":21.5,"fresh":true}}"#;
+        let news = News::Joined { proxy: 17, zone: 0, usual: 21.5, fresh: true };
+        assert_eq!(read(joined), Some(news));
+        let left = r#"{"type":"left","object":{"proxy":17}}"#;
+        assert_eq!(read(left), Some(News::Left { proxy: 17 }));
+        let applied = r#"{"type":"applied","object":{"proxy":17,"mark":905,"took_ms":310.4}}"#;
+        assert_eq!(read(applied), Some(News::Applied { proxy: 17, stamp: 905 }));
+        let odd = [
+            joined.replace("17", "20"),
+            joined.replace("\"a\"", "\"z\""),
+            joined.replace("21.5", "-1"),
+            left.replace("17", "99999999999"),
+            left.replace("left", "sung"),
+            applied.replace("905", "65536"),
+            r#"{"type":"left"}"#.into(),
+        ];
+        odd.iter().for_each(|line| assert_eq!(read(line), Some(News::Odd), "{line}"));
+        ["{", "joined", r#"{"type":7}"#].iter().for_each(|line| assert_eq!(read(line), None, "{line}"));
+    }
+}
--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -13,7 +13,7 @@
 use std::sync::mpsc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpStream, UdpSocket};
 use tokio::time::{sleep, timeout};
 
 const EXAMPLE: &str = include_str!("../../../examples/configuration.json");
@@ -276,6 +276,35 @@
     });
 }
 
+/// Guards against notes of strangers that pass for a peer's, and notes that are too long.
+#[test]
+fn supervisors_tell_each_other_their_demand() {
+    play(async || {
+        let mut world = World::open("notes").await;
+        let peer = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        let address = json!(peer.local_addr().unwrap());
+        let all = &mut world.configuration;
+        all["settings"]["balancers"] = json!(2);
+        all["settings"]["caps"]["peers"] = json!(true);
+        all["peer_listen"] = json!("127.0.0.1:0");
+        all["peers"] = json!(["127.0.0.1:1", address]);
+        all["peers_all"] = address;
+        let node = world.node().await;
+        world.bound(0, "south").await;
+        let mut note = [0; 512];
+        let (n, from) = peer.recv_from(&mut note).await.unwrap();
+        let floats: Vec<f32> = note[..n].as_chunks::<4>().0.iter().map(|f| f32::from_le_bytes(*f)).collect();
+        assert!(floats.len() == 2 && floats[0] < 1.0 && floats[1] > 1.0, "{floats:?}");
+        let stranger = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        stranger.send_to(&note[..n], from).await.unwrap();
+        node.counted("notes_odd", 1).await;
+        peer.send_to(b"hello", from).await.unwrap();
+        node.counted("notes_odd", 2).await;
+        peer.send_to(&note[..n], from).await.unwrap();
+        node.counted("notes_heard", 1).await;
+    });
+}
+
 /// Guards against a supervisor that sticks, or tables that stay wrong, after many troubles at once: calls that
 /// end badly, news that breaks, proxies that come and go, servers that drain and start.
 #[test]
