--- a/crates/daemon/src/life/limits.rs
+++ b/crates/daemon/src/life/limits.rs
@@ -12,6 +12,10 @@
     pub first_message: usize,
     /// Words of one message.
     pub words: usize,
+    /// Largest figure, and longest time, that a report may hold: one that spans more would stretch what the
+    /// decisions take for the pace of reports.
+    pub figure: f64,
+    pub span: Duration,
     /// How long a guest may say nothing at all, and how long an answer to it may take to write.
     pub silent_guest: Duration,
     pub write: Duration,
@@ -57,6 +61,8 @@
             message: 1 << 20,
             first_message: 32 << 10,
             words: 4096,
+            figure: 1e9,
+            span: ms(600_000),
             silent_guest: ms(30_000),
             write: ms(500),
             call: 60_000,
--- a/crates/daemon/src/spoken/listener.rs
+++ b/crates/daemon/src/spoken/listener.rs
@@ -69,7 +69,7 @@
             rest = left;
             let Some(words) = words else { continue };
             place.heard();
-            match reports::decode(&words, &desk.names) {
+            match reports::decode(&words, &desk.names, limits) {
                 Ok(Message::Ping) => {
                     desk.counters.one("pings");
                     let pong = resp::encode(&["pong"]);
--- a/crates/daemon/src/spoken/reports.rs
+++ b/crates/daemon/src/spoken/reports.rs
@@ -1,6 +1,7 @@
 //! Messages at our own address, from words to typed values.
 
 use crate::kept::names::Names;
+use crate::life::limits::Limits;
 use fallgap::{Came, Load, Met};
 use std::time::Duration;
 
@@ -12,34 +13,33 @@
     Came { proxy: u32, op_type: usize, came: Came },
 }
 
-/// More than any count or time of a report can be.
-const ABSURD: f64 = 1e9;
-
 /// A message's kind comes first, then names and values in turn. What is told half is not told at all: a
 /// report without its aborts would look like a good server.
-pub fn decode(words: &[String], names: &Names) -> Result<Message, String> {
+pub fn decode(words: &[String], names: &Names, limits: &Limits) -> Result<Message, String> {
     let (kind, fields) = words.split_first().ok_or("an empty message")?;
     let value = |name: &str| {
         let pair = fields.as_chunks::<2>().0.iter().find(|[n, _]| n == name);
         pair.map(|[_, v]| v.as_str()).ok_or_else(|| format!("{kind} without {name}"))
     };
-    let number = |name: &str| {
-        let number = value(name)?.parse::<f64>().ok().filter(|n| (0.0..ABSURD).contains(n));
+    let within = |name: &str, most: f64| {
+        let number = value(name)?.parse::<f64>().ok().filter(|n| (0.0..=most).contains(n));
         number.ok_or_else(|| format!("{kind} with a strange {name}"))
     };
-    let span = || number("span_ms").map(|ms| Duration::from_secs_f64(ms / 1e3));
+    let number = |name: &str| within(name, limits.figure);
+    let time = |name: &str| within(name, limits.span.as_secs_f64() * 1e3);
+    let span = || time("span_ms").map(|ms| Duration::from_secs_f64(ms / 1e3));
     match kind.as_str() {
         "ping" => Ok(Message::Ping),
         "collector" => {
             names.zone(value("zone")?).map(|_| Message::Collector).ok_or("a collector of no zone".into())
         }
         "heard" => {
-            let good_ms = if value("mean_ms").is_ok() { number("mean_ms")? } else { 0.0 };
+            let good_ms = if value("mean_ms").is_ok() { time("mean_ms")? } else { 0.0 };
             let met = Met { total: number("tries")?, aborted: number("failed")?, good_ms, span: span()? };
             if met.aborted > met.total {
                 return Err("heard with more failed than tries".into());
             }
-            let load = value("load").ok().and_then(|text| load(text, names));
+            let load = value("load").ok().and_then(|text| load(text, names, limits));
             Ok(Message::Met { server: value("server")?.to_owned(), met, load })
         }
         "usage" => {
@@ -53,10 +53,12 @@
 }
 
 /// `inflight:7,util:0.61`; figures that cannot be read are skipped.
-fn load(text: &str, names: &Names) -> Option<Load> {
+fn load(text: &str, names: &Names, limits: &Limits) -> Option<Load> {
     let pairs = text.split(',').filter_map(|pair| pair.split_once(':'));
     let figures: Vec<(&str, f64)> = pairs
-        .filter_map(|(name, n)| n.parse().ok().filter(|n| (0.0..ABSURD).contains(n)).map(|n| (name, n)))
+        .filter_map(|(name, n)| {
+            n.parse().ok().filter(|n| (0.0..=limits.figure).contains(n)).map(|n| (name, n))
+        })
         .collect();
     (!figures.is_empty()).then(|| names.load(&figures))
 }
@@ -68,7 +70,8 @@
     fn read(text: &str) -> Result<Message, String> {
         let words = |w: &str| w.split(' ').map(str::to_owned).collect::<Vec<_>>();
         let (zones, op_types, load_fields) = (words("a b"), words("lookup"), words("cpu active"));
-        decode(&words(text), &Names { zones, op_types, load_fields, sized: true, proxies: 20 })
+        let names = Names { zones, op_types, load_fields, sized: true, proxies: 20 };
+        decode(&words(text), &names, &Limits::within(None, None))
     }
 
     #[test]
@@ -99,6 +102,7 @@
             "usage proxy 20 class lookup tries 19 failed 0 span_ms 2000.0",
             "usage proxy 1 class other tries 19 failed 0 span_ms 2000.0",
             "usage proxy 1 class lookup tries 1e300 failed 0 span_ms 2000.0",
+            "usage proxy 1 class lookup tries 19 failed 0 span_ms 2000000",
             "collector zone z",
             "collector",
             "sing loud",
