One growing pause, one reading of list rows; nothing noted twice

The pause that doubles with each failure stood in calls, news and discovery: now Limits::pause. State and start time of a list row were read by the adapter and the daemon alike: now server_state and started of the deployment crate. Each report noted its guest as heard twice. A call's outcome was wrapped in a result of itself. The stand-in's relay kept levels that nothing read.

Left: the row of arguments with which both binaries start the module is the house's way of handing each part its own few settings; the stand-in's RESP2 encoder stays apart from the daemon's, so that a defect of one does not hide in the other.

--- a/crates/daemon/src/kept/calls.rs
+++ b/crates/daemon/src/kept/calls.rs
@@ -47,10 +47,7 @@
             Outcome::Uncertain if self.tries == 1 => Next::Again(Duration::ZERO),
             // The run may begin at any moment, and its proxies have no orders until it does.
             Outcome::TooSoon => Next::Again(limits.again.0),
-            _ => {
-                let (first, longest) = limits.again;
-                Next::Again((first * (1 << self.tries.min(8))).min(longest))
-            }
+            _ => Next::Again(limits.pause(self.tries)),
         }
     }
 
--- a/crates/daemon/src/kept/guests.rs
+++ b/crates/daemon/src/kept/guests.rs
@@ -84,20 +84,14 @@
 impl Place {
     /// Notes that something whole was heard from it.
     pub fn heard(&self) {
-        self.note(|_| {});
-    }
-    /// Notes that it has reported.
-    pub fn reported(&self) {
-        self.note(|guest| guest.rank = Rank::Reporting);
-    }
-    fn note(&self, also: impl FnOnce(&mut Guest)) {
         let mut book = self.book.borrow_mut();
         book.count += 1;
         let count = book.count;
-        if let Some(guest) = book.guests.get_mut(&self.id) {
-            guest.heard = count;
-            also(guest);
-        }
+        book.guests.entry(self.id).and_modify(|g| g.heard = count);
+    }
+    /// Notes that what was heard is a report.
+    pub fn reported(&self) {
+        self.book.borrow_mut().guests.entry(self.id).and_modify(|g| g.rank = Rank::Reporting);
     }
 }
 
--- a/crates/daemon/src/kept/names.rs
+++ b/crates/daemon/src/kept/names.rs
@@ -2,6 +2,7 @@
 
 use crate::spoken::discovery::Row;
 use fallgap::{Listed, Load, ServerState};
+use fallgap_deployment::{server_state, started};
 
 pub struct Names {
     pub zones: Vec<String>,
@@ -34,14 +35,10 @@
     /// A row of the list; `None` for a ready server whose zone is none of ours. One that drains or is gone
     /// counts wherever it is: tables must lose it.
     pub fn listed(&self, row: Row) -> Option<Listed> {
-        let state = match row.state.as_str() {
-            "ready" => ServerState::Ready,
-            "gone" => ServerState::Gone,
-            _ => ServerState::Draining,
-        };
+        let state = server_state(&row.state);
         let zone = self.zone(&row.zone).or((state != ServerState::Ready).then_some(0))?;
         let size = row.weight.filter(|w| self.sized && w.is_finite());
-        let started = row.started_ms.and_then(fallgap_deployment::duration).filter(|at| !at.is_zero());
+        let started = row.started_ms.and_then(started);
         Some(Listed { zone, server: row.id, size, state, started })
     }
 }
--- a/crates/daemon/src/life/limits.rs
+++ b/crates/daemon/src/life/limits.rs
@@ -84,6 +84,14 @@
     }
 }
 
+impl Limits {
+    /// The pause before something is tried again after so many failures: twice as long each time.
+    pub fn pause(&self, failures: u32) -> Duration {
+        let (first, longest) = self.again;
+        (first * (1 << failures.min(8))).min(longest)
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/daemon/src/spoken/discovery.rs
+++ b/crates/daemon/src/spoken/discovery.rs
@@ -7,7 +7,7 @@
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
@@ -82,8 +82,7 @@
         }
         held = None;
         failed += 1;
-        let pause = (limits.again.0 * (1 << failed.min(8))).min(limits.again.1);
-        tokio::time::sleep(pause).await;
+        tokio::time::sleep(limits.pause(failed)).await;
     }
 }
 
@@ -115,11 +114,7 @@
         let body = response.body().limit(limits.list).await.map_err(|e| e.to_string())?;
         serde_json::from_slice(&body).map_err(|e| format!("not a list: {e}"))
     };
-    timeout(most, answer).await.unwrap_or_else(|_: tokio::time::error::Elapsed| Err(late(most)))
-}
-
-fn late(most: Duration) -> String {
-    format!("no answer within {most:?}")
+    timeout(most, answer).await.unwrap_or_else(|_| Err(format!("no answer within {most:?}")))
 }
 
 #[cfg(test)]
--- a/crates/daemon/src/spoken/news.rs
+++ b/crates/daemon/src/spoken/news.rs
@@ -72,8 +72,7 @@
         // A stream that held for a while broke by itself: it is dialled again at once.
         let held = desk.clock.now().saturating_sub(before) > desk.limits.news_silent;
         broken = if held { 0 } else { broken + 1 };
-        let most = (desk.limits.again.0 * (1 << broken.min(8))).min(desk.limits.again.1);
-        sleep(most.mul_f64(0.5 + 0.5 * fastrand::f64())).await;
+        sleep(desk.limits.pause(broken).mul_f64(0.5 + 0.5 * fastrand::f64())).await;
     }
 }
 
--- a/crates/daemon/src/spoken/orders.rs
+++ b/crates/daemon/src/spoken/orders.rs
@@ -105,11 +105,15 @@
         let body = encode(&call.orders, &desk.names);
         let answer = async {
             let request = client.post(&url).insert_header(("content-type", "application/json"));
-            let mut response = request.send_body(body).await.map_err(unanswered)?;
-            Ok(response.body().limit(limits.reply).await.map_or(Outcome::Uncertain, |body| decode(&body)))
+            match request.send_body(body).await {
+                Ok(mut response) => {
+                    let body = response.body().limit(limits.reply).await;
+                    body.map_or(Outcome::Uncertain, |body| decode(&body))
+                }
+                Err(why) => unanswered(&why),
+            }
         };
-        let outcome = timeout(limits.answer, answer).await.unwrap_or(Ok(Outcome::Uncertain));
-        let outcome = outcome.unwrap_or_else(|failed: Outcome| failed);
+        let outcome = timeout(limits.answer, answer).await.unwrap_or(Outcome::Uncertain);
         counters.one(match &outcome {
             Outcome::Taken(n) if *n < call.orders.len() => "calls_taken_in_part",
             Outcome::Taken(_) => "calls_taken",
@@ -130,7 +134,7 @@
     counters.most("calls_longest_ms", took.as_millis() as usize);
 }
 
-fn unanswered(why: SendRequestError) -> Outcome {
+fn unanswered(why: &SendRequestError) -> Outcome {
     match why {
         SendRequestError::Connect(ConnectError::Io(_) | ConnectError::Timeout) => Outcome::Unsent,
         _ => Outcome::Uncertain,
--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -77,7 +77,7 @@
     }
 
     fn lines(&self, proxy: u64) -> Vec<String> {
-        self.relay.tables.borrow().get(&proxy).map_or(Vec::new(), |t| t.lines.keys().cloned().collect())
+        self.relay.tables.borrow().get(&proxy).map_or(Vec::new(), |t| t.keys().cloned().collect())
     }
 }
 
--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -4,7 +4,9 @@
 
 mod notes;
 
-use fallgap::{Admission, Aims, Channel, ColdTerms, Habits, Load, OpType, Peers, Repeats, Reporting, Retry};
+use fallgap::{
+    Admission, Aims, Channel, ColdTerms, Habits, Load, OpType, Peers, Repeats, Reporting, Retry, ServerState,
+};
 use serde_json::Value;
 use std::time::Duration;
 
@@ -136,6 +138,20 @@
     level.min(NO_LIMIT)
 }
 
+/// What a list entry's state says, in the words of both wires.
+pub fn server_state(word: &str) -> ServerState {
+    match word {
+        "ready" => ServerState::Ready,
+        "gone" => ServerState::Gone,
+        _ => ServerState::Draining,
+    }
+}
+
+/// When a list entry says that its server last started; 0 and what is no time stand for long ago.
+pub fn started(ms: f64) -> Option<Duration> {
+    duration(ms).filter(|at| !at.is_zero())
+}
+
 /// A time of either wire: milliseconds, of which microseconds count.
 pub fn duration(ms: f64) -> Option<Duration> {
     (ms.is_finite() && (0.0..1e15).contains(&ms)).then(|| Duration::from_micros((ms * 1e3).round() as u64))
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -62,7 +62,7 @@
         let tables = relay.tables.borrow();
         let table = relay.bound.borrow().get(&proxy.number).and_then(|t| tables.get(t).cloned());
         let part = |s: &Server| match &table {
-            Some(table) => table.lines.get(&s.name).copied().unwrap_or(0.0),
+            Some(table) => table.get(&s.name).copied().unwrap_or(0.0),
             None => f64::from(u8::from(s.zone == proxy.zone)),
         };
         let all: f64 = self.servers.iter().map(part).sum();
--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -29,19 +29,13 @@
     TooSoon,
 }
 
-#[derive(Clone, Default)]
-pub struct Table {
-    pub lines: BTreeMap<String, f64>,
-    /// By op type: what is let in, and the way of trying again.
-    pub levels: BTreeMap<String, (f64, u64)>,
-}
-
 #[derive(Default)]
 pub struct Relay {
     pub fates: RefCell<VecDeque<Fate>>,
     /// Every call that came, as it came.
     pub calls: RefCell<Vec<Value>>,
-    pub tables: RefCell<BTreeMap<u64, Table>>,
+    /// Each table's lines; levels are taken and not kept.
+    pub tables: RefCell<BTreeMap<u64, BTreeMap<String, f64>>>,
     /// Each joined proxy's entry, and the table each is bound to.
     joined: RefCell<BTreeMap<u64, Value>>,
     pub bound: RefCell<BTreeMap<u64, u64>>,
@@ -145,21 +139,16 @@
     fn carry_one(&self, order: &Value, reached: &mut BTreeSet<u64>, stamp: &mut Option<u64>) -> bool {
         let (mut tables, mut bound) = (self.tables.borrow_mut(), self.bound.borrow_mut());
         let group = order["group"].as_u64();
-        let table = tables.entry(group.unwrap_or(u64::MAX)).or_default();
         match order["do"].as_str().unwrap_or("") {
             "SET" => {
-                let (Some(server), Some(part)) = (order["server"].as_str(), order["weight"].as_f64()) else {
-                    return false;
-                };
-                table.lines.insert(server.to_owned(), part);
-                table.lines.retain(|_, part| *part > 0.0);
-            }
-            "DEL" => *table = Table::default(),
-            "LIMIT" => {
-                let op_types = order["routes"].as_array().into_iter().flatten().filter_map(Value::as_str);
-                let level = (order["admit"].as_f64().unwrap_or(-1.0), order["policy"].as_u64().unwrap_or(0));
-                op_types.for_each(|t| _ = table.levels.insert(t.to_owned(), level));
+                let line = (group, order["server"].as_str(), order["weight"].as_f64());
+                let (Some(group), Some(server), Some(part)) = line else { return false };
+                let lines = tables.entry(group).or_default();
+                lines.insert(server.to_owned(), part);
+                lines.retain(|_, part| *part > 0.0);
             }
+            "DEL" => _ = group.and_then(|group| tables.remove(&group)),
+            "LIMIT" => {}
             "USE" => match (order["proxy"].as_u64(), group) {
                 (Some(proxy), Some(group)) if self.joined.borrow().contains_key(&proxy) => {
                     bound.insert(proxy, group);
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -1,6 +1,6 @@
 //! The wire's events as calls, and orders as the wire's actions.
 
-use fallgap::{Came, Director, Host, ListNews, Listed, Load, Met, Probed, Retry, ServerState};
+use fallgap::{Came, Director, Host, ListNews, Listed, Load, Met, Probed, Retry};
 use fallgap_deployment::{self as deployment, duration, level_number, read_note, retry_number, write_note};
 use serde_json::{Map, Value, json};
 use std::collections::BTreeMap;
@@ -227,11 +227,7 @@
         server: text(row, "server")?.to_owned(),
         zone: whole(row, "locality") as usize,
         size: row.get("size").and_then(Value::as_f64).filter(|_| sized),
-        state: match row.get("mode").and_then(Value::as_str) {
-            Some("ready") | None => ServerState::Ready,
-            Some("gone") => ServerState::Gone,
-            Some(_) => ServerState::Draining,
-        },
-        started: duration(number(row, "since")).filter(|d| !d.is_zero()),
+        state: deployment::server_state(row.get("mode").and_then(Value::as_str).unwrap_or("ready")),
+        started: deployment::started(number(row, "since")),
     })
 }
--- a/examples/toy.rs
+++ b/examples/toy.rs
@@ -106,7 +106,7 @@
         let tables = relay.tables.borrow();
         let Some(table) = tables.get(table) else { continue };
         let lines =
-            table.lines.iter().map(|(s, part)| format!("{}={part:.2}", s.trim_start_matches("toy-server-")));
+            table.iter().map(|(s, part)| format!("{}={part:.2}", s.trim_start_matches("toy-server-")));
         println!("{second:>4} s  proxy {proxy}: {}", lines.collect::<Vec<_>>().join("  "));
     }
 }
