SIGHUP moves all links to new addresses; guests that are no collector go in time

At fault: `life/signals.rs` knew no SIGHUP; `life/run.rs` handed addresses out by value; `spoken/discovery.rs` held the newest version across addresses; `spoken/listener.rs` counted and read on; `spoken/page.rs` kept connections open.

Now: `kept/links.rs` is the one place of addresses and of the client whose kept connections lead there; news and list move at once, a call that is out is tried again at the new address before anything else. A file that cannot be read leaves the old one in force. A guest that is no collector 1.5 s after it came is told `refused` and closed, whatever it says; at once if it says what only a collector may, or nothing that can be read. A collector may not stop amid a message for more than 3 s: a spoilt length would swallow its reports for ever.

Tests: a_new_configuration_moves_all_links, strangers_keep_no_collector_out.

--- a/crates/daemon/src/kept/desk.rs
+++ b/crates/daemon/src/kept/desk.rs
@@ -2,6 +2,7 @@
 
 use crate::kept::counters::Counters;
 use crate::kept::joined::Joined;
+use crate::kept::links::Board;
 use crate::kept::names::Names;
 use crate::life::clock::Clock;
 use crate::life::limits::Limits;
@@ -14,6 +15,7 @@
     pub supervisor: RefCell<Supervisor>,
     pub joined: RefCell<Joined>,
     pub names: Names,
+    pub links: Board,
     pub counters: Counters,
     pub limits: Limits,
     pub clock: Clock,
--- a/crates/daemon/src/kept/mod.rs
+++ b/crates/daemon/src/kept/mod.rs
@@ -5,4 +5,5 @@
 pub mod desk;
 pub mod guests;
 pub mod joined;
+pub mod links;
 pub mod names;
--- a/crates/daemon/src/life/acting.rs
+++ b/crates/daemon/src/life/acting.rs
@@ -3,9 +3,7 @@
 use crate::kept::desk::Desk;
 use crate::spoken::datagrams::Post;
 use crate::spoken::orders;
-use awc::Client;
 use fallgap::Order;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc::{Receiver, Sender};
@@ -39,9 +37,9 @@
 }
 
 /// Carries one call after the other to the relay.
-pub async fn carry(desk: Rc<Desk>, client: Client, relay: SocketAddr, mut picked: Receiver<Vec<Order>>) {
+pub async fn carry(desk: Rc<Desk>, mut picked: Receiver<Vec<Order>>) {
     while let Some(call) = picked.recv().await {
-        orders::carry(&desk, &client, relay, call).await;
+        orders::carry(&desk, call).await;
         desk.report(|supervisor, _| supervisor.report_settled());
     }
 }
--- a/crates/daemon/src/life/configuration.rs
+++ b/crates/daemon/src/life/configuration.rs
@@ -1,6 +1,7 @@
 //! What a supervisor is told before it starts: the file that `NODE_CONFIG` names. The other variables repeat
 //! what is in it and stand in where it is silent.
 
+use crate::kept::links::Addresses;
 use crate::spoken::discovery::{self, List};
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -9,21 +10,32 @@
 pub struct Told {
     pub name: String,
     pub listen: SocketAddr,
-    pub discovery: SocketAddr,
-    pub relay: SocketAddr,
+    /// What may change while it runs.
+    pub to: Addresses,
     pub seed: u64,
     /// What the machine grants, where that is told.
     pub memory_mb: Option<u64>,
     pub sockets: Option<u64>,
     pub peer_listen: Option<SocketAddr>,
-    /// By their number; `None` where an address cannot be read.
-    pub peers: Vec<Option<SocketAddr>>,
-    pub peers_all: Option<SocketAddr>,
     /// The list as it was held last; it may be old.
     pub known: Option<List>,
     pub settings: Value,
 }
 
+impl Told {
+    /// What another one names otherwise and only a restart can change.
+    pub fn fixed_unlike(&self, other: &Told) -> Vec<&'static str> {
+        let unlike = [
+            ("\"name\"", self.name != other.name),
+            ("\"listen\"", self.listen != other.listen),
+            ("\"peer_listen\"", self.peer_listen != other.peer_listen),
+            ("\"limits\"", (self.memory_mb, self.sockets) != (other.memory_mb, other.sockets)),
+            ("\"settings\"", self.settings != other.settings),
+        ];
+        unlike.into_iter().filter(|(_, unlike)| *unlike).map(|(name, _)| name).collect()
+    }
+}
+
 /// Reads it all, or tells in plain words what is missing.
 pub fn read() -> Result<Told, String> {
     let path = std::env::var("NODE_CONFIG").map_err(|_| "the variable NODE_CONFIG is not set".to_owned())?;
@@ -47,14 +59,16 @@
     Ok(Told {
         name: text(&all["name"], "NODE_NAME").unwrap_or_else(|| "fallgap".into()),
         listen: needed(&all["listen"], "listen", "NODE_LISTEN")?,
-        discovery: needed(&all["discovery"], "discovery", "NODE_DISCOVERY")?,
-        relay: needed(&all["store"]["address"], "store.address", "")?,
+        to: Addresses {
+            discovery: needed(&all["discovery"], "discovery", "NODE_DISCOVERY")?,
+            relay: needed(&all["store"]["address"], "store.address", "")?,
+            peers: all["peers"].as_array().map(|p| p.iter().map(address).collect()).unwrap_or_default(),
+            peers_all: address(&all["peers_all"]),
+        },
         seed: seed.or(all["seed"].as_u64()).unwrap_or(0),
         memory_mb: all["limits"]["memory_mb"].as_u64(),
         sockets: all["limits"]["sockets"].as_u64(),
         peer_listen: address(&all["peer_listen"]),
-        peers: all["peers"].as_array().map(|p| p.iter().map(address).collect()).unwrap_or_default(),
-        peers_all: address(&all["peers_all"]),
         known: discovery::list_of(&all["known"]).ok(),
         settings,
     })
@@ -74,7 +88,7 @@
         let told = parse(WHOLE.as_bytes(), |_| None).unwrap();
         assert_eq!((told.name.as_str(), told.seed), ("n3", 0x8c1f_30d2_7a5b_e964));
         assert_eq!((told.memory_mb, told.sockets), (None, Some(64)));
-        assert_eq!(told.peers, [None, Some("127.3.0.1:7946".parse().unwrap())], "numbers are places");
+        assert_eq!(told.to.peers, [None, Some("127.3.0.1:7946".parse().unwrap())], "numbers are places");
         assert_eq!(told.known.map(|k| (k.version, k.rows.len())), Some((41, 1)));
         let without = |part: &str| parse(WHOLE.replace(part, "\"other\"").as_bytes(), |_| None).unwrap_err();
         assert_eq!(without("\"settings\""), "no object \"settings\"");
--- a/crates/daemon/src/life/limits.rs
+++ b/crates/daemon/src/life/limits.rs
@@ -16,8 +16,10 @@
     /// decisions take for the pace of reports.
     pub figure: f64,
     pub span: Duration,
-    /// How long a guest may say nothing at all, and how long an answer to it may take to write.
-    pub silent_guest: Duration,
+    /// How long a guest may stay that has not named itself a collector, counted from when it came; how long a
+    /// collector may take over one message; and how long an answer to a guest may take to write.
+    pub unnamed_guest: Duration,
+    pub one_message: Duration,
     pub write: Duration,
     /// Bytes of orders in one call, as encoded.
     pub call: usize,
@@ -63,7 +65,8 @@
             words: 4096,
             figure: 1e9,
             span: ms(600_000),
-            silent_guest: ms(30_000),
+            unnamed_guest: ms(1500),
+            one_message: ms(3000),
             write: ms(500),
             call: 60_000,
             dropped_at_once: 8,
--- a/crates/daemon/src/life/mod.rs
+++ b/crates/daemon/src/life/mod.rs
@@ -5,5 +5,6 @@
 pub mod configuration;
 pub mod limits;
 pub mod logger;
+pub mod reload;
 pub mod run;
 pub mod signals;
--- a/crates/daemon/src/life/run.rs
+++ b/crates/daemon/src/life/run.rs
@@ -3,12 +3,13 @@
 use crate::kept::counters::Counters;
 use crate::kept::desk::Desk;
 use crate::kept::joined::Joined;
+use crate::kept::links::Board;
 use crate::kept::names::Names;
-use crate::life::acting;
 use crate::life::clock::Clock;
 use crate::life::configuration::Told;
 use crate::life::limits::Limits;
-use crate::life::signals;
+use crate::life::signals::{self, Signals};
+use crate::life::{acting, reload};
 use crate::spoken::datagrams::{self, Post};
 use crate::spoken::{client, discovery, listener, news};
 use actix_rt::net::TcpListener;
@@ -22,10 +23,11 @@
 
 /// Serves until it is told to end. A part that ends by itself ends the whole: half a supervisor would hold
 /// its proxies and give them nothing.
-pub async fn run(told: Told, limits: Limits) -> ExitCode {
+pub async fn run(mut told: Told, limits: Limits) -> ExitCode {
     end_on_panic();
     fastrand::seed(told.seed);
-    let mut signal = actix_rt::spawn(signals::ended());
+    let hangups = signals::hangups();
+    let mut signal = actix_rt::spawn(Signals::listen().ended());
     let clock = Clock::start();
     let settings = &told.settings;
     let supervisor = Supervisor::start(
@@ -50,32 +52,31 @@
         supervisor: RefCell::new(supervisor),
         joined: RefCell::new(Joined::default()),
         names,
+        links: Board::new(told.to.clone(), client::client(&limits)),
         counters: Counters::default(),
         limits,
         clock,
         news: Notify::new(),
     });
-    if let Some(known) = told.known {
+    if let Some(known) = told.known.take() {
         discovery::report(&desk, ListNews::Remembered, known);
     }
     // Supervisors decide well enough alone: without a socket for notes this one still serves.
     let notes = deployment::peers(settings).notes_allowed;
     let post = match told.peer_listen.filter(|_| notes) {
-        Some(at) => Post::open(at, told.peers, told.peers_all, deployment::number(settings))
+        Some(at) => Post::open(at, deployment::number(settings))
             .await
             .inspect_err(|e| log::error!("no notes: cannot listen to peers at {at}: {e}"))
             .ok()
             .map(Rc::new),
         None => None,
     };
-    let client = client::client(&limits);
     let (list_stands, news_stand) = (Rc::new(Notify::new()), Rc::new(Notify::new()));
     let (calls, picked) = mpsc::channel(1);
-    let list =
-        actix_rt::spawn(discovery::watch(desk.clone(), client.clone(), told.discovery, list_stands.clone()));
-    let news = actix_rt::spawn(news::follow(desk.clone(), client.clone(), told.relay, news_stand.clone()));
+    let list = actix_rt::spawn(discovery::watch(desk.clone(), list_stands.clone()));
+    let news = actix_rt::spawn(news::follow(desk.clone(), news_stand.clone()));
     let act = actix_rt::spawn(acting::act(desk.clone(), deployment::pause(settings), calls, post.clone()));
-    let carry = actix_rt::spawn(acting::carry(desk.clone(), client, told.relay, picked));
+    let carry = actix_rt::spawn(acting::carry(desk.clone(), picked));
     let hear = actix_rt::spawn(datagrams::hear(desk.clone(), post));
     // In use from the first pong on: not before there is something to go by, if that comes soon.
     let both = async { tokio::join!(list_stands.notified(), news_stand.notified()) };
@@ -93,6 +94,7 @@
     };
     let at = listener.local_addr().unwrap_or(told.listen);
     log::info!("{} serves at {at}", told.name);
+    let reload = actix_rt::spawn(reload::follow(desk.clone(), hangups, told));
     let listen = actix_rt::spawn(listener::serve(desk.clone(), listener));
     let came = tokio::select! {
         came = &mut signal => came.ok(),
@@ -102,6 +104,7 @@
         _ = carry => None,
         _ = hear => None,
         _ = listen => None,
+        _ = reload => None,
     };
     ended(&desk, came)
 }
--- a/crates/daemon/src/spoken/datagrams.rs
+++ b/crates/daemon/src/spoken/datagrams.rs
@@ -9,24 +9,21 @@
 /// Where notes come in and go out: one socket for both, so that receivers know the sender.
 pub struct Post {
     socket: UdpSocket,
-    peers: Vec<Option<SocketAddr>>,
-    all: Option<SocketAddr>,
     own: u32,
 }
 
 impl Post {
-    pub async fn open(
-        listen: SocketAddr, peers: Vec<Option<SocketAddr>>, all: Option<SocketAddr>, own: u32,
-    ) -> std::io::Result<Post> {
-        Ok(Post { socket: UdpSocket::bind(listen).await?, peers, all, own })
+    pub async fn open(listen: SocketAddr, own: u32) -> std::io::Result<Post> {
+        Ok(Post { socket: UdpSocket::bind(listen).await?, own })
     }
 
     /// Notes may be lost, so a failure is only counted.
     pub async fn tell_all(&self, desk: &Desk, demand: &[f64]) {
         let note = write_note(demand);
-        let others = self.peers.iter().enumerate().filter(|(i, _)| *i as u32 != self.own);
+        let links = desk.links.now();
+        let others = links.to.peers.iter().enumerate().filter(|(i, _)| *i as u32 != self.own);
         let to: Vec<SocketAddr> =
-            self.all.map_or_else(|| others.filter_map(|p| *p.1).collect(), |all| vec![all]);
+            links.to.peers_all.map_or_else(|| others.filter_map(|p| *p.1).collect(), |all| vec![all]);
         for address in to {
             match self.socket.send_to(&note, address).await {
                 Ok(_) => desk.counters.one("notes_sent"),
@@ -36,8 +33,8 @@
     }
 
     /// The sender's number is its place among the peers; notes of strangers, and our own, count for nothing.
-    fn sender(&self, from: SocketAddr) -> Option<u32> {
-        let place = self.peers.iter().position(|p| *p == Some(from))? as u32;
+    fn sender(&self, desk: &Desk, from: SocketAddr) -> Option<u32> {
+        let place = desk.links.now().to.peers.iter().position(|p| *p == Some(from))? as u32;
         (place != self.own).then_some(place)
     }
 }
@@ -48,7 +45,7 @@
     let mut bytes = [0; 512];
     loop {
         match post.socket.recv_from(&mut bytes).await {
-            Ok((n, from)) => match (post.sender(from), read_note(&bytes[..n])) {
+            Ok((n, from)) => match (post.sender(&desk, from), read_note(&bytes[..n])) {
                 (Some(peer), Some(demand)) => {
                     desk.counters.one("notes_heard");
                     desk.report(|s, now| s.report_peer(now, peer, demand));
--- a/crates/daemon/src/spoken/discovery.rs
+++ b/crates/daemon/src/spoken/discovery.rs
@@ -1,11 +1,10 @@
 //! Discovery: the list as JSON, and the watch that keeps it.
 
 use crate::kept::desk::Desk;
-use awc::Client;
+use crate::kept::links::Links;
 use fallgap::ListNews;
 use serde::Deserialize;
 use serde_json::Value;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Instant;
 use tokio::sync::Notify;
@@ -44,15 +43,27 @@
     desk.report(|supervisor, now| supervisor.report_list(now, news, entries));
 }
 
-/// Watches the list for ever; `stands` is told once it was read whole.
-pub async fn watch(desk: Rc<Desk>, client: Client, at: SocketAddr, stands: Rc<Notify>) {
+/// Watches the list for ever, wherever the links lead; `stands` is told once it was read whole.
+pub async fn watch(desk: Rc<Desk>, stands: Rc<Notify>) {
+    let mut links = desk.links.follow();
+    loop {
+        let here = links.borrow_and_update().clone();
+        // What is known stays. The list is asked for whole: another discovery may count from anywhere.
+        tokio::select! {
+            () = watch_at(&desk, &here, &stands) => {}
+            _ = links.changed() => desk.counters.one("list_moved"),
+        }
+    }
+}
+
+async fn watch_at(desk: &Desk, links: &Links, stands: &Notify) {
     let limits = desk.limits;
     let mut held: Option<u64> = None;
     let mut newest = 0;
     let mut failed = 0u32;
     loop {
         let asked = Instant::now();
-        match ask(&desk, &client, at, held).await {
+        match ask(desk, links, held).await {
             Ok(list) if usable(&list, held, newest) => {
                 failed = 0;
                 desk.counters.one(if list.full { "list_whole" } else { "list_changes" });
@@ -60,7 +71,7 @@
                 (held, newest) = (Some(list.version), list.version);
                 let nothing = !list.full && list.rows.is_empty();
                 if !nothing {
-                    report(&desk, news, list);
+                    report(desk, news, list);
                 }
                 stands.notify_one();
                 // Guards against a discovery that does not wait: short enough for the watch to go on.
@@ -96,7 +107,7 @@
     }
 }
 
-async fn ask(desk: &Desk, client: &Client, at: SocketAddr, held: Option<u64>) -> Result<List, String> {
+async fn ask(desk: &Desk, links: &Links, held: Option<u64>) -> Result<List, String> {
     let limits = desk.limits;
     let (path, most) = match held {
         Some(version) => {
@@ -106,8 +117,8 @@
         None => (String::new(), limits.first_answer),
     };
     let answer = async {
-        let url = format!("http://{at}/v1/servers{path}");
-        let mut response = client.get(url).send().await.map_err(|e| e.to_string())?;
+        let url = format!("http://{}/v1/servers{path}", links.to.discovery);
+        let mut response = links.client.get(url).send().await.map_err(|e| e.to_string())?;
         if !response.status().is_success() {
             return Err(format!("status {}", response.status()));
         }
--- a/crates/daemon/src/spoken/news.rs
+++ b/crates/daemon/src/spoken/news.rs
@@ -1,11 +1,10 @@
 //! News from the relay: a stream of JSON lines that stays open.
 
 use crate::kept::desk::Desk;
+use crate::kept::links::Links;
 use crate::kept::names::Names;
-use awc::Client;
 use futures_util::StreamExt;
 use serde::Deserialize;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
@@ -63,11 +62,22 @@
 /// Follows the news for ever, dialling again when the stream breaks or falls silent; `stands` is told once
 /// it is open. What stands is named again on each: a proxy that is not has left meanwhile, and one that is
 /// may have left and come back, so it counts as joining anew.
-pub async fn follow(desk: Rc<Desk>, client: Client, relay: SocketAddr, stands: Rc<Notify>) {
+pub async fn follow(desk: Rc<Desk>, stands: Rc<Notify>) {
+    let mut links = desk.links.follow();
+    loop {
+        let here = links.borrow_and_update().clone();
+        tokio::select! {
+            () = follow_at(&desk, &here, &stands) => {}
+            _ = links.changed() => desk.counters.one("news_moved"),
+        }
+    }
+}
+
+async fn follow_at(desk: &Desk, links: &Links, stands: &Notify) {
     let mut broken = 0u32;
     loop {
         let before = desk.clock.now();
-        let why = stream(&desk, &client, relay, &stands).await;
+        let why = stream(desk, links, stands).await;
         desk.odd("news_broken", &why);
         // A stream that held for a while broke by itself: it is dialled again at once.
         let held = desk.clock.now().saturating_sub(before) > desk.limits.news_silent;
@@ -76,10 +86,10 @@
     }
 }
 
-async fn stream(desk: &Desk, client: &Client, relay: SocketAddr, stands: &Notify) -> String {
+async fn stream(desk: &Desk, links: &Links, stands: &Notify) -> String {
     let limits = &desk.limits;
-    let opening = timeout(limits.first_answer, client.get(format!("http://{relay}/v3/kv/watch")).send());
-    let mut response = match opening.await {
+    let url = format!("http://{}/v3/kv/watch", links.to.relay);
+    let mut response = match timeout(limits.first_answer, links.client.get(url).send()).await {
         Ok(Ok(response)) if response.status().is_success() => response,
         Ok(Ok(response)) => return format!("status {}", response.status()),
         Ok(Err(e)) => return e.to_string(),
--- a/crates/daemon/src/spoken/orders.rs
+++ b/crates/daemon/src/spoken/orders.rs
@@ -3,13 +3,11 @@
 use crate::kept::calls::{Next, Outcome, Unsettled};
 use crate::kept::desk::Desk;
 use crate::kept::names::Names;
-use awc::Client;
 use awc::error::{ConnectError, SendRequestError};
 use fallgap::Order;
 use fallgap_deployment::{level_number, retry_number};
 use serde::Serialize;
 use serde_json::Value;
-use std::net::SocketAddr;
 use tokio::time::timeout;
 
 #[derive(Serialize)]
@@ -91,11 +89,11 @@
     }
 }
 
-/// Sends a call until it is settled. Each try after a failed one goes over a new connection, since the
+/// Sends a call until it is settled, each try to where the links lead then: a move loses no call and lets
+/// none overtake another. Each try after a failed one goes over a new connection, since the
 /// failed one's is let go of.
-pub async fn carry(desk: &Desk, client: &Client, relay: SocketAddr, orders: Vec<Order>) {
+pub async fn carry(desk: &Desk, orders: Vec<Order>) {
     let limits = &desk.limits;
-    let url = format!("http://{relay}/v3/kv/txn");
     let mut call = Unsettled::new(orders);
     let counters = &desk.counters;
     let since = desk.clock.now();
@@ -103,8 +101,10 @@
         counters.one("calls_sent");
         counters.add("orders_sent", call.orders.len());
         let body = encode(&call.orders, &desk.names);
+        let links = desk.links.now();
+        let url = format!("http://{}/v3/kv/txn", links.to.relay);
         let answer = async {
-            let request = client.post(&url).insert_header(("content-type", "application/json"));
+            let request = links.client.post(&url).insert_header(("content-type", "application/json"));
             match request.send_body(body).await {
                 Ok(mut response) => {
                     let body = response.body().limit(limits.reply).await;
--- a/crates/daemon/src/spoken/page.rs
+++ b/crates/daemon/src/spoken/page.rs
@@ -1,13 +1,13 @@
 //! The counters as a page, for whoever asks by HTTP at the listen address.
 
 use crate::kept::desk::Desk;
-use actix_http::{HttpService, Method, Request, Response};
+use actix_http::{HttpService, KeepAlive, Method, Request, Response};
 use actix_rt::net::TcpStream;
 use actix_service::{IntoServiceFactory, Service, ServiceFactory, fn_service};
 use std::convert::Infallible;
 use std::rc::Rc;
 
-/// Serves one connection until it ends.
+/// Serves one connection, which ends with the answer.
 pub async fn serve(desk: Rc<Desk>, stream: TcpStream) {
     let limits = desk.limits;
     let answer = move |request: Request| {
@@ -24,7 +24,8 @@
         }
     };
     let service = HttpService::build()
-        .client_request_timeout(limits.silent_guest)
+        .keep_alive(KeepAlive::Disabled)
+        .client_request_timeout(limits.unnamed_guest)
         .client_disconnect_timeout(limits.write)
         .finish(fn_service(answer).into_factory())
         .tcp();
--- a/crates/daemon/src/spoken/resp.rs
+++ b/crates/daemon/src/spoken/resp.rs
@@ -42,6 +42,11 @@
         self.most_bytes = most_bytes;
     }
 
+    /// Whether a message has begun that has not ended.
+    pub fn amid(&self) -> bool {
+        !matches!(self.awaits, Awaits::Count) || !self.line.is_empty()
+    }
+
     /// Takes in bytes up to the end of one message at most: what is left of them, and the message.
     pub fn feed<'a>(&mut self, mut bytes: &'a [u8]) -> Result<(&'a [u8], Option<Vec<String>>), Unreadable> {
         while let Some(byte) = bytes.first() {
--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -23,6 +23,7 @@
     child: Child,
     lines: mpsc::Receiver<String>,
     at: SocketAddr,
+    file: std::path::PathBuf,
 }
 
 struct World {
@@ -64,7 +65,7 @@
         let (sender, lines) = mpsc::channel();
         let errors = BufReader::new(child.stderr.take().unwrap());
         std::thread::spawn(move || errors.lines().map_while(Result::ok).try_for_each(|l| sender.send(l)));
-        let mut node = Node { child, lines, at: "127.0.0.1:0".parse().unwrap() };
+        let mut node = Node { child, lines, at: "127.0.0.1:0".parse().unwrap(), file: self.file.clone() };
         let line = node.line("serves at").await;
         node.at = line.rsplit(' ').next().unwrap().parse().unwrap();
         node
@@ -94,6 +95,18 @@
         }
     }
 
+    fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args([&format!("-{name}"), &id]).status().unwrap().success());
+    }
+
+    /// Replaces the configuration and has it read.
+    async fn hang_up(&mut self, configuration: &str) -> String {
+        std::fs::write(&self.file, configuration).unwrap();
+        self.signal("HUP");
+        self.line("new configuration").await
+    }
+
     /// Asks for the counters until one of them has come this far.
     async fn counted(&self, name: &str, least: u64) {
         loop {
@@ -126,6 +139,12 @@
     }
 }
 
+/// Waits until a connection is closed or reset: either way there is no more of it.
+async fn gone(stream: &mut TcpStream) -> bool {
+    let mut said = Vec::new();
+    timeout(Duration::from_secs(5), stream.read_to_end(&mut said)).await.is_ok()
+}
+
 /// Runs a test, which fails if what it waits for never comes.
 fn play<F: Future<Output = ()>>(test: impl FnOnce() -> F) {
     let ended = actix_rt::System::new().block_on(async { timeout(Duration::from_secs(60), test()).await });
@@ -141,8 +160,7 @@
         world.bound(0, "north").await;
         assert_eq!(world.lines(0), ["n-1", "n-2"]);
         node.counted("news_applied", 1).await;
-        let id = node.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+        node.signal("TERM");
         assert!(node.line("counts:").await.contains("calls_taken 1"));
         node.line("ends on SIGTERM").await;
         assert_eq!(node.child.wait().unwrap().code(), Some(0));
@@ -249,6 +267,7 @@
         let node = world.node().await;
         let mut collector = Collector::connect(node.at, "north").await.unwrap();
         node.counted("collectors", 1).await;
+        let report = "heard zone north server n-1 tries 9 failed 0 mean_ms 20.0 span_ms 1000.0 load util:0.5";
         let mut strangers = Vec::new();
         for i in 0..530 {
             let mut stranger = TcpStream::connect(node.at).await.unwrap();
@@ -258,13 +277,29 @@
             strangers.push(stranger);
         }
         node.counted("guests_sent_off", 18).await;
-        for odd in [&b"*1\r\n$999999999999\r\n"[..], b"*99999999\r\n", b"\x16\x03\x01\x02", b"*x\r\n"] {
+        let odd = [&b"*1\r\n$999999999999\r\n"[..], b"*99999999\r\n", b"\x16\x03\x01\x02", b"*x\r\n"];
+        let odd = odd.map(<[u8]>::to_vec).into_iter();
+        let odd = odd.chain([b"GET / HTTP/1.1\r\n\r\n".to_vec(), b"POST /v3/kv/txn HTT".to_vec()]);
+        let words = ["collector zone west", "joined proxy 9999 zone west", "order do SET", report];
+        for odd in odd.chain(words.map(resp)) {
             let mut stranger = TcpStream::connect(node.at).await.unwrap();
-            stranger.write_all(odd).await.unwrap();
-            // Closed or reset: either way there is no more of it.
-            assert!(matches!(stranger.read(&mut [0; 9]).await, Ok(0) | Err(_)));
+            stranger.write_all(&odd).await.unwrap();
+            assert!(gone(&mut stranger).await);
         }
-        let report = "heard zone north server n-1 tries 9 failed 0 mean_ms 20.0 span_ms 1000.0 load util:0.5";
+        // Neither a drip nor a flood of pings gains time.
+        let mut dripping = TcpStream::connect(node.at).await.unwrap();
+        while dripping.write_all(b"*").await.is_ok() && dripping.write_all(b"1").await.is_ok() {
+            sleep(Duration::from_millis(50)).await;
+        }
+        let mut flooding = TcpStream::connect(node.at).await.unwrap();
+        while flooding.write_all(&resp("ping")).await.is_ok() {
+            sleep(Duration::from_millis(1)).await;
+        }
+        let mut quiet = TcpStream::connect(node.at).await.unwrap();
+        quiet.write_all(&resp("ping")).await.unwrap();
+        let mut all = Vec::new();
+        quiet.read_to_end(&mut all).await.unwrap();
+        assert!(all.starts_with(&resp("pong")) && String::from_utf8_lossy(&all).contains("refused"));
         for byte in resp(report) {
             collector.stream.write_all(&[byte]).await.unwrap();
         }
@@ -272,6 +307,10 @@
         collector.say(&report.replace("n-1", "n-2")).await.unwrap();
         node.counted("reports_met", 2).await;
         node.counted("reports_odd", 1).await;
+        // A length that swallows what follows: the collector is better off on a new connection.
+        collector.stream.write_all(b"*2\r\n$9999\r\n").await.unwrap();
+        collector.say(report).await.unwrap();
+        assert!(gone(&mut collector.stream).await);
         assert!(ping(node.at).await);
     });
 }
@@ -353,6 +392,52 @@
     });
 }
 
+/// Guards against a reload that ends the process, leaves a link where nobody answers, loses the call under way
+/// or refuses a discovery that counts from lower; and against a broken file that is taken.
+#[test]
+fn a_new_configuration_moves_all_links() {
+    play(async || {
+        let mut world = World::open("reload").await;
+        let mut node = world.node().await;
+        world.bound(0, "north").await;
+        assert!(node.hang_up("{").await.contains("the old one stays"));
+        // Elsewhere discovery has told less so far, and the call at the old address is not answered.
+        let elsewhere = World::open("elsewhere").await;
+        elsewhere.discovery.set("n-3", "north", "ready", 0);
+        (0..9).for_each(|_| world.discovery.set("n-1", "north", "ready", 0));
+        node.counted("list_changes", 1).await;
+        let relay = Rc::new(world.relay.elsewhere());
+        let listener = Listener::open("127.0.0.1:0").await.unwrap();
+        let there = json!(listener.address);
+        actix_rt::spawn(relay.clone().serve(listener));
+        world.relay.fates.borrow_mut().extend([Fate::Silent; 99]);
+        world.relay.join(1, "south", 20.0, true);
+        world.relay.until(|r| r.calls.borrow().len() >= 2).await;
+        let unsettled = world.relay.calls.borrow().last().cloned();
+        let here = world.configuration["store"]["address"].take();
+        world.configuration["store"]["address"] = there;
+        world.configuration["discovery"] = elsewhere.configuration["discovery"].clone();
+        world.configuration["settings"]["balancers"] = json!(2);
+        node.hang_up(&world.configuration.to_string()).await;
+        node.line("needs a restart to change \"settings\"").await;
+        relay.until(|r| !r.calls.borrow().is_empty()).await;
+        assert_eq!(relay.calls.borrow().first().cloned(), unsettled);
+        relay.until(|_| world.lines(0) == ["n-1", "n-2", "n-3"]).await;
+        world.relay.until(|r| r.watching() == 0).await;
+        assert_eq!(relay.watching(), 1);
+        // Back again, twice in a row, and told to end right after the next.
+        world.relay.fates.borrow_mut().clear();
+        world.configuration["store"]["address"] = here;
+        node.hang_up(&world.configuration.to_string()).await;
+        node.hang_up(&world.configuration.to_string()).await;
+        world.relay.until(|r| r.watching() == 1).await;
+        world.bound(2, "south").await;
+        node.signal("HUP");
+        node.signal("TERM");
+        assert_eq!(node.child.wait().unwrap().code(), Some(0));
+    });
+}
+
 /// Guards against a start that needs more than the list it is handed: discovery may be down just then.
 #[test]
 fn starts_again_from_the_known_list() {
--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -35,17 +35,23 @@
     /// Every call that came, as it came.
     pub calls: RefCell<Vec<Value>>,
     /// Each table's lines; levels are taken and not kept.
-    pub tables: RefCell<BTreeMap<u64, BTreeMap<String, f64>>>,
+    pub tables: Rc<RefCell<BTreeMap<u64, BTreeMap<String, f64>>>>,
     /// Each joined proxy's entry, and the table each is bound to.
-    joined: RefCell<BTreeMap<u64, Value>>,
-    pub bound: RefCell<BTreeMap<u64, u64>>,
+    joined: Rc<RefCell<BTreeMap<u64, Value>>>,
+    pub bound: Rc<RefCell<BTreeMap<u64, u64>>>,
     watchers: RefCell<Vec<(mpsc::UnboundedSender<String>, Rc<Notify>)>>,
     pub opened: Cell<u64>,
-    /// Told whenever something was carried out or a watch was opened.
+    /// Told whenever something was carried out, a watch was opened, or news was told.
     pub moved: Notify,
 }
 
 impl Relay {
+    /// The same relay at another address: what it keeps is one, calls and streams are each address's own.
+    pub fn elsewhere(&self) -> Relay {
+        let (tables, joined, bound) = (self.tables.clone(), self.joined.clone(), self.bound.clone());
+        Relay { tables, joined, bound, ..Relay::default() }
+    }
+
     pub fn join(&self, proxy: u64, zone: &str, usual: f64, fresh: bool) {
         let object = json!({ "proxy": proxy, "zone": zone, "weight": usual, "fresh": fresh });
         self.tell(&json!({ "type": "joined", "object": object }));
@@ -68,6 +74,12 @@
     /// Writes this to every watcher, in whatever pieces.
     pub fn tell_text(&self, text: &str) {
         self.watchers.borrow_mut().retain(|(watcher, _)| watcher.send(text.to_owned()).is_ok());
+        self.moved.notify_waiters();
+    }
+
+    /// How many streams of news are open.
+    pub fn watching(&self) -> usize {
+        self.watchers.borrow().iter().filter(|(watcher, _)| !watcher.is_closed()).count()
     }
 
     /// Breaks every stream of news off.
