A dead half of the fleet brings no line down; small rates rise while there is clear room

From 15 s on half the fleet is dead and 4 s later back cold; 43 to 66% of the ops are rejected until the end, while the servers that are left call themselves a third to two thirds busy.

Checked, with a trace of the line each second: pressure stood at 2 to 7 with `busy` at 0.4 to 0.6, since the median aborted share was taken over all ready servers, suspects included (1.00: dead servers abort everything). Later, at busy 0.3, the line stood for ten seconds: levels of 120 to 140 ops a second were ordered and 40 to 60 got in. 75 proxies of three op types have rates of half an op a second, which let in far less than they say, and the line rose on what got in. Ruled out: stale lists (drains and starts arrived within 4 s), resets of calls (8, all settled), the channel (no queue).

At fault: `move_line` in src/decide.rs: `common` over `ready()`; `part` of rates was `got_in * all` whatever the room.

Now: `common` counts servers that are no suspects; under a pressure of 0.6 what was ordered a window ago counts if it is more than what got in.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -73,8 +73,8 @@
 const PLAN_OLD: Duration = Duration::from_secs(1);
 /// Room above its demand that an op type above the line gets where levels are rates.
 const HEADROOM: f64 = 1.25;
-/// Pressure at which the line comes down, and the pressure it then aims at.
-const PRESSED: (f64, f64) = (0.96, 0.88);
+/// Pressure at which the line comes down, that it then aims at, and under which there is clearly room.
+const PRESSED: (f64, f64, f64) = (0.96, 0.88, 0.6);
 /// The line's least part of the usual, how far it falls at most in a second, how far rates and shares rise.
 const LEAST_IN: f64 = 0.43;
 const FALL: f64 = 0.6;
@@ -106,7 +106,7 @@
     ticks: u64,
     zones: usize,
     panic: bool,
-    /// Shares that were let in.
+    /// Shares, or rates, that were let in.
     past: Samples<f64>,
     /// Share of the ops, or ops a second where levels are rates, that is let in; infinite: all.
     line: f64,
@@ -464,8 +464,7 @@
         let reach = (0..self.zones).map(|zone| self.reach(zone, &room, &demand)).collect();
         let per_server = all / lines.len().max(1) as f64;
         let mut plan = Plan { at: self.now, lines, room, reach, per_server, shares: self.shares() };
-        let joined =
-            self.proxies.iter().filter(|(_, p)| p.joined).map(|(id, p)| (*id, p.zone, self.brings(p)));
+        let joined = self.proxies.iter().filter(|p| p.1.joined).map(|(id, p)| (*id, p.zone, self.brings(p)));
         let dealt: Vec<_> = joined.map(|(id, z, brings)| (brings, plan.deal(id, z, brings))).collect();
         // Tables of some servers fill them unevenly: each is lifted towards its part of what all bring.
         for _ in 0..LIFT.2 {
@@ -611,12 +610,6 @@
         self.pace.mul_f64(2.0).max(Duration::from_secs(2))
     }
 
-    /// The aborted share that one in so many ready servers stays under.
-    fn aborted_share(&self, since: Duration, one_in: usize) -> f64 {
-        let sums = self.ready().map(|(_, s)| s.sums(since)).filter(|m| m.0 >= ABORTS.0);
-        lowest(sums.map(|m| m.1 / m.0), one_in)
-    }
-
     /// Guards against servers that abort fast or take ops and answer none: both look idle to load feedback.
     /// Aborts show in what proxies met, against the healthier servers' so that overload or a proxy's own
     /// trouble accuses nobody; silence shows as reports that stop while the others' go on.
@@ -627,7 +620,7 @@
         let usual = lowest(self.ready().filter_map(|(_, s)| quiet(s)), 2);
         // Tries that hung end late: only what was heard lately tells whether a suspect answers again.
         let recent = now.saturating_sub(window);
-        let healthy = self.aborted_share(recent, 4);
+        let healthy = aborted_share(self.ready().map(|(_, s)| s), recent, ABORTS.0, 4);
         let mut verdicts: Vec<(String, bool, String)> = Vec::new();
         for (id, s) in self.ready() {
             let (total, aborted, _) = s.sums(s.suspect.map_or(recent, |at| recent.max(at + window)));
@@ -695,8 +688,9 @@
         let (came, lost) = ops.fold((0.0, 0.0), |a, c| (a.0 + c.total, a.1 + c.aborted));
         let let_in = (total - aborted + lost).max(1.0);
         let answered = ((total - aborted) / let_in).max(0.3);
-        // Swamped servers answer too little, and late, to say how busy they are: most of them abort.
-        let common = self.aborted_share(since, 2);
+        // Swamped servers answer too little, and late, to say how busy they are: most of them abort. Suspects
+        // do not count: half a fleet that is dead tells nothing of the other half.
+        let common = aborted_share(well.iter().copied(), since, ABORTS.0, 2);
         let full = if common > 0.15 && late > 0.25 { busy.max(1.0 / (1.0 - common).max(0.3)) } else { busy };
         let pressure = if full < 0.85 { busy } else { full * (1.0 + (late - 0.35).max(0.0)) / answered };
         // Shares are drawn by each op: what was ordered counts, and as what comes of it is known late, they
@@ -711,12 +705,14 @@
             let line = self.line.min(whole);
             // What was let in when the reports were made: a share cut twice for one jam empties servers.
             let ago = |windows: f64| now.saturating_sub(self.window().mul_f64(windows));
-            let then = mean(self.past.between(ago(1.5), ago(0.5)).copied()).unwrap_or(1.0);
-            let (part, rise) = if by_rate { (got_in * all, RISE[0]) } else { (then, RISE[1]) };
+            let then = mean(self.past.between(ago(1.5), ago(0.5)).copied()).unwrap_or(whole);
+            let (got, rise) = if by_rate { (got_in * all, RISE[0]) } else { (then, RISE[1]) };
+            // Small rates let in less than they say: with clear room, what was ordered counts if it is more.
+            let part = if pressure < PRESSED.2 { then.max(got) } else { got };
             let aim = (part * PRESSED.1 / pressure.max(0.01)).clamp(line * FALL, line * rise).max(least_in);
             self.line = if aim < whole { aim } else { f64::INFINITY };
         }
-        self.past.add(now, self.line.min(1.0), KEPT);
+        self.past.add(now, self.line.min(whole), KEPT);
         let least = if self.line.is_finite() { STRESS.1 } else { 1.0 };
         if total > 0.0 {
             self.stress = (pressure.max(least) / (1.0 - failing).max(0.15)).max(self.stress * 0.7);
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,7 @@
 //! What is known and held of servers, proxies and their tables: plain state, no decision.
 
 use crate::host::{Came, Load, Met, Retry, ServerState};
-use crate::samples::Samples;
+use crate::samples::{Samples, lowest};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
@@ -52,6 +52,14 @@
     }
 }
 
+/// The aborted share that one in so many servers stays under, of those with at least so many tries.
+pub fn aborted_share<'a>(
+    servers: impl Iterator<Item = &'a Server>, since: Duration, least: f64, one_in: usize,
+) -> f64 {
+    let sums = servers.map(|s| s.sums(since)).filter(|m| m.0 >= least);
+    lowest(sums.map(|m| m.1 / m.0), one_in)
+}
+
 /// An update: the lines a proxy should hold, and by op type what is let in and when it tries again.
 #[derive(Clone, Default, PartialEq)]
 pub struct Update {
