Spoilt answers settle nothing, spoilt reports cost themselves alone, gone servers are forgotten

Read in the code: `accepted` above what was sent, and one `malformed`, settled a call; one line of news with a field of another type broke the stream; a report on a proxy never heard of moved the time of the newest news; servers that are gone stayed in memory for ever.

Now: those reports are skipped whole; more accepted than sent is as good as no answer; `malformed` settles only when said four times; news that is JSON but not as agreed is odd and the next line is read; servers gone for a minute are forgotten (joins that hurry because a standing table may name one still do so for that long). `servers_held` at /counters tells how many are remembered.

--- a/crates/daemon/src/kept/calls.rs
+++ b/crates/daemon/src/kept/calls.rs
@@ -11,7 +11,7 @@
     Taken(usize),
     /// Rejected whole: the run has not begun.
     TooSoon,
-    /// Rejected whole as no call: a defect of ours.
+    /// Rejected whole as no call: a defect of ours, or an answer that is spoilt.
     Malformed,
     /// Not carried out: there was no connection.
     Unsent,
@@ -43,8 +43,11 @@
         self.tries += 1;
         match outcome {
             Outcome::Taken(n) if *n < self.orders.len() => self.without(*n, limits),
-            Outcome::Taken(_) | Outcome::Malformed => Next::Settled,
-            Outcome::Uncertain if self.tries == 1 => Next::Again(Duration::ZERO),
+            Outcome::Taken(n) if *n == self.orders.len() => Next::Settled,
+            // Said again and again it is no spoilt answer: a call that cannot be read holds nothing up for ever.
+            Outcome::Malformed if self.tries >= limits.malformed => Next::Settled,
+            // More taken than were sent tells as little as no answer.
+            Outcome::Uncertain | Outcome::Taken(_) if self.tries == 1 => Next::Again(Duration::ZERO),
             // The run may begin at any moment, and its proxies have no orders until it does.
             Outcome::TooSoon => Next::Again(limits.again.0),
             _ => Next::Again(limits.pause(self.tries)),
@@ -89,6 +92,19 @@
         assert_eq!(call.after(&Outcome::Taken(4), &limits), Next::Settled);
     }
 
+    /// Guards against orders lost to a spoilt answer, and a call that is no call going round for ever.
+    #[test]
+    fn answers_that_cannot_be_true_settle_nothing() {
+        let (mut call, limits) = (call(), Limits::within(None, None));
+        assert_eq!(call.after(&Outcome::Taken(5), &limits), Next::Again(Duration::ZERO));
+        assert_ne!(call.after(&Outcome::Taken(usize::MAX), &limits), Next::Settled);
+        let mut call = self::call();
+        (1..limits.malformed)
+            .for_each(|_| assert_ne!(call.after(&Outcome::Malformed, &limits), Next::Settled));
+        assert_eq!(call.orders.len(), 4);
+        assert_eq!(call.after(&Outcome::Malformed, &limits), Next::Settled);
+    }
+
     /// Guards against a loop over an order that the relay cannot use.
     #[test]
     fn an_order_not_taken_is_dropped_and_the_rest_goes_again() {
--- a/crates/daemon/src/kept/counters.rs
+++ b/crates/daemon/src/kept/counters.rs
@@ -19,6 +19,10 @@
     pub fn add(&self, name: &'static str, n: usize) {
         *self.counts.borrow_mut().entry(name).or_default() += n as u64;
     }
+    /// A figure as it stands.
+    pub fn now(&self, name: &'static str, n: usize) {
+        self.counts.borrow_mut().insert(name, n as u64);
+    }
     pub fn most(&self, name: &'static str, n: usize) {
         let mut counts = self.counts.borrow_mut();
         let most = counts.entry(name).or_default();
--- a/crates/daemon/src/life/limits.rs
+++ b/crates/daemon/src/life/limits.rs
@@ -26,6 +26,8 @@
     /// Orders of one call that may be dropped with a line each and no pause: a relay that takes none at all
     /// gets time between the next ones.
     pub dropped_at_once: u32,
+    /// Tries after which a call that the relay calls malformed each time is given up.
+    pub malformed: u32,
     /// Longest answer to a call, longest line of news, and longest list.
     pub reply: usize,
     pub news_line: usize,
@@ -70,6 +72,7 @@
             write: ms(500),
             call: 60_000,
             dropped_at_once: 8,
+            malformed: 4,
             reply: 16 << 10,
             news_line: 256 << 10,
             list: 8 << 20,
--- a/crates/daemon/src/spoken/news.rs
+++ b/crates/daemon/src/spoken/news.rs
@@ -4,31 +4,11 @@
 use crate::kept::links::Links;
 use crate::kept::names::Names;
 use futures_util::StreamExt;
-use serde::Deserialize;
+use serde_json::Value;
 use std::rc::Rc;
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
-#[derive(Deserialize)]
-struct Line {
-    #[serde(rename = "type")]
-    kind: Option<String>,
-    #[serde(default)]
-    object: Object,
-}
-
-#[derive(Default, Deserialize)]
-struct Object {
-    proxy: Option<u64>,
-    #[serde(default)]
-    zone: String,
-    #[serde(default)]
-    weight: f64,
-    #[serde(default)]
-    fresh: bool,
-    mark: Option<u64>,
-}
-
 #[derive(Debug, PartialEq)]
 enum News {
     Alive,
@@ -38,25 +18,31 @@
     Odd,
 }
 
-/// `None`: the line cannot be read at all.
+/// `None`: the line cannot be read at all. One that is JSON and not as agreed is odd, and the next is read.
 fn decode(line: &[u8], names: &Names) -> Option<News> {
-    let Line { kind, object } = serde_json::from_slice(line).ok()?;
-    let Some(kind) = kind else { return Some(News::Alive) };
-    let Some(proxy) = object.proxy.and_then(|p| names.proxy(p)) else { return Some(News::Odd) };
-    Some(match kind.as_str() {
-        "joined" => match names.zone(&object.zone) {
-            Some(zone) if object.weight >= 0.0 => {
-                News::Joined { proxy, zone, usual: object.weight, fresh: object.fresh }
-            }
-            _ => News::Odd,
-        },
-        "left" => News::Left { proxy },
-        "applied" => match object.mark.and_then(|m| u16::try_from(m).ok()) {
-            Some(stamp) => News::Applied { proxy, stamp },
-            None => News::Odd,
-        },
-        _ => News::Odd,
-    })
+    let line: Value = serde_json::from_slice(line).ok()?;
+    if line.as_object().is_some_and(|fields| fields.is_empty()) {
+        return Some(News::Alive);
+    }
+    Some(told(line["type"].as_str().unwrap_or(""), &line["object"], names).unwrap_or(News::Odd))
+}
+
+/// `None`: of no known kind, proxy or zone.
+fn told(kind: &str, object: &Value, names: &Names) -> Option<News> {
+    let proxy = names.proxy(object["proxy"].as_u64()?)?;
+    match kind {
+        "joined" => {
+            let usual = object["weight"].as_f64().filter(|weight| *weight >= 0.0)?;
+            let zone = names.zone(object["zone"].as_str()?)?;
+            Some(News::Joined { proxy, zone, usual, fresh: object["fresh"].as_bool()? })
+        }
+        "left" => Some(News::Left { proxy }),
+        "applied" => {
+            let stamp = object["mark"].as_u64().and_then(|m| u16::try_from(m).ok())?;
+            Some(News::Applied { proxy, stamp })
+        }
+        _ => None,
+    }
 }
 
 /// Follows the news for ever, dialling again when the stream breaks or falls silent; `stands` is told once
@@ -177,9 +163,14 @@
             left.replace("17", "99999999999"),
             left.replace("left", "sung"),
             applied.replace("905", "65536"),
+            joined.replace("21.5", "[1]"),
+            joined.replace("true", "\"yes\""),
+            applied.replace("905", "null"),
             r#"{"type":"left"}"#.into(),
+            r#"{"type":7}"#.into(),
+            "[7]".into(),
         ];
         odd.iter().for_each(|line| assert_eq!(read(line), Some(News::Odd), "{line}"));
-        ["{", "joined", r#"{"type":7}"#].iter().for_each(|line| assert_eq!(read(line), None, "{line}"));
+        ["{", "joined", "{}{}"].iter().for_each(|line| assert_eq!(read(line), None, "{line}"));
     }
 }
--- a/crates/daemon/src/spoken/orders.rs
+++ b/crates/daemon/src/spoken/orders.rs
@@ -116,16 +116,17 @@
         let outcome = timeout(limits.answer, answer).await.unwrap_or(Outcome::Uncertain);
         counters.one(match &outcome {
             Outcome::Taken(n) if *n < call.orders.len() => "calls_taken_in_part",
-            Outcome::Taken(_) => "calls_taken",
+            Outcome::Taken(n) if *n == call.orders.len() => "calls_taken",
             Outcome::TooSoon => "calls_too_soon",
             Outcome::Malformed => "calls_malformed",
             Outcome::Unsent => "calls_unsent",
-            Outcome::Uncertain => "calls_uncertain",
+            Outcome::Uncertain | Outcome::Taken(_) => "calls_uncertain",
         });
-        if outcome == Outcome::Malformed {
-            log::error!("the relay calls {} orders malformed; they are lost", call.orders.len());
-        }
         match call.after(&outcome, limits) {
+            Next::Settled if outcome == Outcome::Malformed => {
+                log::error!("the relay calls {} orders malformed; they are lost", call.orders.len());
+                break;
+            }
             Next::Settled => break,
             Next::Again(pause) => tokio::time::sleep(pause).await,
         }
--- a/crates/daemon/src/spoken/page.rs
+++ b/crates/daemon/src/spoken/page.rs
@@ -16,6 +16,7 @@
             desk.counters.one("pages");
             let found = request.method() == Method::GET && request.path() == "/counters";
             let page = if found {
+                desk.counters.now("servers_held", desk.supervisor.borrow().servers_held());
                 Response::ok().set_body(desk.counters.page())
             } else {
                 Response::not_found().set_body(String::new())
--- a/crates/daemon/src/spoken/reports.rs
+++ b/crates/daemon/src/spoken/reports.rs
@@ -34,12 +34,13 @@
             names.zone(value("zone")?).map(|_| Message::Collector).ok_or("a collector of no zone".into())
         }
         "heard" => {
-            let good_ms = if value("mean_ms").is_ok() { time("mean_ms")? } else { 0.0 };
-            let met = Met { total: number("tries")?, aborted: number("failed")?, good_ms, span: span()? };
+            let (total, aborted) = (number("tries")?, number("failed")?);
+            let met = Met { total, aborted, good_ms: time("mean_ms")?, span: span()? };
+            names.zone(value("zone")?).ok_or("heard in no zone")?;
             if met.aborted > met.total {
                 return Err("heard with more failed than tries".into());
             }
-            let load = value("load").ok().and_then(|text| load(text, names, limits));
+            let load = value("load").ok().map(|text| load(text, names, limits)).transpose()?;
             Ok(Message::Met { server: value("server")?.to_owned(), met, load })
         }
         "usage" => {
@@ -52,15 +53,14 @@
     }
 }
 
-/// `inflight:7,util:0.61`; figures that cannot be read are skipped.
-fn load(text: &str, names: &Names, limits: &Limits) -> Option<Load> {
-    let pairs = text.split(',').filter_map(|pair| pair.split_once(':'));
-    let figures: Vec<(&str, f64)> = pairs
-        .filter_map(|(name, n)| {
-            n.parse().ok().filter(|n| (0.0..=limits.figure).contains(n)).map(|n| (name, n))
-        })
-        .collect();
-    (!figures.is_empty()).then(|| names.load(&figures))
+/// `inflight:7,util:0.61`
+fn load(text: &str, names: &Names, limits: &Limits) -> Result<Load, String> {
+    let figure = |pair: &'_ str| {
+        let (name, n) = pair.split_once(':')?;
+        Some((name.to_owned(), n.parse().ok().filter(|n| (0.0..=limits.figure).contains(n))?))
+    };
+    let figures: Option<Vec<(String, f64)>> = text.split(',').map(figure).collect();
+    figures.map(|figures| names.load(&figures)).ok_or_else(|| "heard with a strange load".into())
 }
 
 #[cfg(test)]
@@ -103,6 +103,11 @@
             "usage proxy 1 class other tries 19 failed 0 span_ms 2000.0",
             "usage proxy 1 class lookup tries 1e300 failed 0 span_ms 2000.0",
             "usage proxy 1 class lookup tries 19 failed 0 span_ms 2000000",
+            "heard zone a server s-1 tries 3 failed 1 span_ms 1000.0",
+            "heard zone z server s-1 tries 3 failed 1 mean_ms 41.7 span_ms 1000.0",
+            "heard zone a server s-1 tries 3 failed 1 mean_ms 41.7 span_ms 1000.0 load s-zz",
+            "heard zone a server s-1 tries 3 failed 1 mean_ms 41.7 span_ms 1000.0 load util:nan",
+            "heard zone a server s-1 tries [1] failed 1 mean_ms 41.7 span_ms 1000.0",
             "collector zone z",
             "collector",
             "sing loud",
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -36,6 +36,7 @@
 /// Part of a relative gap taken in one step, the largest step, the gap ignored; bounds of the factor.
 const STEP: (f64, f64, f64) = (0.3, 0.3, 0.1);
 const BOUND: [f64; 2] = [0.4, 2.0];
+const GONE: Duration = Duration::from_secs(60);
 /// Changes of a line smaller than this part are not sent.
 const SAME: f64 = 0.04;
 /// Samples kept of each thing measured, how old they may be when used, and the span a load is taken over.
@@ -95,7 +96,7 @@
     reporting: Reporting,
     aims: Aims,
     peers: Peers,
-    servers: BTreeMap<String, Server>,
+    pub(crate) servers: BTreeMap<String, Server>,
     proxies: BTreeMap<u32, Proxy>,
     plan: Option<Plan>,
     out: Outgoing,
@@ -251,8 +252,8 @@
 
     pub fn ops_came(&mut self, now: Duration, proxy: u32, op_type: usize, came: Came) {
         self.now = now;
-        self.heard = now;
         if let Some(samples) = self.proxies.get_mut(&proxy).and_then(|p| p.came.get_mut(op_type)) {
+            self.heard = now;
             samples.add(now, came, KEPT);
         }
     }
@@ -333,7 +334,7 @@
         if let Some(s) = self.servers.get_mut(server)
             && s.state != state
         {
-            s.state = state;
+            (s.state, s.left) = (state, self.now);
             self.mark_all(Some(server), RULE);
         }
     }
@@ -597,6 +598,8 @@
             let moved = |s: &mut Server| s.factor = (s.factor * (1.0 - step)).clamp(BOUND[0], BOUND[1]);
             self.servers.entry(id).and_modify(moved);
         }
+        // Guards against ids that pile up as servers are replaced: no standing table names them any more.
+        self.servers.retain(|_, s| s.state != ServerState::Gone || self.now < s.left + GONE);
         // Steps drift together; a fresh server's weight counts against the others', so their mean stays 1.
         let drift = mean(self.ready().map(|(_, s)| s.factor)).unwrap_or(1.0);
         for s in self.servers.values_mut() {
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -174,6 +174,11 @@
         Some(call)
     }
 
+    /// How many servers are remembered, those lately gone among them.
+    pub fn servers_held(&self) -> usize {
+        self.director.servers.len()
+    }
+
     /// Demand to be told to every other supervisor, in ops a second by zone.
     pub fn pick_note(&mut self) -> Option<Vec<f64>> {
         self.director.host.note.take()
@@ -257,6 +262,31 @@
         assert_eq!(supervisor.pick(99, |_| 1).map(|call| binds(&call)), Some(vec![1, 2]));
     }
 
+    /// Guards against memory that grows with every server that ever was: a fleet replaced by one with new ids
+    /// again and again leaves no more behind than was remembered after the first few times.
+    #[test]
+    fn replaced_fleets_are_forgotten() {
+        let (mut supervisor, mut now) = supervisor(2);
+        let mut held = Vec::new();
+        for fleet in 0..30 {
+            let state = ServerState::Ready;
+            let listed =
+                |i| Listed { server: format!("s-{fleet}-{i}"), zone: 0, size: None, state, started: None };
+            supervisor.report_list(now, ListNews::Whole, (0..3).map(listed).collect());
+            for _ in 0..20 {
+                now = supervisor.tick(now + MS * 1000);
+                while supervisor.pick(99, |_| 1).is_some() {
+                    supervisor.report_settled();
+                }
+                (0..2).for_each(|proxy| {
+                    (0..200).for_each(|stamp| supervisor.report_answered(now, proxy, stamp))
+                });
+            }
+            held.push(supervisor.servers_held());
+        }
+        assert!(held[29] <= held[9] && held[29] < 30, "{held:?}");
+    }
+
     /// Guards against decisions that wait for a wake that never comes: they act by the time they asked for.
     #[test]
     fn ticks_run_what_is_due() {
--- a/src/state.rs
+++ b/src/state.rs
@@ -24,6 +24,8 @@
     pub zone: usize,
     pub size: f64,
     pub state: ServerState,
+    /// When it was last told to drain or to be gone.
+    pub left: Duration,
     pub started: Option<Duration>,
     pub ease: Option<Ease>,
     pub factor: f64,
