The time from a report to its orders is counted

report_to_orders_longest_ms on the page of counters: from the first report that is not acted on yet to the call that it led to, settled. Test: serves_and_ends_when_told.

--- a/crates/daemon/src/kept/desk.rs
+++ b/crates/daemon/src/kept/desk.rs
@@ -7,7 +7,7 @@
 use crate::life::clock::Clock;
 use crate::life::limits::Limits;
 use fallgap::Supervisor;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::time::Duration;
 use tokio::sync::Notify;
 
@@ -19,6 +19,8 @@
     pub counters: Counters,
     pub limits: Limits,
     pub clock: Clock,
+    /// When the first was reported of what is not acted on yet.
+    pub since: Cell<Option<Duration>>,
     /// Rung when something was reported.
     pub news: Notify,
 }
@@ -26,7 +28,9 @@
 impl Desk {
     /// Reports something to the decisions, which act on it when all news in hand has been told.
     pub fn report(&self, tell: impl FnOnce(&mut Supervisor, Duration)) {
-        tell(&mut self.supervisor.borrow_mut(), self.clock.now());
+        let now = self.clock.now();
+        self.since.set(self.since.get().or(Some(now)));
+        tell(&mut self.supervisor.borrow_mut(), now);
         self.news.notify_one();
     }
     pub fn odd(&self, name: &'static str, why: &str) {
--- a/crates/daemon/src/life/acting.rs
+++ b/crates/daemon/src/life/acting.rs
@@ -9,27 +9,33 @@
 use tokio::sync::mpsc::{Receiver, Sender};
 use tokio::time::sleep;
 
+/// A call, and when the first of what led to it was reported.
+pub type Picked = (Vec<Order>, Option<Duration>);
+
 /// Lets the decisions act: when something was reported, after a short pause in which more of the same
 /// moment's news is told, or when they asked to be woken.
-pub async fn act(desk: Rc<Desk>, pause: Duration, calls: Sender<Vec<Order>>, post: Option<Rc<Post>>) {
+pub async fn act(desk: Rc<Desk>, pause: Duration, calls: Sender<Picked>, post: Option<Rc<Post>>) {
     let mut next = desk.clock.now();
     loop {
         tokio::select! {
             () = desk.news.notified() => sleep(pause).await,
             () = sleep(next.saturating_sub(desk.clock.now())) => {}
         }
-        let (call, note) = {
+        let (call, note, since) = {
             let mut supervisor = desk.supervisor.borrow_mut();
             next = supervisor.tick(desk.clock.now());
             let size = |order: &Order| orders::size(order, &desk.names);
-            (supervisor.pick(desk.limits.call, size), supervisor.pick_note())
+            let call = supervisor.pick(desk.limits.call, size);
+            // What is reported while a call is out waits for the next one.
+            let since = if supervisor.is_unsettled() && call.is_none() { None } else { desk.since.take() };
+            (call, supervisor.pick_note(), since)
         };
         if let (Some(note), Some(post)) = (note, &post) {
             post.tell_all(&desk, &note).await;
         }
         // There is room: a call is picked only when the one before is settled.
         if let Some(call) = call
-            && calls.send(call).await.is_err()
+            && calls.send((call, since)).await.is_err()
         {
             return;
         }
@@ -37,9 +43,13 @@
 }
 
 /// Carries one call after the other to the relay.
-pub async fn carry(desk: Rc<Desk>, mut picked: Receiver<Vec<Order>>) {
-    while let Some(call) = picked.recv().await {
+pub async fn carry(desk: Rc<Desk>, mut picked: Receiver<Picked>) {
+    while let Some((call, since)) = picked.recv().await {
         orders::carry(&desk, call).await;
+        if let Some(since) = since {
+            let took = desk.clock.now().saturating_sub(since);
+            desk.counters.most("report_to_orders_longest_ms", took.as_millis() as usize);
+        }
         desk.report(|supervisor, _| supervisor.report_settled());
     }
 }
--- a/crates/daemon/src/life/run.rs
+++ b/crates/daemon/src/life/run.rs
@@ -15,7 +15,7 @@
 use actix_rt::net::TcpListener;
 use fallgap::{ListNews, Supervisor};
 use fallgap_deployment as deployment;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::process::ExitCode;
 use std::rc::Rc;
 use tokio::sync::{Notify, mpsc};
@@ -56,6 +56,7 @@
         counters: Counters::default(),
         limits,
         clock,
+        since: Cell::new(None),
         news: Notify::new(),
     });
     if let Some(known) = told.known.take() {
--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -160,6 +160,7 @@
         world.bound(0, "north").await;
         assert_eq!(world.lines(0), ["n-1", "n-2"]);
         node.counted("news_applied", 1).await;
+        node.counted("report_to_orders_longest_ms", 1).await;
         node.signal("TERM");
         assert!(node.line("counts:").await.contains("calls_taken 1"));
         node.line("ends on SIGTERM").await;
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -174,6 +174,11 @@
         Some(call)
     }
 
+    /// Whether a call is out.
+    pub fn is_unsettled(&self) -> bool {
+        self.unsettled
+    }
+
     /// How many servers are remembered, those lately gone among them.
     pub fn servers_held(&self) -> usize {
         self.director.servers.len()
