Reading over: a report's load is read without copies; a reload keeps nothing it never reads

Behaviour as before: the names of load figures are borrowed from the message again, and the configuration held for comparison is not written to, since only what needs a restart is compared.

--- a/crates/daemon/src/kept/names.rs
+++ b/crates/daemon/src/kept/names.rs
@@ -25,7 +25,7 @@
         u32::try_from(number).ok().filter(|p| *p < self.proxies)
     }
     /// A load report's figures; those that the settings do not name are skipped, as on the simulator's wire.
-    pub fn load(&self, figures: &[(String, f64)]) -> Load {
+    pub fn load(&self, figures: &[(&str, f64)]) -> Load {
         fallgap_deployment::load(|field| {
             let named = self.load_fields.iter().any(|f| f == field);
             let spoken = |name: &str| name == field || load_word(name) == field;
@@ -66,7 +66,7 @@
 
     #[test]
     fn loads_hold_what_the_settings_name() {
-        let load = names().load(&[("inflight".into(), 7.0), ("util".into(), 0.61)]);
+        let load = names().load(&[("inflight", 7.0), ("util", 0.61)]);
         assert_eq!((load.busy, load.active), (Some(0.61), None));
     }
 
--- a/crates/daemon/src/life/reload.rs
+++ b/crates/daemon/src/life/reload.rs
@@ -8,24 +8,23 @@
 
 /// Reads the configuration again at each hangup. One that cannot be read changes nothing: the process serves
 /// on with what it has.
-pub async fn follow(desk: Rc<Desk>, mut hangups: Listened, mut held: Told) {
+pub async fn follow(desk: Rc<Desk>, mut hangups: Listened, held: Told) {
     loop {
         hangups.came().await;
         match configuration::read() {
             Ok(told) => {
                 desk.counters.one("reloads");
+                let fixed = held.fixed_unlike(&told);
                 if told.to != desk.links.now().to {
                     let (discovery, relay) = (told.to.discovery, told.to.relay);
                     log::info!("new configuration: discovery {discovery}, relay {relay}");
-                    desk.links.lead(told.to.clone(), client::client(&desk.limits));
+                    desk.links.lead(told.to, client::client(&desk.limits));
                 } else {
                     log::info!("new configuration: the same addresses");
                 }
-                let fixed = held.fixed_unlike(&told);
                 if !fixed.is_empty() {
                     log::warn!("new configuration: needs a restart to change {}", fixed.join(", "));
                 }
-                held.to = told.to;
             }
             Err(why) => {
                 desk.counters.one("reloads_failed");
--- a/crates/daemon/src/spoken/reports.rs
+++ b/crates/daemon/src/spoken/reports.rs
@@ -55,11 +55,11 @@
 
 /// `inflight:7,util:0.61`
 fn load(text: &str, names: &Names, limits: &Limits) -> Result<Load, String> {
-    let figure = |pair: &'_ str| {
+    let figures = text.split(',').map(|pair| {
         let (name, n) = pair.split_once(':')?;
-        Some((name.to_owned(), n.parse().ok().filter(|n| (0.0..=limits.figure).contains(n))?))
-    };
-    let figures: Option<Vec<(String, f64)>> = text.split(',').map(figure).collect();
+        Some((name, n.parse().ok().filter(|n| (0.0..=limits.figure).contains(n))?))
+    });
+    let figures: Option<Vec<(&str, f64)>> = figures.collect();
     figures.map(|figures| names.load(&figures)).ok_or_else(|| "heard with a strange load".into())
 }
 
