Reading over: news and list follow the links by one loop

Both had the same loop round their own link; it stands in kept/links.rs now. Behaviour as before; the socket test of a new configuration covers both.

--- a/crates/daemon/src/kept/links.rs
+++ b/crates/daemon/src/kept/links.rs
@@ -33,9 +33,17 @@
     pub fn now(&self) -> Rc<Links> {
         self.links.borrow().clone()
     }
-    /// For links that stay open: tells when they have to move.
-    pub fn follow(&self) -> watch::Receiver<Rc<Links>> {
-        self.links.subscribe()
+    /// For links that stay open, for ever: keeps one where the links lead, lets go of it when they lead
+    /// elsewhere, and tells of each move.
+    pub async fn follow(&self, keep: impl AsyncFn(&Links), moved: impl Fn()) {
+        let mut links = self.links.subscribe();
+        loop {
+            let here = links.borrow_and_update().clone();
+            tokio::select! {
+                () = keep(&here) => {}
+                _ = links.changed() => moved(),
+            }
+        }
     }
     /// The client is new too: with the one before go its connections to where nobody answers any more.
     pub fn lead(&self, to: Addresses, client: Client) {
--- a/crates/daemon/src/spoken/discovery.rs
+++ b/crates/daemon/src/spoken/discovery.rs
@@ -45,15 +45,9 @@
 
 /// Watches the list for ever, wherever the links lead; `stands` is told once it was read whole.
 pub async fn watch(desk: Rc<Desk>, stands: Rc<Notify>) {
-    let mut links = desk.links.follow();
-    loop {
-        let here = links.borrow_and_update().clone();
-        // What is known stays. The list is asked for whole: another discovery may count from anywhere.
-        tokio::select! {
-            () = watch_at(&desk, &here, &stands) => {}
-            _ = links.changed() => desk.counters.one("list_moved"),
-        }
-    }
+    // What is known stays. The list is asked for whole: another discovery may count from anywhere.
+    let keep = async |links: &Links| watch_at(&desk, links, &stands).await;
+    desk.links.follow(keep, || desk.counters.one("list_moved")).await;
 }
 
 async fn watch_at(desk: &Desk, links: &Links, stands: &Notify) {
--- a/crates/daemon/src/spoken/news.rs
+++ b/crates/daemon/src/spoken/news.rs
@@ -49,14 +49,8 @@
 /// it is open. What stands is named again on each: a proxy that is not has left meanwhile, and one that is
 /// may have left and come back, so it counts as joining anew.
 pub async fn follow(desk: Rc<Desk>, stands: Rc<Notify>) {
-    let mut links = desk.links.follow();
-    loop {
-        let here = links.borrow_and_update().clone();
-        tokio::select! {
-            () = follow_at(&desk, &here, &stands) => {}
-            _ = links.changed() => desk.counters.one("news_moved"),
-        }
-    }
+    let keep = async |links: &Links| follow_at(&desk, links, &stands).await;
+    desk.links.follow(keep, || desk.counters.one("news_moved")).await;
 }
 
 async fn follow_at(desk: &Desk, links: &Links, stands: &Notify) {
