--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod collector;
 pub mod discovery;
+pub mod dns;
 pub mod fleet;
 mod http;
 pub mod relay;
