fallgap serves with servers from discovery, DNS or both, through one path

Need: other installations list their servers in DNS. All that is heard of servers comes together in Membership, whoever says it, and reaches the decisions as changes of the list by one path; on the platform that is one believed source, told on as before. The circle desk, names, discovery is undone: rows stand beside names.

--- a/crates/daemon/src/kept/calls.rs
+++ b/crates/daemon/src/kept/calls.rs
@@ -60,7 +60,7 @@
         (self.tries, self.dropped) = (0, self.dropped + 1);
         let many = self.dropped > limits.dropped_at_once;
         if !many {
-            log::info!("relay took {at} of {} orders and not {:?}", self.orders.len(), self.orders[at]);
+            tracing::info!("relay took {at} of {} orders and not {:?}", self.orders.len(), self.orders[at]);
         }
         let stamp = self.orders.first().filter(|o| at > 0 && matches!(o, Order::Ask { .. })).cloned();
         self.orders.drain(..=at);
--- a/crates/daemon/src/kept/counters.rs
+++ b/crates/daemon/src/kept/counters.rs
@@ -35,7 +35,7 @@
         let mut told = self.told.borrow_mut();
         if told.get(name).is_none_or(|at| at.elapsed() >= pause) {
             told.insert(name, Instant::now());
-            log::warn!("{name}: {}", why.chars().take(160).collect::<String>());
+            tracing::warn!("{name}: {}", why.chars().take(160).collect::<String>());
         }
     }
     /// One line a count: its name, a space, the figure.
--- a/crates/daemon/src/kept/desk.rs
+++ b/crates/daemon/src/kept/desk.rs
@@ -3,16 +3,19 @@
 use crate::kept::counters::Counters;
 use crate::kept::joined::Joined;
 use crate::kept::links::Board;
+use crate::kept::membership::{Membership, Told};
 use crate::kept::names::Names;
 use crate::life::clock::Clock;
 use crate::life::limits::Limits;
-use fallgap::Supervisor;
+use fallgap::{ListNews, Supervisor};
+use fallgap_sources::Sources;
 use std::cell::{Cell, RefCell};
 use std::time::Duration;
 use tokio::sync::Notify;
 
 pub struct Desk {
     pub supervisor: RefCell<Supervisor>,
+    pub membership: Membership,
     pub joined: RefCell<Joined>,
     pub names: Names,
     pub links: Board,
@@ -33,6 +36,30 @@
         tell(&mut self.supervisor.borrow_mut(), now);
         self.news.notify_one();
     }
+    /// The one path by which the decisions hear of servers: something is told to the sources, and what follows
+    /// from it is reported.
+    pub fn sources(&self, tell: impl FnOnce(&mut Sources<Told>, Duration)) {
+        let membership = &self.membership;
+        let mut sources = membership.sources.borrow_mut();
+        let before = sources.next_look();
+        tell(&mut sources, self.clock.now());
+        let Told { entries, again, held } = std::mem::take(&mut sources.outside);
+        if sources.next_look() != before {
+            membership.looks.notify_one();
+        }
+        drop(sources);
+        self.counters.add("removals_held", held);
+        for (source, at) in again {
+            if membership.discovery() == Some(source) {
+                membership.whole_list.send_replace(Some(at));
+            } else {
+                membership.asks.send_modify(|asks| asks.push((source, at)));
+            }
+        }
+        if !entries.is_empty() {
+            self.report(|supervisor, now| supervisor.report_list(now, ListNews::Changes, entries));
+        }
+    }
     pub fn odd(&self, name: &'static str, why: &str) {
         self.counters.odd(name, self.limits.odd_line, why);
     }
--- a/crates/daemon/src/kept/mod.rs
+++ b/crates/daemon/src/kept/mod.rs
@@ -6,4 +6,6 @@
 pub mod guests;
 pub mod joined;
 pub mod links;
+pub mod membership;
 pub mod names;
+pub mod rows;
--- a/crates/daemon/src/kept/names.rs
+++ b/crates/daemon/src/kept/names.rs
@@ -1,8 +1,9 @@
 //! Names of zones and op types as numbers of the settings, and names of load figures.
 
-use crate::spoken::discovery::Row;
-use fallgap::{Listed, Load, ServerState};
+use crate::kept::rows::Row;
+use fallgap::{Load, ServerState};
 use fallgap_deployment::{server_state, started};
+use fallgap_sources::{Age, Claim};
 
 pub struct Names {
     pub zones: Vec<String>,
@@ -32,14 +33,15 @@
             named.then(|| figures.iter().find(|(name, _)| spoken(name)).map(|f| f.1)).flatten()
         })
     }
-    /// A row of the list; `None` for a ready server whose zone is none of ours. One that drains or is gone
-    /// counts wherever it is: tables must lose it.
-    pub fn listed(&self, row: Row) -> Option<Listed> {
+    /// What a row of the list says; `None` for a ready server whose zone is none of ours. One that drains or
+    /// is gone counts wherever it is: tables must lose it.
+    pub fn claim(&self, row: Row) -> Option<Claim> {
         let state = server_state(&row.state);
         let zone = self.zone(&row.zone).or((state != ServerState::Ready).then_some(0))?;
         let size = row.weight.filter(|w| self.sized && w.is_finite());
-        let started = row.started_ms.and_then(started);
-        Some(Listed { zone, server: row.id, size, state, started })
+        let age = row.started_ms.and_then(started).map_or(Age::LongAgo, Age::Since);
+        let addresses = row.addr.and_then(|addr| addr.parse().ok()).into_iter().collect();
+        Some(Claim { server: row.id, state, zone, size, age, rank: None, addresses })
     }
 }
 
@@ -77,7 +79,7 @@
         assert_eq!((names.proxy(2), names.proxy(3), names.proxy(1 << 40)), (Some(2), None, None));
         let row = |state: &str| {
             let row = format!(r#"{{"id":"s","zone":"c","state":"{state}","started_ms":null}}"#);
-            names.listed(serde_json::from_str(&row).unwrap()).map(|listed| listed.state)
+            names.claim(serde_json::from_str(&row).unwrap()).map(|claim| claim.state)
         };
         assert_eq!(row("ready"), None);
         assert_eq!((row("gone"), row("draining")), (Some(ServerState::Gone), Some(ServerState::Draining)));
--- a/crates/daemon/src/life/configuration.rs
+++ b/crates/daemon/src/life/configuration.rs
@@ -2,9 +2,11 @@
 //! what is in it and stand in where it is silent.
 
 use crate::kept::links::Addresses;
-use crate::spoken::discovery::{self, List};
+use crate::kept::rows::{self, List};
+use fallgap_operator::{Fault, Installation};
 use serde_json::Value;
 use std::net::SocketAddr;
+use std::path::Path;
 
 #[derive(Debug)]
 pub struct Told {
@@ -43,6 +45,15 @@
     parse(&text, |name| std::env::var(name).ok()).map_err(|e| format!("{path}: {e}"))
 }
 
+/// What the operator's file switches on, if one is named; else the lines that tell what is wrong with it.
+pub fn installed(file: Option<&Path>) -> Result<Installation, Vec<String>> {
+    let Some(file) = file else { return Ok(Installation::default()) };
+    let named = file.display();
+    let text = std::fs::read_to_string(file).map_err(|e| vec![format!("cannot read {named}: {e}")])?;
+    let told = |faults: Vec<Fault>| faults.iter().map(|fault| format!("{named}:{fault}")).collect();
+    fallgap_operator::read(&text).map_err(told)
+}
+
 fn parse(text: &[u8], variable: impl Fn(&str) -> Option<String>) -> Result<Told, String> {
     let all: Value = serde_json::from_slice(text).map_err(|e| format!("not JSON: {e}"))?;
     let text = |value: &Value, name: &str| value.as_str().map(str::to_owned).or_else(|| variable(name));
@@ -69,7 +80,7 @@
         memory_mb: all["limits"]["memory_mb"].as_u64(),
         sockets: all["limits"]["sockets"].as_u64(),
         peer_listen: address(&all["peer_listen"]),
-        known: discovery::list_of(&all["known"]).ok(),
+        known: rows::list_of(&all["known"]).ok(),
         settings,
     })
 }
--- a/crates/daemon/src/life/logger.rs
+++ b/crates/daemon/src/life/logger.rs
@@ -1,34 +1,47 @@
-//! Log lines on standard error: seconds since start, level, text.
+//! Log lines on standard error: seconds since start, level, text, figures; or the same as JSON.
 
-use log::{Level, LevelFilter, Log, Metadata, Record};
-use std::io::Write;
-use std::sync::OnceLock;
+use clap::ValueEnum;
+use std::fmt;
+use std::io;
 use std::time::Instant;
+use tracing::level_filters::LevelFilter;
+use tracing_subscriber::filter::Targets;
+use tracing_subscriber::fmt::format::Writer;
+use tracing_subscriber::fmt::time::FormatTime;
+use tracing_subscriber::layer::{Layer, SubscriberExt};
+use tracing_subscriber::util::SubscriberInitExt;
 
-struct Lines {
-    since: Instant,
+/// How log lines are written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, ValueEnum)]
+pub enum Form {
+    /// A line of words, its figures behind.
+    #[default]
+    Text,
+    /// An object a line.
+    Json,
 }
 
-static LINES: OnceLock<Lines> = OnceLock::new();
+struct SinceStart(Instant);
 
-/// Libraries are heard only when they warn.
-pub fn start() {
-    let lines = LINES.get_or_init(|| Lines { since: Instant::now() });
-    if log::set_logger(lines).is_ok() {
-        log::set_max_level(LevelFilter::Info);
+impl FormatTime for SinceStart {
+    fn format_time(&self, to: &mut Writer<'_>) -> fmt::Result {
+        write!(to, "{:.3}", self.0.elapsed().as_secs_f64())
     }
 }
 
-impl Log for Lines {
-    fn enabled(&self, of: &Metadata) -> bool {
-        of.level() <= Level::Warn || (of.level() <= Level::Info && of.target().starts_with("fallgap"))
-    }
-    fn log(&self, record: &Record) {
-        if self.enabled(record.metadata()) {
-            let (at, level) = (self.since.elapsed().as_secs_f64(), record.level());
-            // A closed standard error stops no supervisor.
-            let _ = writeln!(std::io::stderr(), "{at:.3} {level} {}", record.args());
-        }
-    }
-    fn flush(&self) {}
+/// Libraries are heard only when they warn. A closed standard error stops no supervisor.
+pub fn start(form: Form) {
+    let heard = Targets::new().with_default(LevelFilter::WARN).with_target("fallgap", LevelFilter::INFO);
+    let lines = tracing_subscriber::fmt::layer()
+        .with_writer(io::stderr)
+        .with_timer(SinceStart(Instant::now()))
+        .with_target(false)
+        .with_ansi(false)
+        .log_internal_errors(false);
+    let lines = match form {
+        Form::Text => lines.boxed(),
+        Form::Json => lines.json().flatten_event(true).with_current_span(false).with_span_list(false).boxed(),
+    };
+    // Only a second start could fail, and there is none.
+    let _ = tracing_subscriber::registry().with(lines.with_filter(heard)).try_init();
 }
--- a/crates/daemon/src/life/run.rs
+++ b/crates/daemon/src/life/run.rs
@@ -4,26 +4,46 @@
 use crate::kept::desk::Desk;
 use crate::kept::joined::Joined;
 use crate::kept::links::Board;
+use crate::kept::membership::Membership;
 use crate::kept::names::Names;
 use crate::life::clock::Clock;
-use crate::life::configuration::Told;
+use crate::life::configuration::{self, Told};
 use crate::life::limits::Limits;
 use crate::life::signals::{self, Signals};
 use crate::life::{acting, reload};
 use crate::spoken::datagrams::{self, Post};
-use crate::spoken::{client, discovery, listener, news};
+use crate::spoken::{client, discovery, listener, news, services};
 use actix_rt::net::TcpListener;
-use fallgap::{ListNews, Supervisor};
+use fallgap::Supervisor;
 use fallgap_deployment as deployment;
+use fallgap_operator::Installation;
 use std::cell::{Cell, RefCell};
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
 use tokio::sync::{Notify, mpsc};
 use tokio::time::timeout;
 
+/// Reads what there is to go by, and serves.
+pub fn start(operator: Option<PathBuf>) -> ExitCode {
+    let read = configuration::read().map_err(|missing| vec![format!("cannot start: {missing}")]);
+    let read = read.and_then(|told| Ok((told, configuration::installed(operator.as_deref())?)));
+    let (told, installation) = match read {
+        Ok(read) => read,
+        Err(faults) => {
+            faults.iter().for_each(|fault| tracing::error!("{fault}"));
+            return ExitCode::from(2);
+        }
+    };
+    let limits = Limits::within(told.memory_mb, told.sockets);
+    actix_rt::System::new().block_on(run(told, installation, operator, limits))
+}
+
 /// Serves until it is told to end. A part that ends by itself ends the whole: half a supervisor would hold
 /// its proxies and give them nothing.
-pub async fn run(mut told: Told, limits: Limits) -> ExitCode {
+async fn run(
+    mut told: Told, installation: Installation, operator: Option<PathBuf>, limits: Limits,
+) -> ExitCode {
     end_on_panic();
     fastrand::seed(told.seed);
     let hangups = signals::hangups();
@@ -50,6 +70,7 @@
     };
     let desk = Rc::new(Desk {
         supervisor: RefCell::new(supervisor),
+        membership: Membership::start(installation),
         joined: RefCell::new(Joined::default()),
         names,
         links: Board::new(told.to.clone(), client::client(&limits)),
@@ -59,22 +80,28 @@
         since: Cell::new(None),
         news: Notify::new(),
     });
-    if let Some(known) = told.known.take() {
-        discovery::report(&desk, ListNews::Remembered, known);
+    if let (Some(known), Some(source)) = (told.known.take(), desk.membership.discovery()) {
+        let claims = discovery::claims(&desk, known.rows);
+        desk.sources(|sources, now| sources.remembered(now, source, claims));
     }
     // Supervisors decide well enough alone: without a socket for notes this one still serves.
     let notes = deployment::peers(settings).notes_allowed;
     let post = match told.peer_listen.filter(|_| notes) {
         Some(at) => Post::open(at, deployment::number(settings))
             .await
-            .inspect_err(|e| log::error!("no notes: cannot listen to peers at {at}: {e}"))
+            .inspect_err(|e| tracing::error!("no notes: cannot listen to peers at {at}: {e}"))
             .ok()
             .map(Rc::new),
         None => None,
     };
     let (list_stands, news_stand) = (Rc::new(Notify::new()), Rc::new(Notify::new()));
     let (calls, picked) = mpsc::channel(1);
-    let list = actix_rt::spawn(discovery::watch(desk.clone(), list_stands.clone()));
+    let list_first = desk.membership.discovery().is_some();
+    let spare = Rc::new(Notify::new());
+    let (by_list, by_dns) = if list_first { (&list_stands, &spare) } else { (&spare, &list_stands) };
+    let list = actix_rt::spawn(discovery::watch(desk.clone(), by_list.clone()));
+    let services = actix_rt::spawn(services::follow(desk.clone(), by_dns.clone()));
+    let look = actix_rt::spawn(services::look(desk.clone()));
     let news = actix_rt::spawn(news::follow(desk.clone(), news_stand.clone()));
     let act = actix_rt::spawn(acting::act(desk.clone(), deployment::pause(settings), calls, post.clone()));
     let carry = actix_rt::spawn(acting::carry(desk.clone(), picked));
@@ -85,7 +112,7 @@
         came = &mut signal => return ended(&desk, came.ok()),
         stand = timeout(limits.start, both) => {
             if stand.is_err() {
-                log::warn!("starting without list or news");
+                tracing::warn!("starting without list or news");
             }
         }
     }
@@ -94,12 +121,14 @@
         Err(e) => return failed(&format!("cannot listen at {}: {e}", told.listen)),
     };
     let at = listener.local_addr().unwrap_or(told.listen);
-    log::info!("{} serves at {at}", told.name);
-    let reload = actix_rt::spawn(reload::follow(desk.clone(), hangups, told));
+    tracing::info!("{} serves at {at}", told.name);
+    let reload = actix_rt::spawn(reload::follow(desk.clone(), hangups, told, operator));
     let listen = actix_rt::spawn(listener::serve(desk.clone(), listener));
     let came = tokio::select! {
         came = &mut signal => came.ok(),
         _ = list => None,
+        _ = services => None,
+        _ = look => None,
         _ = news => None,
         _ = act => None,
         _ = carry => None,
@@ -112,10 +141,10 @@
 
 /// Prints the counters and tells whether it was time to end.
 fn ended(desk: &Desk, signal: Option<&str>) -> ExitCode {
-    log::info!("counts: {}", desk.counters.line());
+    tracing::info!("counts: {}", desk.counters.line());
     match signal {
         Some(signal) => {
-            log::info!("ends on {signal}");
+            tracing::info!("ends on {signal}");
             ExitCode::SUCCESS
         }
         None => failed("a part has ended"),
@@ -123,13 +152,13 @@
 }
 
 fn failed(why: &str) -> ExitCode {
-    log::error!("{why}");
+    tracing::error!("{why}");
     ExitCode::FAILURE
 }
 
 fn end_on_panic() {
     std::panic::set_hook(Box::new(|panic| {
-        log::error!("ends by a defect: {panic}");
+        tracing::error!("ends by a defect: {panic}");
         std::process::exit(70);
     }));
 }
--- a/crates/daemon/src/life/signals.rs
+++ b/crates/daemon/src/life/signals.rs
@@ -7,7 +7,7 @@
 
 impl Listened {
     fn to(kind: SignalKind) -> Listened {
-        Listened(signal(kind).inspect_err(|e| log::error!("cannot listen to a signal: {e}")).ok())
+        Listened(signal(kind).inspect_err(|e| tracing::error!("cannot listen to a signal: {e}")).ok())
     }
     pub async fn came(&mut self) {
         match &mut self.0 {
--- a/crates/daemon/src/spoken/discovery.rs
+++ b/crates/daemon/src/spoken/discovery.rs
@@ -2,45 +2,35 @@
 
 use crate::kept::desk::Desk;
 use crate::kept::links::Links;
-use fallgap::ListNews;
-use serde::Deserialize;
-use serde_json::Value;
+use crate::kept::rows::{List, Row};
+use fallgap_sources::Claim;
 use std::rc::Rc;
-use std::time::Instant;
-use tokio::sync::Notify;
-use tokio::time::timeout;
+use std::time::{Duration, Instant};
+use tokio::sync::{Notify, watch};
+use tokio::time::{sleep, timeout};
 
-#[derive(Debug, Deserialize)]
-pub struct List {
-    pub version: u64,
-    #[serde(default)]
-    pub full: bool,
-    #[serde(rename = "servers")]
-    pub rows: Vec<Row>,
-}
-
-#[derive(Debug, Deserialize)]
-pub struct Row {
-    pub id: String,
-    #[serde(default)]
-    pub zone: String,
-    pub state: String,
-    pub weight: Option<f64>,
-    pub started_ms: Option<f64>,
-}
-
-pub fn list_of(value: &Value) -> Result<List, serde_json::Error> {
-    List::deserialize(value)
-}
-
-/// Tells the decisions a list. Rows of zones that nobody knows are skipped.
-pub fn report(desk: &Desk, news: ListNews, list: List) {
-    let rows = list.rows.len();
-    let entries: Vec<_> = list.rows.into_iter().filter_map(|row| desk.names.listed(row)).collect();
-    if entries.len() < rows {
+/// What the rows of a list say. Rows of zones that nobody knows are skipped.
+pub fn claims(desk: &Desk, rows: Vec<Row>) -> Vec<Claim> {
+    let count = rows.len();
+    let by_address = desk.membership.by_address();
+    let read = rows.into_iter().filter_map(|row| desk.names.claim(row));
+    let claims: Vec<Claim> =
+        read.map(|claim| if by_address { claim } else { Claim { addresses: Vec::new(), ..claim } }).collect();
+    if claims.len() < count {
         desk.odd("list_odd", "rows of unknown zones");
     }
-    desk.report(|supervisor, now| supervisor.report_list(now, news, entries));
+    claims
+}
+
+/// Tells what is new in the list, if the list counts.
+fn tell(desk: &Desk, list: List) {
+    let Some(source) = desk.membership.discovery() else { return };
+    let (full, claims) = (list.full, claims(desk, list.rows));
+    desk.sources(|sources, now| match (full, claims.is_empty()) {
+        (true, _) => sources.whole(now, source, now, None, claims),
+        (false, true) => sources.unchanged(now, source),
+        (false, false) => sources.changes(now, source, claims),
+    });
 }
 
 /// Watches the list for ever, wherever the links lead; `stands` is told once it was read whole.
@@ -55,22 +45,28 @@
     let mut held: Option<u64> = None;
     let mut newest = 0;
     let mut failed = 0u32;
+    let mut whole = desk.membership.whole_list.subscribe();
     loop {
         let asked = Instant::now();
-        match ask(desk, links, held).await {
+        let answer = tokio::select! {
+            answer = ask(desk, links, held) => answer,
+            // A doubted answer is asked for again, whole.
+            () = wanted(desk, &mut whole) => {
+                held = None;
+                continue;
+            }
+        };
+        match answer {
             Ok(list) if usable(&list, held, newest) => {
                 failed = 0;
                 desk.counters.one(if list.full { "list_whole" } else { "list_changes" });
-                let news = if list.full { ListNews::Whole } else { ListNews::Changes };
                 (held, newest) = (Some(list.version), list.version);
                 let nothing = !list.full && list.rows.is_empty();
-                if !nothing {
-                    report(desk, news, list);
-                }
+                tell(desk, list);
                 stands.notify_one();
                 // Guards against a discovery that does not wait: short enough for the watch to go on.
                 if nothing && asked.elapsed() < limits.again.0 {
-                    tokio::time::sleep(limits.again.0).await;
+                    sleep(limits.again.0).await;
                 }
                 continue;
             }
@@ -83,11 +79,40 @@
         }
         // What is known stays; the next call asks for the whole on a new connection.
         if failed == 0 {
+            if let Some(source) = desk.membership.discovery() {
+                desk.sources(|sources, now| sources.failed(now, source));
+            }
             desk.report(|supervisor, now| supervisor.report_list_failed(now));
         }
         held = None;
         failed += 1;
-        tokio::time::sleep(limits.pause(failed)).await;
+        sleep(limits.pause(failed)).await;
+    }
+}
+
+/// Returns when the whole list is wanted.
+async fn wanted(desk: &Desk, whole: &mut watch::Receiver<Option<Duration>>) {
+    loop {
+        let at = *whole.borrow_and_update();
+        let due = async {
+            match at {
+                Some(at) => sleep(at.saturating_sub(desk.clock.now())).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            () = due => {
+                // Once for each time that it was wanted.
+                desk.membership.whole_list.send_if_modified(|wanted| {
+                    *wanted = wanted.filter(|other| Some(*other) != at);
+                    false
+                });
+                return;
+            }
+            changed = whole.changed() => if changed.is_err() {
+                std::future::pending::<()>().await;
+            },
+        }
     }
 }
 
--- a/crates/daemon/src/spoken/listener.rs
+++ b/crates/daemon/src/spoken/listener.rs
@@ -138,6 +138,9 @@
                 Ok(Message::Met { server, met, load }) => {
                     desk.counters.one("reports_met");
                     place.reported();
+                    if met.total > met.aborted {
+                        desk.sources(|sources, now| sources.answered(now, &server));
+                    }
                     desk.report(|s, now| s.report_met(now, &server, met, load));
                 }
                 Ok(Message::Came { proxy, op_type, came }) => {
--- a/crates/daemon/src/spoken/mod.rs
+++ b/crates/daemon/src/spoken/mod.rs
@@ -9,3 +9,4 @@
 pub mod page;
 pub mod reports;
 pub mod resp;
+pub mod services;
--- a/crates/daemon/src/spoken/orders.rs
+++ b/crates/daemon/src/spoken/orders.rs
@@ -124,7 +124,7 @@
         });
         match call.after(&outcome, limits) {
             Next::Settled if outcome == Outcome::Malformed => {
-                log::error!("the relay calls {} orders malformed; they are lost", call.orders.len());
+                tracing::error!("the relay calls {} orders malformed; they are lost", call.orders.len());
                 break;
             }
             Next::Settled => break,
--- a/crates/daemon/src/spoken/page.rs
+++ b/crates/daemon/src/spoken/page.rs
@@ -17,6 +17,9 @@
             let found = request.method() == Method::GET && request.path() == "/counters";
             let page = if found {
                 desk.counters.now("servers_held", desk.supervisor.borrow().servers_held());
+                let (known, open) = desk.membership.sources.borrow().held();
+                desk.counters.now("servers_known", known);
+                desk.counters.now("servers_open", open);
                 Response::ok().set_body(desk.counters.page())
             } else {
                 Response::not_found().set_body(String::new())
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -5,7 +5,7 @@
 //!
 //! ```
 //! let read = fallgap_operator::read("membership { hold \"20m\" }").unwrap();
-//! assert_eq!(read.membership.terms.hold.as_secs(), 1200);
+//! assert_eq!(read.membership.unwrap().terms.hold.as_secs(), 1200);
 //! let faults = fallgap_operator::read("membership {\n  hold 20\n  hodl \"1m\"\n}").unwrap_err();
 //! assert_eq!(faults.len(), 2);
 //! assert!(faults[0].to_string().starts_with("2:8: found 20; expected a time"));
@@ -29,11 +29,19 @@
 /// What the file switches on, part by part.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Installation {
-    pub membership: Membership,
+    /// `None`: as without a file.
+    pub membership: Option<Membership>,
     /// `None`: no server comes from DNS.
     pub dns: Option<NameServers>,
 }
 
+impl Installation {
+    /// Services in DNS that name servers.
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        self.dns.iter().flat_map(|dns| &dns.services)
+    }
+}
+
 /// Reads a whole file.
 ///
 /// # Errors
@@ -56,9 +64,5 @@
         faults.add((0, 0).into(), "no source of servers", "\"discovery #true\" or a part \"dns\"");
     }
     let found = faults.sorted();
-    if found.is_empty() {
-        Ok(Installation { membership: membership.unwrap_or_default(), dns })
-    } else {
-        Err(found)
-    }
+    if found.is_empty() { Ok(Installation { membership, dns }) } else { Err(found) }
 }
--- a/crates/operator/tests/files.rs
+++ b/crates/operator/tests/files.rs
@@ -15,7 +15,7 @@
 fn the_example_is_all_off_and_says_the_usual_values() {
     assert_eq!(read(EXAMPLE), Ok(Installation::default()));
     let on = read(&EXAMPLE.replace("/- ", "")).unwrap();
-    assert_eq!(on.membership, Installation::default().membership);
+    assert_eq!(on.membership, Some(Default::default()));
     let dns = on.dns.unwrap();
     assert_eq!((dns.ask, dns.lifetimes), (Default::default(), Default::default()));
     assert_eq!(dns.servers.len(), 2);
@@ -33,8 +33,9 @@
             lifetime-least "250ms"; tries 2
         }"#;
     let read = read(text).unwrap();
-    assert_eq!(read.membership.terms.hold, Duration::from_secs(5400));
-    assert_eq!((read.membership.terms.most_removed, read.membership.discovery), (1.0, false));
+    let membership = read.membership.unwrap();
+    assert_eq!(membership.terms.hold, Duration::from_secs(5400));
+    assert_eq!((membership.terms.most_removed, membership.discovery), (1.0, false));
     let dns = read.dns.unwrap();
     let servers: Vec<String> = dns.servers.iter().map(|s| s.to_string()).collect();
     assert_eq!(servers, ["127.0.0.1:5353", "[::1]:53"]);
--- a/crates/sources/src/mapping.rs
+++ b/crates/sources/src/mapping.rs
@@ -60,8 +60,14 @@
 }
 
 impl Mapping {
-    /// One claim a server, in the order of names, and how many records were skipped since `zone` knows no
-    /// such zone. Of records that mean the same server the one of the best priority counts.
+    /// Whether the addresses of targets have to be known.
+    pub fn wants_addresses(&self) -> bool {
+        self.addressed != Addressed::None
+    }
+
+    /// One claim a server, in the order of names, and how many records were skipped: those in no zone that
+    /// `zone` knows, and those whose target has no known address though it is wanted, since it cannot be told
+    /// yet which server that is. Of records that mean the same server the one of the best priority counts.
     pub fn claims(&self, records: &[Record], zone: impl Fn(&str) -> Option<usize>) -> (Vec<Claim>, usize) {
         let mut claims: BTreeMap<String, Claim> = BTreeMap::new();
         let mut skipped = 0;
@@ -71,7 +77,8 @@
                 ZoneBy::Fixed(name) => zone(name),
                 ZoneBy::Label(place) => zone(label(*place)),
             };
-            let Some(zone) = named else {
+            let unplaced = self.wants_addresses() && record.addresses.is_empty();
+            let Some(zone) = named.filter(|_| !unplaced) else {
                 skipped += 1;
                 continue;
             };
@@ -131,12 +138,13 @@
         let records = [
             record(10, 0, 8443, "store3.linz.example.org", &["10.0.0.3", "fd00::3"]),
             record(20, 60, 8443, "store4.leoben.example.org", &["10.0.0.4"]),
-            record(10, 1, 8443, "store5.graz.example.org", &[]),
+            record(10, 1, 8443, "store5.graz.example.org", &["10.0.0.5"]),
+            record(10, 1, 8443, "store6.linz.example.org", &[]),
         ];
         let (claims, skipped) = mapping(NamedBy::Host, Addressed::Merged).claims(&records, zone);
         let told: Vec<_> = claims.iter().map(|c| (c.server.as_str(), c.zone, c.size, c.rank)).collect();
         assert_eq!(told, [("store3", 1, Some(1.0), Some(10)), ("store4", 0, Some(60.0), Some(20))]);
-        assert_eq!((claims[0].addresses.len(), skipped), (2, 1));
+        assert_eq!((claims[0].addresses.len(), skipped), (2, 2));
         let (claims, _) = mapping(NamedBy::Target, Addressed::None).claims(&records[..1], zone);
         assert_eq!((claims[0].server.as_str(), claims[0].addresses.len()), ("store3.linz.example.org", 0));
         let (claims, _) = mapping(NamedBy::HostPort, Addressed::Each).claims(&records[..1], zone);
--- a/crates/sources/src/sources.rs
+++ b/crates/sources/src/sources.rs
@@ -38,7 +38,6 @@
     name: String,
     /// Its names are the servers' ids.
     ids: bool,
-    open: bool,
     answers: u64,
     named: BTreeSet<usize>,
     failing: Option<Duration>,
@@ -99,7 +98,6 @@
         self.sources.push(Source {
             name: name.to_owned(),
             ids,
-            open: true,
             answers: 0,
             named: BTreeSet::new(),
             failing: None,
@@ -110,9 +108,10 @@
         SourceId(self.sources.len() - 1)
     }
 
-    /// A source is given up: what it said is as if it had not been. Its number is not given again.
+    /// A source is given up: what it said is as if it had not been. It may speak again later.
     pub fn close(&mut self, now: Duration, source: SourceId) {
-        self.sources[source.0].open = false;
+        let given_up = &mut self.sources[source.0];
+        (given_up.failing, given_up.told_failing, given_up.held) = (None, false, false);
         for node in std::mem::take(&mut self.sources[source.0].named) {
             self.nodes.unsay(node, source.0);
             self.dirty.insert(node);
@@ -190,6 +189,9 @@
 
     /// A server acked an op.
     pub fn answered(&mut self, now: Duration, server: &str) {
+        if self.terms.hold == Duration::MAX {
+            return;
+        }
         let silent = self.heard.last.is_none_or(|last| now >= last + self.terms.answering);
         if silent {
             self.heard.since = now;
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -87,7 +87,7 @@
     fn follow_list(&mut self) {}
     fn fetch_list(&mut self) {}
     fn log(&mut self, line: &str) {
-        log::info!("{line}");
+        tracing::info!("{line}");
     }
 }
 
