--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -12,13 +12,14 @@
 //! ```
 
 mod dns;
-mod fault;
+pub mod fault;
 mod membership;
-mod reading;
+pub mod reading;
 
 pub use dns::{NameServers, Service};
 pub use fault::Fault;
 pub use membership::Membership;
+pub use reading::time_in_words;
 
 use fault::Faults;
 use reading::Fields;
--- a/crates/operator/src/reading.rs
+++ b/crates/operator/src/reading.rs
@@ -116,10 +116,15 @@
     }
 }
 
+/// A time in words with their units, as `1m 30s`.
+pub fn time_in_words(text: &str) -> Option<Duration> {
+    humantime::parse_duration(text.trim()).ok()
+}
+
 /// A time as text with its units, as `"1m 30s"`.
 pub fn time(within: RangeInclusive<Duration>) -> impl Fn(&KdlValue) -> Result<Duration, String> {
     move |value| {
-        let read = value.as_string().and_then(|text| humantime::parse_duration(text).ok());
+        let read = value.as_string().and_then(time_in_words);
         read.filter(|time| within.contains(time)).ok_or_else(|| {
             let [least, most] =
                 [within.start(), within.end()].map(|t| humantime::format_duration(*t).to_string());
