fallgap-lab: load runs, experiments through a real fallgap, rule watchers, reports

Need: to show what a change does under a campaign's end, with faults whose truth is known, and to watch the five rules at it. A test plays 7 s of faults through the daemon with all rules watched.

--- a/crates/lab/src/emulated/machine.rs
+++ b/crates/lab/src/emulated/machine.rs
@@ -93,6 +93,17 @@
         self.script.started(now).or(self.started)
     }
 
+    /// Whether it has started lately and is not yet at its speed.
+    pub fn is_cold(&self, now: Duration) -> bool {
+        self.started(now).is_some_and(|started| now < started + self.make.cold.1)
+    }
+
+    /// The part of its cores that was busy lately.
+    pub fn true_busy(&mut self, now: Duration) -> f64 {
+        self.pass(now);
+        self.busy.1
+    }
+
     /// Work it can do in a second at that time, over all cores.
     pub fn capacity(&self, now: Duration) -> f64 {
         self.pace(now) * self.make.cores as f64
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,12 +7,18 @@
 //! no clock; [`drive`] and [`targets`] put them on sockets.
 
 pub mod arrivals;
+pub mod checks;
 pub mod clients;
+pub mod dispatch;
 pub mod drive;
 pub mod emulated;
 pub mod engine;
+pub mod experiment;
 pub mod frames;
 pub mod ledger;
+pub mod load;
+pub mod report;
 pub mod targets;
 pub mod trace;
+pub mod watched;
 pub mod wheel;
--- a/crates/lab/src/targets/framed.rs
+++ b/crates/lab/src/targets/framed.rs
@@ -10,7 +10,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
@@ -24,8 +24,8 @@
     stream: RefCell<Option<Rc<TcpStream>>>,
     out: RefCell<Vec<u8>>,
     under_way: RefCell<BTreeSet<(u64, u8)>>,
-    /// The load that the last answer told: ops active, busy of a thousand.
-    pub load: Cell<Option<(u16, u16)>>,
+    /// The load that the last answer told, and when: ops active, busy of a thousand.
+    pub load: Cell<Option<(Instant, u16, u16)>>,
 }
 
 impl Line {
@@ -123,7 +123,7 @@
         let (frames, rest) = bytes[..held].as_chunks::<ANSWER>();
         for frame in frames {
             let Some(answer) = Answer::read(frame) else { return };
-            line.load.set(Some((answer.active, answer.busy)));
+            line.load.set(Some((Instant::now(), answer.active, answer.busy)));
             // One that is answered twice, or was never asked, is told on and found stray there.
             line.under_way.borrow_mut().remove(&(answer.id, answer.tries));
             inbox.put(answer.id, answer.tries, answer.ended);
--- a/crates/lab/src/targets/mod.rs
+++ b/crates/lab/src/targets/mod.rs
@@ -25,6 +25,10 @@
 }
 
 impl Inbox {
+    /// Another inbox that rings the same bell.
+    pub fn beside(&self) -> Inbox {
+        Inbox { heard: Rc::default(), bell: self.bell.clone() }
+    }
     pub fn put(&self, id: u64, tries: u8, ended: Ended) {
         self.heard.borrow_mut().push_back(Heard { id, tries, ended });
         self.bell.notify_one();
--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -29,13 +29,23 @@
     TooSoon,
 }
 
+/// By table and op type.
+type Levels = BTreeMap<(u64, String), (f64, u64)>;
+
+/// Calls that are kept; of more, the newest.
+const MOST_CALLS: usize = 20_000;
+
 #[derive(Default)]
 pub struct Relay {
     pub fates: RefCell<VecDeque<Fate>>,
-    /// Every call that came, as it came.
+    /// The calls that came, as they came.
     pub calls: RefCell<Vec<Value>>,
-    /// Each table's lines; levels are taken and not kept.
+    /// Each table's lines.
     pub tables: Rc<RefCell<BTreeMap<u64, BTreeMap<String, f64>>>>,
+    /// By table and op type: what is let in, and the way of trying again.
+    pub levels: Rc<RefCell<Levels>>,
+    /// Servers that are shut out of all tables.
+    pub out: Rc<RefCell<BTreeSet<String>>>,
     /// Each joined proxy's entry, and the table each is bound to.
     joined: Rc<RefCell<BTreeMap<u64, Value>>>,
     pub bound: Rc<RefCell<BTreeMap<u64, u64>>>,
@@ -49,7 +59,8 @@
     /// The same relay at another address: what it keeps is one, calls and streams are each address's own.
     pub fn elsewhere(&self) -> Relay {
         let (tables, joined, bound) = (self.tables.clone(), self.joined.clone(), self.bound.clone());
-        Relay { tables, joined, bound, ..Relay::default() }
+        let (levels, out) = (self.levels.clone(), self.out.clone());
+        Relay { tables, levels, out, joined, bound, ..Relay::default() }
     }
 
     pub fn join(&self, proxy: u64, zone: &str, usual: f64, fresh: bool) {
@@ -119,7 +130,7 @@
         let call = serde_json::from_slice::<Value>(&body(payload).await).unwrap_or_default();
         let fate = self.fates.borrow_mut().pop_front().unwrap_or(Fate::Taken);
         let orders = call["orders"].as_array().cloned();
-        self.calls.borrow_mut().push(call);
+        self.keep(call);
         let Some(orders) = orders else { return say(&json!({ "error": "malformed" })) };
         let mut taken = 0;
         if !matches!(fate, Fate::BrokenBefore | Fate::TooSoon) {
@@ -136,6 +147,14 @@
         std::future::pending().await
     }
 
+    fn keep(&self, call: Value) {
+        let mut calls = self.calls.borrow_mut();
+        if calls.len() >= MOST_CALLS {
+            calls.drain(..MOST_CALLS / 2);
+        }
+        calls.push(call);
+    }
+
     /// Carries out orders up to the first that cannot be used; tells how many were taken.
     fn carry_out(&self, orders: &[Value]) -> usize {
         let mut reached = BTreeSet::new();
@@ -159,8 +178,26 @@
                 lines.insert(server.to_owned(), part);
                 lines.retain(|_, part| *part > 0.0);
             }
-            "DEL" => _ = group.and_then(|group| tables.remove(&group)),
-            "LIMIT" => {}
+            "DEL" => {
+                group.and_then(|group| tables.remove(&group));
+                self.levels.borrow_mut().retain(|(of, _), _| Some(*of) != group);
+            }
+            "LIMIT" => {
+                let level = (group, order["admit"].as_f64(), order["policy"].as_u64());
+                let (Some(group), Some(admit), Some(policy)) = level else { return false };
+                for op_type in order["routes"].as_array().into_iter().flatten().filter_map(Value::as_str) {
+                    self.levels.borrow_mut().insert((group, op_type.to_owned()), (admit, policy));
+                }
+            }
+            "OUT" | "IN" => {
+                let Some(server) = order["server"].as_str() else { return false };
+                let mut out = self.out.borrow_mut();
+                if order["do"] == "OUT" {
+                    out.insert(server.to_owned())
+                } else {
+                    out.remove(server)
+                };
+            }
             "USE" => match (order["proxy"].as_u64(), group) {
                 (Some(proxy), Some(group)) if self.joined.borrow().contains_key(&proxy) => {
                     bound.insert(proxy, group);
