--- a/crates/lab/src/asked/mod.rs
+++ b/crates/lab/src/asked/mod.rs
@@ -26,7 +26,7 @@
 pub enum Asked {
     /// Sends ops to a target as an open loop, and tells what became of them.
     Load(load::Load),
-    /// Reads a recorded trace, puts it in order, scales it, and writes it for `load --trace`.
+    /// Recorded traces: read, put in order, scaled, written.
     Trace(trace::Trace),
     /// Runs the servers of an experiment's file, framed or over HTTP, until it is ended.
     Servers(servers::Servers),
--- a/crates/lab/src/asked/trace.rs
+++ b/crates/lab/src/asked/trace.rs
@@ -1,9 +1,9 @@
-//! `fallgap-lab trace FILE`.
+//! `fallgap-lab trace import FILE` and `trace export`.
 
-use super::refuse;
-use clap::{Args, ValueEnum};
+use super::{refuse, time};
+use clap::{Args, Subcommand, ValueEnum};
 use fallgap::Repeats;
-use fallgap_lab::arrivals::{Kind, Work};
+use fallgap_lab::arrivals::{Kind, Schedule, Shape, Spacing, Stream, Work};
 use fallgap_lab::trace::export::Export;
 use fallgap_lab::trace::fields::Fields;
 use fallgap_lab::trace::order::Ordered;
@@ -23,6 +23,38 @@
 
 #[derive(Debug, Args)]
 pub struct Trace {
+    #[command(subcommand)]
+    asked: Way,
+}
+
+#[derive(Debug, Subcommand)]
+enum Way {
+    /// Reads a recording, puts it in order, scales it, and writes it for `load --trace`.
+    Import(Import),
+    /// Writes the ops of a shape as a trace, without sending them.
+    Export(Drawn),
+}
+
+#[derive(Debug, Args)]
+struct Drawn {
+    /// ramp(100,2000,30s)*sine(1,0.3,10s), campaign(...), bursts(...), or a rate.
+    shape: Shape,
+    #[arg(long, value_parser = time, default_value = "10s")]
+    duration: Duration,
+    #[arg(long)]
+    even: bool,
+    /// Time of one core that an op asks of a server: drawn, with that mean.
+    #[arg(long, value_parser = time, default_value = "5ms")]
+    work: Duration,
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Where to write; standard output without it.
+    #[arg(long)]
+    out: Option<PathBuf>,
+}
+
+#[derive(Debug, Args)]
+struct Import {
     /// The recording.
     file: PathBuf,
     #[arg(long, value_enum, default_value = "csv")]
@@ -47,6 +79,43 @@
 }
 
 pub fn run(call: &Trace) -> ExitCode {
+    match &call.asked {
+        Way::Import(call) => import(call),
+        Way::Export(call) => match drawn(call) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(e) => refuse(e),
+        },
+    }
+}
+
+fn start(out: Option<&PathBuf>) -> Result<Export<Box<dyn Write>>, String> {
+    let to: Box<dyn Write> = match out {
+        Some(path) => Box::new(File::create(path).map_err(|e| format!("{}: {e}", path.display()))?),
+        None => Box::new(std::io::stdout()),
+    };
+    Export::start(Box::new(BufWriter::new(to)) as Box<dyn Write>).map_err(|e| e.to_string())
+}
+
+fn drawn(call: &Drawn) -> Result<(), String> {
+    let kind = Kind {
+        name: "op".into(),
+        repeats: Repeats::Retryable,
+        timeout: Duration::from_secs(2),
+        work: Work::Exponential(call.work),
+        keys: 10_000,
+        tenants: 10,
+    };
+    let spacing = if call.even { Spacing::Even } else { Spacing::Poisson };
+    let stream = Stream { shape: call.shape.clone(), spacing, zone: 0, kinds: vec![(0, 1.0)] };
+    let mut export = start(call.out.as_ref())?;
+    let kinds = vec![kind];
+    for op in Schedule::new(kinds.clone(), &[stream], call.duration, call.seed) {
+        export.op(&op, &kinds).map_err(|e| e.to_string())?;
+    }
+    export.end().map_err(|e| e.to_string())
+}
+
+fn import(call: &Import) -> ExitCode {
     let file = match File::open(&call.file) {
         Ok(file) => file,
         Err(e) => return refuse(format!("{}: {e}", call.file.display())),
@@ -82,16 +151,12 @@
     }
 }
 
-fn write<I>(call: &Trace, ordered: &mut Ordered<I>) -> Result<u64, String>
+fn write<I>(call: &Import, ordered: &mut Ordered<I>) -> Result<u64, String>
 where
     I: Iterator<Item = Result<(u64, fallgap_lab::trace::Row), fallgap_lab::trace::BadRow>>,
 {
-    let to: Box<dyn Write> = match &call.out {
-        Some(path) => Box::new(File::create(path).map_err(|e| format!("{}: {e}", path.display()))?),
-        None => Box::new(std::io::stdout()),
-    };
     let said = |e: &dyn std::fmt::Display| e.to_string();
-    let mut export = Export::start(BufWriter::new(to)).map_err(|e| said(&e))?;
+    let mut export = start(call.out.as_ref())?;
     let (timeout, work) = (Duration::from_secs(2), Work::Fixed(Duration::ZERO));
     // Names are kept as they are: each becomes a type when it first comes.
     let mut kinds: Vec<Kind> = Vec::new();
