Versions and withdrawals survive crashes in a store, broken off at every write

Need: a supervisor that starts again must give receivers deltas from where they stood, and never an old number with another content. What is to be sent is kept first, in one transaction; content is believed only if it gives the digests kept with it; a store that fails ends its epoch, so that numbers which were not kept are not taken again. redb is behind it, as a feature that receivers need not have.

Checked: the storage ends at each of its operations in turn, unsynced writes there or not by chance, the last one torn; then a second and a third start: nothing that was kept is lost, no number has two contents. A second process, a newer format, flipped bits, half a file and a full disk each have their effect. A read-only disk was not tried. The daemon does not use it yet.

--- a/crates/tables/src/lib.rs
+++ b/crates/tables/src/lib.rs
@@ -26,6 +26,8 @@
 
 mod receiver;
 mod rollback;
+#[cfg(feature = "store")]
+pub mod store;
 mod table;
 mod tables;
 mod withdrawals;
@@ -33,5 +35,5 @@
 pub use receiver::{Age, Receiver, Reject, Terms, WhenOld};
 pub use rollback::{Known, Refused, rolled_back, step_towards};
 pub use table::{Change, Content, Delta, Entry, Key, Version, Whole, fold};
-pub use tables::{Kept, Sent, Tables};
+pub use tables::{Kept, Restored, Sent, StepOf, Tables};
 pub use withdrawals::{Withdrawal, Withdrawals};
--- a/crates/tables/src/tables.rs
+++ b/crates/tables/src/tables.rs
@@ -55,6 +55,24 @@
     sealed: u64,
 }
 
+/// One version of a table as a step from the one before: what it changed, with what was there and what is.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StepOf {
+    pub at: Duration,
+    pub base: Version,
+    pub result: Version,
+    pub changes: Vec<(Key, Option<Entry>, Option<Entry>)>,
+}
+
+/// A table as it was kept: the content of some version, and the steps from there to the newest.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Restored {
+    pub table: u32,
+    pub version: Version,
+    pub entries: Vec<(Key, Entry)>,
+    pub steps: Vec<StepOf>,
+}
+
 /// Seals after which names that nothing holds any more are let go of.
 const SWEEP: u64 = 4096;
 
@@ -64,6 +82,76 @@
         Tables { epoch, kept, tables: BTreeMap::new(), names: HashSet::new(), sealed: 0 }
     }
 
+    /// Tables as they were kept, of one epoch. `Err`: the table whose content does not give the digests that were
+    /// kept with it; then none is believed.
+    ///
+    /// # Errors
+    /// The number of the table.
+    pub fn restore(epoch: u64, kept: Kept, all: Vec<Restored>) -> Result<Tables, u32> {
+        let mut tables = Tables::start(epoch, kept);
+        for Restored { table, version, entries, steps } in all {
+            entries.into_iter().for_each(|(key, entry)| tables.set(table, key, Some(entry)));
+            tables.set_version(table, version).ok_or(table)?;
+            for step in steps {
+                let follows = tables.version(table) == Some(step.base);
+                step.changes.iter().for_each(|(key, _, entry)| tables.set(table, key.clone(), *entry));
+                let sealed = tables.seal(step.at, table);
+                if !follows || sealed != Some(step.result) {
+                    return Err(table);
+                }
+            }
+        }
+        Ok(tables)
+    }
+
+    /// What is set so far is that version, without a history; `None` if its digest is another.
+    fn set_version(&mut self, table: u32, version: Version) -> Option<()> {
+        // A table that was kept empty has no entry that made it.
+        self.set(table, Key::Line("".into()), None);
+        let held = self.tables.get_mut(&table)?;
+        held.open.clear();
+        held.version = version;
+        (held.content.digest() == version.digest && version.epoch == self.epoch).then_some(())
+    }
+
+    /// From now on versions are of another epoch, with the same content and no history: those that come were not
+    /// kept, and their numbers must not be taken again after a start from what was.
+    pub fn leave_epoch(&mut self, epoch: u64) {
+        self.epoch = epoch;
+        for held in self.tables.values_mut() {
+            held.version = Version { epoch, number: 1, digest: held.version.digest };
+            held.steps.clear();
+            held.bytes = 0;
+        }
+    }
+
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+    pub fn numbers(&self) -> impl Iterator<Item = u32> {
+        self.tables.keys().copied()
+    }
+
+    /// The steps of a table's history after a number, as they are to be kept.
+    pub fn steps_after(&self, table: u32, number: u64) -> Vec<StepOf> {
+        let Some(held) = self.tables.get(&table) else { return Vec::new() };
+        let results = held.steps.iter().skip(1).map(|step| step.base).chain([held.version]);
+        let steps = held.steps.iter().zip(results).filter(|(_, result)| result.number > number);
+        let of = |(step, result): (&Step, Version)| StepOf {
+            at: step.at,
+            base: step.base,
+            result,
+            changes: step.changes.iter().map(|(c, before)| (c.key.clone(), *before, c.entry)).collect(),
+        };
+        steps.map(of).collect()
+    }
+
+    /// The oldest version that is kept of a table.
+    pub fn oldest(&self, table: u32) -> Option<Version> {
+        let held = self.tables.get(&table)?;
+        Some(held.steps.front().map_or(held.version, |step| step.base))
+    }
+
     fn name(&mut self, name: &Arc<str>) -> Arc<str> {
         match self.names.get(name) {
             Some(held) => held.clone(),
--- a/crates/tables/src/withdrawals.rs
+++ b/crates/tables/src/withdrawals.rs
@@ -13,7 +13,7 @@
 }
 
 /// The newest word on each server. One that is back is remembered until whoever joined earlier has heard it.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Withdrawals {
     sequence: u64,
     by_server: BTreeMap<Arc<str>, (u64, bool)>,
@@ -26,6 +26,16 @@
         Withdrawals { sequence, ..Withdrawals::default() }
     }
 
+    /// As they were kept: the last sequence, and the newest word on each server.
+    pub fn restore(sequence: u64, all: impl IntoIterator<Item = Withdrawal>) -> Withdrawals {
+        let mut withdrawals = Withdrawals::after(sequence);
+        for Withdrawal { sequence, server, out } in all {
+            withdrawals.by_server.insert(server.clone(), (sequence, out));
+            withdrawals.by_sequence.insert(sequence, server);
+        }
+        withdrawals
+    }
+
     /// `None`: that was the newest word already.
     pub fn tell(&mut self, server: &str, out: bool) -> Option<Withdrawal> {
         let known = self.by_server.get(server).copied();
