--- a/crates/lab/src/asked/experiment.rs
+++ b/crates/lab/src/asked/experiment.rs
@@ -1,10 +1,10 @@
 //! `fallgap-lab run FILE`, `compare A B` and `report DIR`.
 
-use super::{Aside, refuse};
+use super::{Aside, read, refuse};
 use clap::Args;
 use fallgap_lab::experiment::compare::{self, Compared};
 use fallgap_lab::experiment::result::Shown;
-use fallgap_lab::experiment::{file, run};
+use fallgap_lab::experiment::run;
 use fallgap_lab::report;
 use fallgap_lab::watched::Progress;
 use std::path::{Path, PathBuf};
@@ -37,16 +37,9 @@
 }
 
 pub fn run(call: &Run) -> ExitCode {
-    let text = match std::fs::read_to_string(&call.file) {
-        Ok(text) => text,
-        Err(e) => return refuse(format!("{}: {e}", call.file.display())),
-    };
-    let experiment = match file::read(&text) {
+    let experiment = match read(&call.file) {
         Ok(experiment) => experiment,
-        Err(faults) => {
-            faults.iter().for_each(|fault| _ = refuse(format!("{}:{fault}", call.file.display())));
-            return ExitCode::from(2);
-        }
+        Err(code) => return code,
     };
     let (sender, stop) = watch::channel(false);
     let mut good = true;
--- a/crates/lab/src/asked/mod.rs
+++ b/crates/lab/src/asked/mod.rs
@@ -6,8 +6,10 @@
 pub mod trace;
 
 use clap::{Parser, Subcommand};
+use fallgap_lab::experiment::file::{self, Experiment};
 use fallgap_lab::watched::Progress;
 use std::io::{IsTerminal, Write};
+use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -45,6 +47,15 @@
     ExitCode::from(2)
 }
 
+/// An experiment's file; all that is wrong with it is told.
+fn read(path: &Path) -> Result<Experiment, ExitCode> {
+    let text = std::fs::read_to_string(path).map_err(|e| refuse(format!("{}: {e}", path.display())))?;
+    file::read(&text).map_err(|faults| {
+        faults.iter().for_each(|fault| _ = refuse(format!("{}:{fault}", path.display())));
+        ExitCode::from(2)
+    })
+}
+
 /// Tells `stop` at the first Ctrl-C, and shows progress on a terminal; ends when it is dropped.
 struct Aside {
     done: Arc<AtomicBool>,
--- a/crates/lab/src/asked/servers.rs
+++ b/crates/lab/src/asked/servers.rs
@@ -1,10 +1,9 @@
 //! `fallgap-lab servers FILE`.
 
-use super::refuse;
+use super::{read, refuse};
 use clap::Args;
 use fallgap_lab::emulated::shell::Server;
 use fallgap_lab::emulated::{Machine, Script};
-use fallgap_lab::experiment::file;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Instant;
@@ -22,16 +21,9 @@
 }
 
 pub fn run(call: &Servers) -> ExitCode {
-    let text = match std::fs::read_to_string(&call.file) {
-        Ok(text) => text,
-        Err(e) => return refuse(format!("{}: {e}", call.file.display())),
-    };
-    let experiment = match file::read(&text) {
+    let experiment = match read(&call.file) {
         Ok(experiment) => experiment,
-        Err(faults) => {
-            faults.iter().for_each(|fault| _ = refuse(format!("{}:{fault}", call.file.display())));
-            return ExitCode::from(2);
-        }
+        Err(code) => return code,
     };
     actix_rt::System::new().block_on(async {
         let start = Instant::now();
--- a/crates/tables/examples/store_cost.rs
+++ b/crates/tables/examples/store_cost.rs
@@ -33,9 +33,12 @@
     let held = &mut recovered.tables;
     let all: Vec<u32> = (0..tables).collect();
     let mut rng = fastrand::Rng::with_seed(1);
-    let names: Vec<Key> = (0..LINES * 3).map(|i| Key::Line(format!("store{i}.linz.example.org").into())).collect();
+    let names: Vec<Key> =
+        (0..LINES * 3).map(|i| Key::Line(format!("store{i}.linz.example.org").into())).collect();
     for table in &all {
-        (0..LINES).for_each(|i| held.set(*table, names[(*table as usize * 7 + i) % names.len()].clone(), Some(Entry::Part(1.0))));
+        (0..LINES).for_each(|i| {
+            held.set(*table, names[(*table as usize * 7 + i) % names.len()].clone(), Some(Entry::Part(1.0)))
+        });
         held.seal(MS, *table);
     }
     store.keep(held, &all, None).expect("kept");
@@ -68,7 +71,10 @@
         let took = since.elapsed().as_secs_f64();
         let times = (written() - before) as f64 / given as f64;
         let batch = took * 1e3 / f64::from(batches);
-        println!("{name:<6} {batches:>7} x {rows:<5} {batch:>9.2} ms a batch  {times:>5.1} bytes written for each  {:>6.1} MB", size(path) as f64 / 1e6);
+        println!(
+            "{name:<6} {batches:>7} x {rows:<5} {batch:>9.2} ms a batch  {times:>5.1} bytes written for each  {:>6.1} MB",
+            size(path) as f64 / 1e6
+        );
     };
     let path = folder.join(format!("engine-{batches}.redb"));
     let table: redb::TableDefinition<(u32, u64), &[u8]> = redb::TableDefinition::new("steps");
@@ -102,7 +108,9 @@
 fn main() {
     let folder = std::env::temp_dir().join(format!("fallgap-store-cost-{}", std::process::id()));
     std::fs::create_dir_all(&folder).expect("a folder");
-    println!("tables   a round kept, ms   start again, ms   MB on disk (100 versions of 10 changes, 100 lines)");
+    println!(
+        "tables   a round kept, ms   start again, ms   MB on disk (100 versions of 10 changes, 100 lines)"
+    );
     let mut start = 0.0;
     for tables in [10, 100, 1000] {
         let (round, again, bytes) = kept(&folder, tables, 100);
