The feed's pace: one update in flight, lines capped, withdrawals past everything

Need: receivers of versioned tables are to be told by the design's own pace, and a thousand that reconnect at once must neither break the cap on lines nor wait for a withdrawal. A state machine alone so far; the listener with its TLS is missing.

--- /dev/null
+++ b/crates/feed/src/feed.rs
@@ -0,0 +1,297 @@
+//! Receivers, what each holds, and what is under way to it.
+
+use crate::budget::Budget;
+use fallgap_tables::{Delta, Sent, Tables, Version, Whole, Withdrawal, Withdrawals};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+/// A receiver's number, as whoever holds its stream gave it.
+pub type ReceiverId = u64;
+
+/// What binds the feed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Limits {
+    pub receivers: usize,
+    pub lines_a_second: f64,
+    /// Lines that a message costs beside its own.
+    pub head: f64,
+    /// After so long without an answer what was sent counts as lost.
+    pub answer: Duration,
+    /// Least time between two periodic words to a receiver: half of a receiver's lease at most. Up to half as
+    /// much again is drawn.
+    pub word: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        let s = Duration::from_secs;
+        Limits { receivers: 5000, lines_a_second: 4000.0, head: 1.0, answer: s(3), word: s(5) }
+    }
+}
+
+/// What the feed acts through.
+pub trait Out {
+    fn delta(&mut self, to: ReceiverId, delta: Delta);
+    fn whole(&mut self, to: ReceiverId, whole: Whole);
+    /// Nothing is new: the version still holds.
+    fn same(&mut self, to: ReceiverId, version: Version);
+    fn withdrawn(&mut self, to: ReceiverId, epoch: u64, told: Withdrawal);
+    /// All withdrawals of an epoch up to a sequence.
+    fn all_withdrawn(&mut self, to: ReceiverId, epoch: u64, sequence: u64, out: Vec<Withdrawal>);
+}
+
+struct Receiver {
+    table: u32,
+    /// What it said last that it holds.
+    holds: Option<Version>,
+    /// What was sent and is not answered, and since when.
+    in_flight: Option<(Version, Duration)>,
+    marked: bool,
+    /// Epoch and sequence up to which withdrawals were sent to it.
+    told: (u64, u64),
+    /// What it said that it heard of them, and since when more is awaited.
+    heard: (u64, u64),
+    awaited: Option<Duration>,
+    word: Duration,
+}
+
+pub struct Feed<O> {
+    pub out: O,
+    limits: Limits,
+    budget: Budget,
+    receivers: BTreeMap<ReceiverId, Receiver>,
+    by_table: BTreeMap<u32, BTreeSet<ReceiverId>>,
+    /// Receivers that have something to be told, in the order of arrival.
+    marks: VecDeque<ReceiverId>,
+    /// When something of a receiver is to be looked at.
+    looks: BTreeSet<(Duration, ReceiverId)>,
+    budget_at: Option<Duration>,
+    rng: fastrand::Rng,
+}
+
+impl<O: Out> Feed<O> {
+    /// `seed`: for when periodic words leave.
+    pub fn start(out: O, limits: Limits, seed: u64) -> Self {
+        Feed {
+            out,
+            limits,
+            budget: Budget::new(limits.lines_a_second),
+            receivers: BTreeMap::new(),
+            by_table: BTreeMap::new(),
+            marks: VecDeque::new(),
+            looks: BTreeSet::new(),
+            budget_at: None,
+            rng: fastrand::Rng::with_seed(seed),
+        }
+    }
+
+    /// A receiver is there, with what it holds and the withdrawals that it has heard. `false`: there are as many
+    /// as may be. One that was there already has joined anew: what was under way to it is void.
+    pub fn joined(
+        &mut self, now: Duration, id: ReceiverId, table: u32, holds: Option<Version>, heard: (u64, u64),
+        tables: &Tables, withdrawals: &Withdrawals,
+    ) -> bool {
+        self.left(id);
+        if self.receivers.len() >= self.limits.receivers {
+            return false;
+        }
+        let word = now + self.drawn();
+        let receiver = Receiver {
+            table,
+            holds,
+            in_flight: None,
+            marked: false,
+            told: heard,
+            heard,
+            awaited: None,
+            word,
+        };
+        self.receivers.insert(id, receiver);
+        self.by_table.entry(table).or_default().insert(id);
+        self.looks.insert((word, id));
+        // Before any table: it may name servers that are out.
+        self.tell_withdrawals(now, id, tables.epoch(), withdrawals);
+        self.mark(id);
+        self.send(now, tables);
+        true
+    }
+
+    pub fn left(&mut self, id: ReceiverId) {
+        if let Some(receiver) = self.receivers.remove(&id) {
+            self.by_table.entry(receiver.table).or_default().remove(&id);
+            self.looks.remove(&(receiver.word, id));
+            self.marks.retain(|marked| *marked != id);
+        }
+    }
+
+    /// A table has a new version.
+    pub fn sealed(&mut self, now: Duration, table: u32, tables: &Tables) {
+        let all: Vec<ReceiverId> = self.by_table.get(&table).into_iter().flatten().copied().collect();
+        all.into_iter().for_each(|id| self.mark(id));
+        self.send(now, tables);
+    }
+
+    /// A server went out or came back: everyone hears at once, whatever else is under way.
+    pub fn withdrawn(&mut self, now: Duration, tables: &Tables, withdrawals: &Withdrawals) {
+        let all: Vec<ReceiverId> = self.receivers.keys().copied().collect();
+        all.into_iter().for_each(|id| self.tell_withdrawals(now, id, tables.epoch(), withdrawals));
+    }
+
+    /// A receiver could not apply what was sent: it says what it holds, and gets what leads on from there.
+    pub fn rejected(
+        &mut self, now: Duration, id: ReceiverId, holds: Option<Version>, heard: (u64, u64), tables: &Tables,
+    ) {
+        if let Some(receiver) = self.receivers.get_mut(&id) {
+            receiver.in_flight = None;
+        }
+        self.answered(now, id, holds, heard, tables);
+    }
+
+    /// A receiver says what it holds and has heard. An update is under way until it holds that: it may answer a
+    /// withdrawal meanwhile.
+    pub fn answered(
+        &mut self, now: Duration, id: ReceiverId, holds: Option<Version>, heard: (u64, u64), tables: &Tables,
+    ) {
+        let Some(receiver) = self.receivers.get_mut(&id) else { return };
+        receiver.holds = holds;
+        if heard.0 == receiver.told.0 && (heard.0 != receiver.heard.0 || heard.1 >= receiver.heard.1) {
+            receiver.heard = heard;
+            if heard.1 >= receiver.told.1 {
+                receiver.awaited = None;
+            }
+        }
+        receiver.in_flight = receiver.in_flight.filter(|(version, _)| holds != Some(*version));
+        if receiver.in_flight.is_none() && holds != tables.version(receiver.table) {
+            self.mark(id);
+        }
+        self.send(now, tables);
+    }
+
+    /// Does what is due.
+    pub fn woke(&mut self, now: Duration, tables: &Tables, withdrawals: &Withdrawals) {
+        while let Some((at, id)) = self.looks.first().copied().filter(|(at, _)| *at <= now) {
+            self.looks.remove(&(at, id));
+            let word = now + self.drawn();
+            let answer = self.limits.answer;
+            let Some(receiver) = self.receivers.get_mut(&id) else { continue };
+            receiver.word = word;
+            self.looks.insert((word, id));
+            let lost = receiver.in_flight.is_some_and(|(_, since)| now >= since + answer);
+            if lost {
+                receiver.in_flight = None;
+            }
+            let unheard = receiver.awaited.is_some_and(|since| now >= since + answer);
+            if unheard {
+                receiver.told = receiver.heard;
+                receiver.awaited = None;
+            }
+            let (idle, newest) = (receiver.in_flight.is_none(), tables.version(receiver.table));
+            match (idle, newest) {
+                (true, Some(version)) if receiver.holds == Some(version) => self.out.same(id, version),
+                (true, Some(_)) => self.mark(id),
+                _ => {}
+            }
+            if unheard {
+                self.tell_withdrawals(now, id, tables.epoch(), withdrawals);
+            }
+        }
+        self.send(now, tables);
+    }
+
+    /// When to call [`woke`](Feed::woke) next.
+    pub fn next_wake(&self) -> Option<Duration> {
+        let look = self.looks.first().map(|(at, _)| *at);
+        [look, self.budget_at].into_iter().flatten().min()
+    }
+
+    /// Receivers there, and those that wait for lines.
+    pub fn held(&self) -> (usize, usize) {
+        (self.receivers.len(), self.marks.len())
+    }
+
+    /// The last withdrawal that all have heard, of an epoch: those up to it may be forgotten.
+    pub fn heard_by_all(&self, epoch: u64) -> u64 {
+        let heard = self.receivers.values().map(|r| if r.heard.0 == epoch { r.heard.1 } else { 0 });
+        heard.min().unwrap_or(u64::MAX)
+    }
+
+    fn drawn(&mut self) -> Duration {
+        // An answer that does not come is noticed at the next word at the latest.
+        self.limits.word.mul_f64(1.0 + 0.5 * self.rng.f64())
+    }
+
+    fn mark(&mut self, id: ReceiverId) {
+        if let Some(receiver) = self.receivers.get_mut(&id)
+            && !std::mem::replace(&mut receiver.marked, true)
+        {
+            self.marks.push_back(id);
+        }
+    }
+
+    fn tell_withdrawals(&mut self, now: Duration, id: ReceiverId, epoch: u64, withdrawals: &Withdrawals) {
+        let Some(receiver) = self.receivers.get_mut(&id) else { return };
+        let sequence = withdrawals.sequence();
+        if receiver.told.0 != epoch {
+            let out = withdrawals.since(0).into_iter().filter(|told| told.out).collect();
+            self.out.all_withdrawn(id, epoch, sequence, out);
+        } else if receiver.told.1 < sequence {
+            let told = withdrawals.since(receiver.told.1);
+            // Words that newer ones have replaced leave gaps, which a receiver would ask for: then all are told.
+            let whole = told.iter().zip(receiver.told.1 + 1..).all(|(told, due)| told.sequence == due)
+                && told.last().is_some_and(|last| last.sequence == sequence);
+            if whole {
+                told.into_iter().for_each(|told| self.out.withdrawn(id, epoch, told));
+            } else {
+                let out = withdrawals.since(0).into_iter().filter(|told| told.out).collect();
+                self.out.all_withdrawn(id, epoch, sequence, out);
+            }
+        } else {
+            return;
+        }
+        receiver.told = (epoch, sequence);
+        receiver.awaited = receiver.awaited.or(Some(now));
+    }
+
+    /// Serves marks in their order, as far as the lines allow; a receiver with something in flight waits for its
+    /// answer, and gets what is newest then.
+    fn send(&mut self, now: Duration, tables: &Tables) {
+        self.budget_at = None;
+        let mut waiting = VecDeque::new();
+        while let Some(id) = self.marks.pop_front() {
+            let Some(receiver) = self.receivers.get_mut(&id) else { continue };
+            if receiver.in_flight.is_some() {
+                // Its answer marks it again, if something is new.
+                receiver.marked = false;
+                continue;
+            }
+            let sent = tables.since(receiver.table, receiver.holds);
+            let lines = match &sent {
+                Sent::Nothing => {
+                    receiver.marked = false;
+                    continue;
+                }
+                Sent::Delta(delta) => delta.changes.len() as f64,
+                Sent::Whole(whole) => whole.entries.len() as f64,
+            };
+            if let Err(next) = self.budget.take(now, lines + self.limits.head) {
+                self.budget_at = Some(next);
+                waiting.push_back(id);
+                break;
+            }
+            receiver.marked = false;
+            match sent {
+                Sent::Delta(delta) => {
+                    receiver.in_flight = Some((delta.result, now));
+                    self.out.delta(id, delta);
+                }
+                Sent::Whole(whole) => {
+                    receiver.in_flight = Some((whole.version, now));
+                    self.out.whole(id, whole);
+                }
+                Sent::Nothing => {}
+            }
+        }
+        waiting.append(&mut self.marks);
+        self.marks = waiting;
+    }
+}
--- /dev/null
+++ b/crates/feed/src/lib.rs
@@ -0,0 +1,12 @@
+//! The feed of table versions: whom to tell what, and when. The design's own pace on a second channel: one update
+//! in flight for each receiver, the newest when it is answered, an answer wait, differences, a cap on lines with
+//! marks served in the order of their arrival, and a periodic word that sends no line if nothing is new.
+//! Withdrawals pass all of that.
+//!
+//! This is the state machine alone: no I/O, no clock, chance from a seed. The listener with its TLS is not there
+//! yet.
+
+mod budget;
+mod feed;
+
+pub use feed::{Feed, Limits, Out, ReceiverId};
