--- a/crates/lab/src/asked/load.rs
+++ b/crates/lab/src/asked/load.rs
@@ -132,7 +132,7 @@
     if let Some(path) = &call.hdr {
         let written = File::create(path).map_err(|e| e.to_string());
         let written =
-            written.and_then(|mut file| came.ledger.write_log(&mut file).map_err(|e| format!("{e:?}")));
+            written.and_then(|mut file| came.ledger.write_log(&mut file).map_err(|e| e.to_string()));
         if let Err(e) = written {
             return refuse(format!("{}: {e}", path.display()));
         }
--- a/crates/lab/src/ledger.rs
+++ b/crates/lab/src/ledger.rs
@@ -3,9 +3,9 @@
 use crate::clients::Ended;
 use hdrhistogram::Histogram;
 use hdrhistogram::serialization::V2DeflateSerializer;
-use hdrhistogram::serialization::interval_log::{IntervalLogWriterBuilder, IntervalLogWriterError};
+use hdrhistogram::serialization::interval_log::IntervalLogWriterBuilder;
 use std::collections::BTreeMap;
-use std::io::Write;
+use std::io::{self, Write};
 use std::time::{Duration, SystemTime};
 
 /// Significant digits of latencies by op type and phase, and of those of one second.
@@ -184,29 +184,20 @@
     ///
     /// # Errors
     /// If it cannot be written.
-    pub fn write_log(
-        &self, to: &mut impl Write,
-    ) -> Result<(), IntervalLogWriterError<std::convert::Infallible>>
-    where
-        Self: Sized,
-    {
-        let mut bytes = Vec::new();
+    pub fn write_log(&self, to: &mut impl Write) -> io::Result<()> {
         let mut serializer = V2DeflateSerializer::new();
-        {
-            let mut builder = IntervalLogWriterBuilder::new();
-            let mut log = builder
-                .add_comment("fallgap-lab: latency from the intended time, microseconds")
-                .with_start_time(SystemTime::UNIX_EPOCH)
-                .with_max_value_divisor(1e3)
-                .begin_log_with(&mut bytes, &mut serializer)
-                .map_err(|e| IntervalLogWriterError::from(std::io::Error::other(e.to_string())))?;
-            for (place, second) in self.seconds.iter().enumerate() {
-                let start = Duration::from_secs(place as u64);
-                log.write_histogram(&second.acks, start, Duration::from_secs(1), None)
-                    .map_err(|e| IntervalLogWriterError::from(std::io::Error::other(format!("{e:?}"))))?;
-            }
+        let mut log = IntervalLogWriterBuilder::new();
+        let mut log = log
+            .add_comment("fallgap-lab: latency from the intended time, microseconds")
+            .with_start_time(SystemTime::UNIX_EPOCH)
+            .with_max_value_divisor(1e3)
+            .begin_log_with(to, &mut serializer)?;
+        for (place, second) in self.seconds.iter().enumerate() {
+            let start = Duration::from_secs(place as u64);
+            log.write_histogram(&second.acks, start, Duration::from_secs(1), None)
+                .map_err(|e| io::Error::other(format!("{e:?}")))?;
         }
-        to.write_all(&bytes).map_err(IntervalLogWriterError::from)
+        Ok(())
     }
 }
 
