Reading over: one reading of frames, addresses and words; proxies look at their own tables

Both ends of the framed protocol read frames by one piece; the prompt and the operator's file read addresses by one; trace names have one hash; an experiment's words are read by the reader that the other words use. The wrapper that looked at proxies' tables is gone: proxies do it where they are flushed. A report no longer counts a removal that is none.

--- a/crates/daemon/src/asked/resolve.rs
+++ b/crates/daemon/src/asked/resolve.rs
@@ -27,8 +27,8 @@
 }
 
 fn address(text: &str) -> Result<SocketAddr, String> {
-    let bare = || text.parse::<IpAddr>().map(|ip| SocketAddr::new(ip, 53));
-    text.parse().or_else(|_| bare()).map_err(|_| "no address as 127.0.0.53 or 127.0.0.53:53".into())
+    let read = fallgap_operator::address_in_words(text, 53);
+    read.ok_or_else(|| "no address as 127.0.0.53 or 127.0.0.53:53".into())
 }
 
 #[derive(Default)]
--- a/crates/daemon/src/kept/desk.rs
+++ b/crates/daemon/src/kept/desk.rs
@@ -48,7 +48,9 @@
             membership.looks.notify_one();
         }
         drop(sources);
-        self.counters.add("removals_held", held);
+        if held > 0 {
+            self.counters.add("removals_held", held);
+        }
         for (source, at) in again {
             if membership.discovery() == Some(source) {
                 membership.whole_list.send_replace(Some(at));
--- a/crates/lab/src/emulated/shell.rs
+++ b/crates/lab/src/emulated/shell.rs
@@ -3,7 +3,7 @@
 use super::machine::{Fate, Machine};
 use super::script::What;
 use crate::clients::Ended;
-use crate::frames::{Answer, REQUEST, Request};
+use crate::frames::{Answer, Incoming, REQUEST, Request};
 use crate::targets::http;
 use actix_http::body::BoxBody;
 use actix_http::{HttpMessage, Response, StatusCode};
@@ -118,8 +118,8 @@
     // Without it answers still leave, only later.
     let _ = stream.set_nodelay(true);
     let crash = server.next_crash();
-    let mut bytes = vec![0; 1 << 16];
-    let (mut held, mut out, mut due) = (0, Vec::new(), Due::new());
+    let mut incoming = Incoming::<REQUEST>::default();
+    let (mut out, mut due) = (Vec::new(), Due::new());
     let mut answers: Vec<(Answer, Option<usize>)> = Vec::new();
     loop {
         let now = server.now();
@@ -160,16 +160,9 @@
         if crash.is_some_and(|at| server.now() >= at) {
             return;
         }
-        match stream.try_read(&mut bytes[held..]) {
-            Ok(0) => return,
-            Ok(n) => held += n,
-            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => continue,
-            Err(_) => return,
-        }
-        let (frames, rest) = bytes[..held].as_chunks::<REQUEST>();
         let now = server.now();
-        for frame in frames {
-            let Some(request) = Request::read(frame) else { return };
+        let goes_on = incoming.read(&stream, |frame| {
+            let Some(request) = Request::read(frame) else { return false };
             let (fate, place) = server.machine.borrow_mut().arrive(now, request);
             let order = answers.len() as u64;
             match fate {
@@ -181,9 +174,10 @@
                 Fate::Broken { at } => due.push(Reverse((at, order, None))),
                 Fate::Silence => {}
             }
+            true
+        });
+        if !goes_on {
+            return;
         }
-        let (taken, left) = (frames.len() * REQUEST, rest.len());
-        bytes.copy_within(taken..taken + left, 0);
-        held = left;
     }
 }
--- a/crates/lab/src/experiment/file.rs
+++ b/crates/lab/src/experiment/file.rs
@@ -168,13 +168,8 @@
     let name = value(node, faults, text);
     let mut fields = Fields::of(node.children());
     let part = fields.one("share", faults, number(0.0, 1e6)).unwrap_or(1.0);
-    let repeats = [("retryable", 0), ("deduplicated", 1), ("once-only", 2)];
-    let repeats = fields.one("repeats", faults, |v: &KdlValue| {
-        let named = repeats.iter().find(|(name, _)| v.as_string() == Some(name));
-        named
-            .map(|(_, which)| *which)
-            .ok_or_else(|| "\"retryable\", \"deduplicated\" or \"once-only\"".into())
-    });
+    let words = &[("retryable", 0), ("deduplicated", 1), ("once-only", 2)];
+    let repeats = fields.one("repeats", faults, word(words));
     let timeout = fields.one("timeout", faults, time(MS..=DAY)).unwrap_or(MS * 2000);
     let repeats = match repeats.unwrap_or(0) {
         0 => Repeats::Retryable,
@@ -263,11 +258,8 @@
         let place = zones.iter().position(|zone| v.as_string() == Some(zone));
         place.ok_or_else(|| format!("one of {}", zones.join(", ")))
     });
-    let spacing = [("even", Spacing::Even), ("poisson", Spacing::Poisson)];
-    let spacing = fields.one("spacing", faults, |v: &KdlValue| {
-        let named = spacing.iter().find(|(name, _)| v.as_string() == Some(name));
-        named.map(|(_, spacing)| *spacing).ok_or_else(|| "\"even\" or \"poisson\"".into())
-    });
+    let words = &[("even", Spacing::Even), ("poisson", Spacing::Poisson)];
+    let spacing = fields.one("spacing", faults, word(words));
     fields.end(faults);
     let Some(shape) = shape else { return Vec::new() };
     // Without a zone each has a stream of its own.
--- a/crates/lab/src/experiment/proxies.rs
+++ b/crates/lab/src/experiment/proxies.rs
@@ -73,8 +73,13 @@
     pub watch: Rc<RefCell<Watch>>,
     /// Frames that were a proxy's own further try.
     pub by_proxies: HashSet<(u64, u8)>,
+    /// When tables were last looked at.
+    looked: Duration,
 }
 
+/// How often each proxy's table is looked at: has it a server?
+const LOOKS: Duration = Duration::from_millis(50);
+
 impl Proxies {
     #[allow(clippy::too_many_arguments)]
     pub fn open(
@@ -101,6 +106,7 @@
             sums: Rc::default(),
             watch,
             by_proxies: HashSet::new(),
+            looked: Duration::ZERO,
         }
     }
 
@@ -108,8 +114,17 @@
         (proxy / self.per_zone) as u16
     }
 
+    fn look(&mut self, now: Duration) {
+        self.looked = now;
+        let any = self.any_open(now);
+        for proxy in 0..self.lines.len() as u64 {
+            let held = self.table(proxy).iter().filter(|(_, part)| *part > 0.0).count();
+            self.watch.borrow_mut().holds(now, proxy, held, any);
+        }
+    }
+
     /// Whether some server takes ops and is warm.
-    pub fn any_open(&self, now: Duration) -> bool {
+    fn any_open(&self, now: Duration) -> bool {
         let open = |server: &Rc<Server>| {
             let machine = server.machine.borrow();
             !machine.is_down(now) && !machine.is_cold(now) && machine.capacity(now) > 0.0
@@ -118,7 +133,7 @@
     }
 
     /// The lines of a proxy's table, without the servers that are shut out.
-    pub fn table(&self, proxy: u64) -> Vec<(usize, f64)> {
+    fn table(&self, proxy: u64) -> Vec<(usize, f64)> {
         match &self.tables {
             Tables::Even(ready) => {
                 let ready = ready.borrow();
@@ -255,6 +270,9 @@
         &self.outer
     }
     fn flush(&mut self, now: Duration) -> bool {
+        if now >= self.looked + LOOKS {
+            self.look(now);
+        }
         while let Some(heard) = self.inner.take() {
             let Some(flow) = self.flows.get_mut(&heard.id).filter(|f| f.frame == heard.tries && f.waits)
             else {
--- a/crates/lab/src/experiment/run.rs
+++ b/crates/lab/src/experiment/run.rs
@@ -6,7 +6,7 @@
 use super::world::{Peers, report, servers, tell_the_list};
 use crate::arrivals::{Kind, Schedule};
 use crate::checks::{RULES, Watch};
-use crate::drive::{self, Target};
+use crate::drive;
 use crate::emulated::{Doubled, Effects};
 use crate::engine::Engine;
 use crate::ledger::Ledger;
@@ -84,16 +84,7 @@
     let schedule = Schedule::new(kinds.clone(), &experiment.streams, experiment.duration, seed);
     let ledger = Ledger::new(experiment.phases.clone());
     let mut engine = Engine::new(schedule, kinds, experiment.clients, ledger, MOST_PENDING, seed);
-    {
-        // Tables are looked at while ops go on.
-        let mut watched = Looked {
-            target: &mut target,
-            last: Duration::ZERO,
-            watch: watching.clone(),
-            proxies: u64::from(zones) * per_zone,
-        };
-        drive::drive(&mut engine, &mut watched, start, stop).await;
-    }
+    drive::drive(&mut engine, &mut target, start, stop).await;
     let seconds = start.elapsed().as_secs_f64();
     list.abort();
     looking.abort();
@@ -196,45 +187,3 @@
         ticks.borrow_mut().push(busy.collect());
     }
 }
-
-/// Looks at each proxy's table every so often: has it a server?
-struct Looked<'a> {
-    target: &'a mut Watched<Proxies>,
-    last: Duration,
-    watch: Rc<RefCell<Watch>>,
-    proxies: u64,
-}
-
-const LOOKS: Duration = Duration::from_millis(50);
-
-impl crate::engine::Sends for Looked<'_> {
-    fn send(&mut self, now: Duration, op: &crate::arrivals::Op, tries: u8) -> crate::engine::Room {
-        self.target.send(now, op, tries)
-    }
-    fn over(
-        &mut self, op: &crate::arrivals::Op, sent: Option<Duration>, ended: crate::clients::Ended,
-        took: Duration, tries: u8,
-    ) {
-        self.target.over(op, sent, ended, took, tries);
-    }
-}
-
-impl Target for Looked<'_> {
-    fn inbox(&self) -> &crate::targets::Inbox {
-        self.target.inbox()
-    }
-    fn flush(&mut self, now: Duration) -> bool {
-        if now >= self.last + LOOKS {
-            self.last = now;
-            let any = self.target.inner.any_open(now);
-            for proxy in 0..self.proxies {
-                let held = self.target.inner.table(proxy).iter().filter(|(_, part)| *part > 0.0).count();
-                self.watch.borrow_mut().holds(now, proxy, held, any);
-            }
-        }
-        self.target.flush(now)
-    }
-    fn is_ready(&self) -> bool {
-        self.target.is_ready()
-    }
-}
--- a/crates/lab/src/frames.rs
+++ b/crates/lab/src/frames.rs
@@ -5,10 +5,43 @@
 use crate::clients::Ended;
 use fallgap::Repeats;
 use std::time::Duration;
+use tokio::net::TcpStream;
 
 pub const REQUEST: usize = 36;
 pub const ANSWER: usize = 20;
 
+/// Bytes of a stream that are read as frames of one size.
+pub struct Incoming<const SIZE: usize> {
+    bytes: Vec<u8>,
+    held: usize,
+}
+
+impl<const SIZE: usize> Default for Incoming<SIZE> {
+    fn default() -> Self {
+        Incoming { bytes: vec![0; 1 << 16], held: 0 }
+    }
+}
+
+impl<const SIZE: usize> Incoming<SIZE> {
+    /// Reads what there is, and tells each whole frame; one that comes in pieces waits for its rest. `false`: the
+    /// stream is over, or `tell` says so.
+    pub fn read(&mut self, stream: &TcpStream, mut tell: impl FnMut(&[u8; SIZE]) -> bool) -> bool {
+        match stream.try_read(&mut self.bytes[self.held..]) {
+            Ok(0) => return false,
+            Ok(n) => self.held += n,
+            Err(e) => return e.kind() == std::io::ErrorKind::WouldBlock,
+        }
+        let (frames, rest) = self.bytes[..self.held].as_chunks::<SIZE>();
+        if !frames.iter().all(&mut tell) {
+            return false;
+        }
+        let (taken, left) = (frames.len() * SIZE, rest.len());
+        self.bytes.copy_within(taken..taken + left, 0);
+        self.held = left;
+        true
+    }
+}
+
 /// An op as it reaches a server.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Request {
--- a/crates/lab/src/targets/framed.rs
+++ b/crates/lab/src/targets/framed.rs
@@ -5,7 +5,7 @@
 use crate::clients::Ended;
 use crate::drive::Target;
 use crate::engine::{Room, Sends};
-use crate::frames::{ANSWER, Answer, Request};
+use crate::frames::{ANSWER, Answer, Incoming, Request};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -107,30 +107,23 @@
 
 /// Reads answers until the connection ends or what comes is none.
 async fn read(line: &std::rc::Weak<Line>, stream: &TcpStream, inbox: &Inbox) {
-    let mut bytes = vec![0; 1 << 16];
-    let mut held = 0;
+    let mut incoming = Incoming::<ANSWER>::default();
     loop {
         if stream.readable().await.is_err() {
             return;
         }
-        match stream.try_read(&mut bytes[held..]) {
-            Ok(0) => return,
-            Ok(n) => held += n,
-            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => continue,
-            Err(_) => return,
-        }
         let Some(line) = line.upgrade() else { return };
-        let (frames, rest) = bytes[..held].as_chunks::<ANSWER>();
-        for frame in frames {
-            let Some(answer) = Answer::read(frame) else { return };
+        let goes_on = incoming.read(stream, |frame| {
+            let Some(answer) = Answer::read(frame) else { return false };
             line.load.set(Some((Instant::now(), answer.active, answer.busy)));
             // One that is answered twice, or was never asked, is told on and found stray there.
             line.under_way.borrow_mut().remove(&(answer.id, answer.tries));
             inbox.put(answer.id, answer.tries, answer.ended);
+            true
+        });
+        if !goes_on {
+            return;
         }
-        let (taken, left) = (frames.len() * ANSWER, rest.len());
-        bytes.copy_within(taken..taken + left, 0);
-        held = left;
     }
 }
 
--- a/crates/lab/src/trace/fields.rs
+++ b/crates/lab/src/trace/fields.rs
@@ -151,8 +151,8 @@
     }
 }
 
-/// FNV-1a.
-fn number_of(text: &str) -> u64 {
+/// A name's own number, the same each time: FNV-1a.
+pub(super) fn number_of(text: &str) -> u64 {
     text.bytes()
         .fold(0xcbf2_9ce4_8422_2325, |key, byte| (key ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3))
 }
--- a/crates/lab/src/trace/order.rs
+++ b/crates/lab/src/trace/order.rs
@@ -1,6 +1,7 @@
 //! Puts a recording in order: rows that stand a little out of place, doubled ones, and a clock that stepped
 //! back.
 
+use super::fields::number_of;
 use super::{BadRow, Met, Row};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
@@ -113,9 +114,7 @@
     fn is_doubled(&mut self, row: &Row) -> bool {
         // Without a name two rows that are alike may be two ops: that cannot be told.
         let Some(text) = &row.id else { return false };
-        let mark = text.bytes().fold(0xcbf2_9ce4_8422_2325, |key: u64, byte| {
-            (key ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-        });
+        let mark = number_of(text);
         if !self.marks.insert(mark) {
             return true;
         }
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -19,7 +19,7 @@
 pub use dns::{NameServers, Service};
 pub use fault::Fault;
 pub use membership::Membership;
-pub use reading::time_in_words;
+pub use reading::{address_in_words, time_in_words};
 
 use fault::Faults;
 use reading::Fields;
--- a/crates/operator/src/reading.rs
+++ b/crates/operator/src/reading.rs
@@ -150,14 +150,16 @@
     value.as_bool().ok_or_else(|| "#true or #false".into())
 }
 
+/// An address in words, with a port of its own or the usual one.
+pub fn address_in_words(text: &str, port: u16) -> Option<SocketAddr> {
+    text.parse().ok().or_else(|| Some(SocketAddr::new(text.parse::<IpAddr>().ok()?, port)))
+}
+
 /// An address, with a port of its own or the usual one.
 pub fn address(port: u16) -> impl Fn(&KdlValue) -> Result<SocketAddr, String> {
     move |value| {
-        let text = value.as_string().unwrap_or_default();
-        let bare = || text.parse::<IpAddr>().map(|ip| SocketAddr::new(ip, port));
-        text.parse()
-            .or_else(|_| bare())
-            .map_err(|_| format!("an address as \"127.0.0.53\" or \"127.0.0.53:{port}\""))
+        let read = value.as_string().and_then(|text| address_in_words(text, port));
+        read.ok_or_else(|| format!("an address as \"127.0.0.53\" or \"127.0.0.53:{port}\""))
     }
 }
 
