Channel kept a second full, small rates raised, the line by one span of reports

Counters a second: the channel carried 4,600 of its 14,000 lines; time in the module 0.8 s of each, in encoding under 1 ms. Probe, every level k times the demand: 2.0 tries an op at k=1 and 1.26 at k=4, so a rate r lets in r / (r + demand): a bucket of one op. Line by line: `then` was read 3 to 9 s back where reports are 3 s apart; aborts were counted over 6 s, busyness over two reports. Ruled out: memory, descriptors, the relay's calls (16 ms at most).

Lines at fault: news_in and send (all of FILL let out at once, builds that cannot leave), deal (every server drawn for every proxy, twice), build (level = share of demand), move_line and own_demand (two spans), judge_servers (full by the mean).

Change: at most 0.5, 0.75 or 1.5 s of the channel's lines in it, counted first in first out by answers; nothing built that cannot leave; draws remembered (src/ranks.rs); small rates raised by the measured law; the line and demand by one span; a server full at any time in the span of its aborts is not suspect.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -11,6 +11,7 @@
 //!  6. the guard of cold servers: bounded, held down by stress, taken back when full.
 
 use crate::host::*;
+use crate::ranks::{Ranks, key_of};
 use crate::samples::{Samples, lowest, mean};
 use crate::state::*;
 use std::cmp::Reverse;
@@ -27,6 +28,10 @@
 /// lines; messages to one proxy that each leaves unused within the limit's span.
 const FILL: [f64; 3] = [0.4, 0.55, 0.85];
 const SPARE: [usize; 3] = [7, 4, 1];
+/// Seconds of the channel's work that each may have in it: what waits there is built from an old state, and all
+/// that comes later waits behind it. How much later than others a message may arrive that left before them.
+const AHEAD: [f64; 3] = [0.5, 0.75, 1.5];
+const TRAVEL: Duration = Duration::from_secs(1);
 /// Pause before a failed list call is made again, and the cookie of its wake.
 const LIST_AGAIN: (Duration, u64) = (Duration::from_secs(1), u64::MAX >> 1);
 const ANSWER_WAIT: Duration = Duration::from_secs(3);
@@ -74,11 +79,14 @@
 const PLAN_OLD: Duration = Duration::from_secs(1);
 /// Room above its demand that an op type above the line gets where levels are rates.
 const HEADROOM: f64 = 1.25;
+/// Part of the ops let in by a rate meant for all of them where it is less than an op a second.
+const LET_IN: f64 = 0.9;
 /// Pressure at which the line comes down, that it then aims at, and under which there is clearly room.
 const PRESSED: (f64, f64, f64) = (0.96, 0.88, 0.6);
 /// The line's least part of the usual, how far it falls at most in a second, how far rates and shares rise.
 const LEAST_IN: f64 = 0.43;
 const FALL: f64 = 0.6;
+const ORDER_HEARD: Duration = Duration::from_secs(1);
 const RISE: [f64; 2] = [1.5, 1.2];
 /// Tries are free while more than this part aborts and pressure is under that: else they only add work.
 const FREE: (f64, f64) = (0.05, 0.8);
@@ -98,7 +106,10 @@
     peers: Peers,
     pub(crate) servers: BTreeMap<String, Server>,
     proxies: BTreeMap<u32, Proxy>,
+    ranks: Ranks,
     plan: Option<Plan>,
+    /// A proxy has joined since the plan.
+    joins: bool,
     out: Outgoing,
     heard: Duration,
     /// Time between two reports of one thing: the interval, or more where only some lines come through.
@@ -138,7 +149,9 @@
             peers,
             servers: BTreeMap::new(),
             proxies: BTreeMap::new(),
+            ranks: Ranks::default(),
             plan: None,
+            joins: false,
             out: Outgoing { budget: channel.lines_per_s * CAP * 0.5, budget_at: now, ..Outgoing::default() },
             heard: now,
             pace: reporting.interval,
@@ -221,7 +234,9 @@
         let unleveled = || Proxy::unleveled(self.op_types.len(), self.habits.usual_retry);
         let p = self.proxies.entry(proxy).or_insert_with(unleveled);
         (p.zone, p.usual, p.joined) = (zone, usual, true);
-        self.zones = self.zones.max(zone + 1);
+        if zone >= self.zones {
+            (self.zones, self.plan) = (zone + 1, None);
+        }
         p.next_rebuild = now + REBUILD.mul_f64(1.0 + self.rng.f64());
         // Starting over under an unknown line: until something is heard, rates let in no more than is usual.
         let unheard = self.servers.values().all(|s| s.met.last().is_none());
@@ -230,16 +245,21 @@
         }
         // A standing table may name servers that drain, are gone or cold: then the join cannot wait.
         let hurry = self.servers.values().any(|s| s.state != ServerState::Ready || s.ease.is_some());
-        self.plan = None;
+        self.joins = true;
         self.mark(proxy, if hurry { RULE } else { ORDINARY });
     }
 
     pub fn proxy_left(&mut self, now: Duration, proxy: u32) {
         self.now = now;
-        if let Some(p) = self.proxies.get_mut(&proxy) {
-            self.out.lose(now, p.leave(), ANSWER_WAIT);
+        let Some(p) = self.proxies.get_mut(&proxy) else { return };
+        if p.dirty {
+            self.out.queue.retain(|q| *q != proxy);
         }
-        self.out.queue.retain(|q| *q != proxy);
+        let lines = p.leave();
+        self.out.unanswered -= lines;
+        self.out.lose(now, lines, ANSWER_WAIT);
+        self.out.urgent.remove(&proxy);
+        self.out.pending.remove(&proxy);
     }
 
     pub fn server_met(&mut self, now: Duration, server: &str, met: Met, load: Option<Load>) {
@@ -261,7 +281,8 @@
     /// Frees the update in flight; guards against late or repeated answers, whose stamp is another.
     pub fn update_answered(&mut self, now: Duration, proxy: u32, stamp: u16) {
         self.now = now;
-        self.proxies.entry(proxy).and_modify(|p| p.answer(stamp));
+        let answered = self.proxies.get_mut(&proxy).into_iter().flat_map(|p| p.answer(stamp));
+        answered.for_each(|(written, lines)| self.out.answered(written, lines));
     }
 
     /// All of this moment's news has been told: builds and sends what may leave now.
@@ -269,34 +290,54 @@
         self.now = now;
         let rate = self.channel.lines_per_s * CAP;
         let idle = now.saturating_sub(self.out.budget_at).as_secs_f64();
-        self.out.budget = (self.out.budget + idle * rate).min(rate * 0.5);
+        self.out.budget = (self.out.budget + idle * rate).clamp(-rate, rate * 0.5);
         self.out.budget_at = now;
-        let unanswered = self.proxies.values().flat_map(|p| &p.unanswered).map(|u| &u.1);
-        self.out.waiting = unanswered.chain(self.out.broken.since(now.saturating_sub(ANSWER_WAIT))).sum();
+        let broken: f64 = self.out.broken.since(now.saturating_sub(ANSWER_WAIT)).sum();
+        self.out.waiting = self.out.unanswered + broken;
+        // Nothing is in the channel any more that has waited as long as its whole backlog takes.
+        let whole = Duration::from_secs_f64(self.channel.backlog / self.channel.lines_per_s.max(1.0));
+        self.out.in_channel = self.out.still_there(now.saturating_sub(whole.max(ANSWER_WAIT)), TRAVEL);
         let mut wrote = false;
+        // What cannot leave is not built: tables that wait for the limits are many when the fleet is large.
+        let urgent = self.out.urgent.iter().filter(|id| !self.spent(**id, self.proxies[*id].hurry));
+        let mut urgent: Vec<u32> = urgent.copied().collect();
         // The longest waiting first: else a flood of changes starves proxies late in any other order.
-        let mut urgent = self.proxies_where(|p| p.hurry > ORDINARY);
         urgent.sort_by_key(|id| (Reverse(self.proxies[id].hurry), self.proxies[id].hurried));
-        let old = self.plan.as_ref().is_none_or(|p| now >= p.at + PLAN_OLD);
+        // Joins move what all tables share by little each: a crowd of them does not work it out at every one.
+        let last = if self.joins { TICK } else { PLAN_OLD };
+        let old = self.plan.as_ref().is_none_or(|p| now >= p.at + last);
         if old && !(urgent.is_empty() && self.out.queue.is_empty()) {
             self.plan = Some(self.plan());
+            self.joins = false;
         }
         for id in urgent {
             let hurry = self.proxies[&id].hurry;
-            if self.out.waiting > self.channel.backlog * FILL[hurry] {
+            if self.room_for(hurry) < self.channel.head {
                 break;
             }
             let update = self.build(id);
             wrote |= self.send(id, update, hurry);
+            if self.out.urgent.contains(&id) {
+                break;
+            }
         }
         while self.out.budget > 0.0
+            && self.room_for(ORDINARY) > self.channel.head
             && let Some(id) = self.out.queue.pop_front()
         {
             let update = self.build(id);
             self.proxies.entry(id).and_modify(|p| (p.dirty, p.pending) = (false, Some(update)));
+            self.out.pending.insert(id);
             wrote |= self.flush_pending(id);
         }
-        for id in self.proxies_where(|p| p.pending.is_some()) {
+        // In turn, from where the room ended last time: else the last of many would never leave.
+        let (before, after) =
+            (self.out.pending.range(..self.out.turn), self.out.pending.range(self.out.turn..));
+        for id in after.chain(before).copied().collect::<Vec<_>>() {
+            if self.room_for(ORDINARY) < self.channel.head {
+                self.out.turn = id;
+                break;
+            }
             wrote |= self.flush_pending(id);
         }
         if wrote {
@@ -309,12 +350,19 @@
         if entry.state != ServerState::Ready {
             return self.removed(&entry.server, entry.state);
         }
-        let unknown = || Server { key: key_of(&entry.server), factor: 1.0, ..Server::default() };
-        let s = self.servers.entry(entry.server.clone()).or_insert_with(unknown);
+        if !self.servers.contains_key(&entry.server) {
+            let server = Server::new(&entry.server, self.ranks.slot(), key_of(&entry.server));
+            self.servers.insert(entry.server.clone(), server);
+        }
+        let Some(s) = self.servers.get_mut(&entry.server) else { return };
         // A restart may show without any removal before it: only the start time tells.
         let restarted = entry.started.is_some() && entry.started != s.started;
         let size = entry.size.filter(|x| *x > 0.0).unwrap_or(1.0);
         let news = restarted || s.state != ServerState::Ready || size != s.size;
+        if s.state != ServerState::Ready || (s.zone, s.size) != (entry.zone, size) {
+            self.ranks.leave(s.slot, s.zone);
+            self.ranks.enter(s.slot, entry.zone, s.key, size);
+        }
         (s.zone, s.size, s.state) = (entry.zone, size, ServerState::Ready);
         self.zones = self.zones.max(entry.zone + 1);
         let mut cold = false;
@@ -335,6 +383,7 @@
             && s.state != state
         {
             (s.state, s.left) = (state, self.now);
+            self.ranks.leave(s.slot, s.zone);
             self.mark_all(Some(server), RULE);
         }
     }
@@ -361,6 +410,7 @@
         let Some(p) = self.proxies.get_mut(&id) else { return };
         if hurry > p.hurry {
             (p.hurry, p.hurried) = (hurry, self.now);
+            self.out.urgent.insert(id);
         }
         if !p.dirty {
             p.dirty = true;
@@ -389,7 +439,7 @@
     /// Ops a second by zone: all that was told of lately, over that time.
     fn own_demand(&self) -> Vec<f64> {
         let mut demand = vec![0.0; self.zones];
-        let (window, recent) = (self.window(), self.now.saturating_sub(FRESH));
+        let (window, recent) = (self.lately(), self.now.saturating_sub(FRESH));
         let since = (self.heard + self.pace / 2).saturating_sub(window);
         for p in self.proxies.values().filter(|p| p.joined) {
             let told = p.came.iter().flat_map(|c| c.since(since)).map(|c| c.total).sum::<f64>();
@@ -441,16 +491,17 @@
         part
     }
 
-    fn plan(&self) -> Plan {
+    fn plan(&mut self) -> Plan {
         let mut demand = self.own_demand();
         let all = demand.iter().sum::<f64>() * (self.peers.others + 1) as f64;
         let mut room = vec![0.0; self.zones];
-        let mut lines: Vec<Line> = Vec::new();
-        for (server, s) in self.ready() {
+        let mut lines: Vec<Option<Line>> = vec![None; self.ranks.slots()];
+        let mut ready = 0.0;
+        for (_, s) in self.ready() {
             let weight = self.weight(s);
             room[s.zone] += weight;
-            let (server, key, zone, size) = (server.clone(), s.key, s.zone, s.size);
-            lines.push(Line { server, key, zone, size, weight, lift: 1.0 });
+            ready += 1.0;
+            lines[s.slot] = Some(Line { server: s.name.clone(), zone: s.zone, weight, lift: 1.0 });
         }
         let mut unheard = self.peers.others;
         for (_, told) in self.peer_demand.values().filter(|d| d.0 + FRESH * 2 >= self.now) {
@@ -463,36 +514,38 @@
             demand = room.iter().map(|r| busiest * r).collect();
         }
         let reach = (0..self.zones).map(|zone| self.reach(zone, &room, &demand)).collect();
-        let per_server = all / lines.len().max(1) as f64;
-        let mut plan = Plan { at: self.now, lines, room, reach, per_server, shares: self.shares() };
-        let joined = self.proxies.iter().filter(|p| p.1.joined).map(|(id, p)| (*id, p.zone, self.brings(p)));
-        let dealt: Vec<_> = joined.map(|(id, z, brings)| (brings, plan.deal(id, z, brings))).collect();
+        let (dealt, per_server) = (BTreeMap::new(), all / f64::max(ready, 1.0));
+        let mut plan = Plan { at: self.now, lines, dealt, room, reach, per_server, shares: self.shares() };
+        let joined = self.proxies.iter().filter(|p| p.1.joined);
+        let joined: Vec<_> = joined.map(|(id, p)| (*id, p.zone, self.brings(p))).collect();
+        plan.dealt =
+            joined.into_iter().map(|(id, z, b)| (id, plan.deal(&mut self.ranks, id, z, b))).collect();
         // Tables of some servers fill them unevenly: each is lifted towards its part of what all bring.
-        for _ in 0..LIFT.2 {
-            let given = plan.given(&dealt);
-            let mut zones = vec![0.0; self.zones];
-            plan.lines.iter().zip(&given).for_each(|(l, g)| zones[l.zone] += g);
-            for (l, g) in plan.lines.iter_mut().zip(given).filter(|(_, g)| *g > 0.0) {
-                let due = zones[l.zone] * l.weight / plan.room[l.zone].max(1e-9);
-                l.lift = (l.lift * due / g).clamp(LIFT.0, LIFT.1);
-            }
-        }
+        (0..LIFT.2).for_each(|_| plan.lift(LIFT.0, LIFT.1));
         plan
     }
 
-    fn build(&self, id: u32) -> Update {
+    fn build(&mut self, id: u32) -> Update {
         let mut update = Update::default();
+        let Some((zone, brings)) = self.proxies.get(&id).map(|p| (p.zone, self.brings(p))) else {
+            return update;
+        };
+        // One that joined after the plan.
+        if let Some(plan) = self.plan.as_mut().filter(|plan| !plan.dealt.contains_key(&id)) {
+            let dealt = plan.deal(&mut self.ranks, id, zone, brings);
+            plan.dealt.insert(id, dealt);
+        }
         let (Some(p), Some(plan)) = (self.proxies.get(&id), &self.plan) else { return update };
         let settle = |old: f64, new: f64| if (new / old - 1.0).abs() < SAME { old } else { new };
-        for (i, part) in plan.deal(id, p.zone, self.brings(p)) {
-            let Line { server, lift, .. } = &plan.lines[i];
+        for (i, part) in plan.dealt.get(&id).iter().flat_map(|dealt| &dealt.lines) {
+            let Some(Line { server, lift, .. }) = plan.line(*i) else { continue };
             let old = p.sent.lines.get(server).copied().unwrap_or(0.0);
             update.lines.insert(server.clone(), settle(old, (part * lift * 1e4).round().max(1.0) / 1e4));
         }
         for (t, share) in plan.shares.iter().enumerate() {
             let level = match self.habits.admission {
                 _ if self.line.is_infinite() => f64::INFINITY,
-                Admission::Rate => (share * self.demand(p, t)).max(0.05),
+                Admission::Rate => small_rate(*share, self.demand(p, t)).max(0.05),
                 _ if *share >= 1.0 => f64::INFINITY,
                 _ => *share,
             };
@@ -507,17 +560,33 @@
     }
 
     fn flush_pending(&mut self, id: u32) -> bool {
+        let spent = self.spent(id, ORDINARY);
         let Some(p) = self.proxies.get_mut(&id) else { return false };
-        if p.in_flight.is_some_and(|f| self.now < f.1 + ANSWER_WAIT) {
+        if spent || p.in_flight.is_some_and(|f| self.now < f.1 + ANSWER_WAIT) {
             return false;
         }
+        self.out.pending.remove(&id);
         p.pending.take().is_some_and(|update| self.send(id, update, ORDINARY))
     }
 
+    /// Lines that may leave now; one message always may while the channel is empty.
+    fn room_for(&self, hurry: usize) -> f64 {
+        let (room, ahead) = (self.channel.backlog * FILL[hurry] - self.out.waiting, self.out.in_channel);
+        if ahead > 0.0 { room.min(self.channel.lines_per_s * AHEAD[hurry] - ahead) } else { room }
+    }
+
+    /// Whether a proxy has had so many messages lately that this one has to wait.
+    fn spent(&self, id: u32, hurry: usize) -> bool {
+        let (most, over) = (self.channel.messages_most, self.channel.messages_over);
+        let lately = |p: &Proxy| p.messages.iter().filter(|m| **m + over > self.now).count();
+        most > 0 && self.proxies.get(&id).is_some_and(|p| lately(p) + SPARE[hurry] >= most)
+    }
+
     /// Sends the difference from what was last sent (from what was answered, if an answer is overdue), or
     /// the whole table to a proxy not bound yet. An urgent build voids the pending slot. What the limits
     /// hold back stays pending or urgent.
     fn send(&mut self, id: u32, update: Update, hurry: usize) -> bool {
+        let room = self.room_for(hurry);
         let Some(p) = self.proxies.get_mut(&id) else { return false };
         let base = if p.in_flight.is_some() && hurry == ORDINARY { &p.acked } else { &p.sent };
         let changes = update.changes_from(&base.lines, &p.sent.lines);
@@ -527,15 +596,17 @@
             if p.bound { changes.len() + levels.len() } else { 1 + update.lines.len() + update.levels.len() };
         if own == 0 {
             p.hurry = ORDINARY;
+            self.out.urgent.remove(&id);
             return false;
         }
         let cost = own as f64 + self.channel.head + 1.0;
         let over = self.channel.messages_over;
         p.messages.retain(|m| *m + over > self.now);
-        let most = self.channel.messages_most;
-        let spent = most > 0 && p.messages.len() + SPARE[hurry] >= most;
-        if spent || self.out.waiting + cost > self.channel.backlog * FILL[hurry] {
-            p.pending = (hurry == ORDINARY).then_some(update);
+        if cost > room {
+            if hurry == ORDINARY {
+                p.pending = Some(update);
+                self.out.pending.insert(id);
+            }
             return false;
         }
         for (server, part) in &changes {
@@ -549,8 +620,12 @@
         }
         p.hurry = ORDINARY;
         p.write(self.now, self.out.stamp, cost, update);
+        self.out.urgent.remove(&id);
+        self.out.pending.remove(&id);
         self.out.budget -= cost;
+        self.out.wrote(self.now, cost);
         self.out.waiting += cost;
+        self.out.in_channel += cost;
         true
     }
 
@@ -582,7 +657,7 @@
 
     /// How busy a server says it is; where only queues are reported, what such a queue tells.
     fn busy_of(&self, s: &Server) -> Option<f64> {
-        self.figure(s, |l| l.busy).or(self.figure(s, |l| l.waiting).map(|w| w / (w + HALF_BUSY)))
+        self.figure(s, busyness)
     }
 
     /// The design's step: each heard server's weight moves against its load minus the mean. Fresh servers
@@ -599,7 +674,13 @@
             self.servers.entry(id).and_modify(moved);
         }
         // Guards against ids that pile up as servers are replaced: no standing table names them any more.
-        self.servers.retain(|_, s| s.state != ServerState::Gone || self.now < s.left + GONE);
+        self.servers.retain(|_, s| {
+            let kept = s.state != ServerState::Gone || self.now < s.left + GONE;
+            if !kept {
+                self.ranks.forget(s.slot);
+            }
+            kept
+        });
         // Steps drift together; a fresh server's weight counts against the others', so their mean stays 1.
         let drift = mean(self.ready().map(|(_, s)| s.factor)).unwrap_or(1.0);
         for s in self.servers.values_mut() {
@@ -609,6 +690,11 @@
         self.mark_all(None, ORDINARY);
     }
 
+    /// Over the whole fleet one report of each server or proxy tells enough, and two would tell of long ago.
+    fn lately(&self) -> Duration {
+        self.pace.max(Duration::from_secs(2))
+    }
+
     fn window(&self) -> Duration {
         self.pace.mul_f64(2.0).max(Duration::from_secs(2))
     }
@@ -633,9 +719,11 @@
             let all = s.met.since(Duration::ZERO);
             let (tries, span) = all.fold((0.0, 0.1), |a, m| (a.0 + m.total, a.1 + m.span.as_secs_f64()));
             let missing = tries / span * extra;
-            let asked = || self.proxies.values().any(|p| p.bound && p.sent.lines.contains_key(id));
+            let asked = || self.proxies.values().any(|p| p.bound && p.sent.lines.contains_key(id.as_str()));
             let unwell = total >= ABORTS.0 && share >= healthy + ABORTS.1;
-            let full = self.busy_of(s).is_some_and(|b| b >= SWAMPED);
+            // At any time in the span of its aborts: these are heard of when what was full has drained.
+            let loads = s.loads.since(recent).filter_map(busyness);
+            let full = loads.fold(0.0, f64::max) >= SWAMPED;
             // A cold server that is full may be about to fall over: it is taken back at its first aborts.
             let cold_and_aborting = s.cold() && total >= ABORTS.0 && share >= COLD.0;
             let why = if s.suspect.is_some() {
@@ -676,7 +764,7 @@
     /// answers come and how many ops let in got none. What was let in then, not now, made that pressure.
     fn move_line(&mut self) {
         let now = self.now;
-        let since = now.saturating_sub(self.window());
+        let since = now.saturating_sub(self.lately());
         let well: Vec<&Server> =
             self.ready().map(|(_, s)| s).filter(|s| s.suspect.is_none() || self.panic).collect();
         let heard = well.iter().filter_map(|s| self.busy_of(s).map(|b| (b * s.size, s.size)));
@@ -707,8 +795,9 @@
         if total > 0.0 && (self.line.is_finite() || pressure > PRESSED.0) {
             let line = self.line.min(whole);
             // What was let in when the reports were made: a share cut twice for one jam empties servers.
-            let ago = |windows: f64| now.saturating_sub(self.window().mul_f64(windows));
-            let then = mean(self.past.between(ago(1.5), ago(0.5)).copied()).unwrap_or(whole);
+            // An order works, and is heard of, after a second or two, and a report tells of the span before it.
+            let ago = |spans: f64| now.saturating_sub(ORDER_HEARD + self.pace.mul_f64(spans));
+            let then = mean(self.past.between(ago(1.0), ago(0.0)).copied()).unwrap_or(whole);
             let (got, rise) = if by_rate { (got_in * all, RISE[0]) } else { (then, RISE[1]) };
             // Small rates let in less than they say: with clear room, what was ordered counts if it is more.
             let part = if pressure < PRESSED.2 { then.max(got) } else { got };
@@ -766,30 +855,43 @@
 impl Plan {
     /// The lines dealt to a proxy, and their parts before the lift: an even and stable choice by chance, the
     /// same under every supervisor, so that no rebuild or new stream reopens connections that were good.
-    fn deal(&self, proxy: u32, zone: usize, brings: f64) -> Vec<(usize, f64)> {
+    fn deal(&self, ranks: &mut Ranks, proxy: u32, zone: usize, brings: f64) -> Dealt {
         // Doubled rather than raised by one, so that what is brought may waver and no line changes.
         let times = LINES.1 * brings / self.per_server.max(1e-9) / LINES.0;
         let wanted = LINES.0 * times.max(1.0).log2().ceil().min(16.0).exp2();
         let reach = &self.reach[zone];
         let whole = |z: usize| self.room[z] * reach[z];
-        let mut dealt = Vec::new();
+        let weight = |slot: usize| self.line(slot).map_or(0.0, |l| l.weight);
+        let (mut lines, mut own) = (Vec::new(), 1.0);
         for z in (0..reach.len()).filter(|z| whole(*z) > 0.0) {
             let most = (wanted * (whole(z) / whole(zone).max(1e-9)).min(1.0)).ceil().max(3.0) as usize;
-            let here = self.lines.iter().enumerate().filter(|(_, l)| l.zone == z && l.weight > 0.0);
-            let mut drawn: Vec<(f64, usize)> = here.map(|(i, l)| (l.draw(proxy), i)).collect();
-            if most < drawn.len() {
-                drawn.select_nth_unstable_by(most, |a, b| a.0.total_cmp(&b.0));
-                drawn.truncate(most);
-            }
+            let before = lines.len();
+            let drawn = ranks.first(proxy, z, most).filter(|slot| weight(*slot) > 0.0);
+            lines.extend(drawn.map(|slot| (slot, weight(slot) * reach[z])));
             // A zone of which only a part is held counts as much as all of it would.
-            let held: f64 = drawn.iter().map(|(_, i)| self.lines[*i].weight).sum();
-            dealt.extend(drawn.iter().map(|(_, i)| (*i, z, self.room[z] / held)));
+            let held: f64 = lines[before..].iter().map(|l| l.1).sum::<f64>() / reach[z];
+            let full = self.room[z] / held.max(1e-12);
+            lines[before..].iter_mut().for_each(|l| l.1 *= full);
+            if z == zone {
+                own = full;
+            }
         }
-        let own = dealt.iter().find(|d| d.1 == zone).map_or(1.0, |d| d.2);
-        dealt.into_iter().map(|(i, z, f)| (i, self.lines[i].weight * reach[z] * f / own)).collect()
+        lines.iter_mut().for_each(|l| l.1 /= own);
+        Dealt { brings, lines }
     }
 }
 
+fn busyness(load: &Load) -> Option<f64> {
+    load.busy.or(load.waiting.map(|w| w / (w + HALF_BUSY)))
+}
+
+/// The rate that lets in such a share of a demand. Measured: an op finds the bucket empty that the one before
+/// it has just emptied, so a rate r lets in r / (r + demand); the less, the more ops a second's bucket holds.
+fn small_rate(share: f64, demand: f64) -> f64 {
+    let (part, bucket) = (share.min(1.0) * LET_IN, (share * demand).max(1.0));
+    demand * (share + part * part / (1.0 - part) / bucket.powi(3))
+}
+
 impl OpType {
     /// Whether a further try can never take effect twice, whatever became of the first: once-only op types
     /// never, deduplicated ones only if every try falls inside the window.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 mod decide;
 mod facade;
 mod host;
+mod ranks;
 mod samples;
 mod state;
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,10 +2,12 @@
 
 use crate::host::{Came, Load, Met, Retry, ServerState};
 use crate::samples::{Samples, lowest};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
 use std::time::Duration;
 
-pub type Table = BTreeMap<String, f64>;
+/// Names are shared: a fleet's tables hold each server's as many times as proxies use it.
+pub type Table = BTreeMap<Arc<str>, f64>;
 
 /// Way back to full weight: of a fresh server, or of a cleared suspect.
 #[derive(Clone, Copy)]
@@ -17,9 +19,10 @@
     pub cold_until: Duration,
 }
 
-#[derive(Default)]
 pub struct Server {
-    /// Picks the proxies that hold it, the same for every supervisor.
+    pub name: Arc<str>,
+    /// Its place in the plan's lines; its key picks the proxies that hold it, the same for every supervisor.
+    pub slot: usize,
     pub key: u64,
     pub zone: usize,
     pub size: f64,
@@ -37,6 +40,25 @@
 }
 
 impl Server {
+    /// One that nothing is known of yet.
+    pub fn new(name: &str, slot: usize, key: u64) -> Self {
+        Server {
+            name: name.into(),
+            slot,
+            key,
+            zone: 0,
+            size: 0.0,
+            state: ServerState::Gone,
+            left: Duration::ZERO,
+            started: None,
+            ease: None,
+            factor: 1.0,
+            met: Samples::default(),
+            loads: Samples::default(),
+            suspect: None,
+            missed: 0,
+        }
+    }
     /// Tries, aborted ones and the time of good ones since a moment.
     pub fn sums(&self, since: Duration) -> (f64, f64, f64) {
         self.met.since(since).fold((0.0, 0.0, 0.0), |a, m| {
@@ -72,8 +94,12 @@
 /// What leaves for the proxies.
 #[derive(Default)]
 pub struct Outgoing {
-    /// Tables marked dirty, in order of arrival.
+    /// Tables marked dirty, in order of arrival; those that hurry; those whose build waits in its slot.
     pub queue: VecDeque<u32>,
+    pub urgent: BTreeSet<u32>,
+    pub pending: BTreeSet<u32>,
+    /// The first of these at the next turn.
+    pub turn: u32,
     /// Lines that may leave now, as of a moment.
     pub budget: f64,
     pub budget_at: Duration,
@@ -81,10 +107,40 @@
     pub stamp: u16,
     /// Lines not answered yet, and those of streams that broke: they may wait in the channel still.
     pub waiting: f64,
+    pub unanswered: f64,
     pub broken: Samples<f64>,
+    /// Lines not answered, by when they were written, and when the latest of the answered ones were: the channel
+    /// keeps their order, so what was written long before those has left it, answered or not.
+    pub ahead: VecDeque<(Duration, f64)>,
+    pub passed: Duration,
+    /// Lines that may be in the channel now.
+    pub in_channel: f64,
 }
 
 impl Outgoing {
+    pub fn wrote(&mut self, now: Duration, lines: f64) {
+        self.unanswered += lines;
+        match self.ahead.back_mut() {
+            Some(last) if last.0 == now => last.1 += lines,
+            _ => self.ahead.push_back((now, lines)),
+        }
+    }
+    pub fn answered(&mut self, written: Duration, lines: f64) {
+        self.unanswered -= lines;
+        self.passed = self.passed.max(written);
+        if let Ok(at) = self.ahead.binary_search_by_key(&written, |a| a.0) {
+            self.ahead[at].1 -= lines;
+        }
+    }
+    /// Lines that may be in the channel still: none written before a moment, nor so long before the latest
+    /// answered ones.
+    pub fn still_there(&mut self, from: Duration, after: Duration) -> f64 {
+        let from = from.max(self.passed.saturating_sub(after));
+        while self.ahead.front().is_some_and(|a| a.0 < from) {
+            self.ahead.pop_front();
+        }
+        self.ahead.iter().map(|a| a.1).sum()
+    }
     /// Notes lines whose stream broke, and lets go of those noted longer ago than they count.
     pub fn lose(&mut self, now: Duration, lines: f64, counted: Duration) {
         self.broken.forget(now.saturating_sub(counted));
@@ -122,7 +178,7 @@
     pub acked: Update,
     pub in_flight: Option<(u16, Duration)>,
     pub pending: Option<Update>,
-    pub unanswered: VecDeque<(u16, f64)>,
+    pub unanswered: VecDeque<(u16, Duration, f64)>,
     pub messages: VecDeque<Duration>,
 }
 
@@ -139,53 +195,47 @@
         (self.joined, self.bound, self.hurry, self.dirty) = (false, false, 0, false);
         (self.in_flight, self.pending) = (None, None);
         self.messages.clear();
-        self.unanswered.drain(..).map(|u| u.1).sum()
+        self.unanswered.drain(..).map(|u| u.2).sum()
     }
     pub fn write(&mut self, now: Duration, stamp: u16, cost: f64, update: Update) {
         (self.bound, self.pending, self.sent) = (true, None, update);
         self.in_flight = Some((stamp, now));
-        self.unanswered.push_back((stamp, cost));
+        self.unanswered.push_back((stamp, now, cost));
         self.messages.push_back(now);
     }
-    /// An answer also tells that all before it has been applied; a stamp not under way changes nothing.
-    pub fn answer(&mut self, stamp: u16) {
-        if let Some(at) = self.unanswered.iter().position(|u| u.0 == stamp) {
-            self.unanswered.drain(..=at);
-        }
+    /// An answer also tells that all before it has been applied; a stamp not under way changes nothing. Tells
+    /// when the lines answered were written, and how many.
+    pub fn answer(&mut self, stamp: u16) -> impl Iterator<Item = (Duration, f64)> {
         if self.in_flight.is_some_and(|f| f.0 == stamp) {
             (self.in_flight, self.acked) = (None, self.sent.clone());
         }
+        let answered = self.unanswered.iter().position(|u| u.0 == stamp).map_or(0, |at| at + 1);
+        self.unanswered.drain(..answered).map(|u| (u.1, u.2))
     }
 }
 
 /// A ready server as all tables see it: its weight, and the lift that evens out how it was dealt.
+#[derive(Clone)]
 pub struct Line {
-    pub server: String,
-    pub key: u64,
+    pub server: Arc<str>,
     pub zone: usize,
-    pub size: f64,
     pub weight: f64,
     pub lift: f64,
 }
 
-impl Line {
-    /// Where the line stands among those that one proxy might hold: by chance, larger servers sooner.
-    pub fn draw(&self, proxy: u32) -> f64 {
-        let seed = self.key ^ u64::from(proxy).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-        -fastrand::Rng::with_seed(seed).f64().max(1e-12).ln() / self.size
-    }
-}
-
-/// FNV-1a: any even spread would do that never changes.
-pub fn key_of(server: &str) -> u64 {
-    let mix = |key: u64, byte: u8| (key ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
-    server.bytes().fold(0xcbf2_9ce4_8422_2325, mix)
+/// What one proxy is dealt: the ops a second it brings, and lines with their parts before the lift.
+#[derive(Default)]
+pub struct Dealt {
+    pub brings: f64,
+    pub lines: Vec<(usize, f64)>,
 }
 
 /// What all tables have in common, worked out once a moment.
 pub struct Plan {
     pub at: Duration,
-    pub lines: Vec<Line>,
+    /// By slot; nothing where no ready server is.
+    pub lines: Vec<Option<Line>>,
+    pub dealt: BTreeMap<u32, Dealt>,
     pub room: Vec<f64>,
     /// By the proxy's zone, then the server's.
     pub reach: Vec<Vec<f64>>,
@@ -195,13 +245,29 @@
 }
 
 impl Plan {
+    pub fn line(&self, slot: usize) -> Option<&Line> {
+        self.lines.get(slot).and_then(Option::as_ref)
+    }
+    /// Moves each line's lift, within bounds, by how far the line is from its part of what all proxies bring.
+    pub fn lift(&mut self, least: f64, most: f64) {
+        let given = self.given();
+        let mut zones = vec![0.0; self.room.len()];
+        for (line, given) in self.lines.iter().zip(&given) {
+            line.iter().for_each(|line| zones[line.zone] += given);
+        }
+        for (line, given) in self.lines.iter_mut().zip(given).filter(|(_, given)| *given > 0.0) {
+            let Some(line) = line else { continue };
+            let due = zones[line.zone] * line.weight / self.room[line.zone].max(1e-9);
+            line.lift = (line.lift * due / given).clamp(least, most);
+        }
+    }
     /// What each line is given when proxies bring so much and hold such lines.
-    pub fn given(&self, dealt: &[(f64, Vec<(usize, f64)>)]) -> Vec<f64> {
+    fn given(&self) -> Vec<f64> {
         let mut given = vec![0.0; self.lines.len()];
-        for (brings, held) in dealt {
-            let part = |(i, part): &(usize, f64)| part * self.lines[*i].lift;
-            let all: f64 = held.iter().map(part).sum::<f64>().max(1e-9);
-            held.iter().for_each(|h| given[h.0] += brings * part(h) / all);
+        for dealt in self.dealt.values() {
+            let part = |(i, part): &(usize, f64)| part * self.line(*i).map_or(0.0, |l| l.lift);
+            let all: f64 = dealt.lines.iter().map(part).sum::<f64>().max(1e-9);
+            dealt.lines.iter().for_each(|h| given[h.0] += dealt.brings * part(h) / all);
         }
         given
     }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -175,7 +175,8 @@
             "listfails" => self.director.list_failed(now),
             "join" | "rejoin" => {
                 let zone = words.get(1).map_or(0, |z| z.parse().expect("zone"));
-                self.director.proxy_joined(now, n(0) as u32, zone, 10.0, what == "join");
+                let usual = if words.len() > 2 { n(2) } else { 10.0 };
+                self.director.proxy_joined(now, n(0) as u32, zone, usual, what == "join");
             }
             "leave" => self.director.proxy_left(now, n(0) as u32),
             "answer" => {
