--- a/crates/lab/examples/fleet_cost.rs
+++ b/crates/lab/examples/fleet_cost.rs
@@ -91,9 +91,12 @@
             let mut any = false;
             while let Some(call) = self.timed(|s, _| s.pick(CALL, |_| 130)) {
                 any = true;
-                let stamp = call.iter().find_map(|o| if let Order::Ask { stamp } = o { Some(*stamp) } else { None });
+                let stamp =
+                    call.iter().find_map(|o| if let Order::Ask { stamp } = o { Some(*stamp) } else { None });
                 let table = |order: &Order| match order {
-                    Order::Line { table, .. } | Order::Bind { table, .. } | Order::Admit { table, .. } => Some(*table),
+                    Order::Line { table, .. } | Order::Bind { table, .. } | Order::Admit { table, .. } => {
+                        Some(*table)
+                    }
                     _ => None,
                 };
                 let mut tables: Vec<u32> = call.iter().filter_map(table).collect();
@@ -161,7 +164,8 @@
 fn main() {
     let mut figures: BTreeMap<String, f64> = BTreeMap::new();
     for (proxies, servers, rounds) in [(50u32, 20usize, 20), (500, 200, 6), (5000, 2000, 2)] {
-        let mut put = |what: &str, figure: f64| _ = figures.insert(format!("{what}_{proxies}x{servers}"), figure);
+        let mut put =
+            |what: &str, figure: f64| _ = figures.insert(format!("{what}_{proxies}x{servers}"), figure);
         let empty = HELD.load(Ordering::Relaxed);
         let mut fleet = Fleet::start(proxies, servers);
         let with_servers = HELD.load(Ordering::Relaxed);
