--- a/crates/daemon/src/kept/names.rs
+++ b/crates/daemon/src/kept/names.rs
@@ -5,6 +5,9 @@
 use fallgap_deployment::{server_state, started};
 use fallgap_sources::{Age, Claim};
 
+/// Listed weights that can be a server's size: one beyond would take its whole zone's work.
+pub const WEIGHTS: std::ops::RangeInclusive<f64> = 1e-3..=1e3;
+
 pub struct Names {
     pub zones: Vec<String>,
     pub op_types: Vec<String>,
@@ -38,7 +41,7 @@
     pub fn claim(&self, row: Row) -> Option<Claim> {
         let state = server_state(&row.state);
         let zone = self.zone(&row.zone).or((state != ServerState::Ready).then_some(0))?;
-        let size = row.weight.filter(|w| self.sized && w.is_finite());
+        let size = row.weight.filter(|w| self.sized && WEIGHTS.contains(w));
         let age = row.started_ms.and_then(started).map_or(Age::LongAgo, Age::Since);
         let addresses = row.addr.and_then(|addr| addr.parse().ok()).into_iter().collect();
         Some(Claim { server: row.id, state, zone, size, age, rank: None, addresses })
@@ -82,6 +85,12 @@
             names.claim(serde_json::from_str(&row).unwrap()).map(|claim| claim.state)
         };
         assert_eq!(row("ready"), None);
+        // Guards against one absurd weight that draws a zone's ops to one server.
+        let size = |weight: &str| {
+            let row = format!(r#"{{"id":"s","zone":"a","state":"ready","weight":{weight}}}"#);
+            names.claim(serde_json::from_str(&row).unwrap()).and_then(|claim| claim.size)
+        };
+        assert_eq!((size("1.5"), size("1e300"), size("-2"), size("0")), (Some(1.5), None, None, None));
         assert_eq!((row("gone"), row("draining")), (Some(ServerState::Gone), Some(ServerState::Draining)));
     }
 }
--- a/crates/daemon/src/life/configuration.rs
+++ b/crates/daemon/src/life/configuration.rs
@@ -54,7 +54,7 @@
     fallgap_operator::read(&text).map_err(told)
 }
 
-fn parse(text: &[u8], variable: impl Fn(&str) -> Option<String>) -> Result<Told, String> {
+pub fn parse(text: &[u8], variable: impl Fn(&str) -> Option<String>) -> Result<Told, String> {
     let all: Value = serde_json::from_slice(text).map_err(|e| format!("not JSON: {e}"))?;
     let text = |value: &Value, name: &str| value.as_str().map(str::to_owned).or_else(|| variable(name));
     let needed = |value: &Value, key: &str, name: &str| {
@@ -66,6 +66,7 @@
     if !settings.is_object() {
         return Err("no object \"settings\"".into());
     }
+    needed_settings(&settings)?;
     let seed = all["seed"].as_str().and_then(|s| u64::from_str_radix(s, 16).ok());
     Ok(Told {
         name: text(&all["name"], "NODE_NAME").unwrap_or_else(|| "fallgap".into()),
@@ -85,6 +86,25 @@
     })
 }
 
+/// What nothing can stand in for: guessed zones or op types would order tables for another fleet.
+fn needed_settings(settings: &Value) -> Result<(), String> {
+    let named = |list: &Value| list.as_array().is_some_and(|list| !list.is_empty());
+    for (key, list) in [("zones", &settings["zones"]), ("classes", &settings["classes"])] {
+        if !named(list) {
+            return Err(format!("\"settings.{key}\": expected a list with at least one entry"));
+        }
+    }
+    for key in ["push_rate", "backlog"] {
+        let value = &settings["family_info"][key];
+        if !value.as_f64().is_some_and(|lines| lines > 0.0) {
+            return Err(format!(
+                "\"settings.family_info.{key}\": expected a number of lines above 0, not {value}"
+            ));
+        }
+    }
+    Ok(())
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -92,7 +112,8 @@
     const WHOLE: &str = r#"{"name":"n3","listen":"127.0.0.4:8443","discovery":"127.2.0.1:8500",
         "seed":"8c1f30d27a5be964","limits":{"cores":1.0,"sockets":64},
         "store":{"address":"127.2.0.2:6400"},"peers":["?","127.3.0.1:7946"],
-        "known":{"version":41,"full":true,"servers":[{"id":"s-1","zone":"a","state":"ready"}]},"settings":{}}"#;
+        "known":{"version":41,"full":true,"servers":[{"id":"s-1","zone":"a","state":"ready"}]},"settings":{"zones":["a"],
+        "classes":[{"name":"lookup"}],"family_info":{"push_rate":100,"backlog":200}}}"#;
 
     #[test]
     fn tells_what_is_missing() {
@@ -105,6 +126,10 @@
         assert_eq!(without("\"settings\""), "no object \"settings\"");
         assert_eq!(without("\"store\""), "no address \"store.address\"");
         assert!(parse(b"{", |_| None).is_err());
+        let why = without("\"zones\"");
+        assert_eq!(why, "\"settings.zones\": expected a list with at least one entry");
+        assert!(without("[{\"name\":\"lookup\"}]").starts_with("\"settings.classes\": expected"));
+        assert!(without("200").ends_with("expected a number of lines above 0, not \"other\""));
     }
 
     #[test]
--- a/crates/daemon/src/life/mod.rs
+++ b/crates/daemon/src/life/mod.rs
@@ -3,6 +3,7 @@
 pub mod acting;
 pub mod clock;
 pub mod configuration;
+pub mod fits;
 pub mod limits;
 pub mod logger;
 pub mod reload;
--- a/crates/daemon/src/life/run.rs
+++ b/crates/daemon/src/life/run.rs
@@ -10,7 +10,7 @@
 use crate::life::configuration::{self, Told};
 use crate::life::limits::Limits;
 use crate::life::signals::{self, Signals};
-use crate::life::{acting, reload};
+use crate::life::{acting, fits, reload};
 use crate::spoken::datagrams::{self, Post};
 use crate::spoken::{client, discovery, listener, news, services};
 use actix_rt::net::TcpListener;
@@ -28,6 +28,14 @@
 pub fn start(operator: Option<PathBuf>) -> ExitCode {
     let read = configuration::read().map_err(|missing| vec![format!("cannot start: {missing}")]);
     let read = read.and_then(|told| Ok((told, configuration::installed(operator.as_deref())?)));
+    let fits = |(told, _): &(Told, _)| fits::check(told);
+    let read = read.and_then(|read| match fits(&read) {
+        Ok(tight) => {
+            tight.iter().for_each(|line| tracing::warn!("tight: {line}"));
+            Ok(read)
+        }
+        Err(why) => Err(vec![format!("cannot serve: {why}")]),
+    });
     let (told, installation) = match read {
         Ok(read) => read,
         Err(faults) => {
--- a/crates/daemon/src/spoken/discovery.rs
+++ b/crates/daemon/src/spoken/discovery.rs
@@ -2,6 +2,7 @@
 
 use crate::kept::desk::Desk;
 use crate::kept::links::Links;
+use crate::kept::names::WEIGHTS;
 use crate::kept::rows::{List, Row};
 use fallgap_sources::Claim;
 use std::rc::Rc;
@@ -12,6 +13,10 @@
 /// What the rows of a list say. Rows of zones that nobody knows are skipped.
 pub fn claims(desk: &Desk, rows: Vec<Row>) -> Vec<Claim> {
     let count = rows.len();
+    let strange = |row: &&Row| row.weight.is_some_and(|weight| !WEIGHTS.contains(&weight));
+    if desk.names.sized && rows.iter().filter(strange).count() > 0 {
+        desk.odd("list_odd", "rows of absurd weights, which count as none");
+    }
     let by_address = desk.membership.by_address();
     let read = rows.into_iter().filter_map(|row| desk.names.claim(row));
     let claims: Vec<Claim> =
--- a/crates/daemon/src/spoken/listener.rs
+++ b/crates/daemon/src/spoken/listener.rs
@@ -141,7 +141,11 @@
                     if met.total > met.aborted {
                         desk.sources(|sources, now| sources.answered(now, &server));
                     }
-                    desk.report(|s, now| s.report_met(now, &server, met, load));
+                    let mut known = true;
+                    desk.report(|s, now| known = s.report_met(now, &server, met, load));
+                    if !known {
+                        desk.odd("reports_unknown", "a report of a server that no list names");
+                    }
                 }
                 Ok(Message::Came { proxy, op_type, came }) => {
                     desk.counters.one("reports_came");
--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -16,7 +16,7 @@
 const NO_LIMIT: f64 = 1e6;
 
 /// Proxies have numbers below this on either wire.
-const MOST_PROXIES: u32 = 65_536;
+pub const MOST_PROXIES: u32 = 65_536;
 
 pub fn habits(settings: &Value) -> Habits {
     let family = &settings["family_info"];
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -24,11 +24,11 @@
 const ORDINARY: usize = 0;
 const URGENT: usize = 1;
 const RULE: usize = 2;
-/// Parts of the backlog that ordinary builds, urgent ones, and those a rule needs may fill with unanswered
-/// lines; messages to one proxy that each leaves unused within the limit's span.
+/// Parts of the backlog that ordinary, urgent and rule-needed builds may fill with unanswered lines.
 const FILL: [f64; 3] = [0.4, 0.55, 0.85];
+/// Messages to one proxy that each leaves unused within the limit's span.
 const SPARE: [usize; 3] = [7, 4, 1];
-/// Seconds of the channel's work that each may have in it: what waits there is built from an old state, and all
+/// Seconds of the channel's work that each may have in it: what waits there is old when it leaves, and all
 /// that comes later waits behind it. How much later than others a message may arrive that left before them.
 const AHEAD: [f64; 3] = [0.5, 0.75, 1.5];
 const TRAVEL: Duration = Duration::from_secs(1);
@@ -48,8 +48,7 @@
 const KEPT: usize = 12;
 const FRESH: Duration = Duration::from_secs(6);
 const FEW: Duration = Duration::from_millis(1500);
-/// Suspicion: least tries, and aborted share above that of the healthier servers; tries missing for
-/// silence; probes in a row that fail.
+/// Suspicion: tries, and aborted share above the healthier servers'; tries missing; probes that fail.
 const ABORTS: (f64, f64) = (3.0, 0.4);
 const MISSED: (f64, u32) = (9.0, 2);
 /// Busyness from which on aborts are believed to be overload: that is for the weights and the line.
@@ -64,14 +63,15 @@
 const COLD: (f64, f64) = (0.2, 0.65);
 /// A cleared suspect eases in from this part over this time.
 const CLEARED: (f64, Duration) = (0.3, Duration::from_secs(4));
-/// How far cold servers are held down: until tries have been heard of, and while the line is down.
+/// How far cold servers are held down: until tries are heard of, and while the line is down; up to how busy.
 const STRESS: (f64, f64) = (3.0, 2.0);
+const COLD_BUSY: f64 = 0.6;
 /// A zone may be this much busier than the fleet before it spills.
 const SPILL: f64 = 1.08;
-/// Least lines of a table, and lines for each server's worth of ops its proxy brings: enough that a few bad
-/// servers do not matter, few enough that connections stay in use and every table fits through the channel.
+/// Least lines of a table, and lines for each server's worth of ops its proxy brings: few bad servers must
+/// not matter, connections stay in use, and every table fit through the channel.
 const LINES: (f64, f64) = (12.0, 4.0);
-/// Bounds of what evens out how unequally servers were dealt to proxies, and rounds of working it out.
+/// Bounds of what evens out how unequally servers were dealt, and rounds of working it out.
 const LIFT: (f64, f64, usize) = (0.25, 4.0, 4);
 /// Ops counted, if heard of at all lately, before a proxy's own demand is believed.
 const COUNTED: f64 = 12.0;
@@ -262,12 +262,13 @@
         self.out.pending.remove(&proxy);
     }
 
-    pub fn server_met(&mut self, now: Duration, server: &str, met: Met, load: Option<Load>) {
+    /// Tells whether the server is known.
+    pub fn server_met(&mut self, now: Duration, server: &str, met: Met, load: Option<Load>) -> bool {
         self.now = now;
-        if let Some(s) = self.servers.get_mut(server) {
-            s.met.add(now, met, KEPT);
-            load.into_iter().for_each(|load| s.loads.add(now, load, KEPT));
-        }
+        let Some(s) = self.servers.get_mut(server) else { return false };
+        s.met.add(now, met, KEPT);
+        load.into_iter().for_each(|load| s.loads.add(now, load, KEPT));
+        true
     }
 
     pub fn ops_came(&mut self, now: Duration, proxy: u32, op_type: usize, came: Came) {
@@ -699,9 +700,8 @@
         self.pace.mul_f64(2.0).max(Duration::from_secs(2))
     }
 
-    /// Guards against servers that abort fast or take ops and answer none: both look idle to load feedback.
-    /// Aborts show in what proxies met, against the healthier servers' so that overload or a proxy's own
-    /// trouble accuses nobody; silence shows as reports that stop while the others' go on.
+    /// Guards against servers that abort fast or answer nothing: both look idle to load feedback. Aborts are
+    /// held against the healthier servers', so that overload accuses nobody; silence is reports that stop.
     fn judge_servers(&mut self) {
         let now = self.now;
         let window = self.window();
@@ -760,16 +760,19 @@
         }
     }
 
-    /// Moves the line by the pressure measured: how busy servers are, and once they are, how late good
-    /// answers come and how many ops let in got none. What was let in then, not now, made that pressure.
+    /// Moves the line by the pressure measured: how busy servers are, then how late answers come and how many
+    /// ops got none. What was let in then, not now, made that pressure.
     fn move_line(&mut self) {
         let now = self.now;
         let since = now.saturating_sub(self.lately());
         let well: Vec<&Server> =
             self.ready().map(|(_, s)| s).filter(|s| s.suspect.is_none() || self.panic).collect();
-        let heard = well.iter().filter_map(|s| self.busy_of(s).map(|b| (b * s.size, s.size)));
+        // By what they are given: many cold servers that idle do not hide that the warm ones are full.
+        let given = |s: &Server| self.weight(s).max(0.001);
+        let heard = well.iter().filter_map(|s| self.busy_of(s).map(|b| (b * given(s), given(s))));
         let (work, room) = heard.fold((0.0, 0.001), |a, h| (a.0 + h.0, a.1 + h.1));
         let busy = work / room;
+        let said = mean(well.iter().filter(|s| s.cold()).filter_map(|s| self.busy_of(s)));
         let sums = well.iter().map(|s| s.sums(since));
         let (total, aborted, ms) = sums.fold((0.0, 0.0, 0.0), |a, s| (a.0 + s.0, a.1 + s.1, a.2 + s.2));
         let target: f64 = self.op_types.iter().map(|t| t.target_latency.as_secs_f64() * 1e3).sum();
@@ -779,13 +782,11 @@
         let (came, lost) = ops.fold((0.0, 0.0), |a, c| (a.0 + c.total, a.1 + c.aborted));
         let let_in = (total - aborted + lost).max(1.0);
         let answered = ((total - aborted) / let_in).max(0.3);
-        // Swamped servers answer too little, and late, to say how busy they are: most of them abort. Suspects
-        // do not count: half a fleet that is dead tells nothing of the other half.
+        // Swamped servers answer too little to say how busy they are: most abort. Suspects tell nothing.
         let common = aborted_share(well.iter().copied(), since, ABORTS.0, 2);
         let full = if common > 0.15 && late > 0.25 { busy.max(1.0 / (1.0 - common).max(0.3)) } else { busy };
         let pressure = if full < 0.85 { busy } else { full * (1.0 + (late - 0.35).max(0.0)) / answered };
-        // Shares are drawn by each op: what was ordered counts, and as what comes of it is known late, they
-        // fall slowly. Rates let in what they say, however many repeats come: what got in counts.
+        // Shares are drawn by each op: what was ordered counts. Of rates, what got in counts.
         let by_rate = self.habits.admission == Admission::Rate;
         let all: f64 = self.own_demand().iter().sum();
         let usual: f64 = self.proxies.values().filter(|p| p.joined).map(|p| p.usual).sum();
@@ -795,7 +796,7 @@
         if total > 0.0 && (self.line.is_finite() || pressure > PRESSED.0) {
             let line = self.line.min(whole);
             // What was let in when the reports were made: a share cut twice for one jam empties servers.
-            // An order works, and is heard of, after a second or two, and a report tells of the span before it.
+            // An order is heard of after a second or two, and a report tells of the span before it.
             let ago = |spans: f64| now.saturating_sub(ORDER_HEARD + self.pace.mul_f64(spans));
             let then = mean(self.past.between(ago(1.0), ago(0.0)).copied()).unwrap_or(whole);
             let (got, rise) = if by_rate { (got_in * all, RISE[0]) } else { (then, RISE[1]) };
@@ -807,7 +808,10 @@
         self.past.add(now, self.line.min(whole), KEPT);
         let least = if self.line.is_finite() { STRESS.1 } else { 1.0 };
         if total > 0.0 {
-            self.stress = (pressure.max(least) / (1.0 - failing).max(0.15)).max(self.stress * 0.7);
+            let most = (pressure.max(least) / (1.0 - failing).max(0.15)).max(self.stress * 0.7);
+            // Cold servers that idle are held too far: the warm ones jam, which would hold them more.
+            let moved = said.map(|busy| self.stress * (busy / COLD_BUSY).clamp(0.7, 1.4));
+            self.stress = moved.map_or(most, |moved| moved.min(most).max(1.0));
         }
         self.eager = failing > FREE.0 && pressure < FREE.1;
         if before.0.is_finite() != self.line.is_finite() || before.1 != self.eager {
@@ -821,8 +825,7 @@
         }
     }
 
-    /// Share of each op type that is let in. The line of worth admits by value and leaves the rest to those
-    /// under it, unless the worst-served op type weighs so much that sharing alike loses less.
+    /// Share of each op type let in: by value, the rest under the line, or alike if that loses less.
     fn shares(&self) -> Vec<f64> {
         let n = self.op_types.len();
         if self.line.is_infinite() || n == 0 {
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -126,8 +126,9 @@
     pub fn report_answered(&mut self, now: Duration, proxy: u32, stamp: u16) {
         self.director.update_answered(now, proxy, stamp);
     }
-    pub fn report_met(&mut self, now: Duration, server: &str, met: Met, load: Option<Load>) {
-        self.director.server_met(now, server, met, load);
+    /// Tells whether the server is known: what is told of others counts for nothing.
+    pub fn report_met(&mut self, now: Duration, server: &str, met: Met, load: Option<Load>) -> bool {
+        self.director.server_met(now, server, met, load)
     }
     pub fn report_came(&mut self, now: Duration, proxy: u32, op_type: usize, came: Came) {
         self.director.ops_came(now, proxy, op_type, came);
@@ -152,7 +153,7 @@
         self.director.host.wakes.first().map_or(now + Duration::from_secs(1), |w| w.0)
     }
 
-    /// The next call of orders, of at most `room` as `size` measures them. Where there are more, the cut falls
+    /// The next call of orders, at most `room` as `size` measures them. Where there are more, the cut falls
     /// between tables: a proxy gets one message of each build. The stamp comes first and in every call, so
     /// that whoever a call reaches is asked, also if the call is carried out in part.
     pub fn pick(&mut self, room: usize, size: impl Fn(&Order) -> usize) -> Option<Vec<Order>> {
--- a/src/ranks.rs
+++ b/src/ranks.rs
@@ -1,6 +1,6 @@
-//! Which servers of a zone a proxy draws first, kept as servers come and go. A whole draw looks at every server
-//! of the zone, for every proxy; so each proxy's first few are remembered, and only what came or went since is
-//! looked at again. Nothing here decides anything: how many are wanted is the caller's.
+//! Which servers of a zone a proxy draws first, kept as servers come and go. A whole draw looks at every
+//! server of the zone, for every proxy; so each proxy's first few are remembered, and only what came or went
+//! since is looked at again. Nothing here decides anything: how many are wanted is the caller's.
 
 use std::collections::VecDeque;
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -109,8 +109,8 @@
     pub waiting: f64,
     pub unanswered: f64,
     pub broken: Samples<f64>,
-    /// Lines not answered, by when they were written, and when the latest of the answered ones were: the channel
-    /// keeps their order, so what was written long before those has left it, answered or not.
+    /// Lines not answered, by when they were written, and when the latest of the answered ones were: the
+    /// channel keeps their order, so what was written long before those has left it, answered or not.
     pub ahead: VecDeque<(Duration, f64)>,
     pub passed: Duration,
     /// Lines that may be in the channel now.
