--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -12,9 +12,9 @@
     supervisors: 5,
     proxies: 240,
     servers: 60,
-    load: 0.55,
-    lines_per_s: 4000.0,
-    backlog: 24_000.0,
+    load: 0.75,
+    lines_per_s: 2200.0,
+    backlog: 13_200.0,
     messages: 15,
 };
 const GRACE: Duration = Duration::from_secs(3);
@@ -93,7 +93,8 @@
 }
 
 /// Guards against a last supervisor that drowns in the tables of all: four of five die, 240 proxies join it
-/// within a second on a channel that carries their tables in 1.6 s, and servers drain amid that.
+/// within a second on a channel that carries their tables in 2.4 s, and servers drain amid that. What is told later
+/// must not wait behind all of them.
 #[test]
 fn the_last_supervisor_takes_all_proxies_over() {
     let mut world = settled(FIVE);
@@ -115,8 +116,8 @@
         }
         world.run(now + MS * 20, |w| drains_kept(w, &told));
     }
-    // 4,000 lines a second, at most 27 a table: all of them in 1.6 s, and as much again to be sure.
-    world.run(begun + MS * 4500, |w| drains_kept(w, &told));
+    // 2,200 lines a second, about 26 a table: all of them in 2.4 s, and some drains in the tables that left first.
+    world.run(begun + MS * 4000, |w| drains_kept(w, &told));
     let without = world.proxies.iter().filter(|p| !p.bound).count();
     assert_eq!(without, 0, "proxies without a table of their supervisor");
     world.run(begun + MS * 30_000, |w| {
@@ -124,6 +125,12 @@
         assert!(w.proxies.iter().all(|p| !p.table.is_empty()));
     });
     limits_kept(&world);
+    let second = world.terms.lines_per_s;
+    assert!(
+        world.most_waiting <= 1.6 * second,
+        "{} lines in a channel of {second} a second",
+        world.most_waiting
+    );
 }
 
 /// Guards against a list from before the restart that is believed: servers that drained or went meanwhile are
