Cold servers held at least as before under a line, believed while few of their tries abort

So servers that lie that they idle were held less and less, down to not at all.

Line at fault: move_line, `moved.min(most).max(1.0)`. Change: not under what the hold was before while the line is down, and cold servers are believed only while a fifth of their tries abort at most (the share that accuses a cold one).

--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -3,10 +3,11 @@
 //! marks served in the order of their arrival, and a periodic word that sends no line if nothing is new.
 //! Withdrawals pass all of that.
 //!
-//! This is the state machine alone: no I/O, no clock, chance from a seed. The listener with its TLS is not there
-//! yet.
+//! The state machine and its messages as bytes ([`wire`]): no I/O, no clock, chance from a seed. The listener with
+//! its TLS is not there yet.
 
 mod budget;
 mod feed;
+pub mod wire;
 
 pub use feed::{Feed, Limits, Out, ReceiverId};
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -68,8 +68,7 @@
 const COLD_BUSY: f64 = 0.6;
 /// A zone may be this much busier than the fleet before it spills.
 const SPILL: f64 = 1.08;
-/// Least lines of a table, and lines for each server's worth of ops its proxy brings: few bad servers must
-/// not matter, connections stay in use, and every table fit through the channel.
+/// Least lines of a table, and for each server's worth of ops brought: few bad ones must not matter.
 const LINES: (f64, f64) = (12.0, 4.0);
 /// Bounds of what evens out how unequally servers were dealt, and rounds of working it out.
 const LIFT: (f64, f64, usize) = (0.25, 4.0, 4);
@@ -460,8 +459,7 @@
         })
     }
 
-    /// A cold server's work counts every try, also those turned away: it gets less by as much as tries
-    /// outnumber what the fleet can do.
+    /// A cold server's work counts every try, also those turned away: it gets less as they are more.
     fn weight(&self, s: &Server) -> f64 {
         self.room(s) / if s.cold() { self.stress } else { 1.0 }
     }
@@ -531,7 +529,6 @@
         let Some((zone, brings)) = self.proxies.get(&id).map(|p| (p.zone, self.brings(p))) else {
             return update;
         };
-        // One that joined after the plan.
         if let Some(plan) = self.plan.as_mut().filter(|plan| !plan.dealt.contains_key(&id)) {
             let dealt = plan.deal(&mut self.ranks, id, zone, brings);
             plan.dealt.insert(id, dealt);
@@ -772,7 +769,10 @@
         let heard = well.iter().filter_map(|s| self.busy_of(s).map(|b| (b * given(s), given(s))));
         let (work, room) = heard.fold((0.0, 0.001), |a, h| (a.0 + h.0, a.1 + h.1));
         let busy = work / room;
-        let said = mean(well.iter().filter(|s| s.cold()).filter_map(|s| self.busy_of(s)));
+        // What cold servers say of themselves counts while few of their tries abort: some lie.
+        let cold = || well.iter().copied().filter(|s| s.cold());
+        let push = cold().map(|s| s.sums(since)).fold((1.0, 0.0), |a, s| (a.0 + s.0, a.1 + s.1));
+        let said = mean(cold().filter_map(|s| self.busy_of(s))).filter(|_| push.1 <= push.0 * COLD.0);
         let sums = well.iter().map(|s| s.sums(since));
         let (total, aborted, ms) = sums.fold((0.0, 0.0, 0.0), |a, s| (a.0 + s.0, a.1 + s.1, a.2 + s.2));
         let target: f64 = self.op_types.iter().map(|t| t.target_latency.as_secs_f64() * 1e3).sum();
@@ -811,7 +811,7 @@
             let most = (pressure.max(least) / (1.0 - failing).max(0.15)).max(self.stress * 0.7);
             // Cold servers that idle are held too far: the warm ones jam, which would hold them more.
             let moved = said.map(|busy| self.stress * (busy / COLD_BUSY).clamp(0.7, 1.4));
-            self.stress = moved.map_or(most, |moved| moved.min(most).max(1.0));
+            self.stress = moved.map_or(most, |moved| moved.min(most).max(least));
         }
         self.eager = failing > FREE.0 && pressure < FREE.1;
         if before.0.is_finite() != self.line.is_finite() || before.1 != self.eager {
