--- a/crates/daemon/src/spoken/discovery.rs
+++ b/crates/daemon/src/spoken/discovery.rs
@@ -13,8 +13,8 @@
 /// What the rows of a list say. Rows of zones that nobody knows are skipped.
 pub fn claims(desk: &Desk, rows: Vec<Row>) -> Vec<Claim> {
     let count = rows.len();
-    let strange = |row: &&Row| row.weight.is_some_and(|weight| !WEIGHTS.contains(&weight));
-    if desk.names.sized && rows.iter().filter(strange).count() > 0 {
+    let strange = |row: &Row| row.weight.is_some_and(|weight| !WEIGHTS.contains(&weight));
+    if desk.names.sized && rows.iter().any(strange) {
         desk.odd("list_odd", "rows of absurd weights, which count as none");
     }
     let by_address = desk.membership.by_address();
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -11,7 +11,7 @@
 //!  6. the guard of cold servers: bounded, held down by stress, taken back when full.
 
 use crate::host::*;
-use crate::ranks::{Ranks, key_of};
+use crate::ranks::Ranks;
 use crate::samples::{Samples, lowest, mean};
 use crate::state::*;
 use std::cmp::Reverse;
@@ -251,14 +251,8 @@
     pub fn proxy_left(&mut self, now: Duration, proxy: u32) {
         self.now = now;
         let Some(p) = self.proxies.get_mut(&proxy) else { return };
-        if p.dirty {
-            self.out.queue.retain(|q| *q != proxy);
-        }
-        let lines = p.leave();
-        self.out.unanswered -= lines;
-        self.out.lose(now, lines, ANSWER_WAIT);
-        self.out.urgent.remove(&proxy);
-        self.out.pending.remove(&proxy);
+        let queued = p.dirty;
+        self.out.left(now, proxy, queued, p.leave(), ANSWER_WAIT);
     }
 
     /// Tells whether the server is known.
@@ -289,14 +283,9 @@
     pub fn news_in(&mut self, now: Duration) {
         self.now = now;
         let rate = self.channel.lines_per_s * CAP;
-        let idle = now.saturating_sub(self.out.budget_at).as_secs_f64();
-        self.out.budget = (self.out.budget + idle * rate).clamp(-rate, rate * 0.5);
-        self.out.budget_at = now;
-        let broken: f64 = self.out.broken.since(now.saturating_sub(ANSWER_WAIT)).sum();
-        self.out.waiting = self.out.unanswered + broken;
         // Nothing is in the channel any more that has waited as long as its whole backlog takes.
         let whole = Duration::from_secs_f64(self.channel.backlog / self.channel.lines_per_s.max(1.0));
-        self.out.in_channel = self.out.still_there(now.saturating_sub(whole.max(ANSWER_WAIT)), TRAVEL);
+        self.out.pass(now, rate, ANSWER_WAIT, whole.max(ANSWER_WAIT), TRAVEL);
         let mut wrote = false;
         // What cannot leave is not built: tables that wait for the limits are many when the fleet is large.
         let urgent = self.out.urgent.iter().filter(|id| !self.spent(**id, self.proxies[*id].hurry));
@@ -331,9 +320,7 @@
             wrote |= self.flush_pending(id);
         }
         // In turn, from where the room ended last time: else the last of many would never leave.
-        let (before, after) =
-            (self.out.pending.range(..self.out.turn), self.out.pending.range(self.out.turn..));
-        for id in after.chain(before).copied().collect::<Vec<_>>() {
+        for id in self.out.pending_in_turn() {
             if self.room_for(ORDINARY) < self.channel.head {
                 self.out.turn = id;
                 break;
@@ -341,8 +328,7 @@
             wrote |= self.flush_pending(id);
         }
         if wrote {
-            self.host.ask_answer(self.out.stamp);
-            self.out.stamp = self.out.stamp.wrapping_add(1);
+            self.host.ask_answer(self.out.next_stamp());
         }
     }
 
@@ -350,11 +336,8 @@
         if entry.state != ServerState::Ready {
             return self.removed(&entry.server, entry.state);
         }
-        if !self.servers.contains_key(&entry.server) {
-            let server = Server::new(&entry.server, self.ranks.slot(), key_of(&entry.server));
-            self.servers.insert(entry.server.clone(), server);
-        }
-        let Some(s) = self.servers.get_mut(&entry.server) else { return };
+        let unknown = || Server::new(&entry.server, self.ranks.slot());
+        let s = self.servers.entry(entry.server.clone()).or_insert_with(unknown);
         // A restart may show without any removal before it: only the start time tells.
         let restarted = entry.started.is_some() && entry.started != s.started;
         let size = entry.size.filter(|x| *x > 0.0).unwrap_or(1.0);
@@ -421,15 +404,8 @@
     /// Ops a second of one op type that reach a proxy, client repeats and rejected ones included. A span in
     /// which none came is not reported, so time passes from the oldest sample used; few ops say little.
     fn demand(&self, p: &Proxy, op_type: usize) -> f64 {
-        let (mut n, mut over, usual) = (0.0, 0.0, p.usual / self.op_types.len() as f64);
-        for (i, (at, c)) in p.came[op_type].timed(self.now.saturating_sub(FRESH)).enumerate() {
-            if i >= 3 && n >= COUNTED {
-                break;
-            }
-            n += c.total;
-            over = (self.heard.saturating_sub(at) + c.span).as_secs_f64();
-        }
-        (n + usual) / (over + 1.0)
+        let (n, over) = p.counted(op_type, self.now.saturating_sub(FRESH), self.heard, COUNTED);
+        (n + p.usual / self.op_types.len() as f64) / (over + 1.0)
     }
 
     fn brings(&self, p: &Proxy) -> f64 {
@@ -442,21 +418,16 @@
         let (window, recent) = (self.lately(), self.now.saturating_sub(FRESH));
         let since = (self.heard + self.pace / 2).saturating_sub(window);
         for p in self.proxies.values().filter(|p| p.joined) {
-            let told = p.came.iter().flat_map(|c| c.since(since)).map(|c| c.total).sum::<f64>();
             // One just back brings its usual: else its zone spills nothing, all onto one cold server.
             let unheard = p.came.iter().all(|c| c.last() < Some(recent));
-            demand[p.zone] += if unheard { p.usual } else { told / window.as_secs_f64() }.max(0.01);
+            demand[p.zone] += if unheard { p.usual } else { p.told(since) / window.as_secs_f64() }.max(0.01);
         }
         demand
     }
 
     /// How far a fresh server, or a cleared suspect, is on its way back to full weight.
     fn ramp(&self, s: &Server) -> f64 {
-        s.ease.map_or(1.0, |e| {
-            let gone = self.now.saturating_sub(e.since).as_secs_f64() / e.over.as_secs_f64().max(0.001);
-            let most = if s.cold() { COLD.1.max(e.from) } else { 1.0 };
-            (e.from + (1.0 - e.from) * gone).min(most)
-        })
+        s.ease.map_or(1.0, |e| e.at(self.now).min(if s.cold() { COLD.1.max(e.from) } else { 1.0 }))
     }
 
     /// A cold server's work counts every try, also those turned away: it gets less as they are more.
@@ -495,11 +466,9 @@
         let all = demand.iter().sum::<f64>() * (self.peers.others + 1) as f64;
         let mut room = vec![0.0; self.zones];
         let mut lines: Vec<Option<Line>> = vec![None; self.ranks.slots()];
-        let mut ready = 0.0;
         for (_, s) in self.ready() {
             let weight = self.weight(s);
             room[s.zone] += weight;
-            ready += 1.0;
             lines[s.slot] = Some(Line { server: s.name.clone(), zone: s.zone, weight, lift: 1.0 });
         }
         let mut unheard = self.peers.others;
@@ -513,7 +482,7 @@
             demand = room.iter().map(|r| busiest * r).collect();
         }
         let reach = (0..self.zones).map(|zone| self.reach(zone, &room, &demand)).collect();
-        let (dealt, per_server) = (BTreeMap::new(), all / f64::max(ready, 1.0));
+        let (dealt, per_server) = (BTreeMap::new(), all / lines.iter().flatten().count().max(1) as f64);
         let mut plan = Plan { at: self.now, lines, dealt, room, reach, per_server, shares: self.shares() };
         let joined = self.proxies.iter().filter(|p| p.1.joined);
         let joined: Vec<_> = joined.map(|(id, p)| (*id, p.zone, self.brings(p))).collect();
@@ -543,7 +512,7 @@
         for (t, share) in plan.shares.iter().enumerate() {
             let level = match self.habits.admission {
                 _ if self.line.is_infinite() => f64::INFINITY,
-                Admission::Rate => small_rate(*share, self.demand(p, t)).max(0.05),
+                Admission::Rate => small_rate(*share, share.min(1.0) * LET_IN, self.demand(p, t)).max(0.05),
                 _ if *share >= 1.0 => f64::INFINITY,
                 _ => *share,
             };
@@ -576,8 +545,7 @@
     /// Whether a proxy has had so many messages lately that this one has to wait.
     fn spent(&self, id: u32, hurry: usize) -> bool {
         let (most, over) = (self.channel.messages_most, self.channel.messages_over);
-        let lately = |p: &Proxy| p.messages.iter().filter(|m| **m + over > self.now).count();
-        most > 0 && self.proxies.get(&id).is_some_and(|p| lately(p) + SPARE[hurry] >= most)
+        most > 0 && self.proxies[&id].messages_within(self.now, over) + SPARE[hurry] >= most
     }
 
     /// Sends the difference from what was last sent (from what was answered, if an answer is overdue), or
@@ -588,8 +556,7 @@
         let Some(p) = self.proxies.get_mut(&id) else { return false };
         let base = if p.in_flight.is_some() && hurry == ORDINARY { &p.acked } else { &p.sent };
         let changes = update.changes_from(&base.lines, &p.sent.lines);
-        let levels: Vec<usize> =
-            (0..update.levels.len()).filter(|t| update.levels[*t] != p.sent.levels[*t]).collect();
+        let levels = update.levels_unlike(&p.sent);
         let own =
             if p.bound { changes.len() + levels.len() } else { 1 + update.lines.len() + update.levels.len() };
         if own == 0 {
@@ -618,12 +585,7 @@
         }
         p.hurry = ORDINARY;
         p.write(self.now, self.out.stamp, cost, update);
-        self.out.urgent.remove(&id);
-        self.out.pending.remove(&id);
-        self.out.budget -= cost;
-        self.out.wrote(self.now, cost);
-        self.out.waiting += cost;
-        self.out.in_channel += cost;
+        self.out.wrote(self.now, id, cost);
         true
     }
 
@@ -713,9 +675,7 @@
             let share = aborted / total.max(1.0);
             let aborts = || format!("{aborted:.0} of {total:.0} tries aborted");
             let extra = quiet(s).unwrap_or(0.0) - usual;
-            let all = s.met.since(Duration::ZERO);
-            let (tries, span) = all.fold((0.0, 0.1), |a, m| (a.0 + m.total, a.1 + m.span.as_secs_f64()));
-            let missing = tries / span * extra;
+            let missing = s.tries_a_second() * extra;
             let asked = || self.proxies.values().any(|p| p.bound && p.sent.lines.contains_key(id.as_str()));
             let unwell = total >= ABORTS.0 && share >= healthy + ABORTS.1;
             // At any time in the span of its aborts: these are heard of when what was full has drained.
@@ -771,10 +731,9 @@
         let busy = work / room;
         // What cold servers say of themselves counts while few of their tries abort: some lie.
         let cold = || well.iter().copied().filter(|s| s.cold());
-        let push = cold().map(|s| s.sums(since)).fold((1.0, 0.0), |a, s| (a.0 + s.0, a.1 + s.1));
-        let said = mean(cold().filter_map(|s| self.busy_of(s))).filter(|_| push.1 <= push.0 * COLD.0);
-        let sums = well.iter().map(|s| s.sums(since));
-        let (total, aborted, ms) = sums.fold((0.0, 0.0, 0.0), |a, s| (a.0 + s.0, a.1 + s.1, a.2 + s.2));
+        let (pushed, back, _) = sums(cold(), since);
+        let said = mean(cold().filter_map(|s| self.busy_of(s))).filter(|_| back <= (pushed + 1.0) * COLD.0);
+        let (total, aborted, ms) = sums(well.iter().copied(), since);
         let target: f64 = self.op_types.iter().map(|t| t.target_latency.as_secs_f64() * 1e3).sum();
         let late = ms / (total - aborted).max(1.0) / (target / self.op_types.len().max(1) as f64);
         let failing = aborted / total.max(1.0);
@@ -888,13 +847,6 @@
     load.busy.or(load.waiting.map(|w| w / (w + HALF_BUSY)))
 }
 
-/// The rate that lets in such a share of a demand. Measured: an op finds the bucket empty that the one before
-/// it has just emptied, so a rate r lets in r / (r + demand); the less, the more ops a second's bucket holds.
-fn small_rate(share: f64, demand: f64) -> f64 {
-    let (part, bucket) = (share.min(1.0) * LET_IN, (share * demand).max(1.0));
-    demand * (share + part * part / (1.0 - part) / bucket.powi(3))
-}
-
 impl OpType {
     /// Whether a further try can never take effect twice, whatever became of the first: once-only op types
     /// never, deduplicated ones only if every try falls inside the window.
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,7 @@
 //! What is known and held of servers, proxies and their tables: plain state, no decision.
 
 use crate::host::{Came, Load, Met, Retry, ServerState};
+use crate::ranks::key_of;
 use crate::samples::{Samples, lowest};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
@@ -19,6 +20,14 @@
     pub cold_until: Duration,
 }
 
+impl Ease {
+    /// How far it is at a moment: 1 is all the way.
+    pub fn at(&self, now: Duration) -> f64 {
+        let gone = now.saturating_sub(self.since).as_secs_f64() / self.over.as_secs_f64().max(0.001);
+        self.from + (1.0 - self.from) * gone
+    }
+}
+
 pub struct Server {
     pub name: Arc<str>,
     /// Its place in the plan's lines; its key picks the proxies that hold it, the same for every supervisor.
@@ -41,11 +50,11 @@
 
 impl Server {
     /// One that nothing is known of yet.
-    pub fn new(name: &str, slot: usize, key: u64) -> Self {
+    pub fn new(name: &str, slot: usize) -> Self {
         Server {
             name: name.into(),
             slot,
-            key,
+            key: key_of(name),
             zone: 0,
             size: 0.0,
             state: ServerState::Gone,
@@ -65,6 +74,12 @@
             (a.0 + m.total, a.1 + m.aborted, a.2 + m.good_ms * (m.total - m.aborted))
         })
     }
+    /// By all samples that are kept.
+    pub fn tries_a_second(&self) -> f64 {
+        let all = self.met.since(Duration::ZERO);
+        let (tries, span) = all.fold((0.0, 0.1), |a, m| (a.0 + m.total, a.1 + m.span.as_secs_f64()));
+        tries / span
+    }
     /// What was known of the process before says nothing of the new one.
     pub fn restart(&mut self, started: Option<Duration>) {
         (self.started, self.suspect, self.missed) = (started, None, 0);
@@ -76,6 +91,12 @@
     }
 }
 
+/// Tries, aborted ones and the time of good ones at all these servers since a moment.
+pub fn sums<'a>(servers: impl Iterator<Item = &'a Server>, since: Duration) -> (f64, f64, f64) {
+    let each = servers.map(|s| s.sums(since));
+    each.fold((0.0, 0.0, 0.0), |a, s| (a.0 + s.0, a.1 + s.1, a.2 + s.2))
+}
+
 /// The aborted share that one in so many servers stays under, of those with at least so many tries.
 pub fn aborted_share<'a>(
     servers: impl Iterator<Item = &'a Server>, since: Duration, least: f64, one_in: usize,
@@ -118,13 +139,38 @@
 }
 
 impl Outgoing {
-    pub fn wrote(&mut self, now: Duration, lines: f64) {
+    /// Time has passed: lines may leave at a rate again, some under way have gone. `lost` and `whole`: how
+    /// long lines of broken streams, and any others, count; `travel`: as `after` of [`Self::still_there`].
+    pub fn pass(&mut self, now: Duration, rate: f64, lost: Duration, whole: Duration, travel: Duration) {
+        let idle = now.saturating_sub(self.budget_at).as_secs_f64();
+        self.budget = (self.budget + idle * rate).clamp(-rate, rate * 0.5);
+        self.budget_at = now;
+        self.waiting = self.unanswered + self.broken.since(now.saturating_sub(lost)).sum::<f64>();
+        self.in_channel = self.still_there(now.saturating_sub(whole), travel);
+    }
+    /// A message has been written to a proxy.
+    pub fn wrote(&mut self, now: Duration, proxy: u32, lines: f64) {
+        self.urgent.remove(&proxy);
+        self.pending.remove(&proxy);
+        self.budget -= lines;
         self.unanswered += lines;
+        self.waiting += lines;
+        self.in_channel += lines;
         match self.ahead.back_mut() {
             Some(last) if last.0 == now => last.1 += lines,
             _ => self.ahead.push_back((now, lines)),
         }
     }
+    /// The stamp of what was written, which no other bears until all have been used.
+    pub fn next_stamp(&mut self) -> u16 {
+        let stamp = self.stamp;
+        self.stamp = stamp.wrapping_add(1);
+        stamp
+    }
+    /// Proxies whose build waits in its slot, from where the turn ended last time.
+    pub fn pending_in_turn(&self) -> Vec<u32> {
+        self.pending.range(self.turn..).chain(self.pending.range(..self.turn)).copied().collect()
+    }
     pub fn answered(&mut self, written: Duration, lines: f64) {
         self.unanswered -= lines;
         self.passed = self.passed.max(written);
@@ -134,15 +180,22 @@
     }
     /// Lines that may be in the channel still: none written before a moment, nor so long before the latest
     /// answered ones.
-    pub fn still_there(&mut self, from: Duration, after: Duration) -> f64 {
+    fn still_there(&mut self, from: Duration, after: Duration) -> f64 {
         let from = from.max(self.passed.saturating_sub(after));
         while self.ahead.front().is_some_and(|a| a.0 < from) {
             self.ahead.pop_front();
         }
         self.ahead.iter().map(|a| a.1).sum()
     }
-    /// Notes lines whose stream broke, and lets go of those noted longer ago than they count.
-    pub fn lose(&mut self, now: Duration, lines: f64, counted: Duration) {
+    /// A proxy has left: nothing more goes to it, and its unanswered lines count for so long: they may wait
+    /// in the channel still.
+    pub fn left(&mut self, now: Duration, proxy: u32, queued: bool, lines: f64, counted: Duration) {
+        if queued {
+            self.queue.retain(|q| *q != proxy);
+        }
+        self.urgent.remove(&proxy);
+        self.pending.remove(&proxy);
+        self.unanswered -= lines;
         self.broken.forget(now.saturating_sub(counted));
         if lines > 0.0 {
             self.broken.add(now, lines, usize::MAX);
@@ -151,6 +204,10 @@
 }
 
 impl Update {
+    /// Op types whose levels differ.
+    pub fn levels_unlike(&self, other: &Update) -> Vec<usize> {
+        (0..self.levels.len()).filter(|t| self.levels[*t] != other.levels[*t]).collect()
+    }
     /// Lines that differ from a base, and those to be taken out of what is held.
     pub fn changes_from(&self, base: &Table, held: &Table) -> Table {
         let lines = self.lines.iter().filter(|(s, part)| base.get(*s) != Some(*part));
@@ -197,6 +254,27 @@
         self.messages.clear();
         self.unanswered.drain(..).map(|u| u.2).sum()
     }
+    /// Ops of one type that came since a moment, by the latest three samples and more until they are enough;
+    /// and the seconds from the oldest of those until the last that was heard of any.
+    pub fn counted(&self, op_type: usize, since: Duration, heard: Duration, enough: f64) -> (f64, f64) {
+        let (mut n, mut over) = (0.0, 0.0);
+        for (i, (at, c)) in self.came[op_type].timed(since).enumerate() {
+            if i >= 3 && n >= enough {
+                break;
+            }
+            n += c.total;
+            over = (heard.saturating_sub(at) + c.span).as_secs_f64();
+        }
+        (n, over)
+    }
+    /// Ops of all types that were told of since a moment.
+    pub fn told(&self, since: Duration) -> f64 {
+        self.came.iter().flat_map(|c| c.since(since)).map(|c| c.total).sum()
+    }
+    /// Messages written to it that still count within the limit's span.
+    pub fn messages_within(&self, now: Duration, over: Duration) -> usize {
+        self.messages.iter().filter(|m| **m + over > now).count()
+    }
     pub fn write(&mut self, now: Duration, stamp: u16, cost: f64, update: Update) {
         (self.bound, self.pending, self.sent) = (true, None, update);
         self.in_flight = Some((stamp, now));
@@ -230,6 +308,14 @@
     pub lines: Vec<(usize, f64)>,
 }
 
+/// The rate that lets in such a part of a demand, beyond a share of it. Measured: an op finds the bucket
+/// empty that the one before it has just emptied, so a rate r lets in r / (r + demand); less so, the more ops a
+/// second's bucket holds.
+pub fn small_rate(share: f64, part: f64, demand: f64) -> f64 {
+    let bucket = (share * demand).max(1.0);
+    demand * (share + part * part / (1.0 - part) / bucket.powi(3))
+}
+
 /// What all tables have in common, worked out once a moment.
 pub struct Plan {
     pub at: Duration,
