--- a/src/state.rs
+++ b/src/state.rs
@@ -309,8 +309,8 @@
 }
 
 /// The rate that lets in such a part of a demand, beyond a share of it. Measured: an op finds the bucket
-/// empty that the one before it has just emptied, so a rate r lets in r / (r + demand); less so, the more ops a
-/// second's bucket holds.
+/// empty that the one before it has just emptied, so a rate r lets in r / (r + demand); less so, the more
+/// ops a second's bucket holds.
 pub fn small_rate(share: f64, part: f64, demand: f64) -> f64 {
     let bucket = (share * demand).max(1.0);
     demand * (share + part * part / (1.0 - part) / bucket.powi(3))
