--- /dev/null
+++ b/crates/pilot/src/fleet.rs
@@ -0,0 +1,361 @@
+//! The servers that ops go to: who is there, how each did, and the pick among them.
+
+use crate::budget::Budget;
+use crate::gate::Gate;
+use crate::health::{Health, HealthEvent};
+use crate::terms::Terms;
+use fallgap_chart::{Berth, RouteClass, View};
+use slotmap::{SlotMap, new_key_type};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+
+new_key_type! {
+    pub struct ServerKey;
+    pub struct ServiceKey;
+}
+
+/// What one's own requests showed of a server since the last report.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Report {
+    pub server: Arc<str>,
+    pub total: u32,
+    pub failed: u32,
+    pub good_ms: f32,
+}
+
+/// How a request at a server ended, for the server's record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// It answered well after so long.
+    Good(Duration),
+    /// It turned the request away.
+    Shed,
+    /// A failure of its own, a break, bytes that are no answer.
+    Failed,
+    /// It was silent up to the end.
+    Silent,
+    /// There was no connection.
+    Unreached,
+    /// It is another server.
+    Other,
+    /// The end was not the server's doing.
+    Void,
+}
+
+pub struct Server {
+    pub id: Arc<str>,
+    pub address: SocketAddrV4,
+    pub service: ServiceKey,
+    near: bool,
+    slots: u32,
+    weight: f64,
+    health: Health,
+    at_work: u32,
+    /// Of good answers, in seconds; 0 before the first.
+    typical: f64,
+    total: u32,
+    failed: u32,
+    good: u32,
+    good_s: f64,
+}
+
+struct Service {
+    name: Arc<str>,
+    servers: Vec<ServerKey>,
+    line_cap: u32,
+    budget: Budget,
+    gate: Gate,
+    typical: f64,
+}
+
+pub struct Fleet {
+    terms: Terms,
+    zone: Arc<str>,
+    supervisors: usize,
+    services: SlotMap<ServiceKey, Service>,
+    by_name: BTreeMap<Arc<str>, ServiceKey>,
+    servers: SlotMap<ServerKey, Server>,
+    by_id: BTreeMap<(Arc<str>, SocketAddrV4), ServerKey>,
+    rng: fastrand::Rng,
+}
+
+/// How much a new answer moves what is typical.
+const MOVES: f64 = 0.1;
+/// How many are drawn for a pick.
+const DRAWN: usize = 3;
+
+impl Fleet {
+    pub fn new(zone: Arc<str>, terms: Terms, seed: u64) -> Fleet {
+        Fleet {
+            terms,
+            zone,
+            supervisors: 1,
+            services: SlotMap::with_key(),
+            by_name: BTreeMap::new(),
+            servers: SlotMap::with_key(),
+            by_id: BTreeMap::new(),
+            rng: fastrand::Rng::with_seed(seed),
+        }
+    }
+
+    pub fn supervisors(&mut self, count: usize) {
+        self.supervisors = count;
+    }
+
+    /// Takes the view over. Gives the servers that are there no longer.
+    pub fn view(&mut self, view: &View) -> Vec<ServerKey> {
+        self.services.values_mut().for_each(|service| service.servers.clear());
+        for service in &view.configuration.services {
+            let key = self.service_named(&service.name);
+            if let Some(held) = self.services.get_mut(key) {
+                held.line_cap = service.line_cap;
+            }
+        }
+        let mut here = BTreeSet::new();
+        for berth in &view.berths {
+            here.insert(self.berth(berth));
+        }
+        let gone: Vec<ServerKey> = self.servers.keys().filter(|key| !here.contains(key)).collect();
+        for key in &gone {
+            if let Some(server) = self.servers.remove(*key) {
+                self.by_id.remove(&(server.id, server.address));
+            }
+        }
+        gone
+    }
+
+    fn service_named(&mut self, name: &Arc<str>) -> ServiceKey {
+        if let Some(key) = self.by_name.get(name) {
+            return *key;
+        }
+        let terms = &self.terms;
+        let key = self.services.insert(Service {
+            name: name.clone(),
+            servers: Vec::new(),
+            line_cap: 64,
+            budget: Budget::new(terms.retry_ratio, terms.retry_slack, terms.retry_window),
+            gate: Gate::default(),
+            typical: 0.0,
+        });
+        self.by_name.insert(name.clone(), key);
+        key
+    }
+
+    fn berth(&mut self, berth: &Berth) -> ServerKey {
+        let service = self.service_named(&berth.service);
+        let near = berth.zone == self.zone;
+        let name = (berth.id.clone(), berth.address);
+        let key = match self.by_id.get(&name) {
+            Some(key) => *key,
+            None => {
+                let server = Server {
+                    id: berth.id.clone(),
+                    address: berth.address,
+                    service,
+                    near,
+                    slots: berth.slots.max(1),
+                    weight: 1.0,
+                    health: Health::new(&self.terms),
+                    at_work: 0,
+                    typical: 0.0,
+                    total: 0,
+                    failed: 0,
+                    good: 0,
+                    good_s: 0.0,
+                };
+                let key = self.servers.insert(server);
+                self.by_id.insert(name, key);
+                key
+            }
+        };
+        if let Some(server) = self.servers.get_mut(key) {
+            server.service = service;
+            server.near = near;
+            server.slots = berth.slots.max(1);
+            server.weight = if berth.weight.is_finite() { berth.weight.max(0.01) } else { 1.0 };
+        }
+        if let Some(held) = self.services.get_mut(service) {
+            held.servers.push(key);
+        }
+        key
+    }
+
+    pub fn server(&self, key: ServerKey) -> Option<&Server> {
+        self.servers.get(key)
+    }
+
+    /// One of the services, by their shares; one with servers, if there is such.
+    pub fn sorted(&mut self, sorting: &[(Arc<str>, f64)]) -> Option<ServiceKey> {
+        let named = sorting.iter().filter(|(_, share)| *share > 0.0);
+        let known = named.filter_map(|(name, share)| Some((*self.by_name.get(name)?, *share)));
+        let mut known: Vec<(ServiceKey, f64)> = known.collect();
+        let served = |key| self.services.get(key).is_some_and(|service| !service.servers.is_empty());
+        if known.iter().any(|(key, _)| served(*key)) {
+            known.retain(|(key, _)| served(*key));
+        }
+        let sum: f64 = known.iter().map(|(_, share)| share).sum();
+        let mut drawn = self.rng.f64() * sum;
+        let chosen = known.iter().find(|(_, share)| {
+            drawn -= share;
+            drawn < 0.0
+        });
+        chosen.or(known.last()).map(|(key, _)| *key)
+    }
+
+    /// A request for a service has come. `false`: it is to be refused at once.
+    pub fn arrives(&mut self, now: Duration, service: ServiceKey, below: u8) -> bool {
+        let drawn = self.rng.f64();
+        self.services.get_mut(service).is_some_and(|service| {
+            service.budget.first(now);
+            service.gate.lets_in(now, below, drawn)
+        })
+    }
+
+    pub fn budget_allows(&mut self, now: Duration, service: ServiceKey, part: f64) -> bool {
+        let supervisors = self.supervisors;
+        self.services.get_mut(service).is_some_and(|service| service.budget.allows(now, supervisors, part))
+    }
+
+    /// A request leaves for a server. `extra`: it is not the first time.
+    pub fn sends(&mut self, now: Duration, service: ServiceKey, extra: bool) {
+        if let Some(service) = self.services.get_mut(service) {
+            service.gate.sent();
+            if extra {
+                service.budget.spend(now);
+            }
+        }
+    }
+
+    /// Own share of the connections that a server takes.
+    pub fn lines_most(&self, service: ServiceKey) -> usize {
+        let cap = self.services.get(service).map_or(0, |service| service.line_cap as usize);
+        (cap / self.supervisors.max(1)).max(2)
+    }
+
+    /// When a second server is asked if the first is silent: none while that would only add to the load.
+    pub fn hedge_after(&self, service: ServiceKey, target: Duration) -> Option<Duration> {
+        let service = self.services.get(service)?;
+        let latest = target.mul_f64(self.terms.hedge_part);
+        let usual = Duration::from_secs_f64((service.typical * 3.0).clamp(0.0, 3600.0));
+        (!service.gate.is_pressed() && service.typical * 1.5 < latest.as_secs_f64())
+            .then(|| latest.min(usual.max(target / 2)))
+    }
+
+    /// The server for a request: among those with room, one that is not avoided, if there is such. `skip`: servers that it was at, or that
+    /// have no connection left.
+    pub fn pick(
+        &mut self, now: Duration, service: ServiceKey, class: RouteClass, skip: &[ServerKey],
+    ) -> Option<ServerKey> {
+        let held = self.services.get(service)?;
+        let there = held.servers.iter().filter(|key| !skip.contains(key));
+        let there = there.filter_map(|key| Some((*key, self.servers.get(*key)?)));
+        let room = there.filter(|(_, server)| server.at_work < server.slots + self.terms.beyond_slots);
+        let mut open: Vec<(ServerKey, &Server)> =
+            room.filter(|(_, server)| !server.health.is_gone()).collect();
+        if open.iter().any(|(_, server)| server.health.is_open(now)) {
+            open.retain(|(_, server)| server.health.is_open(now));
+        }
+        let pull = match class {
+            RouteClass::Outbound => self.terms.own_zone_large,
+            _ => self.terms.own_zone,
+        };
+        let share =
+            |server: &Server| server.weight * f64::from(server.slots) * if server.near { pull } else { 1.0 };
+        let sum: f64 = open.iter().map(|(_, server)| share(server)).sum();
+        let mut best: Option<(f64, ServerKey)> = None;
+        for _ in 0..DRAWN.min(open.len()) {
+            let mut drawn = self.rng.f64() * sum;
+            let mut chosen = None;
+            for (key, server) in &open {
+                chosen = Some((load(server, held.typical), *key));
+                drawn -= share(server);
+                if drawn < 0.0 {
+                    break;
+                }
+            }
+            best = match (best, chosen) {
+                (Some(best), Some(chosen)) if best.0 <= chosen.0 => Some(best),
+                (best, chosen) => chosen.or(best),
+            };
+        }
+        best.map(|(_, key)| key)
+    }
+
+    /// A request goes to a server.
+    pub fn began(&mut self, now: Duration, key: ServerKey) {
+        if let Some(server) = self.servers.get_mut(key) {
+            server.at_work += 1;
+            server.health.happened(now, HealthEvent::Asked, &self.terms);
+        }
+    }
+
+    /// A request at a server ended.
+    pub fn ended(&mut self, now: Duration, key: ServerKey, how: Ended) {
+        let Some(server) = self.servers.get_mut(key) else { return };
+        server.at_work = server.at_work.saturating_sub(1);
+        let event = match how {
+            Ended::Good(_) | Ended::Shed => HealthEvent::Answered,
+            Ended::Failed | Ended::Silent => HealthEvent::Failed,
+            Ended::Unreached => HealthEvent::Unreached,
+            Ended::Other => HealthEvent::Other,
+            Ended::Void => HealthEvent::Void,
+        };
+        server.health.happened(now, event, &self.terms);
+        if how != Ended::Void {
+            server.total = server.total.saturating_add(1);
+        }
+        let service = self.services.get_mut(server.service);
+        match how {
+            Ended::Good(took) => {
+                let took = took.as_secs_f64();
+                server.good += 1;
+                server.good_s += took;
+                moved(&mut server.typical, took);
+                if let Some(service) = service {
+                    moved(&mut service.typical, took);
+                }
+            }
+            Ended::Shed => {
+                if let Some(service) = service {
+                    service.gate.shed();
+                }
+            }
+            Ended::Failed | Ended::Silent | Ended::Unreached | Ended::Other => server.failed += 1,
+            Ended::Void => {}
+        }
+    }
+
+    /// What was seen since the last call, of servers that were asked.
+    pub fn reports(&mut self) -> Vec<Report> {
+        let mut reports = Vec::new();
+        for key in self.by_id.values() {
+            let Some(server) = self.servers.get_mut(*key).filter(|server| server.total > 0) else { continue };
+            reports.push(Report {
+                server: server.id.clone(),
+                total: std::mem::take(&mut server.total),
+                failed: std::mem::take(&mut server.failed),
+                good_ms: (std::mem::take(&mut server.good_s) * 1e3
+                    / f64::from(std::mem::take(&mut server.good).max(1))) as f32,
+            });
+        }
+        reports
+    }
+
+    /// Names of services with a count of their servers, for those who look.
+    pub fn services(&self) -> impl Iterator<Item = (&str, usize)> {
+        self.by_name.values().filter_map(|key| self.services.get(*key)).map(|s| (&*s.name, s.servers.len()))
+    }
+}
+
+/// How long a request would take there, roughly, next to others.
+fn load(server: &Server, typical: f64) -> f64 {
+    let slow = if server.typical > 0.0 && typical > 0.0 { server.typical / typical } else { 1.0 };
+    let zone = if server.near { 1.0 } else { 1.1 };
+    f64::from(server.at_work + 1) / (server.weight * f64::from(server.slots)) * slow.clamp(0.5, 3.0) * zone
+}
+
+fn moved(typical: &mut f64, took: f64) {
+    *typical += (took - *typical) * if *typical == 0.0 { 1.0 } else { MOVES };
+}
--- /dev/null
+++ b/crates/pilot/src/lib.rs
@@ -0,0 +1,26 @@
+//! The way of one op, free of sockets and clock: strict reading of requests and answers, the route's servers and
+//! the pick among them, the states of a try and what they prove, the budget of further tries.
+
+mod answer;
+mod budget;
+mod chunks;
+mod fleet;
+mod gate;
+mod head;
+mod health;
+mod op;
+mod request;
+mod terms;
+mod wire;
+
+pub use answer::{Answer, AnswerFault, AnswerReader, Judgement, Progress};
+pub use budget::Budget;
+pub use chunks::{ChunkFault, Chunks};
+pub use fleet::{Ended, Fleet, Report, Server, ServerKey, ServiceKey};
+pub use gate::Gate;
+pub use head::{Framing, Head};
+pub use health::{Health, HealthState};
+pub use op::{Final, Next, Op, Plan, TryOutcome, TryState};
+pub use request::{Inbox, Refusal, Request, Step};
+pub use terms::Terms;
+pub use wire::{Ends, answer_head, forwarded_head, own_answer};
--- /dev/null
+++ b/crates/pilot/src/request.rs
@@ -0,0 +1,208 @@
+//! Requests of one connection, read one after the other.
+
+use crate::chunks::{ChunkFault, Chunks};
+use crate::head::{Framing, Head, head_end};
+use fallgap_chart::Limits;
+use std::mem::take;
+
+/// Why a request goes no further.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display, thiserror::Error)]
+pub enum Refusal {
+    /// the request is not to be understood in one way only
+    Malformed,
+    /// the head is too long
+    HeadTooLong,
+    /// the body is too long
+    BodyTooLong,
+    /// there is no room for the body now
+    NoRoom,
+    /// no route leads on
+    NoRoute,
+    /// the request took too long to come
+    Slow,
+}
+
+impl Refusal {
+    pub fn status(self) -> u16 {
+        match self {
+            Refusal::Malformed => 400,
+            Refusal::HeadTooLong => 431,
+            Refusal::BodyTooLong => 413,
+            Refusal::NoRoom => 503,
+            Refusal::NoRoute => 404,
+            Refusal::Slow => 408,
+        }
+    }
+}
+
+/// A whole request.
+#[derive(Debug)]
+pub struct Request {
+    pub head: Head,
+    pub body: Vec<u8>,
+}
+
+#[derive(Debug)]
+pub enum Step {
+    /// More bytes are needed.
+    More,
+    /// The client wants to be told to go on with the body.
+    Expects,
+    Whole(Box<Request>),
+    Refused(Refusal),
+}
+
+enum Reading {
+    Head {
+        seen: usize,
+    },
+    Length {
+        head: Head,
+        rest: usize,
+        body: Vec<u8>,
+    },
+    Chunks {
+        head: Head,
+        chunks: Chunks,
+        body: Vec<u8>,
+    },
+    /// What follows can not be told apart any more.
+    Over,
+}
+
+/// What a client has sent and is not yet an op.
+pub struct Inbox {
+    bytes: Vec<u8>,
+    reading: Reading,
+}
+
+impl Default for Inbox {
+    fn default() -> Self {
+        Inbox { bytes: Vec::new(), reading: Reading::Head { seen: 0 } }
+    }
+}
+
+impl Inbox {
+    pub fn push(&mut self, bytes: &[u8]) {
+        if !matches!(self.reading, Reading::Over) {
+            self.bytes.extend_from_slice(bytes);
+        }
+    }
+
+    /// Nothing of a next request has come.
+    pub fn is_empty(&self) -> bool {
+        self.bytes.is_empty() && matches!(self.reading, Reading::Head { .. } | Reading::Over)
+    }
+
+    /// Bytes held.
+    pub fn held(&self) -> usize {
+        let body = match &self.reading {
+            Reading::Length { body, .. } | Reading::Chunks { body, .. } => body.len(),
+            Reading::Head { .. } | Reading::Over => 0,
+        };
+        self.bytes.len() + body
+    }
+
+    /// The id of a request whose head has come.
+    pub fn id(&self) -> Option<&str> {
+        match &self.reading {
+            Reading::Length { head, .. } | Reading::Chunks { head, .. } => Some(head.id()),
+            Reading::Head { .. } | Reading::Over => None,
+        }
+    }
+
+    /// The next step with what has come. `room`: bytes of bodies that may still be held.
+    pub fn step(&mut self, limits: &Limits, room: usize) -> Step {
+        match self.advance(limits, room) {
+            Ok(step) => step,
+            Err(refusal) => {
+                *self = Inbox { bytes: Vec::new(), reading: Reading::Over };
+                Step::Refused(refusal)
+            }
+        }
+    }
+
+    fn advance(&mut self, limits: &Limits, room: usize) -> Result<Step, Refusal> {
+        if let Reading::Head { seen } = self.reading {
+            let Some(head) = self.head(seen, limits)? else { return Ok(Step::More) };
+            let tells = head.expects && self.bytes.is_empty();
+            self.reading = begin(head, limits, room)?;
+            if tells {
+                return Ok(Step::Expects);
+            }
+        }
+        self.body(limits, room)
+    }
+
+    fn head(&mut self, seen: usize, limits: &Limits) -> Result<Option<Head>, Refusal> {
+        let empty = self.bytes.chunks_exact(2).take_while(|pair| *pair == b"\r\n").count() * 2;
+        if empty > 0 && seen == 0 {
+            self.bytes.drain(..empty);
+        }
+        let end = head_end(&self.bytes, seen).map_err(|()| Refusal::Malformed)?;
+        if end.unwrap_or(self.bytes.len()) > limits.header_bytes {
+            return Err(Refusal::HeadTooLong);
+        }
+        let Some(end) = end else {
+            let last_line = self.bytes.iter().rposition(|byte| *byte == b'\n').map_or(0, |at| at + 1);
+            self.reading = Reading::Head { seen: last_line };
+            return Ok(None);
+        };
+        let rest = self.bytes.split_off(end);
+        Head::read(std::mem::replace(&mut self.bytes, rest)).map(Some)
+    }
+
+    fn body(&mut self, limits: &Limits, room: usize) -> Result<Step, Refusal> {
+        match &mut self.reading {
+            Reading::Length { rest, body, .. } => {
+                let now = self.bytes.len().min(*rest);
+                if now > room {
+                    return Err(Refusal::NoRoom);
+                }
+                *rest -= now;
+                if body.is_empty() && now == self.bytes.len() {
+                    *body = take(&mut self.bytes);
+                } else {
+                    body.extend(self.bytes.drain(..now));
+                }
+                if *rest > 0 {
+                    return Ok(Step::More);
+                }
+            }
+            Reading::Chunks { chunks, body, .. } => {
+                let used =
+                    chunks.feed(&self.bytes, body, limits.body_bytes).map_err(|fault| match fault {
+                        ChunkFault::TooLong => Refusal::BodyTooLong,
+                        _ => Refusal::Malformed,
+                    })?;
+                self.bytes.drain(..used);
+                if body.len() > room {
+                    return Err(Refusal::NoRoom);
+                }
+                if !chunks.is_done() {
+                    return Ok(Step::More);
+                }
+            }
+            Reading::Head { .. } | Reading::Over => return Ok(Step::More),
+        }
+        let bytes = take(&mut self.bytes);
+        let whole = std::mem::replace(self, Inbox { bytes, reading: Reading::Head { seen: 0 } });
+        Ok(match whole.reading {
+            Reading::Length { head, body, .. } | Reading::Chunks { head, body, .. } => {
+                Step::Whole(Box::new(Request { head, body }))
+            }
+            Reading::Head { .. } | Reading::Over => Step::More,
+        })
+    }
+}
+
+fn begin(head: Head, limits: &Limits, room: usize) -> Result<Reading, Refusal> {
+    let body = Vec::new();
+    Ok(match head.framing {
+        Framing::Chunks => Reading::Chunks { head, chunks: Chunks::default(), body },
+        Framing::None => Reading::Length { head, rest: 0, body },
+        Framing::Length(rest) if rest > limits.body_bytes => return Err(Refusal::BodyTooLong),
+        Framing::Length(rest) if rest > room => return Err(Refusal::NoRoom),
+        Framing::Length(rest) => Reading::Length { head, rest, body },
+    })
+}
--- /dev/null
+++ b/crates/pilot/src/terms.rs
@@ -0,0 +1,55 @@
+//! What binds an op's way.
+
+use std::time::Duration;
+
+/// All bounds of an op's way, and what happens at each.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Terms {
+    /// Arrivals beyond the first of each request, as a part of the requests: over it there is no further try.
+    pub retry_ratio: f64,
+    /// Arrivals beyond the first that are free in a window, over all supervisors.
+    pub retry_slack: f64,
+    pub retry_window: Duration,
+    /// A connection that is not up by then is given up, and another server is asked.
+    pub connect: Duration,
+    /// Connections in vain after which an op is refused.
+    pub connects: u32,
+    /// An op on a repeatable route that has had no answer for this part of its target goes to a second server.
+    pub hedge_part: f64,
+    /// How long a server is first avoided; each time after it twice as long.
+    pub avoid: Duration,
+    pub avoid_most: Duration,
+    /// Failures in a row after which a server is avoided.
+    pub failures: u32,
+    /// Own requests at a server beyond its slots, while others have room.
+    pub beyond_slots: u32,
+    /// Bytes of an answer's head. More is no answer.
+    pub answer_head: usize,
+    /// Bytes of an answer's body. More is no answer.
+    pub answer_body: usize,
+    /// How much more often a server of one's own zone is drawn, and the same for large answers.
+    pub own_zone: f64,
+    pub own_zone_large: f64,
+}
+
+impl Default for Terms {
+    fn default() -> Self {
+        let ms = Duration::from_millis;
+        Terms {
+            retry_ratio: 0.2,
+            retry_slack: 64.0,
+            retry_window: ms(10_000),
+            connect: ms(120),
+            connects: 3,
+            hedge_part: 0.55,
+            avoid: ms(500),
+            avoid_most: ms(4000),
+            failures: 3,
+            beyond_slots: 2,
+            answer_head: 64 << 10,
+            answer_body: 16 << 20,
+            own_zone: 1.5,
+            own_zone_large: 3.0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/pilot/tests/fleet.rs
@@ -0,0 +1,156 @@
+//! Picks, records and the budget of further tries.
+
+use fallgap_chart::{Berth, Configuration, Limits, RouteClass, Service, View};
+use fallgap_pilot::{Budget, Ended, Fleet, ServerKey, ServiceKey, Terms};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+mod common;
+use common::ms;
+
+fn berth(id: usize, zone: &str, weight: f64) -> Berth {
+    let address = format!("10.0.0.{id}:80").parse().unwrap();
+    Berth { id: format!("i-{id}").into(), service: "s".into(), address, zone: zone.into(), slots: 3, weight }
+}
+
+fn view(berths: Vec<Berth>) -> View {
+    let services = vec![Service { name: "s".into(), health_path: "/".into(), line_cap: 130 }];
+    let limits = Limits { header_bytes: 1, body_bytes: 1, header: ms(1), idle: ms(1) };
+    View { configuration: Arc::new(Configuration { edition: 1, routes: vec![], services, limits }), berths }
+}
+
+fn fleet(berths: Vec<Berth>) -> (Fleet, ServiceKey) {
+    let mut fleet = Fleet::new("near".into(), Terms::default(), 1);
+    fleet.view(&view(berths));
+    let service = fleet.sorted(&[("s".into(), 1.0)]).unwrap();
+    (fleet, service)
+}
+
+fn pick(fleet: &mut Fleet, at: u64, service: ServiceKey, skip: &[ServerKey]) -> Option<ServerKey> {
+    fleet.pick(ms(at), service, RouteClass::Safe, skip)
+}
+
+/// How often each is picked in a thousand.
+fn counts(fleet: &mut Fleet, at: u64, service: ServiceKey) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for _ in 0..1000 {
+        let key = pick(fleet, at, service, &[]).unwrap();
+        *counts.entry(fleet.server(key).unwrap().id.to_string()).or_default() += 1;
+    }
+    counts
+}
+
+#[test]
+fn the_heavier_the_nearer_and_the_less_loaded_is_picked_more() {
+    let (mut fleet, service) =
+        fleet(vec![berth(1, "near", 2.0), berth(2, "near", 1.0), berth(3, "far", 1.0)]);
+    let at_rest = counts(&mut fleet, 0, service);
+    assert!(at_rest["i-1"] > at_rest["i-2"] && at_rest["i-2"] > at_rest["i-3"], "{at_rest:?}");
+    let mut taken = Vec::new();
+    while let Some(key) = pick(&mut fleet, 0, service, &[]) {
+        fleet.began(ms(0), key);
+        taken.push(key);
+    }
+    // Three slots and two more at each.
+    assert_eq!(taken.len(), 15);
+    fleet.ended(ms(1), taken[0], Ended::Good(ms(60)));
+    assert_eq!(pick(&mut fleet, 1, service, &[]), Some(taken[0]));
+    assert_eq!(pick(&mut fleet, 1, service, &[taken[0]]), None);
+}
+
+#[test]
+fn a_server_that_fails_is_left_alone_and_then_tried_by_one() {
+    let (mut fleet, service) = fleet(vec![berth(1, "near", 1.0), berth(2, "near", 1.0)]);
+    let first = pick(&mut fleet, 0, service, &[]).unwrap();
+    for _ in 0..3 {
+        fleet.began(ms(0), first);
+        fleet.ended(ms(0), first, Ended::Failed);
+    }
+    let other = pick(&mut fleet, 499, service, &[]).unwrap();
+    assert_ne!(other, first);
+    assert_eq!(counts(&mut fleet, 499, service).len(), 1);
+    // With no other it is asked all the same.
+    assert_eq!(pick(&mut fleet, 499, service, &[other]), Some(first));
+    assert_eq!(counts(&mut fleet, 500, service).len(), 2);
+    fleet.began(ms(500), first);
+    assert_eq!(counts(&mut fleet, 500, service).len(), 1);
+    fleet.ended(ms(510), first, Ended::Unreached);
+    assert_eq!(counts(&mut fleet, 1500, service).len(), 1);
+    fleet.began(ms(1510), first);
+    fleet.ended(ms(1520), first, Ended::Good(ms(10)));
+    assert_eq!(counts(&mut fleet, 1520, service).len(), 2);
+    // Another one lives at its address now.
+    fleet.began(ms(1600), first);
+    fleet.ended(ms(1610), first, Ended::Other);
+    assert_eq!(pick(&mut fleet, 100_000, service, &[other]), None);
+}
+
+#[test]
+fn what_the_view_lacks_is_picked_no_more() {
+    let (mut fleet, service) = fleet(vec![berth(1, "near", 1.0), berth(2, "near", 1.0)]);
+    let gone = fleet.view(&view(vec![berth(2, "near", 1.0), berth(3, "near", 1.0)]));
+    assert_eq!(gone.len(), 1);
+    assert!(fleet.server(gone[0]).is_none());
+    let ids: Vec<String> = counts(&mut fleet, 0, service).into_keys().collect();
+    assert_eq!(ids, ["i-2", "i-3"]);
+    fleet.view(&view(vec![]));
+    assert_eq!(pick(&mut fleet, 0, service, &[]), None);
+}
+
+#[test]
+fn reports_tell_what_was_seen_once() {
+    let (mut fleet, service) = fleet(vec![berth(1, "near", 1.0)]);
+    let key = pick(&mut fleet, 0, service, &[]).unwrap();
+    for how in [Ended::Good(ms(40)), Ended::Good(ms(60)), Ended::Silent, Ended::Shed, Ended::Void] {
+        fleet.began(ms(0), key);
+        fleet.ended(ms(0), key, how);
+    }
+    let reports = fleet.reports();
+    let told = (reports[0].total, reports[0].failed, reports[0].good_ms.round());
+    assert_eq!((reports.len(), told), (1, (4, 1, 50.0)));
+    assert_eq!(fleet.reports(), []);
+}
+
+#[test]
+fn a_pressed_service_refuses_the_lowest_rank_first() {
+    let (mut fleet, service) = fleet(vec![berth(1, "near", 1.0)]);
+    let key = pick(&mut fleet, 0, service, &[]).unwrap();
+    let (mut high, mut low) = (0, 0);
+    for step in 0..4000 {
+        high += usize::from(fleet.arrives(ms(step), service, 1));
+        low += usize::from(fleet.arrives(ms(step), service, 0));
+        fleet.sends(ms(step), service, false);
+        fleet.began(ms(step), key);
+        fleet.ended(ms(step), key, if step % 2 == 0 { Ended::Shed } else { Ended::Good(ms(60)) });
+    }
+    assert!(low < 2500 && high > low + 1000, "{low} {high}");
+    // Nothing is turned away any more.
+    assert!((0..100).all(|step| fleet.arrives(ms(20_000 + step), service, 0)));
+}
+
+/// Over all windows that end with a further arrival: no more than the part of the requests and of the slack.
+#[test]
+fn the_budget_holds_in_every_window() {
+    for seed in 0..200 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut budget = Budget::new(0.2, 64.0, ms(10_000));
+        let (mut now, mut firsts, mut extras) = (0, Vec::new(), Vec::new());
+        for _ in 0..2000 {
+            let pace = [2, 20, 200][rng.usize(0..3)];
+            now += rng.u64(0..pace);
+            if rng.f64() < 0.02 {
+                now += rng.u64(0..12_000);
+            }
+            if rng.bool() {
+                budget.first(ms(now));
+                firsts.push(now);
+            } else if budget.allows(ms(now), 4, 1.0) {
+                budget.spend(ms(now));
+                extras.push(now);
+                let within = |times: &[u64]| times.iter().filter(|at| **at + 10_000 >= now).count() as f64;
+                assert!(within(&extras) <= within(&firsts) * 0.2 + 64.0 / 4.0, "seed {seed} at {now}");
+            }
+        }
+        assert!(extras.len() > 20, "seed {seed}: {}", extras.len());
+    }
+}
--- /dev/null
+++ b/crates/pilot/tests/ops.rs
@@ -0,0 +1,100 @@
+//! What an op's tries prove, and what may follow.
+
+use fallgap_chart::RouteClass::{self, Fragile, Safe};
+use fallgap_pilot::{Final, Next, Op, Plan, TryOutcome};
+
+mod common;
+use common::ms;
+
+fn op(class: RouteClass, attempts: u32) -> Op {
+    let (began, deadline, target) = (ms(0), ms(1000), ms(200));
+    Op::new(Plan { class, began, deadline, target, priority: 1, attempts, connects: 3 })
+}
+
+/// One after the other: a byte has left or not, and how it ended.
+fn run(class: RouteClass, attempts: u32, budget: bool, tries: &[(bool, TryOutcome)]) -> Next {
+    let mut op = op(class, attempts);
+    let mut next = Next::Try;
+    for (sent, outcome) in tries {
+        assert_eq!(next, Next::Try, "{tries:?}");
+        let number = op.begin();
+        if *sent {
+            op.sends(number);
+        }
+        next = op.ended(ms(100), number, *outcome, budget);
+    }
+    next
+}
+
+#[test]
+fn a_second_server_is_asked_only_on_proof_or_where_it_does_no_harm() {
+    use Final::{NotRun, Unknown};
+    use TryOutcome as O;
+    let (not_sent, shed, lost) = ((false, O::NotSent), (true, O::NotRun), (true, O::Unknown));
+    let (failed, answered) = ((true, O::Failed), (true, O::Answered));
+    // Nothing left, it is said; but a byte had.
+    let doubtful = (true, O::NotSent);
+    let reply = Next::Reply;
+    let cases: [(RouteClass, u32, bool, &[(bool, O)], Next); 23] = [
+        (Fragile, 2, true, &[answered], Next::Pass),
+        (Fragile, 2, true, &[not_sent], Next::Try),
+        (Fragile, 2, false, &[not_sent], Next::Try),
+        (Fragile, 2, false, &[not_sent, not_sent, not_sent], reply(NotRun)),
+        (Fragile, 2, true, &[shed], Next::Try),
+        (Fragile, 2, false, &[shed], reply(NotRun)),
+        (Fragile, 1, true, &[shed], reply(NotRun)),
+        (Fragile, 2, true, &[shed, shed], reply(NotRun)),
+        (Fragile, 2, true, &[shed, lost], reply(Unknown)),
+        (Fragile, 2, true, &[lost], reply(Unknown)),
+        (Fragile, 9, true, &[doubtful], reply(Unknown)),
+        (Fragile, 2, true, &[failed], Next::Pass),
+        (Fragile, 9, true, &[shed, not_sent, lost], reply(Unknown)),
+        (Safe, 2, true, &[lost], Next::Try),
+        (Safe, 2, false, &[lost], reply(Unknown)),
+        (Safe, 1, true, &[lost], reply(Unknown)),
+        (Safe, 2, true, &[lost, lost], reply(Unknown)),
+        (Safe, 2, true, &[lost, shed], reply(Unknown)),
+        (Safe, 2, true, &[lost, answered], Next::Pass),
+        (Safe, 2, true, &[failed], Next::Try),
+        (Safe, 2, false, &[failed], Next::Pass),
+        (Safe, 2, true, &[failed, failed], Next::Pass),
+        (Safe, 3, true, &[shed, lost], Next::Try),
+    ];
+    for (class, attempts, budget, tries, expected) in cases {
+        assert_eq!(run(class, attempts, budget, tries), expected, "{class:?} {attempts} {budget} {tries:?}");
+    }
+}
+
+#[test]
+fn when_its_time_is_over_the_promise_is_given_only_if_nothing_left() {
+    for class in [Fragile, Safe] {
+        let mut unsent = op(class, 2);
+        unsent.begin();
+        assert_eq!(unsent.late(), Next::Reply(Final::NotRun));
+        let mut sent = op(class, 2);
+        let number = sent.begin();
+        sent.sends(number);
+        assert_eq!(sent.late(), Next::Reply(Final::Late));
+        // What comes later changes nothing.
+        assert_eq!(sent.ended(ms(1001), number, TryOutcome::Unknown, true), Next::Wait);
+    }
+}
+
+#[test]
+fn only_what_may_run_again_is_sent_past_a_silent_server() {
+    for (class, attempts, budget, expected) in
+        [(Safe, 2, true, true), (Safe, 1, true, false), (Safe, 2, false, false), (Fragile, 2, true, false)]
+    {
+        let mut op = op(class, attempts);
+        let first = op.begin();
+        op.sends(first);
+        assert_eq!(op.may_hedge(ms(100), budget), expected);
+        if expected {
+            let second = op.begin();
+            assert!(!op.may_hedge(ms(100), budget));
+            op.sends(second);
+            assert_eq!(op.ended(ms(150), second, TryOutcome::Unknown, true), Next::Wait);
+            assert_eq!(op.ended(ms(160), first, TryOutcome::Answered, true), Next::Pass);
+        }
+    }
+}
--- /dev/null
+++ b/crates/quay/src/client.rs
@@ -0,0 +1,121 @@
+//! A connection of a client.
+
+use crate::timers::OpKey;
+use fallgap_pilot::Inbox;
+use mio::net::TcpStream;
+use std::io::{ErrorKind, IoSlice, Result, Write};
+use std::time::Duration;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ClientState {
+    /// At rest, or a request is coming.
+    Reading,
+    /// Its op is at work.
+    Working(OpKey),
+    /// Its answer leaves. `keep`: the connection serves on behind it.
+    Writing { keep: bool },
+    /// The last answer has left; the client closes.
+    Lingering,
+}
+
+pub(crate) struct Client {
+    pub stream: TcpStream,
+    pub state: ClientState,
+    pub inbox: Inbox,
+    pub out: Outgoing,
+    /// There may be unread bytes.
+    pub more: bool,
+    /// It was asked to tell when it can be written to.
+    pub watched: bool,
+    /// When the request that comes began to come.
+    pub since: Option<Duration>,
+    /// When it last did something.
+    pub moved: Duration,
+    /// When the time of its last op is over.
+    pub until: Duration,
+    /// It is closed then, or looked at.
+    pub due: Duration,
+    /// The time noted with the timers.
+    pub noted: Option<Duration>,
+    /// Bytes that it holds, as last counted.
+    pub held: usize,
+}
+
+impl Client {
+    pub(crate) fn new(stream: TcpStream, now: Duration) -> Client {
+        Client {
+            stream,
+            state: ClientState::Reading,
+            inbox: Inbox::default(),
+            out: Outgoing::default(),
+            more: true,
+            watched: false,
+            since: None,
+            moved: now,
+            until: now,
+            due: now,
+            noted: None,
+            held: 0,
+        }
+    }
+
+    /// The one change of state.
+    pub(crate) fn turn(&mut self, now: Duration, to: ClientState) {
+        self.moved = now;
+        self.state = to;
+    }
+
+    pub(crate) fn is_at_rest(&self) -> bool {
+        self.state == ClientState::Reading && self.inbox.is_empty()
+    }
+}
+
+/// Bytes that leave: a head and a body, written together.
+#[derive(Default)]
+pub(crate) struct Outgoing {
+    pub head: Vec<u8>,
+    pub body: Vec<u8>,
+    sent: usize,
+}
+
+impl Outgoing {
+    pub(crate) fn new(head: Vec<u8>, body: Vec<u8>) -> Outgoing {
+        Outgoing { head, body, sent: 0 }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.head.len() + self.body.len()
+    }
+
+    /// Writes what the socket takes. `true`: all has left.
+    pub(crate) fn write(&mut self, stream: &mut TcpStream) -> Result<bool> {
+        let done = write_from(stream, &mut self.sent, &self.head, &self.body)?;
+        if done {
+            *self = Outgoing::default();
+        }
+        Ok(done)
+    }
+}
+
+/// Writes a head and a body from `sent` on. `true`: all has left.
+pub(crate) fn write_from(stream: &mut TcpStream, sent: &mut usize, head: &[u8], body: &[u8]) -> Result<bool> {
+    while *sent < head.len() + body.len() {
+        let head_rest = head.get(*sent..).unwrap_or_default();
+        let body_rest = body.get(sent.saturating_sub(head.len())..).unwrap_or_default();
+        let written = if body_rest.is_empty() {
+            stream.write(head_rest)
+        } else if head_rest.is_empty() {
+            stream.write(body_rest)
+        } else {
+            stream.write_vectored(&[IoSlice::new(head_rest), IoSlice::new(body_rest)])
+        };
+        match written {
+            Ok(0) => return Err(ErrorKind::WriteZero.into()),
+            Ok(more) => *sent += more,
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(false),
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            Err(error) => return Err(error),
+        }
+    }
+    Ok(true)
+}
--- /dev/null
+++ b/crates/quay/src/clients.rs
@@ -0,0 +1,272 @@
+//! Connections of clients: accepted, read, answered, closed.
+
+use crate::client::{Client, ClientState, Outgoing};
+use crate::quay::{Quay, note};
+use crate::timers::{ClientKey, Who};
+use fallgap_pilot::{Ends, Refusal, Step, own_answer};
+use mio::Interest;
+use mio::event::Event;
+use std::io::{ErrorKind, Read, Write};
+use std::net::Shutdown;
+use std::time::Duration;
+
+impl Quay {
+    pub(crate) fn accept(&mut self, now: Duration) {
+        loop {
+            if self.clients.len() >= self.terms.connections && !self.close_oldest(now) {
+                return self.pause_accepting(now);
+            }
+            match self.listener.accept() {
+                Ok((stream, _)) => self.accepted(now, stream),
+                Err(error) => match error.kind() {
+                    ErrorKind::WouldBlock => return,
+                    ErrorKind::Interrupted | ErrorKind::ConnectionAborted => {}
+                    // No descriptor is left, or the like.
+                    _ => {
+                        self.close_oldest(now);
+                        return self.pause_accepting(now);
+                    }
+                },
+            }
+        }
+    }
+
+    fn pause_accepting(&mut self, now: Duration) {
+        let at = now + self.terms.accept_pause;
+        self.timers.no_later(&mut self.accept_noted, at, Who::Listener);
+    }
+
+    fn accepted(&mut self, now: Duration, stream: mio::net::TcpStream) {
+        // Answers are written whole: only their delay is at stake.
+        let _ = stream.set_nodelay(true);
+        let key = self.clients.insert(Client::new(stream, now));
+        let token = self.client_token(key);
+        let registered = self.clients.get_mut(key).zip(token).is_some_and(|(client, token)| {
+            self.registry.register(&mut client.stream, token, Interest::READABLE).is_ok()
+        });
+        if !registered {
+            self.clients.remove(key);
+            return;
+        }
+        self.counters.accepted += 1;
+        note(&mut self.client_at, key);
+        self.set_due(now, key);
+    }
+
+    /// Closes the connection at rest for longest, if there is one.
+    fn close_oldest(&mut self, now: Duration) -> bool {
+        let at_rest = self.clients.iter().filter(|(_, client)| client.is_at_rest());
+        let oldest = at_rest.min_by_key(|(key, client)| (client.moved, *key)).map(|(key, _)| key);
+        oldest.is_some_and(|key| {
+            self.close_client(now, key);
+            true
+        })
+    }
+
+    pub(crate) fn client_event(&mut self, now: Duration, key: ClientKey, event: &Event) {
+        let Some(client) = self.clients.get_mut(key) else { return };
+        client.more |= event.is_readable() || event.is_read_closed();
+        if (event.is_error() || event.is_write_closed()) && is_broken(client) {
+            self.counters.abandoned += u64::from(matches!(client.state, ClientState::Working(_)));
+            return self.close_client(now, key);
+        }
+        match client.state {
+            ClientState::Reading | ClientState::Lingering => self.ready.push_back(key),
+            ClientState::Writing { .. } if event.is_writable() => self.write_client(now, key),
+            ClientState::Writing { .. } | ClientState::Working(_) => {}
+        }
+    }
+
+    /// Sees to clients until none has anything to be read or begun.
+    pub(crate) fn see_to_clients(&mut self, now: Duration) {
+        while let Some(key) = self.ready.pop_front() {
+            match self.clients.get(key).map(|client| client.state) {
+                Some(ClientState::Reading) => self.read_client(now, key),
+                Some(ClientState::Lingering) => self.linger(now, key),
+                Some(ClientState::Working(_) | ClientState::Writing { .. }) | None => {}
+            }
+        }
+    }
+
+    fn read_client(&mut self, now: Duration, key: ClientKey) {
+        loop {
+            let room = self.terms.memory.saturating_sub(self.memory);
+            let Some(client) = self.clients.get_mut(key) else { return };
+            match client.inbox.step(&self.limits, room) {
+                Step::Whole(request) => {
+                    let began = client.since.take().unwrap_or(now);
+                    self.account(key);
+                    return self.begin_op(now, key, began, request);
+                }
+                Step::Refused(refusal) => return self.refuse(now, key, refusal),
+                Step::Expects => {
+                    // If it can not be written at once the client waits a little, and sends the body all the same.
+                    let _ = client.stream.write(b"HTTP/1.1 100 Continue\r\n\r\n");
+                }
+                Step::More if client.more => match client.stream.read(&mut self.scratch) {
+                    Ok(0) => return self.close_client(now, key),
+                    Ok(count) => {
+                        client.moved = now;
+                        client.since.get_or_insert(now);
+                        client.inbox.push(self.scratch.get(..count).unwrap_or_default());
+                    }
+                    Err(error) if error.kind() == ErrorKind::WouldBlock => client.more = false,
+                    Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                    Err(_) => return self.close_client(now, key),
+                },
+                Step::More => break,
+            }
+        }
+        self.account(key);
+        self.set_due(now, key);
+    }
+
+    /// A request that goes no further, and with it its connection: where the next one begins is not known.
+    fn refuse(&mut self, now: Duration, key: ClientKey, refusal: Refusal) {
+        match refusal {
+            Refusal::NoRoom => self.counters.not_run += 1,
+            Refusal::NoRoute => self.counters.no_route += 1,
+            _ => self.counters.malformed += 1,
+        }
+        let again = (refusal == Refusal::NoRoom).then(|| self.again());
+        let mut head = Vec::with_capacity(128);
+        own_answer(refusal.status(), None, again, Ends::Closed, &mut head);
+        self.reply(now, key, Outgoing::new(head, Vec::new()), false);
+    }
+
+    /// An answer leaves for a client.
+    pub(crate) fn reply(&mut self, now: Duration, key: ClientKey, out: Outgoing, keep: bool) {
+        let Some(client) = self.clients.get_mut(key) else { return };
+        client.out = out;
+        client.turn(now, ClientState::Writing { keep });
+        self.write_client(now, key);
+    }
+
+    fn write_client(&mut self, now: Duration, key: ClientKey) {
+        let token = self.client_token(key);
+        let Some((client, token)) = self.clients.get_mut(key).zip(token) else { return };
+        let ClientState::Writing { keep } = client.state else { return };
+        match client.out.write(&mut client.stream) {
+            Ok(true) if keep => {
+                client.turn(now, ClientState::Reading);
+                client.since = (!client.inbox.is_empty()).then_some(now);
+                if client.more || !client.inbox.is_empty() {
+                    self.ready.push_back(key);
+                }
+            }
+            Ok(true) => {
+                client.turn(now, ClientState::Lingering);
+                // Fails if the client is gone, which the next reading shows.
+                let _ = client.stream.shutdown(Shutdown::Write);
+                if client.more {
+                    self.ready.push_back(key);
+                }
+            }
+            Ok(false) => {
+                client.moved = now;
+                let both = Interest::READABLE | Interest::WRITABLE;
+                if !client.watched && self.registry.reregister(&mut client.stream, token, both).is_err() {
+                    return self.close_client(now, key);
+                }
+                client.watched = true;
+            }
+            Err(_) => return self.close_client(now, key),
+        }
+        self.account(key);
+        self.set_due(now, key);
+    }
+
+    /// Hears what comes behind the last answer, and lets it fall: a close with unread bytes could take the answer
+    /// along.
+    fn linger(&mut self, now: Duration, key: ClientKey) {
+        let Some(client) = self.clients.get_mut(key) else { return };
+        loop {
+            match client.stream.read(&mut self.scratch) {
+                Ok(0) => break,
+                Ok(_) => {}
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                    client.more = false;
+                    return;
+                }
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(_) => break,
+            }
+        }
+        self.close_client(now, key);
+    }
+
+    /// When the client is to be looked at next.
+    pub(crate) fn set_due(&mut self, now: Duration, key: ClientKey) {
+        let Some(client) = self.clients.get_mut(key) else { return };
+        client.due = match client.state {
+            ClientState::Reading if client.is_at_rest() => {
+                let idle = client.moved + self.limits.idle;
+                self.leaving.map_or(idle, |leaving| leaving.max(now).min(idle))
+            }
+            ClientState::Reading if client.inbox.id().is_some() => client.moved + self.limits.idle,
+            ClientState::Reading => client.since.unwrap_or(client.moved) + self.limits.header,
+            // The op has a time of its own.
+            ClientState::Working(_) => return,
+            ClientState::Writing { .. } => (client.moved + self.terms.slow_reader).max(client.until),
+            ClientState::Lingering => client.moved + self.terms.linger,
+        };
+        self.timers.no_later(&mut client.noted, client.due, Who::Client(key));
+    }
+
+    pub(crate) fn client_due(&mut self, now: Duration, key: ClientKey) {
+        let Some(client) = self.clients.get_mut(key) else { return };
+        client.noted = None;
+        if matches!(client.state, ClientState::Working(_)) {
+            return;
+        }
+        if now < client.due {
+            return self.timers.no_later(&mut client.noted, client.due, Who::Client(key));
+        }
+        match client.state {
+            // Bytes may have come that no event has told of yet.
+            ClientState::Reading if !std::mem::replace(&mut client.more, true) => {
+                self.read_client(now, key);
+                let over = |client: &Client| client.state == ClientState::Reading && now >= client.due;
+                if self.clients.get(key).is_some_and(over) {
+                    self.too_slow(now, key);
+                }
+            }
+            ClientState::Reading => self.too_slow(now, key),
+            ClientState::Writing { .. } | ClientState::Lingering | ClientState::Working(_) => {
+                self.close_client(now, key);
+            }
+        }
+    }
+
+    fn too_slow(&mut self, now: Duration, key: ClientKey) {
+        if self.clients.get(key).is_some_and(Client::is_at_rest) {
+            self.close_client(now, key);
+        } else {
+            self.refuse(now, key, Refusal::Slow);
+        }
+    }
+
+    pub(crate) fn close_client(&mut self, now: Duration, key: ClientKey) {
+        let Some(mut client) = self.clients.remove(key) else { return };
+        self.timers.set(&mut client.noted, None, Who::Client(key));
+        self.memory = self.memory.saturating_sub(client.held);
+        // The socket closes all the same.
+        let _ = self.registry.deregister(&mut client.stream);
+        if let ClientState::Working(op) = client.state {
+            self.client_left(now, op);
+        }
+    }
+
+    /// Counts what a client holds.
+    pub(crate) fn account(&mut self, key: ClientKey) {
+        let Some(client) = self.clients.get_mut(key) else { return };
+        let held = client.inbox.held() + client.out.len();
+        self.memory = (self.memory + held).saturating_sub(std::mem::replace(&mut client.held, held));
+    }
+}
+
+/// Whether the connection is broken, as an event hints: the event may be meant for one that was there before.
+fn is_broken(client: &Client) -> bool {
+    let mut one = [0];
+    client.stream.peek(&mut one).is_err_and(|error| error.kind() != ErrorKind::WouldBlock)
+}
--- /dev/null
+++ b/crates/quay/src/lib.rs
@@ -0,0 +1,16 @@
+//! The sockets of clients and servers around the pilot: the front listener, connections of clients, connections to
+//! servers, and the ops between them. One thread, nothing waits: whoever owns the poll hands events and time in.
+
+mod client;
+mod clients;
+mod line;
+mod lines;
+mod ops;
+mod quay;
+mod terms;
+mod timers;
+mod tries;
+
+pub use fallgap_pilot::Report;
+pub use quay::{Counters, Quay, QuayError};
+pub use terms::Terms;
--- /dev/null
+++ b/crates/quay/src/ops.rs
@@ -0,0 +1,170 @@
+//! Ops: from a whole request to its answer.
+
+use crate::client::{ClientState, Outgoing};
+use crate::line::TryAt;
+use crate::quay::Quay;
+use crate::timers::{ClientKey, LineKey, OpKey, Who};
+use fallgap_pilot::{
+    Answer, Ended, Final, Next, Op, Plan, Request, ServerKey, ServiceKey, answer_head, own_answer,
+};
+use std::time::Duration;
+
+/// An op at work.
+pub(crate) struct OpEntry {
+    pub core: Op,
+    pub request: Box<Request>,
+    /// Who waits for it; none any more if it has to run on all the same.
+    pub client: Option<ClientKey>,
+    pub service: ServiceKey,
+    pub tries: Vec<Try>,
+    /// Servers that it was at, or that had no room.
+    pub skip: Vec<ServerKey>,
+    /// Then a second server is asked if the first is silent.
+    pub hedge_at: Option<Duration>,
+    pub noted: Option<Duration>,
+}
+
+/// A try that is under way.
+#[derive(Clone, Copy)]
+pub(crate) struct Try {
+    pub number: usize,
+    pub line: LineKey,
+    pub server: ServerKey,
+    pub began: Duration,
+    /// A byte has left.
+    pub sent: bool,
+}
+
+impl Quay {
+    pub(crate) fn begin_op(&mut self, now: Duration, key: ClientKey, began: Duration, request: Box<Request>) {
+        self.counters.requests += 1;
+        let head = &request.head;
+        let route = self.routing.as_ref().and_then(|routing| routing.find(head.host(), head.path()));
+        let Some(route) = route else {
+            self.counters.no_route += 1;
+            return self.own_answer(now, key, &request, 404, None);
+        };
+        let plan = Plan::new(began, route, head.wait, self.terms.pilot.connects);
+        let below = self.last_priority.saturating_sub(plan.priority);
+        let service = self.fleet.sorted(&route.sorting);
+        let let_in = service.filter(|service| self.fleet.arrives(now, *service, below));
+        let Some(service) = let_in.filter(|_| now < plan.deadline) else {
+            self.counters.pressed += 1;
+            return self.not_run(now, key, &request);
+        };
+        let hedge =
+            plan.class.may_run_again().then(|| self.fleet.hedge_after(service, plan.target)).flatten();
+        let core = Op::new(plan);
+        let (tries, skip) = (Vec::new(), Vec::new());
+        let hedge_at = hedge.map(|after| now + after);
+        let entry = OpEntry { core, request, client: Some(key), service, tries, skip, hedge_at, noted: None };
+        self.memory += entry.request.body.len();
+        let op = self.ops.insert(entry);
+        if let Some(client) = self.clients.get_mut(key) {
+            client.until = plan.deadline;
+            client.turn(now, ClientState::Working(op));
+        }
+        self.start_try(now, op);
+    }
+
+    /// Does what an op's core says.
+    pub(crate) fn act(&mut self, now: Duration, op: OpKey, next: Next, answer: Option<Answer>) {
+        match next {
+            Next::Wait => self.set_op_due(op),
+            Next::Try => self.start_try(now, op),
+            Next::Pass => self.finish(now, op, |quay, client, request| match answer {
+                Some(answer) => quay.pass(now, client, request, answer),
+                None => quay.own_answer(now, client, request, 502, None),
+            }),
+            Next::Reply(end) => self.finish(now, op, |quay, client, request| match end {
+                Final::NotRun => quay.not_run(now, client, request),
+                Final::Unknown => {
+                    quay.counters.unknown += 1;
+                    quay.own_answer(now, client, request, 502, None);
+                }
+                Final::Late => {
+                    quay.counters.late += 1;
+                    quay.own_answer(now, client, request, 504, None);
+                }
+            }),
+        }
+    }
+
+    /// An op is over: its tries end, and its client gets an answer.
+    fn finish(&mut self, now: Duration, key: OpKey, answer: impl FnOnce(&mut Quay, ClientKey, &Request)) {
+        let Some(mut op) = self.ops.remove(key) else { return };
+        self.timers.set(&mut op.noted, None, Who::Op(key));
+        self.memory = self.memory.saturating_sub(op.request.body.len());
+        let patience = op.core.plan.target / 2;
+        for one in op.tries.drain(..) {
+            // Another has answered, or time is over, and this one was silent all the while.
+            let silent = one.sent && now >= one.began + patience;
+            self.fleet.ended(now, one.server, if silent { Ended::Silent } else { Ended::Void });
+            self.close_line(one.line);
+        }
+        if let Some(client) = op.client.filter(|client| self.clients.contains_key(*client)) {
+            answer(self, client, &op.request);
+        }
+    }
+
+    /// A server's answer goes to the client.
+    fn pass(&mut self, now: Duration, key: ClientKey, request: &Request, mut answer: Answer) {
+        self.counters.passed += 1;
+        let ends = self.ends(key, request.head.keep);
+        let mut head = Vec::with_capacity(512);
+        answer_head(&answer, request.head.id(), ends, &mut head);
+        let body = std::mem::take(&mut answer.body);
+        self.reply(now, key, Outgoing::new(head, body), ends != fallgap_pilot::Ends::Closed);
+    }
+
+    fn not_run(&mut self, now: Duration, key: ClientKey, request: &Request) {
+        self.counters.not_run += 1;
+        let again = self.again();
+        self.own_answer(now, key, request, 503, Some(again));
+    }
+
+    fn own_answer(
+        &mut self, now: Duration, key: ClientKey, request: &Request, status: u16, again: Option<Duration>,
+    ) {
+        let ends = self.ends(key, request.head.keep);
+        let mut head = Vec::with_capacity(160);
+        own_answer(status, Some(request.head.id()), again, ends, &mut head);
+        self.reply(now, key, Outgoing::new(head, Vec::new()), ends != fallgap_pilot::Ends::Closed);
+    }
+
+    /// The client of an op is gone. What may run once runs on; nothing else is of use.
+    pub(crate) fn client_left(&mut self, now: Duration, key: OpKey) {
+        let Some(op) = self.ops.get_mut(key) else { return };
+        op.client = None;
+        if op.core.plan.class.may_run_again() || !op.core.was_sent() {
+            self.finish(now, key, |_, _, _| {});
+        }
+    }
+
+    /// When an op is to be looked at next.
+    pub(crate) fn set_op_due(&mut self, key: OpKey) {
+        let connect = self.connect_most();
+        let Some(op) = self.ops.get_mut(key) else { return };
+        let connecting = op.tries.iter().filter(|one| !one.sent).map(|one| one.began + connect).min();
+        let hedge = op.hedge_at.filter(|_| op.tries.len() == 1);
+        let due = [connecting, hedge].into_iter().flatten().fold(op.core.plan.deadline, Duration::min);
+        self.timers.set(&mut op.noted, Some(due), Who::Op(key));
+    }
+
+    pub(crate) fn op_due(&mut self, now: Duration, key: OpKey) {
+        let connect = self.connect_most();
+        let Some(op) = self.ops.get_mut(key) else { return };
+        op.noted = None;
+        if now >= op.core.plan.deadline {
+            let next = op.core.late();
+            return self.act(now, key, next, None);
+        }
+        if let Some(hung) = op.tries.iter().find(|one| !one.sent && now >= one.began + connect) {
+            let at = TryAt { op: key, number: hung.number };
+            self.try_ended(now, at, fallgap_pilot::TryOutcome::NotSent, Ended::Unreached, None);
+        } else if op.hedge_at.take_if(|at| now >= *at).is_some() {
+            self.hedge(now, key);
+        }
+        self.set_op_due(key);
+    }
+}
--- /dev/null
+++ b/crates/quay/src/quay.rs
@@ -0,0 +1,306 @@
+//! The quay as its owner sees it.
+
+use crate::client::{Client, ClientState};
+use crate::line::Line;
+use crate::lines::Pool;
+use crate::ops::OpEntry;
+use crate::terms::Terms;
+use crate::timers::{ClientKey, LineKey, OpKey, Timers, Who};
+use fallgap_chart::{Limits, Routing, View};
+use fallgap_pilot::{Ends, Fleet, Report, ServerKey, ServiceKey};
+use mio::event::Event;
+use mio::net::TcpListener;
+use mio::{Interest, Registry, Token};
+use slotmap::{Key, SecondaryMap, SlotMap};
+use std::collections::VecDeque;
+use std::net::{SocketAddr, SocketAddrV4};
+use std::ops::Range;
+use std::sync::Arc;
+use std::time::Duration;
+
+#[derive(Debug, displaydoc::Display, thiserror::Error)]
+pub enum QuayError {
+    /// the front address can not be listened on: {0}
+    Listen(std::io::Error),
+    /// the poll does not take the front: {0}
+    Register(std::io::Error),
+}
+
+impl From<QuayError> for std::io::Error {
+    fn from(error: QuayError) -> Self {
+        let kind = match &error {
+            QuayError::Listen(from) | QuayError::Register(from) => from.kind(),
+        };
+        std::io::Error::new(kind, error)
+    }
+}
+
+/// What has been since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counters {
+    pub accepted: u64,
+    pub requests: u64,
+    /// Answers of servers that went back.
+    pub passed: u64,
+    /// Own answers by status: what was not to be understood, or too long or slow; no route; not run; may have run;
+    /// time over.
+    pub malformed: u64,
+    pub no_route: u64,
+    pub not_run: u64,
+    pub unknown: u64,
+    pub late: u64,
+    /// Requests that left for servers, those beyond the first of an op, and those of them to a silent server's
+    /// help.
+    pub sent: u64,
+    pub extras: u64,
+    pub hedges: u64,
+    /// Refusals by servers that say so, and answers that proved nothing.
+    pub sheds: u64,
+    pub void: u64,
+    /// Connections to servers that were opened, and those that never came up.
+    pub lines: u64,
+    pub unreached: u64,
+    /// Refused before any server was asked, as it is pressed.
+    pub pressed: u64,
+    /// Clients that were gone before their answer.
+    pub abandoned: u64,
+}
+
+pub struct Quay {
+    pub(crate) registry: Registry,
+    pub(crate) tokens: Range<usize>,
+    pub(crate) listener: TcpListener,
+    pub(crate) accept_noted: Option<Duration>,
+    pub(crate) clients: SlotMap<ClientKey, Client>,
+    pub(crate) client_at: Vec<ClientKey>,
+    pub(crate) lines: SlotMap<LineKey, Line>,
+    pub(crate) line_at: Vec<LineKey>,
+    pub(crate) ops: SlotMap<OpKey, OpEntry>,
+    pub(crate) pools: SecondaryMap<ServerKey, Pool>,
+    /// How long servers of a service seem to keep connections that they say nothing of.
+    pub(crate) rests: SecondaryMap<ServiceKey, Duration>,
+    pub(crate) fleet: Fleet,
+    pub(crate) routing: Option<Routing>,
+    pub(crate) limits: Limits,
+    /// The lowest rank of all routes.
+    pub(crate) last_priority: u8,
+    pub(crate) timers: Timers,
+    /// Clients to be seen to.
+    pub(crate) ready: VecDeque<ClientKey>,
+    pub(crate) scratch: Box<[u8]>,
+    pub(crate) memory: usize,
+    /// How long a connection to a server takes to come up, in seconds.
+    pub(crate) connect_typical: f64,
+    pub(crate) leaving: Option<Duration>,
+    pub(crate) rng: fastrand::Rng,
+    pub(crate) terms: Terms,
+    pub(crate) counters: Counters,
+}
+
+/// Bytes read at once.
+const READ: usize = 64 << 10;
+
+impl Quay {
+    /// Listens at `front`. The poll must give back events with tokens of the range to [`Quay::event`].
+    pub fn open(
+        registry: &Registry, tokens: Range<usize>, front: SocketAddrV4, zone: Arc<str>, seed: u64,
+        terms: Terms,
+    ) -> std::io::Result<Quay> {
+        let mut listener = TcpListener::bind(SocketAddr::V4(front)).map_err(QuayError::Listen)?;
+        let registry = registry.try_clone().map_err(QuayError::Register)?;
+        registry
+            .register(&mut listener, Token(tokens.start), Interest::READABLE)
+            .map_err(QuayError::Register)?;
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let limits = Limits {
+            header_bytes: 16 << 10,
+            body_bytes: 64 << 20,
+            header: Duration::from_secs(3),
+            idle: Duration::from_secs(15),
+        };
+        Ok(Quay {
+            registry,
+            tokens,
+            listener,
+            accept_noted: None,
+            clients: SlotMap::with_key(),
+            client_at: Vec::new(),
+            lines: SlotMap::with_key(),
+            line_at: Vec::new(),
+            ops: SlotMap::with_key(),
+            pools: SecondaryMap::new(),
+            rests: SecondaryMap::new(),
+            fleet: Fleet::new(zone, terms.pilot, rng.u64(..)),
+            routing: None,
+            limits,
+            last_priority: 0,
+            timers: Timers::default(),
+            ready: VecDeque::new(),
+            scratch: vec![0; READ].into_boxed_slice(),
+            memory: 0,
+            connect_typical: 0.0,
+            leaving: None,
+            rng,
+            terms,
+            counters: Counters::default(),
+        })
+    }
+
+    /// Where it listens.
+    pub fn front(&self) -> std::io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    pub fn event(&mut self, now: Duration, event: &Event) {
+        let Some(place) = event.token().0.checked_sub(self.tokens.start) else { return };
+        match place.checked_sub(1) {
+            None => self.accept(now),
+            Some(at) if at % 2 == 0 => {
+                if let Some(key) = self.client_at.get(at / 2).copied() {
+                    self.client_event(now, key, event);
+                }
+            }
+            Some(at) => {
+                if let Some(key) = self.line_at.get(at / 2).copied() {
+                    self.line_event(now, key, event);
+                }
+            }
+        }
+        self.see_to_clients(now);
+    }
+
+    /// The time that [`Quay::next_wake`] gave has come.
+    pub fn woke(&mut self, now: Duration) {
+        while let Some(who) = self.timers.pop(now) {
+            match who {
+                Who::Listener => {
+                    self.accept_noted = None;
+                    self.accept(now);
+                }
+                Who::Client(key) => self.client_due(now, key),
+                Who::Line(key) => self.line_due(now, key),
+                Who::Op(key) => self.op_due(now, key),
+            }
+        }
+        self.see_to_clients(now);
+    }
+
+    pub fn next_wake(&self) -> Option<Duration> {
+        self.timers.next()
+    }
+
+    /// New routes and servers. What is not in it gets nothing any more.
+    pub fn view(&mut self, now: Duration, view: Arc<View>) {
+        let configuration = &view.configuration;
+        let known = self.routing.as_ref().map(Routing::configuration);
+        if known.is_none_or(|known| !Arc::ptr_eq(known, configuration)) {
+            self.routing = Some(Routing::new(configuration.clone()));
+            self.limits = configuration.limits;
+            self.last_priority = configuration.routes.iter().map(|route| route.priority).max().unwrap_or(0);
+        }
+        for server in self.fleet.view(&view) {
+            self.server_gone(now, server);
+        }
+        self.see_to_clients(now);
+    }
+
+    /// How many supervisors are known, with this one: what is shared by all is shared by so many.
+    pub fn supervisors(&mut self, count: usize) {
+        self.fleet.supervisors(count);
+    }
+
+    /// Serves on, and tells each client that it is its last answer here.
+    pub fn leave(&mut self, now: Duration) {
+        if self.leaving.is_some() {
+            return;
+        }
+        self.leaving = Some(now + self.terms.leave);
+        let keys: Vec<ClientKey> = self.clients.keys().collect();
+        keys.into_iter().for_each(|key| self.set_due(now, key));
+    }
+
+    /// Requests that came in part or whole and whose answer has not left.
+    pub fn at_work(&self) -> usize {
+        let at_work = |client: &&Client| match client.state {
+            ClientState::Reading => !client.inbox.is_empty(),
+            ClientState::Writing { .. } => true,
+            ClientState::Working(_) | ClientState::Lingering => false,
+        };
+        self.clients.values().filter(at_work).count() + self.ops.len()
+    }
+
+    pub fn reports(&mut self) -> Vec<Report> {
+        self.fleet.reports()
+    }
+
+    /// There are routes, and servers for some.
+    pub fn is_ready(&self) -> bool {
+        self.routing.as_ref().is_some_and(|routing| !routing.configuration().routes.is_empty())
+            && self.fleet.services().any(|(_, servers)| servers > 0)
+    }
+
+    pub fn counters(&self) -> Counters {
+        self.counters
+    }
+
+    /// Connections of clients and to servers.
+    pub fn connections(&self) -> (usize, usize) {
+        (self.clients.len(), self.lines.len())
+    }
+
+    /// Bytes of requests and answers held.
+    pub fn held(&self) -> usize {
+        self.memory
+    }
+
+    /// The place of a key among those of its kind: dense, and free again with the key.
+    pub(crate) fn place(key: impl Key) -> usize {
+        (key.data().as_ffi() & 0xffff_ffff) as usize
+    }
+
+    pub(crate) fn client_token(&self, key: ClientKey) -> Option<Token> {
+        let token = self.tokens.start + 1 + 2 * Self::place(key);
+        self.tokens.contains(&token).then_some(Token(token))
+    }
+
+    pub(crate) fn line_token(&self, key: LineKey) -> Option<Token> {
+        let token = self.tokens.start + 2 + 2 * Self::place(key);
+        self.tokens.contains(&token).then_some(Token(token))
+    }
+
+    /// What is told of the connection behind an answer.
+    pub(crate) fn ends(&self, client: ClientKey, keep: bool) -> Ends {
+        let rest = self.limits.idle.saturating_sub(Duration::from_secs(1));
+        // What has been read gets its answer, too.
+        let waits = || self.clients.get(client).is_some_and(|client| !client.inbox.is_empty());
+        if keep && rest >= Duration::from_secs(1) && (self.leaving.is_none() || waits()) {
+            Ends::Kept(rest)
+        } else {
+            Ends::Closed
+        }
+    }
+
+    /// When a connection that is not up is given up: nothing is lost by it.
+    pub(crate) fn connect_most(&self) -> Duration {
+        let most = self.terms.pilot.connect;
+        match self.connect_typical {
+            typical if typical > 0.0 => most.mul_f64((typical * 10.0 / most.as_secs_f64()).clamp(0.5, 1.0)),
+            _ => most,
+        }
+    }
+
+    pub(crate) fn again(&mut self) -> Duration {
+        self.terms.again + self.terms.again_drawn.mul_f64(self.rng.f64())
+    }
+}
+
+/// Notes a key at its place.
+pub(crate) fn note<K: Key>(at: &mut Vec<K>, key: K) {
+    let place = Quay::place(key);
+    if at.len() <= place {
+        at.resize(place + 1, K::null());
+    }
+    if let Some(held) = at.get_mut(place) {
+        *held = key;
+    }
+}
--- /dev/null
+++ b/crates/quay/src/terms.rs
@@ -0,0 +1,58 @@
+//! What binds the quay.
+
+use std::time::Duration;
+
+/// All bounds of the sockets, and what happens at each.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Terms {
+    pub pilot: fallgap_pilot::Terms,
+    /// Connections of clients. Over it the one at rest for longest is closed for a new one; with none at rest, new
+    /// ones wait in the kernel's queue.
+    pub connections: usize,
+    /// Connections to servers, all together. Over it ops go where a connection is.
+    pub lines: usize,
+    /// Bytes of requests and answers held, all together. Over it bodies are refused with 503, and answers count as
+    /// broken off.
+    pub memory: usize,
+    /// A client that takes nothing of its answer for so long is dropped, once its op's time is over too.
+    pub slow_reader: Duration,
+    /// How long a connection is still heard behind its last answer.
+    pub linger: Duration,
+    /// How long after the order to leave connections at rest are closed.
+    pub leave: Duration,
+    /// How long a connection to a server is kept at rest if the server says nothing.
+    pub rest: Duration,
+    /// The longest that one is kept at rest, whatever the server says.
+    pub rest_most: Duration,
+    /// How much earlier than the server says.
+    pub rest_margin: Duration,
+    /// After so long without a sign from the other machine the kernel ends a connection to a server.
+    pub silence: Duration,
+    /// How long nothing is accepted when there is no room.
+    pub accept_pause: Duration,
+    /// Clients are told to come back after so long; up to that much more is drawn.
+    pub again: Duration,
+    pub again_drawn: Duration,
+}
+
+impl Default for Terms {
+    fn default() -> Self {
+        let ms = Duration::from_millis;
+        Terms {
+            pilot: fallgap_pilot::Terms::default(),
+            connections: 2500,
+            lines: 1000,
+            memory: 48 << 20,
+            slow_reader: ms(5000),
+            linger: ms(1000),
+            leave: ms(1500),
+            rest: ms(3000),
+            rest_most: ms(30_000),
+            rest_margin: ms(250),
+            silence: ms(2000),
+            accept_pause: ms(50),
+            again: ms(50),
+            again_drawn: ms(200),
+        }
+    }
+}
--- /dev/null
+++ b/crates/quay/src/tries.rs
@@ -0,0 +1,175 @@
+//! Tries: one op at one server.
+
+use crate::client::write_from;
+use crate::line::{LineState, TryAt};
+use crate::lines::prepare;
+use crate::ops::Try;
+use crate::quay::Quay;
+use crate::timers::{LineKey, OpKey};
+use fallgap_chart::RouteClass;
+use fallgap_pilot::{Answer, Ended, Judgement, ServerKey, TryOutcome, forwarded_head};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The part of the budget that help for silent servers may use: the rest is for proofs that nothing ran.
+const HEDGES: f64 = 0.6;
+
+impl Quay {
+    /// An op goes to a server, or it ends.
+    pub(crate) fn start_try(&mut self, now: Duration, key: OpKey) {
+        while let Some(op) = self.ops.get_mut(key) {
+            let (service, class) = (op.service, op.core.plan.class);
+            let Some(server) = self.fleet.pick(now, service, class, &op.skip) else {
+                let next = op.core.nowhere(now);
+                return self.act(now, key, next, None);
+            };
+            op.skip.push(server);
+            let number = op.core.begin();
+            let at = TryAt { op: key, number };
+            let Some(line) = self.line_for(now, server, at, class) else {
+                // Nothing has left: the try is as if it had never been.
+                if let Some(op) = self.ops.get_mut(key) {
+                    op.core.dismissed(number);
+                }
+                continue;
+            };
+            if let Some(op) = self.ops.get_mut(key) {
+                op.tries.push(Try { number, line, server, began: now, sent: false });
+            }
+            self.fleet.began(now, server);
+            if self.lines.get(line).is_some_and(|line| !line.is_new) {
+                self.send(now, line, at);
+            }
+            return self.set_op_due(key);
+        }
+    }
+
+    /// A connection for a try: one at rest, or a new one if there may be one more.
+    fn line_for(
+        &mut self, now: Duration, server: ServerKey, at: TryAt, class: RouteClass,
+    ) -> Option<LineKey> {
+        if let Some(line) = self.resting_line(now, server, class == RouteClass::Fragile) {
+            return Some(line);
+        }
+        let known = self.fleet.server(server)?;
+        let address = SocketAddr::V4(known.address);
+        let most = self.fleet.lines_most(known.service);
+        let open = self.pools.get(server).map_or(0, |pool| pool.open);
+        if open < most { self.open_line(server, address, at) } else { None }
+    }
+
+    /// Writes a request, from where it stands.
+    pub(crate) fn send(&mut self, now: Duration, key: LineKey, at: TryAt) {
+        let Some(op) = self.ops.get_mut(at.op) else { return self.close_line(key) };
+        let Some(line) = self.lines.get_mut(key) else { return };
+        if !matches!(line.state, LineState::Working(_)) {
+            prepare(line, at, op.request.head.is_head());
+            line.turn(LineState::Working(at));
+            let Some(server) = self.fleet.server(line.server) else {
+                return self.try_ended(now, at, TryOutcome::NotSent, Ended::Void, None);
+            };
+            let left = op.core.plan.deadline.saturating_sub(now);
+            line.head.clear();
+            forwarded_head(&op.request.head, &server.id, left, op.request.body.len(), &mut line.head);
+        }
+        let written = write_from(&mut line.stream, &mut line.sent, &line.head, &op.request.body);
+        let first = line.sent > 0 && !op.tries.iter().any(|one| one.number == at.number && one.sent);
+        if first {
+            let extra = op.core.was_sent();
+            op.core.sends(at.number);
+            op.tries.iter_mut().filter(|one| one.number == at.number).for_each(|one| one.sent = true);
+            self.counters.sent += 1;
+            self.counters.extras += u64::from(extra);
+            self.fleet.sends(now, op.service, extra);
+        }
+        match written {
+            Ok(done) => line.wrote_all = done,
+            Err(_) if line.sent == 0 => self.try_ended(now, at, TryOutcome::NotSent, Ended::Failed, None),
+            // An answer may stand there already, sent before the break.
+            Err(_) => {
+                self.hear(now, key, at, true);
+                self.try_ended(now, at, TryOutcome::Unknown, Ended::Failed, None);
+            }
+        }
+        self.set_op_due(at.op);
+    }
+
+    /// The connection of a try is up.
+    pub(crate) fn came_up(&mut self, now: Duration, at: TryAt) {
+        let Some(op) = self.ops.get(at.op) else { return };
+        if let Some(one) = op.tries.iter().find(|one| one.number == at.number) {
+            let took = now.saturating_sub(one.began).as_secs_f64();
+            let part = if self.connect_typical == 0.0 { 1.0 } else { 0.1 };
+            self.connect_typical += (took - self.connect_typical) * part;
+        }
+    }
+
+    /// What came in the place of an answer was another's: a second server is asked now if it may be.
+    pub(crate) fn help(&mut self, now: Duration, key: OpKey) {
+        if self.ops.get_mut(key).is_some_and(|op| op.hedge_at.take().is_some()) {
+            self.hedge(now, key);
+            self.set_op_due(key);
+        }
+    }
+
+    /// A second server is asked, as the first is silent.
+    pub(crate) fn hedge(&mut self, now: Duration, key: OpKey) {
+        let Some(op) = self.ops.get(key) else { return };
+        let budget = self.fleet.budget_allows(now, op.service, HEDGES);
+        if op.core.may_hedge(now, budget) {
+            self.counters.hedges += 1;
+            self.start_try(now, key);
+        }
+    }
+
+    /// A whole answer came. `fit`: the connection may serve on.
+    pub(crate) fn answered(&mut self, now: Duration, key: LineKey, at: TryAt, answer: Answer, fit: bool) {
+        let Some(op) = self.ops.get(at.op) else { return self.close_line(key) };
+        let judgement = answer.judge(op.request.head.id());
+        let began = op.tries.iter().find(|one| one.number == at.number).map_or(now, |one| one.began);
+        let took = now.saturating_sub(began);
+        let (outcome, how) = match judgement {
+            Judgement::Good | Judgement::Plain => (TryOutcome::Answered, Ended::Good(took)),
+            Judgement::Failed => (TryOutcome::Failed, Ended::Failed),
+            Judgement::NotRun => (TryOutcome::NotRun, Ended::Shed),
+            Judgement::Elsewhere => (TryOutcome::NotRun, Ended::Other),
+            Judgement::Void | Judgement::Foreign => (TryOutcome::Unknown, Ended::Failed),
+        };
+        match judgement {
+            Judgement::NotRun => self.counters.sheds += 1,
+            Judgement::Void | Judgement::Foreign => self.counters.void += 1,
+            _ => {}
+        }
+        let sound = !matches!(judgement, Judgement::Void | Judgement::Foreign | Judgement::Elsewhere);
+        if fit && sound && !answer.close {
+            // It belongs to the try no longer.
+            if let Some(op) = self.ops.get_mut(at.op) {
+                op.tries
+                    .iter_mut()
+                    .filter(|one| one.number == at.number)
+                    .for_each(|one| one.line = LineKey::default());
+            }
+            self.rest_line(now, key, answer.kept);
+        }
+        self.try_ended(now, at, outcome, how, Some(answer));
+    }
+
+    /// A try is over. Its connection is closed unless it rests already.
+    pub(crate) fn try_ended(
+        &mut self, now: Duration, at: TryAt, outcome: TryOutcome, how: Ended, answer: Option<Answer>,
+    ) {
+        let Some(op) = self.ops.get_mut(at.op) else { return };
+        let Some(place) = op.tries.iter().position(|one| one.number == at.number) else { return };
+        let one = op.tries.swap_remove(place);
+        let service = op.service;
+        if how == Ended::Unreached {
+            self.counters.unreached += 1;
+        }
+        self.close_line(one.line);
+        self.fleet.ended(now, one.server, how);
+        let budget = self.fleet.budget_allows(now, service, 1.0);
+        let Some(op) = self.ops.get_mut(at.op) else { return };
+        let next = op.core.ended(now, at.number, outcome, budget);
+        self.act(now, at.op, next, answer);
+    }
+}
--- /dev/null
+++ b/crates/quay/tests/sockets.rs
@@ -0,0 +1,228 @@
+//! Ops over loopback sockets, with servers in trouble.
+
+mod world;
+
+use world::*;
+
+#[test]
+fn a_request_goes_through_unchanged() {
+    let server = Server::start("i-1", |got| Does::Sends(ok(got, "bytes")));
+    let world = World::with(&[&server]);
+    let mut client = world.client();
+    let chunked = "POST /fragile/x/../%2e?a=1&b HTTP/1.1\r\nhost: H.example:80\r\nX-Request-Id: r1\r\n\
+        X-Other: 7\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\nTE: trailers\r\n\
+        Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: 1\r\n\r\n";
+    let reply = client.ask(chunked);
+    assert_eq!((reply.status, reply.body.as_slice()), (200, b"bytes".as_slice()));
+    assert_eq!((reply.line("x-request-id"), reply.line("x-server-seal")), (Some("r1"), Some("seal.r1")));
+    let second = client.ask(&get("/safe/y", "r2"));
+    assert_eq!((second.status, second.line("keep-alive")), (200, Some("timeout=14")));
+    let got = server.got();
+    assert_eq!(got[0].lines[0], "POST /fragile/x/../%2e?a=1&b HTTP/1.1");
+    assert_eq!((got[0].body.as_slice(), got[0].line("x-expect-server")), (b"abcde".as_slice(), Some("i-1")));
+    assert_eq!((got[0].line("x-other"), got[0].line("x-hop"), got[0].line("te")), (Some("7"), None, None));
+    let left: u64 = got[1].line("x-deadline-ms").unwrap().parse().unwrap();
+    assert!((1000..=1500).contains(&left), "{left}");
+    // One connection carried both.
+    assert_eq!((got[1].connection, got[1].on_it), (0, 1));
+}
+
+/// What a server in trouble does, and what clients of fragile and of safe routes get if they meet it.
+type Trouble = (&'static str, Box<dyn Fn(&Got) -> Does + Send + Sync>, u16, u16);
+
+fn troubles() -> Vec<Trouble> {
+    let half = |got: &Got| ok(got, "0123456789").replace("6789", "");
+    let foreign = |got: &Got| ok(got, "other").replace(got.id(), "other-id");
+    let unsealed = |got: &Got| ok(got, "bytes").replace("X-Server-Seal", "X-Other");
+    let until_close = |got: &Got| ok(got, "bytes").replace("Content-Length", "X-Length");
+    vec![
+        ("breaks off", Box::new(move |got| Does::SendsAndCloses(half(got))), 502, 200),
+        ("closes", Box::new(|_| Does::SendsAndCloses(String::new())), 502, 200),
+        ("garbles", Box::new(|_| Does::SendsAndCloses("\x01\x02\r\n\r\n".into())), 502, 200),
+        ("answers another", Box::new(move |got| Does::SendsAndCloses(foreign(got))), 502, 200),
+        (
+            "answers another first",
+            Box::new(move |got| Does::Sends(foreign(got) + &ok(got, "bytes"))),
+            200,
+            200,
+        ),
+        ("lacks the seal", Box::new(move |got| Does::Sends(unsealed(got))), 502, 200),
+        ("never ends", Box::new(move |got| Does::SendsAndCloses(until_close(got))), 502, 200),
+        ("sends too much", Box::new(|got| Does::Sends(ok(got, "bytes") + "HTTP/1.1 200 OK\r\n")), 200, 200),
+        ("sheds", Box::new(|got| Does::Sends(status(got, 503, "X-Not-Run: 1\r\n"))), 200, 200),
+        ("sheds without a word", Box::new(|got| Does::Sends(status(got, 503, ""))), 502, 200),
+        ("is another", Box::new(|got| Does::Sends(status(got, 421, ""))), 200, 200),
+        ("fails", Box::new(|got| Does::Sends(status(got, 500, ""))), 500, 200),
+        ("hangs", Box::new(|_| Does::Hangs), 504, 200),
+    ]
+}
+
+#[test]
+fn what_servers_do_wrong_reaches_no_client() {
+    for (name, script, fragile, safe) in troubles() {
+        let bad = Server::start("bad", script);
+        let good = Server::start("good", |got| Does::Sends(ok(got, "bytes")));
+        let world = World::with(&[&bad, &good]);
+        let mut met = 0;
+        for (path, expected) in [("/fragile/", fragile), ("/safe/", safe)] {
+            for number in 0..8 {
+                let id = format!("{path}{number}");
+                let reply = world.client().ask(&get(path, &id).replace("1500", "400"));
+                let arrived = |server: &Server| server.got().iter().filter(|got| got.id() == id).count();
+                let (at_bad, at_good) = (arrived(&bad), arrived(&good));
+                met += at_bad;
+                assert!(at_bad <= 1 && at_good <= 1, "{name}");
+                assert_eq!(reply.status, if at_bad == 1 { expected } else { 200 }, "{name} {id}");
+                assert_eq!(reply.line("x-request-id"), Some(&*id));
+                if reply.status == 200 {
+                    assert_eq!(reply.body, b"bytes");
+                }
+                if path == "/fragile/" && fragile != 200 {
+                    assert_eq!(at_bad + at_good, 1, "{name}: run twice");
+                }
+            }
+        }
+        assert!(met > 0, "{name}");
+    }
+}
+
+#[test]
+fn with_no_other_server_the_promise_is_given_only_on_proof() {
+    let cases = [("sheds", 503), ("is another", 503), ("closes", 502), ("garbles", 502), ("fails", 500)];
+    for (name, script, _, _) in troubles() {
+        let Some((_, expected)) = cases.iter().find(|(case, _)| *case == name) else { continue };
+        let bad = Server::start("bad", script);
+        let reply = World::with(&[&bad]).get("/fragile/", "1");
+        assert_eq!(
+            (reply.status, reply.line("retry-after").is_some()),
+            (*expected, *expected == 503),
+            "{name}"
+        );
+        assert_eq!(bad.got().len(), 1, "{name}");
+    }
+    assert_eq!(World::with(&[&Server::dead("dead")]).get("/fragile/", "1").status, 503);
+    assert_eq!(World::with(&[]).get("/fragile/", "1").status, 503);
+    assert_eq!(World::with(&[]).get("/none/", "1").status, 404);
+}
+
+#[test]
+fn a_dead_server_costs_no_answer() {
+    let good = Server::start("good", |got| Does::Sends(ok(got, "bytes")));
+    let world = World::with(&[&Server::dead("dead"), &good]);
+    for number in 0..20 {
+        assert_eq!(world.get("/fragile/", &number.to_string()).status, 200);
+    }
+    assert_eq!(good.got().len(), 20);
+}
+
+#[test]
+fn a_connection_that_ended_at_rest_is_not_used_again() {
+    // It ends behind the answer without a word of it.
+    let server = Server::start("i-1", |got| Does::SendsAndCloses(ok(got, "bytes")));
+    let world = World::with(&[&server]);
+    let mut client = world.client();
+    for number in 0..20 {
+        assert_eq!(client.ask(&get("/safe/", &number.to_string())).status, 200);
+    }
+    assert!(server.got().iter().all(|got| got.on_it == 0));
+}
+
+#[test]
+fn a_server_that_is_out_gets_nothing_new_and_ends_what_it_has() {
+    let (release, held) = std::sync::mpsc::channel::<()>();
+    let held = std::sync::Mutex::new(held);
+    let old = Server::start("old", move |got| {
+        held.lock().unwrap().recv().unwrap();
+        Does::Sends(ok(got, "old"))
+    });
+    let new = Server::start("new", |got| Does::Sends(ok(got, "new")));
+    let world = World::with(&[&old]);
+    let mut first = world.client();
+    first.send(&get("/fragile/", "1"));
+    while old.got().is_empty() {
+        std::thread::yield_now();
+    }
+    world.view(&[&new]);
+    assert_eq!(world.get("/fragile/", "2").body, b"new");
+    release.send(()).unwrap();
+    assert_eq!(first.reply().unwrap().body, b"old");
+    assert_eq!(world.get("/fragile/", "3").body, b"new");
+    assert_eq!(world.ask(|quay, _| quay.connections().1), 1);
+}
+
+#[test]
+fn leaving_answers_all_that_was_read() {
+    let (release, held) = std::sync::mpsc::channel::<()>();
+    let held = std::sync::Mutex::new(held);
+    let server = Server::start("i-1", move |got| {
+        if got.id() == "1" {
+            held.lock().unwrap().recv().unwrap();
+        }
+        Does::Sends(ok(got, "bytes"))
+    });
+    let world = World::with(&[&server]);
+    let (mut at_work, mut at_rest) = (world.client(), world.client());
+    assert_eq!(at_rest.ask(&get("/safe/", "0")).line("connection"), None);
+    // Two behind each other: the second has been read with the first.
+    at_work.send(&(get("/fragile/", "1") + &get("/fragile/", "2")));
+    while server.got().len() < 2 {
+        std::thread::yield_now();
+    }
+    assert_eq!(world.ask(|quay, now| (quay.leave(now), quay.at_work()).1), 1);
+    let fresh = world.get("/safe/", "3");
+    assert_eq!((fresh.status, fresh.line("connection")), (200, Some("close")));
+    release.send(()).unwrap();
+    assert_eq!(at_work.reply().map(|reply| reply.status), Some(200));
+    let last = at_work.reply().unwrap();
+    assert_eq!((last.status, last.line("connection")), (200, Some("close")));
+    assert_eq!((at_work.reply(), at_rest.reply()), (None, None));
+    assert_eq!(world.ask(|quay, _| quay.at_work()), 0);
+}
+
+#[test]
+fn bad_and_slow_requests_are_refused_and_go_nowhere() {
+    let server = Server::start("i-1", |got| Does::Sends(ok(got, "bytes")));
+    let world = World::with(&[&server]);
+    let hidden = "POST /safe/ HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: 1\r\nContent-Length: 5\r\n\
+        Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+    let cases = [
+        (format!("{hidden}{}", get("/safe/", "2")), Some(400)),
+        (get("/safe/", "3").replace("X-Request-Id", "X-Id"), Some(400)),
+        (format!("{}X: {}", get("/safe/", "4").trim_end(), "x".repeat(20_000)), Some(431)),
+        (get("/safe/", "5").replace("\r\n\r\n", "\r\nContent-Length: 99999999\r\n\r\n"), Some(413)),
+        ("GET /safe/ HTTP/1.1\r\n".into(), Some(408)),
+    ];
+    for (bytes, expected) in cases {
+        let mut client = world.client();
+        client.send(&bytes);
+        let reply = client.reply();
+        assert_eq!(reply.as_ref().map(|reply| reply.status), expected, "{bytes:.80}");
+        assert_eq!(reply.unwrap().line("connection"), Some("close"));
+        assert_eq!(client.reply(), None);
+    }
+    assert_eq!(server.got().len(), 0);
+}
+
+#[test]
+fn large_bodies_pass_both_ways_while_others_are_served() {
+    let server = Server::start("i-1", |got| Does::Sends(ok(got, &"z".repeat(got.body.len()))));
+    let world = World::with(&[&server]);
+    let length = 6 << 20;
+    let mut large = world.client();
+    let lines = format!("Content-Length: {length}\r\nExpect: 100-continue\r\n\r\n");
+    large.send(&get("/outbound/", "1").replace("GET", "POST").replace("\r\n\r\n", &format!("\r\n{lines}")));
+    assert_eq!(large.reply().unwrap().status, 100);
+    large.send(&"y".repeat(length));
+    while server.got().is_empty() {
+        std::thread::yield_now();
+    }
+    // It does not read its answer yet.
+    assert_eq!(world.get("/safe/", "2").status, 200);
+    let reply = large.reply().unwrap();
+    assert_eq!((reply.status, reply.body.len()), (200, length));
+    assert_eq!(server.got()[0].body.len(), length);
+    drop(large);
+    while world.ask(|quay, _| quay.held()) > 0 {
+        std::thread::yield_now();
+    }
+}
--- /dev/null
+++ b/crates/roster/src/distribution.rs
@@ -0,0 +1,396 @@
+//! A home: builds the table of each supervisor that follows it, and feeds it. The pace, the differences and the
+//! withdrawals are the feed's and the tables'; here it is said when a table is built, and of what.
+
+use crate::NodeId;
+use crate::lives::State;
+use crate::messages::ServerReport;
+use crate::registry::Registry;
+use crate::sending::{Sending, receiver_of, table_of};
+use crate::servers::Servers;
+use crate::terms::Terms;
+use fallgap_chart::Configuration;
+use fallgap_feed::wire::{Said, Told};
+use fallgap_feed::{Feed, Limits};
+use fallgap_tables::{Entry, Kept, Key, Tables, Withdrawals};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The note by which a home says that it knows the servers that there are.
+pub(crate) const WARM: &str = "home/warm";
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Out {
+    Tell(NodeId, Told),
+    /// This home cannot be followed now.
+    Unfit(NodeId),
+    /// For the log.
+    Note(String),
+}
+
+struct Following {
+    /// The count of notes that its table was built of.
+    notes: u64,
+    /// There is something new for its table.
+    dirty: bool,
+    /// When its table is built in any case.
+    rebuild: Duration,
+    said: Duration,
+}
+
+pub struct Distribution {
+    terms: Terms,
+    tables: Tables,
+    feed: Feed<Sending>,
+    withdrawals: Withdrawals,
+    /// Servers withdrawn, since when and with which sequence.
+    closed: BTreeMap<Arc<str>, (Duration, u64)>,
+    servers: Servers,
+    /// The registry's count up to which it was taken in.
+    seen: u64,
+    warm: bool,
+    configuration: Option<Arc<Configuration>>,
+    /// The part of a table that is notes, and how often it changed.
+    notes: BTreeMap<Key, Entry>,
+    notes_count: u64,
+    followers: BTreeMap<NodeId, Following>,
+    /// Followers whose tables are to be built, in the order of arrival.
+    dirty: VecDeque<NodeId>,
+    /// When dirty tables are built: changes are gathered a little.
+    build: Option<Duration>,
+    rebuilds: BTreeSet<(Duration, NodeId)>,
+    step: Duration,
+    rise: Option<Duration>,
+    fit: bool,
+    out: Vec<Out>,
+    rng: fastrand::Rng,
+}
+
+impl Distribution {
+    /// `seed`: drawn anew at each start, since it names the tables' epoch.
+    pub fn start(now: Duration, seed: u64, terms: Terms) -> Distribution {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let limits = Limits {
+            receivers: terms.followers,
+            lines_a_second: terms.lines_a_second,
+            answer: terms.answer,
+            word: terms.word,
+            ..Limits::default()
+        };
+        let kept = Kept { versions: terms.versions, bytes: 256 << 10, age: terms.remember };
+        let epoch = rng.u64(1..);
+        let step = now + terms.rebuild.mul_f64(1.0 + rng.f64());
+        Distribution {
+            tables: Tables::start(epoch, kept),
+            feed: Feed::start(Sending::default(), limits, rng.u64(..)),
+            terms,
+            withdrawals: Withdrawals::default(),
+            closed: BTreeMap::new(),
+            servers: Servers::default(),
+            seen: 0,
+            warm: false,
+            configuration: None,
+            notes: BTreeMap::new(),
+            notes_count: 1,
+            followers: BTreeMap::new(),
+            dirty: VecDeque::new(),
+            build: None,
+            rebuilds: BTreeSet::new(),
+            step,
+            rise: None,
+            fit: true,
+            out: Vec::new(),
+            rng,
+        }
+    }
+
+    /// A follower comes, with what it holds.
+    pub fn joined(&mut self, now: Duration, follower: NodeId, said: Said) {
+        let known = self.followers.contains_key(&follower);
+        let full = !known && self.followers.len() >= self.terms.followers;
+        if !self.fit || full || said.table != table_of(follower) {
+            self.out.push(Out::Unfit(follower));
+            return;
+        }
+        if !known {
+            let rebuild = now + self.terms.rebuild.mul_f64(1.0 + self.rng.f64());
+            self.rebuilds.insert((rebuild, follower));
+            self.followers.insert(follower, Following { notes: 0, dirty: false, rebuild, said: now });
+            let count = self.followers.len();
+            self.out.push(Out::Note(format!("roster: {follower} follows this home, {count} do")));
+        }
+        self.heard(now, follower);
+        self.refresh(now);
+        self.build_table(now, follower);
+        let (id, table) = (receiver_of(follower), table_of(follower));
+        self.feed.joined(now, id, table, said.holds, said.heard, &self.tables, &self.withdrawals);
+    }
+
+    /// A follower says what it holds now. One that is not known is one that this home forgot; one that has not heard
+    /// of this home's withdrawals has begun anew, and its joining went astray.
+    pub fn said(&mut self, now: Duration, follower: NodeId, said: Said) {
+        if !self.followers.contains_key(&follower) || said.heard.0 != self.tables.epoch() {
+            return self.joined(now, follower, said);
+        }
+        self.heard(now, follower);
+        let id = receiver_of(follower);
+        if said.rejected {
+            self.feed.rejected(now, id, said.holds, said.heard, &self.tables);
+        } else {
+            self.feed.answered(now, id, said.holds, said.heard, &self.tables);
+        }
+    }
+
+    /// A follower is gone, or follows another home.
+    pub fn left(&mut self, follower: NodeId) {
+        if let Some(held) = self.followers.remove(&follower) {
+            self.rebuilds.remove(&(held.rebuild, follower));
+            self.dirty.retain(|dirty| *dirty != follower);
+            self.feed.left(receiver_of(follower));
+            self.tables.remove(table_of(follower));
+        }
+    }
+
+    /// What followers saw of servers since their last report.
+    pub fn reported(&mut self, now: Duration, follower: NodeId, reports: &[ServerReport]) {
+        if self.followers.contains_key(&follower) {
+            self.heard(now, follower);
+            reports.iter().for_each(|report| self.servers.reported(report));
+        }
+    }
+
+    /// A configuration was committed, or read from a majority. An older one than is held changes nothing.
+    pub fn set_configuration(&mut self, now: Duration, configuration: Arc<Configuration>) {
+        let held = self.configuration.as_ref();
+        if held.is_some_and(|held| held.edition > configuration.edition || **held == *configuration) {
+            return;
+        }
+        self.configuration = Some(configuration);
+        self.renote();
+        self.mark_all();
+        self.build = Some(now);
+        self.build_dirty(now);
+    }
+
+    /// Servers have changed, or the registry has become warm.
+    pub fn registry_changed(&mut self, now: Duration, registry: &Registry) {
+        let withdrawn = self.withdrawals.sequence();
+        let before = self.seen;
+        for life in registry.changed_after(before) {
+            let id = &life.beat.id;
+            match life.state {
+                State::Open => self.servers.put(life),
+                State::Lost | State::Closing | State::Gone => self.servers.remove(id),
+            }
+            if life.state.is_final()
+                && let Some(told) = self.withdrawals.tell(id, true)
+            {
+                self.closed.insert(id.clone(), (now, told.sequence));
+            }
+        }
+        self.seen = registry.count();
+        if self.withdrawals.sequence() != withdrawn {
+            self.feed.withdrawn(now, &self.tables, &self.withdrawals);
+        }
+        let warms = registry.warm(now) && !std::mem::replace(&mut self.warm, true);
+        if warms {
+            self.renote();
+        }
+        if warms || self.seen != before {
+            self.mark_all();
+            self.build.get_or_insert(now + self.terms.gather);
+        }
+    }
+
+    /// Cut from the majority a home is unfit: its followers are told, and nothing is confirmed any more.
+    pub fn set_fit(&mut self, now: Duration, fit: bool) {
+        if self.fit == fit {
+            return;
+        }
+        self.fit = fit;
+        let all: Vec<NodeId> = if fit { Vec::new() } else { self.followers.keys().copied().collect() };
+        for follower in all {
+            self.left(follower);
+            self.out.push(Out::Unfit(follower));
+        }
+        let word = if fit { "fit" } else { "unfit" };
+        self.out.push(Out::Note(format!("roster: this home is {word}")));
+        self.woke(now);
+    }
+
+    /// Whether all that follow this home have heard that a server is out.
+    pub fn all_heard(&self, server: &str) -> bool {
+        let heard = self.feed.heard_by_all(self.tables.epoch());
+        self.closed.get(server).is_some_and(|(_, sequence)| *sequence <= heard)
+    }
+
+    pub fn followers(&self) -> impl Iterator<Item = NodeId> {
+        self.followers.keys().copied()
+    }
+
+    /// Does what is due.
+    pub fn woke(&mut self, now: Duration) {
+        while let Some((at, follower)) = self.rebuilds.first().copied().filter(|(at, _)| *at <= now) {
+            self.rebuilds.remove(&(at, follower));
+            self.due(now, follower);
+        }
+        if now >= self.step {
+            // Followed here or not, what was seen is of this period only.
+            self.step = now + self.terms.rebuild;
+            self.servers.step(now, &self.terms);
+            self.forget(now);
+            self.rise = Some(now);
+        }
+        if self.rise.is_some_and(|at| now >= at) {
+            self.refresh(now);
+        }
+        self.feed.woke(now, &self.tables, &self.withdrawals);
+        self.build_dirty(now);
+    }
+
+    /// When to call [`woke`](Distribution::woke) next.
+    pub fn next_wake(&self) -> Duration {
+        let rebuild = self.rebuilds.first().map(|(at, _)| *at);
+        // Tables that wait for lines are built when the feed goes on.
+        let build = self.build.filter(|_| self.feed.held().1 == 0);
+        [rebuild, build, self.rise, self.feed.next_wake()]
+            .into_iter()
+            .flatten()
+            .fold(self.step, Duration::min)
+    }
+
+    /// What is to be sent, in order.
+    pub fn take(&mut self) -> Vec<Out> {
+        let told = std::mem::take(&mut self.feed.out.told);
+        let mut out = std::mem::take(&mut self.out);
+        out.extend(told.into_iter().map(|(to, told)| Out::Tell(to, told)));
+        out
+    }
+
+    fn heard(&mut self, now: Duration, follower: NodeId) {
+        if let Some(held) = self.followers.get_mut(&follower) {
+            held.said = now;
+        }
+    }
+
+    /// A follower's table is built in any case, if it is still there.
+    fn due(&mut self, now: Duration, follower: NodeId) {
+        let Some(held) = self.followers.get_mut(&follower) else { return };
+        if now > held.said + self.terms.idle {
+            self.left(follower);
+            self.out.push(Out::Note(format!("roster: {follower} follows this home no more")));
+            return;
+        }
+        held.rebuild = now + self.terms.rebuild;
+        self.rebuilds.insert((held.rebuild, follower));
+        self.mark(follower);
+        self.build.get_or_insert(now);
+    }
+
+    /// The notes anew, of the configuration and of this home.
+    fn renote(&mut self) {
+        let notes = self.configuration.iter().flat_map(|configuration| configuration.notes());
+        let note = |(name, text): (String, String)| (Key::Note(name.into()), Entry::Note(text.into()));
+        self.notes = notes.map(note).collect();
+        if self.warm {
+            self.notes.insert(Key::Note(WARM.into()), Entry::Note("1".into()));
+        }
+        self.notes_count += 1;
+    }
+
+    /// Weights anew; if any of them is to be sent all tables are dirty.
+    fn refresh(&mut self, now: Duration) {
+        let rising = self.servers.refresh(now, &self.terms);
+        self.rise = rising.then(|| now + self.terms.rise_look);
+        if self.servers.take_moved() {
+            self.mark_all();
+            self.build.get_or_insert(now);
+        }
+    }
+
+    fn mark_all(&mut self) {
+        let all: Vec<NodeId> = self.followers.keys().copied().collect();
+        all.into_iter().for_each(|follower| self.mark(follower));
+    }
+
+    fn mark(&mut self, follower: NodeId) {
+        if let Some(held) = self.followers.get_mut(&follower)
+            && !std::mem::replace(&mut held.dirty, true)
+        {
+            self.dirty.push_back(follower);
+        }
+    }
+
+    /// Builds dirty tables in their order, as long as lines may leave.
+    fn build_dirty(&mut self, now: Duration) {
+        if self.build.is_none_or(|at| now < at) {
+            return;
+        }
+        self.refresh(now);
+        while self.feed.held().1 == 0 {
+            let Some(follower) = self.dirty.pop_front() else {
+                self.build = None;
+                return;
+            };
+            self.build_table(now, follower);
+            self.feed.sealed(now, table_of(follower), &self.tables);
+        }
+    }
+
+    /// A follower's table from the present state: only what differs is set.
+    fn build_table(&mut self, now: Duration, follower: NodeId) {
+        let Some(held) = self.followers.get_mut(&follower) else { return };
+        held.dirty = false;
+        let table = table_of(follower);
+        if self.tables.content(table).is_none() {
+            // An empty table is one, too.
+            self.tables.set(table, Key::Line("".into()), None);
+        }
+        let is_note = |key: &Key| matches!(key, Key::Note(_));
+        let mut changes = Vec::new();
+        if let Some(content) = self.tables.content(table) {
+            let lines = content.entries().iter().filter(|(key, _)| !is_note(key));
+            differences(lines, self.servers.lines().iter(), &mut changes);
+            if std::mem::replace(&mut held.notes, self.notes_count) != self.notes_count {
+                let notes = content.entries().iter().filter(|(key, _)| is_note(key));
+                differences(notes, self.notes.iter(), &mut changes);
+            }
+        }
+        changes.into_iter().for_each(|(key, entry)| self.tables.set(table, key, entry));
+        self.tables.seal(now, table);
+    }
+
+    /// Ends of servers that all have heard of, and that no registry brings up again.
+    fn forget(&mut self, now: Duration) {
+        let remember = self.terms.remember * 2;
+        let heard = self.feed.heard_by_all(self.tables.epoch());
+        let over = |at: Duration, sequence: u64| now > at + remember && sequence <= heard;
+        let closed = &self.closed;
+        self.withdrawals.forget(heard, |id| closed.get(id).is_some_and(|(at, seq)| !over(*at, *seq)));
+        self.closed.retain(|_, (at, sequence)| !over(*at, *sequence));
+    }
+}
+
+/// What leads from held entries to wanted ones; both in the order of keys.
+fn differences<'a>(
+    held: impl Iterator<Item = (&'a Key, &'a Entry)>, wanted: impl Iterator<Item = (&'a Key, &'a Entry)>,
+    changes: &mut Vec<(Key, Option<Entry>)>,
+) {
+    let (mut held, mut wanted) = (held.peekable(), wanted.peekable());
+    loop {
+        let order = match (held.peek(), wanted.peek()) {
+            (None, None) => return,
+            (Some((held, _)), Some((wanted, _))) => held.cmp(wanted),
+            (Some(_), None) => std::cmp::Ordering::Less,
+            (None, Some(_)) => std::cmp::Ordering::Greater,
+        };
+        let old = if order.is_le() { held.next() } else { None };
+        let new = if order.is_ge() { wanted.next() } else { None };
+        match (old, new) {
+            (Some((_, old)), Some((_, new))) if old == new => {}
+            (_, Some((key, new))) => changes.push((key.clone(), Some(new.clone()))),
+            (Some((key, _)), None) => changes.push((key.clone(), None)),
+            (None, None) => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/roster/src/lib.rs
@@ -0,0 +1,26 @@
+//! Which servers there are, and the tables that supervisors route by. Keepers hold a [`Registry`] of servers' lives
+//! and a [`Distribution`] that builds a table for each supervisor that follows them; every supervisor has a
+//! [`Follower`] that holds on to one home and hands out the view to route by. No I/O, no clock, chance from seeds.
+
+mod distribution;
+mod evening;
+mod follower;
+mod homes;
+mod lives;
+mod messages;
+mod registry;
+mod sending;
+mod servers;
+mod terms;
+mod views;
+mod weights;
+
+pub use distribution::{Distribution, Out};
+pub use follower::{Follower, FollowerOut};
+pub use lives::{Life, State};
+pub use messages::{Compare, Record, Records, RosterWord, ServerReport};
+pub use registry::{News, Registry};
+pub use terms::Terms;
+
+/// A machine, by its address.
+pub type NodeId = std::net::Ipv4Addr;
--- /dev/null
+++ b/crates/roster/src/messages.rs
@@ -0,0 +1,107 @@
+//! What keepers and followers say to each other about servers and tables.
+
+use crate::lives::State;
+use crate::terms::Terms;
+use fallgap_chart::Beat;
+use fallgap_feed::wire::{Said, Told, Unreadable};
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Groups of servers that are compared by one digest each.
+pub(crate) const GROUPS: usize = 32;
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum RosterWord {
+    /// A server's beat, from the machine that it came to, to all keepers.
+    Beat(Beat),
+    /// A server has left.
+    Left(Arc<str>),
+    /// Between keepers.
+    Compare(Compare),
+    Records(Records),
+    /// To a home: a follower comes, with what it holds.
+    Join(Vec<u8>),
+    /// To a home: what a follower holds now.
+    Said(Vec<u8>),
+    /// From a home to a follower.
+    Told(Vec<u8>),
+    /// From a home that is cut off from the majority, or full.
+    Unfit,
+    /// To a home: what a follower saw of servers since its last report.
+    Report(Vec<ServerReport>),
+}
+
+/// What a follower saw of one server.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ServerReport {
+    /// The server's id.
+    pub server: Arc<str>,
+    pub total: u32,
+    pub failed: u32,
+    /// Mean time of the good answers.
+    pub good_ms: f32,
+}
+
+/// A keeper says what it knows of servers, in short.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Compare {
+    /// Over lives and states, by group.
+    pub digests: Vec<u64>,
+    /// Servers not heard of for longer than a beat, with the newest postmark known.
+    pub quiet: Vec<(Arc<str>, u64)>,
+}
+
+/// The answer to a comparison, perhaps in several messages; or what was asked for by one.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Records {
+    pub records: Vec<Record>,
+    /// Groups of which the answering keeper wants records in turn.
+    pub wanted: Vec<u8>,
+    /// The last message of this answer.
+    pub last: bool,
+    /// The sender knows the servers that there are.
+    pub warm: bool,
+}
+
+/// All that is known of one life. Times are ages, since clocks differ.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    /// The newest beat; its `cold` is what is left of it.
+    pub beat: Beat,
+    pub state: State,
+    /// Since it was heard.
+    pub heard: Duration,
+    /// Since it is in that state.
+    pub since: Duration,
+    /// Since its first beat.
+    pub first: Duration,
+}
+
+impl RosterWord {
+    pub fn join(said: &Said) -> RosterWord {
+        RosterWord::Join(said.encode())
+    }
+    pub fn said(said: &Said) -> RosterWord {
+        RosterWord::Said(said.encode())
+    }
+    pub fn told(told: &Told) -> RosterWord {
+        RosterWord::Told(told.encode())
+    }
+
+    /// The content of `Join` and `Said`.
+    ///
+    /// # Errors
+    /// [`Unreadable`]: the message is to be dropped.
+    pub fn read_said(line: &[u8], terms: &Terms) -> Result<Said, Unreadable> {
+        Said::decode(line, &terms.wire)
+    }
+
+    /// The content of `Told`.
+    ///
+    /// # Errors
+    /// [`Unreadable`]: the message is to be dropped.
+    pub fn read_told(line: &[u8], terms: &Terms) -> Result<Told, Unreadable> {
+        Told::decode(line, &terms.wire)
+    }
+}
--- /dev/null
+++ b/crates/roster/src/terms.rs
@@ -0,0 +1,115 @@
+//! What binds the registry, the distribution and the followers.
+
+use fallgap_feed::wire::Bounds;
+use std::time::Duration;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Terms {
+    /// About how often a server beats.
+    pub beat: Duration,
+    /// Without a beat for so many times that, a server is lost.
+    pub silent_beats: f64,
+    /// So long a life that ended is remembered, so that a late beat does not bring it back.
+    pub remember: Duration,
+    /// Most lives known. Over it ended ones are forgotten early, the oldest first; if all are alive, a new server's
+    /// beat is refused.
+    pub servers: usize,
+    /// How often a keeper compares with another one. Up to a quarter more is drawn.
+    pub compare: Duration,
+    /// Records of one message; more go in further messages.
+    pub page: usize,
+    /// Quiet servers asked for in one comparison; the others wait for the next one.
+    pub quiet: usize,
+    /// Followers of one home; one more is told that it is unfit.
+    pub followers: usize,
+    /// A follower that said nothing for so long is let go of.
+    pub idle: Duration,
+    /// Lines that leave a home in a second; what is over waits.
+    pub lines_a_second: f64,
+    /// After so long without an answer an update counts as lost.
+    pub answer: Duration,
+    /// Least time between two words to a follower. Up to half as much again is drawn.
+    pub word: Duration,
+    /// Changes of servers are gathered for so long before tables are built.
+    pub gather: Duration,
+    /// A table is built anew so often, changed or not; the first time after up to twice that.
+    pub rebuild: Duration,
+    /// Versions of a table that are kept to send differences from; beyond, it goes whole.
+    pub versions: usize,
+    /// A server's weight moves by that part in a period.
+    pub step: f64,
+    /// Gaps of load under that part of the mean are ignored.
+    pub ignored: f64,
+    /// Bounds of a weight, as multiples of its base.
+    pub bounds: (f64, f64),
+    /// Smaller changes of a weight are not sent.
+    pub least_change: f64,
+    /// Answers in a period below which a server counts as unheard.
+    pub heard: u32,
+    /// A fresh server's rise takes so long at least and at most.
+    pub rise: (Duration, Duration),
+    /// How often rising weights are looked at.
+    pub rise_look: Duration,
+    /// Without a word for so long a follower leaves its home.
+    pub silent_home: Duration,
+    /// So long a home that was silent, or unfit, is not tried again.
+    pub avoid: (Duration, Duration),
+    /// Updates in a row that could not be applied, after which a follower leaves its home.
+    pub rejects: u32,
+    /// A follower says so often what it holds.
+    pub say: Duration,
+    /// After so long at another home a follower goes back to the one it prefers.
+    pub settle: Duration,
+    /// Servers out that a follower remembers beyond its home; over it the home's own list has to do.
+    pub withdrawn: usize,
+    /// Of messages. A message over them is not read.
+    pub wire: Bounds,
+}
+
+impl Default for Terms {
+    fn default() -> Self {
+        let (s, ms) = (Duration::from_secs, Duration::from_millis);
+        Terms {
+            beat: ms(1500),
+            silent_beats: 3.2,
+            remember: s(60),
+            servers: 10_000,
+            compare: ms(700),
+            page: 200,
+            quiet: 400,
+            followers: 2000,
+            idle: s(5),
+            lines_a_second: 100_000.0,
+            answer: ms(400),
+            word: ms(200),
+            gather: ms(20),
+            rebuild: s(5),
+            versions: 40,
+            step: 0.05,
+            ignored: 0.1,
+            bounds: (0.5, 2.0),
+            least_change: 0.04,
+            heard: 5,
+            rise: (s(3), s(30)),
+            rise_look: s(1),
+            silent_home: ms(800),
+            avoid: (ms(1500), ms(700)),
+            rejects: 5,
+            say: s(1),
+            settle: s(20),
+            withdrawn: 20_000,
+            wire: Bounds::default(),
+        }
+    }
+}
+
+impl Terms {
+    /// The usual terms for servers that beat so often.
+    pub fn with_beat(beat: Duration) -> Terms {
+        Terms { beat: beat.max(Duration::from_millis(50)), ..Terms::default() }
+    }
+
+    pub(crate) fn silent(&self) -> Duration {
+        self.beat.mul_f64(self.silent_beats)
+    }
+}
--- /dev/null
+++ b/crates/roster/src/views.rs
@@ -0,0 +1,146 @@
+//! The view that a supervisor routes by, from what its homes sent over time.
+
+use crate::distribution::WARM;
+use fallgap_chart::{Berth, Configuration, View};
+use fallgap_tables::{Content, Entry, Key};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+pub(crate) struct Views {
+    /// Most ends that are remembered, and for how long. What is over is known by the home's own list only.
+    most: usize,
+    remember: Duration,
+    configuration: Option<Arc<Configuration>>,
+    /// The home's life that tables come from, by their epoch.
+    epoch: u64,
+    /// Servers of the home before this one, or of its life before this one: in use until this one knows what there
+    /// is.
+    earlier: Vec<Berth>,
+    /// Lives that ended, by when they may be forgotten.
+    ended: BTreeMap<Arc<str>, Duration>,
+    forget: Duration,
+    newest: Option<Arc<View>>,
+}
+
+impl Views {
+    pub(crate) fn new(most: usize, remember: Duration) -> Views {
+        Views {
+            most,
+            remember,
+            configuration: None,
+            epoch: 0,
+            earlier: Vec::new(),
+            ended: BTreeMap::new(),
+            forget: Duration::ZERO,
+            newest: None,
+        }
+    }
+
+    pub(crate) fn newest(&self) -> Option<&Arc<View>> {
+        self.newest.as_ref()
+    }
+    pub(crate) fn edition(&self) -> Option<u64> {
+        self.configuration.as_ref().map(|configuration| configuration.edition)
+    }
+
+    /// Servers have ended; tells whether that is news.
+    pub(crate) fn ended<'a>(
+        &mut self, now: Duration, servers: impl IntoIterator<Item = &'a Arc<str>>,
+    ) -> bool {
+        let until = now + self.remember;
+        let mut news = false;
+        for server in servers {
+            if let Some(held) = self.ended.get_mut(server) {
+                *held = until;
+            } else if self.ended.len() < self.most {
+                self.ended.insert(server.clone(), until);
+                news = true;
+            }
+        }
+        news
+    }
+
+    pub(crate) fn forget(&mut self, now: Duration) {
+        if now >= self.forget {
+            self.forget = now + self.remember / 4;
+            self.ended.retain(|_, until| now < *until);
+        }
+    }
+
+    /// The newest view without servers that have ended since; `None`: it has none of them.
+    pub(crate) fn without_ended(&mut self) -> Option<Arc<View>> {
+        let view = self.newest.as_ref()?;
+        let ended = |berth: &&Berth| self.ended.contains_key(&berth.id);
+        view.berths.iter().find(ended)?;
+        let berths = view.berths.iter().filter(|berth| !ended(berth)).cloned().collect();
+        self.replace(berths)
+    }
+
+    /// The view of a home's table; `None`: nothing has changed.
+    pub(crate) fn built(
+        &mut self, epoch: u64, content: &Content, out: &BTreeSet<Arc<str>>, notes: bool,
+    ) -> Option<Arc<View>> {
+        if std::mem::replace(&mut self.epoch, epoch) != epoch {
+            self.earlier = self.newest.as_ref().map(|view| view.berths.clone()).unwrap_or_default();
+        }
+        if notes {
+            self.configure(content);
+        }
+        let mut berths: Vec<Berth> = Vec::new();
+        for (key, entry) in content.entries() {
+            let (Key::Line(line), Entry::Part(part)) = (key, entry) else { continue };
+            let berth = Berth::from_line(line, *part);
+            berths.extend(
+                berth.filter(|berth| !self.ended.contains_key(&berth.id) && !out.contains(&berth.id)),
+            );
+        }
+        if content.get(&Key::Note(WARM.into())).is_some() {
+            self.earlier = Vec::new();
+        }
+        self.add_earlier(&mut berths);
+        self.replace(berths)
+    }
+
+    /// The table's configuration, unless it is older than what is held.
+    fn configure(&mut self, content: &Content) {
+        let notes = content.entries().iter().filter_map(|(key, entry)| match (key, entry) {
+            (Key::Note(name), Entry::Note(text)) if **name != *WARM => Some((&**name, &**text)),
+            _ => None,
+        });
+        let Some(told) = Configuration::from_notes(notes) else { return };
+        let held = self.configuration.as_ref();
+        if held.is_none_or(|held| told.edition >= held.edition && **held != told) {
+            self.configuration = Some(Arc::new(told));
+        }
+    }
+
+    /// Servers of the home before, as long as this one may not know them yet. Those at whose address there is
+    /// another life by now are over.
+    fn add_earlier(&self, berths: &mut Vec<Berth>) {
+        if self.earlier.is_empty() {
+            return;
+        }
+        let ids: BTreeSet<Arc<str>> = berths.iter().map(|berth| berth.id.clone()).collect();
+        let addresses: BTreeSet<_> = berths.iter().map(|berth| berth.address).collect();
+        let still = |berth: &&Berth| {
+            !ids.contains(&berth.id)
+                && !addresses.contains(&berth.address)
+                && !self.ended.contains_key(&berth.id)
+        };
+        berths.extend(self.earlier.iter().filter(still).cloned());
+        berths.sort_by(|a, b| a.id.cmp(&b.id));
+    }
+
+    fn replace(&mut self, berths: Vec<Berth>) -> Option<Arc<View>> {
+        let configuration = self.configuration.clone()?;
+        let same =
+            |held: &Arc<View>| Arc::ptr_eq(&held.configuration, &configuration) && held.berths == berths;
+        if self.newest.as_ref().is_some_and(same) {
+            return None;
+        }
+        let view = Arc::new(View { configuration, berths });
+        self.newest = Some(view.clone());
+        Some(view)
+    }
+}
--- /dev/null
+++ b/crates/roster/tests/net.rs
@@ -0,0 +1,230 @@
+//! Keepers and followers over a net that loses messages: what is acknowledged reaches all in time, and nobody goes
+//! back.
+
+mod world;
+
+use fallgap_roster::RosterWord;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use world::{MS, World, node};
+
+const S: Duration = Duration::from_secs(1);
+
+/// A world in which all hold everything.
+fn calm(seed: u64, keepers: usize, nodes: usize, servers: usize) -> World {
+    let mut world = World::new(seed, keepers, nodes, servers);
+    world.configure(1, 30);
+    let all = |world: &World| world.all(|seen| seen.edition() == 1 && seen.ids().len() == servers);
+    assert!(world.until(4 * S, all).is_some(), "a quiet start, seed {seed}");
+    world.run(4 * S);
+    world
+}
+
+#[test]
+fn a_quiet_world_says_little() {
+    let mut world = calm(1, 4, 12, 30);
+    let views: usize = world.seen.values().map(|seen| seen.views).sum();
+    world.told.clear();
+    world.run(30 * S);
+    assert_eq!(world.seen.values().map(|seen| seen.views).sum::<usize>(), views, "views of nothing new");
+    assert!(world.seen.values().all(|seen| seen.moves <= 1), "a follower moved for nothing");
+    // Four words a second at most to each of twelve.
+    assert!(world.told["told"] <= 12 * 30 * 5, "{:?}", world.told);
+    assert_eq!(world.told.get("records"), None, "records of what all know");
+}
+
+#[test]
+fn what_is_acknowledged_reaches_all_in_time() {
+    let mut worst: BTreeMap<&str, Duration> = BTreeMap::new();
+    for seed in 0..18 {
+        let loss = [0.0, 0.02, 0.1][seed as usize % 3];
+        let mut world = calm(seed, 3 + seed as usize % 3, 14, 30);
+        world.loss = loss;
+        for round in 0..4 {
+            // Servers close, one by one and many at once; the beat is repeated as servers do.
+            let closing = (round * 6)..(round * 6 + 1 + round);
+            let ids: Vec<String> = closing.clone().map(|i| world.servers[i].beat.id.to_string()).collect();
+            for i in closing.clone() {
+                let via = world.rng.usize(..14);
+                world.beats(via, i, true);
+                world.servers[i].alive = false;
+            }
+            let gone = |w: &World| w.all(|seen| seen.ids().is_disjoint(&ids.iter().cloned().collect()));
+            let took = world.until(3 * S, gone);
+            let most = if loss == 0.0 { 100 * MS } else { 2 * S };
+            assert!(took.is_some_and(|took| took <= most), "drain {took:?}, seed {seed}, round {round}");
+            let kind = if loss == 0.0 { "drain" } else { "drain, lossy" };
+            let held = worst.entry(kind).or_default();
+            *held = took.unwrap_or_default().max(*held);
+            // A configuration is committed meanwhile.
+            let edition = 2 + round as u64;
+            world.configure(edition, 30 + 40 * round);
+            let took = world.until(3 * S, |w| w.all(|seen| seen.edition() == edition));
+            let most = if loss == 0.0 { 100 * MS } else { 2500 * MS };
+            assert!(took.is_some_and(|took| took <= most), "edition {took:?}, seed {seed}, round {round}");
+            let kind = if loss == 0.0 { "edition" } else { "edition, lossy" };
+            let held = worst.entry(kind).or_default();
+            *held = took.unwrap_or_default().max(*held);
+            world.run(S);
+            assert!(gone(&world), "a server that closed is back, seed {seed}");
+        }
+    }
+    println!("{worst:?}");
+}
+
+#[test]
+fn a_home_that_dies_is_left_soon_and_nothing_is_lost() {
+    let mut worst = Duration::ZERO;
+    for seed in 0..10 {
+        let mut world = calm(seed, 4, 12, 30);
+        let victim = world.rng.usize(..4);
+        let (hard, edition) = (seed % 2 == 0, 2 + seed);
+        if hard {
+            world.kill(victim);
+        } else {
+            world.cut.insert(node(victim));
+        }
+        let views: Vec<usize> = world.seen.values().map(|seen| seen.views).collect();
+        let follows = |w: &World| {
+            let up = w.followers.iter().filter(|(id, _)| !w.cut.contains(id));
+            up.into_iter().all(|(_, f)| f.home().is_some_and(|home| home != node(victim)))
+        };
+        let took = world.until(3 * S, follows);
+        assert!(took.is_some_and(|took| took < 1500 * MS), "{took:?} to move, seed {seed}");
+        worst = worst.max(took.unwrap_or_default());
+        world.run(S);
+        let now: Vec<usize> = world.seen.values().map(|seen| seen.views).collect();
+        assert_eq!(views, now, "another home has the same, seed {seed}");
+        world.configure(edition, 30);
+        assert!(world.until(S, |w| w.all(|seen| seen.edition() == edition)).is_some(), "seed {seed}");
+        // Back again with nothing: nobody loses a server over it, and it soon serves again.
+        if hard {
+            world.start(victim);
+        } else {
+            world.cut.clear();
+        }
+        let most: usize = (0..500)
+            .map(|_| {
+                world.run(10 * MS);
+                least_berths(&world, victim)
+            })
+            .min()
+            .unwrap_or(0);
+        assert_eq!(most, 30, "servers were forgotten, seed {seed}");
+        world.run(30 * S);
+        world.configure(edition + 1, 30);
+        let whole = |w: &World| w.all(|seen| seen.edition() == edition + 1 && seen.ids().len() == 30);
+        assert!(world.until(4 * S, whole).is_some(), "seed {seed}");
+        let home = world.followers[&node(victim)].home();
+        assert_eq!(home, Some(node(victim)), "a keeper that is back follows itself, seed {seed}");
+    }
+    println!("worst move {worst:?}");
+}
+
+/// The fewest servers that any process but one routes to.
+fn least_berths(world: &World, but: usize) -> usize {
+    let up = world.followers.keys().filter(|id| **id != node(but));
+    up.map(|id| world.seen[id].ids().len()).min().unwrap_or(0)
+}
+
+#[test]
+fn keepers_that_all_restart_empty_no_list() {
+    for seed in 0..10 {
+        let mut world = calm(seed, 4, 12, 30);
+        (0..4).for_each(|i| world.kill(i));
+        let pause = 200 * MS * world.rng.u32(1..8);
+        world.run(pause);
+        (0..4).for_each(|i| world.start(i));
+        let diskless = |w: &World| (4..12).map(|i| w.seen[&node(i)].ids().len()).min().unwrap_or(0);
+        for _ in 0..500 {
+            world.run(10 * MS);
+            assert_eq!(diskless(&world), 30, "seed {seed}");
+        }
+        // A configuration older than what followers hold is no news to them; the newest one is.
+        world.configure(2, 30);
+        assert!(world.until(S, |w| w.all(|seen| seen.edition() == 2 && seen.ids().len() == 30)).is_some());
+    }
+}
+
+#[test]
+fn unfit_homes_are_left_and_a_view_is_kept() {
+    let mut world = calm(3, 3, 9, 20);
+    let now = world.now;
+    world.cores.get_mut(&node(0)).into_iter().for_each(|core| core.distribution.set_fit(now, false));
+    let moved = |w: &World| w.followers.values().all(|f| f.home().is_some_and(|home| home != node(0)));
+    assert!(world.until(S, moved).is_some_and(|took| took < 200 * MS));
+    // No home is fit: all go on with what they have, and ask at a calm pace.
+    world.cores.values_mut().for_each(|core| core.distribution.set_fit(now, false));
+    let joins = |w: &World| w.seen.values().map(|seen| seen.moves).sum::<usize>();
+    let before = joins(&world);
+    world.run(10 * S);
+    assert!(world.all(|seen| seen.ids().len() == 20 && seen.edition() == 1));
+    assert!(joins(&world) - before < 9 * 3 * 20, "{}", joins(&world) - before);
+    assert!(world.followers.values().all(|f| f.age(world.now).is_some_and(|age| age > 9 * S)));
+    let now = world.now;
+    world.cores.values_mut().for_each(|core| core.distribution.set_fit(now, true));
+    world.configure(2, 20);
+    assert!(world.until(2 * S, |w| w.all(|seen| seen.edition() == 2)).is_some());
+}
+
+#[test]
+fn drawn_faults_end_well() {
+    for seed in 0..200 {
+        let mut world = calm(seed, 3 + seed as usize % 3, 10, 25);
+        let mut edition = 1;
+        for _ in 0..25 {
+            match world.rng.u8(..9) {
+                0 => world.loss = 0.3 * world.rng.f64(),
+                1 => {
+                    let i = world.rng.usize(..10);
+                    world.cut.insert(node(i));
+                }
+                2 => world.cut.clear(),
+                3 | 4 => {
+                    let i = world.rng.usize(..10);
+                    world.kill(i);
+                    let pause = 100 * MS * world.rng.u32(1..20);
+                    world.run(pause);
+                    world.start(i);
+                }
+                5 => {
+                    edition += world.rng.u64(1..3);
+                    let routes = 20 + world.rng.usize(..20);
+                    world.configure(edition, routes);
+                }
+                6 | 7 => {
+                    let i = world.rng.usize(..world.servers.len());
+                    if std::mem::replace(&mut world.servers[i].alive, false) {
+                        let via = world.rng.usize(..10);
+                        let id = world.servers[i].beat.id.clone();
+                        world.beats(via, i, true);
+                        if world.rng.bool() {
+                            world.says(via, RosterWord::Left(id));
+                        }
+                    }
+                }
+                _ => {
+                    // A server crashes and another one gets its address.
+                    let i = world.rng.usize(..world.servers.len());
+                    let id = format!("j-{}", world.rng.u32(..));
+                    world.servers[i].beat.id = id.as_str().into();
+                    world.servers[i].beat.closing = false;
+                    world.servers[i].alive = true;
+                }
+            }
+            let pause = 50 * MS * world.rng.u32(1..30);
+            world.run(pause);
+        }
+        (world.loss, edition) = (0.0, edition + 1);
+        world.cut.clear();
+        world.configure(edition, 30);
+        let alive =
+            world.servers.iter().filter(|server| server.alive).map(|server| server.beat.id.to_string());
+        let alive: std::collections::BTreeSet<String> = alive.collect();
+        let whole = |w: &World| w.all(|seen| seen.edition() == edition && seen.ids() == alive);
+        let took = world.until(25 * S, whole);
+        assert!(took.is_some(), "seed {seed}");
+        world.run(30 * S);
+        assert!(whole(&world), "seed {seed}: it does not stay");
+    }
+}
--- /dev/null
+++ b/crates/roster/tests/world/mod.rs
@@ -0,0 +1,367 @@
+//! Keepers, followers and servers in virtual time, over links that keep order, are slow, lose messages and are cut.
+
+use fallgap_chart::{Beat, Configuration, Limits, Route, RouteClass, Service, View};
+use fallgap_feed::wire::Told;
+use fallgap_roster::{Distribution, Follower, FollowerOut, NodeId, Out, Registry, RosterWord, Terms};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+pub const MS: Duration = Duration::from_millis(1);
+
+pub fn node(i: usize) -> NodeId {
+    NodeId::new(10, 0, 0, i as u8 + 1)
+}
+
+pub struct Core {
+    pub registry: Registry,
+    pub distribution: Distribution,
+}
+
+pub struct Server {
+    pub beat: Beat,
+    next: Duration,
+    pub alive: bool,
+}
+
+#[derive(Default)]
+pub struct Seen {
+    pub view: Option<Arc<View>>,
+    pub views: usize,
+    pub moves: usize,
+    /// Servers that this process has heard are out.
+    out: BTreeSet<String>,
+}
+
+impl Seen {
+    pub fn edition(&self) -> u64 {
+        self.view.as_ref().map_or(0, |view| view.configuration.edition)
+    }
+    pub fn ids(&self) -> BTreeSet<String> {
+        let berths = self.view.iter().flat_map(|view| &view.berths);
+        berths.map(|berth| berth.id.to_string()).collect()
+    }
+}
+
+pub struct World {
+    pub now: Duration,
+    pub rng: fastrand::Rng,
+    pub terms: Terms,
+    pub keepers: usize,
+    /// As it was committed last.
+    pub edition: u64,
+    pub cores: BTreeMap<NodeId, Core>,
+    pub followers: BTreeMap<NodeId, Follower>,
+    pub seen: BTreeMap<NodeId, Seen>,
+    pub servers: Vec<Server>,
+    /// Part of messages that are lost.
+    pub loss: f64,
+    /// Nodes that hear and say nothing.
+    pub cut: BTreeSet<NodeId>,
+    net: BTreeMap<(Duration, u64), (NodeId, NodeId, RosterWord)>,
+    last: BTreeMap<(NodeId, NodeId), Duration>,
+    sent: u64,
+    pub told: BTreeMap<&'static str, usize>,
+}
+
+pub fn configuration(edition: u64, routes: usize) -> Arc<Configuration> {
+    let route = |i: usize| Route {
+        name: format!("r{i}").into(),
+        depot: "a.example".into(),
+        lane_prefix: format!("/{i:04}/").into(),
+        class: RouteClass::Safe,
+        // Every route changes with the edition in one of seven.
+        timeout: Duration::from_millis(1000 + edition * u64::from(i as u64 % 7 == edition % 7)),
+        target: 300 * MS,
+        priority: 1,
+        sorting: vec![("shop".into(), 1.0)],
+        attempts: 2,
+    };
+    let service = Service { name: "shop".into(), health_path: "/health".into(), line_cap: 64 };
+    let limits = Limits { header_bytes: 16384, body_bytes: 1 << 20, header: 3000 * MS, idle: 15_000 * MS };
+    let routes = (0..routes).map(route).collect();
+    Arc::new(Configuration { edition, routes, services: vec![service], limits })
+}
+
+pub fn beat(id: &str, port: u16, postmark: u64) -> Beat {
+    Beat {
+        id: id.into(),
+        address: std::net::SocketAddrV4::new(NodeId::new(10, 9, 0, 1), port),
+        service: "shop".into(),
+        edition: "v1".into(),
+        zone: "hall".into(),
+        slots: 4,
+        closing: false,
+        postmark,
+        cold: Duration::ZERO,
+    }
+}
+
+impl World {
+    /// The first `keepers` nodes are keepers; all are followers.
+    pub fn new(seed: u64, keepers: usize, nodes: usize, servers: usize) -> World {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let now = 1000 * MS;
+        let server = |i: usize| Server {
+            beat: beat(&format!("i-{i:03}"), 8000 + i as u16, 0),
+            next: now + 1500 * MS * i as u32 / servers.max(1) as u32,
+            alive: true,
+        };
+        let mut world = World {
+            now,
+            terms: Terms::default(),
+            keepers,
+            edition: 0,
+            cores: BTreeMap::new(),
+            followers: BTreeMap::new(),
+            seen: BTreeMap::new(),
+            servers: (0..servers).map(server).collect(),
+            loss: 0.0,
+            cut: BTreeSet::new(),
+            net: BTreeMap::new(),
+            last: BTreeMap::new(),
+            sent: 0,
+            told: BTreeMap::new(),
+            rng: rng.fork(),
+        };
+        (0..nodes).for_each(|i| world.start(i));
+        world
+    }
+
+    /// A node's process starts, or starts again with nothing.
+    pub fn start(&mut self, i: usize) {
+        let (now, id, terms) = (self.now, node(i), self.terms);
+        if i < self.keepers {
+            let mut registry = Registry::start(now, self.rng.u64(..), terms);
+            registry.peers((0..self.keepers).filter(|other| *other != i).map(node).collect());
+            let mut distribution = Distribution::start(now, self.rng.u64(..), terms);
+            if self.edition > 1 {
+                // Its disk held an older one.
+                distribution.set_configuration(now, configuration(self.edition - 1, 30));
+            }
+            self.cores.insert(id, Core { registry, distribution });
+        }
+        let mut follower = Follower::start(now, self.rng.u64(..), id, terms);
+        follower.homes(now, self.preferred(i));
+        self.followers.insert(id, follower);
+        self.seen.insert(id, Seen::default());
+        self.settle();
+    }
+
+    pub fn preferred(&self, i: usize) -> Vec<NodeId> {
+        (0..self.keepers).map(|k| node((i + k) % self.keepers)).collect()
+    }
+
+    /// A node's process ends: what is under way to it and from it is lost.
+    pub fn kill(&mut self, i: usize) {
+        let id = node(i);
+        self.cores.remove(&id);
+        self.followers.remove(&id);
+        self.net.retain(|_, (from, to, _)| *from != id && *to != id);
+    }
+
+    pub fn configure(&mut self, edition: u64, routes: usize) {
+        let now = self.now;
+        let configuration = configuration(edition, routes);
+        self.edition = edition;
+        let cut = &self.cut;
+        for (_, core) in self.cores.iter_mut().filter(|(id, _)| !cut.contains(id)) {
+            core.distribution.set_configuration(now, configuration.clone());
+        }
+        self.settle();
+    }
+
+    /// A server says something to a node that hands it on to all keepers.
+    pub fn says(&mut self, at: usize, word: RosterWord) {
+        (0..self.keepers).for_each(|k| self.send(node(at), node(k), word.clone()));
+    }
+
+    pub fn beats(&mut self, at: usize, server: usize, closing: bool) {
+        let server = &mut self.servers[server];
+        server.beat.postmark += 1;
+        server.beat.closing |= closing;
+        let word = RosterWord::Beat(server.beat.clone());
+        self.says(at, word);
+    }
+
+    fn send(&mut self, from: NodeId, to: NodeId, word: RosterWord) {
+        let local = from == to;
+        if !local && (self.cut.contains(&from) || self.cut.contains(&to) || self.rng.f64() < self.loss) {
+            return;
+        }
+        let kind = match &word {
+            RosterWord::Told(_) => "told",
+            RosterWord::Compare(_) => "compare",
+            RosterWord::Records(records) if !records.records.is_empty() => "records",
+            _ => "other",
+        };
+        *self.told.entry(kind).or_default() += 1;
+        let delay = if local { Duration::ZERO } else { MS * self.rng.u32(1..6) };
+        let at = (self.now + delay).max(self.last.get(&(from, to)).copied().unwrap_or_default());
+        self.last.insert((from, to), at);
+        self.sent += 1;
+        // As it would travel.
+        let bytes = postcard::to_stdvec(&word).expect("a word as bytes");
+        let word = postcard::from_bytes(&bytes).expect("a word again");
+        self.net.insert((at, self.sent), (from, to, word));
+    }
+
+    /// Takes what all cores have to say.
+    fn settle(&mut self) {
+        let now = self.now;
+        let mut out: Vec<(NodeId, NodeId, RosterWord)> = Vec::new();
+        for (id, core) in &mut self.cores {
+            out.extend(core.registry.take().into_iter().map(|(to, word)| (*id, to, word)));
+            for said in core.distribution.take() {
+                match said {
+                    Out::Tell(to, told) => out.push((*id, to, RosterWord::told(&told))),
+                    Out::Unfit(to) => out.push((*id, to, RosterWord::Unfit)),
+                    Out::Note(_) => {}
+                }
+            }
+        }
+        for (id, follower) in &mut self.followers {
+            let seen = self.seen.entry(*id).or_default();
+            for said in follower.take() {
+                match said {
+                    FollowerOut::Join(to, said) => {
+                        seen.moves += 1;
+                        out.push((*id, to, RosterWord::join(&said)));
+                    }
+                    FollowerOut::Say(to, said) => out.push((*id, to, RosterWord::said(&said))),
+                    FollowerOut::NewView(view) => {
+                        let back = view.configuration.edition < seen.edition();
+                        assert!(!back, "{id} goes back at {now:?}");
+                        seen.view = Some(view);
+                        seen.views += 1;
+                    }
+                    FollowerOut::Note(_) => {}
+                }
+            }
+            assert!(seen.ids().is_disjoint(&seen.out), "{id} has a server again at {now:?}");
+        }
+        out.into_iter().for_each(|(from, to, word)| self.send(from, to, word));
+    }
+
+    fn deliver(&mut self, from: NodeId, to: NodeId, word: RosterWord) {
+        let (now, terms) = (self.now, self.terms);
+        match word {
+            RosterWord::Told(line) => {
+                let told = RosterWord::read_told(&line, &terms).expect("what is told");
+                let Some(follower) = self.followers.get_mut(&to) else { return };
+                let seen = self.seen.entry(to).or_default();
+                match &told {
+                    Told::Withdrawn { told, .. } => _ = seen.out.insert(told.server.to_string()),
+                    Told::AllWithdrawn { out, .. } => seen.out.extend(out.iter().map(|id| id.to_string())),
+                    _ => {}
+                }
+                follower.told(now, from, told);
+            }
+            RosterWord::Unfit => self.followers.get_mut(&to).into_iter().for_each(|f| f.unfit(now, from)),
+            word => {
+                let Some(core) = self.cores.get_mut(&to) else { return };
+                let changed = match word {
+                    RosterWord::Beat(beat) => core.registry.beat(now, beat).is_change(),
+                    RosterWord::Left(id) => core.registry.left(now, &id).is_change(),
+                    RosterWord::Join(line) => {
+                        let said = RosterWord::read_said(&line, &terms).expect("what is said");
+                        core.distribution.joined(now, from, said);
+                        false
+                    }
+                    RosterWord::Said(line) => {
+                        let said = RosterWord::read_said(&line, &terms).expect("what is said");
+                        core.distribution.said(now, from, said);
+                        false
+                    }
+                    RosterWord::Report(reports) => {
+                        core.distribution.reported(now, from, &reports);
+                        false
+                    }
+                    word => core.registry.heard(now, from, word),
+                };
+                if changed {
+                    core.distribution.registry_changed(now, &core.registry);
+                }
+            }
+        }
+    }
+
+    fn next(&self) -> Duration {
+        let net = self.net.keys().next().map(|(at, _)| *at);
+        let cores = self.cores.values().map(|c| c.registry.next_wake().min(c.distribution.next_wake())).min();
+        let followers = self.followers.values().filter_map(Follower::next_wake).min();
+        let servers = self.servers.iter().filter(|server| server.alive).map(|server| server.next).min();
+        [net, cores, followers, servers].into_iter().flatten().min().unwrap_or(self.now)
+    }
+
+    fn step(&mut self) {
+        let now = self.now;
+        while let Some(((at, sent), _)) = self.net.first_key_value().filter(|((at, _), _)| *at <= now) {
+            let key = (*at, *sent);
+            if let Some((from, to, word)) = self.net.remove(&key) {
+                let cut = from != to && (self.cut.contains(&from) || self.cut.contains(&to));
+                if !cut {
+                    self.deliver(from, to, word);
+                }
+            }
+        }
+        for i in 0..self.servers.len() {
+            if self.servers[i].alive && self.servers[i].next <= now {
+                self.servers[i].next = now + 1500 * MS;
+                let ups: Vec<NodeId> = self.followers.keys().copied().collect();
+                if !ups.is_empty() {
+                    let up = ups[self.rng.usize(..ups.len())];
+                    self.beats(usize::from(up.octets()[3]) - 1, i, false);
+                }
+            }
+        }
+        for core in self.cores.values_mut() {
+            if core.registry.next_wake() <= now && core.registry.woke(now) {
+                core.distribution.registry_changed(now, &core.registry);
+            }
+            if core.distribution.next_wake() <= now {
+                core.distribution.woke(now);
+            }
+        }
+        for follower in self.followers.values_mut() {
+            if follower.next_wake().is_some_and(|at| at <= now) {
+                follower.woke(now);
+            }
+        }
+        self.settle();
+    }
+
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        let mut here = 0;
+        loop {
+            let next = self.next();
+            if next > end {
+                break;
+            }
+            here = if next <= self.now { here + 1 } else { 0 };
+            assert!(here < 2000, "no time passes at {:?}", self.now);
+            self.now = self.now.max(next);
+            self.step();
+        }
+        self.now = end;
+    }
+
+    /// How long until all that hold a view are as wanted; `None`: longer than that.
+    pub fn until(&mut self, most: Duration, wanted: impl Fn(&World) -> bool) -> Option<Duration> {
+        let since = self.now;
+        while !wanted(self) {
+            if self.now >= since + most {
+                return None;
+            }
+            self.run(10 * MS);
+        }
+        Some(self.now - since)
+    }
+
+    /// Every process that runs, and is not cut off, holds that.
+    pub fn all(&self, holds: impl Fn(&Seen) -> bool) -> bool {
+        let up = self.followers.keys().filter(|id| !self.cut.contains(id));
+        up.into_iter().all(|id| holds(&self.seen[id]))
+    }
+}
--- a/crates/tables/examples/history_cost.rs
+++ b/crates/tables/examples/history_cost.rs
@@ -66,6 +66,7 @@
     match key {
         Key::Line(name) => Key::Line(name.to_string().into()),
         Key::Level(name) => Key::Level(name.to_string().into()),
+        Key::Note(name) => Key::Note(name.to_string().into()),
     }
 }
 
--- a/crates/tables/src/receiver.rs
+++ b/crates/tables/src/receiver.rs
@@ -83,6 +83,7 @@
     match (key, entry) {
         (Key::Line(_), Entry::Part(part)) => part.is_finite() && *part > 0.0,
         (Key::Level(_), Entry::Level { admit, policy }) => *admit >= 0.0 && *policy <= 3,
+        (Key::Note(_), Entry::Note(_)) => true,
         _ => false,
     }
 }
@@ -112,6 +113,10 @@
     pub fn content(&self) -> &Content {
         &self.content
     }
+    /// The servers that are out, as far as heard.
+    pub fn out(&self) -> &BTreeSet<Arc<str>> {
+        &self.out
+    }
 
     /// All of a table: checked, and taken in place of what is held. The withdrawals of its epoch come first: a
     /// table alone would have a newcomer use servers that are out.
@@ -137,7 +142,7 @@
             return Err(Reject::Gap);
         }
         let mut content = Content::default();
-        whole.entries.iter().for_each(|(key, entry)| _ = content.set(key, Some(*entry)));
+        whole.entries.iter().for_each(|(key, entry)| _ = content.set(key, Some(entry.clone())));
         if content.digest() != whole.version.digest || content.entries().len() != whole.entries.len() {
             return Err(Reject::Digest);
         }
@@ -168,7 +173,7 @@
         if (self.content.entries().len() + more).saturating_sub(fewer) > self.terms.entries {
             return Err(Reject::Bounds);
         }
-        if !delta.changes.iter().all(|c| c.entry.is_none_or(|entry| possible(&c.key, &entry))) {
+        if !delta.changes.iter().all(|c| c.entry.as_ref().is_none_or(|entry| possible(&c.key, entry))) {
             return Err(Reject::Entry);
         }
         let once = delta.changes.windows(2).all(|pair| pair[0].key < pair[1].key);
@@ -176,7 +181,7 @@
             return Err(Reject::Digest);
         }
         for Change { key, entry } in &delta.changes {
-            self.content.set(key, *entry);
+            self.content.set(key, entry.clone());
         }
         self.version = Some(delta.result);
         self.word(now);
@@ -230,6 +235,10 @@
 
     fn word(&mut self, now: Duration) {
         self.last_word = Some(now);
+        if self.terms.when_old == WhenOld::GoOn {
+            // Nobody asks which servers are confirmed.
+            return;
+        }
         let servers = self.content.entries().keys().filter_map(Key::server);
         self.confirmed = servers.map(|server| (server.clone(), now)).collect();
     }
--- a/crates/tables/src/rollback.rs
+++ b/crates/tables/src/rollback.rs
@@ -43,7 +43,7 @@
             }
             Known::Cold => {
                 if let Some(held) = now.get(&key) {
-                    table.insert(key, least(entry, *held));
+                    table.insert(key, least(entry, held.clone()));
                 }
             }
             Known::Draining | Known::Gone => {}
@@ -52,15 +52,15 @@
     if open == 0 {
         return Err(Refused::NoServer);
     }
-    let levels = now.iter().filter(|(key, _)| matches!(key, Key::Level(_)));
-    table.extend(levels.map(|(key, entry)| (key.clone(), *entry)));
+    let levels = now.iter().filter(|(key, _)| !matches!(key, Key::Line(_)));
+    table.extend(levels.map(|(key, entry)| (key.clone(), entry.clone())));
     Ok(table)
 }
 
 fn least(one: Entry, other: Entry) -> Entry {
     match (one, other) {
         (Entry::Part(a), Entry::Part(b)) => Entry::Part(a.min(b)),
-        _ => other,
+        (_, other) => other,
     }
 }
 
@@ -96,7 +96,7 @@
             table.insert(key, Entry::Part(exact));
         }
     }
-    let levels = wanted.iter().filter(|(key, _)| matches!(key, Key::Level(_)));
-    table.extend(levels.map(|(key, entry)| (key.clone(), *entry)));
+    let levels = wanted.iter().filter(|(key, _)| !matches!(key, Key::Line(_)));
+    table.extend(levels.map(|(key, entry)| (key.clone(), entry.clone())));
     (table, step >= 1.0)
 }
--- a/crates/tables/src/store.rs
+++ b/crates/tables/src/store.rs
@@ -53,6 +53,7 @@
 enum Stored {
     Part(f64),
     Level(f64, u8),
+    Note(String),
 }
 
 #[derive(Serialize, Deserialize)]
@@ -60,14 +61,14 @@
     at: Duration,
     base: (u64, u128),
     result: (u64, u128),
-    /// Level or line, name, before, after.
-    changes: Vec<(bool, String, Option<Stored>, Option<Stored>)>,
+    /// Line 0, level 1 or note 2; name, before, after.
+    changes: Vec<(u8, String, Option<Stored>, Option<Stored>)>,
 }
 
 #[derive(Serialize, Deserialize)]
 struct StoredBase {
     version: (u64, u128),
-    entries: Vec<(bool, String, Stored)>,
+    entries: Vec<(u8, String, Stored)>,
 }
 
 impl From<Entry> for Stored {
@@ -75,6 +76,7 @@
         match entry {
             Entry::Part(part) => Stored::Part(part),
             Entry::Level { admit, policy } => Stored::Level(admit, policy),
+            Entry::Note(text) => Stored::Note(text.to_string()),
         }
     }
 }
@@ -84,16 +86,26 @@
         match stored {
             Stored::Part(part) => Entry::Part(part),
             Stored::Level(admit, policy) => Entry::Level { admit, policy },
+            Stored::Note(text) => Entry::Note(text.into()),
         }
     }
 }
 
-fn key_of(level: bool, name: String) -> Key {
-    if level { Key::Level(name.into()) } else { Key::Line(name.into()) }
+fn key_of(kind: u8, name: String) -> Key {
+    match kind {
+        0 => Key::Line(name.into()),
+        1 => Key::Level(name.into()),
+        _ => Key::Note(name.into()),
+    }
 }
 
-fn parts_of(key: &Key) -> (bool, String) {
-    (matches!(key, Key::Level(_)), key.name().to_string())
+fn parts_of(key: &Key) -> (u8, String) {
+    let kind = match key {
+        Key::Line(_) => 0,
+        Key::Level(_) => 1,
+        Key::Note(_) => 2,
+    };
+    (kind, key.name().to_string())
 }
 
 fn spoilt(e: impl std::fmt::Display) -> Unusable {
@@ -190,8 +202,8 @@
                     let entries = tables.at(*table, oldest).unwrap_or_default();
                     let version = tables.oldest(*table).map_or((0, 0), |v| (v.number, v.digest));
                     let entries = entries.into_iter().map(|(key, entry)| {
-                        let (level, name) = parts_of(&key);
-                        (level, name, entry.into())
+                        let (kind, name) = parts_of(&key);
+                        (kind, name, entry.into())
                     });
                     let stored = StoredBase { version, entries: entries.collect() };
                     let bytes = postcard::to_stdvec(&stored).map_err(failed)?;
@@ -228,8 +240,8 @@
                 .changes
                 .iter()
                 .map(|(key, before, after)| {
-                    let (level, name) = parts_of(key);
-                    (level, name, before.map(Stored::from), after.map(Stored::from))
+                    let (kind, name) = parts_of(key);
+                    (kind, name, before.clone().map(Stored::from), after.clone().map(Stored::from))
                 })
                 .collect(),
         };
@@ -264,15 +276,14 @@
         let (table, bytes) = row.map_err(spoilt)?;
         let table = table.value();
         let base: StoredBase = postcard::from_bytes(bytes.value()).map_err(spoilt)?;
-        let entries =
-            base.entries.into_iter().map(|(level, name, entry)| (key_of(level, name), entry.into()));
+        let entries = base.entries.into_iter().map(|(kind, name, entry)| (key_of(kind, name), entry.into()));
         let mut restored =
             Restored { table, version: version(base.version), entries: entries.collect(), steps: Vec::new() };
         for row in steps.range((table, base.version.0 + 1)..=(table, u64::MAX)).map_err(spoilt)? {
             let (_, bytes) = row.map_err(spoilt)?;
             let step: StoredStep = postcard::from_bytes(bytes.value()).map_err(spoilt)?;
-            let changes = step.changes.into_iter().map(|(level, name, before, after)| {
-                (key_of(level, name), before.map(Entry::from), after.map(Entry::from))
+            let changes = step.changes.into_iter().map(|(kind, name, before, after)| {
+                (key_of(kind, name), before.map(Entry::from), after.map(Entry::from))
             });
             let (base, result) = (version(step.base), version(step.result));
             restored.steps.push(StepOf { at: step.at, base, result, changes: changes.collect() });
--- a/crates/tables/src/table.rs
+++ b/crates/tables/src/table.rs
@@ -12,28 +12,32 @@
     Line(Arc<str>),
     /// The level of an op type.
     Level(Arc<str>),
+    /// A text under a name.
+    Note(Arc<str>),
 }
 
 impl Key {
     pub fn server(&self) -> Option<&Arc<str>> {
         match self {
             Key::Line(server) => Some(server),
-            Key::Level(_) => None,
+            Key::Level(_) | Key::Note(_) => None,
         }
     }
     pub fn name(&self) -> &Arc<str> {
         match self {
-            Key::Line(name) | Key::Level(name) => name,
+            Key::Line(name) | Key::Level(name) | Key::Note(name) => name,
         }
     }
 }
 
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Entry {
     /// A line's part relative to the others.
     Part(f64),
     /// What is let in, and the way of trying again.
     Level { admit: f64, policy: u8 },
+    /// What a note says. Shared between versions and tables.
+    Note(Arc<str>),
 }
 
 /// Names a table's content: no two contents of one epoch have the same number.
@@ -57,6 +61,7 @@
     let (kind, name) = match key {
         Key::Line(name) => (0u8, name),
         Key::Level(name) => (1, name),
+        Key::Note(name) => (2, name),
     };
     hash.update(&[kind]);
     hash.update(&(name.len() as u64).to_le_bytes());
@@ -67,6 +72,7 @@
             hash.update(&admit.to_bits().to_le_bytes());
             hash.update(&[*policy]);
         }
+        Entry::Note(text) => hash.update(text.as_bytes()),
     }
     hash.digest128()
 }
@@ -91,8 +97,8 @@
             }
             None => self.entries.remove(key),
         };
-        if let Some(before) = before {
-            self.digest = self.digest.wrapping_sub(mark(key, &before));
+        if let Some(before) = &before {
+            self.digest = self.digest.wrapping_sub(mark(key, before));
         }
         before
     }
@@ -100,7 +106,7 @@
     /// The digest that it would have after these changes.
     pub fn digest_after(&self, changes: &[Change]) -> u128 {
         changes.iter().fold(self.digest, |digest, change| {
-            let now = change.entry.map_or(0, |entry| mark(&change.key, &entry));
+            let now = change.entry.as_ref().map_or(0, |entry| mark(&change.key, entry));
             let before = self.entries.get(&change.key).map_or(0, |entry| mark(&change.key, entry));
             digest.wrapping_add(now).wrapping_sub(before)
         })
--- a/crates/tables/src/tables.rs
+++ b/crates/tables/src/tables.rs
@@ -94,7 +94,7 @@
             tables.set_version(table, version).ok_or(table)?;
             for step in steps {
                 let follows = tables.version(table) == Some(step.base);
-                step.changes.iter().for_each(|(key, _, entry)| tables.set(table, key.clone(), *entry));
+                step.changes.iter().for_each(|(key, _, entry)| tables.set(table, key.clone(), entry.clone()));
                 let sealed = tables.seal(step.at, table);
                 if !follows || sealed != Some(step.result) {
                     return Err(table);
@@ -141,7 +141,11 @@
             at: step.at,
             base: step.base,
             result,
-            changes: step.changes.iter().map(|(c, before)| (c.key.clone(), *before, c.entry)).collect(),
+            changes: step
+                .changes
+                .iter()
+                .map(|(c, before)| (c.key.clone(), before.clone(), c.entry.clone()))
+                .collect(),
         };
         steps.map(of).collect()
     }
@@ -167,6 +171,7 @@
         let key = match &key {
             Key::Line(name) => Key::Line(self.name(name)),
             Key::Level(name) => Key::Level(self.name(name)),
+            Key::Note(name) => Key::Note(self.name(name)),
         };
         let version = Version { epoch: self.epoch, number: 0, digest: 0 };
         let new = || Table {
@@ -196,7 +201,7 @@
         let differs = open.into_iter().filter(|(key, before)| content.get(key) != before.as_ref());
         let changes: Vec<(Change, Option<Entry>)> = differs
             .map(|(key, before)| {
-                let entry = content.get(&key).copied();
+                let entry = content.get(&key).cloned();
                 (Change { key, entry }, before)
             })
             .collect();
@@ -251,12 +256,14 @@
         let (Some(from), Some(base)) = (from, holds) else { return whole() };
         let mut newest: BTreeMap<&Key, &Change> = BTreeMap::new();
         // What a key was in the base: changed back, it is no change.
-        let mut first: BTreeMap<&Key, Option<Entry>> = BTreeMap::new();
+        let mut first: BTreeMap<&Key, Option<&Entry>> = BTreeMap::new();
         for (change, before) in held.steps.iter().skip(from).flat_map(|step| &step.changes) {
             newest.insert(&change.key, change);
-            first.entry(&change.key).or_insert(*before);
+            first.entry(&change.key).or_insert(before.as_ref());
         }
-        let differs = newest.into_values().filter(|change| first.get(&change.key) != Some(&change.entry));
+        let differs = newest
+            .into_values()
+            .filter(|change| first.get(&change.key).is_none_or(|before| *before != change.entry.as_ref()));
         let changes: Vec<Change> = differs.cloned().collect();
         if changes.len() > held.content.entries().len() {
             return whole();
@@ -275,7 +282,7 @@
         for (change, before) in held.steps.iter().rev().take(back).flat_map(|step| step.changes.iter().rev())
         {
             match before {
-                Some(entry) => _ = entries.insert(change.key.clone(), *entry),
+                Some(entry) => _ = entries.insert(change.key.clone(), entry.clone()),
                 None => _ = entries.remove(&change.key),
             }
         }
@@ -300,7 +307,7 @@
     let mut entries = held.content.entries().clone();
     for (key, before) in &held.open {
         match before {
-            Some(entry) => _ = entries.insert(key.clone(), *entry),
+            Some(entry) => _ = entries.insert(key.clone(), entry.clone()),
             None => _ = entries.remove(key),
         }
     }
--- a/crates/tables/tests/channel.rs
+++ b/crates/tables/tests/channel.rs
@@ -103,6 +103,11 @@
                 self.tables.set(TABLE, Key::Level("lookup".into()), Some(level));
             }
             3 if self.rng.u8(..8) == 0 => self.start_anew(),
+            4 => {
+                let text = self.rng.u8(..4);
+                let text = (text > 0).then(|| Entry::Note(format!("text {text}").as_str().into()));
+                self.tables.set(TABLE, Key::Note(name.as_str().into()), text);
+            }
             _ if !self.draining.contains_key(&name) => {
                 let part = (self.rng.u32(1..9)) as f64;
                 self.tables.set(TABLE, Key::Line(name.as_str().into()), Some(Entry::Part(part)));
--- a/crates/tables/tests/store.rs
+++ b/crates/tables/tests/store.rs
@@ -116,7 +116,9 @@
             now.epoch == version.epoch && now.number >= version.number,
             "{version:?} went back to {now:?}"
         );
-        assert_eq!(truth[&(*table, now.epoch, now.number)], now.digest);
+        if now.number > 0 {
+            assert_eq!(truth[&(*table, now.epoch, now.number)], now.digest);
+        }
         assert_eq!(tables.content(*table).unwrap().digest_anew(), now.digest);
     }
     assert!(withdrawals.sequence() >= life.withdrawn);
@@ -124,8 +126,12 @@
     for round in 0..rounds {
         let table = rng.u32(..TABLES);
         let name = format!("store{}", rng.u8(..9));
-        let entry = (rng.u8(..4) > 0).then(|| Entry::Part(f64::from(rng.u32(1..1_000_000))));
-        tables.set(table, Key::Line(name.as_str().into()), entry);
+        let figure = rng.u32(1..1_000_000);
+        let (key, entry) = match rng.bool() {
+            true => (Key::Line(name.as_str().into()), Entry::Part(f64::from(figure))),
+            false => (Key::Note(name.as_str().into()), Entry::Note(figure.to_string().into())),
+        };
+        tables.set(table, key, (rng.u8(..4) > 0).then_some(entry));
         let version = tables.seal(MS * round, table).unwrap();
         if version.number > 0 {
             let before = truth.insert((table, version.epoch, version.number), version.digest);
