--- a/crates/lantern/src/carry.rs
+++ b/crates/lantern/src/carry.rs
@@ -41,7 +41,7 @@
         }
     }
 
-    pub fn to_keepers(&mut self, now: Duration, word: impl Fn(Ipv4Addr) -> Word) {
+    pub fn tell_keepers(&mut self, now: Duration, word: impl Fn(Ipv4Addr) -> Word) {
         for keeper in self.keepers() {
             self.say(now, keeper, word(keeper));
         }
--- a/crates/lantern/src/engine.rs
+++ b/crates/lantern/src/engine.rs
@@ -203,7 +203,7 @@
                 Asked::Beat(beat) => self.beat(now, beat, reply),
                 Asked::Left(server) => {
                     let left = RosterWord::Left(server.as_str().into());
-                    self.to_keepers(now, |_| Word::Roster(left.clone()));
+                    self.tell_keepers(now, |_| Word::Roster(left.clone()));
                     let _ = reply.try_send(Told::Taken);
                 }
                 Asked::Status => {
@@ -284,7 +284,7 @@
         homes.sort_by_key(|node| (*node != self.me, !zone(node)));
         self.follower.homes(now, homes);
         if let Some(hub) = &mut self.hub {
-            hub.registry.peers(peers.iter().filter(|p| p.here).map(|p| p.node).collect());
+            hub.registry.peers(now, peers.iter().filter(|p| p.here).map(|p| p.node).collect());
             let gone = self.beacon.peers().filter(|p| p.state == State::Gone);
             gone.for_each(|peer| hub.distribution.left(peer.card.node));
         }
--- a/crates/roster/src/evening.rs
+++ b/crates/roster/src/evening.rs
@@ -42,7 +42,7 @@
         std::mem::take(&mut self.out)
     }
 
-    /// An end was heard of: whether the others have, too, is seen to soon.
+    /// An end was heard of, or this keeper was away: what the others know is seen to soon.
     pub(crate) fn soon(&mut self, now: Duration) {
         self.at = self.at.min(now + self.every / 4);
     }
@@ -75,10 +75,13 @@
 }
 
 impl Registry {
-    /// The other keepers.
-    pub fn peers(&mut self, mut peers: Vec<NodeId>) {
+    /// The other keepers that are believed to be here. With one that is new it compares soon.
+    pub fn peers(&mut self, now: Duration, mut peers: Vec<NodeId>) {
         peers.sort();
         peers.dedup();
+        if peers.iter().any(|peer| !self.evening.peers.contains(peer)) {
+            self.evening.soon(now);
+        }
         self.evening.peers = peers;
     }
 
--- a/crates/roster/src/registry.rs
+++ b/crates/roster/src/registry.rs
@@ -113,7 +113,7 @@
 
     /// When to call [`woke`](Registry::woke) next.
     pub fn next_wake(&self) -> Duration {
-        let warm = self.started + self.terms.beat * 2;
+        let warm = self.started + self.terms.warm_after();
         let next = self.look.min(self.evening.next());
         if self.told_warm { next } else { next.min(warm) }
     }
@@ -125,7 +125,7 @@
 
     /// Whether the servers that there are can be known: beats came for long enough, or another keeper told.
     pub fn warm(&self, now: Duration) -> bool {
-        self.evened || now >= self.started + self.terms.beat * 2
+        self.evened || now >= self.started + self.terms.warm_after()
     }
 
     pub fn life(&self, id: &str) -> Option<&Life> {
@@ -303,6 +303,7 @@
     pub(crate) fn called(&mut self, now: Duration) {
         if now > self.called + PAUSE {
             self.grace = now + self.terms.beat;
+            self.evening.soon(now);
         }
         self.called = self.called.max(now);
     }
--- a/crates/roster/src/terms.rs
+++ b/crates/roster/src/terms.rs
@@ -9,6 +9,8 @@
     pub beat: Duration,
     /// Without a beat for so many times that, a server is lost.
     pub silent_beats: f64,
+    /// After so many beats' time a keeper that started counts as one that knows the servers.
+    pub warm_beats: u32,
     /// So long a life that ended is remembered, so that a late beat does not bring it back.
     pub remember: Duration,
     /// Most lives known. Over it ended ones are forgotten early, the oldest first; if all are alive, a new server's
@@ -72,6 +74,7 @@
         Terms {
             beat: ms(1500),
             silent_beats: 3.2,
+            warm_beats: 3,
             remember: s(60),
             servers: 10_000,
             compare: ms(700),
@@ -109,6 +112,10 @@
         Terms { beat: beat.max(Duration::from_millis(50)), ..Terms::default() }
     }
 
+    pub(crate) fn warm_after(&self) -> Duration {
+        self.beat * self.warm_beats
+    }
+
     pub(crate) fn silent(&self) -> Duration {
         self.beat.mul_f64(self.silent_beats)
     }
--- a/crates/roster/tests/cases.rs
+++ b/crates/roster/tests/cases.rs
@@ -154,7 +154,7 @@
 #[test]
 fn with_keepers_that_do_not_answer_nobody_is_silent() {
     let mut registry = Registry::start(S, 1, Terms::default());
-    registry.peers(vec![node(1), node(2)]);
+    registry.peers(S, vec![node(1), node(2)]);
     registry.beat(S, beat("a", 1, 1));
     (0..200).for_each(|at| _ = registry.woke(S + 100 * MS * at));
     assert_eq!(states(&registry), "a Open");
@@ -195,7 +195,7 @@
     let mut now = 5 * S;
     beats(&mut one, now, 2, 3);
     beats(&mut other, now, 2, 4);
-    one.peers(vec![node(1)]);
+    one.peers(now, vec![node(1)]);
     let mut rounds = Vec::new();
     for _ in 0..4 {
         now += S;
@@ -215,7 +215,7 @@
     assert_eq!(rounds.last(), Some(&2), "{rounds:?}");
     // A keeper that starts knows what there is once one that knows has answered.
     let mut new = Registry::start(now, 3, terms);
-    new.peers(vec![node(1)]);
+    new.peers(now, vec![node(1)]);
     new.woke(now);
     assert!(!new.warm(now));
     talk(now, &mut new, &mut one);
--- a/crates/roster/tests/world/mod.rs
+++ b/crates/roster/tests/world/mod.rs
@@ -137,7 +137,7 @@
         let (now, id, terms) = (self.now, node(i), self.terms);
         if i < self.keepers {
             let mut registry = Registry::start(now, self.rng.u64(..), terms);
-            registry.peers((0..self.keepers).filter(|other| *other != i).map(node).collect());
+            registry.peers(now, (0..self.keepers).filter(|other| *other != i).map(node).collect());
             let mut distribution = Distribution::start(now, self.rng.u64(..), terms);
             if self.edition > 1 {
                 // Its disk held an older one.
