--- a/crates/lantern/src/engine.rs
+++ b/crates/lantern/src/engine.rs
@@ -15,7 +15,7 @@
 use fallgap_roster::{Distribution, Follower, Registry, RosterWord};
 use mio::net::UdpSocket;
 use mio::{Events, Poll};
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -50,6 +50,8 @@
     pub view: Option<Arc<View>>,
     pub quay: Option<Quay>,
     pub calls: Calls,
+    /// The processes that were here when it was last looked.
+    pub lives: BTreeMap<Ipv4Addr, u64>,
     pub beats: Beats,
     pub inbox: Receiver<Ask>,
     pub heard: Heard,
@@ -273,6 +275,14 @@
             .map(|p| KeeperPeer { node: p.card.node, disk: p.card.disk, here: p.state == State::Here })
             .collect();
         self.keeper.peers(now, &peers);
+        let here = self.beacon.peers().filter(|p| p.state == State::Here);
+        let lives: BTreeMap<Ipv4Addr, u64> = here.map(|p| (p.card.node, p.card.life)).collect();
+        for (node, life) in &lives {
+            if self.lives.get(node) != Some(life) {
+                self.calls.anew(*node);
+            }
+        }
+        self.lives = lives;
         let mut homes = self.keepers();
         let zone = |node: &Ipv4Addr| {
             let peer = self.beacon.peers().find(|p| p.card.node == *node);
--- a/crates/lantern/src/start.rs
+++ b/crates/lantern/src/start.rs
@@ -16,7 +16,7 @@
 use fallgap_roster::{Distribution, Follower, Registry};
 use mio::net::UdpSocket;
 use mio::{Interest, Poll, Token, Waker};
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::fs;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
@@ -186,6 +186,7 @@
         quay,
         calls: Calls::new(calls::Terms::default(), rng.u64(1..1 << 62)),
         beats: Beats::default(),
+        lives: BTreeMap::new(),
         inbox,
         heard,
         ready,
