Quay: an op's timer reads its sockets before it gives anything up

After a freeze or a processor squeeze events and times come together. Timers went first: a connection that was up was given up, and an answer that had come already became a 504. Now what waits at the sockets of the op is read before its time is judged.

--- a/crates/pilot/tests/ops.rs
+++ b/crates/pilot/tests/ops.rs
@@ -26,6 +26,9 @@
     next
 }
 
+/// Class, attempts, whether the budget allows; the tries, and what is to be done then.
+type Case<'a> = (RouteClass, u32, bool, &'a [(bool, TryOutcome)], Next);
+
 #[test]
 fn a_second_server_is_asked_only_on_proof_or_where_it_does_no_harm() {
     use Final::{NotRun, Unknown};
@@ -35,7 +38,7 @@
     // Nothing left, it is said; but a byte had.
     let doubtful = (true, O::NotSent);
     let reply = Next::Reply;
-    let cases: [(RouteClass, u32, bool, &[(bool, O)], Next); 23] = [
+    let cases: [Case<'_>; 23] = [
         (Fragile, 2, true, &[answered], Next::Pass),
         (Fragile, 2, true, &[not_sent], Next::Try),
         (Fragile, 2, false, &[not_sent], Next::Try),
--- a/crates/quay/src/lines.rs
+++ b/crates/quay/src/lines.rs
@@ -135,14 +135,7 @@
                     self.broken_at_rest(now.saturating_sub(since), key);
                 }
             }
-            LineState::Connecting(at) => match is_up(line) {
-                Ok(false) => {}
-                Ok(true) => {
-                    self.came_up(now, at);
-                    self.send(now, key, at);
-                }
-                Err(_) => self.try_ended(now, at, TryOutcome::NotSent, Ended::Unreached, None),
-            },
+            LineState::Connecting(at) => self.look(now, key, at),
             LineState::Working(at) => {
                 if event.is_readable() || event.is_read_closed() || event.is_error() {
                     self.hear(now, key, at, event.is_read_closed() || event.is_error());
@@ -155,6 +148,22 @@
         }
     }
 
+    /// Looks what has become of a try, whatever was told of it.
+    pub(crate) fn look(&mut self, now: Duration, key: LineKey, at: TryAt) {
+        let Some(line) = self.lines.get_mut(key) else { return };
+        if line.state == LineState::Working(at) {
+            return self.hear(now, key, at, false);
+        }
+        match is_up(line) {
+            Ok(false) => {}
+            Ok(true) => {
+                self.came_up(now, at);
+                self.send(now, key, at);
+            }
+            Err(_) => self.try_ended(now, at, TryOutcome::NotSent, Ended::Unreached, None),
+        }
+    }
+
     /// The server closed it, or sent what nobody asked for.
     fn broken_at_rest(&mut self, rested: Duration, key: LineKey) {
         let Some(line) = self.lines.get(key) else { return };
--- a/crates/quay/src/ops.rs
+++ b/crates/quay/src/ops.rs
@@ -155,6 +155,11 @@
         let connect = self.connect_most();
         let Some(op) = self.ops.get_mut(key) else { return };
         op.noted = None;
+        // This process may have been held up: what stands at the sockets goes before what the clock says.
+        for one in op.tries.clone() {
+            self.look(now, one.line, TryAt { op: key, number: one.number });
+        }
+        let Some(op) = self.ops.get_mut(key) else { return };
         if now >= op.core.plan.deadline {
             let next = op.core.late();
             return self.act(now, key, next, None);
--- a/crates/quay/tests/sockets.rs
+++ b/crates/quay/tests/sockets.rs
@@ -123,6 +123,7 @@
     let mut client = world.client();
     for number in 0..20 {
         assert_eq!(client.ask(&get("/safe/", &number.to_string())).status, 200);
+        until(|| world.ask(|quay, _| quay.connections().1) == 0);
     }
     assert!(server.got().iter().all(|got| got.on_it == 0));
 }
@@ -139,9 +140,7 @@
     let world = World::with(&[&old]);
     let mut first = world.client();
     first.send(&get("/fragile/", "1"));
-    while old.got().is_empty() {
-        std::thread::yield_now();
-    }
+    until(|| !old.got().is_empty());
     world.view(&[&new]);
     assert_eq!(world.get("/fragile/", "2").body, b"new");
     release.send(()).unwrap();
@@ -165,9 +164,7 @@
     assert_eq!(at_rest.ask(&get("/safe/", "0")).line("connection"), None);
     // Two behind each other: the second has been read with the first.
     at_work.send(&(get("/fragile/", "1") + &get("/fragile/", "2")));
-    while server.got().len() < 2 {
-        std::thread::yield_now();
-    }
+    until(|| server.got().len() == 2);
     assert_eq!(world.ask(|quay, now| (quay.leave(now), quay.at_work()).1), 1);
     let fresh = world.get("/safe/", "3");
     assert_eq!((fresh.status, fresh.line("connection")), (200, Some("close")));
@@ -213,16 +210,12 @@
     large.send(&get("/outbound/", "1").replace("GET", "POST").replace("\r\n\r\n", &format!("\r\n{lines}")));
     assert_eq!(large.reply().unwrap().status, 100);
     large.send(&"y".repeat(length));
-    while server.got().is_empty() {
-        std::thread::yield_now();
-    }
+    until(|| !server.got().is_empty());
     // It does not read its answer yet.
     assert_eq!(world.get("/safe/", "2").status, 200);
     let reply = large.reply().unwrap();
     assert_eq!((reply.status, reply.body.len()), (200, length));
     assert_eq!(server.got()[0].body.len(), length);
     drop(large);
-    while world.ask(|quay, _| quay.held()) > 0 {
-        std::thread::yield_now();
-    }
+    until(|| world.ask(|quay, _| quay.held()) == 0);
 }
--- a/crates/quay/tests/world/mod.rs
+++ b/crates/quay/tests/world/mod.rs
@@ -18,6 +18,16 @@
     Duration::from_millis(ms)
 }
 
+/// Looks until it is so, for ten seconds.
+#[track_caller]
+pub fn until(so: impl Fn() -> bool) {
+    let start = Instant::now();
+    while !so() {
+        assert!(start.elapsed() < Duration::from_secs(10), "it does not come about");
+        std::thread::yield_now();
+    }
+}
+
 type Order = Box<dyn FnOnce(&mut Quay, Duration) + Send>;
 
 /// A quay in a thread of its own.
