--- a/crates/keeper/src/desk.rs
+++ b/crates/keeper/src/desk.rs
@@ -111,8 +111,6 @@
     /// The highest count met so far.
     pub top: u64,
     pub losses: u32,
-    /// When something is due; the attempt's own times.
-    pub due: Option<Duration>,
 }
 
 impl Desk {
@@ -124,14 +122,12 @@
             ready: None,
             top: 0,
             losses: 0,
-            due: None,
         }
     }
 
     /// Every change of stage.
     pub fn enter(&mut self, stage: Stage) {
         self.stage = stage;
-        self.due = None;
     }
 
     pub fn is_idle(&self) -> bool {
--- a/crates/keeper/src/founding.rs
+++ b/crates/keeper/src/founding.rs
@@ -25,9 +25,16 @@
 }
 
 impl Keeper {
-    /// The founder: the lowest of the seeds, all of which are up at the first start.
-    fn founder(&self) -> Option<NodeId> {
-        self.me.seeds.iter().min().copied().filter(|_| self.me.first_start)
+    /// This node's place among the seeds. All are up at the first start; the first one is the founder, the next takes
+    /// over only much later.
+    fn founder(&self) -> Option<u32> {
+        if !self.first {
+            return None;
+        }
+        let mut seeds = self.me.seeds.clone();
+        seeds.sort();
+        let place = seeds.iter().position(|seed| *seed == self.me.node)?;
+        u32::try_from(place).ok()
     }
 
     /// When this node has no members yet: says that it is here, asks for members, or names them.
@@ -39,16 +46,19 @@
             return self.ask_members(now);
         }
         self.founding.at = now + self.terms.present;
-        if let (Some(founder), Some(disk), true) = (self.founder(), self.me.disk, self.fresh) {
-            self.pen.send(founder, Message::Present { disk });
+        if let Some(disk) = self.me.disk.filter(|_| self.first) {
+            for seed in self.me.seeds.clone() {
+                self.pen.send(seed, Message::Present { disk });
+            }
         }
         let mut here: Vec<NodeId> = self.crew.here().map(|(node, ..)| node).collect();
-        here.extend(self.me.seeds.iter().copied());
-        here.sort();
-        here.dedup();
-        here.retain(|node| *node != self.me.node);
-        if let Some(node) = here.get(self.rng.usize(0..here.len().max(1))) {
-            self.pen.send(*node, Message::Ask { epoch: 0 });
+        if self.founder().is_none() {
+            here.extend(self.me.seeds.iter().copied());
+            let drawn = self.rng.usize(0..here.len().max(1));
+            here = here.get(drawn).copied().into_iter().collect();
+        }
+        for node in here.into_iter().filter(|node| *node != self.me.node).collect::<Vec<_>>() {
+            self.pen.send(node, Message::Ask { epoch: 0 });
         }
         self.found(now);
     }
@@ -71,7 +81,7 @@
         if self.charter.is_some() {
             return self.send_members(from);
         }
-        if self.founder() != Some(self.me.node) || self.founding.present.len() >= self.terms.peers {
+        if self.founder().is_none() || self.founding.present.len() >= self.terms.peers {
             return;
         }
         if self.founding.present.insert(from, disk) != Some(disk) {
@@ -80,9 +90,13 @@
     }
 
     fn found(&mut self, now: Duration) {
+        let Some(place) = self.founder() else { return };
         let Founding { started, present, newest, .. } = &self.founding;
-        let due = now >= *started + self.terms.found_least && now >= *newest + self.terms.found_quiet;
-        if !due || present.is_empty() || self.founder() != Some(self.me.node) {
+        let least = self.terms.found_least + self.terms.found_next * place;
+        let due = now >= *started + least && now >= *newest + self.terms.found_quiet;
+        // One that is here and does not say that it knows of no members may know some.
+        let all = self.crew.here().all(|(node, ..)| present.contains_key(&node));
+        if !due || !all || present.is_empty() {
             return;
         }
         let first = present.iter().take(self.terms.members);
--- a/crates/keeper/src/keeper.rs
+++ b/crates/keeper/src/keeper.rs
@@ -23,8 +23,8 @@
 
 pub struct Keeper {
     pub(crate) me: Me,
-    /// Its disk was empty at the start and no epoch was learnt since.
-    pub(crate) fresh: bool,
+    /// It has been there since the system's first start: it may found the system, as long as it knows of no epoch.
+    pub(crate) first: bool,
     pub(crate) terms: Terms,
     pub(crate) rng: fastrand::Rng,
     pub(crate) pen: Pen,
@@ -37,6 +37,8 @@
     pub(crate) whole: Option<u64>,
     pub(crate) heir: Heir,
     pub(crate) drive: Drive,
+    /// How often others came first with a change of this epoch.
+    pub(crate) duels: u32,
     pub(crate) crew: Crew,
     pub(crate) catch_up: Option<CatchUp>,
     pub(crate) repair: Repair,
@@ -48,14 +50,14 @@
     pub(crate) calls: usize,
     pub(crate) watches: Watches,
     /// The newest committed values that this node heard of; they never go back.
-    shown: BTreeMap<Key, (Ballot, Value)>,
+    pub(crate) shown: BTreeMap<Key, (Ballot, Value)>,
     /// The highest count of a ballot of this life.
     pub(crate) count: u64,
     /// Names plain reads.
     pub(crate) mark: u64,
     pulse_at: Duration,
     pulse_whole_at: Duration,
-    poll_at: Duration,
+    pub(crate) poll_at: Duration,
     leaving: bool,
     /// The newest time that this node was told.
     clock: Duration,
@@ -67,7 +69,7 @@
         let rng = fastrand::Rng::with_seed(seed);
         let mark = mixed(&(me.life, seed));
         let mut keeper = Keeper {
-            fresh: me.disk.is_some(),
+            first: me.first_start && (me.empty || me.disk.is_none()),
             pen: Pen::new(me.node, terms.held),
             acceptor: Acceptor::new(),
             memory: Memory::new(terms.history),
@@ -76,6 +78,7 @@
             whole: None,
             heir: Heir::default(),
             drive: Drive::Idle,
+            duels: 0,
             crew: Crew::new(now, terms.peers),
             catch_up: None,
             repair: Repair::new(now + terms.handover, now + terms.compare),
@@ -100,69 +103,6 @@
         Ok(keeper)
     }
 
-    fn replay(&mut self, now: Duration, kept: Kept) -> Result<(), KeptError> {
-        let mut disk = None;
-        let mut heirs: Vec<(u64, Heir)> = Vec::new();
-        for (at, bytes) in kept.records.iter().enumerate() {
-            match postcard::from_bytes(bytes).map_err(|_| KeptError::Record(at))? {
-                Record::Disk(number) => disk = Some(number),
-                Record::Epoch(charter) => {
-                    if self.charter.as_ref().is_none_or(|before| before.number < charter.number) {
-                        self.charter = Some(charter);
-                    }
-                }
-                Record::Whole(joined) => self.whole = self.whole.max(Some(joined)),
-                Record::Promise { key, ballot } => self.acceptor.replay(now, key, ballot, None),
-                Record::Accept { key, ballot, promised, value } => {
-                    self.acceptor.replay(now, key, promised, Some((ballot, value)));
-                }
-                Record::Heir { epoch, promised, accepted } => {
-                    heirs.push((epoch, Heir { promised, accepted, logged: 0 }));
-                }
-            }
-        }
-        for (epoch, heir) in heirs {
-            if self.charter.as_ref().is_some_and(|charter| charter.number == epoch) {
-                self.heir.promised = self.heir.promised.max(heir.promised);
-                let at = |heir: &Heir| heir.accepted.as_ref().map(|(at, _)| *at);
-                if at(&self.heir) < at(&heir) {
-                    self.heir.accepted = heir.accepted;
-                }
-            }
-        }
-        match (disk, self.me.disk) {
-            (Some(number), Some(_)) => {
-                self.me.disk = Some(number);
-                self.fresh = self.charter.is_none() && self.me.empty;
-            }
-            (None, Some(number)) => {
-                if !kept.records.is_empty() {
-                    return Err(KeptError::Disk);
-                }
-                self.pen.log(&Record::Disk(number));
-            }
-            (_, None) => {}
-        }
-        self.start_catch_up(now);
-        Ok(())
-    }
-
-    /// Records that alone bring back the present state.
-    pub fn snapshot(&self) -> Vec<Vec<u8>> {
-        let epoch = self.charter.iter().cloned().map(Record::Epoch);
-        let heir = self.charter.iter().filter(|_| self.heir.promised.is_some()).map(|charter| Record::Heir {
-            epoch: charter.number,
-            promised: self.heir.promised,
-            accepted: self.heir.accepted.clone(),
-        });
-        // What is caught up but not yet durable is in the snapshot as a whole, so it may say so.
-        let logged = self.catch_up.as_ref().and_then(CatchUp::finished);
-        let whole = self.whole.max(logged).map(Record::Whole);
-        let records = self.me.disk.map(Record::Disk).into_iter().chain(epoch).chain(whole).chain(heir);
-        let records = records.chain(self.acceptor.records());
-        records.filter_map(|record| postcard::to_stdvec(&record).ok()).collect()
-    }
-
     pub fn heard(&mut self, now: Duration, from: NodeId, message: Message) {
         self.clock = now;
         if from == self.me.node {
@@ -368,15 +308,15 @@
             self.chartered = self.pen.log(&Record::Epoch(charter.clone()));
         }
         self.charter = Some(charter);
-        self.fresh = false;
         self.heir = Heir::default();
         self.drive = Drive::Idle;
+        self.duels = 0;
         self.start_catch_up(now);
         self.restart_desks(now);
         self.pulse(now, true);
     }
 
-    fn start_catch_up(&mut self, now: Duration) {
+    pub(crate) fn start_catch_up(&mut self, now: Duration) {
         self.catch_up = None;
         if self.member_epoch().is_none() || self.voting_epoch().is_some() {
             return;
@@ -404,25 +344,6 @@
         }
     }
 
-    /// Reads what others may have committed without a hint that reached this node.
-    fn poll(&mut self, now: Duration) {
-        if now < self.poll_at {
-            return;
-        }
-        self.poll_at = now + self.terms.poll;
-        if !self.is_settled(now) {
-            return;
-        }
-        let mut calls = vec![Call::ConfigGet];
-        let groups = self.watches.groups();
-        calls.extend(groups.into_iter().map(|group| Call::Watch { group, after: 0, wait: Duration::ZERO }));
-        for call in calls {
-            if !self.active.contains(&call.key()) {
-                self.admit(now, Entry { asker: Asker::Own, call, came: now, sent: false });
-            }
-        }
-    }
-
     fn desk_wake(&self, key: &Key) -> Option<Duration> {
         self.desks.get(key)?.wake(self.terms.call, self.terms.patience, self.terms.contest)
     }
@@ -432,53 +353,6 @@
         due.cloned().collect()
     }
 
-    /// A majority is known to have accepted this value.
-    pub(crate) fn learn(&mut self, now: Duration, key: &Key, ballot: Ballot, value: &Value) {
-        let _ = now;
-        self.acceptor.commit(key, ballot);
-        if !matches!(key, Key::Config | Key::Group(_)) {
-            return;
-        }
-        match self.shown.get_mut(key) {
-            Some((shown, _)) if *shown >= ballot => return,
-            Some((shown, before)) if *before == *value => {
-                *shown = ballot;
-                return;
-            }
-            _ => {}
-        }
-        self.shown.insert(key.clone(), (ballot, value.clone()));
-        self.watches.news(key, value.bytes(), &mut self.pen);
-        self.pen.committed(key.clone(), value);
-    }
-
-    /// Tells the other members that a value was committed, where somebody waits for it.
-    pub(crate) fn hint(&mut self, key: &Key, ballot: Ballot) {
-        if !matches!(key, Key::Config | Key::Group(_)) {
-            return;
-        }
-        for node in self.members() {
-            if node != self.me.node {
-                self.pen.send(node, Message::Committed { key: key.clone(), ballot });
-            }
-        }
-    }
-
-    fn hinted(&mut self, now: Duration, from: NodeId, key: Key, ballot: Ballot) {
-        if self.acceptor.commit(&key, ballot) {
-            if let Some(given) = self.acceptor.give(&key) {
-                self.learn(now, &key, ballot, &given.value);
-            }
-            return;
-        }
-        let ours = self.acceptor.get(&key).and_then(|register| register.ballot());
-        if ours < Some(ballot)
-            && let Some(epoch) = self.member_epoch()
-        {
-            self.pen.send(from, Message::Want { epoch, keys: vec![key] });
-        }
-    }
-
     fn handle(&mut self, now: Duration, from: NodeId, message: Message) {
         match message {
             Message::Pulse { epoch, disk, whole, leaving } => {
@@ -548,18 +422,3 @@
         Key::Lock(name) | Key::Number(name) | Key::Group(name) => name,
     }
 }
-impl Keeper {
-    pub fn debug(&self) -> String {
-        format!(
-            "charter {:?} whole {:?} settled {} crew {:#?} heir {:?} now {:?} drive {:?} wanted {:?}",
-            self.charter,
-            self.whole,
-            self.is_settled(self.clock),
-            self.crew,
-            self.heir,
-            self.clock,
-            self.drive,
-            self.wanted(self.clock)
-        )
-    }
-}
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -8,10 +8,13 @@
 pub mod charter;
 mod crew;
 mod desk;
+mod desks;
 mod founding;
 mod handover;
 mod keeper;
+mod kept;
 pub mod messages;
+mod news;
 mod pen;
 mod recovery;
 mod rounds;
@@ -22,6 +25,7 @@
 pub mod types;
 pub mod value;
 mod watches;
+mod weighing;
 
 use std::sync::Arc;
 
--- a/crates/keeper/src/messages.rs
+++ b/crates/keeper/src/messages.rs
@@ -150,7 +150,11 @@
 /// On disk. Read back in any order with repeats, they give the same state.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Record {
-    Disk(u64),
+    /// The disk's number, and whether it was first used at the system's first start.
+    Disk {
+        number: u64,
+        first: bool,
+    },
     Epoch(Charter),
     /// This disk has caught up as the member that came in with this epoch.
     Whole(u64),
--- a/crates/keeper/src/rounds.rs
+++ b/crates/keeper/src/rounds.rs
@@ -12,24 +12,8 @@
 use crate::desk::{Asker, Desk, Entry, Known, Push, Ready, Stage, Survey};
 use crate::keeper::Keeper;
 use crate::messages::{Message, Sight};
-use crate::subjects::{Verdict, judge};
 use crate::types::{Answer, Call, Key, NodeId};
-use crate::value::Value;
-
-/// What became of a batch on one value.
-struct Judged {
-    /// For each entry its answer, and whether it wrote.
-    answers: Vec<(Option<Answer>, bool)>,
-    /// The value after all of them, if one wrote.
-    written: Option<Value>,
-}
-
-/// What a survey comes to.
-struct Found {
-    base: Option<Known>,
-    /// A majority accepted it in this epoch, or it is known that one did, or a majority holds nothing.
-    committed: bool,
-}
+use crate::weighing::{Found, Judged, found};
 
 impl Keeper {
     pub(crate) fn admit(&mut self, now: Duration, entry: Entry) {
@@ -49,37 +33,6 @@
         self.put_desk(key, desk);
     }
 
-    fn take_desk(&mut self, key: &Key) -> Desk {
-        self.desks.remove(key).unwrap_or_else(Desk::new)
-    }
-
-    fn put_desk(&mut self, key: Key, desk: Desk) {
-        if !desk.is_idle() {
-            self.active.insert(key.clone());
-            self.desks.insert(key, desk);
-            return;
-        }
-        self.active.remove(&key);
-        if desk.ready.is_some() {
-            if self.desks.len() >= self.terms.remembered {
-                self.desks.retain(|_, desk| !desk.is_idle());
-            }
-            self.desks.insert(key, desk);
-        }
-    }
-
-    fn tell(&mut self, entry: &Entry, answer: Answer) {
-        if let Asker::Caller(id) = entry.asker {
-            self.calls = self.calls.saturating_sub(1);
-            self.pen.answer(id, answer);
-        }
-    }
-
-    /// Nothing is known of the effect of what was sent; the rest never happens.
-    fn give_up(&mut self, entry: &Entry) {
-        self.tell(entry, if entry.sent { Answer::Unknown } else { Answer::Busy });
-    }
-
     /// Takes up what waits.
     fn begin(&mut self, now: Duration, key: &Key, desk: &mut Desk) {
         self.expire(now, desk);
@@ -107,37 +60,6 @@
         self.read(now, key, desk);
     }
 
-    fn refuse_all(&mut self, desk: &mut Desk) {
-        for entry in desk.batch.drain(..).chain(desk.waiting.drain(..)) {
-            self.give_up(&entry);
-        }
-        desk.ready = None;
-        desk.enter(Stage::Idle);
-    }
-
-    /// Answers the calls whose time is over.
-    fn expire(&mut self, now: Duration, desk: &mut Desk) {
-        let over = |entry: &Entry| now >= entry.came + self.terms.call;
-        let mut gone = Vec::new();
-        while desk.waiting.front().is_some_and(over) {
-            gone.extend(desk.waiting.pop_front());
-        }
-        let mut at = 0;
-        while let Some(entry) = desk.batch.get(at) {
-            if !over(entry) {
-                at += 1;
-                continue;
-            }
-            gone.push(desk.batch.remove(at));
-            if let Stage::Accepting(push) = &mut desk.stage {
-                push.answers.remove(at);
-            }
-        }
-        for entry in gone {
-            self.give_up(&entry);
-        }
-    }
-
     fn survey(&self, now: Duration, key: &Key) -> Survey {
         let accepted = self.acceptor.get(key).and_then(|register| register.accepted.as_ref());
         let known = accepted.map(|accepted| Known {
@@ -226,7 +148,7 @@
             }
         } else {
             let since = *survey.troubled.get_or_insert(now);
-            let all = survey.replies.len() >= alive(self, now);
+            let all = survey.replies.len() >= self.alive_members(now).count();
             if !all && now < since + self.terms.patience {
                 return;
             }
@@ -284,46 +206,6 @@
         self.push(now, key, desk, ballot, judged, found.base);
     }
 
-    /// `Held` promises nothing, so it needs no write: a lock's age is not to begin anew with each one who asks.
-    fn tell_held(&mut self, desk: &mut Desk, judged: &mut Judged) {
-        let mut at = 0;
-        while let (Some(entry), Some((answer, wrote))) = (desk.batch.get(at), judged.answers.get(at)) {
-            if *wrote {
-                return;
-            }
-            if entry.sent || *answer != Some(Answer::Held) {
-                at += 1;
-                continue;
-            }
-            let entry = desk.batch.remove(at);
-            judged.answers.remove(at);
-            self.tell(&entry, Answer::Held);
-        }
-    }
-
-    fn judge_all(&mut self, now: Duration, batch: &[Entry], base: Option<&Known>) -> Judged {
-        let mut age = base.map_or(Duration::ZERO, |known| known.age(now));
-        let mut written: Option<Value> = None;
-        let mut answers = Vec::with_capacity(batch.len());
-        for entry in batch {
-            if entry.is_own() || matches!(entry.call, Call::Watch { .. }) {
-                answers.push((None, false));
-                continue;
-            }
-            let held = written.as_ref().or(base.map(|known| &known.value)).map(Value::bytes);
-            match judge(&entry.call, held, age, &mut self.memory, now) {
-                Verdict::Answer(Answer::Busy) if entry.sent => answers.push((Some(Answer::Unknown), false)),
-                Verdict::Answer(answer) => answers.push((Some(answer), false)),
-                Verdict::Write { value, answer } => {
-                    answers.push((Some(answer), true));
-                    written = Some(value.into());
-                    age = Duration::ZERO;
-                }
-            }
-        }
-        Judged { answers, written }
-    }
-
     /// The second phase. From here on what is written may happen.
     fn push(
         &mut self, now: Duration, key: &Key, desk: &mut Desk, ballot: Ballot, judged: Judged,
@@ -510,37 +392,3 @@
         }
     }
 }
-
-impl Survey {
-    fn note(&mut self, from: NodeId, held: Option<Sight>) {
-        if !self.replies.iter().any(|(node, _)| *node == from) {
-            self.replies.push((from, held));
-        }
-    }
-}
-
-fn alive(keeper: &Keeper, now: Duration) -> usize {
-    keeper.alive_members(now).count()
-}
-
-/// None: no majority has answered. The highest ballot counts, also one that only this node holds: taking a higher
-/// one that was accepted anywhere is always allowed.
-fn found(now: Duration, charter: Option<&Charter>, survey: &Survey) -> Option<Found> {
-    let charter = charter?;
-    if survey.replies.len() < charter.quorum() {
-        return None;
-    }
-    let sights = || survey.replies.iter().filter_map(|(_, held)| held.as_ref());
-    let highest = sights().map(|sight| sight.ballot).max();
-    let top = highest.max(survey.known.as_ref().map(|known| known.ballot));
-    let Some(top) = top else { return Some(Found { base: None, committed: true }) };
-    let at_top = || sights().filter(|sight| sight.ballot == top);
-    let known = survey.known.as_ref().filter(|known| known.ballot == top);
-    let value = known.map(|known| known.value.clone());
-    let value = value.or_else(|| at_top().find_map(|sight| sight.value.clone()))?;
-    let committed = (top.epoch == charter.number && at_top().count() >= charter.quorum())
-        || at_top().any(|sight| sight.committed);
-    let own = known.map(|known| known.age(now));
-    let age = at_top().map(|sight| sight.age).chain(own).max().unwrap_or_default();
-    Some(Found { base: Some(Known { ballot: top, value, age, at: now }), committed })
-}
--- a/crates/keeper/src/succession.rs
+++ b/crates/keeper/src/succession.rs
@@ -67,6 +67,7 @@
         let sealed = self.heir.accepted.is_some();
         let own = if sealed { None } else { self.wanted(now) };
         if own.is_none() && !sealed {
+            self.duels = 0;
             return self.drive(Drive::Idle);
         }
         match self.drive {
@@ -87,7 +88,7 @@
     }
 
     /// The change that is needed now, if this node may ask for one. The rules and why they are safe: see `recovery`.
-    pub(crate) fn wanted(&self, now: Duration) -> Option<Charter> {
+    fn wanted(&self, now: Duration) -> Option<Charter> {
         self.voting_epoch()?;
         if !self.is_settled(now) {
             return None;
@@ -244,7 +245,10 @@
         };
         if asked == ballot {
             self.count = self.count.max(promised.count);
-            let drawn = Duration::from_millis(self.rng.u64(0..=self.terms.change.as_millis() as u64));
+            // The longer they are in each other's way, the further apart they draw.
+            let most = (self.terms.change.as_millis() as u64).max(1) << self.duels.min(self.terms.duels);
+            let drawn = Duration::from_millis(self.rng.u64(0..=most));
+            self.duels += 1;
             self.drive(Drive::Waiting { until: now + self.terms.change + drawn });
         }
     }
--- a/crates/keeper/src/terms.rs
+++ b/crates/keeper/src/terms.rs
@@ -38,6 +38,8 @@
     pub remove: Duration,
     /// Delays before a change of members are drawn up to this, and rise by it with the rank.
     pub change: Duration,
+    /// The delay doubles this often at most while several ask for changes.
+    pub duels: u32,
     /// An undecided change is taken up again after this.
     pub decide: Duration,
     /// A wake-up later than this was a freeze: the others' silence is counted anew.
@@ -45,6 +47,8 @@
     /// The founder waits this long at least, and this long without a new machine.
     pub found_least: Duration,
     pub found_quiet: Duration,
+    /// The next seed takes the founder's place so much later.
+    pub found_next: Duration,
     /// A machine that has no members yet says so this often.
     pub present: Duration,
     /// One that is no member asks for the newest members this often.
@@ -107,10 +111,12 @@
             add: ms(2500),
             remove: ms(8000),
             change: ms(100),
+            duels: 5,
             decide: ms(300),
             freeze: ms(500),
             found_least: ms(1000),
             found_quiet: ms(700),
+            found_next: ms(4000),
             present: ms(200),
             ask: ms(1000),
             fetch: ms(300),
--- a/crates/keeper/tests/sea/calm.rs
+++ b/crates/keeper/tests/sea/calm.rs
@@ -88,3 +88,20 @@
     assert!(sea.records - records <= 50 * 4 + 4, "{} records", sea.records - records);
     assert!(sea.messages - messages <= 50 * (6 + 4 * 30), "{} messages", sea.messages - messages);
 }
+
+#[test]
+fn another_seed_founds_when_the_first_is_gone() {
+    // The lowest seed dies before it names the members, at times that it may have named them to some.
+    for after in (600..2000).step_by(100) {
+        let mut sea = Sea::new(after, 3, 2);
+        sea.run(ms(after));
+        let lowest = (1..=5).map(node).filter(|n| *n != node(1) && *n != node(2)).min().expect("a seed");
+        sea.kill(lowest, true);
+        sea.run(ms(12_000));
+        let members = sea.keeper(node(1)).map(|keeper| (keeper.epoch(), keeper.is_member()));
+        assert!(members.is_some_and(|(epoch, member)| epoch > 0 && member), "{after}: {:?}", sea.view());
+        if lowest != node(3) {
+            assert!(sea.is_whole(), "{after}: {:?}", sea.view());
+        }
+    }
+}
--- a/crates/keeper/tests/sea/history.rs
+++ b/crates/keeper/tests/sea/history.rs
@@ -13,6 +13,9 @@
     pub told: Option<(Duration, Answer)>,
 }
 
+/// Holder, sent, first answer, end.
+type Hold<'a> = (&'a String, Duration, Duration, Duration);
+
 #[derive(Default)]
 pub struct History {
     pub calls: BTreeMap<u64, Told>,
@@ -81,8 +84,7 @@
 
     fn check_locks(&self) {
         // Per lock: each hold is one fence of one holder, from the first answer to its last end.
-        let mut locks: BTreeMap<&String, BTreeMap<u64, (&String, Duration, Duration, Duration)>> =
-            BTreeMap::new();
+        let mut locks: BTreeMap<&String, BTreeMap<u64, Hold>> = BTreeMap::new();
         for (call, sent, at, answer) in self.done() {
             let (name, holder, fence, hold) = match (call, answer) {
                 (Call::LockStart { name, holder, hold }, Answer::Fence(fence)) => {
--- a/crates/keeper/tests/sea/storm.rs
+++ b/crates/keeper/tests/sea/storm.rs
@@ -304,9 +304,13 @@
     }
 }
 
-fn weathered(seed: u64, disks: u8, tolerate: u32, troubles: &[Trouble], time: Duration) -> Storm {
+fn weathered(seed: u64, disks: u8, tolerate: u32, troubles: &[Trouble], time: Duration) {
     let mut storm = Storm::new(seed, disks, 1, 6);
     storm.sea.tolerate = tolerate;
+    if seed.is_multiple_of(3) {
+        // All that see the need of a change ask for it at the same moment.
+        storm.sea.terms.change = ms(4);
+    }
     storm.run(ms(3500));
     storm.sea.first = false;
     let until = storm.sea.now + time;
@@ -318,7 +322,6 @@
     }
     storm.settle();
     storm.history.check();
-    storm
 }
 
 fn seeds(count: u64) -> std::ops::Range<u64> {
--- a/crates/keeper/tests/sea/waters.rs
+++ b/crates/keeper/tests/sea/waters.rs
@@ -60,6 +60,8 @@
     /// Calls under way: id to machine and life.
     asked: BTreeMap<u64, (NodeId, u64)>,
     beacon_at: Duration,
+    epochs: BTreeMap<u64, Vec<NodeId>>,
+    pub terms: Terms,
     pub notes: bool,
     pub records: usize,
     pub messages: usize,
@@ -81,6 +83,8 @@
             answers: Vec::new(),
             asked: BTreeMap::new(),
             beacon_at: Duration::ZERO,
+            epochs: BTreeMap::new(),
+            terms: Terms::default(),
             notes: std::env::var("SEA_NOTES").is_ok(),
             records: 0,
             messages: 0,
@@ -141,7 +145,7 @@
         machine.frozen = false;
         machine.since = self.now;
         machine.shown.clear();
-        let keeper = Keeper::start(self.now + ahead, seed, me, kept, Terms::default());
+        let keeper = Keeper::start(self.now + ahead, seed, me, kept, self.terms.clone());
         machine.keeper = Some(keeper.expect("the records can be read"));
         self.beacon();
         self.collect(node);
@@ -231,15 +235,25 @@
     }
 
     /// Each machine's epoch and whether it counts, for a failed assertion.
-    pub fn view(&self) -> Vec<(NodeId, Option<(u64, bool, Vec<NodeId>)>)> {
-        for k in self.machines.values().filter_map(|m| m.keeper.as_ref()) {
-            println!("{}", k.debug());
-        }
+    pub fn view(&self) -> Vec<String> {
         let of = |keeper: &Keeper| (keeper.epoch(), keeper.is_member(), keeper.members());
-        self.machines.iter().map(|(node, machine)| (*node, machine.keeper.as_ref().map(of))).collect()
+        let machines = self.machines.iter();
+        machines.map(|(node, m)| format!("{node} {:?}", m.keeper.as_ref().map(of))).collect()
+    }
+
+    /// Every epoch has the same members everywhere.
+    fn compare_epochs(&mut self) {
+        for (node, keeper) in self.machines.iter().filter_map(|(node, m)| Some((node, m.keeper.as_ref()?))) {
+            if keeper.epoch() > 0 {
+                let members = keeper.members();
+                let known = self.epochs.entry(keeper.epoch()).or_insert_with(|| members.clone());
+                assert_eq!(*known, members, "{node}: epoch {}", keeper.epoch());
+            }
+        }
     }
 
     fn beacon(&mut self) {
+        self.compare_epochs();
         let seen: Vec<(NodeId, Option<u64>, bool, Duration, u8)> = self
             .machines
             .iter()
@@ -431,11 +445,7 @@
                 {
                     keeper.woke(self.now + machine.ahead);
                     let again = keeper.next_wake();
-                    assert!(
-                        again > self.now + machine.ahead,
-                        "{node} does not come to rest: {}",
-                        keeper.debug()
-                    );
+                    assert!(again > self.now + machine.ahead, "{node} does not come to rest");
                 }
                 self.collect(node);
             } else if next == self.beacon_at {
