--- a/crates/lantern/src/calls.rs
+++ b/crates/lantern/src/calls.rs
@@ -324,14 +324,14 @@
     #[test]
     fn a_call_goes_on_to_others_and_ends_in_time() {
         let mut world = World::new();
-        assert_eq!(world.comes(0 * MS), "1");
+        assert_eq!(world.comes(Duration::ZERO), "1");
         assert_eq!(world.answers(5 * MS, Answer::Busy), "2");
         // The second says nothing: what was asked of it may have been done.
         assert_eq!(world.wakes(405 * MS), ["3"]);
         assert_eq!(world.answers(410 * MS, Answer::Busy), "unknown");
         // Nothing of this one was ever run.
         let mut world = World::new();
-        assert_eq!(world.comes(0 * MS), "1");
+        assert_eq!(world.comes(Duration::ZERO), "1");
         assert_eq!(world.answers(1 * MS, Answer::Busy), "2");
         assert_eq!(world.answers(2 * MS, Answer::Busy), "3");
         assert_eq!(world.answers(3 * MS, Answer::Busy), "busy");
@@ -341,7 +341,7 @@
     #[test]
     fn a_silent_keeper_is_waited_for_once() {
         let mut world = World::new();
-        assert_eq!(world.comes(0 * MS), "1");
+        assert_eq!(world.comes(Duration::ZERO), "1");
         assert_eq!(world.wakes(400 * MS), ["2"]);
         assert_eq!(world.answers(410 * MS, Answer::Value(1)), "answer");
         assert_eq!(world.comes(500 * MS), "2");
@@ -366,7 +366,7 @@
     #[test]
     fn with_none_to_ask_the_caller_goes_elsewhere_at_once() {
         let mut world = World::new();
-        assert_eq!(world.comes(0 * MS), "1");
+        assert_eq!(world.comes(Duration::ZERO), "1");
         assert_eq!(world.wakes(400 * MS), ["2"]);
         assert_eq!(world.wakes(800 * MS), ["3"]);
         assert_eq!(world.wakes(880 * MS), ["unknown"]);
