Arithmetic of weight steps, ramps and pace in policy files of their own, callable by others

Seen: the gateway's distribution needs the step of a weight, its bounds, a fresh server's ramp and the pace of what leaves with its own tables; all of it sat inside Director, on Director's state.

Change, no behaviour: src/weigh.rs (step, load, busyness, settle), src/ramps.rs (Ease, fresh, cleared, at) and src/pace.rs (room, spent, rate, rebuild_in) are public modules of plain functions; each takes its terms, whose defaults are the values that decide.rs held. Director calls them; sums of reports and the tables stay with the caller.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -11,36 +11,23 @@
 //!  6. the guard of cold servers: bounded, held down by stress, taken back when full.
 
 use crate::host::*;
+use crate::pace::{self, ORDINARY, PaceTerms, RULE, URGENT};
+use crate::ramps::{self, RampTerms};
 use crate::ranks::Ranks;
 use crate::samples::{Samples, lowest, mean};
 use crate::state::*;
+use crate::weigh::{self, StepTerms, busyness, settle};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 const TICK: Duration = Duration::from_millis(250);
-/// Ordinary lines queued each second, as a part of the channel's rate (the design's start).
-const CAP: f64 = 0.5;
-const ORDINARY: usize = 0;
-const URGENT: usize = 1;
-const RULE: usize = 2;
-/// Parts of the backlog that ordinary, urgent and rule-needed builds may fill with unanswered lines.
-const FILL: [f64; 3] = [0.4, 0.55, 0.85];
-/// Messages to one proxy that each leaves unused within the limit's span.
-const SPARE: [usize; 3] = [7, 4, 1];
-/// Seconds of the channel's work that each may have in it: what waits there is old when it leaves, and all
-/// that comes later waits behind it. How much later than others a message may arrive that left before them.
-const AHEAD: [f64; 3] = [0.5, 0.75, 1.5];
+/// How much later than others a message may arrive that left before them.
 const TRAVEL: Duration = Duration::from_secs(1);
 /// Pause before a failed list call is made again, and the cookie of its wake.
 const LIST_AGAIN: (Duration, u64) = (Duration::from_secs(1), u64::MAX >> 1);
-const ANSWER_WAIT: Duration = Duration::from_secs(3);
-const REBUILD: Duration = Duration::from_secs(5);
 /// Least time between steps of the weights: steps that outrun what is heard oscillate.
 const STEP_LEAST: Duration = Duration::from_secs(2);
-/// Part of a relative gap taken in one step, the largest step, the gap ignored; bounds of the factor.
-const STEP: (f64, f64, f64) = (0.3, 0.3, 0.1);
-const BOUND: [f64; 2] = [0.4, 2.0];
 const GONE: Duration = Duration::from_secs(60);
 /// Changes of a line smaller than this part are not sent.
 const SAME: f64 = 0.04;
@@ -57,12 +44,8 @@
 const TRICKLE: f64 = 0.12;
 /// Suspects beyond this part of the listed weight are believed to share a cause that is not theirs.
 const PANIC: f64 = 0.7;
-/// A fresh server's ramp: from this multiple of the least cold share, over this part of the longest warming.
-const RAMP: (f64, f64) = (1.6, 0.75);
-/// While cold and full, aborts that accuse; most it gets while cold: a jam sends it a multiple in seconds.
-const COLD: (f64, f64) = (0.2, 0.65);
-/// A cleared suspect eases in from this part over this time.
-const CLEARED: (f64, Duration) = (0.3, Duration::from_secs(4));
+/// Aborts that accuse a server while it is cold and full.
+const COLD: f64 = 0.2;
 /// How far cold servers are held down: until tries are heard of, and while the line is down; up to how busy.
 const STRESS: (f64, f64) = (3.0, 2.0);
 const COLD_BUSY: f64 = 0.6;
@@ -89,9 +72,6 @@
 const RISE: [f64; 2] = [1.5, 1.2];
 /// Tries are free while more than this part aborts and pressure is under that: else they only add work.
 const FREE: (f64, f64) = (0.05, 0.8);
-/// Ops waiting at a server whose cores are about half busy: tells busyness where only queues are reported.
-const HALF_BUSY: f64 = 0.7;
-
 pub struct Director<H> {
     pub host: H,
     rng: fastrand::Rng,
@@ -103,6 +83,9 @@
     reporting: Reporting,
     aims: Aims,
     peers: Peers,
+    pace_terms: PaceTerms,
+    ramp_terms: RampTerms,
+    step_terms: StepTerms,
     pub(crate) servers: BTreeMap<String, Server>,
     proxies: BTreeMap<u32, Proxy>,
     ranks: Ranks,
@@ -135,6 +118,8 @@
             host.follow_list();
         }
         host.wake_at(now + TICK, 0);
+        let pace_terms = PaceTerms::default();
+        let budget = pace::rate(&channel, &pace_terms) * 0.5;
         Director {
             host,
             rng: fastrand::Rng::with_seed(seed),
@@ -146,12 +131,15 @@
             reporting,
             aims,
             peers,
+            pace_terms,
+            ramp_terms: RampTerms::default(),
+            step_terms: StepTerms::default(),
             servers: BTreeMap::new(),
             proxies: BTreeMap::new(),
             ranks: Ranks::default(),
             plan: None,
             joins: false,
-            out: Outgoing { budget: channel.lines_per_s * CAP * 0.5, budget_at: now, ..Outgoing::default() },
+            out: Outgoing { budget, budget_at: now, ..Outgoing::default() },
             heard: now,
             pace: reporting.interval,
             stepped: now,
@@ -208,8 +196,8 @@
             }
         }
         for id in self.proxies_where(|p| p.joined && now >= p.next_rebuild) {
-            let jitter = 0.8 + 0.4 * self.rng.f64();
-            self.proxies.entry(id).and_modify(|p| p.next_rebuild = now + REBUILD.mul_f64(jitter));
+            let rebuild = now + pace::rebuild_in(false, self.rng.f64(), &self.pace_terms);
+            self.proxies.entry(id).and_modify(|p| p.next_rebuild = rebuild);
             self.mark(id, ORDINARY);
         }
     }
@@ -236,7 +224,7 @@
         if zone >= self.zones {
             (self.zones, self.plan) = (zone + 1, None);
         }
-        p.next_rebuild = now + REBUILD.mul_f64(1.0 + self.rng.f64());
+        p.next_rebuild = now + pace::rebuild_in(true, self.rng.f64(), &self.pace_terms);
         // Starting over under an unknown line: until something is heard, rates let in no more than is usual.
         let unheard = self.servers.values().all(|s| s.met.last().is_none());
         if !fresh && unheard && self.habits.admission == Admission::Rate {
@@ -252,7 +240,7 @@
         self.now = now;
         let Some(p) = self.proxies.get_mut(&proxy) else { return };
         let queued = p.dirty;
-        self.out.left(now, proxy, queued, p.leave(), ANSWER_WAIT);
+        self.out.left(now, proxy, queued, p.leave(), self.pace_terms.answer);
     }
 
     /// Tells whether the server is known.
@@ -282,10 +270,10 @@
     /// All of this moment's news has been told: builds and sends what may leave now.
     pub fn news_in(&mut self, now: Duration) {
         self.now = now;
-        let rate = self.channel.lines_per_s * CAP;
+        let (rate, answer) = (pace::rate(&self.channel, &self.pace_terms), self.pace_terms.answer);
         // Nothing is in the channel any more that has waited as long as its whole backlog takes.
         let whole = Duration::from_secs_f64(self.channel.backlog / self.channel.lines_per_s.max(1.0));
-        self.out.pass(now, rate, ANSWER_WAIT, whole.max(ANSWER_WAIT), TRAVEL);
+        self.out.pass(now, rate, answer, whole.max(answer), TRAVEL);
         let mut wrote = false;
         // What cannot leave is not built: tables that wait for the limits are many when the fleet is large.
         let urgent = self.out.urgent.iter().filter(|id| !self.spent(**id, self.proxies[*id].hurry));
@@ -352,9 +340,8 @@
         if restarted {
             s.restart(entry.started);
             let since = entry.started.unwrap_or(self.now);
-            cold = self.now < since + self.cold.over;
-            let (from, over) = ((self.cold.from * RAMP.0).min(1.0), self.cold.over.mul_f64(RAMP.1));
-            s.ease = cold.then_some(Ease { since, over, from, cold_until: since + self.cold.over });
+            s.ease = ramps::fresh(self.now, since, &self.cold, &self.ramp_terms);
+            cold = s.ease.is_some();
         }
         if news {
             self.mark_all(cold.then_some(entry.server.as_str()), RULE);
@@ -425,11 +412,6 @@
         demand
     }
 
-    /// How far a fresh server, or a cleared suspect, is on its way back to full weight.
-    fn ramp(&self, s: &Server) -> f64 {
-        s.ease.map_or(1.0, |e| e.at(self.now).min(if s.cold() { COLD.1.max(e.from) } else { 1.0 }))
-    }
-
     /// A cold server's work counts every try, also those turned away: it gets less as they are more.
     fn weight(&self, s: &Server) -> f64 {
         self.room(s) / if s.cold() { self.stress } else { 1.0 }
@@ -437,7 +419,7 @@
 
     fn room(&self, s: &Server) -> f64 {
         let held = if s.suspect.is_some() && !self.panic { TRICKLE } else { 1.0 };
-        s.size * s.factor * self.ramp(s) * held
+        s.size * s.factor * ramps::at(s.ease, self.now, &self.ramp_terms) * held
     }
 
     /// How a line's weight counts for proxies of one zone, by the server's zone: 1 in the own zone, less
@@ -503,11 +485,12 @@
             plan.dealt.insert(id, dealt);
         }
         let (Some(p), Some(plan)) = (self.proxies.get(&id), &self.plan) else { return update };
-        let settle = |old: f64, new: f64| if (new / old - 1.0).abs() < SAME { old } else { new };
         for (i, part) in plan.dealt.get(&id).iter().flat_map(|dealt| &dealt.lines) {
             let Some(Line { server, lift, .. }) = plan.line(*i) else { continue };
             let old = p.sent.lines.get(server).copied().unwrap_or(0.0);
-            update.lines.insert(server.clone(), settle(old, (part * lift * 1e4).round().max(1.0) / 1e4));
+            update
+                .lines
+                .insert(server.clone(), settle(old, (part * lift * 1e4).round().max(1.0) / 1e4, SAME));
         }
         for (t, share) in plan.shares.iter().enumerate() {
             let level = match self.habits.admission {
@@ -521,7 +504,7 @@
                 true => Retry::Never,
                 false => Retry::Unsent,
             };
-            update.levels.push((settle(p.sent.levels[t].0, level), retry));
+            update.levels.push((settle(p.sent.levels[t].0, level, SAME), retry));
         }
         update
     }
@@ -529,7 +512,7 @@
     fn flush_pending(&mut self, id: u32) -> bool {
         let spent = self.spent(id, ORDINARY);
         let Some(p) = self.proxies.get_mut(&id) else { return false };
-        if spent || p.in_flight.is_some_and(|f| self.now < f.1 + ANSWER_WAIT) {
+        if spent || p.in_flight.is_some_and(|f| self.now < f.1 + self.pace_terms.answer) {
             return false;
         }
         self.out.pending.remove(&id);
@@ -538,14 +521,13 @@
 
     /// Lines that may leave now; one message always may while the channel is empty.
     fn room_for(&self, hurry: usize) -> f64 {
-        let (room, ahead) = (self.channel.backlog * FILL[hurry] - self.out.waiting, self.out.in_channel);
-        if ahead > 0.0 { room.min(self.channel.lines_per_s * AHEAD[hurry] - ahead) } else { room }
+        pace::room(&self.channel, self.out.waiting, self.out.in_channel, hurry, &self.pace_terms)
     }
 
     /// Whether a proxy has had so many messages lately that this one has to wait.
     fn spent(&self, id: u32, hurry: usize) -> bool {
-        let (most, over) = (self.channel.messages_most, self.channel.messages_over);
-        most > 0 && self.proxies[&id].messages_within(self.now, over) + SPARE[hurry] >= most
+        let messages = self.proxies[&id].messages_within(self.now, self.channel.messages_over);
+        pace::spent(&self.channel, messages, hurry, &self.pace_terms)
     }
 
     /// Sends the difference from what was last sent (from what was answered, if an answer is overdue), or
@@ -604,15 +586,15 @@
         mean(s.loads.since(self.now.saturating_sub(FRESH)).take(few).filter_map(pick))
     }
 
-    /// Load of a server: its last reports, or the time of good answers where none come. Service time alone
-    /// does not fall with the load: what a server is given, times that, does.
     fn load_of(&self, s: &Server) -> Option<f64> {
-        let waiting = self.figure(s, |l| l.waiting);
-        let given = |ms: f64| s.factor * ms * (1.0 + waiting.unwrap_or(0.0) / 8.0);
+        let said = Load {
+            active: self.figure(s, |l| l.active),
+            waiting: self.figure(s, |l| l.waiting),
+            busy: self.figure(s, |l| l.busy),
+            service_ms: self.figure(s, |l| l.service_ms),
+        };
         let (total, aborted, ms) = s.sums(self.now.saturating_sub(FRESH));
-        let good_ms = || (total > aborted).then(|| ms / (total - aborted));
-        let busy = self.figure(s, |l| l.busy).or(self.figure(s, |l| l.active).map(|a| a / s.size));
-        busy.or(self.figure(s, |l| l.service_ms).map(given)).or(waiting.map(|w| w / s.size)).or_else(good_ms)
+        weigh::load(&said, s.size, s.factor, (total > aborted).then(|| ms / (total - aborted)))
     }
 
     /// How busy a server says it is; where only queues are reported, what such a queue tells.
@@ -626,11 +608,9 @@
         let heard = self.ready().filter(|(_, s)| s.suspect.is_none() && s.ease.is_none());
         let loads: Vec<(String, f64)> =
             heard.filter_map(|(id, s)| self.load_of(s).map(|l| (id.clone(), l))).collect();
-        let common = mean(loads.iter().map(|l| l.1)).unwrap_or(0.0).max(1e-9);
+        let common = mean(loads.iter().map(|l| l.1)).unwrap_or(0.0);
         for (id, load) in loads {
-            let gap = load / common - 1.0;
-            let step = if gap.abs() < STEP.2 { 0.0 } else { (STEP.0 * gap).clamp(-STEP.1, STEP.1) };
-            let moved = |s: &mut Server| s.factor = (s.factor * (1.0 - step)).clamp(BOUND[0], BOUND[1]);
+            let moved = |s: &mut Server| s.factor = weigh::step(s.factor, load, common, &self.step_terms);
             self.servers.entry(id).and_modify(moved);
         }
         // Guards against ids that pile up as servers are replaced: no standing table names them any more.
@@ -645,7 +625,7 @@
         let drift = mean(self.ready().map(|(_, s)| s.factor)).unwrap_or(1.0);
         for s in self.servers.values_mut() {
             s.factor /= drift;
-            s.ease = s.ease.filter(|e| self.now < e.cold_until.max(e.since + e.over));
+            s.ease = s.ease.filter(|e| e.holds(self.now));
         }
         self.mark_all(None, ORDINARY);
     }
@@ -682,7 +662,7 @@
             let loads = s.loads.since(recent).filter_map(busyness);
             let full = loads.fold(0.0, f64::max) >= SWAMPED;
             // A cold server that is full may be about to fall over: it is taken back at its first aborts.
-            let cold_and_aborting = s.cold() && total >= ABORTS.0 && share >= COLD.0;
+            let cold_and_aborting = s.cold() && total >= ABORTS.0 && share >= COLD;
             let why = if s.suspect.is_some() {
                 (total >= 2.0 && share < 0.3 && s.missed == 0).then(aborts)
             } else if (unwell && !full) || (full && cold_and_aborting) {
@@ -699,7 +679,7 @@
         for (id, bad, why) in verdicts {
             self.host.log(&format!("{} {id}: {why}", if bad { "suspect" } else { "cleared" }));
             self.mark_all(bad.then_some(id.as_str()), URGENT);
-            let ease = Ease { since: now, over: CLEARED.1, from: CLEARED.0, cold_until: Duration::ZERO };
+            let ease = ramps::cleared(now, &self.ramp_terms);
             self.servers.entry(id).and_modify(|s| {
                 s.suspect = bad.then_some(now);
                 s.loads.clear();
@@ -732,7 +712,7 @@
         // What cold servers say of themselves counts while few of their tries abort: some lie.
         let cold = || well.iter().copied().filter(|s| s.cold());
         let (pushed, back, _) = sums(cold(), since);
-        let said = mean(cold().filter_map(|s| self.busy_of(s))).filter(|_| back <= (pushed + 1.0) * COLD.0);
+        let said = mean(cold().filter_map(|s| self.busy_of(s))).filter(|_| back <= (pushed + 1.0) * COLD);
         let (total, aborted, ms) = sums(well.iter().copied(), since);
         let target: f64 = self.op_types.iter().map(|t| t.target_latency.as_secs_f64() * 1e3).sum();
         let late = ms / (total - aborted).max(1.0) / (target / self.op_types.len().max(1) as f64);
@@ -843,10 +823,6 @@
     }
 }
 
-fn busyness(load: &Load) -> Option<f64> {
-    load.busy.or(load.waiting.map(|w| w / (w + HALF_BUSY)))
-}
-
 impl OpType {
     /// Whether a further try can never take effect twice, whatever became of the first: once-only op types
     /// never, deduplicated ones only if every try falls inside the window.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,9 +23,12 @@
 mod decide;
 mod facade;
 mod host;
+pub mod pace;
+pub mod ramps;
 mod ranks;
 mod samples;
 mod state;
+pub mod weigh;
 
 pub use decide::Director;
 pub use facade::{Order, Supervisor};
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,7 @@
 //! What is known and held of servers, proxies and their tables: plain state, no decision.
 
 use crate::host::{Came, Load, Met, Retry, ServerState};
+use crate::ramps::Ease;
 use crate::ranks::key_of;
 use crate::samples::{Samples, lowest};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -10,24 +11,6 @@
 /// Names are shared: a fleet's tables hold each server's as many times as proxies use it.
 pub type Table = BTreeMap<Arc<str>, f64>;
 
-/// Way back to full weight: of a fresh server, or of a cleared suspect.
-#[derive(Clone, Copy)]
-pub struct Ease {
-    pub since: Duration,
-    pub over: Duration,
-    pub from: f64,
-    /// Until when a fresh server counts as cold; zero for others.
-    pub cold_until: Duration,
-}
-
-impl Ease {
-    /// How far it is at a moment: 1 is all the way.
-    pub fn at(&self, now: Duration) -> f64 {
-        let gone = now.saturating_sub(self.since).as_secs_f64() / self.over.as_secs_f64().max(0.001);
-        self.from + (1.0 - self.from) * gone
-    }
-}
-
 pub struct Server {
     pub name: Arc<str>,
     /// Its place in the plan's lines; its key picks the proxies that hold it, the same for every supervisor.
@@ -87,7 +70,7 @@
         self.loads.clear();
     }
     pub fn cold(&self) -> bool {
-        self.ease.is_some_and(|e| !e.cold_until.is_zero())
+        self.ease.is_some_and(|e| e.is_cold())
     }
 }
 
