Decisions in a file a concern; Director joins them and keeps no state of its own

Change, no behaviour: src/decide/ holds builds (marks, what leaves), weights (steps), zones (demand, reach, deal), verdicts (suspicion), line (admission) and tries, each with its tuned values and a head that says when it is called; pace.rs, ramps.rs and weigh.rs are the plain functions they share with other callers. How far cold servers are held is in ramps.rs (`hold`). What is known stands in src/known.rs, plain; reports that are only kept enter in src/heard.rs; the settings travel as one `Settings`. small_rate is back where the levels are made.

--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -1,6 +1,6 @@
 //! The wire's events as calls, and orders as the wire's actions.
 
-use fallgap::{Came, Director, Host, ListNews, Listed, Load, Met, Probed, Retry};
+use fallgap::{Came, Director, Host, ListNews, Listed, Load, Met, Probed, Retry, Settings};
 use fallgap_deployment::{self as deployment, duration, level_number, read_note, retry_number, write_note};
 use serde_json::{Map, Value, json};
 use std::collections::BTreeMap;
@@ -93,19 +93,16 @@
         let settings = settings.ok_or_else(|| WireError("no object \"conf\"".into()))?;
         let seed = event.get("rng_seed").and_then(Value::as_u64).unwrap_or(0);
         let host = Orders::new(name, deployment::load_fields(settings), deployment::sized(settings));
-        let director = Director::start(
-            now,
-            seed,
-            host,
-            deployment::op_types(settings),
-            deployment::habits(settings),
-            deployment::channel(settings),
-            deployment::cold_terms(settings),
-            deployment::reporting(settings),
-            deployment::aims(settings),
-            deployment::peers(settings),
-            deployment::ask_for_list(settings),
-        );
+        let set = Settings {
+            op_types: deployment::op_types(settings),
+            habits: deployment::habits(settings),
+            channel: deployment::channel(settings),
+            cold: deployment::cold_terms(settings),
+            reporting: deployment::reporting(settings),
+            aims: deployment::aims(settings),
+            peers: deployment::peers(settings),
+        };
+        let director = Director::start(now, seed, host, set, deployment::ask_for_list(settings));
         instances.insert(name.to_owned(), director);
         return Ok(None);
     }
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -105,8 +105,8 @@
     ) -> Self {
         let reporting = Reporting { probes_allowed: false, ..reporting };
         let host = Gathered::default();
-        let director =
-            Director::start(now, seed, host, op_types, habits, channel, cold, reporting, aims, peers, false);
+        let set = Settings { op_types, habits, channel, cold, reporting, aims, peers };
+        let director = Director::start(now, seed, host, set, false);
         Supervisor { director, unsettled: false }
     }
 
@@ -182,7 +182,7 @@
 
     /// How many servers are remembered, those lately gone among them.
     pub fn servers_held(&self) -> usize {
-        self.director.servers.len()
+        self.director.known.servers.len()
     }
 
     /// Demand to be told to every other supervisor, in ops a second by zone.
--- a/src/host.rs
+++ b/src/host.rs
@@ -178,6 +178,18 @@
     pub by_zone: bool,
 }
 
+/// What a deployment settles for one supervisor.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub op_types: Vec<OpType>,
+    pub habits: Habits,
+    pub channel: Channel,
+    pub cold: ColdTerms,
+    pub reporting: Reporting,
+    pub aims: Aims,
+    pub peers: Peers,
+}
+
 /// Tries that ended at one server, as one zone's proxies met them.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Met {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,7 +22,9 @@
 
 mod decide;
 mod facade;
+mod heard;
 mod host;
+mod known;
 pub mod pace;
 pub mod ramps;
 mod ranks;
--- a/src/ramps.rs
+++ b/src/ramps.rs
@@ -2,6 +2,7 @@
 //! a table that is worked out while it is on its way.
 
 use crate::host::ColdTerms;
+pub use crate::state::Ease;
 use std::time::Duration;
 
 /// A fresh server's ramp starts from this multiple of the least cold share, takes this part of the longest
@@ -20,16 +21,6 @@
     }
 }
 
-/// Way back to full weight: of a fresh server, or of a cleared suspect.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Ease {
-    pub since: Duration,
-    pub over: Duration,
-    pub from: f64,
-    /// Until when a fresh server counts as cold; zero for others.
-    pub cold_until: Duration,
-}
-
 /// The ramp of a server that started at a moment, if it may still be cold.
 pub fn fresh(now: Duration, since: Duration, cold: &ColdTerms, terms: &RampTerms) -> Option<Ease> {
     let (from, over) = ((cold.from * terms.fresh.0).min(1.0), cold.over.mul_f64(terms.fresh.1));
@@ -51,12 +42,17 @@
     })
 }
 
-impl Ease {
-    pub fn is_cold(&self) -> bool {
-        !self.cold_until.is_zero()
-    }
-    /// Whether it is still under way, or still counts as cold.
-    pub fn holds(&self, now: Duration) -> bool {
-        now < self.cold_until.max(self.since + self.over)
-    }
+/// How far cold servers are held down: until tries are heard of, and while the line is down; up to how busy.
+pub const UNHEARD: f64 = 3.0;
+const LINE_DOWN: f64 = 2.0;
+const COLD_BUSY: f64 = 0.6;
+
+/// How far cold servers are to be held down: as far as tries outnumber what the fleet can do, and letting go
+/// slowly. Those that idle (`said`: how busy they say they are) are held too far: the warm ones jam, which
+/// would hold them more.
+pub fn hold(held: f64, pressure: f64, failing: f64, line_down: bool, said: Option<f64>) -> f64 {
+    let least = if line_down { LINE_DOWN } else { 1.0 };
+    let most = (pressure.max(least) / (1.0 - failing).max(0.15)).max(held * 0.7);
+    let moved = said.map(|busy| held * (busy / COLD_BUSY).clamp(0.7, 1.4));
+    moved.map_or(most, |moved| moved.min(most).max(least))
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,8 +1,7 @@
 //! What is known and held of servers, proxies and their tables: plain state, no decision.
 
-use crate::host::{Came, Load, Met, Retry, ServerState};
-use crate::ramps::Ease;
-use crate::ranks::key_of;
+use crate::host::{Came, Host, Load, Met, Retry, ServerState};
+use crate::ranks::{Ranks, key_of};
 use crate::samples::{Samples, lowest};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
@@ -11,6 +10,26 @@
 /// Names are shared: a fleet's tables hold each server's as many times as proxies use it.
 pub type Table = BTreeMap<Arc<str>, f64>;
 
+/// Way back to full weight: of a fresh server, or of a cleared suspect.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ease {
+    pub since: Duration,
+    pub over: Duration,
+    pub from: f64,
+    /// Until when a fresh server counts as cold; zero for others.
+    pub cold_until: Duration,
+}
+
+impl Ease {
+    pub fn is_cold(&self) -> bool {
+        !self.cold_until.is_zero()
+    }
+    /// Whether it is still under way, or still counts as cold.
+    pub fn holds(&self, now: Duration) -> bool {
+        now < self.cold_until.max(self.since + self.over)
+    }
+}
+
 pub struct Server {
     pub name: Arc<str>,
     /// Its place in the plan's lines; its key picks the proxies that hold it, the same for every supervisor.
@@ -188,11 +207,11 @@
 
 impl Update {
     /// Op types whose levels differ.
-    pub fn levels_unlike(&self, other: &Update) -> Vec<usize> {
+    fn levels_unlike(&self, other: &Update) -> Vec<usize> {
         (0..self.levels.len()).filter(|t| self.levels[*t] != other.levels[*t]).collect()
     }
     /// Lines that differ from a base, and those to be taken out of what is held.
-    pub fn changes_from(&self, base: &Table, held: &Table) -> Table {
+    fn changes_from(&self, base: &Table, held: &Table) -> Table {
         let lines = self.lines.iter().filter(|(s, part)| base.get(*s) != Some(*part));
         let left = held.keys().chain(base.keys()).filter(|s| !self.lines.contains_key(*s));
         let lines = lines.map(|(s, part)| (s.clone(), *part));
@@ -258,8 +277,20 @@
     pub fn messages_within(&self, now: Duration, over: Duration) -> usize {
         self.messages.iter().filter(|m| **m + over > now).count()
     }
-    pub fn write(&mut self, now: Duration, stamp: u16, cost: f64, update: Update) {
-        (self.bound, self.pending, self.sent) = (true, None, update);
+    /// What has to be told for an update: what it differs by from what was last sent (from what was answered,
+    /// if an answer is `overdue`), or the whole table where none is bound yet.
+    pub fn changes(&self, update: &Update, overdue: bool) -> Changes {
+        let base = if overdue { &self.acked } else { &self.sent };
+        let lines = update.changes_from(&base.lines, &self.sent.lines);
+        let levels = update.levels_unlike(&self.sent);
+        let whole = 1 + update.lines.len() + update.levels.len();
+        let count = if self.bound { lines.len() + levels.len() } else { whole };
+        Changes { lines, levels, bind: !self.bound, count }
+    }
+    /// An update leaves; messages older than `over` do not count any more.
+    pub fn write(&mut self, now: Duration, stamp: u16, cost: f64, update: Update, over: Duration) {
+        (self.bound, self.pending, self.sent, self.hurry) = (true, None, update, 0);
+        self.messages.retain(|m| *m + over > now);
         self.in_flight = Some((stamp, now));
         self.unanswered.push_back((stamp, now, cost));
         self.messages.push_back(now);
@@ -275,6 +306,25 @@
     }
 }
 
+/// What an update changes at its proxy: lines, op types whose levels differ, the binding; and how many of
+/// the channel's lines that is.
+pub struct Changes {
+    pub lines: Table,
+    pub levels: Vec<usize>,
+    pub bind: bool,
+    pub count: usize,
+}
+
+impl Changes {
+    pub fn tell(&self, host: &mut impl Host, id: u32, update: &Update) {
+        self.lines.iter().for_each(|(server, part)| host.set_line(id, server, *part));
+        self.levels.iter().for_each(|t| host.admit(id, *t, update.levels[*t].0, update.levels[*t].1));
+        if self.bind {
+            host.bind(id, id);
+        }
+    }
+}
+
 /// A ready server as all tables see it: its weight, and the lift that evens out how it was dealt.
 #[derive(Clone)]
 pub struct Line {
@@ -291,14 +341,6 @@
     pub lines: Vec<(usize, f64)>,
 }
 
-/// The rate that lets in such a part of a demand, beyond a share of it. Measured: an op finds the bucket
-/// empty that the one before it has just emptied, so a rate r lets in r / (r + demand); less so, the more
-/// ops a second's bucket holds.
-pub fn small_rate(share: f64, part: f64, demand: f64) -> f64 {
-    let bucket = (share * demand).max(1.0);
-    demand * (share + part * part / (1.0 - part) / bucket.powi(3))
-}
-
 /// What all tables have in common, worked out once a moment.
 pub struct Plan {
     pub at: Duration,
@@ -317,6 +359,37 @@
     pub fn line(&self, slot: usize) -> Option<&Line> {
         self.lines.get(slot).and_then(Option::as_ref)
     }
+    /// The parts of a table's servers.
+    pub fn parts(&self, table: u32) -> impl Iterator<Item = (Arc<str>, f64)> {
+        let dealt = self.dealt.get(&table).into_iter().flat_map(|dealt| &dealt.lines);
+        dealt.filter_map(|(slot, part)| self.line(*slot).map(|line| (line.server.clone(), part * line.lift)))
+    }
+    /// The lines dealt to a proxy, `wanted` of its zone and at least so many of each, and their parts before
+    /// the lift: an even and stable choice by chance, the same under every supervisor, so that no rebuild or
+    /// new stream reopens connections that were good.
+    pub fn deal(
+        &self, ranks: &mut Ranks, proxy: u32, zone: usize, brings: f64, wanted: f64, least: f64,
+    ) -> Dealt {
+        let reach = &self.reach[zone];
+        let whole = |z: usize| self.room[z] * reach[z];
+        let weight = |slot: usize| self.line(slot).map_or(0.0, |l| l.weight);
+        let (mut lines, mut own) = (Vec::new(), 1.0);
+        for z in (0..reach.len()).filter(|z| whole(*z) > 0.0) {
+            let most = (wanted * (whole(z) / whole(zone).max(1e-9)).min(1.0)).ceil().max(least) as usize;
+            let before = lines.len();
+            let drawn = ranks.first(proxy, z, most).filter(|slot| weight(*slot) > 0.0);
+            lines.extend(drawn.map(|slot| (slot, weight(slot) * reach[z])));
+            // A zone of which only a part is held counts as much as all of it would.
+            let held: f64 = lines[before..].iter().map(|l| l.1).sum::<f64>() / reach[z];
+            let full = self.room[z] / held.max(1e-12);
+            lines[before..].iter_mut().for_each(|l| l.1 *= full);
+            if z == zone {
+                own = full;
+            }
+        }
+        lines.iter_mut().for_each(|l| l.1 /= own);
+        Dealt { brings, lines }
+    }
     /// Moves each line's lift, within bounds, by how far the line is from its part of what all proxies bring.
     pub fn lift(&mut self, least: f64, most: f64) {
         let given = self.given();
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -116,19 +116,8 @@
         let seen = Recorder::default();
         let ask = set.contains_key("asklist");
         let habits = Habits { admission, usual_retry: Retry::Unsent };
-        let director = Director::start(
-            Duration::ZERO,
-            7,
-            seen.clone(),
-            op_types,
-            habits,
-            channel,
-            cold,
-            reporting,
-            aims,
-            peers,
-            ask,
-        );
+        let set = Settings { op_types, habits, channel, cold, reporting, aims, peers };
+        let director = Director::start(Duration::ZERO, 7, seen.clone(), set, ask);
         Play { seen, director, now: Duration::ZERO, owed: false }
     }
 
