--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,10 +22,15 @@
 
 mod decide;
 mod facade;
+mod heard;
 mod host;
+mod known;
+pub mod pace;
+pub mod ramps;
 mod ranks;
 mod samples;
 mod state;
+pub mod weigh;
 
 pub use decide::Director;
 pub use facade::{Order, Supervisor};
