Roster: weights by the first deployments' arithmetic, not a second writing of it

Steps, rises and what is worth sending call fallgap::weigh and fallgap::ramps with the terms of these tables. The roster's tests of both hold unchanged.

--- a/crates/roster/src/weights.rs
+++ b/crates/roster/src/weights.rs
@@ -1,31 +1,31 @@
-//! The arithmetic of weights: steps against the load, bounds, and a fresh server's rise.
+//! The arithmetic of weights, which is the first deployments' own (`fallgap::weigh`, `fallgap::ramps`), by the
+//! terms of these tables.
 
 use crate::terms::Terms;
+use fallgap::ramps::{self, Ease, RampTerms};
+use fallgap::weigh::{self, StepTerms};
 use std::time::Duration;
 
-/// A factor after one period: a step against the gap between a server's load and the mean.
+/// A factor after one period: a step against the gap between a server's load and the mean, all of it up to the
+/// largest step.
 pub(crate) fn stepped(factor: f64, load: f64, mean: f64, terms: &Terms) -> f64 {
-    let gap = load - mean;
-    let counts = mean > 0.0 && gap.is_finite() && gap.abs() >= terms.ignored * mean;
-    let moved = match counts {
-        true if gap > 0.0 => factor * (1.0 - terms.step),
-        true => factor * (1.0 + terms.step),
-        false => factor,
-    };
-    moved.clamp(terms.bounds.0, terms.bounds.1)
+    let (low, high) = terms.bounds;
+    let step = StepTerms { part: 1.0, most: terms.step, ignored: terms.ignored, bounds: [low, high] };
+    if load.is_finite() && mean > 0.0 {
+        weigh::step(factor, load, mean, &step)
+    } else {
+        factor.clamp(low, high)
+    }
 }
 
 /// What a fresh server gets of its base: evenly from the lower bound to all of it.
 pub(crate) fn risen(now: Duration, (from, to): (Duration, Duration), terms: &Terms) -> f64 {
-    if now >= to {
-        return 1.0;
-    }
-    let part = now.saturating_sub(from).as_secs_f64() / to.saturating_sub(from).as_secs_f64().max(1e-9);
-    let low = terms.bounds.0;
-    low + (1.0 - low) * part
+    let over = to.saturating_sub(from);
+    let ease = Ease { since: from, over, from: terms.bounds.0, cold_until: Duration::ZERO };
+    ramps::at((now < to).then_some(ease), now, &RampTerms::default())
 }
 
 /// Whether a weight differs enough from the one that was sent.
 pub(crate) fn worth_sending(sent: f64, weight: f64, terms: &Terms) -> bool {
-    (weight - sent).abs() > terms.least_change * sent
+    weigh::settle(sent, weight, terms.least_change) != sent
 }
