Quay: before the first view a request is told to come back, not that it has no route

Clients do not retry after 404. Ruled out: routes that were dropped, and configurations on their way (each 404 lay within a second of a start). At fault: begin_op took 'no routing' for 'no route'. Now 503 with Retry-After, which promises that it has not run. Test: before_the_first_view_all_are_told_to_come_back.

--- a/crates/quay/src/ops.rs
+++ b/crates/quay/src/ops.rs
@@ -39,8 +39,11 @@
     pub(crate) fn begin_op(&mut self, now: Duration, key: ClientKey, began: Duration, request: Box<Request>) {
         self.counters.requests += 1;
         let head = &request.head;
-        let route = self.routing.as_ref().and_then(|routing| routing.find(head.host(), head.path()));
-        let Some(route) = route else {
+        // Before the first view no route is known to be missing.
+        let Some(routing) = &self.routing else {
+            return self.not_run(now, key, &request);
+        };
+        let Some(route) = routing.find(head.host(), head.path()) else {
             self.counters.no_route += 1;
             return self.own_answer(now, key, &request, 404, None);
         };
--- a/crates/quay/tests/sockets.rs
+++ b/crates/quay/tests/sockets.rs
@@ -176,6 +176,17 @@
     assert_eq!(world.ask(|quay, _| quay.at_work()), 0);
 }
 
+#[test]
+fn before_the_first_view_all_are_told_to_come_back() {
+    let server = Server::start("i-1", |got| Does::Sends(ok(got, "bytes")));
+    let world = World::new(fallgap_quay::Terms::default());
+    let early = world.get("/safe/", "1");
+    assert_eq!((early.status, early.line("retry-after").is_some()), (503, true));
+    world.view(&[&server]);
+    assert_eq!(world.get("/safe/", "2").status, 200);
+    assert_eq!(world.get("/nowhere/", "3").status, 404);
+}
+
 #[test]
 fn bad_and_slow_requests_are_refused_and_go_nowhere() {
     let server = Server::start("i-1", |got| Does::Sends(ok(got, "bytes")));
