Keeper: reads the configuration and pulses back as soon as a majority is heard

A poll that found no majority was put off for a whole second, and a keeper that starts later than others waited for their next pulse, up to 0.2 s. Now the first majority after a time without one polls at once, and a member that was not heard of late gets a pulse back. Ruled out: reading the own disk without a majority inside the keeper (an accepted value may not be committed).

--- a/crates/keeper/src/keeper.rs
+++ b/crates/keeper/src/keeper.rs
@@ -58,6 +58,8 @@
     pulse_at: Duration,
     pulse_whole_at: Duration,
     pub(crate) poll_at: Duration,
+    /// It has polled since it last heard a majority: so after a start, or when a cut ends, it does so at once.
+    pub(crate) polled: bool,
     leaving: bool,
     /// The newest time that this node was told.
     clock: Duration,
@@ -93,6 +95,7 @@
             pulse_at: now,
             pulse_whole_at: now,
             poll_at: now,
+            polled: false,
             leaving: false,
             clock: now,
             me,
@@ -108,8 +111,17 @@
         if from == self.me.node {
             return;
         }
+        let met = !self.crew.is_heard(now, from, self.terms.settled);
         self.crew.heard(now, from);
         self.handle(now, from, message);
+        if met && self.is_in(from) {
+            // It may have been started a moment ago: it is settled the sooner.
+            self.pulse_to(from);
+        }
+        if !self.polled && self.is_settled(now) {
+            self.poll_at = now;
+            self.poll(now);
+        }
         self.drain(now);
     }
 
@@ -336,7 +348,7 @@
         if whole {
             self.pulse_whole_at = now + self.terms.pulse_whole;
         }
-        let said = Message::Pulse { epoch, disk: self.me.disk, whole: self.whole, leaving: self.leaving };
+        let said = self.said(epoch);
         for node in self.members() {
             if node != self.me.node && (whole || !spoken.contains(&node)) {
                 self.pen.send(node, said.clone());
@@ -344,6 +356,17 @@
         }
     }
 
+    fn pulse_to(&mut self, node: NodeId) {
+        if let Some(epoch) = self.member_epoch() {
+            let said = self.said(epoch);
+            self.pen.send(node, said);
+        }
+    }
+
+    fn said(&self, epoch: u64) -> Message {
+        Message::Pulse { epoch, disk: self.me.disk, whole: self.whole, leaving: self.leaving }
+    }
+
     fn desk_wake(&self, key: &Key) -> Option<Duration> {
         self.desks.get(key)?.wake(self.terms.call, self.terms.patience, self.terms.contest)
     }
--- a/crates/keeper/src/news.rs
+++ b/crates/keeper/src/news.rs
@@ -16,7 +16,8 @@
             return;
         }
         self.poll_at = now + self.terms.poll;
-        if !self.is_settled(now) {
+        self.polled = self.is_settled(now);
+        if !self.polled {
             return;
         }
         let mut calls = vec![Call::ConfigGet];
--- a/crates/keeper/tests/sea/calm.rs
+++ b/crates/keeper/tests/sea/calm.rs
@@ -1,7 +1,7 @@
 //! The good path, on a calm sea.
 
 use crate::waters::{Sea, ms, node};
-use fallgap_keeper::{Answer, Call};
+use fallgap_keeper::{Answer, Call, Key};
 
 fn ask(sea: &mut Sea, at: u8, id: u64, call: Call) -> (Answer, u64) {
     let sent = sea.now;
@@ -105,3 +105,26 @@
         }
     }
 }
+
+#[test]
+fn after_all_were_killed_the_configuration_is_there_at_once() {
+    for seed in 0..20 {
+        let mut sea = Sea::new(seed, 4, 0);
+        sea.run(ms(3000));
+        assert_eq!(ask(&mut sea, 1, 1, Call::ConfigPut { edition: 7, body: vec![1; 1000] }).0, Answer::Done);
+        let pause = ms(sea.rng.u64(0..2000));
+        sea.run(sea.now + pause);
+        let mut last = 0;
+        for n in 1..=4 {
+            sea.kill(node(n), true);
+            let after = 1300 + sea.rng.u64(0..150);
+            last = last.max(after);
+            sea.restart(node(n), ms(after), false);
+        }
+        let started = sea.now + ms(last);
+        sea.run(started + ms(40));
+        for n in 1..=4 {
+            assert!(sea.has_shown(node(n), &Key::Config), "seed {seed}: {n} has no configuration");
+        }
+    }
+}
--- a/crates/keeper/tests/sea/waters.rs
+++ b/crates/keeper/tests/sea/waters.rs
@@ -210,6 +210,11 @@
         self.machines.get(&node)?.keeper.as_ref()
     }
 
+    /// Whether a committed value of this key was handed out in the process's present life.
+    pub fn has_shown(&self, node: NodeId, key: &Key) -> bool {
+        self.machines.get(&node).is_some_and(|machine| machine.shown.contains_key(key))
+    }
+
     pub fn disk_machines(&self) -> Vec<NodeId> {
         self.machines.iter().filter(|(_, machine)| machine.disk).map(|(node, _)| *node).collect()
     }
