--- a/crates/lantern/src/engine.rs
+++ b/crates/lantern/src/engine.rs
@@ -166,7 +166,7 @@
             self.look_at_settings(now);
             if let Some(hub) = &mut self.hub {
                 hub.see_whether_fit(now, self.keeper.is_settled(now));
-                for (subject, bytes) in hub.to_remember(now) {
+                for (subject, bytes) in hub.take_due(now) {
                     self.disk.iter().for_each(|d| _ = d.work.send(Work::Remember(subject, bytes.clone())));
                 }
             }
--- a/crates/lantern/src/hub.rs
+++ b/crates/lantern/src/hub.rs
@@ -71,7 +71,7 @@
     }
 
     /// What is to be written to the disk now, to be remembered over a start.
-    pub fn to_remember(&mut self, now: Duration) -> Vec<(Subject, Vec<u8>)> {
+    pub fn take_due(&mut self, now: Duration) -> Vec<(Subject, Vec<u8>)> {
         let mut due = Vec::new();
         let count = self.registry.count();
         if self.servers.is_due(now, count)
@@ -142,10 +142,10 @@
     #[test]
     fn only_what_is_committed_is_remembered() {
         let mut hub = hub(Some(BODY));
-        assert!(hub.to_remember(at(10)).is_empty());
+        assert!(hub.take_due(at(10)).is_empty());
         let configuration = fallgap_chart::read_configuration(BODY).unwrap();
         hub.committed(at(20), configuration, BODY);
-        assert_eq!(hub.to_remember(at(20)), [(Subject::Configuration, BODY.to_vec())]);
-        assert!(hub.to_remember(at(5000)).is_empty());
+        assert_eq!(hub.take_due(at(20)), [(Subject::Configuration, BODY.to_vec())]);
+        assert!(hub.take_due(at(5000)).is_empty());
     }
 }
