Hub: young by the settings' touch_s; what is remembered has room on the smallest disk

A fixed two seconds held only where touch_s is three; now two thirds of touch_s. The remembered files are bounded at 2 MB each, four of them, instead of 8: a disk may have 16 MB. Test: a_hub_is_fit_as_soon_as_it_has_something_to_tell.

--- a/crates/lantern/src/hub.rs
+++ b/crates/lantern/src/hub.rs
@@ -7,16 +7,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// So long after its start a keeper serves with what its disk remembers, though it has heard no majority yet: what
-/// it remembers was committed, and is at worst a little old. A machine is in touch only after longer than that.
-const YOUNG: Duration = Duration::from_millis(2000);
+/// For that part of the time after which a machine is in touch a keeper that was started serves with what its disk
+/// remembers, though it has heard no majority yet: what it remembers was committed, and is at worst a little old.
+const YOUNG: f64 = 2.0 / 3.0;
 /// A home that is settled waits so long for the configuration before it takes followers.
 const FOR_CONFIGURATION: Duration = Duration::from_millis(300);
 
 pub struct Hub {
     pub registry: Registry,
     pub distribution: Distribution,
-    started: Duration,
+    /// Until then it is young.
+    young: Duration,
     /// Since when the keeper has been heard by a majority without a break.
     settled: Option<Duration>,
     /// The newest configuration that is committed: its edition and what the operator sent.
@@ -26,12 +27,13 @@
 }
 
 impl Hub {
-    pub fn start(now: Duration, seed: u64, terms: Terms, remembered: Remembered) -> Hub {
+    /// `touch`: after so long a machine that was started is in touch.
+    pub fn start(now: Duration, seed: u64, terms: Terms, touch: Duration, remembered: Remembered) -> Hub {
         let mut rng = fastrand::Rng::with_seed(seed);
         let mut hub = Hub {
             registry: Registry::start(now, rng.u64(..), terms),
             distribution: Distribution::start(now, rng.u64(..), terms),
-            started: now,
+            young: now + touch.mul_f64(YOUNG),
             settled: None,
             committed: None,
             servers: Notebook::default(),
@@ -65,7 +67,7 @@
         let knows = self.distribution.has_configuration();
         let fit = match self.settled {
             Some(since) => knows || now >= since + FOR_CONFIGURATION,
-            None => knows && now < self.started + YOUNG,
+            None => knows && now < self.young,
         };
         self.distribution.set_fit(now, fit);
     }
@@ -106,7 +108,7 @@
 
     fn hub(configuration: Option<&[u8]>) -> Hub {
         let remembered = Remembered { servers: Vec::new(), configuration: configuration.map(<[u8]>::to_vec) };
-        Hub::start(at(5), 1, Terms::default(), remembered)
+        Hub::start(at(5), 1, Terms::default(), at(3000), remembered)
     }
 
     #[test]
--- a/crates/lantern/src/memory.rs
+++ b/crates/lantern/src/memory.rs
@@ -8,8 +8,8 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-/// More is not written, nor read.
-const MOST: usize = 8 << 20;
+/// More is not written, nor read: four files of it have room beside the registers on a small disk.
+const MOST: usize = 2 << 20;
 /// Least time between two writings; one more for each so many bytes, so that the disk has time for the registers.
 const PAUSE: Duration = Duration::from_millis(1000);
 const PAUSE_BYTES: usize = 256 << 10;
