Large answers come from the own zone while it serves well

At fault: Fleet::pick drew a server of the own zone three times as often for large answers and then took the least loaded of three drawn; with two thirds or more of the servers elsewhere, over a third crossed. Change: a large answer comes from the own zone as long as that has a server with a free slot (by one's own requests) whose usual time is at most half the route's target; else all are drawn as for other requests.

--- a/crates/pilot/src/fleet.rs
+++ b/crates/pilot/src/fleet.rs
@@ -243,10 +243,12 @@
             .then(|| latest.min(usual.max(target / 2)))
     }
 
-    /// The server for a request: among those with room, one that is not avoided, if there is such. `skip`: servers that it was at, or that
-    /// have no connection left.
+    /// The server for a request: among those with room, one that is not avoided, if there is such. A large answer
+    /// comes from the own zone as long as that has a free server that answers well within the target. `skip`:
+    /// servers that it was at, or that have no connection left.
     pub fn pick(
-        &mut self, now: Duration, service: ServiceKey, class: RouteClass, skip: &[ServerKey],
+        &mut self, now: Duration, service: ServiceKey, class: RouteClass, target: Duration,
+        skip: &[ServerKey],
     ) -> Option<ServerKey> {
         let held = self.services.get(service)?;
         let there = held.servers.iter().filter(|key| !skip.contains(key));
@@ -257,10 +259,15 @@
         if open.iter().any(|(_, server)| server.health.is_open(now)) {
             open.retain(|(_, server)| server.health.is_open(now));
         }
-        let pull = match class {
-            RouteClass::Outbound => self.terms.own_zone_large,
-            _ => self.terms.own_zone,
-        };
+        if class == RouteClass::Outbound {
+            let most = target.as_secs_f64() * self.terms.own_zone_large;
+            let serves =
+                |server: &Server| server.near && server.at_work < server.slots && server.typical <= most;
+            if open.iter().any(|(_, server)| serves(server)) {
+                open.retain(|(_, server)| serves(server));
+            }
+        }
+        let pull = self.terms.own_zone;
         let share =
             |server: &Server| server.weight * f64::from(server.slots) * if server.near { pull } else { 1.0 };
         let sum: f64 = open.iter().map(|(_, server)| share(server)).sum();
--- a/crates/pilot/src/terms.rs
+++ b/crates/pilot/src/terms.rs
@@ -27,8 +27,10 @@
     pub answer_head: usize,
     /// Bytes of an answer's body. More is no answer.
     pub answer_body: usize,
-    /// How much more often a server of one's own zone is drawn, and the same for large answers.
+    /// How much more often a server of one's own zone is drawn.
     pub own_zone: f64,
+    /// Large answers come from the own zone while that usually takes no more than this part of the target: what is
+    /// left is for the spread of times around the usual one.
     pub own_zone_large: f64,
 }
 
@@ -49,7 +51,7 @@
             answer_head: 64 << 10,
             answer_body: 16 << 20,
             own_zone: 1.5,
-            own_zone_large: 3.0,
+            own_zone_large: 0.5,
         }
     }
 }
--- a/crates/pilot/tests/fleet.rs
+++ b/crates/pilot/tests/fleet.rs
@@ -27,7 +27,7 @@
 }
 
 fn pick(fleet: &mut Fleet, at: u64, service: ServiceKey, skip: &[ServerKey]) -> Option<ServerKey> {
-    fleet.pick(ms(at), service, RouteClass::Safe, skip)
+    fleet.pick(ms(at), service, RouteClass::Safe, ms(250), skip)
 }
 
 /// How often each is picked in a thousand.
@@ -58,6 +58,30 @@
     assert_eq!(pick(&mut fleet, 1, service, &[taken[0]]), None);
 }
 
+/// Fails where the own zone is only drawn more often: a third of the large answers crossed zones for nothing.
+#[test]
+fn large_answers_come_from_the_own_zone_while_it_serves_well() {
+    let (mut fleet, service) = fleet(vec![berth(1, "near", 1.0), berth(2, "far", 1.0), berth(3, "far", 1.0)]);
+    let large = |fleet: &mut Fleet, skip: &[ServerKey]| {
+        fleet.pick(ms(0), service, RouteClass::Outbound, ms(250), skip).unwrap()
+    };
+    let near = large(&mut fleet, &[]);
+    for _ in 0..3 {
+        assert_eq!(large(&mut fleet, &[]), near);
+        fleet.began(ms(0), near);
+    }
+    // Its slots are taken; or it was asked already; or it is slow.
+    assert_ne!(large(&mut fleet, &[]), near);
+    (0..3).for_each(|_| fleet.ended(ms(50), near, Ended::Good(ms(50))));
+    assert_eq!(large(&mut fleet, &[]), near);
+    assert_ne!(large(&mut fleet, &[near]), near);
+    for _ in 0..20 {
+        fleet.began(ms(50), near);
+        fleet.ended(ms(250), near, Ended::Good(ms(200)));
+    }
+    assert!((0..100).any(|_| large(&mut fleet, &[]) != near));
+}
+
 #[test]
 fn a_server_that_fails_is_left_alone_and_then_tried_by_one() {
     let (mut fleet, service) = fleet(vec![berth(1, "near", 1.0), berth(2, "near", 1.0)]);
--- a/crates/quay/src/tries.rs
+++ b/crates/quay/src/tries.rs
@@ -18,8 +18,9 @@
     /// An op goes to a server, or it ends.
     pub(crate) fn start_try(&mut self, now: Duration, key: OpKey) {
         while let Some(op) = self.ops.get_mut(key) {
-            let (service, class) = (op.service, op.core.plan.class);
-            let Some(server) = self.fleet.pick(now, service, class, &op.skip) else {
+            let (service, plan) = (op.service, op.core.plan);
+            let class = plan.class;
+            let Some(server) = self.fleet.pick(now, service, class, plan.target, &op.skip) else {
                 let next = op.core.nowhere(now);
                 return self.act(now, key, next, None);
             };
