Disk: logs that are full take records again once there is a checkpoint

The disk's thread tried the same append every 100 ms and never came to the checkpoint that stood behind it; after a start the logs are as full as before. At fault: the loop around append in run().

Full now asks the engine for a checkpoint again and takes the next one before what waits; it holds all records sent before it, and records read back twice give the same state. A batch has 1 MiB at most, so that one always fits. The test fills small logs while the checkpoint is left out; without the mend it fails after its 20 s.

--- a/crates/lantern/src/disk.rs
+++ b/crates/lantern/src/disk.rs
@@ -2,9 +2,10 @@
 //! written with one sync.
 
 use crate::memory::{Memory, Subject};
-use fallgap_keeper::store::Store;
+use fallgap_keeper::store::{Store, StoreError};
+use std::collections::VecDeque;
 use std::sync::Arc;
-use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::thread;
 use std::time::Duration;
 
@@ -23,8 +24,9 @@
 
 /// After a disk has refused so long passes before the next try.
 const AGAIN: Duration = Duration::from_millis(100);
-/// Records written with one sync at most.
+/// Records written with one sync at most, and their bytes: far less than the room that logs have.
 const BATCH: usize = 512;
+const BATCH_BYTES: usize = 1 << 20;
 
 pub struct Disk {
     pub work: Sender<Work>,
@@ -48,31 +50,31 @@
 fn run(
     mut store: Store, mut memory: Memory, works: &Receiver<Work>, dones: &Sender<Done>, wake: &mio::Waker,
 ) {
-    let mut held: Option<Work> = None;
-    while let Some(first) = held.take().or_else(|| works.recv().ok()) {
+    // What came while something before it had to be done first.
+    let mut held = VecDeque::new();
+    while let Some(first) = held.pop_front().or_else(|| works.recv().ok()) {
         let mut records = Vec::new();
-        let mut newest = 0;
+        let (mut newest, mut bytes) = (0, 0);
         let mut next = Some(first);
         while let Some(work) = next.take() {
             match work {
                 Work::Record(number, record) => {
                     newest = newest.max(number);
                     records.push(record);
-                    if records.len() < BATCH {
-                        next = works.try_recv().ok();
+                    bytes += records.last().map_or(0, Vec::len);
+                    if records.len() < BATCH && bytes < BATCH_BYTES {
+                        next = held.pop_front().or_else(|| works.try_recv().ok());
                     }
                 }
                 Work::Checkpoint(snapshot) if records.is_empty() => {
-                    if let Err(e) = store.checkpoint(snapshot) {
-                        tracing::info!("disk: no checkpoint, {e}");
-                    }
+                    checkpoint(&mut store, snapshot);
                 }
                 Work::Remember(subject, bytes) if records.is_empty() => {
                     if let Err(e) = memory.write(subject, &bytes) {
                         tracing::info!("disk: {subject:?} is not remembered, {e}");
                     }
                 }
-                later => held = Some(later),
+                later => held.push_front(later),
             }
         }
         if records.is_empty() {
@@ -80,7 +82,16 @@
         }
         while let Err(e) = store.append(&records) {
             tracing::info!("disk: refuses to write, {e}");
-            thread::sleep(AGAIN);
+            if matches!(e, StoreError::Full) {
+                // Only a checkpoint makes room, and the last one may have failed.
+                let _ = dones.send(Done::WantsCheckpoint);
+                let _ = wake.wake();
+                if !make_room(&mut store, works, &mut held) {
+                    return;
+                }
+            } else {
+                thread::sleep(AGAIN);
+            }
         }
         let wants = store.wants_checkpoint();
         let told =
@@ -91,3 +102,69 @@
         let _ = wake.wake();
     }
 }
+
+/// Whether it was written. If not, all that was there still counts.
+fn checkpoint(store: &mut Store, snapshot: Vec<Vec<u8>>) -> bool {
+    let written = store.checkpoint(snapshot);
+    if let Err(e) = &written {
+        tracing::info!("disk: no checkpoint, {e}");
+    }
+    written.is_ok()
+}
+
+/// Takes the next checkpoint before what waits for it, or waits a while for one. It holds all records that were sent
+/// before it, so also those that found no room. `false`: nobody sends any more.
+fn make_room(store: &mut Store, works: &Receiver<Work>, held: &mut VecDeque<Work>) -> bool {
+    let at = held.iter().position(|work| matches!(work, Work::Checkpoint(_)));
+    let mut found = at.and_then(|at| held.remove(at));
+    loop {
+        match found.take().map_or_else(|| works.recv_timeout(AGAIN), Ok) {
+            Ok(Work::Checkpoint(snapshot)) => {
+                if !checkpoint(store, snapshot) {
+                    thread::sleep(AGAIN);
+                }
+                return true;
+            }
+            Ok(record) => held.push_back(record),
+            Err(RecvTimeoutError::Timeout) => return true,
+            Err(RecvTimeoutError::Disconnected) => return false,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use fallgap_keeper::store::Limits;
+
+    const LONG: Duration = Duration::from_secs(20);
+
+    /// The checkpoint that was due has failed, and the logs have filled their room meanwhile.
+    #[test]
+    fn full_logs_take_records_again_once_there_is_a_checkpoint() {
+        let folder = std::env::temp_dir().join(format!("lantern-disk-{}", std::process::id()));
+        let (entry_bytes, ahead_bytes, checkpoint_bytes) = (4096, 4096, 1 << 20);
+        let limits = Limits { entry_bytes, ahead_bytes, checkpoint_bytes, logs: 100, log_room: 128 << 10 };
+        let (store, _) = Store::open_with(&folder, limits).unwrap();
+        let poll = mio::Poll::new().unwrap();
+        let wake = Arc::new(mio::Waker::new(poll.registry(), mio::Token(0)).unwrap());
+        let disk = start(store, Memory::open(&folder).0, wake).unwrap();
+        let last = 3000;
+        for number in 1..=last {
+            disk.work.send(Work::Record(number, vec![1; 100])).unwrap();
+        }
+        let (mut synced, mut early) = (0, false);
+        while synced < last {
+            match disk.done.recv_timeout(LONG).expect("the disk goes on") {
+                Done::Synced(number) => (synced, early) = (number, true),
+                // With a write, while there is room: that one fails, here by being left out.
+                Done::WantsCheckpoint if early => early = false,
+                Done::WantsCheckpoint => {
+                    disk.work.send(Work::Checkpoint(vec![vec![1; 100]])).unwrap();
+                }
+            }
+        }
+        drop(disk);
+        std::fs::remove_dir_all(&folder).unwrap();
+    }
+}
