Control: a configuration larger than a register takes is refused with 413

A register holds a configuration of 896 KiB at most; the control address took bodies of 16 MiB, and the register's Busy became 503 with Retry-After, so the operator went on sending what can never be kept. The bound of the body is the register's now.

--- a/crates/lantern/src/control.rs
+++ b/crates/lantern/src/control.rs
@@ -18,7 +18,8 @@
     pub threads: usize,
     /// Of these, watches at most: they hold a thread for seconds. One beyond is turned away.
     pub watches: usize,
-    /// Bytes of a body: of a configuration, and of any other call. Longer ones are refused.
+    /// Bytes of a body: of a configuration, as many as a register takes, and of any other call. Longer ones are
+    /// refused, and it is said that asking again is of no use.
     pub configuration: usize,
     pub body: usize,
     /// Callers go on to another supervisor after a second.
@@ -33,7 +34,7 @@
         Terms {
             threads: 28,
             watches: 14,
-            configuration: 16 << 20,
+            configuration: fallgap_keeper::subjects::Limits::default().config_bytes,
             body: 64 << 10,
             answer: Duration::from_millis(930),
             watch: s(30),
