--- a/crates/quay/tests/sockets.rs
+++ b/crates/quay/tests/sockets.rs
@@ -2,6 +2,7 @@
 
 mod world;
 
+use fallgap_standin::gateway::{Got, status};
 use world::*;
 
 #[test]
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod discovery;
 pub mod dns;
 pub mod fleet;
+pub mod gateway;
 mod http;
 pub mod relay;
 
