--- /dev/null
+++ b/crates/quay/examples/carry_cost.rs
@@ -0,0 +1,116 @@
+//! What carrying a request costs, on loopback: processor time of the quay's thread and of the whole process for an
+//! op, at 1, 8 and 64 clients' connections, beside the same ops sent straight to the stand-in server.
+
+#[path = "../tests/world/mod.rs"]
+mod world;
+
+use fallgap_chart::{Berth, View};
+use std::fs::read_to_string;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+use world::{Client, Does, Server, World, berth, configuration, get, ok};
+
+const SECOND: Duration = Duration::from_secs(1);
+/// Ops of each measurement, shared by the connections.
+const OPS: usize = 24_000;
+/// Rounds of a measurement; the middle one counts.
+const ROUNDS: usize = 3;
+
+/// Nanoseconds that a thread ran.
+fn ran(schedstat: &str) -> f64 {
+    let text = read_to_string(schedstat).unwrap_or_default();
+    text.split(' ').next().and_then(|ns| ns.parse().ok()).unwrap_or_default()
+}
+
+/// Nanoseconds that all threads that are there ran.
+fn all_ran() -> f64 {
+    let tasks = std::fs::read_dir("/proc/self/task").into_iter().flatten().flatten();
+    tasks.map(|task| ran(&task.path().join("schedstat").to_string_lossy())).sum()
+}
+
+struct Cost {
+    /// Of all threads: clients, server, and the quay if there is one.
+    whole: f64,
+    quay: f64,
+    wall: f64,
+    /// Ops without a good answer.
+    unserved: usize,
+}
+
+/// Microseconds an op, over so many connections that each wait for their answer.
+fn cost(connections: usize, at: SocketAddr, quay: impl Fn() -> f64) -> Cost {
+    let each = OPS / connections;
+    let clients: Vec<Client> = (0..connections).map(|_| Client::connect(at, 10 * SECOND).unwrap()).collect();
+    let unserved = AtomicUsize::new(0);
+    let run = |client: &mut Client, ops: usize| {
+        for op in 0..ops {
+            let reply = client.try_ask(&get("/safe/x", &format!("r{op}")));
+            if reply.is_none_or(|reply| reply.status != 200) {
+                unserved.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+    };
+    // Threads stay until the end is read, so that their time counts.
+    let (begin, end) = (std::sync::Barrier::new(connections + 1), std::sync::Barrier::new(connections + 1));
+    std::thread::scope(|scope| {
+        for mut client in clients {
+            let (begin, end, run) = (&begin, &end, &run);
+            scope.spawn(move || {
+                run(&mut client, 20);
+                begin.wait();
+                begin.wait();
+                run(&mut client, each);
+                end.wait();
+                end.wait();
+            });
+        }
+        begin.wait();
+        let (before, quay_before) = (all_ran(), quay());
+        let start = Instant::now();
+        begin.wait();
+        end.wait();
+        let wall = start.elapsed();
+        let (whole, quay) = (all_ran() - before, quay() - quay_before);
+        end.wait();
+        let an_op = (each * connections) as f64 * 1000.0;
+        let unserved = unserved.load(Ordering::Relaxed);
+        Cost { whole: whole / an_op, quay: quay / an_op, wall: wall.as_nanos() as f64 / an_op, unserved }
+    })
+}
+
+fn middle(mut figures: Vec<f64>) -> f64 {
+    figures.sort_by(f64::total_cmp);
+    figures[figures.len() / 2]
+}
+
+fn main() {
+    let body = "x".repeat(1024);
+    let server = Server::start("i-1", move |got| Does::Sends(ok(got, &body)));
+    let world = World::new(fallgap_quay::Terms::default());
+    // A server that takes as many at once as there are clients.
+    let mut configuration = configuration();
+    configuration.services.iter_mut().for_each(|service| service.line_cap = 256);
+    let berth = Berth { slots: 128, ..berth(&server) };
+    let view = Arc::new(View { configuration: Arc::new(configuration), berths: vec![berth] });
+    world.ask(move |quay, now| quay.view(now, view));
+    let quay = || world.ask(|_, _| ran("/proc/thread-self/schedstat"));
+    for connections in [1, 8, 64] {
+        // In turn, so that a busy moment of the machine meets both.
+        let both = (0..ROUNDS).map(|_| {
+            (cost(connections, world.front, quay), cost(connections, server.address.into(), || 0.0))
+        });
+        let both: Vec<(Cost, Cost)> = both.collect();
+        let of = |figure: &dyn Fn(&(Cost, Cost)) -> f64| middle(both.iter().map(figure).collect());
+        let unserved: usize = both.iter().map(|(carried, direct)| carried.unserved + direct.unserved).sum();
+        println!("figure unserved_{connections} {unserved}");
+        println!("figure quay_us_an_op_{connections} {:.1}", of(&|(carried, _)| carried.quay));
+        println!("figure carried_us_an_op_{connections} {:.1}", of(&|(carried, _)| carried.whole));
+        println!("figure direct_us_an_op_{connections} {:.1}", of(&|(_, direct)| direct.whole));
+        let ratio = of(&|(carried, direct)| carried.whole / direct.whole);
+        println!("figure carried_against_direct_{connections} {ratio:.2}");
+        println!("figure carried_wall_us_{connections} {:.1}", of(&|(carried, _)| carried.wall));
+        println!("figure direct_wall_us_{connections} {:.1}", of(&|(_, direct)| direct.wall));
+    }
+}
--- a/crates/roster/tests/world/mod.rs
+++ b/crates/roster/tests/world/mod.rs
@@ -64,6 +64,8 @@
     last: BTreeMap<(NodeId, NodeId), Duration>,
     sent: u64,
     pub told: BTreeMap<&'static str, usize>,
+    /// Words that left a machine and their bytes, if wanted.
+    pub heard: Option<Vec<(RosterWord, usize)>>,
 }
 
 pub fn configuration(edition: u64, routes: usize) -> Arc<Configuration> {
@@ -129,6 +131,7 @@
             last: BTreeMap::new(),
             sent: 0,
             told: BTreeMap::new(),
+            heard: None,
             rng: rng.fork(),
         };
         (0..nodes).for_each(|i| world.start(i));
@@ -216,6 +219,9 @@
         // As it would travel.
         let bytes = postcard::to_stdvec(&word).expect("a word as bytes");
         let word = postcard::from_bytes(&bytes).expect("a word again");
+        if let Some(heard) = self.heard.as_mut().filter(|_| !local) {
+            heard.push((RosterWord::clone(&word), bytes.len()));
+        }
         self.net.insert((at, self.sent), (from, to, word));
     }
 
