Tables at size: long words are packed, void tables dropped, large updates wait longer

At fault: a table of 1,960 routes and 448 servers is some 300 KB, and a small machine's link carries 475 KB a second, 40% of it downloads. The feed takes an update for lost after 0.4 s, whatever its size, and sends it again; the follower leaves its home after 0.8 s, and asks another one, which sends a whole table, too; what the first one still had to send (up to 32 MB for each peer) goes on coming before the new one. So each home keeps all links full with tables that nobody waits for, in its own memory.

Changed: words over 1.5 KB go packed (routes to a third or less); a follower that begins anew empties what waits for it of tables; an update's answer may take 0.5 ms longer for each line; 4 MB wait for a peer and 24 MB for all.

--- a/crates/feed/src/feed.rs
+++ b/crates/feed/src/feed.rs
@@ -15,8 +15,11 @@
     pub lines_a_second: f64,
     /// Lines that a message costs beside its own.
     pub head: f64,
-    /// After so long without an answer what was sent counts as lost.
+    /// After so long without an answer what was sent counts as lost; each line of an update adds to it, since a
+    /// large one takes its time on a thin link and in a small machine, and sent again meanwhile it would take twice
+    /// that.
     pub answer: Duration,
+    pub answer_line: Duration,
     /// Least time between two periodic words to a receiver: half of a receiver's lease at most. Up to half as
     /// much again is drawn.
     pub word: Duration,
@@ -25,7 +28,14 @@
 impl Default for Limits {
     fn default() -> Self {
         let s = Duration::from_secs;
-        Limits { receivers: 5000, lines_a_second: 4000.0, head: 1.0, answer: s(3), word: s(5) }
+        Limits {
+            receivers: 5000,
+            lines_a_second: 4000.0,
+            head: 1.0,
+            answer: s(3),
+            answer_line: s(0),
+            word: s(5),
+        }
     }
 }
 
@@ -44,7 +54,7 @@
     table: u32,
     /// What it said last that it holds.
     holds: Option<Version>,
-    /// What was sent and is not answered, and since when.
+    /// What was sent and is not answered, and when it counts as lost.
     in_flight: Option<(Version, Duration)>,
     marked: bool,
     /// Epoch and sequence up to which withdrawals were sent to it.
@@ -176,7 +186,7 @@
             let Some(receiver) = self.receivers.get_mut(&id) else { continue };
             receiver.word = word;
             self.looks.insert((word, id));
-            let lost = receiver.in_flight.is_some_and(|(_, since)| now >= since + answer);
+            let lost = receiver.in_flight.is_some_and(|(_, until)| now >= until);
             if lost {
                 receiver.in_flight = None;
             }
@@ -283,13 +293,14 @@
                 break;
             }
             receiver.marked = false;
+            let until = now + self.limits.answer + self.limits.answer_line.mul_f64(lines);
             match sent {
                 Sent::Delta(delta) => {
-                    receiver.in_flight = Some((delta.result, now));
+                    receiver.in_flight = Some((delta.result, until));
                     self.out.delta(id, delta);
                 }
                 Sent::Whole(whole) => {
-                    receiver.in_flight = Some((whole.version, now));
+                    receiver.in_flight = Some((whole.version, until));
                     self.out.whole(id, whole);
                 }
                 Sent::Nothing => {}
--- a/crates/feed/tests/pace.rs
+++ b/crates/feed/tests/pace.rs
@@ -276,3 +276,22 @@
     (0..3).for_each(|id| world.feed.left(id));
     assert_eq!((world.feed.held(), world.feed.next_wake()), ((0, 0), None));
 }
+
+/// A large update is not sent again while it is on its way; one of a few lines is, as soon as its answer is late.
+#[test]
+fn a_large_update_has_longer() {
+    let limits = Limits { answer: MS * 100, answer_line: MS, word: MS * 50, ..Limits::default() };
+    for (lines, sent) in [(1, 3), (400, 1)] {
+        let mut world = World::new(1, limits, 1);
+        (0..lines)
+            .for_each(|i| world.tables.set(0, Key::Line(format!("l{i}").into()), Some(Entry::Part(1.0))));
+        world.tables.seal(world.now, 0);
+        world.join(0);
+        // Nothing comes through.
+        for step in 1..=42 {
+            world.now = MS * 10 * step;
+            world.feed.woke(world.now, &world.tables, &world.withdrawals);
+        }
+        assert!((sent..=sent + 1).contains(&world.feed.out.wholes), "{lines}: {}", world.feed.out.wholes);
+    }
+}
--- a/crates/lantern/src/carry.rs
+++ b/crates/lantern/src/carry.rs
@@ -179,6 +179,7 @@
             RosterWord::Beat(beat) => hub.registry.beat(now, beat).is_change(),
             RosterWord::Left(server) => hub.registry.left(now, &server).is_change(),
             RosterWord::Join(line) => {
+                self.links.drop_tables(from);
                 let said = RosterWord::read_said(&line, &self.roster_terms);
                 said.into_iter().for_each(|said| hub.distribution.joined(now, from, said));
                 false
--- a/crates/lantern/src/links.rs
+++ b/crates/lantern/src/links.rs
@@ -2,6 +2,7 @@
 //! breaks or stalls. What a broken link held is lost; the cores cope with that.
 
 use crate::words::{Frames, Word};
+use fallgap_roster::RosterWord;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Registry, Token};
 use socket2::{Domain, Protocol, Socket, Type};
@@ -11,8 +12,10 @@
 use std::time::Duration;
 
 pub struct Terms {
-    /// Bytes that wait for one peer; what comes beyond is dropped.
+    /// Bytes that wait for one peer, and for all of them; what comes beyond is dropped. The least of a machine has
+    /// not a tenth of this a second to carry it off.
     pub waiting: usize,
+    pub waiting_all: usize,
     /// Streams that others have opened; more are closed at once.
     pub incoming: usize,
     /// A stream that does not open, or takes nothing, for so long is given up.
@@ -27,7 +30,14 @@
 impl Default for Terms {
     fn default() -> Self {
         let ms = Duration::from_millis;
-        Terms { waiting: 32 << 20, incoming: 1200, stall: ms(1200), pause: ms(150), anew: ms(60) }
+        Terms {
+            waiting: 4 << 20,
+            waiting_all: 24 << 20,
+            incoming: 1200,
+            stall: ms(1200),
+            pause: ms(150),
+            anew: ms(60),
+        }
     }
 }
 
@@ -52,9 +62,16 @@
     Met,
 }
 
+/// A word as it leaves.
+struct Frame {
+    bytes: Vec<u8>,
+    /// It is of a follower's table.
+    table: bool,
+}
+
 struct Outgoing {
     line: Line,
-    queue: VecDeque<Vec<u8>>,
+    queue: VecDeque<Frame>,
     bytes: usize,
     /// Of the first frame, how much has gone.
     sent: usize,
@@ -80,6 +97,8 @@
     incoming: BTreeMap<usize, Incoming>,
     next: usize,
     buffer: Vec<u8>,
+    /// Bytes that wait, for all peers.
+    held: usize,
     /// Peers with frames to be written.
     ready: Vec<Ipv4Addr>,
     /// Peers that could not be connected with, or whose stream broke, since this was last asked.
@@ -108,6 +127,7 @@
             incoming: BTreeMap::new(),
             next: first + 1,
             buffer: vec![0; 64 << 10],
+            held: 0,
             ready: Vec::new(),
             broken: Vec::new(),
         })
@@ -115,19 +135,22 @@
 
     /// Puts a word on its way. It may be lost.
     pub fn say(&mut self, now: Duration, registry: &Registry, to: Ipv4Addr, word: &Word) {
-        let Some(frame) = word.frame() else { return };
+        let Some(bytes) = word.frame() else { return };
+        let frame = Frame { bytes, table: matches!(word, Word::Roster(RosterWord::Told(_))) };
         let new = || Outgoing { line: Line::Rest, queue: VecDeque::new(), bytes: 0, sent: 0, moved: now };
         let out = self.out.entry(to).or_insert_with(new);
         if matches!(out.line, Line::Failed { until } if now < until) {
             return;
         }
-        if out.bytes + frame.len() > self.terms.waiting {
+        let length = frame.bytes.len();
+        if out.bytes + length > self.terms.waiting || self.held + length > self.terms.waiting_all {
             return;
         }
+        self.held += length;
         if out.queue.is_empty() {
             out.moved = now;
         }
-        out.bytes += frame.len();
+        out.bytes += length;
         out.queue.push_back(frame);
         if matches!(out.line, Line::Rest | Line::Failed { .. }) {
             self.connect(now, registry, to);
@@ -147,7 +170,8 @@
                 // What waited has not left. The greeting in front is put there again.
                 if let Some(out) = self.out.get_mut(&peer) {
                     (out.queue, out.bytes) = (queue, bytes);
-                    out.bytes -= out.queue.pop_front().map_or(0, |hello| hello.len());
+                    out.bytes -= out.queue.pop_front().map_or(0, |hello| hello.bytes.len());
+                    self.held += out.bytes;
                 }
                 self.connect(now, registry, peer);
             }
@@ -168,6 +192,22 @@
         std::mem::take(&mut self.broken)
     }
 
+    /// A follower has begun anew here: what waits of tables for it is void, and would only stand before what comes.
+    pub fn drop_tables(&mut self, to: Ipv4Addr) {
+        let Some(out) = self.out.get_mut(&to) else { return };
+        let begun = usize::from(out.sent > 0);
+        let mut at = 0;
+        let mut gone = 0;
+        out.queue.retain(|frame| {
+            at += 1;
+            let stays = at <= begun || !frame.table;
+            gone += if stays { 0 } else { frame.bytes.len() };
+            stays
+        });
+        out.bytes -= gone;
+        self.held -= gone;
+    }
+
     pub fn owns(&self, token: usize) -> bool {
         token >= self.first && token < self.next
     }
@@ -234,6 +274,7 @@
                 if !self.broken.contains(&to) {
                     self.broken.push(to);
                 }
+                self.held -= out.bytes;
                 out.queue.clear();
                 (out.bytes, out.sent) = (0, 0);
                 Line::Failed { until: now + self.terms.pause }
@@ -255,8 +296,9 @@
                 self.by_token.insert(token, to);
                 self.tokens.insert(to, token);
                 if let (Some(out), Some(hello)) = (self.out.get_mut(&to), Word::Hello(self.me).frame()) {
+                    self.held += hello.len();
                     out.bytes += hello.len();
-                    out.queue.push_front(hello);
+                    out.queue.push_front(Frame { bytes: hello, table: false });
                 }
                 self.turn(now, registry, to, Turn::Opens(stream));
             }
@@ -284,17 +326,17 @@
         let Some(out) = self.out.get_mut(&to) else { return };
         let Line::Open(stream) = &mut out.line else { return };
         while let Some(first) = out.queue.front() {
-            let rest = first.get(out.sent..).unwrap_or_default();
+            let rest = first.bytes.get(out.sent..).unwrap_or_default();
             // Small words that wait together leave together.
             let joined: Vec<u8>;
             let (piece, frames) = if out.queue.len() > 1 && rest.len() < 16 << 10 {
                 let mut all = rest.to_vec();
                 let mut frames = 1;
                 for frame in out.queue.iter().skip(1) {
-                    if all.len() + frame.len() > 64 << 10 {
+                    if all.len() + frame.bytes.len() > 64 << 10 {
                         break;
                     }
-                    all.extend_from_slice(frame);
+                    all.extend_from_slice(&frame.bytes);
                     frames += 1;
                 }
                 joined = all;
@@ -308,7 +350,7 @@
                     out.moved = now;
                     let whole = n == piece.len();
                     for _ in 0..frames {
-                        let left = out.queue.front().map_or(0, |f| f.len() - out.sent);
+                        let left = out.queue.front().map_or(0, |f| f.bytes.len() - out.sent);
                         if n < left {
                             out.sent += n;
                             break;
@@ -316,7 +358,8 @@
                         n -= left;
                         out.sent = 0;
                         if let Some(frame) = out.queue.pop_front() {
-                            out.bytes -= frame.len();
+                            out.bytes -= frame.bytes.len();
+                            self.held -= frame.bytes.len();
                         }
                     }
                     if !whole {
@@ -388,63 +431,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use mio::{Events, Poll};
-    use std::time::Instant;
-
-    const FIRST: usize = 16;
-    const ME: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 2);
-    const PEER: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 3);
-
-    /// A peer that takes no connection, as one without power: its queue is full, so first packets are lost.
-    fn deaf() -> (std::net::TcpListener, Vec<std::net::TcpStream>, u16) {
-        let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP)).unwrap();
-        socket.bind(&SocketAddr::V4(SocketAddrV4::new(PEER, 0)).into()).unwrap();
-        socket.listen(0).unwrap();
-        let listener: std::net::TcpListener = socket.into();
-        let at = listener.local_addr().unwrap();
-        let mut held = Vec::new();
-        while let Ok(stream) = std::net::TcpStream::connect_timeout(&at, Duration::from_millis(50)) {
-            held.push(stream);
-        }
-        (listener, held, at.port())
-    }
-
-    #[test]
-    fn a_peer_that_is_met_gets_what_waits_at_once() {
-        let (listener, held, port) = deaf();
-        let mut poll = Poll::new().unwrap();
-        let registry = poll.registry().try_clone().unwrap();
-        let mut links = Links::open(&registry, ME, port, FIRST, Terms::default()).unwrap();
-        let clock = Instant::now();
-        let mut events = Events::with_capacity(16);
-        let mut heard = Vec::new();
-        let word = Word::BeatTaken { id: 7 };
-        links.say(Duration::ZERO, &registry, PEER, &word);
-        let mut turn = |links: &mut Links, most: Duration| {
-            while clock.elapsed() < most {
-                poll.poll(&mut events, Some(most.saturating_sub(clock.elapsed()))).unwrap();
-                for event in &events {
-                    links.event(clock.elapsed(), &registry, event, &mut heard);
-                }
-                links.flush(clock.elapsed(), &registry);
-            }
-        };
-        turn(&mut links, Duration::from_millis(100));
-        // Power is back, and the peer is heard.
-        held.iter().for_each(|_| drop(listener.accept().unwrap()));
-        links.met(clock.elapsed(), &registry, PEER);
-        turn(&mut links, Duration::from_millis(400));
-        listener.set_nonblocking(true).unwrap();
-        let (mut stream, _) = listener.accept().expect("a new connection");
-        stream.set_nonblocking(false).unwrap();
-        stream.set_read_timeout(Some(Duration::from_millis(200))).unwrap();
-        let (mut frames, mut bytes) = (Frames::default(), [0; 256]);
-        let count = stream.read(&mut bytes).unwrap();
-        frames.push(&bytes[..count]);
-        assert!(matches!(frames.next(), Ok(Some(Word::Hello(ME)))));
-        assert!(matches!(frames.next(), Ok(Some(Word::BeatTaken { id: 7 }))));
-        assert!(matches!(frames.next(), Ok(None)));
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/lantern/src/links/tests.rs
@@ -0,0 +1,106 @@
+use super::*;
+use mio::{Events, Poll};
+use std::time::Instant;
+
+const FIRST: usize = 16;
+const ME: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 2);
+const PEER: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 3);
+
+/// A peer that takes no connection, as one without power: its queue is full, so first packets are lost.
+fn deaf() -> (std::net::TcpListener, Vec<std::net::TcpStream>, u16) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP)).unwrap();
+    socket.bind(&SocketAddr::V4(SocketAddrV4::new(PEER, 0)).into()).unwrap();
+    socket.listen(0).unwrap();
+    let listener: std::net::TcpListener = socket.into();
+    let at = listener.local_addr().unwrap();
+    let mut held = Vec::new();
+    while let Ok(stream) = std::net::TcpStream::connect_timeout(&at, Duration::from_millis(50)) {
+        held.push(stream);
+    }
+    (listener, held, at.port())
+}
+
+#[test]
+fn a_peer_that_is_met_gets_what_waits_at_once() {
+    let (listener, held, port) = deaf();
+    let mut poll = Poll::new().unwrap();
+    let registry = poll.registry().try_clone().unwrap();
+    let mut links = Links::open(&registry, ME, port, FIRST, Terms::default()).unwrap();
+    let clock = Instant::now();
+    let mut events = Events::with_capacity(16);
+    let mut heard = Vec::new();
+    let word = Word::BeatTaken { id: 7 };
+    links.say(Duration::ZERO, &registry, PEER, &word);
+    let mut turn = |links: &mut Links, most: Duration| {
+        while clock.elapsed() < most {
+            poll.poll(&mut events, Some(most.saturating_sub(clock.elapsed()))).unwrap();
+            for event in &events {
+                links.event(clock.elapsed(), &registry, event, &mut heard);
+            }
+            links.flush(clock.elapsed(), &registry);
+        }
+    };
+    turn(&mut links, Duration::from_millis(100));
+    // Power is back, and the peer is heard.
+    held.iter().for_each(|_| drop(listener.accept().unwrap()));
+    links.met(clock.elapsed(), &registry, PEER);
+    turn(&mut links, Duration::from_millis(400));
+    listener.set_nonblocking(true).unwrap();
+    let (mut stream, _) = listener.accept().expect("a new connection");
+    stream.set_nonblocking(false).unwrap();
+    stream.set_read_timeout(Some(Duration::from_millis(200))).unwrap();
+    let (mut frames, mut bytes) = (Frames::default(), [0; 256]);
+    let count = stream.read(&mut bytes).unwrap();
+    frames.push(&bytes[..count]);
+    assert!(matches!(frames.next(), Ok(Some(Word::Hello(ME)))));
+    assert!(matches!(frames.next(), Ok(Some(Word::BeatTaken { id: 7 }))));
+    assert!(matches!(frames.next(), Ok(None)));
+}
+
+const NOW: Duration = Duration::ZERO;
+
+fn opened(poll: &Poll, terms: Terms) -> (Links, std::net::TcpListener, Ipv4Addr) {
+    let (me, to) = (Ipv4Addr::new(127, 0, 0, 71), Ipv4Addr::new(127, 0, 0, 72));
+    let other = std::net::TcpListener::bind((to, 0)).unwrap();
+    let port = other.local_addr().unwrap().port();
+    let mut links = Links::open(poll.registry(), me, 0, 16, terms).unwrap();
+    links.port = port;
+    (links, other, to)
+}
+
+fn told(bytes: usize) -> Word {
+    Word::Roster(RosterWord::Told((0..bytes).map(|_| fastrand::u8(..)).collect()))
+}
+
+/// A follower that begins anew gets the new table at once, not behind those that it has given up.
+#[test]
+fn tables_that_are_void_do_not_wait() {
+    let poll = Poll::new().unwrap();
+    let (mut links, _other, to) = opened(&poll, Terms::default());
+    links.say(NOW, poll.registry(), to, &Word::BeatTaken { id: 1 });
+    for _ in 0..3 {
+        links.say(NOW, poll.registry(), to, &told(100_000));
+    }
+    links.drop_tables(to);
+    links.say(NOW, poll.registry(), to, &told(1000));
+    let out = &links.out[&to];
+    let waiting: Vec<bool> = out.queue.iter().map(|frame| frame.table).collect();
+    // Its own name, the beat's word, the new table.
+    assert_eq!(waiting, [false, false, true]);
+    assert_eq!(out.bytes, out.queue.iter().map(|frame| frame.bytes.len()).sum::<usize>());
+    assert_eq!(links.held, out.bytes);
+}
+
+/// However much is said, no more waits than may.
+#[test]
+fn what_waits_is_bounded() {
+    let poll = Poll::new().unwrap();
+    let terms = Terms { waiting: 50_000, waiting_all: 30_000, ..Terms::default() };
+    let (mut links, _other, to) = opened(&poll, terms);
+    for _ in 0..20 {
+        links.say(NOW, poll.registry(), to, &told(10_000));
+    }
+    assert!((20_000..=31_000).contains(&links.held), "{}", links.held);
+    links.turn(NOW, poll.registry(), to, Turn::Fails);
+    assert_eq!(links.held, 0);
+}
--- a/crates/lantern/src/words.rs
+++ b/crates/lantern/src/words.rs
@@ -1,13 +1,19 @@
-//! What supervisors say to each other, and how it stands in a frame: four bytes of length, then the word.
+//! What supervisors say to each other, and how it stands in a frame: four bytes of length, then the word. A long
+//! word is packed, and the length's highest bit says so: tables and configurations repeat themselves, and the links
+//! of small machines carry clients' answers as well.
 
 use fallgap_chart::Beat;
 use fallgap_keeper::{Answer, Call, Message};
 use fallgap_roster::RosterWord;
+use lz4_flex::block::{compress_prepend_size, decompress, uncompressed_size};
 use serde::{Deserialize, Serialize};
 use std::net::Ipv4Addr;
 
 /// Bytes of one frame at most: a configuration of the largest size fits. A longer one ends the link.
 pub const FRAME: usize = 20 << 20;
+/// Words from that length on are packed. Below it there is little to gain.
+const PACKS: usize = 1500;
+const PACKED: u32 = 1 << 31;
 
 #[derive(Debug, Serialize, Deserialize)]
 pub enum Word {
@@ -38,12 +44,27 @@
     /// The word as a frame; `None` if it is too long for one.
     pub fn frame(&self) -> Option<Vec<u8>> {
         let mut frame = postcard::to_extend(self, vec![0; 4]).ok()?;
-        let length = u32::try_from(frame.len() - 4).ok().filter(|n| *n as usize <= FRAME)?;
+        let mut length = u32::try_from(frame.len() - 4).ok().filter(|n| *n as usize <= FRAME)?;
+        if frame.len() > PACKS {
+            let packed = compress_prepend_size(frame.get(4..)?);
+            if packed.len() < frame.len() - 4 {
+                frame.truncate(4);
+                frame.extend_from_slice(&packed);
+                frame.shrink_to_fit();
+                length = u32::try_from(packed.len()).ok()? | PACKED;
+            }
+        }
         frame.get_mut(..4)?.copy_from_slice(&length.to_le_bytes());
         Some(frame)
     }
 }
 
+/// A packed word. Its length is looked at before it is unpacked.
+fn unpacked(packed: &[u8]) -> Option<Word> {
+    let (length, rest) = uncompressed_size(packed).ok().filter(|(length, _)| *length <= FRAME)?;
+    postcard::from_bytes(&decompress(rest, length).ok()?).ok()
+}
+
 /// The stream is not one of frames, or holds what no supervisor says.
 #[derive(Debug, PartialEq, Eq, displaydoc::Display, thiserror::Error)]
 pub enum OddStream {
@@ -72,12 +93,14 @@
     pub fn next(&mut self) -> Result<Option<Word>, OddStream> {
         let rest = self.held.get(self.read..).unwrap_or_default();
         let Some((head, body)) = rest.split_first_chunk::<4>() else { return Ok(self.wait()) };
-        let length = u32::from_le_bytes(*head) as usize;
+        let head = u32::from_le_bytes(*head);
+        let length = (head & !PACKED) as usize;
         if length > FRAME {
             return Err(OddStream::Long(length));
         }
         let Some(word) = body.get(..length) else { return Ok(self.wait()) };
-        let word = postcard::from_bytes(word).map_err(|_| OddStream::Word)?;
+        let word = if head & PACKED == 0 { postcard::from_bytes(word).ok() } else { unpacked(word) };
+        let word = word.ok_or(OddStream::Word)?;
         self.read += 4 + length;
         Ok(Some(word))
     }
@@ -92,3 +115,55 @@
         None
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn told(bytes: usize) -> Word {
+        let text: Vec<u8> =
+            (0..bytes / 32).flat_map(|n| format!("route/fiba0.example/l{n:011}").into_bytes()).collect();
+        Word::Roster(RosterWord::Told(text))
+    }
+
+    /// Words of all lengths come out as they went in, however the stream is cut; long ones take a third at most.
+    #[test]
+    fn long_words_are_packed() {
+        let words = [told(64), told(1400), told(1600), told(300_000), told(32)];
+        let frames: Vec<Vec<u8>> = words.iter().filter_map(Word::frame).collect();
+        assert!(frames[3].len() < 100_000, "{}", frames[3].len());
+        let stream = frames.concat();
+        for piece in [1000, 64 << 10, stream.len()] {
+            let mut held = Frames::default();
+            let mut out = Vec::new();
+            for bytes in stream.chunks(piece) {
+                held.push(bytes);
+                while let Some(word) = held.next().unwrap() {
+                    out.push(format!("{word:?}"));
+                }
+            }
+            assert_eq!(out, words.each_ref().map(|word| format!("{word:?}")));
+        }
+    }
+
+    /// A length that no word has, in the frame or within the packing, ends the stream before any room is taken.
+    #[test]
+    fn odd_lengths_end_the_stream() {
+        let packed = |length: u32| {
+            let mut frame = (8 | PACKED).to_le_bytes().to_vec();
+            frame.extend_from_slice(&length.to_le_bytes());
+            frame.extend_from_slice(&[0; 4]);
+            frame
+        };
+        let long = (FRAME as u32 + 1).to_le_bytes().to_vec();
+        for (frame, odd) in [
+            (packed(u32::MAX), OddStream::Word),
+            (packed(9), OddStream::Word),
+            (long, OddStream::Long(FRAME + 1)),
+        ] {
+            let mut held = Frames::default();
+            held.push(&frame);
+            assert_eq!(held.next().unwrap_err(), odd);
+        }
+    }
+}
--- a/crates/roster/src/distribution.rs
+++ b/crates/roster/src/distribution.rs
@@ -78,6 +78,7 @@
             receivers: terms.followers,
             lines_a_second: terms.lines_a_second,
             answer: terms.answer,
+            answer_line: terms.answer_line,
             word: terms.word,
             ..Limits::default()
         };
--- a/crates/roster/src/terms.rs
+++ b/crates/roster/src/terms.rs
@@ -28,8 +28,10 @@
     pub idle: Duration,
     /// Lines that leave a home in a second; what is over waits.
     pub lines_a_second: f64,
-    /// After so long without an answer an update counts as lost.
+    /// After so long without an answer an update counts as lost; each of its lines adds to that: 2,000 lines take
+    /// half a second on the thinnest links, and as much again in a machine with a tenth of a core.
     pub answer: Duration,
+    pub answer_line: Duration,
     /// Least time between two words to a follower. Up to half as much again is drawn.
     pub word: Duration,
     /// Changes of servers are gathered for so long before tables are built.
@@ -84,6 +86,7 @@
             idle: s(5),
             lines_a_second: 100_000.0,
             answer: ms(400),
+            answer_line: Duration::from_micros(500),
             word: ms(200),
             gather: ms(20),
             rebuild: s(5),
