Keeper: bytes of all values bounded; calls that would add are told to come back

Now 16 MB of values are kept at most; reads, renewals and returns go on. Test: a keeper full of values turns new ones away, reads old ones, and still counts them after a start.

--- a/crates/keeper/src/acceptor.rs
+++ b/crates/keeper/src/acceptor.rs
@@ -39,6 +39,10 @@
         self.accepted.as_ref().map(|accepted| accepted.ballot)
     }
 
+    fn bytes(&self) -> usize {
+        self.accepted.as_ref().map_or(0, |accepted| accepted.value.bytes().len())
+    }
+
     fn sight(&self, now: Duration, known: Option<Ballot>) -> Option<Sight> {
         let accepted = self.accepted.as_ref()?;
         Some(Sight {
@@ -55,17 +59,24 @@
 pub(crate) struct Acceptor {
     registers: BTreeMap<Key, Register>,
     sums: Vec<u64>,
+    /// Of all values.
+    bytes: usize,
 }
 
 impl Acceptor {
     pub fn new() -> Acceptor {
-        Acceptor { registers: BTreeMap::new(), sums: vec![0; PARTS] }
+        Acceptor { registers: BTreeMap::new(), sums: vec![0; PARTS], bytes: 0 }
     }
 
     pub fn len(&self) -> usize {
         self.registers.len()
     }
 
+    /// What all values hold together.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     pub fn get(&self, key: &Key) -> Option<&Register> {
         self.registers.get(key)
     }
@@ -144,6 +155,8 @@
         let Some((ballot, value)) = accepted else { return };
         if register.ballot() < Some(ballot) {
             let before = register.ballot();
+            let held = register.bytes();
+            self.bytes = (self.bytes + value.bytes().len()).saturating_sub(held);
             register.accepted = Some(Accepted { ballot, value, at: now, age: Duration::ZERO });
             self.sum(&key, before, ballot);
         }
@@ -201,6 +214,8 @@
         let logged = pen.log(&record);
         let register = Self::entry(&mut self.registers, key);
         let before = register.ballot();
+        let held = register.bytes();
+        self.bytes = (self.bytes + value.bytes().len()).saturating_sub(held);
         register.promised = Some(promised);
         register.accepted = Some(Accepted { ballot, value, at: now, age });
         register.logged = logged;
--- a/crates/keeper/src/keeper.rs
+++ b/crates/keeper/src/keeper.rs
@@ -149,6 +149,7 @@
         let over = self.calls >= self.terms.calls
             || (watch && self.watches.len() >= self.terms.watches)
             || name_of(&key).len() > self.terms.name
+            || (call.adds() && self.acceptor.bytes() + call.bytes() > self.terms.bytes)
             || (self.acceptor.len() >= self.terms.registers && self.acceptor.get(&key).is_none());
         if over || self.voting_epoch().is_none() || !self.has_quorum(now) {
             return self.pen.answer(id, Answer::Busy);
--- a/crates/keeper/src/terms.rs
+++ b/crates/keeper/src/terms.rs
@@ -77,6 +77,9 @@
     pub watches: usize,
     /// Registers; calls to one more are `Busy` at once.
     pub registers: usize,
+    /// Bytes of all values together: two snapshots and the logs between them have to fit on the disk. Calls that
+    /// would write are `Busy` at once over it.
+    pub bytes: usize,
     /// A register's name in bytes; calls for longer ones are `Busy` at once.
     pub name: usize,
     /// Remembered ballots of registers that nobody calls; over it they are forgotten and prepared anew.
@@ -131,6 +134,7 @@
             calls: 4096,
             watches: 256,
             registers: 20_000,
+            bytes: 16 << 20,
             name: 256,
             remembered: 2048,
             missed: 4096,
--- a/crates/keeper/src/types.rs
+++ b/crates/keeper/src/types.rs
@@ -74,6 +74,17 @@
         }
     }
 
+    /// Whether it may make a register hold more than before.
+    pub fn adds(&self) -> bool {
+        match self {
+            Call::ConfigPut { .. } | Call::LockStart { .. } | Call::Number { .. } | Call::CellPut { .. } => {
+                true
+            }
+            Call::ConfigGet | Call::LockBeat { .. } | Call::LockEnd { .. } => false,
+            Call::CellGet { .. } | Call::Watch { .. } => false,
+        }
+    }
+
     /// How many bytes the call's words hold, for bounds.
     pub fn bytes(&self) -> usize {
         match self {
--- a/crates/keeper/tests/sea/calm.rs
+++ b/crates/keeper/tests/sea/calm.rs
@@ -128,3 +128,25 @@
         }
     }
 }
+
+/// Without the bound a disk fills with values until no snapshot fits beside the logs, and nothing can be written.
+#[test]
+fn full_of_values_new_ones_are_turned_away_and_old_ones_are_read() {
+    let mut sea = Sea::new(5, 3, 0);
+    sea.terms.bytes = 40_000;
+    sea.run(ms(3000));
+    let put = |n: u64| Call::CellPut { name: format!("g{n}.a"), value: format!("{n:04000}"), on: None };
+    let answers: Vec<Answer> = (0..14).map(|n| ask(&mut sea, 1, n, put(n)).0).collect();
+    let kept = answers.iter().take_while(|answer| **answer == Answer::Revision(1)).count();
+    assert!((4..10).contains(&kept), "{kept} of 14 are kept");
+    assert!(answers.iter().skip(kept).all(|answer| *answer == Answer::Busy), "{answers:?}");
+    let read = ask(&mut sea, 2, 100, Call::CellGet { name: "g0.a".into() }).0;
+    assert!(matches!(read, Answer::Cell { revision: 1, .. }));
+    // What is held counts after a start too.
+    for n in 1..=3 {
+        sea.kill(node(n), false);
+        sea.restart(node(n), ms(200), false);
+    }
+    sea.run(sea.now + ms(3000));
+    assert_eq!(ask(&mut sea, 3, 101, put(20)).0, Answer::Busy);
+}
