Sources: what lifts a withdrawal stands with what is kept; rule knows no claim

Seen: claim.rs took what a source may say from rule.rs, and rule.rs took what is kept of a source from claim.rs, for one function.

Change, no behaviour: `lifts` is a method of Kept. rule.rs holds the table, join and course and uses nothing of the crate. Its tests stay as they are and pass.

--- a/crates/sources/src/claim.rs
+++ b/crates/sources/src/claim.rs
@@ -94,4 +94,11 @@
     pub fn names(&self) -> bool {
         matches!(self.kind, Kind::Ready | Kind::Draining)
     }
+    /// Whether this offer lifts another source's withdrawal: the server has started since, or, for one that
+    /// was called gone or is no longer named, the offer was made anew and cannot be older than the withdrawal.
+    /// A record that has merely stayed says nothing new, and a cached one may be older.
+    pub fn lifts(&self, withdrawal: &Kept) -> bool {
+        let started = matches!(self.age, Age::Since(at) if at > withdrawal.made);
+        started || (withdrawal.kind != Kind::Draining && self.oldest > withdrawal.made)
+    }
 }
--- a/crates/sources/src/rule.rs
+++ b/crates/sources/src/rule.rs
@@ -1,8 +1,6 @@
 //! The rule when sources disagree, as one table of all pairs of what two sources may say of a server.
 //! `docs/design/sources.md` shows the same table; a test compares the two.
 
-use crate::claim::{Age, Kept};
-
 /// What one source, or several joined, say of a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Said {
@@ -66,14 +64,6 @@
     }
 }
 
-/// Whether an offer by another source lifts a withdrawal: the server has started since, or, for one that
-/// was called gone or is no longer named, the offer was made anew and cannot be older than the withdrawal.
-/// A record that has merely stayed says nothing new, and a cached one may be older.
-pub(crate) fn lifts(offer: &Kept, withdrawal: &Kept) -> bool {
-    let started = matches!(offer.age, Age::Since(at) if at > withdrawal.made);
-    started || (withdrawal.kind != Draining && offer.oldest > withdrawal.made)
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/sources/src/sources/telling.rs
+++ b/crates/sources/src/sources/telling.rs
@@ -53,7 +53,7 @@
                     if is_worn { Said::Worn } else { Said::Ready }
                 }
                 withdrawn => {
-                    if offers().any(|(_, offer)| rule::lifts(offer, kept)) {
+                    if offers().any(|(_, offer)| offer.lifts(kept)) {
                         Said::Silent
                     } else {
                         withdrawn
