--- a/src/decide.rs
+++ b/src/decide.rs
@@ -117,7 +117,7 @@
         known.line_at_join(usual, fresh);
         // A standing table may name servers that drain, are gone or cold: then the join cannot wait.
         let hurry = known.servers.values().any(|s| s.state != ServerState::Ready || s.ease.is_some());
-        known.joins = true;
+        known.joins += 1;
         known.mark(proxy, if hurry { RULE } else { ORDINARY });
     }
 
--- a/src/decide/builds.rs
+++ b/src/decide/builds.rs
@@ -7,7 +7,7 @@
 const PLAN_OLD: Duration = Duration::from_secs(1);
 /// How much later than others a message may arrive that left before them.
 const TRAVEL: Duration = Duration::from_secs(1);
-/// Changes of a line smaller than this part are not sent.
+/// Changes of a line smaller than this part are not sent; a smaller part that joins makes no plan old.
 const SAME: f64 = 0.04;
 
 impl Known {
@@ -19,12 +19,14 @@
         let mut wrote = false;
         // What cannot leave is not built: tables that wait for the limits are many when the fleet is large.
         let urgent = self.urgent(|p| !self.spent(p, p.hurry));
-        // Joins move what all tables share by little each: a crowd of them does not work it out at every one.
-        let last = if self.joins { TICK } else { PLAN_OLD };
-        let old = self.plan.as_ref().is_none_or(|p| now >= p.at + last);
+        // Each join moves what all tables share by little where they are many: a crowd does not work it out at
+        // every one. Where they are few, one that takes over for a dead peer moves it by much.
+        let last = if self.joins > 0 { TICK } else { PLAN_OLD };
+        let joined = |p: &Plan| self.joins as f64 > SAME * p.dealt.len() as f64;
+        let old = self.plan.as_ref().is_none_or(|p| now >= p.at + last || joined(p));
         if old && !(urgent.is_empty() && self.out.queue.is_empty()) {
             self.plan = Some(self.plan());
-            self.joins = false;
+            self.joins = 0;
         }
         for id in urgent {
             let hurry = self.proxies[&id].hurry;
--- a/src/decide/line.rs
+++ b/src/decide/line.rs
@@ -72,9 +72,10 @@
         if tries > 0.0 && (self.line.is_finite() || pressure > PRESSED.0) {
             let line = self.line.min(whole);
             // What was let in when the reports were made: a share cut twice for one jam empties servers.
-            // An order is heard of after a second or two, and a report tells of the span before it.
-            let ago = |spans: f64| self.now.saturating_sub(ORDER_HEARD + self.pace.mul_f64(spans));
-            let then = mean(self.past.between(ago(1.0), ago(0.0)).copied()).unwrap_or(whole);
+            // Reports of `lately` each tell of a span before them: of the middle of both together, mostly.
+            let told = self.lately() + self.pace;
+            let ago = |part: f64| self.now.saturating_sub(ORDER_HEARD + told.mul_f64(part));
+            let then = mean(self.past.between(ago(0.75), ago(0.25)).copied()).unwrap_or(whole);
             let (got, rise) = if by_rate { (got_in * all, RISE[0]) } else { (then, RISE[1]) };
             // Small rates let in less than they say: with clear room, what was ordered counts if it is more.
             let part = if pressure < PRESSED.2 { then.max(got) } else { got };
--- a/src/known.rs
+++ b/src/known.rs
@@ -15,8 +15,8 @@
     pub proxies: BTreeMap<u32, Proxy>,
     pub ranks: Ranks,
     pub plan: Option<Plan>,
-    /// A proxy has joined since the plan.
-    pub joins: bool,
+    /// Proxies that have joined since the plan.
+    pub joins: usize,
     pub out: Outgoing,
     pub heard: Duration,
     /// Time between two reports of one thing: the interval, or more where only some lines come through.
@@ -57,7 +57,7 @@
             proxies: BTreeMap::new(),
             ranks: Ranks::default(),
             plan: None,
-            joins: false,
+            joins: 0,
             out: Outgoing { budget, budget_at: now, ..Outgoing::default() },
             heard: now,
             stepped: now,
