Calls that take longer than usual are run at a second keeper too

Each supervisor learned of the silent keeper by itself, 400 ms at a time, and again when its pause was over, until the beacon doubted it after 1.1 s and more. Ruled out: the registers: the keepers that are there answer in 10 to 25 ms all the while; the time to a doubt is needed against false ones. At fault: Calls::place, one fixed patience of 400 ms before another keeper was asked. Change: a call's first keeper is given the usual time of answers and four times its swing, 45 ms at least; then a second is asked besides, and the first answer counts. All calls may run twice already: lock, number and put are known again by their register. The first is held to be silent when the second overtakes it, or after 400 ms as before; where both are slow, no keeper is held silent early and no third is asked before 400 ms. "Unknown" of one waits for the other, which may know.

--- a/crates/lantern/src/calls.rs
+++ b/crates/lantern/src/calls.rs
@@ -1,8 +1,10 @@
 //! Calls under way: whom they came from, where they are run, and what is said when that place falls silent. A call
 //! runs at the keeper that its key names, so that calls on one key do not get in each other's way; any other
-//! keeper may run it as well.
+//! keeper may run it as well. One that takes much longer than usual is run at a second keeper besides: every call
+//! may run twice, and the first answer counts.
 
 use crate::asks::Told;
+use crate::usual::Usual;
 use fallgap_keeper::{Answer, Call, Key};
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
@@ -16,6 +18,9 @@
     pub calls: usize,
     /// A keeper that has not answered for so long is passed over.
     pub patience: Duration,
+    /// A second keeper is asked after the usual time of an answer and four times its swing, but not before this:
+    /// one round of a contested register is no reason.
+    pub second: Duration,
     /// The caller goes on elsewhere after a second: by then it has an answer.
     pub whole: Duration,
     /// A keeper that said nothing is asked last for so long, each time in a row twice as long, up to the most.
@@ -31,6 +36,7 @@
         Terms {
             calls: 2048,
             patience: ms(400),
+            second: ms(45),
             whole: ms(880),
             avoid: ms(600),
             avoid_most: ms(1500),
@@ -47,13 +53,6 @@
     There(Ipv4Addr, u64),
 }
 
-/// Where a call is run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Place {
-    Here,
-    At(Ipv4Addr),
-}
-
 /// What this supervisor makes of a keeper by its answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Standing {
@@ -95,20 +94,45 @@
     }
 }
 
+/// How far a keeper is with a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stand {
+    /// It has not said anything. `missed`: for so long that it is held against it.
+    Open { missed: bool },
+    /// It has not run it, or does not know whether it has.
+    Done,
+}
+
+struct Asked {
+    keeper: Ipv4Addr,
+    at: Duration,
+    stand: Stand,
+}
+
 struct Pending {
     caller: Caller,
     call: Call,
-    place: Place,
-    /// Keepers that were asked; what they were asked may have taken effect unless they said otherwise.
-    tried: Vec<Ipv4Addr>,
-    /// One of them has not said what became of it.
+    /// What they were asked may have taken effect unless they said otherwise.
+    asked: Vec<Asked>,
+    /// One of them does not know what became of it.
     doubt: bool,
     since: Duration,
     /// A watch waits for so long at will.
     wait: Duration,
+    /// Then another keeper is asked, or the caller is told.
     next: Duration,
 }
 
+impl Pending {
+    fn open(&self) -> impl Iterator<Item = &Asked> {
+        self.asked.iter().filter(|asked| matches!(asked.stand, Stand::Open { .. }))
+    }
+
+    fn last(&self, terms: &Terms) -> Duration {
+        self.since + self.wait + terms.whole
+    }
+}
+
 /// What is to be done for a call.
 pub enum Step {
     Run(u64, Call),
@@ -121,27 +145,30 @@
     pending: BTreeMap<u64, Pending>,
     /// Keepers that are not simply good.
     standings: BTreeMap<Ipv4Addr, Standing>,
+    usual: Usual,
     next: u64,
 }
 
 impl Calls {
     /// `first`: numbers of calls of an earlier life are not used again.
     pub fn new(terms: Terms, first: u64) -> Calls {
-        Calls { terms, pending: BTreeMap::new(), standings: BTreeMap::new(), next: first }
+        let usual = Usual::default();
+        Calls { terms, pending: BTreeMap::new(), standings: BTreeMap::new(), usual, next: first }
     }
 
     /// A call has come. `keepers`: those that may run it, the best first; `me` among them if it may run here.
     pub fn came(
         &mut self, now: Duration, me: Ipv4Addr, caller: Caller, call: Call, keepers: &[Ipv4Addr],
-    ) -> Step {
+    ) -> Vec<Step> {
         if self.pending.len() >= self.terms.calls {
-            return Step::Answer(caller, Answer::Busy);
+            return vec![Step::Answer(caller, Answer::Busy)];
         }
         let wait = if let Call::Watch { wait, .. } = &call { *wait } else { Duration::ZERO };
-        let tried = Vec::new();
-        let place = Place::Here;
-        let pending = Pending { caller, call, place, tried, doubt: false, since: now, wait, next: now };
-        self.place(now, me, pending, keepers)
+        let asked = Vec::new();
+        let pending = Pending { caller, call, asked, doubt: false, since: now, wait, next: now };
+        let id = self.next;
+        self.next += 1;
+        self.place(now, me, id, pending, keepers)
     }
 
     fn sign(&mut self, now: Duration, keeper: Ipv4Addr, sign: Sign) {
@@ -158,50 +185,79 @@
 
     /// Sends a call to the best keeper that was not asked yet. Those that are avoided are not waited for: if only
     /// they are left, the caller is better off elsewhere.
-    fn place(&mut self, now: Duration, me: Ipv4Addr, mut pending: Pending, keepers: &[Ipv4Addr]) -> Step {
-        let over = now >= pending.since + pending.wait + self.terms.whole;
-        let fit = |k: &&Ipv4Addr| !pending.tried.contains(k) && (keepers.len() == 1 || !self.avoided(now, k));
-        let next = keepers.iter().find(fit).filter(|_| !over);
-        let Some(next) = next.copied() else {
-            let answer = if pending.doubt { Answer::Unknown } else { Answer::Busy };
-            return Step::Answer(pending.caller, answer);
+    fn place(
+        &mut self, now: Duration, me: Ipv4Addr, id: u64, mut pending: Pending, keepers: &[Ipv4Addr],
+    ) -> Vec<Step> {
+        let last = pending.last(&self.terms);
+        let fit = |k: &&Ipv4Addr| {
+            let asked = pending.asked.iter().any(|asked| asked.keeper == **k);
+            !asked && (keepers.len() == 1 || !self.avoided(now, k))
         };
-        let id = self.next;
-        self.next += 1;
-        pending.tried.push(next);
-        pending.place = if next == me { Place::Here } else { Place::At(next) };
-        let last = pending.since + pending.wait + self.terms.whole;
-        // A keeper of its own knows when to give up; silence of another one means nothing.
-        let patience = if next == me { self.terms.whole } else { self.terms.patience };
+        let Some(next) = keepers.iter().find(fit).filter(|_| now < last).copied() else {
+            if pending.open().next().is_some() && now < last {
+                pending.next = last;
+                self.pending.insert(id, pending);
+                return Vec::new();
+            }
+            let sure = !pending.doubt && pending.open().next().is_none();
+            return vec![Step::Answer(pending.caller, if sure { Answer::Busy } else { Answer::Unknown })];
+        };
+        // Only the first is helped early: a second that is as slow tells that all are.
+        let first = pending.asked.is_empty() && keepers.len() > 1;
+        let usual = self.usual.late().map_or(self.terms.patience, |late| late.max(self.terms.second));
+        let patience = if first { usual.min(self.terms.patience) } else { self.terms.patience };
+        // A watch may wait: its silence says less than another call's.
         pending.next = (now + pending.wait + patience).min(last);
+        pending.asked.push(Asked { keeper: next, at: now, stand: Stand::Open { missed: false } });
         let call = pending.call.clone();
         self.pending.insert(id, pending);
-        if next == me { Step::Run(id, call) } else { Step::Ask(next, id, call) }
+        vec![if next == me { Step::Run(id, call) } else { Step::Ask(next, id, call) }]
     }
 
     /// A keeper says what became of a call; `from`: which one.
     pub fn answered(
         &mut self, now: Duration, me: Ipv4Addr, from: Ipv4Addr, id: u64, answer: Answer,
         keepers: impl Fn(&Key) -> Vec<Ipv4Addr>,
-    ) -> Option<Step> {
-        let place = if from == me { Place::Here } else { Place::At(from) };
-        if self.pending.get(&id).is_none_or(|p| p.place != place) {
-            return None;
-        }
-        let mut pending = self.pending.remove(&id)?;
-        let sign = if answer == Answer::Busy { Sign::CannotRun } else { Sign::Answers };
-        self.sign(now, from, sign);
+    ) -> Vec<Step> {
+        let Some(mut pending) = self.pending.remove(&id) else { return Vec::new() };
+        let open = |asked: &&mut Asked| asked.keeper == from && asked.stand != Stand::Done;
+        let Some(asked) = pending.asked.iter_mut().find(open) else {
+            self.pending.insert(id, pending);
+            return Vec::new();
+        };
+        asked.stand = Stand::Done;
+        let at = asked.at;
+        self.sign(now, from, if answer == Answer::Busy { Sign::CannotRun } else { Sign::Answers });
         match answer {
             // It has not been run there: another may.
-            Answer::Busy => {
-                let keepers = keepers(&pending.call.key());
-                Some(self.place(now, me, pending, &keepers))
-            }
-            Answer::Unknown => {
-                pending.doubt = true;
-                Some(Step::Answer(pending.caller, Answer::Unknown))
+            Answer::Busy => {}
+            Answer::Unknown => pending.doubt = true,
+            answer => {
+                if pending.wait.is_zero() && from != me {
+                    self.usual.took(now.saturating_sub(at));
+                }
+                self.overtaken(now, me, &pending, at);
+                return vec![Step::Answer(pending.caller, answer)];
             }
-            answer => Some(Step::Answer(pending.caller, answer)),
+        }
+        if pending.open().next().is_some() {
+            self.pending.insert(id, pending);
+            return Vec::new();
+        }
+        if pending.doubt {
+            return vec![Step::Answer(pending.caller, Answer::Unknown)];
+        }
+        let keepers = keepers(&pending.call.key());
+        self.place(now, me, id, pending, &keepers)
+    }
+
+    /// One that was asked later, `at` this time, has answered first: the others are slow at least.
+    fn overtaken(&mut self, now: Duration, me: Ipv4Addr, pending: &Pending, at: Duration) {
+        let slow = pending.open().filter(|asked| asked.at < at && asked.keeper != me);
+        for keeper in
+            slow.filter(|asked| asked.stand == Stand::Open { missed: false }).map(|asked| asked.keeper)
+        {
+            self.sign(now, keeper, Sign::Silent);
         }
     }
 
@@ -213,13 +269,17 @@
         let mut steps = Vec::new();
         for id in due {
             let Some(mut pending) = self.pending.remove(&id) else { continue };
-            pending.doubt = true;
-            // A watch may wait: its silence says less than another call's.
-            if let Place::At(keeper) = pending.place {
-                self.sign(now, keeper, Sign::Silent);
+            let over = now >= pending.last(&self.terms);
+            let patience = pending.wait + self.terms.patience;
+            for asked in &mut pending.asked {
+                let missed = (over || now >= asked.at + patience) && asked.keeper != me;
+                if missed && asked.stand == (Stand::Open { missed: false }) {
+                    asked.stand = Stand::Open { missed: true };
+                    self.sign(now, asked.keeper, Sign::Silent);
+                }
             }
             let keepers = keepers(&pending.call.key());
-            steps.push(self.place(now, me, pending, &keepers));
+            steps.extend(self.place(now, me, id, pending, &keepers));
         }
         steps
     }
@@ -285,7 +345,9 @@
             let keepers = vec![node(1), node(2), node(3)];
             World { calls: Calls::new(Terms::default(), 1), keepers, ids: vec![], said: vec![] }
         }
-        fn take(&mut self, step: Step) -> &'static str {
+        fn take(&mut self, steps: Vec<Step>) -> &'static str {
+            assert!(steps.len() < 2);
+            let Some(step) = steps.into_iter().next() else { return "nothing" };
             match step {
                 Step::Run(..) => "here",
                 Step::Ask(to, id, _) => {
@@ -310,14 +372,17 @@
         }
         fn answers(&mut self, now: Duration, answer: Answer) -> &'static str {
             let (from, id) = self.ids.pop().expect("a call under way");
+            self.says(now, from, id, answer)
+        }
+        fn says(&mut self, now: Duration, from: Ipv4Addr, id: u64, answer: Answer) -> &'static str {
             let keepers = self.keepers.clone();
             let step = self.calls.answered(now, node(9), from, id, answer, |_| keepers.clone());
-            step.map_or("nothing", |step| self.take(step))
+            self.take(step)
         }
         fn wakes(&mut self, now: Duration) -> Vec<&'static str> {
             let keepers = self.keepers.clone();
             let steps = self.calls.woke(now, node(9), |_| keepers.clone());
-            steps.into_iter().map(|step| self.take(step)).collect()
+            steps.into_iter().map(|step| self.take(vec![step])).collect()
         }
     }
 
@@ -328,7 +393,9 @@
         assert_eq!(world.answers(5 * MS, Answer::Busy), "2");
         // The second says nothing: what was asked of it may have been done.
         assert_eq!(world.wakes(405 * MS), ["3"]);
-        assert_eq!(world.answers(410 * MS, Answer::Busy), "unknown");
+        assert_eq!(world.answers(410 * MS, Answer::Busy), "nothing");
+        assert_eq!(world.wakes(879 * MS), [] as [&str; 0]);
+        assert_eq!(world.wakes(880 * MS), ["unknown"]);
         // Nothing of this one was ever run.
         let mut world = World::new();
         assert_eq!(world.comes(Duration::ZERO), "1");
@@ -362,6 +429,38 @@
         assert_eq!(world.comes(3005 * MS), "1");
     }
 
+    /// Fails without the second keeper: a call that met a frozen one took 400 ms, at each supervisor anew.
+    #[test]
+    fn one_that_takes_longer_than_usual_is_helped_by_a_second() {
+        let mut world = World::new();
+        for at in 0..20 {
+            assert_eq!(world.comes(100 * at * MS), "1");
+            assert_eq!(world.answers((100 * at + 10) * MS, Answer::Value(1)), "answer");
+        }
+        assert_eq!(world.comes(2000 * MS), "1");
+        let (first, id) = world.ids[0];
+        assert_eq!(world.wakes(2044 * MS), [] as [&str; 0]);
+        assert_eq!(world.wakes(2045 * MS), ["2"]);
+        // Not run by the second: the first is waited for, and its answer counts.
+        assert_eq!(world.answers(2050 * MS, Answer::Busy), "nothing");
+        assert_eq!(world.says(2060 * MS, first, id, Answer::Value(1)), "answer");
+        assert_eq!(world.says(2061 * MS, first, id, Answer::Value(1)), "nothing");
+        // The second is faster by far: the first is not waited for again.
+        world.calls.anew(node(2));
+        world.ids.clear();
+        assert_eq!(world.comes(3000 * MS), "1");
+        assert_eq!(world.wakes(3100 * MS), ["2"]);
+        assert_eq!(world.answers(3110 * MS, Answer::Value(2)), "answer");
+        assert_eq!(world.comes(3111 * MS), "2");
+        assert_eq!(world.answers(3120 * MS, Answer::Value(2)), "answer");
+        // One answer late by much is usual where all are: no third is asked early.
+        world.calls.anew(node(1));
+        assert_eq!(world.comes(4000 * MS), "1");
+        assert_eq!(world.wakes(4100 * MS), ["2"]);
+        assert_eq!(world.wakes(4400 * MS), [] as [&str; 0]);
+        assert_eq!(world.wakes(4500 * MS), ["3"]);
+    }
+
     /// Cut off from all keepers: callers are sent elsewhere at once, and nothing was done.
     #[test]
     fn with_none_to_ask_the_caller_goes_elsewhere_at_once() {
--- a/crates/lantern/src/carry.rs
+++ b/crates/lantern/src/carry.rs
@@ -147,8 +147,8 @@
             Word::Forward { id, call } => {
                 let caller = Caller::There(from, id);
                 let me = [self.me];
-                let step = self.calls.came(now, self.me, caller, call, &me);
-                self.step(now, step);
+                let steps = self.calls.came(now, self.me, caller, call, &me);
+                steps.into_iter().for_each(|step| self.step(now, step));
             }
             Word::Forwarded { id, answer } => self.answered(now, from, id, answer),
             Word::Beat { id, beat } => {
@@ -214,9 +214,8 @@
     fn answered(&mut self, now: Duration, from: Ipv4Addr, id: u64, answer: fallgap_keeper::Answer) {
         let alive = self.keepers();
         let order = |key: &Key| calls::by_key(key, alive.clone());
-        if let Some(step) = self.calls.answered(now, self.me, from, id, answer, order) {
-            self.step(now, step);
-        }
+        let steps = self.calls.answered(now, self.me, from, id, answer, order);
+        steps.into_iter().for_each(|step| self.step(now, step));
     }
 
     /// A server beats here: all keepers are told. One that closes is acknowledged when enough of them know.
--- a/crates/lantern/src/engine.rs
+++ b/crates/lantern/src/engine.rs
@@ -205,8 +205,8 @@
             match asked {
                 Asked::Call(call) => {
                     let order = calls::by_key(&call.key(), self.keepers());
-                    let step = self.calls.came(now, self.me, Caller::Here(reply), call, &order);
-                    self.step(now, step);
+                    let steps = self.calls.came(now, self.me, Caller::Here(reply), call, &order);
+                    steps.into_iter().for_each(|step| self.step(now, step));
                 }
                 Asked::Beat(beat) => self.beat(now, beat, reply),
                 Asked::Left(server) => {
--- a/crates/lantern/src/main.rs
+++ b/crates/lantern/src/main.rs
@@ -13,6 +13,7 @@
 mod memory;
 mod signals;
 mod start;
+mod usual;
 mod words;
 
 use clap::{Parser, Subcommand};
