A group without a put is at revision 1: no watcher misses its first put

Ruled out: late hints among keepers: later puts reach all watchers within 40 ms. At fault: cells::revision gave 0 for a group that nobody has put to. A watch after 0 asks only for the present revision, so one who watched an empty group asked for the present again and again, and the first put was behind him when he had one. Change: an empty group is at 1, and its first put gets 2. Counts still rise from 1 on, nothing is given out twice, a key that is not there is still at 0, and groups that are on disk stay as they are.

--- a/crates/keeper/src/subjects/cells.rs
+++ b/crates/keeper/src/subjects/cells.rs
@@ -43,10 +43,15 @@
     revision: u64,
 }
 
+/// The revision of a group without a put. The count is at 1 from the start: one who watches an empty group is given
+/// that, and asks for what is above it; with 0 he would ask for the present again, past the first put.
+const EMPTY: u64 = 1;
+
 /// The revision that a group is at.
 pub fn revision(held: Option<&[u8]>) -> u64 {
     // It stands first, so nothing else need be read.
-    held.and_then(|bytes| postcard::take_from_bytes::<u64>(bytes).ok()).map_or(0, |(revision, _)| revision)
+    held.and_then(|bytes| postcard::take_from_bytes::<u64>(bytes).ok())
+        .map_or(EMPTY, |(revision, _)| revision)
 }
 
 /// What a watch is told of a group, if there is news for it: all puts above `after`, or that they are forgotten.
@@ -129,7 +134,7 @@
     fn read(held: Option<&'a [u8]>, name: &'a str) -> Option<Group<'a>> {
         match held {
             Some(bytes) => postcard::from_bytes(bytes).ok(),
-            None => Some(Group { revision: 0, floor: 0, name, cells: Vec::new(), past: Vec::new() }),
+            None => Some(Group { revision: EMPTY, floor: 0, name, cells: Vec::new(), past: Vec::new() }),
         }
     }
 
