A watch waits at two keepers

Ruled out: the hints that wake a watch: in calm times they come within 40 ms, and each keeper gets them. At fault: Calls::came laid a watch at one keeper. A watch is silent at will, so a keeper that is cut off keeps it for all of its wait and 0.4 s more. Change: a watch is laid at two keepers at once, and the first answer counts. The other's answers to the same put soon after, so none is left behind. Where only one is there, it is asked alone.

--- a/crates/lantern/src/calls.rs
+++ b/crates/lantern/src/calls.rs
@@ -168,7 +168,14 @@
         let pending = Pending { caller, call, asked, doubt: false, since: now, wait, next: now };
         let id = self.next;
         self.next += 1;
-        self.place(now, me, id, pending, keepers)
+        let mut steps = self.place(now, me, id, pending, keepers);
+        // A watch's silence says nothing, so it waits at two: what one keeper does not hear of, the other does.
+        if !wait.is_zero()
+            && let Some(pending) = self.pending.remove(&id)
+        {
+            steps.extend(self.place(now, me, id, pending, keepers));
+        }
+        steps
     }
 
     fn sign(&mut self, now: Duration, keeper: Ipv4Addr, sign: Sign) {
@@ -473,4 +480,21 @@
         world.keepers.clear();
         assert_eq!(world.comes(891 * MS), "busy");
     }
+
+    /// Fails with a watch at one keeper: while that was cut off, its watchers heard of no put for seconds.
+    #[test]
+    fn a_watch_waits_at_two_keepers() {
+        let mut world = World::new();
+        let keepers = world.keepers.clone();
+        let watch = Call::Watch { group: "g.".into(), after: 1, wait: 2000 * MS };
+        let steps = world.calls.came(MS, node(9), Caller::There(node(8), 1), watch, &keepers);
+        assert_eq!(steps.into_iter().map(|step| world.take(vec![step])).collect::<Vec<_>>(), ["1", "2"]);
+        assert_eq!(world.wakes(2400 * MS), [] as [&str; 0]);
+        let heard = || Answer::Events { events: vec![], revision: 2 };
+        let (first, id) = world.ids[0];
+        assert_eq!(world.answers(2399 * MS, heard()), "answer");
+        assert_eq!(world.says(2399 * MS, first, id, heard()), "nothing");
+        // The other did not fail: it is asked first as before.
+        assert_eq!(world.comes(2400 * MS), "1");
+    }
 }
