--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,7 +1,6 @@
-//! The director: hears what happens and joins the parts that decide. Start a [`Director`] with its settings
-//! and a [`Host`] (see `host.rs`), tell it each thing that happens by the method of that name, then call
-//! `news_in` once: only there do orders to proxies leave, so that what came together is merged. Times are
-//! spans since the clock's start.
+//! The director: hears what happens and joins the parts that decide. Start it with its settings and a [`Host`]
+//! (`host.rs`), tell it each thing that happens by the method of that name, then call `news_in` once: only
+//! there do orders leave, so that what came together is merged. Times are spans since the clock's start.
 //!
 //! The design (docs/design.md) decides ordinary tables: `decide/builds.rs` builds what is marked, at the pace
 //! of `pace.rs`; `weigh.rs` moves weights. Beside it stand six mechanisms:
@@ -20,7 +19,7 @@
 mod zones;
 
 use crate::host::*;
-use crate::known::{Known, Told};
+use crate::known::{Known, Strain, Told};
 use crate::pace::{self, ORDINARY, PaceTerms, RULE, URGENT};
 use crate::ramps::{self, RampTerms};
 use crate::samples::{lowest, mean};
@@ -88,7 +87,7 @@
         if known.ticks.is_multiple_of(4) {
             known.move_line(host);
         }
-        known.pace = known.pace_heard();
+        known.pace = known.pace_heard(now.saturating_sub(FRESH));
         if now >= known.stepped + known.pace.max(STEP_LEAST) {
             known.stepped = now;
             known.step_weights();
@@ -124,8 +123,7 @@
     pub fn proxy_left(&mut self, now: Duration, proxy: u32) {
         self.known.now = now;
         let Some(p) = self.known.proxies.get_mut(&proxy) else { return };
-        let queued = p.dirty;
-        self.known.out.left(now, proxy, queued, p.leave(), PaceTerms::default().answer);
+        self.known.out.left(now, proxy, p.dirty, p.leave(), PaceTerms::default().answer);
     }
 
     /// All of this moment's news has been told: builds and sends what may leave now.
@@ -157,20 +155,11 @@
 
     /// Each server once a second, a quarter of them each tick.
     fn probe_servers(&self, host: &mut impl Host) {
-        let probing = self.set.reporting.by_probe && self.set.reporting.probes_allowed;
-        for (i, (server, s)) in self.servers.iter().enumerate() {
-            if probing && s.state == ServerState::Ready && (i as u64 + self.ticks).is_multiple_of(4) {
-                host.probe(server);
-            }
+        if self.set.reporting.by_probe && self.set.reporting.probes_allowed {
+            self.in_turn(4).for_each(|server| host.probe(server));
         }
     }
 
-    fn pace_heard(&self) -> Duration {
-        let spans = self.ready().filter_map(|(_, s)| s.met.since(self.now.saturating_sub(FRESH)).next());
-        let pace = mean(spans.map(|m| m.span.as_secs_f64())).unwrap_or(0.0);
-        self.set.reporting.interval.max(Duration::from_secs_f64(pace))
-    }
-
     /// Over the whole fleet one report of each server or proxy tells enough, and two would tell of long ago.
     fn lately(&self) -> Duration {
         self.pace.max(Duration::from_secs(2))
--- a/src/decide/line.rs
+++ b/src/decide/line.rs
@@ -16,20 +16,6 @@
 /// An order is heard of so much later.
 const ORDER_HEARD: Duration = Duration::from_secs(1);
 
-/// What was heard of one span: tries and the aborted part of them, how busy servers are, how late good answers
-/// come for their target, the part of the ops let in that got an answer, the part of what came that got in, and
-/// how busy cold servers say they are, where they are believed.
-struct Strain {
-    tries: f64,
-    failing: f64,
-    busy: f64,
-    late: f64,
-    answered: f64,
-    got_in: f64,
-    pressure: f64,
-    cold: Option<f64>,
-}
-
 impl Known {
     /// How busy servers are, then how late answers come and how many ops got none.
     fn strain(&self) -> Strain {
--- a/src/decide/zones.rs
+++ b/src/decide/zones.rs
@@ -52,18 +52,17 @@
     /// How a line's weight counts for proxies of one zone, by the server's zone: 1 in the own zone, less
     /// elsewhere. A zone spills only what it cannot carry at (a little over) the fleet's common load.
     fn reach(&self, zone: usize, room: &[f64], demand: &[f64]) -> Vec<f64> {
-        let zones = self.zones;
         if room[zone] <= 0.0 {
-            return vec![1.0; zones];
+            return vec![1.0; self.zones];
         }
-        let mut part: Vec<f64> = (0..zones).map(|z| if z == zone { 1.0 } else { 0.0 }).collect();
+        let mut part: Vec<f64> = (0..self.zones).map(|z| if z == zone { 1.0 } else { 0.0 }).collect();
         let common = demand.iter().sum::<f64>() / room.iter().sum::<f64>();
         let excess = demand[zone] - common * SPILL * room[zone];
         let free: Vec<f64> = demand.iter().zip(room).map(|(d, r)| (common * r - d).max(0.0)).collect();
         let all_free: f64 = free.iter().sum();
         if excess > 0.0 && all_free > 0.0 && !self.set.op_types.iter().any(|t| t.own_zone) {
             let kept = (demand[zone] - excess) / room[zone];
-            for y in (0..zones).filter(|y| *y != zone && room[*y] > 0.0) {
+            for y in (0..self.zones).filter(|y| *y != zone && room[*y] > 0.0) {
                 part[y] = (excess * free[y] / all_free / room[y] / kept * 20.0).round() / 20.0;
             }
         }
--- a/src/known.rs
+++ b/src/known.rs
@@ -2,7 +2,7 @@
 
 use crate::host::{Listed, ServerState, Settings};
 use crate::ranks::Ranks;
-use crate::samples::Samples;
+use crate::samples::{Samples, mean};
 use crate::state::{Line, Outgoing, Plan, Proxy, Server, Update};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -36,6 +36,20 @@
     pub peer_demand: BTreeMap<u32, (Duration, Vec<f64>)>,
 }
 
+/// What was heard of one span: tries and the aborted part of them, how busy servers are, how late good answers
+/// come for their target, the part of the ops let in that got an answer, the part of what came that got in, and
+/// how busy cold servers say they are, where they are believed.
+pub struct Strain {
+    pub tries: f64,
+    pub failing: f64,
+    pub busy: f64,
+    pub late: f64,
+    pub answered: f64,
+    pub got_in: f64,
+    pub pressure: f64,
+    pub cold: Option<f64>,
+}
+
 /// What a line of the list tells of a ready server.
 #[derive(Clone, Copy, PartialEq)]
 pub enum Told {
@@ -76,6 +90,20 @@
         self.servers.iter().filter(|(_, s)| s.state == ServerState::Ready)
     }
 
+    /// Ready servers whose turn it is, of so many turns, one each tick.
+    pub fn in_turn(&self, of: u64) -> impl Iterator<Item = &String> {
+        let due = move |i: usize| (i as u64 + self.ticks).is_multiple_of(of);
+        let due = self.servers.iter().enumerate().filter(move |(i, _)| due(*i));
+        due.filter(|(_, (_, s))| s.state == ServerState::Ready).map(|(_, (server, _))| server)
+    }
+
+    /// Mean span of the newest reports since a moment; the interval at least.
+    pub fn pace_heard(&self, since: Duration) -> Duration {
+        let spans = self.ready().filter_map(|(_, s)| s.met.since(since).next());
+        let pace = mean(spans.map(|m| m.span.as_secs_f64())).unwrap_or(0.0);
+        self.set.reporting.interval.max(Duration::from_secs_f64(pace))
+    }
+
     pub fn joined(&self) -> impl Iterator<Item = &Proxy> {
         self.proxies.values().filter(|p| p.joined)
     }
