--- a/src/decide/line.rs
+++ b/src/decide/line.rs
@@ -16,20 +16,6 @@
 /// An order is heard of so much later.
 const ORDER_HEARD: Duration = Duration::from_secs(1);
 
-/// What was heard of one span: tries and the aborted part of them, how busy servers are, how late good answers
-/// come for their target, the part of the ops let in that got an answer, the part of what came that got in, and
-/// how busy cold servers say they are, where they are believed.
-struct Strain {
-    tries: f64,
-    failing: f64,
-    busy: f64,
-    late: f64,
-    answered: f64,
-    got_in: f64,
-    pressure: f64,
-    cold: Option<f64>,
-}
-
 impl Known {
     /// How busy servers are, then how late answers come and how many ops got none.
     fn strain(&self) -> Strain {
@@ -72,9 +58,10 @@
         if tries > 0.0 && (self.line.is_finite() || pressure > PRESSED.0) {
             let line = self.line.min(whole);
             // What was let in when the reports were made: a share cut twice for one jam empties servers.
-            // An order is heard of after a second or two, and a report tells of the span before it.
-            let ago = |spans: f64| self.now.saturating_sub(ORDER_HEARD + self.pace.mul_f64(spans));
-            let then = mean(self.past.between(ago(1.0), ago(0.0)).copied()).unwrap_or(whole);
+            // Reports of `lately` each tell of a span before them: of the middle of both together, mostly.
+            let told = self.lately() + self.pace;
+            let ago = |part: f64| self.now.saturating_sub(ORDER_HEARD + told.mul_f64(part));
+            let then = mean(self.past.between(ago(0.75), ago(0.25)).copied()).unwrap_or(whole);
             let (got, rise) = if by_rate { (got_in * all, RISE[0]) } else { (then, RISE[1]) };
             // Small rates let in less than they say: with clear room, what was ordered counts if it is more.
             let part = if pressure < PRESSED.2 { then.max(got) } else { got };
