Pilot: a server's slots count once in the choice

Told by a review: the table's weight starts from the slots relative to the service's mean, and the choice multiplied by the slots again. Nothing shows where all servers of a service have as many, as on all deployments so far.

--- a/crates/pilot/src/fleet.rs
+++ b/crates/pilot/src/fleet.rs
@@ -268,8 +268,8 @@
             }
         }
         let pull = self.terms.own_zone;
-        let share =
-            |server: &Server| server.weight * f64::from(server.slots) * if server.near { pull } else { 1.0 };
+        // The weight tells of the slots already: it comes from them.
+        let share = |server: &Server| server.weight * if server.near { pull } else { 1.0 };
         let sum: f64 = open.iter().map(|(_, server)| share(server)).sum();
         let mut best: Option<(f64, ServerKey)> = None;
         for _ in 0..DRAWN.min(open.len()) {
@@ -360,7 +360,7 @@
 fn load(server: &Server, typical: f64) -> f64 {
     let slow = if server.typical > 0.0 && typical > 0.0 { server.typical / typical } else { 1.0 };
     let zone = if server.near { 1.0 } else { 1.1 };
-    f64::from(server.at_work + 1) / (server.weight * f64::from(server.slots)) * slow.clamp(0.5, 3.0) * zone
+    f64::from(server.at_work + 1) / server.weight * slow.clamp(0.5, 3.0) * zone
 }
 
 fn moved(typical: &mut f64, took: f64) {
--- a/crates/pilot/tests/fleet.rs
+++ b/crates/pilot/tests/fleet.rs
@@ -58,6 +58,20 @@
     assert_eq!(pick(&mut fleet, 1, service, &[taken[0]]), None);
 }
 
+/// A base weight comes from the slots: counted twice, the larger server of two got all until it was over its slots.
+#[test]
+fn slots_count_once() {
+    let of = |id, slots, weight| Berth { slots, ..berth(id, "near", weight) };
+    let (mut fleet, service) = fleet(vec![of(1, 2, 0.5), of(2, 6, 1.5)]);
+    let mut at_small = 0;
+    for _ in 0..8 {
+        let key = pick(&mut fleet, 0, service, &[]).unwrap();
+        fleet.began(ms(0), key);
+        at_small += usize::from(&*fleet.server(key).unwrap().id == "i-1");
+    }
+    assert!((1..=3).contains(&at_small), "{at_small}");
+}
+
 /// Fails where the own zone is only drawn more often: a third of the large answers crossed zones for nothing.
 #[test]
 fn large_answers_come_from_the_own_zone_while_it_serves_well() {
