--- a/crates/lantern/src/disk.rs
+++ b/crates/lantern/src/disk.rs
@@ -80,8 +80,12 @@
         if records.is_empty() {
             continue;
         }
+        let mut refused = 0u32;
         while let Err(e) = store.append(&records) {
-            tracing::info!("disk: refuses to write, {e}");
+            if refused.is_multiple_of(TOLD) {
+                tracing::info!("disk: refuses to write, {e}");
+            }
+            refused += 1;
             if matches!(e, StoreError::Full) {
                 // Only a checkpoint makes room, and the last one may have failed.
                 let _ = dones.send(Done::WantsCheckpoint);
