--- a/crates/quay/examples/carry_cost.rs
+++ b/crates/quay/examples/carry_cost.rs
@@ -5,6 +5,8 @@
 mod world;
 
 use fallgap_chart::{Berth, View};
+use std::alloc::{GlobalAlloc, Layout, System};
+use std::cell::Cell;
 use std::fs::read_to_string;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -18,6 +20,34 @@
 /// Rounds of a measurement; the middle one counts.
 const ROUNDS: usize = 3;
 
+thread_local! {
+    /// Pieces of memory that this thread has asked for.
+    static ASKED: Cell<u64> = const { Cell::new(0) };
+}
+
+struct Counting;
+
+// SAFETY: all is handed on to the system's allocator; counting allocates nothing.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        ASKED.set(ASKED.get() + 1);
+        unsafe { System.alloc(layout) }
+    }
+    unsafe fn dealloc(&self, at: *mut u8, layout: Layout) {
+        unsafe { System.dealloc(at, layout) }
+    }
+}
+
+#[global_allocator]
+static COUNTING: Counting = Counting;
+
+/// Of the whole process, clients and server as well.
+fn resident_mb() -> f64 {
+    let text = read_to_string("/proc/self/status").unwrap_or_default();
+    let kb = text.lines().find_map(|line| line.strip_prefix("VmRSS:")?.trim().strip_suffix(" kB"));
+    kb.and_then(|kb| kb.parse::<f64>().ok()).unwrap_or_default() / 1024.0
+}
+
 /// Nanoseconds that a thread ran.
 fn ran(schedstat: &str) -> f64 {
     let text = read_to_string(schedstat).unwrap_or_default();
@@ -96,12 +126,18 @@
     let view = Arc::new(View { configuration: Arc::new(configuration), berths: vec![berth] });
     world.ask(move |quay, now| quay.view(now, view));
     let quay = || world.ask(|_, _| ran("/proc/thread-self/schedstat"));
+    let asked = || world.ask(|_, _| ASKED.get());
+    println!("figure resident_mb_at_rest {:.1}", resident_mb());
     for connections in [1, 8, 64] {
         // In turn, so that a busy moment of the machine meets both.
         let both = (0..ROUNDS).map(|_| {
             (cost(connections, world.front, quay), cost(connections, server.address.into(), || 0.0))
         });
+        let before = asked();
         let both: Vec<(Cost, Cost)> = both.collect();
+        let pieces = (asked() - before) as f64 / (ROUNDS * (OPS + 20 * connections)) as f64;
+        println!("figure quay_allocations_an_op_{connections} {pieces:.1}");
+        println!("figure resident_mb_{connections} {:.1}", resident_mb());
         let of = |figure: &dyn Fn(&(Cost, Cost)) -> f64| middle(both.iter().map(figure).collect());
         let unserved: usize = both.iter().map(|(carried, direct)| carried.unserved + direct.unserved).sum();
         println!("figure unserved_{connections} {unserved}");
