--- a/crates/lantern/src/disk.rs
+++ b/crates/lantern/src/disk.rs
@@ -24,6 +24,8 @@
 
 /// After a disk has refused so long passes before the next try.
 const AGAIN: Duration = Duration::from_millis(100);
+/// Of refusals in a row so many are told of by one line.
+const TOLD: u32 = 50;
 /// Records written with one sync at most, and their bytes: far less than the room that logs have.
 const BATCH: usize = 512;
 const BATCH_BYTES: usize = 1 << 20;
