--- a/crates/lantern/src/disk.rs
+++ b/crates/lantern/src/disk.rs
@@ -24,6 +24,8 @@
 
 /// After a disk has refused so long passes before the next try.
 const AGAIN: Duration = Duration::from_millis(100);
+/// Of refusals in a row so many are told of by one line.
+const TOLD: u32 = 50;
 /// Records written with one sync at most, and their bytes: far less than the room that logs have.
 const BATCH: usize = 512;
 const BATCH_BYTES: usize = 1 << 20;
@@ -80,8 +82,12 @@
         if records.is_empty() {
             continue;
         }
+        let mut refused = 0u32;
         while let Err(e) = store.append(&records) {
-            tracing::info!("disk: refuses to write, {e}");
+            if refused.is_multiple_of(TOLD) {
+                tracing::info!("disk: refuses to write, {e}");
+            }
+            refused += 1;
             if matches!(e, StoreError::Full) {
                 // Only a checkpoint makes room, and the last one may have failed.
                 let _ = dones.send(Done::WantsCheckpoint);
