Engine: homes are ordered in one step, words to keepers need no address

Read again: a list was named twice on its way, and a closure took an argument that no caller used. Behaviour as before; clippy and the tests of the package hold.

--- a/crates/lantern/src/carry.rs
+++ b/crates/lantern/src/carry.rs
@@ -40,9 +40,9 @@
         }
     }
 
-    pub fn tell_keepers(&mut self, now: Duration, word: impl Fn(Ipv4Addr) -> Word) {
+    pub fn tell_keepers(&mut self, now: Duration, word: impl Fn() -> Word) {
         for keeper in self.keepers() {
-            self.say(now, keeper, word(keeper));
+            self.say(now, keeper, word());
         }
     }
 
--- a/crates/lantern/src/engine.rs
+++ b/crates/lantern/src/engine.rs
@@ -211,7 +211,7 @@
                 Asked::Beat(beat) => self.beat(now, beat, reply),
                 Asked::Left(server) => {
                     let left = RosterWord::Left(server.as_str().into());
-                    self.tell_keepers(now, |_| Word::Roster(left.clone()));
+                    self.tell_keepers(now, || Word::Roster(left.clone()));
                     let _ = reply.try_send(Told::Taken);
                 }
                 Asked::Status => {
@@ -289,14 +289,12 @@
             }
         }
         self.lives = lives;
-        let mut homes = self.keepers();
         let zone = |node: &Ipv4Addr| {
             let peer = self.beacon.peers().find(|p| p.card.node == *node);
             *node == self.me || peer.is_some_and(|p| p.card.zone == self.settings.zone)
         };
         // Near ones first, and among them each supervisor its own: they share the work.
-        let by_me = calls::by_key(&Key::Number(self.me.to_string()), homes.clone());
-        homes = by_me;
+        let mut homes = calls::by_key(&Key::Number(self.me.to_string()), self.keepers());
         homes.sort_by_key(|node| (*node != self.me, !zone(node)));
         self.follower.homes(now, homes);
         if let Some(hub) = &mut self.hub {
