--- a/crates/feed/src/feed.rs
+++ b/crates/feed/src/feed.rs
@@ -20,6 +20,11 @@
     /// that.
     pub answer: Duration,
     pub answer_line: Duration,
+    /// Where answers take longer than that, as on a link that others fill, twice the last one's time is waited, and
+    /// twice as long after each that does not come; that long at most.
+    pub answer_most: Duration,
+    /// What is urgent waits for the answer to an earlier update so long only; lines add to it in the same way.
+    pub urgent: Duration,
     /// Least time between two periodic words to a receiver: half of a receiver's lease at most. Up to half as
     /// much again is drawn.
     pub word: Duration,
@@ -34,6 +39,8 @@
             head: 1.0,
             answer: s(3),
             answer_line: s(0),
+            answer_most: s(3),
+            urgent: s(3),
             word: s(5),
         }
     }
@@ -50,13 +57,26 @@
     fn all_withdrawn(&mut self, to: ReceiverId, epoch: u64, sequence: u64, out: Vec<Withdrawal>);
 }
 
+/// What was sent and is not answered.
+#[derive(Clone, Copy)]
+struct InFlight {
+    version: Version,
+    sent: Duration,
+    /// When it counts as lost, and when what is urgent goes out in its place.
+    until: Duration,
+    urgent: Duration,
+}
+
 struct Receiver {
     table: u32,
     /// What it said last that it holds.
     holds: Option<Version>,
-    /// What was sent and is not answered, and when it counts as lost.
-    in_flight: Option<(Version, Duration)>,
+    in_flight: Option<InFlight>,
+    /// How long an answer may take, by those that came.
+    patience: Duration,
     marked: bool,
+    /// What it is to be told does not wait for an answer.
+    urgent: bool,
     /// Epoch and sequence up to which withdrawals were sent to it.
     told: (u64, u64),
     /// What it said that it heard of them, and since when more is awaited.
@@ -65,6 +85,13 @@
     word: Duration,
 }
 
+impl Receiver {
+    /// Whether something urgent has waited for an answer long enough.
+    fn overtakes(&self, now: Duration) -> bool {
+        self.urgent && self.in_flight.is_some_and(|under_way| now >= under_way.urgent)
+    }
+}
+
 pub struct Feed<O> {
     pub out: O,
     limits: Limits,
@@ -110,7 +137,9 @@
             table,
             holds,
             in_flight: None,
+            patience: self.limits.answer,
             marked: false,
+            urgent: false,
             told: heard,
             heard,
             awaited: None,
@@ -134,6 +163,22 @@
         }
     }
 
+    /// A table has a new version that is urgent: it does not wait for the answer to an earlier update, which it holds
+    /// as well. What that began from it begins from, too.
+    pub fn hastened(&mut self, now: Duration, table: u32, tables: &Tables) {
+        for id in self.by_table.get(&table).into_iter().flatten() {
+            let Some(receiver) = self.receivers.get_mut(id) else { continue };
+            receiver.urgent = true;
+            if let Some(due) = receiver.in_flight.map(|under_way| under_way.urgent) {
+                let due = due.max(now).min(receiver.word);
+                self.looks.remove(&(receiver.word, *id));
+                self.looks.insert((due, *id));
+                receiver.word = due;
+            }
+        }
+        self.sealed(now, table, tables);
+    }
+
     /// A table has a new version.
     pub fn sealed(&mut self, now: Duration, table: u32, tables: &Tables) {
         let all: Vec<ReceiverId> = self.by_table.get(&table).into_iter().flatten().copied().collect();
@@ -170,7 +215,11 @@
                 receiver.awaited = None;
             }
         }
-        receiver.in_flight = receiver.in_flight.filter(|(version, _)| holds != Some(*version));
+        if let Some(there) = receiver.in_flight.filter(|under_way| holds == Some(under_way.version)) {
+            receiver.in_flight = None;
+            let took = now.saturating_sub(there.sent) * 2;
+            receiver.patience = took.clamp(self.limits.answer, self.limits.answer_most);
+        }
         if receiver.in_flight.is_none() && holds != tables.version(receiver.table) {
             self.mark(id);
         }
@@ -186,8 +235,12 @@
             let Some(receiver) = self.receivers.get_mut(&id) else { continue };
             receiver.word = word;
             self.looks.insert((word, id));
-            let lost = receiver.in_flight.is_some_and(|(_, until)| now >= until);
-            if lost {
+            let lost = receiver.in_flight.is_some_and(|under_way| now >= under_way.until);
+            let overtaken = receiver.overtakes(now);
+            if lost && !overtaken {
+                receiver.patience = (receiver.patience * 2).min(self.limits.answer_most);
+            }
+            if lost || overtaken {
                 receiver.in_flight = None;
             }
             let unheard = receiver.awaited.is_some_and(|since| now >= since + answer);
@@ -203,7 +256,9 @@
                     receiver.holds.into_iter().for_each(|holds| self.out.same(id, holds));
                 }
                 (true, Some(_)) => self.mark(id),
-                _ => {}
+                // What is under way may take long: the feed is there all the same.
+                (false, _) => receiver.holds.into_iter().for_each(|holds| self.out.same(id, holds)),
+                (true, None) => {}
             }
             if unheard {
                 self.tell_withdrawals(now, id, tables.epoch(), withdrawals);
@@ -273,15 +328,15 @@
         let mut waiting = VecDeque::new();
         while let Some(id) = self.marks.pop_front() {
             let Some(receiver) = self.receivers.get_mut(&id) else { continue };
-            if receiver.in_flight.is_some() {
-                // Its answer marks it again, if something is new.
+            if receiver.in_flight.is_some() && !receiver.overtakes(now) {
+                // Its answer marks it again, if something is new; so does the next look, if that is urgent.
                 receiver.marked = false;
                 continue;
             }
             let sent = tables.since(receiver.table, receiver.holds);
             let lines = match &sent {
                 Sent::Nothing => {
-                    receiver.marked = false;
+                    (receiver.marked, receiver.urgent) = (false, false);
                     continue;
                 }
                 Sent::Delta(delta) => delta.changes.len() as f64,
@@ -292,15 +347,17 @@
                 waiting.push_back(id);
                 break;
             }
-            receiver.marked = false;
-            let until = now + self.limits.answer + self.limits.answer_line.mul_f64(lines);
+            (receiver.marked, receiver.urgent) = (false, false);
+            let travels = self.limits.answer_line.mul_f64(lines);
+            let (until, urgent) = (now + receiver.patience + travels, now + self.limits.urgent + travels);
+            let under_way = |version| Some(InFlight { version, sent: now, until, urgent });
             match sent {
                 Sent::Delta(delta) => {
-                    receiver.in_flight = Some((delta.result, until));
+                    receiver.in_flight = under_way(delta.result);
                     self.out.delta(id, delta);
                 }
                 Sent::Whole(whole) => {
-                    receiver.in_flight = Some((whole.version, until));
+                    receiver.in_flight = under_way(whole.version);
                     self.out.whole(id, whole);
                 }
                 Sent::Nothing => {}
--- a/crates/tables/src/lib.rs
+++ b/crates/tables/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod store;
 mod table;
 mod tables;
+mod taken;
 mod withdrawals;
 
 pub use receiver::{Age, Receiver, Reject, Terms, WhenOld};
--- a/crates/tables/src/receiver.rs
+++ b/crates/tables/src/receiver.rs
@@ -1,6 +1,7 @@
 //! The receiver's side: holds on to its last checked table, and uses no server of whose withdrawal it has heard.
 
 use crate::table::{Change, Content, Delta, Entry, Key, Version, Whole};
+use crate::taken::Taken;
 use crate::withdrawals::Withdrawal;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -25,12 +26,15 @@
     /// Most entries of a table, and most withdrawals held.
     pub entries: usize,
     pub withdrawals: usize,
+    /// Most changes that lead back to versions that it held: a delta that left before the sender heard of what is held
+    /// now begins there.
+    pub back: usize,
 }
 
 impl Default for Terms {
     fn default() -> Self {
         let lease = Duration::from_secs(30);
-        Terms { lease, when_old: WhenOld::GoOn, entries: 10_000, withdrawals: 100_000 }
+        Terms { lease, when_old: WhenOld::GoOn, entries: 10_000, withdrawals: 100_000, back: 4096 }
     }
 }
 
@@ -71,6 +75,7 @@
     terms: Terms,
     version: Option<Version>,
     content: Content,
+    taken: Taken,
     /// The epoch and sequence of the last withdrawal, and the servers that are out.
     heard: (u64, u64),
     out: BTreeSet<Arc<str>>,
@@ -95,6 +100,7 @@
             terms,
             version: None,
             content: Content::default(),
+            taken: Taken::default(),
             heard: (0, 0),
             out: BTreeSet::new(),
             last_word: None,
@@ -146,7 +152,7 @@
         if content.digest() != whole.version.digest || content.entries().len() != whole.entries.len() {
             return Err(Reject::Digest);
         }
-        (self.content, self.version) = (content, Some(whole.version));
+        (self.content, self.version, self.taken) = (content, Some(whole.version), Taken::default());
         self.word(now);
         Ok(whole.version)
     }
@@ -164,24 +170,32 @@
             self.word(now);
             return Ok(delta.result);
         }
-        if self.version != Some(delta.base) || delta.result.epoch != delta.base.epoch {
+        let held = self.version.ok_or(Reject::Gap)?;
+        // What is late would undo what came after it.
+        if delta.result.epoch != held.epoch || delta.result.number <= held.number {
             return Err(Reject::Gap);
         }
+        let once = delta.changes.windows(2).all(|pair| pair[0].key < pair[1].key);
+        if !once {
+            return Err(Reject::Digest);
+        }
+        let changes = self.taken.way(held, delta).ok_or(Reject::Gap)?;
         let is_new = |c: &&Change| c.entry.is_some() && self.content.get(&c.key).is_none();
-        let more = delta.changes.iter().filter(is_new).count();
-        let fewer = delta.changes.iter().filter(|c| c.entry.is_none()).count();
+        let more = changes.iter().filter(is_new).count();
+        let fewer =
+            changes.iter().filter(|c| c.entry.is_none() && self.content.get(&c.key).is_some()).count();
         if (self.content.entries().len() + more).saturating_sub(fewer) > self.terms.entries {
             return Err(Reject::Bounds);
         }
         if !delta.changes.iter().all(|c| c.entry.as_ref().is_none_or(|entry| possible(&c.key, entry))) {
             return Err(Reject::Entry);
         }
-        let once = delta.changes.windows(2).all(|pair| pair[0].key < pair[1].key);
-        if !once || self.content.digest_after(&delta.changes) != delta.result.digest {
+        if self.content.digest_after(&changes) != delta.result.digest {
             return Err(Reject::Digest);
         }
-        for Change { key, entry } in &delta.changes {
-            self.content.set(key, entry.clone());
+        self.taken.left(held, &self.content, &changes, delta.base, self.terms.back);
+        for Change { key, entry } in changes {
+            self.content.set(&key, entry);
         }
         self.version = Some(delta.result);
         self.word(now);
@@ -243,6 +257,11 @@
         self.confirmed = servers.map(|server| (server.clone(), now)).collect();
     }
 
+    /// Whether a version is one before what is held: its word left before the sender heard of that.
+    pub fn is_past(&self, version: Version) -> bool {
+        self.version.is_some_and(|held| held.epoch == version.epoch && held.number > version.number)
+    }
+
     /// Another party vouches for a server: a health check of the receiver's own, say.
     pub fn vouched(&mut self, now: Duration, server: &str) {
         if let Some(at) = self.confirmed.get_mut(server) {
--- a/crates/tables/tests/channel.rs
+++ b/crates/tables/tests/channel.rs
@@ -372,3 +372,48 @@
         assert_eq!(receiver.usable(MS * 900).len(), 2, "with none confirmed all are better than none");
     }
 }
+
+/// A delta that begins at a version held of late lands there: the receiver goes back to it, and holds exactly what the
+/// delta says. What is late, or begins where it never was or can no longer go back to, changes nothing.
+#[test]
+fn a_receiver_goes_back_to_what_it_held() {
+    for seed in 0..200 {
+        let mut world = World::new(seed);
+        let mut receiver =
+            Receiver::new(TABLE, Terms { back: [4096, 6][seed as usize % 2], ..Terms::default() });
+        receiver.take_withdrawals(world.now, 1, 0, []);
+        let Sent::Whole(whole) = world.tables.since(TABLE, None) else { panic!("nothing is held") };
+        receiver.take_whole(world.now, &whole).unwrap();
+        // What the sender has heard, and what it will hear next.
+        let mut heard = receiver.version();
+        let mut said = Vec::new();
+        let (mut taken, mut gaps) = (0, 0);
+        for _ in 0..30 {
+            world.tables.set(TABLE, Key::Line(server(world.rng.usize(..8)).as_str().into()), None);
+            let part = Entry::Part(world.rng.f64() + 0.5);
+            world.tables.set(TABLE, Key::Line(server(world.rng.usize(..12)).as_str().into()), Some(part));
+            world.seal();
+            if let Sent::Delta(delta) = world.tables.since(TABLE, heard) {
+                match receiver.take_delta(world.now, &delta) {
+                    Ok(version) => {
+                        let truth = &world.truth[&(version.epoch, version.number)];
+                        assert_eq!(receiver.content().entries(), truth, "seed {seed}");
+                        taken += 1;
+                        let late = Delta { result: delta.base, ..delta };
+                        assert_eq!(receiver.take_delta(world.now, &late), Err(Reject::Gap));
+                    }
+                    Err(reject) => {
+                        assert_eq!(reject, Reject::Gap);
+                        gaps += 1;
+                    }
+                }
+                said.push(receiver.version());
+            }
+            while !said.is_empty() && world.rng.u8(..4) == 0 {
+                heard = said.remove(0);
+            }
+        }
+        let bounded = seed % 2 == 1;
+        assert!(taken > 0 && (bounded || gaps == 0), "seed {seed}: {taken} taken, {gaps} gaps");
+    }
+}
