Roster: many routes and a herd of nodes on full links, as a test

1,400 routes more on links of 3.8 Mbit/s on which a word waits 0.4 to 0.7 s each way reach all of 25 nodes with their last route within 1.5 s; half of the nodes killed and back within a second have all of 1,500 routes within 3 s of the last start. In virtual time; the world of the tests has links with a rate and a queue.

--- a/crates/roster/tests/net.rs
+++ b/crates/roster/tests/net.rs
@@ -9,6 +9,12 @@
 use world::{Link, MS, World, node};
 
 const S: Duration = Duration::from_secs(1);
+/// Thin links that clients fill.
+const FULL: Link = Link {
+    bytes_a_second: 475_000.0,
+    ahead: (Duration::from_millis(400), Duration::from_millis(700)),
+    keepers: 12.5e6,
+};
 
 /// A world in which all hold everything.
 fn calm(seed: u64, keepers: usize, nodes: usize, servers: usize) -> World {
@@ -92,14 +98,13 @@
 /// were sent reaches all within its two seconds, and the next ones as well; nobody takes its home for silent.
 #[test]
 fn on_full_links_an_edition_does_not_wait_for_weights() {
-    let link = Link { bytes_a_second: 475_000.0, ahead: (400 * MS, 700 * MS), keepers: 12.5e6 };
     let mut worst = Duration::ZERO;
     for seed in 0..3 {
         let mut world = World::new(seed, 5, 14, 60);
         world.configure(1, 300);
         let first = |w: &World| w.all(|seen| seen.edition() == 1 && seen.ids().len() == 60);
         assert!(world.until(8 * S, first).is_some(), "a quiet start, seed {seed}");
-        world.link = Some(link);
+        world.link = Some(FULL);
         world.run(6 * S);
         let moves = |w: &World| w.seen.values().map(|seen| seen.moves).sum::<usize>();
         let before = moves(&world);
@@ -118,6 +123,34 @@
     assert!(worst <= 1500 * MS, "{worst:?}");
 }
 
+/// Full links, and then: 1,400 routes at once; half of the nodes killed and back within a second. Each time all have the
+/// edition, with its last route as with its first, in the time allowed.
+#[test]
+fn on_full_links_many_routes_and_a_herd_are_served_in_time() {
+    let mut world = World::new(3, 5, 25, 40);
+    world.configure(1, 100);
+    let there = |w: &World, edition: u64, routes: usize| {
+        let view = |seen: &world::Seen| seen.view.as_ref().map_or(0, |v| v.configuration.routes.len());
+        w.all(|seen| seen.edition() == edition && view(seen) == routes && seen.ids().len() == 40)
+    };
+    assert!(world.until(8 * S, |w| there(w, 1, 100)).is_some());
+    world.run(5 * S);
+    world.link = Some(FULL);
+    world.run(5 * S);
+    world.configure(2, 1500);
+    let routes = world.until(5 * S, |w| there(w, 2, 1500));
+    world.run(3 * S);
+    (5..25).step_by(2).for_each(|i| world.kill(i));
+    for i in (5..25).step_by(2) {
+        world.run(60 * MS);
+        world.start(i);
+    }
+    let herd = world.until(8 * S, |w| there(w, 2, 1500));
+    let within = |took: Option<Duration>, most| took.is_some_and(|took| took <= most);
+    assert!(within(routes, 1500 * MS), "1,400 routes: {routes:?}");
+    assert!(within(herd, 3 * S), "a herd: {herd:?}");
+}
+
 #[test]
 fn a_home_that_dies_is_left_soon_and_nothing_is_lost() {
     let mut worst = Duration::ZERO;
--- a/crates/roster/tests/world/mod.rs
+++ b/crates/roster/tests/world/mod.rs
@@ -76,8 +76,8 @@
     pub cut: BTreeSet<NodeId>,
     /// Without one words take some milliseconds, however long they are.
     pub link: Option<Link>,
-    /// When a direction of a link is free again, and the bytes that it has carried.
-    links: BTreeMap<(NodeId, bool), (Duration, usize)>,
+    /// When a direction of a node's link, `true` out, is free again, and the bytes that it has carried.
+    pub links: BTreeMap<(NodeId, bool), (Duration, usize)>,
     net: BTreeMap<(Duration, u64), (NodeId, NodeId, RosterWord)>,
     last: BTreeMap<(NodeId, NodeId), Duration>,
     sent: u64,
@@ -276,16 +276,6 @@
         held.0
     }
 
-    /// The bytes that links have carried to nodes and from nodes since this was last asked, by node.
-    pub fn take_carried(&mut self) -> Vec<(NodeId, bool, usize)> {
-        let held = self.links.iter_mut();
-        held.map(|((node, leaves), (_, bytes))| (*node, *leaves, std::mem::take(bytes))).collect()
-    }
-
-    pub fn is_keeper(&self, node: NodeId) -> bool {
-        index(node) < self.keepers
-    }
-
     /// Takes what all cores have to say.
     fn settle(&mut self) {
         let now = self.now;
