--- a/src/decide/line.rs
+++ b/src/decide/line.rs
@@ -22,8 +22,7 @@
         let since = self.now.saturating_sub(self.lately());
         let well: Vec<&Server> =
             self.ready().map(|(_, s)| s).filter(|s| s.suspect.is_none() || self.panic).collect();
-        // Cold ones by what they are given: many that idle do not hide that the warm ones are full. Warm ones by
-        // their size: the full ones have had their weight lowered, and would count least when they tell most.
+        // Cold ones by what they get: idle ones hide no jam. Warm ones by size: full ones' weights were lowered.
         let given = |s: &Server| if s.cold() { self.weight(s).max(0.001) } else { s.size };
         let heard = well.iter().filter_map(|s| self.busy_of(s).map(|b| (b * given(s), given(s))));
         let (work, room) = heard.fold((0.0, 0.001), |a, h| (a.0 + h.0, a.1 + h.1));
