--- a/crates/keeper/src/acceptor.rs
+++ b/crates/keeper/src/acceptor.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use crate::ballot::Ballot;
+use crate::fault::{self, Fault};
 use crate::messages::{Given, Record, Sight};
 use crate::pen::Pen;
 use crate::types::Key;
@@ -14,7 +15,7 @@
 /// Parts by which two members compare what they hold.
 pub(crate) const PARTS: usize = 64;
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Hash)]
 pub(crate) struct Accepted {
     pub ballot: Ballot,
     pub value: Value,
@@ -23,7 +24,7 @@
     pub age: Duration,
 }
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Hash, Default)]
 pub(crate) struct Register {
     /// Never below the accepted ballot.
     pub promised: Option<Ballot>,
@@ -55,7 +56,7 @@
 }
 
 /// All registers of this disk.
-#[derive(Default)]
+#[derive(Clone, Hash, Default)]
 pub(crate) struct Acceptor {
     registers: BTreeMap<Key, Register>,
     sums: Vec<u64>,
@@ -99,11 +100,13 @@
     ) -> Result<(Option<Sight>, u64), Ballot> {
         let register = Self::entry(&mut self.registers, key);
         match register.promised {
-            Some(promised) if promised > ballot => return Err(promised),
+            Some(promised) if promised > ballot && !fault::is(Fault::PromiseFalls) => return Err(promised),
             Some(promised) if promised == ballot => {}
             _ => {
                 register.promised = Some(ballot);
-                register.logged = pen.log(&Record::Promise { key: key.clone(), ballot });
+                if !fault::is(Fault::PromiseNotWritten) {
+                    register.logged = pen.log(&Record::Promise { key: key.clone(), ballot });
+                }
             }
         }
         Ok((register.sight(now, known), register.logged))
@@ -118,10 +121,13 @@
         if register.ballot() == Some(ballot) {
             return Ok(register.logged);
         }
-        if let Some(promised) = register.promised.filter(|promised| *promised > ballot) {
+        if let Some(promised) = register.promised.filter(|promised| *promised > ballot)
+            && !fault::is(Fault::AcceptBelowPromise)
+        {
             return Err(promised);
         }
-        Ok(self.put(now, key, ballot, next.max(ballot), age, value, pen))
+        let next = if fault::is(Fault::NextNotPromised) { ballot } else { next.max(ballot) };
+        Ok(self.put(now, key, ballot, next, age, value, pen))
     }
 
     /// Takes what another member holds. A committed ballot may be taken whatever was promised: each attempt above it
@@ -134,7 +140,8 @@
             return false;
         }
         let promised = register.promised.unwrap_or(ballot);
-        if !committed && ballot.epoch == epoch && promised > ballot {
+        let taken = committed || ballot.epoch != epoch || fault::is(Fault::AdoptOverPromise);
+        if !taken && promised > ballot {
             return false;
         }
         self.put(now, &key, ballot, promised.max(ballot), Duration::ZERO, value, pen);
@@ -165,13 +172,14 @@
     /// Records that alone bring back all registers.
     pub fn records(&self) -> impl Iterator<Item = Record> {
         self.registers.iter().flat_map(|(key, register)| {
+            let promised = register.promised.filter(|_| !fault::is(Fault::SnapshotWithoutPromises));
             let accepted = register.accepted.as_ref().map(|accepted| Record::Accept {
                 key: key.clone(),
                 ballot: accepted.ballot,
-                promised: register.promised.unwrap_or(accepted.ballot),
+                promised: promised.unwrap_or(accepted.ballot),
                 value: accepted.value.clone(),
             });
-            match (accepted, register.promised) {
+            match (accepted, promised) {
                 (None, Some(ballot)) => Some(Record::Promise { key: key.clone(), ballot }),
                 (accepted, _) => accepted,
             }
--- a/crates/keeper/src/charter.rs
+++ b/crates/keeper/src/charter.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::fault::{self, Fault};
 use crate::types::NodeId;
 
 /// A member is a disk on a machine: a machine that comes back with another disk is another member.
@@ -16,7 +17,7 @@
 }
 
 /// One epoch: its number and its members.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Charter {
     pub number: u64,
     /// Sorted by node, each node once.
@@ -26,12 +27,13 @@
 impl Charter {
     /// More than half of the members.
     pub fn quorum(&self) -> usize {
-        self.members.len() / 2 + 1
+        self.members.len() / 2 + usize::from(!fault::is(Fault::MajorityLessOne))
     }
 
     /// From so many members one that comes in has to read, so that each majority of the members before it is met.
     pub fn cover(&self) -> usize {
-        (self.members.len() + 1).saturating_sub(self.quorum())
+        let less = usize::from(fault::is(Fault::CoverLessOne));
+        (self.members.len() + 1).saturating_sub(self.quorum() + less)
     }
 
     pub fn member(&self, node: NodeId) -> Option<&Member> {
--- a/crates/keeper/src/crew.rs
+++ b/crates/keeper/src/crew.rs
@@ -6,7 +6,7 @@
 use crate::Peer;
 use crate::types::NodeId;
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Hash, Default)]
 struct View {
     heard: Option<Duration>,
     /// Its silence counts from here, if nothing was heard since.
@@ -19,7 +19,7 @@
     stands: Option<(Option<u64>, bool, Duration)>,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug, Hash)]
 pub(crate) struct Crew {
     views: BTreeMap<NodeId, View>,
     most: usize,
--- a/crates/keeper/src/desk.rs
+++ b/crates/keeper/src/desk.rs
@@ -9,14 +9,14 @@
 use crate::value::Value;
 
 /// Whose call it is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(crate) enum Asker {
     Caller(u64),
     /// A read by the keeper itself, to learn what was committed.
     Own,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Hash)]
 pub(crate) struct Entry {
     pub asker: Asker,
     pub call: Call,
@@ -27,7 +27,7 @@
 
 impl Entry {
     pub fn reads(&self) -> bool {
-        matches!(self.call, Call::ConfigGet | Call::CellGet { .. } | Call::Watch { .. })
+        matches!(self.call, Call::ConfigGet | Call::CellGet { .. } | Call::Watch { .. } | Call::Look { .. })
     }
 
     pub fn is_own(&self) -> bool {
@@ -36,7 +36,7 @@
 }
 
 /// A value with its ballot, and its proven age at a time.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Hash)]
 pub(crate) struct Known {
     pub ballot: Ballot,
     pub value: Value,
@@ -52,14 +52,14 @@
 
 /// The first phase of an attempt that has not been made: a majority holds a promise for `next`, and `base` is the
 /// highest that they accepted.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Hash)]
 pub(crate) struct Ready {
     pub next: Ballot,
     pub base: Option<Known>,
 }
 
 /// Who said what so far.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Hash)]
 pub(crate) struct Survey {
     pub known: Option<Known>,
     pub replies: Vec<(NodeId, Option<Sight>)>,
@@ -70,7 +70,7 @@
 }
 
 /// A value on its way to a majority.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Hash)]
 pub(crate) struct Push {
     pub ballot: Ballot,
     pub next: Ballot,
@@ -84,7 +84,7 @@
     pub resend: Duration,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Hash)]
 pub(crate) enum Stage {
     Idle,
     Reading {
@@ -102,7 +102,7 @@
     },
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug, Hash)]
 pub(crate) struct Desk {
     pub waiting: VecDeque<Entry>,
     pub batch: Vec<Entry>,
--- a/crates/keeper/src/desks.rs
+++ b/crates/keeper/src/desks.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::desk::{Asker, Desk, Entry, Stage};
+use crate::fault::{self, Fault};
 use crate::keeper::Keeper;
 use crate::types::{Answer, Key};
 
@@ -35,7 +36,8 @@
 
     /// Nothing is known of the effect of what was sent; the rest never happens.
     pub(crate) fn give_up(&mut self, entry: &Entry) {
-        self.tell(entry, if entry.sent { Answer::Unknown } else { Answer::Busy });
+        let unclear = entry.sent && !fault::is(Fault::UnclearIsBusy);
+        self.tell(entry, if unclear { Answer::Unknown } else { Answer::Busy });
     }
 
     pub(crate) fn refuse_all(&mut self, desk: &mut Desk) {
--- /dev/null
+++ b/crates/keeper/src/fault.rs
@@ -0,0 +1,116 @@
+//! Deliberate faults, so that it can be shown that the checks of `fallgap-sextant` find them.
+//!
+//! Without the feature `faults`, which no program asks for, each question below is the constant `false`, and nothing
+//! of this is in what is built.
+
+/// One thing done wrongly.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Fault {
+    /// Half of the members, or fewer, count as a majority.
+    MajorityLessOne,
+    /// A newcomer reads from one member less than it has to.
+    CoverLessOne,
+    /// A promise is told before it is on disk.
+    PromiseUnsynced,
+    /// An accept is told before it is on disk.
+    AcceptUnsynced,
+    /// What was accepted or promised for the successor is told before it is on disk.
+    HeirUnsynced,
+    /// A promise is not written at all.
+    PromiseNotWritten,
+    /// A snapshot holds no promises.
+    SnapshotWithoutPromises,
+    /// A disk that was wiped counts as the one before it.
+    WipedDiskVotes,
+    /// A newcomer counts before it has caught up.
+    NewcomerVotes,
+    /// A promise is given below one that was given before.
+    PromiseFalls,
+    /// An accept is made below a promise.
+    AcceptBelowPromise,
+    /// An accept does not promise what the next attempt without a first phase rests on.
+    NextNotPromised,
+    /// What comes round about is taken over a promise.
+    AdoptOverPromise,
+    /// The lowest ballot found is built on, instead of the highest.
+    LowestFound,
+    /// Whatever a majority was asked about counts as committed.
+    FoundIsCommitted,
+    /// What is not sure is told as not done.
+    UnclearIsBusy,
+    /// A call whose effect was sent is judged again as if it were not.
+    SentForgotten,
+    /// One who accepted a successor goes on in the old epoch.
+    NotSealed,
+    /// A change puts its own successor before one that it found accepted.
+    OwnSuccessor,
+    /// A lock that changes hands keeps its fence.
+    FenceStays,
+    /// A renewal shortens a hold whose answer the holder has.
+    HoldShortened,
+    /// A value that is written has the age of the one before it.
+    AgeStays,
+    /// Nothing is handed over to who missed it, and nothing is compared.
+    NoRepair,
+    /// A process takes its times from a clock that is set by hand. The checker's machines do this, not the core.
+    WallClock,
+}
+
+impl Fault {
+    pub const ALL: [Fault; 24] = [
+        Fault::MajorityLessOne,
+        Fault::CoverLessOne,
+        Fault::PromiseUnsynced,
+        Fault::AcceptUnsynced,
+        Fault::HeirUnsynced,
+        Fault::PromiseNotWritten,
+        Fault::SnapshotWithoutPromises,
+        Fault::WipedDiskVotes,
+        Fault::NewcomerVotes,
+        Fault::PromiseFalls,
+        Fault::AcceptBelowPromise,
+        Fault::NextNotPromised,
+        Fault::AdoptOverPromise,
+        Fault::LowestFound,
+        Fault::FoundIsCommitted,
+        Fault::UnclearIsBusy,
+        Fault::SentForgotten,
+        Fault::NotSealed,
+        Fault::OwnSuccessor,
+        Fault::FenceStays,
+        Fault::HoldShortened,
+        Fault::AgeStays,
+        Fault::NoRepair,
+        Fault::WallClock,
+    ];
+}
+
+#[cfg(feature = "faults")]
+mod seam {
+    use super::Fault;
+    use std::cell::Cell;
+
+    thread_local! {
+        static PRESENT: Cell<Option<Fault>> = const { Cell::new(None) };
+    }
+
+    /// The one fault that all cores on this thread have from here on.
+    pub fn set(fault: Option<Fault>) {
+        PRESENT.set(fault);
+    }
+
+    pub fn is(fault: Fault) -> bool {
+        PRESENT.get() == Some(fault)
+    }
+}
+
+#[cfg(not(feature = "faults"))]
+mod seam {
+    use super::Fault;
+
+    pub const fn is(_: Fault) -> bool {
+        false
+    }
+}
+
+pub use seam::*;
--- /dev/null
+++ b/crates/keeper/src/fingerprint.rs
@@ -0,0 +1,71 @@
+//! Two keepers with the same fingerprint do the same from here on: a checker that walks all ways goes each only once.
+
+use std::hash::{Hash, Hasher};
+
+use crate::keeper::Keeper;
+
+impl Hash for Keeper {
+    /// All but who it is and its terms, which never change.
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        let Keeper {
+            me: _,
+            terms: _,
+            rng,
+            first,
+            pen,
+            acceptor,
+            memory,
+            charter,
+            chartered,
+            whole,
+            heir,
+            drive,
+            duels,
+            crew,
+            catch_up,
+            repair,
+            founding,
+            desks,
+            active,
+            calls,
+            watches,
+            shown,
+            count,
+            mark,
+            pulse_at,
+            pulse_whole_at,
+            poll_at,
+            polled,
+            leaving,
+            clock,
+        } = self;
+        rng.get_seed().hash(state);
+        first.hash(state);
+        pen.hash(state);
+        acceptor.hash(state);
+        memory.hash(state);
+        charter.hash(state);
+        chartered.hash(state);
+        whole.hash(state);
+        heir.hash(state);
+        drive.hash(state);
+        duels.hash(state);
+        crew.hash(state);
+        catch_up.hash(state);
+        repair.hash(state);
+        founding.hash(state);
+        desks.hash(state);
+        active.hash(state);
+        calls.hash(state);
+        watches.hash(state);
+        shown.hash(state);
+        count.hash(state);
+        mark.hash(state);
+        pulse_at.hash(state);
+        pulse_whole_at.hash(state);
+        poll_at.hash(state);
+        polled.hash(state);
+        leaving.hash(state);
+        clock.hash(state);
+    }
+}
--- a/crates/keeper/src/founding.rs
+++ b/crates/keeper/src/founding.rs
@@ -8,7 +8,7 @@
 use crate::messages::Message;
 use crate::types::NodeId;
 
-#[derive(Debug)]
+#[derive(Clone, Debug, Hash)]
 pub(crate) struct Founding {
     started: Duration,
     /// Machines with empty disks that said they are here.
--- a/crates/keeper/src/handover.rs
+++ b/crates/keeper/src/handover.rs
@@ -4,11 +4,13 @@
 use std::time::Duration;
 
 use crate::ballot::Ballot;
+use crate::desk::{Asker, Entry, Known};
+use crate::fault::{self, Fault};
 use crate::keeper::Keeper;
 use crate::messages::{Given, Message};
-use crate::types::{Key, NodeId};
+use crate::types::{Call, Key, NodeId};
 
-#[derive(Debug)]
+#[derive(Clone, Debug, Hash)]
 pub(crate) struct Repair {
     /// For each member what it did not accept in time: the ballot, and when.
     missed: BTreeMap<NodeId, BTreeMap<Key, (Ballot, Duration)>>,
@@ -58,14 +60,19 @@
 
 impl Keeper {
     pub(crate) fn repair_woke(&mut self, now: Duration) {
+        let never = fault::is(Fault::NoRepair);
         if now >= self.repair.hand_over_at {
             self.repair.hand_over_at = now + self.terms.handover;
-            self.hand_over(now);
+            if !never {
+                self.hand_over(now);
+            }
         }
         if now >= self.repair.compare_at {
             let drawn = self.rng.u64(0..=self.terms.compare.as_millis() as u64 / 4);
             self.repair.compare_at = now + self.terms.compare + Duration::from_millis(drawn);
-            self.compare(now);
+            if !never {
+                self.compare(now);
+            }
         }
     }
 
@@ -157,6 +164,12 @@
         let wanted = entries.iter().filter(|(key, ballot)| lacks(key, *ballot) && !fresh(key));
         let keys: Vec<Key> = wanted.map(|(key, _)| key.clone()).collect();
         self.give(from, &give);
+        let unclear = |key: &Key| {
+            let register = self.acceptor.get(key);
+            register.is_some_and(|register| register.committed != register.ballot())
+        };
+        let unclear = give.into_iter().filter(unclear).collect();
+        self.finish_left(now, unclear);
         if !keys.is_empty() {
             self.pen.send(from, Message::Want { epoch, keys });
         }
@@ -193,17 +206,53 @@
         if !self.is_in(from) || self.member_epoch() != Some(epoch) {
             return;
         }
+        let mut refused = Vec::new();
         for given in entries {
             let (key, ballot, committed) = (given.key.clone(), given.ballot, given.committed);
             let value = given.value.clone();
-            self.acceptor.adopt(now, epoch, given, &mut self.pen);
+            let taken = self.acceptor.adopt(now, epoch, given, &mut self.pen);
             if committed {
                 self.learn(now, &key, ballot, &value);
+            } else if !taken && self.acceptor.get(&key).is_none_or(|ours| ours.ballot() < Some(ballot)) {
+                refused.push(key);
             }
         }
+        self.ask_steward(from, epoch, &refused);
+        self.finish_left(now, refused);
         self.caught_more(now, from);
     }
 
+    /// Who ran the calls knows best what was committed: he hands it over as such.
+    fn ask_steward(&mut self, unless: NodeId, epoch: u64, keys: &[Key]) {
+        let mut asked: BTreeMap<NodeId, Vec<Key>> = BTreeMap::new();
+        for key in keys.iter().take(self.terms.looks) {
+            if let Some(steward) = self.steward(key).filter(|node| *node != unless && *node != self.me.node) {
+                asked.entry(steward).or_default().push(key.clone());
+            }
+        }
+        for (steward, keys) in asked {
+            self.pen.send(steward, Message::Want { epoch, keys });
+        }
+    }
+
+    /// What is not known to be committed cannot be handed to one who promised more, and nobody may ever call for it
+    /// again: its steward asks the others, and finishes what was left half written.
+    fn finish_left(&mut self, now: Duration, keys: Vec<Key>) {
+        let ours = |key: &Key| !self.active.contains(key) && self.steward(key) == Some(self.me.node);
+        let keys: Vec<Key> = keys.into_iter().filter(ours).take(self.terms.looks).collect();
+        for key in keys {
+            self.admit(now, Entry { asker: Asker::Own, call: Call::Look { key }, came: now, sent: false });
+        }
+    }
+
+    /// Holds what a majority accepted, whatever was promised here.
+    pub(crate) fn take_over(&mut self, now: Duration, key: &Key, known: Option<&Known>) {
+        let (Some(epoch), Some(known)) = (self.voting_epoch(), known) else { return };
+        let given =
+            Given { key: key.clone(), ballot: known.ballot, committed: true, value: known.value.clone() };
+        self.acceptor.adopt(now, epoch, given, &mut self.pen);
+    }
+
     /// Parts are handed on only by one that has caught up, to a member, and within one epoch.
     fn serves(&mut self, to: NodeId, epoch: u64) -> bool {
         match self.charter.as_ref().map(|charter| charter.number) {
--- a/crates/keeper/src/keeper.rs
+++ b/crates/keeper/src/keeper.rs
@@ -8,6 +8,7 @@
 use crate::charter::Charter;
 use crate::crew::Crew;
 use crate::desk::{Asker, Desk, Entry};
+use crate::fault::{self, Fault};
 use crate::founding::Founding;
 use crate::handover::Repair;
 use crate::messages::{Message, Record};
@@ -21,6 +22,7 @@
 use crate::watches::Watches;
 use crate::{Kept, KeptError, Me, Out, Peer};
 
+#[derive(Clone)]
 pub struct Keeper {
     pub(crate) me: Me,
     /// It has been there since the system's first start: it may found the system, as long as it knows of no epoch.
@@ -32,7 +34,7 @@
     pub(crate) memory: Memory,
     /// The newest epoch, and the record of it.
     pub(crate) charter: Option<Charter>,
-    chartered: u64,
+    pub(crate) chartered: u64,
     /// The epoch with which this disk came in, once it has caught up.
     pub(crate) whole: Option<u64>,
     pub(crate) heir: Heir,
@@ -55,14 +57,14 @@
     pub(crate) count: u64,
     /// Names plain reads.
     pub(crate) mark: u64,
-    pulse_at: Duration,
-    pulse_whole_at: Duration,
+    pub(crate) pulse_at: Duration,
+    pub(crate) pulse_whole_at: Duration,
     pub(crate) poll_at: Duration,
     /// It has polled since it last heard a majority: so after a start, or when a cut ends, it does so at once.
     pub(crate) polled: bool,
-    leaving: bool,
+    pub(crate) leaving: bool,
     /// The newest time that this node was told.
-    clock: Duration,
+    pub(crate) clock: Duration,
 }
 
 impl Keeper {
@@ -148,7 +150,7 @@
         let watch = matches!(call, Call::Watch { .. });
         let over = self.calls >= self.terms.calls
             || (watch && self.watches.len() >= self.terms.watches)
-            || name_of(&key).len() > self.terms.name
+            || key.name().len() > self.terms.name
             || (call.adds() && self.acceptor.bytes() + call.bytes() > self.terms.bytes)
             || (self.acceptor.len() >= self.terms.registers && self.acceptor.get(&key).is_none());
         if over || self.voting_epoch().is_none() || !self.has_quorum(now) {
@@ -255,14 +257,14 @@
     pub(crate) fn member_epoch(&self) -> Option<u64> {
         let charter = self.charter.as_ref()?;
         let member = charter.member(self.me.node)?;
-        (Some(member.disk) == self.me.disk).then_some(charter.number)
+        (Some(member.disk) == self.me.disk || fault::is(Fault::WipedDiskVotes)).then_some(charter.number)
     }
 
     /// This disk counts in the majorities of the newest epoch.
     pub(crate) fn voting_epoch(&self) -> Option<u64> {
         let epoch = self.member_epoch()?;
         let joined = self.charter.as_ref()?.member(self.me.node)?.joined;
-        (joined == 1 || self.whole == Some(joined)).then_some(epoch)
+        (joined == 1 || self.whole == Some(joined) || fault::is(Fault::NewcomerVotes)).then_some(epoch)
     }
 
     pub(crate) fn is_in(&self, node: NodeId) -> bool {
@@ -308,7 +310,9 @@
         } else if ours < epoch {
             self.pen.send(from, Message::Ask { epoch: ours });
         }
-        ours == epoch && self.voting_epoch().is_some() && self.heir.accepted.is_none()
+        ours == epoch
+            && self.voting_epoch().is_some()
+            && (self.heir.accepted.is_none() || fault::is(Fault::NotSealed))
     }
 
     /// A decided epoch above the one known.
@@ -377,6 +381,11 @@
         due.cloned().collect()
     }
 
+    /// The record that has to be durable before an answer goes out.
+    fn rests_on(&self, logged: u64, unless: Fault) -> u64 {
+        if fault::is(unless) { 0 } else { logged.max(self.chartered) }
+    }
+
     fn handle(&mut self, now: Duration, from: NodeId, message: Message) {
         match message {
             Message::Pulse { epoch, disk, whole, leaving } => {
@@ -403,7 +412,8 @@
                     match self.acceptor.promise(now, &key, ballot, known, &mut self.pen) {
                         Ok((held, logged)) => {
                             let promised = Message::Promised { key, ballot, held };
-                            self.pen.reply(logged.max(self.chartered), from, promised);
+                            let rests = self.rests_on(logged, Fault::PromiseUnsynced);
+                            self.pen.reply(rests, from, promised);
                         }
                         Err(promised) => self.pen.send(from, Message::Refused { key, ballot, promised }),
                     }
@@ -415,7 +425,8 @@
                     match self.acceptor.accept(now, &key, ballot, next, age, value, &mut self.pen) {
                         Ok(logged) => {
                             let accepted = Message::Accepted { key, ballot };
-                            self.pen.reply(logged.max(self.chartered), from, accepted);
+                            let rests = self.rests_on(logged, Fault::AcceptUnsynced);
+                            self.pen.reply(rests, from, accepted);
                         }
                         Err(promised) => self.pen.send(from, Message::Refused { key, ballot, promised }),
                     }
@@ -439,10 +450,3 @@
         }
     }
 }
-
-fn name_of(key: &Key) -> &str {
-    match key {
-        Key::Config => "",
-        Key::Lock(name) | Key::Number(name) | Key::Group(name) => name,
-    }
-}
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -9,6 +9,8 @@
 mod crew;
 mod desk;
 mod desks;
+pub mod fault;
+mod fingerprint;
 mod founding;
 mod handover;
 mod keeper;
@@ -41,7 +43,7 @@
 }
 
 /// Who this node is.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Hash)]
 pub struct Me {
     pub node: NodeId,
     /// A drawn number for a disk that is empty; the disk's own, once written, counts instead. None: no disk; such a
@@ -66,7 +68,7 @@
 }
 
 /// What is to be done.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Hash)]
 pub enum Out {
     Send(NodeId, Message),
     /// To be written in order; `Keeper::synced` tells when it is durable.
--- a/crates/keeper/src/messages.rs
+++ b/crates/keeper/src/messages.rs
@@ -10,7 +10,7 @@
 use crate::value::Value;
 
 /// What an acceptor holds of a register.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Hash, Serialize, Deserialize)]
 pub struct Sight {
     /// The newest ballot that it accepted.
     pub ballot: Ballot,
@@ -23,7 +23,7 @@
 }
 
 /// One register handed on.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Hash, Serialize, Deserialize)]
 pub struct Given {
     pub key: Key,
     pub ballot: Ballot,
@@ -32,7 +32,7 @@
 }
 
 /// Between keepers, in any order; each may be lost or come twice.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Hash, Serialize, Deserialize)]
 pub enum Message {
     /// A sign of life. `whole`: the epoch with which its disk came in, once it has caught up.
     Pulse {
--- a/crates/keeper/src/pen.rs
+++ b/crates/keeper/src/pen.rs
@@ -7,6 +7,7 @@
 use crate::value::Value;
 use crate::{Key, Out};
 
+#[derive(Clone, Hash)]
 pub(crate) struct Pen {
     me: NodeId,
     outs: Vec<Out>,
--- a/crates/keeper/src/recovery.rs
+++ b/crates/keeper/src/recovery.rs
@@ -21,7 +21,7 @@
 use crate::messages::{Message, Record};
 use crate::types::{Key, NodeId};
 
-#[derive(Debug)]
+#[derive(Clone, Debug, Hash)]
 pub(crate) struct CatchUp {
     epoch: u64,
     joined: u64,
--- a/crates/keeper/src/rounds.rs
+++ b/crates/keeper/src/rounds.rs
@@ -10,6 +10,7 @@
 use crate::ballot::Ballot;
 use crate::charter::Charter;
 use crate::desk::{Asker, Desk, Entry, Known, Push, Ready, Stage, Survey};
+use crate::fault::{self, Fault};
 use crate::keeper::Keeper;
 use crate::messages::{Message, Sight};
 use crate::types::{Answer, Call, Key, NodeId};
@@ -142,6 +143,9 @@
         let Some(found) = found(now, self.charter.as_ref(), survey) else { return };
         if found.committed {
             self.learn_known(now, key, found.base.as_ref());
+            if desk.batch.iter().any(|entry| entry.is_own() && matches!(entry.call, Call::Look { .. })) {
+                self.take_over(now, key, found.base.as_ref());
+            }
             let judged = self.judge_all(now, &desk.batch, found.base.as_ref());
             if judged.written.is_none() {
                 return self.finish(now, key, desk, judged.answers, found.base.as_ref());
@@ -212,13 +216,14 @@
         base: Option<Known>,
     ) {
         let (value, age) = match (judged.written, base) {
+            (Some(value), Some(base)) if fault::is(Fault::AgeStays) => (value, base.age(now)),
             (Some(value), _) => (value, Duration::ZERO),
             (None, Some(base)) => (base.value.clone(), base.age(now)),
             (None, None) => return self.refuse_all(desk),
         };
         let mut answers = Vec::with_capacity(judged.answers.len());
         for (entry, (answer, wrote)) in desk.batch.iter_mut().zip(judged.answers) {
-            entry.sent |= wrote;
+            entry.sent |= wrote && !fault::is(Fault::SentForgotten);
             answers.push(answer);
         }
         let next = ballot.following();
--- a/crates/keeper/src/subjects/locks.rs
+++ b/crates/keeper/src/subjects/locks.rs
@@ -7,6 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::fault::{self, Fault};
 use crate::subjects::{Verdict, encoded};
 use crate::types::Answer;
 
@@ -73,9 +74,10 @@
     };
     let running = !left.is_zero();
     // A shorter hold does not shorten one whose answer the holder has and whose renewal it may never hear of.
+    let lost = if fault::is(Fault::HoldShortened) { left } else { Duration::ZERO };
     let renewed = |holder, hold: Duration| Lock {
         fence: lock.fence,
-        state: State::Taken { holder, hold: hold.max(left) },
+        state: State::Taken { holder, hold: hold.max(left.saturating_sub(lost)) },
     };
     Some(match wish {
         Wish::Start { holder, hold } if running && holder_now == Some(holder) => {
@@ -83,7 +85,7 @@
         }
         Wish::Start { .. } if running => (None, Answer::Held),
         Wish::Start { holder, hold } => {
-            let fence = lock.fence.checked_add(1)?;
+            let fence = lock.fence.checked_add(u64::from(!fault::is(Fault::FenceStays)))?;
             (Some(Lock { fence, state: State::Taken { holder, hold } }), Answer::Fence(fence))
         }
         Wish::Beat { holder, fence, hold }
--- a/crates/keeper/src/subjects/memory.rs
+++ b/crates/keeper/src/subjects/memory.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 /// What binds the subjects.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Hash)]
 pub struct Limits {
     /// Overwritten puts of a group stay at least so long after this process saw them: half as much again as
     /// watchers may reach back.
@@ -47,13 +47,13 @@
 const MARKS: u32 = 32;
 
 /// What this process remembers of groups. It may be lost at any time: puts count as seen for the first time then.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Hash, Default)]
 pub struct Memory {
     pub limits: Limits,
     groups: BTreeMap<String, Marks>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Hash, Default)]
 struct Marks {
     /// When the group was seen at a revision, both rising.
     seen: VecDeque<(Duration, u64)>,
--- a/crates/keeper/src/subjects/mod.rs
+++ b/crates/keeper/src/subjects/mod.rs
@@ -49,6 +49,7 @@
         Call::CellPut { name, value, on } => cells::put(name, value, *on, held, memory, now),
         Call::CellGet { name } => cells::get(name, held, memory, now),
         Call::Watch { group, after, .. } => cells::watch(group, *after, held, memory, now),
+        Call::Look { .. } => Verdict::Answer(Answer::Looked { value: held.map(<[u8]>::to_vec) }),
     }
 }
 
--- a/crates/keeper/src/succession.rs
+++ b/crates/keeper/src/succession.rs
@@ -7,12 +7,13 @@
 
 use crate::ballot::Ballot;
 use crate::charter::Charter;
+use crate::fault::{self, Fault};
 use crate::keeper::Keeper;
 use crate::messages::{Message, Record};
 use crate::types::NodeId;
 
 /// What this disk promised and accepted for the successor of the present epoch.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Hash, Default)]
 pub(crate) struct Heir {
     pub promised: Option<Ballot>,
     pub accepted: Option<(Ballot, Charter)>,
@@ -20,7 +21,7 @@
 }
 
 /// How far this node has come with a change of its own, or with one that somebody left undone.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Hash)]
 pub(crate) enum Drive {
     Idle,
     Waiting {
@@ -156,6 +157,10 @@
         self.heir.logged = self.pen.log(&Record::Heir { epoch, promised, accepted });
     }
 
+    fn heir_rests(&self) -> u64 {
+        if fault::is(Fault::HeirUnsynced) { 0 } else { self.heir.logged }
+    }
+
     pub(crate) fn heir_prepare(&mut self, from: NodeId, ballot: Ballot) {
         if !self.heir_gate(from, ballot.epoch) {
             return;
@@ -171,7 +176,7 @@
             }
         }
         let accepted = self.heir.accepted.clone();
-        self.pen.reply(self.heir.logged, from, Message::HeirPromised { ballot, accepted });
+        self.pen.reply(self.heir_rests(), from, Message::HeirPromised { ballot, accepted });
     }
 
     pub(crate) fn heir_promised(
@@ -194,7 +199,8 @@
         if told.len() < quorum {
             return;
         }
-        let chosen = found.as_ref().map(|(_, charter)| charter.clone()).or(own.clone());
+        let found = found.as_ref().filter(|_| own.is_none() || !fault::is(Fault::OwnSuccessor));
+        let chosen = found.map(|(_, charter)| charter.clone()).or(own.clone());
         let Some(charter) = chosen else { return };
         let until = now + self.terms.decide;
         self.drive(Drive::Accepting { ballot, charter: charter.clone(), told: Vec::new(), until });
@@ -213,7 +219,7 @@
             self.heir.accepted = Some((ballot, charter));
             self.log_heir(ballot.epoch);
         }
-        self.pen.reply(self.heir.logged, from, Message::HeirAccepted { ballot });
+        self.pen.reply(self.heir_rests(), from, Message::HeirAccepted { ballot });
     }
 
     pub(crate) fn heir_accepted(&mut self, now: Duration, from: NodeId, ballot: Ballot) {
--- a/crates/keeper/src/terms.rs
+++ b/crates/keeper/src/terms.rs
@@ -7,7 +7,7 @@
 }
 
 /// All times and bounds. At each bound it is said what happens there.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Hash)]
 pub struct Terms {
     /// A call is answered within this: `Unknown` if its effect was sent out, else `Busy`.
     pub call: Duration,
@@ -92,6 +92,8 @@
     pub page: usize,
     /// Entries of a list's page.
     pub listed: usize,
+    /// Registers that one message of repair makes a member look at anew: each is a round. Comparing finds the rest.
+    pub looks: usize,
     /// Disk machines that are known besides the members; further ones are ignored.
     pub peers: usize,
 }
@@ -141,6 +143,7 @@
             held: 8192,
             page: 64 * 1024,
             listed: 512,
+            looks: 16,
             peers: 64,
         }
     }
--- a/crates/keeper/src/types.rs
+++ b/crates/keeper/src/types.rs
@@ -17,8 +17,18 @@
     Group(String),
 }
 
+impl Key {
+    /// The configuration has none.
+    pub fn name(&self) -> &str {
+        match self {
+            Key::Config => "",
+            Key::Lock(name) | Key::Number(name) | Key::Group(name) => name,
+        }
+    }
+}
+
 /// What a caller wants of the control state.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Hash, Serialize, Deserialize)]
 pub enum Call {
     ConfigPut {
         edition: u64,
@@ -58,6 +68,10 @@
         after: u64,
         wait: Duration,
     },
+    /// A register as it is, whatever it holds.
+    Look {
+        key: Key,
+    },
 }
 
 impl Call {
@@ -71,6 +85,7 @@
             Call::Number { name } => Key::Number(name.clone()),
             Call::CellPut { name, .. } | Call::CellGet { name } => Key::Group(group_of(name).to_owned()),
             Call::Watch { group, .. } => Key::Group(group.clone()),
+            Call::Look { key } => key.clone(),
         }
     }
 
@@ -81,7 +96,7 @@
                 true
             }
             Call::ConfigGet | Call::LockBeat { .. } | Call::LockEnd { .. } => false,
-            Call::CellGet { .. } | Call::Watch { .. } => false,
+            Call::CellGet { .. } | Call::Watch { .. } | Call::Look { .. } => false,
         }
     }
 
@@ -96,6 +111,7 @@
             Call::Number { name } | Call::CellGet { name } => name.len(),
             Call::CellPut { name, value, .. } => name.len() + value.len(),
             Call::Watch { group, .. } => group.len(),
+            Call::Look { key } => key.name().len(),
         }
     }
 }
@@ -109,7 +125,7 @@
 }
 
 /// What a caller is told.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Hash, Serialize, Deserialize)]
 pub enum Answer {
     Done,
     Config(Vec<u8>),
@@ -138,10 +154,14 @@
     Unknown,
     /// 503: has not taken effect and never will.
     Busy,
+    /// The bytes that a register holds.
+    Looked {
+        value: Option<Vec<u8>>,
+    },
 }
 
 /// One put, as a watch shows it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Event {
     pub name: String,
     pub value: String,
--- a/crates/keeper/src/value.rs
+++ b/crates/keeper/src/value.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
 /// Bytes held in common; written and read as one piece, not byte by byte.
-#[derive(Clone, PartialEq, Eq)]
+#[derive(Clone, PartialEq, Eq, Hash)]
 pub struct Value(pub Arc<[u8]>);
 
 impl Value {
--- a/crates/keeper/src/watches.rs
+++ b/crates/keeper/src/watches.rs
@@ -6,7 +6,7 @@
 use crate::subjects::events_after;
 use crate::types::{Answer, Key};
 
-#[derive(Debug)]
+#[derive(Clone, Debug, Hash)]
 struct Parked {
     id: u64,
     group: String,
@@ -14,7 +14,7 @@
     until: Duration,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Hash, Default)]
 pub(crate) struct Watches {
     parked: Vec<Parked>,
     soonest: Option<Duration>,
--- a/crates/keeper/src/weighing.rs
+++ b/crates/keeper/src/weighing.rs
@@ -4,6 +4,7 @@
 
 use crate::charter::Charter;
 use crate::desk::{Desk, Entry, Known, Survey};
+use crate::fault::{self, Fault};
 use crate::keeper::Keeper;
 use crate::messages::Sight;
 use crate::subjects::{Verdict, judge};
@@ -52,6 +53,12 @@
                 answers.push((None, false));
                 continue;
             }
+            if matches!(entry.call, Call::Look { .. }) {
+                // Before whatever is written together with it.
+                let value = base.map(|known| known.value.bytes().to_vec());
+                answers.push((Some(Answer::Looked { value }), false));
+                continue;
+            }
             let held = written.as_ref().or(base.map(|known| &known.value)).map(Value::bytes);
             match judge(&entry.call, held, age, &mut self.memory, now) {
                 Verdict::Answer(Answer::Busy) if entry.sent => answers.push((Some(Answer::Unknown), false)),
@@ -83,15 +90,17 @@
         return None;
     }
     let sights = || survey.replies.iter().filter_map(|(_, held)| held.as_ref());
-    let highest = sights().map(|sight| sight.ballot).max();
-    let top = highest.max(survey.known.as_ref().map(|known| known.ballot));
+    let own = survey.known.as_ref().map(|known| known.ballot);
+    let ballots = sights().map(|sight| sight.ballot).chain(own);
+    let top = if fault::is(Fault::LowestFound) { ballots.min() } else { ballots.max() };
     let Some(top) = top else { return Some(Found { base: None, committed: true }) };
     let at_top = || sights().filter(|sight| sight.ballot == top);
     let known = survey.known.as_ref().filter(|known| known.ballot == top);
     let value = known.map(|known| known.value.clone());
     let value = value.or_else(|| at_top().find_map(|sight| sight.value.clone()))?;
     let committed = (top.epoch == charter.number && at_top().count() >= charter.quorum())
-        || at_top().any(|sight| sight.committed);
+        || at_top().any(|sight| sight.committed)
+        || fault::is(Fault::FoundIsCommitted);
     let own = known.map(|known| known.age(now));
     let age = at_top().map(|sight| sight.age).chain(own).max().unwrap_or_default();
     Some(Found { base: Some(Known { ballot: top, value, age, at: now }), committed })
--- a/crates/lantern/src/control.rs
+++ b/crates/lantern/src/control.rs
@@ -261,6 +261,7 @@
             json(200, format!("{{\"events\":[{}],\"revision\":{revision}}}", events.join(",")).into_bytes())
         }
         Answer::Expired => json(410, b"{}".to_vec()),
+        Answer::Looked { .. } => json(200, b"{}".to_vec()),
         Answer::Unknown => json(500, b"{}".to_vec()),
         Answer::Busy => json(503, b"{}".to_vec()).with_additional_header("Retry-After", "0.2"),
     }
--- /dev/null
+++ b/crates/sextant/src/lib.rs
@@ -0,0 +1,18 @@
+//! Checks of the control state over the cores that run in service.
+//!
+//! [`waters::Sea`] is the world: nodes, disks, a network, in virtual time. A [`schedule::Schedule`] says what happens
+//! when, [`voyage`] plays it and checks what callers were told, [`shrink`] makes a failing one short. [`tides`] walks
+//! all orders of what is under way for a small script.
+
+pub mod breach;
+pub mod history;
+pub mod ledger;
+pub mod schedule;
+pub mod shrink;
+pub mod storm;
+pub mod tides;
+pub mod voyage;
+pub mod waters;
+
+pub use breach::{Breach, Check};
+pub use schedule::Schedule;
--- a/crates/keeper/tests/sea/alone.rs
+++ b/crates/sextant/tests/alone.rs
@@ -6,7 +6,7 @@
 use fallgap_keeper::charter::{Charter, Member};
 use fallgap_keeper::{Answer, Call, Keeper, Kept, Me, Message, Out, Peer, Terms};
 
-use crate::waters::{ms, node};
+use fallgap_sextant::waters::{ms, node};
 
 struct Alone {
     keeper: Keeper,
