Draught: a node with a laden link sends for large answers elsewhere, at once

So all of it is the wait at links of 3.8 Mbit/s behind answers of 90 kB, and nodes differ: clients are dealt by hash, and some nodes get half as many again as others.

An outbound op that comes to a node whose ops at work are to bring more than the link carries in a tenth of its target is told at once to come back in 20 ms: further tries meet other nodes. Who has been refused once (it waits for less than the longest wait of its route) is taken.

--- a/crates/lantern/src/start.rs
+++ b/crates/lantern/src/start.rs
@@ -212,5 +212,6 @@
     terms.pilot.retry_ratio = bounds.retry_ratio;
     terms.pilot.retry_slack = bounds.retry_slack;
     terms.pilot.retry_window = bounds.retry_window;
+    terms.link_mbps = settings.resources.link_mbps;
     terms
 }
--- a/crates/pilot/src/lib.rs
+++ b/crates/pilot/src/lib.rs
@@ -4,6 +4,7 @@
 mod answer;
 mod budget;
 mod chunks;
+mod draught;
 mod fleet;
 mod gate;
 mod head;
@@ -16,6 +17,7 @@
 pub use answer::{Answer, AnswerFault, AnswerReader, Judgement, Progress};
 pub use budget::Budget;
 pub use chunks::{ChunkFault, Chunks};
+pub use draught::Draught;
 pub use fleet::{Ended, Fleet, Report, Server, ServerKey, ServiceKey};
 pub use gate::Gate;
 pub use head::{Framing, Head};
--- a/crates/pilot/src/terms.rs
+++ b/crates/pilot/src/terms.rs
@@ -43,6 +43,9 @@
     /// Large answers come from the own zone while that usually takes no more than this part of the target: what is
     /// left is for the spread of times around the usual one.
     pub own_zone_large: f64,
+    /// A large answer that would wait for others on the own link for more than this part of its target is sent for
+    /// elsewhere: small answers wait behind it several times, once for each step of their way.
+    pub laden_part: f64,
 }
 
 impl Default for Terms {
@@ -67,6 +70,7 @@
             pass_from: 16 << 10,
             own_zone: 1.5,
             own_zone_large: 0.5,
+            laden_part: 0.1,
         }
     }
 }
--- a/crates/quay/src/ops.rs
+++ b/crates/quay/src/ops.rs
@@ -16,6 +16,8 @@
     /// Who waits for it; none any more if it has to run on all the same.
     pub client: Option<ClientKey>,
     pub service: ServiceKey,
+    pub route: std::sync::Arc<str>,
+    pub cargo: f64,
     pub tries: Vec<Try>,
     /// Servers that it was at, or that had no room.
     pub skip: Vec<ServerKey>,
@@ -55,12 +57,29 @@
             self.counters.pressed += 1;
             return self.not_run(now, key, &request);
         };
+        let route = route.name.clone();
+        if !self.draught.has_room(&route, plan.class, plan.target, request.head.wait) {
+            self.counters.laden += 1;
+            return self.own_answer(now, key, &request, 503, Some(self.terms.elsewhere));
+        }
+        let cargo = self.draught.loads(&route);
         let hedge =
             plan.class.may_run_again().then(|| self.fleet.hedge_after(service, plan.target)).flatten();
         let core = Op::new(plan);
         let (tries, skip) = (Vec::new(), Vec::new());
         let hedge_at = hedge.map(|after| now + after);
-        let entry = OpEntry { core, request, client: Some(key), service, tries, skip, hedge_at, noted: None };
+        let entry = OpEntry {
+            core,
+            request,
+            client: Some(key),
+            service,
+            route,
+            cargo,
+            tries,
+            skip,
+            hedge_at,
+            noted: None,
+        };
         self.memory += entry.request.body.len();
         let op = self.ops.insert(entry);
         if let Some(client) = self.clients.get_mut(key) {
@@ -75,10 +94,15 @@
         match next {
             Next::Wait => self.set_op_due(op),
             Next::Try => self.start_try(now, op),
-            Next::Pass => self.finish(now, op, |quay, client, request| match answer {
-                Some(answer) => quay.pass(now, client, request, answer),
-                None => quay.own_answer(now, client, request, 502, None),
-            }),
+            Next::Pass => {
+                if let Some((op, answer)) = self.ops.get(op).zip(answer.as_ref()) {
+                    self.draught.brought(&op.route, answer.told_length.unwrap_or(answer.body.len()));
+                }
+                self.finish(now, op, |quay, client, request| match answer {
+                    Some(answer) => quay.pass(now, client, request, answer),
+                    None => quay.own_answer(now, client, request, 502, None),
+                });
+            }
             Next::Break => self.finish(now, op, |quay, client, _| quay.close_client(now, client)),
             Next::Reply(end) => self.finish(now, op, |quay, client, request| match end {
                 Final::NotRun => quay.not_run(now, client, request),
@@ -99,6 +123,7 @@
         let Some(mut op) = self.ops.remove(key) else { return };
         self.timers.set(&mut op.noted, None, Who::Op(key));
         self.memory = self.memory.saturating_sub(op.request.body.len());
+        self.draught.unloads(op.cargo);
         let patience = op.core.plan.target / 2;
         op.tries.drain(..).for_each(|one| self.drop_try(now, one, patience));
         if let Some(client) = op.client.filter(|client| self.clients.contains_key(*client)) {
--- a/crates/quay/src/quay.rs
+++ b/crates/quay/src/quay.rs
@@ -7,12 +7,12 @@
 use crate::terms::Terms;
 use crate::timers::{ClientKey, LineKey, OpKey, Timers, Who};
 use fallgap_chart::{Limits, Routing, View};
-use fallgap_pilot::{Ends, Fleet, Report, ServerKey, ServiceKey};
+use fallgap_pilot::{Draught, Ends, Fleet, Report, ServerKey, ServiceKey};
 use mio::event::Event;
 use mio::net::TcpListener;
 use mio::{Interest, Registry, Token};
 use slotmap::{Key, SecondaryMap, SlotMap};
-use std::collections::VecDeque;
+use std::collections::{HashSet, VecDeque};
 use std::net::{SocketAddr, SocketAddrV4};
 use std::ops::Range;
 use std::sync::Arc;
@@ -62,6 +62,8 @@
     pub unreached: u64,
     /// Refused before any server was asked, as it is pressed.
     pub pressed: u64,
+    /// Sent elsewhere, as the own link is laden.
+    pub laden: u64,
     /// Clients that were gone before their answer.
     pub abandoned: u64,
 }
@@ -80,6 +82,7 @@
     /// How long servers of a service seem to keep connections that they say nothing of.
     pub(crate) rests: SecondaryMap<ServiceKey, Duration>,
     pub(crate) fleet: Fleet,
+    pub(crate) draught: Draught,
     pub(crate) routing: Option<Routing>,
     pub(crate) limits: Limits,
     /// The lowest rank of all routes.
@@ -130,6 +133,7 @@
             ops: SlotMap::with_key(),
             pools: SecondaryMap::new(),
             rests: SecondaryMap::new(),
+            draught: Draught::new(terms.link_mbps, terms.pilot.laden_part),
             fleet: Fleet::new(zone, terms.pilot, rng.u64(..)),
             routing: None,
             limits,
@@ -196,6 +200,8 @@
         if known.is_none_or(|known| !Arc::ptr_eq(known, configuration)) {
             self.routing = Some(Routing::new(configuration.clone()));
             self.limits = configuration.limits;
+            let names: HashSet<&str> = configuration.routes.iter().map(|route| &*route.name).collect();
+            self.draught.keep(|route| names.contains(route));
             self.last_priority = configuration.routes.iter().map(|route| route.priority).max().unwrap_or(0);
         }
         for server in self.fleet.view(&view) {
--- a/crates/quay/src/terms.rs
+++ b/crates/quay/src/terms.rs
@@ -35,6 +35,10 @@
     /// Clients are told to come back after so long; up to that much more is drawn.
     pub again: Duration,
     pub again_drawn: Duration,
+    /// A client that does better at another supervisor is told to come back after so long.
+    pub elsewhere: Duration,
+    /// What the own link carries.
+    pub link_mbps: f64,
 }
 
 impl Default for Terms {
@@ -56,6 +60,8 @@
             accept_pause: ms(50),
             again: ms(50),
             again_drawn: ms(200),
+            elsewhere: ms(20),
+            link_mbps: 1000.0,
         }
     }
 }
