--- a/crates/sextant/src/schedule.rs
+++ b/crates/sextant/src/schedule.rs
@@ -28,10 +28,14 @@
     Replace,
     /// A wall clock is set forward.
     Clock,
+    /// A process loses its power and is back before what is on its way to it has come.
+    Blink,
+    /// All callers that wait for nothing want the same at once, each at a keeper of its own.
+    Clash,
 }
 
 impl Act {
-    pub const ALL: [Act; 12] = [
+    pub const ALL: [Act; 14] = [
         Act::Call,
         Act::Kill,
         Act::Power,
@@ -44,6 +48,8 @@
         Act::Wipe,
         Act::Replace,
         Act::Clock,
+        Act::Blink,
+        Act::Clash,
     ];
 }
 
@@ -120,7 +126,7 @@
 }
 
 /// Short schedules, close set: the one that a seed names is drawn from one of these.
-const SHORT: [Waters; 4] = {
+const SHORT: [Waters; 6] = {
     let waters = Waters {
         disks: &[3, 4, 5, 6],
         tolerate: 1,
@@ -153,6 +159,22 @@
             apart_ms: (20, 2500),
             ..waters
         },
+        Waters {
+            troubles: &[Clash, Clash, Clash, Clash, Blink, Blink, Blink, Weather],
+            disks: &[3, 4],
+            time_ms: 1500,
+            apart_ms: (1, 25),
+            calls_ms: (1, 150),
+            ..waters
+        },
+        Waters {
+            troubles: &[Wipe, Replace, Blink, Blink, Blink, Clash, Clash, Weather],
+            disks: &[3, 4, 5],
+            apart_ms: (1, 90),
+            time_ms: 5000,
+            calls_ms: (1, 150),
+            ..waters
+        },
     ]
 };
 
--- a/crates/sextant/src/storm.rs
+++ b/crates/sextant/src/storm.rs
@@ -38,6 +38,8 @@
 
 /// Locks and numbers, by their places.
 const NAMES: u8 = 3;
+/// Records that a disk of a short schedule holds before it takes a snapshot.
+const SNAPSHOT: usize = 25;
 
 impl Storm {
     pub fn new(schedule: &Schedule) -> Storm {
@@ -58,6 +60,9 @@
         if schedule.hasty {
             sea.terms.change = ms(4);
         }
+        if !schedule.founding {
+            sea.snapshot_after = SNAPSHOT;
+        }
         Storm {
             sea,
             history: History::default(),
@@ -72,6 +77,9 @@
     pub fn act(&mut self, step: Step) {
         self.sea.first = false;
         let mut rng = fastrand::Rng::with_seed(step.dice);
+        if step.act == Act::Clash {
+            return self.clash(&mut rng);
+        }
         if step.act != Act::Call {
             return self.blow(step.act, &mut rng);
         }
@@ -83,6 +91,29 @@
         }
     }
 
+    fn clash(&mut self, rng: &mut fastrand::Rng) {
+        let (which, kind) = (rng.u8(0..NAMES), rng.u8(0..3));
+        let mut up = self.sea.up();
+        rng.shuffle(&mut up);
+        for place in 0..self.callers.len().min(up.len()) {
+            let Some(caller) = self.callers.get(place).filter(|caller| caller.pending.is_none()) else {
+                continue;
+            };
+            let call = match kind {
+                0 => Call::Number { name: format!("n{which}") },
+                1 => {
+                    let (name, holder) = (format!("l{which}"), format!("h{}", caller.name));
+                    Call::LockStart { name, holder, hold: ms(rng.u64(20..400)) }
+                }
+                _ => {
+                    let (name, value) = (format!("g{}.k0", which % 2), format!("v{}", self.id));
+                    Call::CellPut { name, value, on: None }
+                }
+            };
+            self.call_at(place, up[place], call);
+        }
+    }
+
     fn draw(&mut self, caller: &Caller, rng: &mut fastrand::Rng) -> Call {
         let Storm { edition, id, .. } = self;
         let which = rng.u8(0..NAMES);
@@ -136,6 +167,10 @@
         {
             to = steward;
         }
+        self.call_at(at, to, call);
+    }
+
+    fn call_at(&mut self, at: usize, to: NodeId, call: Call) {
         self.id += 1;
         self.history.sent(self.id, self.sea.now, call.clone());
         if let Some(caller) = self.callers.get_mut(at) {
@@ -266,13 +301,13 @@
             Act::Kill | Act::Power => {
                 self.sea.kill(one, act == Act::Power);
                 let after = if rng.bool() { short } else { long };
-                self.sea.restart(one, after, false);
+                self.sea.restart(one, after);
             }
             Act::KillAll | Act::PowerAll => {
                 for node in disks {
                     self.sea.kill(node, act == Act::PowerAll);
                     let after = ms(rng.u64(50..1500));
-                    self.sea.restart(node, after, false);
+                    self.sea.restart(node, after);
                 }
             }
             Act::Freeze => self.sea.freeze(one, long),
@@ -298,10 +333,10 @@
                     let after = ms(rng.u64(50..1500));
                     if at < lost {
                         self.sea.wipe(node);
-                        self.sea.restart(node, after, true);
+                        self.sea.restart(node, after);
                     } else if others {
                         self.sea.kill(node, true);
-                        self.sea.restart(node, after, false);
+                        self.sea.restart(node, after);
                     }
                 }
             }
@@ -322,7 +357,15 @@
                 }
             }
             Act::Clock => self.sea.set_clock(one, long * 2),
-            Act::Wipe | Act::Replace | Act::Call => {}
+            Act::Blink => {
+                let all = rng.u8(0..4) == 0;
+                for node in disks.into_iter().filter(|node| all || *node == one) {
+                    let after = Duration::from_micros(rng.u64(0..3000));
+                    self.sea.kill(node, true);
+                    self.sea.restart(node, after);
+                }
+            }
+            Act::Wipe | Act::Replace | Act::Call | Act::Clash => {}
         }
     }
 }
--- a/crates/sextant/src/tides.rs
+++ b/crates/sextant/src/tides.rs
@@ -134,7 +134,7 @@
             Step::Power(node, keep) => {
                 self.left.powers -= 1;
                 self.sea.stop(*node, *keep);
-                self.sea.restart(*node, Duration::ZERO, false);
+                self.sea.restart(*node, Duration::ZERO);
             }
         }
         for (id, _, answer) in std::mem::take(&mut self.sea.answers) {
--- a/crates/sextant/src/waters.rs
+++ b/crates/sextant/src/waters.rs
@@ -24,7 +24,7 @@
 pub enum Event {
     Deliver { from: NodeId, to: NodeId, life: u64, message: Vec<u8> },
     Synced { node: NodeId, life: u64 },
-    Start { node: NodeId, wiped: bool },
+    Start { node: NodeId },
     Thaw { node: NodeId },
     Mend,
 }
@@ -87,6 +87,8 @@
     beacon_at: Duration,
     epochs: BTreeMap<u64, Vec<NodeId>>,
     pub terms: Terms,
+    /// A disk that holds more records takes a snapshot.
+    pub snapshot_after: usize,
     pub notes: bool,
     pub records: usize,
     pub messages: usize,
@@ -110,6 +112,7 @@
             beacon_at: Duration::ZERO,
             epochs: BTreeMap::new(),
             terms: Terms::default(),
+            snapshot_after: 600,
             notes: std::env::var("SEA_NOTES").is_ok(),
             records: 0,
             messages: 0,
@@ -160,7 +163,7 @@
             },
         );
         let at = self.now + ms(self.rng.u64(0..200));
-        self.event(at, Event::Start { node, wiped: false });
+        self.event(at, Event::Start { node });
     }
 
     fn event(&mut self, at: Duration, event: Event) {
@@ -213,8 +216,8 @@
         self.asked.retain(|_, (at, _)| *at != node);
     }
 
-    pub fn restart(&mut self, node: NodeId, after: Duration, wiped: bool) {
-        self.event(self.now + after, Event::Start { node, wiped });
+    pub fn restart(&mut self, node: NodeId, after: Duration) {
+        self.event(self.now + after, Event::Start { node });
     }
 
     pub fn wipe(&mut self, node: NodeId) {
@@ -490,20 +493,17 @@
                 let time = machine.time(now);
                 if let Some(keeper) = &mut machine.keeper {
                     keeper.synced(time, last);
-                    if machine.kept.len() > 600 && machine.loose.is_empty() {
+                    if machine.kept.len() > self.snapshot_after && machine.loose.is_empty() {
                         machine.kept = keeper.snapshot();
                     }
                 }
                 self.collect(node);
             }
-            Event::Start { node, wiped } => {
+            Event::Start { node } => {
                 let Some(machine) = self.machines.get_mut(&node) else { return };
                 if machine.keeper.is_some() {
                     return;
                 }
-                if wiped {
-                    machine.kept.clear();
-                }
                 self.start(node);
             }
             Event::Thaw { node } => {
--- a/crates/sextant/tests/calm.rs
+++ b/crates/sextant/tests/calm.rs
@@ -128,7 +128,7 @@
             sea.kill(node(n), true);
             let after = 1300 + sea.rng.u64(0..150);
             last = last.max(after);
-            sea.restart(node(n), ms(after), false);
+            sea.restart(node(n), ms(after));
         }
         let started = sea.now + ms(last);
         sea.run(started + ms(40));
@@ -154,7 +154,7 @@
     // What is held counts after a start too.
     for n in 1..=3 {
         sea.kill(node(n), false);
-        sea.restart(node(n), ms(200), false);
+        sea.restart(node(n), ms(200));
     }
     sea.run(sea.now + ms(3000));
     assert_eq!(ask(&mut sea, 3, 101, put(20)).0, Answer::Busy);
--- a/crates/sextant/tests/drawn.rs
+++ b/crates/sextant/tests/drawn.rs
@@ -5,9 +5,9 @@
 use fallgap_sextant::schedule::Schedule;
 use fallgap_sextant::voyage::sail;
 
-/// A quarter of them each: one thread for each kind of waters.
+/// One thread for each kind of waters.
 fn drawn(kind: u64) {
-    for seed in (kind..800).step_by(4) {
+    for seed in (kind..900).step_by(6) {
         if let Err(breach) = sail(&Schedule::short(seed)) {
             panic!("seed {seed}: {breach}");
         }
@@ -34,6 +34,16 @@
     drawn(3);
 }
 
+#[test]
+fn all_want_the_same() {
+    drawn(4);
+}
+
+#[test]
+fn members_change_in_haste() {
+    drawn(5);
+}
+
 #[test]
 fn what_failed_once_holds() {
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/found");
