--- a/crates/sextant/src/storm.rs
+++ b/crates/sextant/src/storm.rs
@@ -95,7 +95,7 @@
         let (which, kind) = (rng.u8(0..NAMES), rng.u8(0..3));
         let mut up = self.sea.up();
         rng.shuffle(&mut up);
-        for place in 0..self.callers.len().min(up.len()) {
+        for (place, to) in (0..self.callers.len()).zip(up) {
             let Some(caller) = self.callers.get(place).filter(|caller| caller.pending.is_none()) else {
                 continue;
             };
@@ -110,7 +110,7 @@
                     Call::CellPut { name, value, on: None }
                 }
             };
-            self.call_at(place, up[place], call);
+            self.call_at(place, to, call);
         }
     }
 
