Quay: a logbook tells what became of the last ops, and why

The counters say how many ops were refused and not which or why; at the place where an op ends (ops.rs `finish`) the tries are dropped, and why no further try was made is one boolean in `Op::may_try`, lost behind it.

Change: `Op::barred` names what forbids one more try, and `may_try` asks it. An op carries a draft of four tries of one size; where it ends the draft goes into one of two bounded rings (1,024 ops that the first server answered, 2,048 others), with id, route, service, edition and how old the table was. `Fleet::view` gives the names of servers that went, so that a tale can still name them.

--- a/crates/pilot/src/fleet.rs
+++ b/crates/pilot/src/fleet.rs
@@ -4,6 +4,7 @@
 use crate::gate::Gate;
 use crate::health::{Health, HealthEvent};
 use crate::terms::Terms;
+use crate::why::Why;
 use fallgap_chart::{Berth, RouteClass, View, spread};
 use slotmap::{SlotMap, new_key_type};
 use std::collections::{BTreeMap, BTreeSet};
@@ -63,6 +64,22 @@
     good_s: f64,
 }
 
+impl Server {
+    /// Requests from here that it works on.
+    pub fn at_work(&self) -> u32 {
+        self.at_work
+    }
+
+    pub fn health(&self) -> &Health {
+        &self.health
+    }
+
+    /// How long its good answers take; none before the first.
+    pub fn typical(&self) -> Option<Duration> {
+        (self.typical > 0.0).then(|| Duration::from_secs_f64(self.typical.min(3600.0)))
+    }
+}
+
 struct Service {
     name: Arc<str>,
     servers: Vec<ServerKey>,
@@ -131,7 +148,7 @@
     }
 
     /// Takes the view over. Gives the servers that are there no longer.
-    pub fn view(&mut self, view: &View) -> Vec<ServerKey> {
+    pub fn view(&mut self, view: &View) -> Vec<(ServerKey, Arc<str>)> {
         self.services.values_mut().for_each(|service| service.servers.clear());
         for service in &view.configuration.services {
             let key = self.service_named(&service.name);
@@ -144,13 +161,15 @@
             here.insert(self.berth(berth));
         }
         let gone: Vec<ServerKey> = self.servers.keys().filter(|key| !here.contains(key)).collect();
-        for key in &gone {
-            if let Some(server) = self.servers.remove(*key) {
-                self.by_id.remove(&(server.id, server.address));
+        let mut names = Vec::with_capacity(gone.len());
+        for key in gone {
+            if let Some(server) = self.servers.remove(key) {
+                self.by_id.remove(&(server.id.clone(), server.address));
+                names.push((key, server.id));
             }
         }
         self.deal();
-        gone
+        names
     }
 
     fn service_named(&mut self, name: &Arc<str>) -> ServiceKey {
@@ -316,6 +335,12 @@
         best.map(|(_, key)| key)
     }
 
+    /// Why there is no server to pick.
+    pub fn nowhere(&self, service: ServiceKey) -> Why {
+        let there = self.services.get(service).is_some_and(|service| !service.servers.is_empty());
+        if there { Why::NoRoom } else { Why::NoServer }
+    }
+
     /// A request goes to a server.
     pub fn began(&mut self, now: Duration, key: ServerKey) {
         if let Some(server) = self.servers.get_mut(key) {
@@ -376,6 +401,15 @@
         reports
     }
 
+    /// A server by its name and address, for those who look.
+    pub fn named(&self, id: &Arc<str>, address: SocketAddrV4) -> Option<&Server> {
+        self.servers.get(*self.by_id.get(&(id.clone(), address))?)
+    }
+
+    pub fn service_name(&self, service: ServiceKey) -> Option<&Arc<str>> {
+        self.services.get(service).map(|service| &service.name)
+    }
+
     /// Names of services with a count of their servers, for those who look.
     pub fn services(&self) -> impl Iterator<Item = (&str, usize)> {
         self.by_name.values().filter_map(|key| self.services.get(*key)).map(|s| (&*s.name, s.servers.len()))
--- a/crates/pilot/src/lib.rs
+++ b/crates/pilot/src/lib.rs
@@ -11,6 +11,7 @@
 mod op;
 mod request;
 mod terms;
+mod why;
 mod wire;
 
 pub use answer::{Answer, AnswerFault, AnswerReader, Judgement, Progress};
@@ -23,4 +24,5 @@
 pub use op::{Final, Next, Op, Plan, TryOutcome, TryState};
 pub use request::{Inbox, Refusal, Request, Step};
 pub use terms::Terms;
+pub use why::{Why, try_word};
 pub use wire::{Ends, answer_head, forwarded_head, own_answer};
--- a/crates/pilot/src/op.rs
+++ b/crates/pilot/src/op.rs
@@ -1,5 +1,6 @@
 //! One op: its tries, what each proves, and what is to be done next.
 
+use crate::why::Why;
 use fallgap_chart::{Route, RouteClass};
 use std::time::Duration;
 
@@ -204,15 +205,22 @@
     }
 
     fn may_try(&self, now: Duration, budget: bool) -> bool {
+        !self.over && self.barred(now, budget).is_none()
+    }
+
+    /// What forbids one more try, if something does.
+    pub fn barred(&self, now: Duration, budget: bool) -> Option<Why> {
         let arrivals = self.arrivals();
         let connects = self.tries.len() as u32 - arrivals;
         let again = self.plan.class.may_run_again() || !self.may_have_run();
-        !self.over
-            && again
-            && now < self.plan.deadline
-            && arrivals < self.plan.attempts
-            && connects < self.plan.connects
-            && (arrivals == 0 || budget)
+        let bars = [
+            (!again, Why::Once),
+            (now >= self.plan.deadline, Why::Time),
+            (arrivals >= self.plan.attempts, Why::Attempts),
+            (connects >= self.plan.connects, Why::Connects),
+            (arrivals > 0 && !budget, Why::Budget),
+        ];
+        bars.into_iter().find(|(bars, _)| *bars).map(|(_, why)| why)
     }
 
     fn may_have_run(&self) -> bool {
--- /dev/null
+++ b/crates/pilot/src/why.rs
@@ -0,0 +1,86 @@
+//! Why an op ended as it did, in a word that fits into a record.
+
+use crate::fleet::Ended;
+use crate::op::TryOutcome;
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Why {
+    /// A server's answer went back.
+    #[default]
+    Answered,
+    /// There was no view to route by yet.
+    NoView,
+    NoRoute,
+    /// No open server of the service is known.
+    NoServer,
+    /// Each server that may be asked works on all that it takes, or was asked already.
+    NoRoom,
+    /// Its servers turn requests away, and its rank is refused for now.
+    Gate,
+    /// Further tries of the service have used up their budget.
+    Budget,
+    /// As many servers were asked as its route allows.
+    Attempts,
+    /// As many connections were in vain as there may be.
+    Connects,
+    /// It may have run, and its route forbids that it runs again.
+    Once,
+    /// Its time was over.
+    Time,
+    /// The client was gone.
+    Abandoned,
+}
+
+impl Why {
+    const ALL: [Why; 12] = [
+        Why::Answered,
+        Why::NoView,
+        Why::NoRoute,
+        Why::NoServer,
+        Why::NoRoom,
+        Why::Gate,
+        Why::Budget,
+        Why::Attempts,
+        Why::Connects,
+        Why::Once,
+        Why::Time,
+        Why::Abandoned,
+    ];
+
+    pub fn word(self) -> &'static str {
+        match self {
+            Why::Answered => "answered",
+            Why::NoView => "no-view",
+            Why::NoRoute => "no-route",
+            Why::NoServer => "no-server",
+            Why::NoRoom => "no-room",
+            Why::Gate => "gate",
+            Why::Budget => "budget",
+            Why::Attempts => "attempts",
+            Why::Connects => "connects",
+            Why::Once => "once",
+            Why::Time => "time",
+            Why::Abandoned => "abandoned",
+        }
+    }
+
+    pub fn from_word(word: &str) -> Option<Why> {
+        Why::ALL.into_iter().find(|why| why.word() == word)
+    }
+}
+
+/// How a try ended, in a word.
+pub fn try_word(outcome: TryOutcome, how: Ended) -> &'static str {
+    match (outcome, how) {
+        (_, Ended::Silent) => "silent",
+        (_, Ended::Unreached) => "unreached",
+        (_, Ended::Other) => "other-server",
+        (TryOutcome::Answered, _) => "answered",
+        (TryOutcome::NotRun, _) => "turned-away",
+        (TryOutcome::Failed, _) => "failed",
+        (TryOutcome::NotSent, Ended::Void) => "withdrawn",
+        (TryOutcome::NotSent, _) => "broke-before",
+        (TryOutcome::Unknown, Ended::Void) => "left",
+        (TryOutcome::Unknown, _) => "broke-after",
+    }
+}
--- a/crates/pilot/tests/fleet.rs
+++ b/crates/pilot/tests/fleet.rs
@@ -128,7 +128,7 @@
     let (mut fleet, service) = fleet(vec![berth(1, "near", 1.0), berth(2, "near", 1.0)]);
     let gone = fleet.view(&view(vec![berth(2, "near", 1.0), berth(3, "near", 1.0)]));
     assert_eq!(gone.len(), 1);
-    assert!(fleet.server(gone[0]).is_none());
+    assert!(fleet.server(gone[0].0).is_none());
     let ids: Vec<String> = counts(&mut fleet, 0, service).into_keys().collect();
     assert_eq!(ids, ["i-2", "i-3"]);
     fleet.view(&view(vec![]));
--- a/crates/quay/examples/carry_cost.rs
+++ b/crates/quay/examples/carry_cost.rs
@@ -1,5 +1,6 @@
 //! What carrying a request costs, on loopback: processor time of the quay's thread and of the whole process for an
-//! op, at 1, 8 and 64 clients' connections, beside the same ops sent straight to the stand-in server.
+//! op, at 1, 8 and 64 clients' connections, beside the same ops sent straight to the stand-in server, and beside a
+//! quay that remembers no ops.
 
 #[path = "../tests/world/mod.rs"]
 mod world;
@@ -19,6 +20,9 @@
 const OPS: usize = 24_000;
 /// Rounds of a measurement; the middle one counts.
 const ROUNDS: usize = 3;
+/// Turns with and without the logbook, and ops of each: the difference is small, so turns are many and short.
+const TURNS: usize = 60;
+const TURN: usize = 1920;
 
 thread_local! {
     /// Pieces of memory that this thread has asked for.
@@ -70,8 +74,8 @@
 }
 
 /// Microseconds an op, over so many connections that each wait for their answer.
-fn cost(connections: usize, at: SocketAddr, quay: impl Fn() -> f64) -> Cost {
-    let each = OPS / connections;
+fn cost(ops: usize, connections: usize, at: SocketAddr, quay: impl Fn() -> f64) -> Cost {
+    let each = ops / connections;
     let clients: Vec<Client> = (0..connections).map(|_| Client::connect(at, 10 * SECOND).unwrap()).collect();
     let unserved = AtomicUsize::new(0);
     let run = |client: &mut Client, ops: usize| {
@@ -110,6 +114,12 @@
     })
 }
 
+/// What it costs when nothing else disturbs: the lowest quarter's end.
+fn calm(mut figures: Vec<f64>) -> f64 {
+    figures.sort_by(f64::total_cmp);
+    figures[figures.len() / 4]
+}
+
 fn middle(mut figures: Vec<f64>) -> f64 {
     figures.sort_by(f64::total_cmp);
     figures[figures.len() / 2]
@@ -119,19 +129,25 @@
     let body = "x".repeat(1024);
     let server = Server::start("i-1", move |got| Does::Sends(ok(got, &body)));
     let world = World::new(fallgap_quay::Terms::default());
+    let forgets = fallgap_quay::Pages { smooth: 0, rough: 0, gone: 0 };
+    let forgetful = World::new(fallgap_quay::Terms { pages: forgets, ..Default::default() });
     // A server that takes as many at once as there are clients.
     let mut configuration = configuration();
     configuration.services.iter_mut().for_each(|service| service.line_cap = 256);
     let berth = Berth { slots: 128, ..berth(&server) };
     let view = Arc::new(View { configuration: Arc::new(configuration), berths: vec![berth] });
-    world.ask(move |quay, now| quay.view(now, view));
-    let quay = || world.ask(|_, _| ran("/proc/thread-self/schedstat"));
+    for world in [&world, &forgetful] {
+        let view = view.clone();
+        world.ask(move |quay, now| quay.view(now, view));
+    }
+    let ran_of = |world: &World| world.ask(|_, _| ran("/proc/thread-self/schedstat"));
+    let quay = || ran_of(&world);
     let asked = || world.ask(|_, _| ASKED.get());
     println!("figure resident_mb_at_rest {:.1}", resident_mb());
     for connections in [1, 8, 64] {
         // In turn, so that a busy moment of the machine meets both.
         let both = (0..ROUNDS).map(|_| {
-            (cost(connections, world.front, quay), cost(connections, server.address.into(), || 0.0))
+            (cost(OPS, connections, world.front, quay), cost(OPS, connections, server.address.into(), || 0.0))
         });
         let before = asked();
         let both: Vec<(Cost, Cost)> = both.collect();
@@ -142,6 +158,13 @@
         let unserved: usize = both.iter().map(|(carried, direct)| carried.unserved + direct.unserved).sum();
         println!("figure unserved_{connections} {unserved}");
         println!("figure quay_us_an_op_{connections} {:.1}", of(&|(carried, _)| carried.quay));
+        let turns = (0..TURNS).map(|_| {
+            let plain = cost(TURN, connections, forgetful.front, || ran_of(&forgetful)).quay;
+            (cost(TURN, connections, world.front, quay).quay, plain)
+        });
+        let (with, without): (Vec<f64>, Vec<f64>) = turns.unzip();
+        let ratio = calm(with) / calm(without);
+        println!("figure quay_with_logbook_against_without_{connections} {ratio:.3}");
         println!("figure carried_us_an_op_{connections} {:.1}", of(&|(carried, _)| carried.whole));
         println!("figure direct_us_an_op_{connections} {:.1}", of(&|(_, direct)| direct.whole));
         let ratio = of(&|(carried, direct)| carried.whole / direct.whole);
--- a/crates/quay/src/lib.rs
+++ b/crates/quay/src/lib.rs
@@ -5,6 +5,7 @@
 mod clients;
 mod line;
 mod lines;
+mod logbook;
 mod ops;
 mod quay;
 mod terms;
@@ -12,5 +13,6 @@
 mod tries;
 
 pub use fallgap_pilot::Report;
+pub use logbook::{Pages, Tale, TryTale};
 pub use quay::{Counters, Quay, QuayError};
 pub use terms::Terms;
--- a/crates/quay/src/ops.rs
+++ b/crates/quay/src/ops.rs
@@ -2,11 +2,14 @@
 
 use crate::client::{ClientState, Outgoing};
 use crate::line::TryAt;
+use crate::logbook::{Draft, Over};
 use crate::quay::Quay;
 use crate::timers::{ClientKey, LineKey, OpKey, Who};
 use fallgap_pilot::{
-    Answer, Ended, Final, Next, Op, Plan, Request, ServerKey, ServiceKey, answer_head, own_answer,
+    Answer, Ended, Final, Next, Op, Plan, Request, ServerKey, ServiceKey, TryOutcome, Why, answer_head,
+    own_answer,
 };
+use std::sync::Arc;
 use std::time::Duration;
 
 /// An op at work.
@@ -22,6 +25,10 @@
     /// Then a second server is asked if the first is silent.
     pub hedge_at: Option<Duration>,
     pub noted: Option<Duration>,
+    pub route: Arc<str>,
+    pub edition: u64,
+    /// What is told of it afterwards.
+    pub draft: Draft,
 }
 
 /// A try that is under way.
@@ -41,18 +48,28 @@
         let head = &request.head;
         // Before the first view no route is known to be missing.
         let Some(routing) = &self.routing else {
+            self.refused(now, began, &request, 503, Why::NoView, None);
             return self.not_run(now, key, &request);
         };
+        let edition = routing.configuration().edition;
         let Some(route) = routing.find(head.host(), head.path()) else {
             self.counters.no_route += 1;
+            self.refused(now, began, &request, 404, Why::NoRoute, None);
             return self.own_answer(now, key, &request, 404, None);
         };
         let plan = Plan::new(began, route, head.wait, self.terms.pilot.connects);
         let below = self.last_priority.saturating_sub(plan.priority);
+        let route_name = route.name.clone();
         let service = self.fleet.sorted(&route.sorting);
         let let_in = service.filter(|service| self.fleet.arrives(now, *service, below));
         let Some(service) = let_in.filter(|_| now < plan.deadline) else {
             self.counters.pressed += 1;
+            let why = match service {
+                None => Why::NoServer,
+                Some(_) if let_in.is_none() => Why::Gate,
+                Some(_) => Why::Time,
+            };
+            self.refused(now, began, &request, 503, why, Some((route_name, service)));
             return self.not_run(now, key, &request);
         };
         let hedge =
@@ -60,7 +77,19 @@
         let core = Op::new(plan);
         let (tries, skip) = (Vec::new(), Vec::new());
         let hedge_at = hedge.map(|after| now + after);
-        let entry = OpEntry { core, request, client: Some(key), service, tries, skip, hedge_at, noted: None };
+        let entry = OpEntry {
+            core,
+            request,
+            client: Some(key),
+            service,
+            tries,
+            skip,
+            hedge_at,
+            noted: None,
+            route: route_name,
+            edition,
+            draft: Draft::default(),
+        };
         self.memory += entry.request.body.len();
         let op = self.ops.insert(entry);
         if let Some(client) = self.clients.get_mut(key) {
@@ -75,43 +104,79 @@
         match next {
             Next::Wait => self.set_op_due(op),
             Next::Try => self.start_try(now, op),
-            Next::Pass => self.finish(now, op, |quay, client, request| match answer {
-                Some(answer) => quay.pass(now, client, request, answer),
-                None => quay.own_answer(now, client, request, 502, None),
-            }),
-            Next::Break => self.finish(now, op, |quay, client, _| quay.close_client(now, client)),
-            Next::Reply(end) => self.finish(now, op, |quay, client, request| match end {
-                Final::NotRun => quay.not_run(now, client, request),
-                Final::Unknown => {
-                    quay.counters.unknown += 1;
-                    quay.own_answer(now, client, request, 502, None);
-                }
-                Final::Late => {
-                    quay.counters.late += 1;
-                    quay.own_answer(now, client, request, 504, None);
-                }
-            }),
+            Next::Pass => {
+                let status = answer.as_ref().map_or(502, |answer| answer.status);
+                self.finish(now, op, status, |quay, client, request| match answer {
+                    Some(answer) => quay.pass(now, client, request, answer),
+                    None => quay.own_answer(now, client, request, status, None),
+                });
+            }
+            // Its head had left already, and it was a good one.
+            Next::Break => {
+                self.finish(now, op, 200, |quay, client, _| quay.close_client(now, client));
+            }
+            Next::Reply(end) => {
+                let status = match end {
+                    Final::NotRun => 503,
+                    Final::Unknown => 502,
+                    Final::Late => 504,
+                };
+                self.finish(now, op, status, |quay, client, request| match end {
+                    Final::NotRun => quay.not_run(now, client, request),
+                    Final::Unknown => {
+                        quay.counters.unknown += 1;
+                        quay.own_answer(now, client, request, status, None);
+                    }
+                    Final::Late => {
+                        quay.counters.late += 1;
+                        quay.own_answer(now, client, request, status, None);
+                    }
+                });
+            }
         }
     }
 
     /// An op is over: its tries end, and its client gets an answer.
-    fn finish(&mut self, now: Duration, key: OpKey, answer: impl FnOnce(&mut Quay, ClientKey, &Request)) {
+    fn finish(
+        &mut self, now: Duration, key: OpKey, status: u16,
+        answer: impl FnOnce(&mut Quay, ClientKey, &Request),
+    ) {
         let Some(mut op) = self.ops.remove(key) else { return };
         self.timers.set(&mut op.noted, None, Who::Op(key));
         self.memory = self.memory.saturating_sub(op.request.body.len());
         let patience = op.core.plan.target / 2;
-        op.tries.drain(..).for_each(|one| self.drop_try(now, one, patience));
+        for one in op.tries.drain(..) {
+            let (outcome, how) = self.drop_try(now, one, patience);
+            op.draft.ended(one.server, now.saturating_sub(op.core.plan.began), outcome, how);
+        }
+        let (came, id) = (op.core.plan.began, op.request.head.id());
+        let (edition, service, draft) = (op.edition, Some(op.service), op.draft);
+        let over = Over { id, status, came, edition, route: Some(op.route), service, draft };
+        self.logbook.over(now, over);
         if let Some(client) = op.client.filter(|client| self.clients.contains_key(*client)) {
             answer(self, client, &op.request);
         }
     }
 
+    /// An op is refused before it is one.
+    fn refused(
+        &mut self, now: Duration, came: Duration, request: &Request, status: u16, why: Why,
+        route: Option<(Arc<str>, Option<ServiceKey>)>,
+    ) {
+        let edition = self.routing.as_ref().map_or(0, |routing| routing.configuration().edition);
+        let (route, service) = route.map_or((None, None), |(route, service)| (Some(route), service));
+        let (draft, id) = (Draft::of(why), request.head.id());
+        self.logbook.over(now, Over { id, status, came, edition, route, service, draft });
+    }
+
     /// A try is of no use any more: another has answered, or time is over.
-    fn drop_try(&mut self, now: Duration, one: Try, patience: Duration) {
+    fn drop_try(&mut self, now: Duration, one: Try, patience: Duration) -> (TryOutcome, Ended) {
         // Was it silent all the while?
         let silent = one.sent && now >= one.began + patience;
-        self.fleet.ended(now, one.server, if silent { Ended::Silent } else { Ended::Void });
+        let how = if silent { Ended::Silent } else { Ended::Void };
+        self.fleet.ended(now, one.server, how);
         self.close_line(one.line);
+        (if one.sent { TryOutcome::Unknown } else { TryOutcome::NotSent }, how)
     }
 
     /// A large answer goes on as it comes: read whole first, it would cross a thin link twice, one time after the
@@ -131,7 +196,11 @@
                 std::mem::take(&mut op.tries).into_iter().partition(|one| one.number == at.number);
             (op.tries, op.hedge_at) = (mine, None);
             let keep = op.request.head.keep;
-            others.into_iter().for_each(|one| self.drop_try(now, one, patience));
+            for one in others {
+                let (outcome, how) = self.drop_try(now, one, patience);
+                let Some(op) = self.ops.get_mut(at.op) else { return };
+                op.draft.ended(one.server, now.saturating_sub(op.core.plan.began), outcome, how);
+            }
             let ends = self.ends(client, keep);
             let Some((op, line)) = self.ops.get(at.op).zip(self.lines.get(key)) else { return };
             let mut head = Vec::with_capacity(512);
@@ -184,7 +253,8 @@
         let Some(op) = self.ops.get_mut(key) else { return };
         op.client = None;
         if op.core.plan.class.may_run_again() || !op.core.was_sent() {
-            self.finish(now, key, |_, _, _| {});
+            op.draft.why = Why::Abandoned;
+            self.finish(now, key, 0, |_, _, _| {});
         }
     }
 
@@ -210,6 +280,7 @@
         let connect = self.connect_most(target);
         let Some(op) = self.ops.get_mut(key) else { return };
         if now >= op.core.plan.deadline {
+            op.draft.why = Why::Time;
             let next = op.core.late();
             return self.act(now, key, next, None);
         }
--- a/crates/quay/src/quay.rs
+++ b/crates/quay/src/quay.rs
@@ -3,6 +3,7 @@
 use crate::client::{Client, ClientState};
 use crate::line::Line;
 use crate::lines::Pool;
+use crate::logbook::{Logbook, Tale};
 use crate::ops::OpEntry;
 use crate::terms::Terms;
 use crate::timers::{ClientKey, LineKey, OpKey, Timers, Who};
@@ -95,6 +96,7 @@
     pub(crate) rng: fastrand::Rng,
     pub(crate) terms: Terms,
     pub(crate) counters: Counters,
+    pub(crate) logbook: Logbook,
 }
 
 /// Bytes read at once.
@@ -143,6 +145,7 @@
             rng,
             terms,
             counters: Counters::default(),
+            logbook: Logbook::new(terms.pages),
         })
     }
 
@@ -198,8 +201,9 @@
             self.limits = configuration.limits;
             self.last_priority = configuration.routes.iter().map(|route| route.priority).max().unwrap_or(0);
         }
-        for server in self.fleet.view(&view) {
+        for (server, id) in self.fleet.view(&view) {
             self.server_gone(now, server);
+            self.logbook.server_gone(server, id);
         }
         self.see_to_clients(now);
     }
@@ -230,6 +234,23 @@
         self.clients.values().filter(at_work).count() + self.ops.len()
     }
 
+    /// What became of the ops with this id; without one, of the last ones that met something.
+    pub fn tales(&self, now: Duration, id: Option<&str>, most: usize) -> Vec<Tale> {
+        let service = |key| self.fleet.service_name(key).cloned();
+        let server = |key| self.fleet.server(key).map(|server| server.id.clone());
+        self.logbook.find(now, id, most, service, server)
+    }
+
+    /// When a home last confirmed the table that is routed by.
+    pub fn confirmed(&mut self, at: Option<Duration>) {
+        self.logbook.confirmed(at);
+    }
+
+    /// The servers as they are seen from here.
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
     pub fn reports(&mut self) -> Vec<Report> {
         self.fleet.reports()
     }
--- a/crates/quay/src/terms.rs
+++ b/crates/quay/src/terms.rs
@@ -1,5 +1,6 @@
 //! What binds the quay.
 
+use crate::logbook::Pages;
 use std::time::Duration;
 
 /// All bounds of the sockets, and what happens at each.
@@ -35,6 +36,8 @@
     /// Clients are told to come back after so long; up to that much more is drawn.
     pub again: Duration,
     pub again_drawn: Duration,
+    /// Ops remembered: half a megabyte, and at a few hundred ops a second the rough ones of minutes.
+    pub pages: Pages,
 }
 
 impl Default for Terms {
@@ -56,6 +59,7 @@
             accept_pause: ms(50),
             again: ms(50),
             again_drawn: ms(200),
+            pages: Pages { smooth: 1024, rough: 2048, gone: 256 },
         }
     }
 }
--- a/crates/quay/src/tries.rs
+++ b/crates/quay/src/tries.rs
@@ -7,7 +7,7 @@
 use crate::quay::Quay;
 use crate::timers::{LineKey, OpKey};
 use fallgap_chart::RouteClass;
-use fallgap_pilot::{Answer, Ended, Judgement, ServerKey, TryOutcome, forwarded_head};
+use fallgap_pilot::{Answer, Ended, Judgement, Next, ServerKey, TryOutcome, Why, forwarded_head};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -21,6 +21,7 @@
             let (service, plan) = (op.service, op.core.plan);
             let class = plan.class;
             let Some(server) = self.fleet.pick(now, service, class, plan.target, &op.skip) else {
+                op.draft.why = self.fleet.nowhere(service);
                 let next = op.core.nowhere(now);
                 return self.act(now, key, next, None);
             };
@@ -36,6 +37,7 @@
             };
             if let Some(op) = self.ops.get_mut(key) {
                 op.tries.push(Try { number, line, server, began: now, sent: false });
+                op.draft.began(server, now.saturating_sub(plan.began));
             }
             self.fleet.began(now, server);
             if self.lines.get(line).is_some_and(|line| !line.is_new) {
@@ -160,7 +162,14 @@
         self.fleet.ended(now, one.server, how);
         let budget = self.fleet.budget_allows(now, service, 1.0);
         let Some(op) = self.ops.get_mut(at.op) else { return };
+        op.draft.ended(one.server, now.saturating_sub(op.core.plan.began), outcome, how);
         let next = op.core.ended(now, at.number, outcome, budget);
+        op.draft.why = match next {
+            Next::Pass | Next::Reply(_) if outcome != TryOutcome::Answered => {
+                op.core.barred(now, budget).unwrap_or_default()
+            }
+            _ => Why::Answered,
+        };
         self.act(now, at.op, next, answer);
     }
 }
--- a/crates/quay/tests/sockets.rs
+++ b/crates/quay/tests/sockets.rs
@@ -274,3 +274,38 @@
         assert!(breaks.got().iter().any(|got| got.id().starts_with(name)));
     }
 }
+
+/// What the logbook says of ops that met trouble: why they ended, and how each try did.
+#[test]
+fn what_became_of_an_op_is_told_afterwards() {
+    let sheds = |got: &Got| Does::Sends(status(got, 503, "X-Not-Run: 1\r\n"));
+    let fails = |got: &Got| Does::Sends(status(got, 500, ""));
+    let hangs = |_: &Got| Does::Hangs;
+    type Row = (&'static str, fn(&Got) -> Does, u16, &'static str, &'static [&'static str]);
+    let rows: [Row; 5] = [
+        ("/safe/x", sheds, 503, "attempts", &["turned-away", "turned-away"]),
+        ("/safe/x", fails, 500, "attempts", &["failed", "failed"]),
+        ("/fragile/x", fails, 500, "once", &["failed"]),
+        ("/fragile/x", hangs, 504, "time", &["silent"]),
+        ("/none/", hangs, 404, "no-route", &[]),
+    ];
+    for (path, does, code, why, ends) in rows {
+        let servers = [Server::start("i-1", does), Server::start("i-2", does)];
+        let world = World::with(&[&servers[0], &servers[1]]);
+        assert_eq!(world.get(path, "r1").status, code, "{path} {why}");
+        let tales = world.ask(|quay, now| quay.tales(now, Some("r1"), 9));
+        let [tale] = &tales[..] else { panic!("{tales:?}") };
+        assert_eq!((tale.status, tale.why.word(), tale.edition), (code, why, 1), "{path}");
+        assert_eq!(tale.tries.iter().map(|one| one.end).collect::<Vec<_>>(), ends, "{path}");
+        assert!(tale.tries.iter().all(|one| one.server.as_deref().is_some_and(|id| id.starts_with("i-"))));
+    }
+    // Its server is drained: the next op finds none, and the name of the old one is known still.
+    let server = Server::start("i-1", fails);
+    let world = World::with(&[&server]);
+    assert_eq!(world.get("/fragile/x", "r1").status, 500);
+    world.view(&[]);
+    assert_eq!(world.get("/safe/x", "r2").status, 503);
+    let tales = world.ask(|quay, now| quay.tales(now, None, 9));
+    let of = |tale: &fallgap_quay::Tale| (tale.why.word(), tale.tries.first().and_then(|t| t.server.clone()));
+    assert_eq!(tales.iter().map(of).collect::<Vec<_>>(), [("once", Some("i-1".into())), ("no-server", None)]);
+}
