Desk: the fleet, plans, requests and what is wrong, from one prompt over any node

A node that is cut off answered `503: {}` and the client ended with 1, as for a file with faults.

Change: `crates/desk` holds what is asked and told, surveys, diff, plan, history, tables, sentences and findings, free of sockets and clock. The asked node asks the others when it is asked (`Survey`, `Surveyed`; bytes within, so that an odd one ends no stream); nothing runs otherwise. `lantern fleet status|nodes|servers|routes|locks`, `config diff|plan|history`, `trace`, `why`, `doctor`, `completions`; all read only, with JSON and exit codes. 503 and 500 are told apart at the prompt: nothing was changed, or it may have been (code 3). Locks are read from one keeper's disk without a round; editions are kept in memory, 64 at each node.

Tests: what is printed, case by case (200 nodes, none, each finding alone); real processes for every command, `status` and `config` among them, and for a node whose core is gone: told so, edition unchanged, taken once the core is back.

--- a/crates/chart/src/types.rs
+++ b/crates/chart/src/types.rs
@@ -59,7 +59,7 @@
     pub idle: Duration,
 }
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Configuration {
     pub edition: u64,
     pub routes: Vec<Route>,
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -18,6 +18,7 @@
 mod pen;
 mod recovery;
 mod rounds;
+mod seen;
 pub mod store;
 pub mod subjects;
 mod succession;
@@ -31,6 +32,7 @@
 
 pub use keeper::Keeper;
 pub use messages::Message;
+pub use seen::LockSeen;
 pub use terms::Terms;
 pub use types::{Answer, Call, Event, Key, NodeId, group_of};
 
--- a/crates/keeper/src/subjects/locks.rs
+++ b/crates/keeper/src/subjects/locks.rs
@@ -28,6 +28,15 @@
     },
 }
 
+/// A lock as its value of that age has it: the holder, the fence, and what is left of the hold at most.
+pub fn lock_seen(held: &[u8], age: Duration) -> Option<(Option<String>, u64, Duration)> {
+    let lock: Lock<'_> = postcard::from_bytes(held).ok()?;
+    Some(match lock.state {
+        State::Free => (None, lock.fence, Duration::ZERO),
+        State::Taken { holder, hold } => (Some(holder.to_owned()), lock.fence, hold.saturating_sub(age)),
+    })
+}
+
 /// What a call wants of a lock.
 enum Wish<'a> {
     Start { holder: &'a str, hold: Duration },
--- a/crates/keeper/src/subjects/mod.rs
+++ b/crates/keeper/src/subjects/mod.rs
@@ -16,6 +16,7 @@
 
 pub use cells::{events_after, revision};
 pub use config::{config_body, config_edition};
+pub use locks::lock_seen;
 pub use memory::{Limits, Memory};
 
 /// What becomes of a call.
--- a/crates/lantern/src/ask.rs
+++ b/crates/lantern/src/ask.rs
@@ -1,6 +1,7 @@
 //! What an operator asks at the prompt.
 
-use crate::{NOT_IN_ORDER, WRONG_CALL};
+use crate::{NO_ANSWER, NOT_IN_ORDER, WRONG_CALL};
+use std::io::Write;
 use std::net::SocketAddrV4;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -17,25 +18,53 @@
     Silent(SocketAddrV4, Box<ureq::Error>),
     /// {0} answers {1}: {2}
     Refused(SocketAddrV4, u16, String),
+    /// {0} is cut off from the core or has too much to do: nothing was changed
+    CutOff(SocketAddrV4),
+    /// {0} cannot tell what became of it: it may have been done; ask again, as twice does no harm
+    Unsure(SocketAddrV4),
+    /// {0} answers what is not understood: another build?
+    Odd(SocketAddrV4),
     /// no address was given
     Nowhere,
+    /// {0}
+    NotInOrder(String),
+}
+
+impl Failed {
+    fn code(&self) -> u8 {
+        match self {
+            Failed::File(..) | Failed::Nowhere => WRONG_CALL,
+            Failed::Silent(..) | Failed::CutOff(_) | Failed::Unsure(_) | Failed::Odd(_) => NO_ANSWER,
+            Failed::Faults(..) | Failed::Refused(..) | Failed::NotInOrder(_) => NOT_IN_ORDER,
+        }
+    }
 }
 
 /// Prints what came of it; the exit code tells whether it is in order.
 pub fn done(result: Result<String, Failed>) -> ExitCode {
     match result {
         Ok(text) => {
-            println!("{text}");
+            print(&text);
             ExitCode::SUCCESS
         }
+        // It was asked for, and found: it goes where answers go.
+        Err(Failed::NotInOrder(text)) => {
+            print(&text);
+            ExitCode::from(NOT_IN_ORDER)
+        }
         Err(failed) => {
             eprintln!("lantern: {failed}");
-            ExitCode::from(if matches!(failed, Failed::File(..)) { WRONG_CALL } else { NOT_IN_ORDER })
+            ExitCode::from(failed.code())
         }
     }
 }
 
-fn read(file: &Path) -> Result<Vec<u8>, Failed> {
+/// Whoever reads may have gone, as `head` does.
+fn print(text: &str) {
+    let _ = writeln!(std::io::stdout(), "{text}");
+}
+
+pub fn read(file: &Path) -> Result<Vec<u8>, Failed> {
     std::fs::read(file).map_err(|e| Failed::File(file.to_owned(), e))
 }
 
@@ -66,7 +95,12 @@
     let mut answer = answer.map_err(silent)?;
     let code = answer.status().as_u16();
     let body = answer.body_mut().with_config().limit(32 << 20).read_to_string().map_err(silent)?;
-    if code == 200 { Ok(body) } else { Err(Failed::Refused(at, code, body.trim().to_owned())) }
+    match code {
+        200 => Ok(body),
+        503 => Err(Failed::CutOff(at)),
+        500 => Err(Failed::Unsure(at)),
+        code => Err(Failed::Refused(at, code, body.trim().to_owned())),
+    }
 }
 
 pub fn get(at: SocketAddrV4, path: &str) -> Result<String, Failed> {
@@ -83,7 +117,9 @@
         let call = agent().post(format!("http://{at}/-/config/put")).content_type("application/json");
         match said(*at, call.send(&body[..])) {
             Ok(_) => return Ok(format!("edition {edition} is kept, or a newer one is")),
-            Err(Failed::Refused(at, code, why)) if code < 500 => return Err(Failed::Refused(at, code, why)),
+            Err(Failed::Refused(at, code, why)) => return Err(Failed::Refused(at, code, why)),
+            // What may have been done stays so, whoever refuses after it.
+            Err(_) if matches!(last, Failed::Unsure(_)) => {}
             Err(failed) => last = failed,
         }
     }
--- a/crates/lantern/src/asks.rs
+++ b/crates/lantern/src/asks.rs
@@ -1,6 +1,7 @@
 //! What threads that hold a caller ask of the engine, and how they wait for it.
 
 use fallgap_chart::Beat;
+use fallgap_desk as desk;
 use fallgap_keeper::{Answer, Call};
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, TrySendError, sync_channel};
@@ -14,6 +15,7 @@
     Beat(Beat),
     Left(String),
     Status,
+    Desk(desk::Question),
 }
 
 pub enum Told {
@@ -21,6 +23,7 @@
     /// The beat is known where it has to be.
     Taken,
     Status(String),
+    Desk(desk::Answer),
 }
 
 pub struct Ask {
--- a/crates/lantern/src/carry.rs
+++ b/crates/lantern/src/carry.rs
@@ -117,6 +117,8 @@
                 }
             }
         }
+        let confirmed = self.follower.age(now).map(|age| now.saturating_sub(age));
+        self.quay.iter_mut().for_each(|quay| quay.confirmed(confirmed));
         let outs = self.follower.take();
         any |= !outs.is_empty();
         for out in outs {
@@ -124,6 +126,7 @@
                 FollowerOut::Join(to, said) => self.say(now, to, Word::Roster(RosterWord::join(&said))),
                 FollowerOut::Say(to, said) => self.say(now, to, Word::Roster(RosterWord::said(&said))),
                 FollowerOut::NewView(view) => {
+                    self.history.took(now, &view.configuration, crate::desk::wall_ms);
                     self.view = Some(view.clone());
                     self.quay.iter_mut().for_each(|quay| quay.view(now, view.clone()));
                     let ready = self.leaving.is_none() && self.quay.as_ref().is_some_and(|q| q.is_ready());
@@ -158,6 +161,8 @@
                 }
             }
             Word::BeatTaken { id } => self.beats.taken(id, from),
+            Word::Survey { id, errand } => self.surveyed_by(now, from, id, &errand),
+            Word::Surveyed { id, told } => self.survey_heard(now, from, id, &told),
         }
     }
 
--- a/crates/lantern/src/control.rs
+++ b/crates/lantern/src/control.rs
@@ -2,6 +2,7 @@
 
 use crate::asks::{Asked, Desk, Told, Untold};
 use fallgap_chart as chart;
+use fallgap_desk::Question;
 use fallgap_keeper::{Answer, Call};
 use rouille::{Request, Response, ResponseBody};
 use std::io::Read;
@@ -183,10 +184,31 @@
             ("GET", ["-", "cells", id, "get"]) => self.call(Call::CellGet { name: name(id) }),
             ("GET", ["-", "watch", id]) => self.watch(id, query),
             ("GET", ["-", "status"]) => self.told(Asked::Status),
+            ("GET", ["-", "desk", what]) => self.desk(request, what),
             _ => Err(Refused::Unknown),
         }
     }
 
+    /// An operator looks. Nothing is changed by it.
+    fn desk(&self, request: &Request, what: &str) -> Result<Response, Refused> {
+        let param = |name: &str| {
+            let text = request.get_param(name).unwrap_or_default();
+            if text.len() <= fallgap_desk::Terms::USUAL.id { Ok(text) } else { Err(Refused::Unknown) }
+        };
+        let after = param("after")?;
+        let question = match what {
+            "fleet" if after.is_empty() => Question::Fleet { after: None },
+            "fleet" => Question::Fleet { after: Some(after.parse().map_err(|_| Refused::Unknown)?) },
+            "servers" => Question::Servers { after },
+            "routes" => Question::Routes { after },
+            "locks" => Question::Locks { after },
+            "history" => Question::History,
+            "tales" => Question::Tales { id: Some(param("id")?).filter(|id| !id.is_empty()) },
+            _ => return Err(Refused::Unknown),
+        };
+        self.told(Asked::Desk(question))
+    }
+
     fn body(&self, request: &Request, most: usize) -> Result<Vec<u8>, Refused> {
         let mut body = Vec::new();
         let data = request.data().ok_or(Refused::Broken)?;
@@ -203,6 +225,10 @@
             Told::Answer(answer) => said(answer),
             Told::Taken => json(200, b"{}".to_vec()),
             Told::Status(status) => json(200, status.into_bytes()),
+            Told::Desk(answer) => match sonic_rs::to_vec(&answer) {
+                Ok(body) => json(200, body),
+                Err(_) => status(500),
+            },
         })
     }
 
--- a/crates/lantern/src/disk.rs
+++ b/crates/lantern/src/disk.rs
@@ -5,6 +5,7 @@
 use fallgap_keeper::store::{Store, StoreError};
 use std::collections::VecDeque;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::thread;
 use std::time::Duration;
@@ -33,6 +34,8 @@
 pub struct Disk {
     pub work: Sender<Work>,
     pub done: Receiver<Done>,
+    /// The last write failed, and is tried again.
+    pub refusing: Arc<AtomicBool>,
 }
 
 /// Starts the thread. What it reports is announced by `wake`.
@@ -42,15 +45,18 @@
 pub fn start(store: Store, memory: Memory, wake: Arc<mio::Waker>) -> std::io::Result<Disk> {
     let (work, works) = channel();
     let (dones, done) = channel();
+    let refusing = Arc::new(AtomicBool::new(false));
+    let refuses = refusing.clone();
     thread::Builder::new()
         .name("disk".into())
         .stack_size(512 << 10)
-        .spawn(move || run(store, memory, &works, &dones, &wake))?;
-    Ok(Disk { work, done })
+        .spawn(move || run(store, memory, &works, &dones, &wake, &refuses))?;
+    Ok(Disk { work, done, refusing })
 }
 
 fn run(
     mut store: Store, mut memory: Memory, works: &Receiver<Work>, dones: &Sender<Done>, wake: &mio::Waker,
+    refuses: &AtomicBool,
 ) {
     // What came while something before it had to be done first.
     let mut held = VecDeque::new();
@@ -88,6 +94,7 @@
                 tracing::info!("disk: refuses to write, {e}");
             }
             refused += 1;
+            refuses.store(true, Relaxed);
             if matches!(e, StoreError::Full) {
                 // Only a checkpoint makes room, and the last one may have failed.
                 let _ = dones.send(Done::WantsCheckpoint);
@@ -99,6 +106,7 @@
                 thread::sleep(AGAIN);
             }
         }
+        refuses.store(false, Relaxed);
         let wants = store.wants_checkpoint();
         let told =
             dones.send(Done::Synced(newest)).is_ok() && (!wants || dones.send(Done::WantsCheckpoint).is_ok());
--- a/crates/lantern/src/engine.rs
+++ b/crates/lantern/src/engine.rs
@@ -11,6 +11,7 @@
 use crate::words::Word;
 use fallgap_beacon::{Beacon, State};
 use fallgap_chart::{Settings, View};
+use fallgap_desk::{History, Surveys};
 use fallgap_keeper::{Keeper, Key, Peer as KeeperPeer};
 use fallgap_quay::Quay;
 use fallgap_roster::{Follower, RosterWord};
@@ -21,7 +22,7 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
-use std::sync::mpsc::Receiver;
+use std::sync::mpsc::{Receiver, SyncSender};
 use std::time::{Duration, Instant};
 
 /// Tokens: the waker, the datagrams, then links, then the quay's.
@@ -48,6 +49,9 @@
     /// The processes that were here when it was last looked.
     pub lives: BTreeMap<Ipv4Addr, u64>,
     pub beats: Beats,
+    /// What operators asked that others have to answer, and the editions that were in force here.
+    pub surveys: Surveys<SyncSender<Told>>,
+    pub history: History,
     pub inbox: Receiver<Ask>,
     pub heard: Heard,
     pub ready: Arc<AtomicBool>,
@@ -125,7 +129,8 @@
     fn next_wake(&self) -> Duration {
         let hub = self.hub.iter().flat_map(|h| [h.registry.next_wake(), h.distribution.next_wake()]);
         let quay = self.quay.as_ref().and_then(Quay::next_wake);
-        let rest = [self.calls.next_wake(), self.follower.next_wake(), quay].into_iter().flatten();
+        let asked = [self.calls.next_wake(), self.surveys.next_wake()];
+        let rest = [self.follower.next_wake(), quay].into_iter().chain(asked).flatten();
         let all = [self.beacon.next_wake(), self.keeper.next_wake(), self.slow, self.reports];
         all.into_iter().chain(rest).chain(hub).min().unwrap_or(self.slow)
     }
@@ -159,6 +164,9 @@
             let steps = self.calls.woke(now, self.me, order);
             steps.into_iter().for_each(|step| self.step(now, step));
         }
+        if self.surveys.next_wake().is_some_and(|at| at <= now) {
+            self.surveys_woke(now);
+        }
         if now >= self.slow {
             self.slow = now + SLOW;
             self.links.woke(now, self.poll.registry());
@@ -214,6 +222,7 @@
                     self.tell_keepers(now, || Word::Roster(left.clone()));
                     let _ = reply.try_send(Told::Taken);
                 }
+                Asked::Desk(question) => self.desk_asked(now, question, reply),
                 Asked::Status => {
                     let _ = reply.try_send(Told::Status(self.status(now)));
                 }
--- a/crates/lantern/src/main.rs
+++ b/crates/lantern/src/main.rs
@@ -1,11 +1,13 @@
 //! `lantern`: fallgap's gateway. `serve` runs one supervisor; the rest is for whoever operates it.
 
 mod ask;
+mod asked;
 mod asks;
 mod beats;
 mod calls;
 mod carry;
 mod control;
+mod desk;
 mod disk;
 mod engine;
 mod hub;
@@ -21,9 +23,11 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-/// The thing asked about is not in order; called or configured wrongly; a defect.
+/// The thing asked about is not in order; called or configured wrongly; no answer; a defect.
 const NOT_IN_ORDER: u8 = 1;
 const WRONG_CALL: u8 = 2;
+/// Nobody answered, or the one that did is cut off from the core.
+const NO_ANSWER: u8 = 3;
 const DEFECT: u8 = 70;
 
 #[derive(Parser)]
@@ -61,6 +65,32 @@
         #[arg(long)]
         at: SocketAddrV4,
     },
+    /// Look at the fleet: what one node and those that it reaches know
+    Fleet {
+        #[command(subcommand)]
+        what: asked::Fleet,
+    },
+    /// Tell what became of a request, try by try
+    Trace {
+        #[command(flatten)]
+        asked: asked::Asked,
+        /// The request's X-Request-Id
+        id: String,
+    },
+    /// Tell why a request went where it did or was refused; without one, why the asked node is ready or not
+    Why {
+        #[command(flatten)]
+        asked: asked::Asked,
+        /// The request's X-Request-Id
+        id: Option<String>,
+    },
+    /// Tell what is wrong with the fleet, and what to do
+    Doctor {
+        #[command(flatten)]
+        asked: asked::Asked,
+    },
+    /// Print a completion file for a shell
+    Completions { shell: clap_complete::Shell },
 }
 
 #[derive(Subcommand)]
@@ -86,6 +116,23 @@
         at: Vec<SocketAddrV4>,
         file: PathBuf,
     },
+    /// Tell what a file would change: routes, services and limits
+    Diff {
+        #[command(flatten)]
+        asked: asked::Asked,
+        file: PathBuf,
+    },
+    /// Check a file, and tell what it would change and what of it would be refused; changes nothing
+    Plan {
+        #[command(flatten)]
+        asked: asked::Asked,
+        file: PathBuf,
+    },
+    /// List the editions that were in force at a node since its start
+    History {
+        #[command(flatten)]
+        asked: asked::Asked,
+    },
 }
 
 fn main() -> ExitCode {
@@ -108,6 +155,20 @@
         Verb::Check { what: Checked::Config { file } } => ask::done(ask::check_configuration(&file)),
         Verb::Config { what: Configured::Get { at } } => ask::done(ask::get(at, "/-/config/get")),
         Verb::Config { what: Configured::Put { at, file } } => ask::done(ask::put(&at, &file)),
+        Verb::Config { what: Configured::Diff { asked, file } } => {
+            ask::done(asked::difference(&asked, &file))
+        }
+        Verb::Config { what: Configured::Plan { asked, file } } => ask::done(asked::planned(&asked, &file)),
+        Verb::Config { what: Configured::History { asked } } => ask::done(asked::history(&asked)),
+        Verb::Fleet { what } => ask::done(asked::fleet(&what)),
+        Verb::Trace { asked, id } => ask::done(asked::trace(&asked, &id)),
+        Verb::Why { asked, id } => ask::done(asked::why(&asked, id.as_deref())),
+        Verb::Doctor { asked } => ask::done(asked::doctor(&asked)),
+        Verb::Completions { shell } => {
+            let mut command = <Asked as clap::CommandFactory>::command();
+            clap_complete::generate(shell, &mut command, "lantern", &mut std::io::stdout());
+            ExitCode::SUCCESS
+        }
         Verb::Status { at } => ask::done(ask::get(at, "/-/status")),
     }
 }
--- a/crates/lantern/src/start.rs
+++ b/crates/lantern/src/start.rs
@@ -12,6 +12,7 @@
 use crate::signals;
 use fallgap_beacon::{Beacon, Card};
 use fallgap_chart::Settings;
+use fallgap_desk::{History, Surveys};
 use fallgap_keeper::store::{Store, StoreError};
 use fallgap_keeper::{Keeper, Kept, KeptError, Me};
 use fallgap_quay::Quay;
@@ -186,6 +187,8 @@
         quay,
         calls: Calls::new(calls::Terms::default(), rng.u64(1..1 << 62)),
         beats: Beats::default(),
+        surveys: Surveys::new(fallgap_desk::Terms::USUAL, rng.u64(1..1 << 62)),
+        history: History::default(),
         lives: BTreeMap::new(),
         inbox,
         heard,
--- a/crates/lantern/src/words.rs
+++ b/crates/lantern/src/words.rs
@@ -38,6 +38,16 @@
     BeatTaken {
         id: u64,
     },
+    /// An operator's question, and the answer. Their content is bytes, so that one of a later build that cannot be
+    /// read ends no link.
+    Survey {
+        id: u64,
+        errand: Vec<u8>,
+    },
+    Surveyed {
+        id: u64,
+        told: Vec<u8>,
+    },
 }
 
 impl Word {
--- /dev/null
+++ b/crates/lantern/tests/landing/mod.rs
@@ -0,0 +1,51 @@
+//! Fleets of real processes, as the tests here share them.
+
+use fallgap_standin::gateway::{Beating, Does, Landing, Notice, Server, Supervisor, ok};
+use std::path::Path;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::{Duration, Instant};
+
+/// Longer than anything here takes, also on a busy machine.
+pub const LONG: Duration = Duration::from_secs(40);
+pub const PREFIXES: [&str; 2] = ["/safe/", "/fragile/"];
+
+/// Asks again and again until there is an answer. What is asked waits by itself: it is a call over a socket.
+pub fn until<T>(what: &str, mut ask: impl FnMut() -> Option<T>) -> T {
+    let end = Instant::now() + LONG;
+    loop {
+        if let Some(found) = ask() {
+            return found;
+        }
+        assert!(Instant::now() < end, "in vain: {what}");
+    }
+}
+
+/// Three machines with a disk and one without, all started.
+pub fn fleet() -> Landing {
+    static NETS: AtomicU8 = AtomicU8::new(1);
+    let id = std::process::id();
+    let net = [127, (1 + id % 250) as u8, NETS.fetch_add(1, Ordering::Relaxed)];
+    let folder = std::env::temp_dir().join(format!("lantern-whole-{id}-{}", net[2]));
+    let program = Path::new(env!("CARGO_BIN_EXE_lantern"));
+    let mut fleet = Landing::open(program, &folder, net, &["a", "b"], &[true, true, true, false]).unwrap();
+    fleet.start_all(true).unwrap();
+    fleet
+}
+
+/// Hands a configuration in at one machine until it is taken.
+pub fn configure(at: &Supervisor, text: &str) {
+    until("a configuration is taken", || at.post("/-/config/put", text).filter(|reply| reply.status == 200));
+}
+
+pub fn serve(fleet: &Landing, id: &str) -> (Server, Beating) {
+    let server = Server::start(id, |got| Does::Sends(ok(got, "bytes")));
+    let notice = Notice::of(&server, "s", "a", 4);
+    let beating = Beating::start(notice, fleet.controls(), Duration::from_millis(300));
+    (server, beating)
+}
+
+pub fn all_ready(fleet: &Landing) {
+    for machine in &fleet.machines {
+        until("it is ready", || machine.is_ready().then_some(()));
+    }
+}
--- a/crates/roster/src/registry.rs
+++ b/crates/roster/src/registry.rs
@@ -8,6 +8,7 @@
 use fallgap_chart::Beat;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
+use std::ops::Bound;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -163,6 +164,12 @@
         self.lives.get(id)
     }
 
+    /// The lives behind that id, in order, ended ones too.
+    pub fn after(&self, id: &str) -> impl Iterator<Item = &Life> {
+        let behind = (Bound::Excluded(id), Bound::Unbounded);
+        self.lives.range::<str, _>(behind).map(|(_, life)| life)
+    }
+
     /// The open servers.
     pub fn open(&self) -> impl Iterator<Item = &Life> {
         self.lives.values().filter(|life| life.state == State::Open)
