Desk: slow keepers are not held to have lost the majority; pages are told whole

`doctor` took keepers that gave no word within 0.7 s for proof that none hears a majority: `settled` counts answers, and silence counted as «no». A table that was confirmed a moment ago says that a home is fit, so that there is a majority; then only `silent` is told. Over more than one page `fleet` told the wait of the last page, and a page without rows that named a next one was asked for without end.

--- a/crates/desk/src/doctor.rs
+++ b/crates/desk/src/doctor.rs
@@ -120,7 +120,12 @@
             None,
         );
     }
-    if settled == 0 {
+    // Silent ones may be enough, and a table that was just confirmed says that they are.
+    let silent =
+        |node: &&Node| members.contains(&node.node) && node.state == "here" && node.standing.is_none();
+    let fresh = own.iter().any(|(_, s)| s.table_age_ms.is_some_and(|age| age <= STALE_MS));
+    let unsure = fresh && nodes.iter().filter(silent).count() >= quorum;
+    if settled == 0 && !unsure {
         return (Some(format!("none of {all} keepers hears a majority, and {quorum} are needed")), None);
     }
     let tolerate = own.iter().map(|(_, s)| s.tolerate as usize).max().unwrap_or(0);
--- a/crates/desk/tests/printed.rs
+++ b/crates/desk/tests/printed.rs
@@ -103,11 +103,13 @@
 #[test]
 fn each_trouble_has_its_finding() {
     type Row = (&'static str, fn(u8, &mut Node));
-    let rows: [Row; 10] = [
+    let rows: [Row; 11] = [
         ("no-majority", |_, node| own(node, |own| own.settled = false)),
         ("keepers-few", |n, node| own(node, |own| own.settled = n == 2)),
         ("disk-refuses", |n, node| own(node, |own| own.refusing = n == 2)),
         ("silent", |n, node| node.standing = node.standing.take().filter(|_| n != 4)),
+        // Nor are keepers that are only slow to answer held to be down.
+        ("silent", |n, node| node.standing = node.standing.take().filter(|_| n == 4)),
         ("gone", |n, node| {
             if n == 4 {
                 (node.state, node.standing) = ("gone".into(), None);
--- a/crates/lantern/src/asked/pages.rs
+++ b/crates/lantern/src/asked/pages.rs
@@ -34,7 +34,7 @@
 }
 
 macro_rules! paged {
-    ($page:ty, $rows:ident) => {
+    ($page:ty, $rows:ident $(, longest $wait:ident)?) => {
         impl Paged for $page {
             fn next(&self) -> Option<String> {
                 self.next.as_ref().map(ToString::to_string)
@@ -44,23 +44,29 @@
             }
             fn add(&mut self, page: Self) {
                 let $rows = std::mem::take(&mut self.$rows);
+                $(let $wait = self.$wait.max(page.$wait);)?
                 *self = page;
+                $(self.$wait = $wait;)?
                 self.$rows.splice(0..0, $rows);
             }
         }
     };
 }
 
-paged!(desk::Fleet, nodes);
+paged!(desk::Fleet, nodes, longest waited_ms);
 paged!(desk::Servers, servers);
 paged!(desk::Routes, routes);
 paged!(desk::Locks, locks);
 
-/// All pages, of one address, until there are as many rows as are wanted. Ages are those of the last page.
+/// All pages, of one address, until there are as many rows as are wanted or none come.
 pub fn all<T: Paged>(asked: &Asked, path: &str) -> Result<T, Failed> {
     let (at, mut whole) = one::<T>(asked, path)?;
     while let Some(after) = whole.next().filter(|_| whole.rows() < asked.most) {
-        whole.add(page(at, &format!("{path}?after={}", quoted(&after)))?);
+        let page: T = page(at, &format!("{path}?after={}", quoted(&after)))?;
+        if page.rows() == 0 {
+            break;
+        }
+        whole.add(page);
     }
     Ok(whole)
 }
