Logbook: an answer that broke off behind its head is told as such

Large answers go on as they come since, and an op whose answer breaks off then ends with `Next::Break`: the logbook had it as «answered» (try_ended falls to the last arm), or as out of time. Now it is `broke-off`, status 200, its try `broke-after`; the socket test stalls half-way through a large answer and fails without it.

--- a/crates/desk/src/tales.rs
+++ b/crates/desk/src/tales.rs
@@ -117,6 +117,10 @@
         }
         Some(Why::Once) => format!("{got}, as it may have run, and route {route} forbids a second time"),
         Some(Why::Time) => format!("{got}, as its time was over after {}", ms(tale.took_us)),
+        Some(Why::Broke) => format!(
+            "its answer began with {got} and broke off after {}, so the connection to the client was closed",
+            ms(tale.took_us)
+        ),
         Some(Why::Abandoned) => format!("{got} after {}", ms(tale.took_us)),
         None => format!("{got}, for a reason that this build does not know: {}", tale.why),
     }
--- a/crates/desk/tests/printed.rs
+++ b/crates/desk/tests/printed.rs
@@ -310,6 +310,7 @@
         tale("connects", 503, &["unreached", "unreached", "unreached"]),
         tale("once", 502, &["broke-after"]),
         tale("time", 504, &["silent", "left"]),
+        tale("broke-off", 200, &["broke-after"]),
         tale("abandoned", 0, &["left"]),
         tale("of-tomorrow", 503, &["broke-before", "of-tomorrow"]),
     ];
--- a/crates/pilot/src/why.rs
+++ b/crates/pilot/src/why.rs
@@ -27,12 +27,14 @@
     Once,
     /// Its time was over.
     Time,
+    /// Its answer broke off when its head had left already.
+    Broke,
     /// The client was gone.
     Abandoned,
 }
 
 impl Why {
-    const ALL: [Why; 12] = [
+    const ALL: [Why; 13] = [
         Why::Answered,
         Why::NoView,
         Why::NoRoute,
@@ -44,6 +46,7 @@
         Why::Connects,
         Why::Once,
         Why::Time,
+        Why::Broke,
         Why::Abandoned,
     ];
 
@@ -60,6 +63,7 @@
             Why::Connects => "connects",
             Why::Once => "once",
             Why::Time => "time",
+            Why::Broke => "broke-off",
             Why::Abandoned => "abandoned",
         }
     }
--- a/crates/quay/src/ops.rs
+++ b/crates/quay/src/ops.rs
@@ -147,6 +147,8 @@
         let patience = op.core.plan.target / 2;
         for one in op.tries.drain(..) {
             let (outcome, how) = self.drop_try(now, one, patience);
+            // It was not silent if a part of its answer has left.
+            let how = if op.draft.why == Why::Broke { Ended::Failed } else { how };
             op.draft.ended(one.server, now.saturating_sub(op.core.plan.began), outcome, how);
         }
         let (came, id) = (op.core.plan.began, op.request.head.id());
@@ -280,8 +282,8 @@
         let connect = self.connect_most(target);
         let Some(op) = self.ops.get_mut(key) else { return };
         if now >= op.core.plan.deadline {
-            op.draft.why = Why::Time;
             let next = op.core.late();
+            op.draft.why = if next == Next::Break { Why::Broke } else { Why::Time };
             return self.act(now, key, next, None);
         }
         if let Some(hung) = op.tries.iter_mut().find(|one| !one.sent && now >= one.began + connect) {
--- a/crates/quay/src/tries.rs
+++ b/crates/quay/src/tries.rs
@@ -168,6 +168,7 @@
             Next::Pass | Next::Reply(_) if outcome != TryOutcome::Answered => {
                 op.core.barred(now, budget).unwrap_or_default()
             }
+            Next::Break => Why::Broke,
             _ => Why::Answered,
         };
         self.act(now, at.op, next, answer);
--- a/crates/quay/tests/sockets.rs
+++ b/crates/quay/tests/sockets.rs
@@ -299,6 +299,19 @@
         assert_eq!(tale.tries.iter().map(|one| one.end).collect::<Vec<_>>(), ends, "{path}");
         assert!(tale.tries.iter().all(|one| one.server.as_deref().is_some_and(|id| id.starts_with("i-"))));
     }
+    // What had begun to leave is told of as broken off, not as answered.
+    let half = |got: &Got| {
+        let whole = ok(got, &"z".repeat(40_000));
+        Does::Sends(whole[..whole.len() - 20_000].to_owned())
+    };
+    let server = Server::start("i-1", half);
+    let world = World::with(&[&server]);
+    let mut client = world.client();
+    client.send(&get("/outbound/x", "r1").replace("1500", "400"));
+    assert!(client.reply().is_none());
+    let tales = world.ask(|quay, now| quay.tales(now, Some("r1"), 9));
+    let of = |tale: &fallgap_quay::Tale| (tale.status, tale.why.word(), tale.tries.first().map(|t| t.end));
+    assert_eq!(tales.iter().map(of).collect::<Vec<_>>(), [(200, "broke-off", Some("broke-after"))]);
     // Its server is drained: the next op finds none, and the name of the old one is known still.
     let server = Server::start("i-1", fails);
     let world = World::with(&[&server]);
