--- a/crates/desk/src/tales.rs
+++ b/crates/desk/src/tales.rs
@@ -108,6 +108,11 @@
         Some(Why::Gate) => format!(
             "{got}, as servers of {service} turn requests away and lower ranks are refused first: add servers"
         ),
+        Some(Why::Laden) => {
+            format!(
+                "{got}, as this node's link is laden with large answers: the client was sent to another node"
+            )
+        }
         Some(Why::Budget) => {
             format!("{got}, as further tries of {service} had used up their budget (retry_ratio)")
         }
--- a/crates/desk/tests/printed.rs
+++ b/crates/desk/tests/printed.rs
@@ -305,6 +305,7 @@
         stale,
         tale("no-room", 503, &["other-server"]),
         tale("gate", 503, &[]),
+        tale("laden", 503, &[]),
         tale("budget", 503, &["turned-away", "turned-away"]),
         tale("attempts", 500, &["failed"]),
         tale("connects", 503, &["unreached", "unreached", "unreached"]),
--- a/crates/lantern/src/carry.rs
+++ b/crates/lantern/src/carry.rs
@@ -125,6 +125,7 @@
             match out {
                 FollowerOut::Join(to, said) => self.say(now, to, Word::Roster(RosterWord::join(&said))),
                 FollowerOut::Say(to, said) => self.say(now, to, Word::Roster(RosterWord::said(&said))),
+                FollowerOut::Leave(home) => self.say(now, home, Word::Roster(RosterWord::Leave)),
                 FollowerOut::NewView(view) => {
                     self.history.took(now, &view.configuration, crate::desk::wall_ms);
                     self.view = Some(view.clone());
@@ -194,6 +195,11 @@
                 said.into_iter().for_each(|said| hub.distribution.said(now, from, said));
                 false
             }
+            RosterWord::Leave => {
+                self.links.drop_tables(from);
+                hub.distribution.left(from);
+                false
+            }
             RosterWord::Report(reports) => {
                 hub.distribution.reported(now, from, &reports);
                 false
--- a/crates/pilot/src/why.rs
+++ b/crates/pilot/src/why.rs
@@ -17,6 +17,8 @@
     NoRoom,
     /// Its servers turn requests away, and its rank is refused for now.
     Gate,
+    /// The node's link is laden: it does better at another one.
+    Laden,
     /// Further tries of the service have used up their budget.
     Budget,
     /// As many servers were asked as its route allows.
@@ -34,13 +36,14 @@
 }
 
 impl Why {
-    const ALL: [Why; 13] = [
+    const ALL: [Why; 14] = [
         Why::Answered,
         Why::NoView,
         Why::NoRoute,
         Why::NoServer,
         Why::NoRoom,
         Why::Gate,
+        Why::Laden,
         Why::Budget,
         Why::Attempts,
         Why::Connects,
@@ -58,6 +61,7 @@
             Why::NoServer => "no-server",
             Why::NoRoom => "no-room",
             Why::Gate => "gate",
+            Why::Laden => "laden",
             Why::Budget => "budget",
             Why::Attempts => "attempts",
             Why::Connects => "connects",
--- a/crates/quay/src/ops.rs
+++ b/crates/quay/src/ops.rs
@@ -19,13 +19,14 @@
     /// Who waits for it; none any more if it has to run on all the same.
     pub client: Option<ClientKey>,
     pub service: ServiceKey,
+    pub route: Arc<str>,
+    pub cargo: f64,
     pub tries: Vec<Try>,
     /// Servers that it was at, or that had no room.
     pub skip: Vec<ServerKey>,
     /// Then a second server is asked if the first is silent.
     pub hedge_at: Option<Duration>,
     pub noted: Option<Duration>,
-    pub route: Arc<str>,
     pub edition: u64,
     /// What is told of it afterwards.
     pub draft: Draft,
@@ -72,6 +73,13 @@
             self.refused(now, began, &request, 503, why, Some((route_name, service)));
             return self.not_run(now, key, &request);
         };
+        let route = route_name;
+        if !self.draught.has_room(&route, plan.class, plan.target, request.head.wait) {
+            self.counters.laden += 1;
+            self.refused(now, began, &request, 503, Why::Laden, Some((route, Some(service))));
+            return self.own_answer(now, key, &request, 503, Some(self.terms.elsewhere));
+        }
+        let cargo = self.draught.loads(&route);
         let hedge =
             plan.class.may_run_again().then(|| self.fleet.hedge_after(service, plan.target)).flatten();
         let core = Op::new(plan);
@@ -82,11 +90,12 @@
             request,
             client: Some(key),
             service,
+            route,
+            cargo,
             tries,
             skip,
             hedge_at,
             noted: None,
-            route: route_name,
             edition,
             draft: Draft::default(),
         };
@@ -105,6 +114,9 @@
             Next::Wait => self.set_op_due(op),
             Next::Try => self.start_try(now, op),
             Next::Pass => {
+                if let Some((op, answer)) = self.ops.get(op).zip(answer.as_ref()) {
+                    self.draught.brought(&op.route, answer.told_length.unwrap_or(answer.body.len()));
+                }
                 let status = answer.as_ref().map_or(502, |answer| answer.status);
                 self.finish(now, op, status, |quay, client, request| match answer {
                     Some(answer) => quay.pass(now, client, request, answer),
@@ -144,6 +156,7 @@
         let Some(mut op) = self.ops.remove(key) else { return };
         self.timers.set(&mut op.noted, None, Who::Op(key));
         self.memory = self.memory.saturating_sub(op.request.body.len());
+        self.draught.unloads(op.cargo);
         let patience = op.core.plan.target / 2;
         for one in op.tries.drain(..) {
             let (outcome, how) = self.drop_try(now, one, patience);
--- a/crates/quay/src/terms.rs
+++ b/crates/quay/src/terms.rs
@@ -38,6 +38,10 @@
     pub again_drawn: Duration,
     /// Ops remembered: half a megabyte, and at a few hundred ops a second the rough ones of minutes.
     pub pages: Pages,
+    /// A client that does better at another supervisor is told to come back after so long.
+    pub elsewhere: Duration,
+    /// What the own link carries.
+    pub link_mbps: f64,
 }
 
 impl Default for Terms {
@@ -60,6 +64,8 @@
             again: ms(50),
             again_drawn: ms(200),
             pages: Pages { smooth: 1024, rough: 2048, gone: 256 },
+            elsewhere: ms(20),
+            link_mbps: 1000.0,
         }
     }
 }
