--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -20,6 +20,7 @@
 mod pen;
 mod recovery;
 mod rounds;
+mod seen;
 pub mod store;
 pub mod subjects;
 mod succession;
@@ -33,6 +34,7 @@
 
 pub use keeper::Keeper;
 pub use messages::Message;
+pub use seen::LockSeen;
 pub use terms::Terms;
 pub use types::{Answer, Call, Event, Key, NodeId, group_of};
 
