Verdicts: what half fails is barred on all supervisors at once, by kind of work

Reports went to the home once a second and moved weights only. crates/pilot/src/health.rs was each supervisor's own record.

Reports have runs and failures by kind of work, a failure is told within 0.25 s, homes sum by the follower's zone, one keeper a service judges, verdicts are numbered words to all. Two zones and three nodes have to see it; what may run once is no trial, nor at a server that only this supervisor avoided. `lantern verdicts`.

--- a/crates/lantern/src/asks.rs
+++ b/crates/lantern/src/asks.rs
@@ -14,6 +14,7 @@
     Beat(Beat),
     Left(String),
     Status,
+    Verdicts,
 }
 
 pub enum Told {
--- a/crates/lantern/src/carry.rs
+++ b/crates/lantern/src/carry.rs
@@ -8,6 +8,7 @@
 use fallgap_beacon::Out as BeaconOut;
 use fallgap_chart::Beat;
 use fallgap_keeper::{Key, Out as KeeperOut, subjects};
+use fallgap_lightlist::{KINDS, LightWord, Out as LightOut, Verdict};
 use fallgap_roster::{FollowerOut, Out as RosterOut, RosterWord, ServerReport};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::sync::atomic::Ordering::Relaxed;
@@ -117,6 +118,7 @@
                 }
             }
         }
+        any |= self.carry_lights(now);
         let outs = self.follower.take();
         any |= !outs.is_empty();
         for out in outs {
@@ -135,6 +137,27 @@
         any
     }
 
+    /// What the list of lights has for others.
+    fn carry_lights(&mut self, now: Duration) -> bool {
+        let Some(hub) = &mut self.hub else { return false };
+        let outs = hub.lights.take_out();
+        let followers: Vec<Ipv4Addr> =
+            if outs.is_empty() { Vec::new() } else { hub.distribution.followers().collect() };
+        let any = !outs.is_empty();
+        for out in outs {
+            match out {
+                LightOut::Keeper(to, word) => self.say(now, to, Word::Roster(RosterWord::Lights(word))),
+                LightOut::Followers(word) => {
+                    for to in &followers {
+                        self.say(now, *to, Word::Roster(RosterWord::Lights(word.clone())));
+                    }
+                }
+                LightOut::Note(line) => tracing::info!("{line}"),
+            }
+        }
+        any
+    }
+
     /// A supervisor, perhaps this one, has said something.
     pub fn heard(&mut self, now: Duration, from: Ipv4Addr, word: Word) {
         if from != self.me {
@@ -172,6 +195,12 @@
             }
             RosterWord::Unfit => return self.follower.unfit(now, from),
             RosterWord::Fit => return self.follower.fit(now, from),
+            // Verdicts and what they rest on come from keepers only.
+            RosterWord::Lights(_) if !self.keepers().contains(&from) => return,
+            RosterWord::Lights(LightWord::Told(verdicts)) => {
+                self.quay.iter_mut().for_each(|quay| quay.verdicts(now, &verdicts));
+                return;
+            }
             word => word,
         };
         let Some(hub) = &mut self.hub else { return };
@@ -182,7 +211,9 @@
                 self.links.drop_tables(from);
                 let said = RosterWord::read_said(&line, &self.roster_terms);
                 said.into_iter().for_each(|said| hub.distribution.joined(now, from, said));
-                false
+                let held = hub.lights.joined(now);
+                held.into_iter().for_each(|word| self.say(now, from, Word::Roster(RosterWord::Lights(word))));
+                return;
             }
             RosterWord::Said(line) => {
                 let said = RosterWord::read_said(&line, &self.roster_terms);
@@ -191,6 +222,16 @@
             }
             RosterWord::Report(reports) => {
                 hub.distribution.reported(now, from, &reports);
+                let peer = self.beacon.peers().find(|p| p.card.node == from);
+                let own = (from == self.me).then_some(&self.settings.zone);
+                if let Some(zone) = own.or(peer.map(|p| &p.card.zone)) {
+                    let counts = reports.iter().map(|report| (&report.server, &report.kinds));
+                    hub.lights.reported(now, from, zone, counts);
+                }
+                false
+            }
+            RosterWord::Lights(word) => {
+                hub.lights.heard(now, from, word);
                 false
             }
             word => hub.registry.heard(now, from, word),
@@ -238,13 +279,9 @@
     /// Tells the home what servers did.
     pub fn report(&mut self, now: Duration) {
         let Some(quay) = &mut self.quay else { return };
-        let report = |r: fallgap_quay::Report| ServerReport {
-            server: r.server,
-            total: r.total,
-            failed: r.failed,
-            good_ms: r.good_ms,
-        };
-        let reports: Vec<ServerReport> = quay.reports().into_iter().map(report).collect();
+        let report =
+            |r: fallgap_quay::Report| ServerReport { server: r.server, kinds: r.kinds, good_ms: r.good_ms };
+        let reports: Vec<ServerReport> = quay.reports(now).into_iter().map(report).collect();
         if let Some(home) = self.follower.home()
             && !reports.is_empty()
         {
@@ -252,6 +289,21 @@
         }
     }
 
+    /// What this supervisor was told of servers: a line for each, and none if all are well.
+    pub fn verdicts(&self, now: Duration) -> String {
+        let Some(quay) = &self.quay else { return "[]".into() };
+        let told = |verdict: Verdict| {
+            let kinds = KINDS.map(|kind| {
+                let (stand, why) = (verdict.stands[kind as usize], verdict.reasons[kind as usize]);
+                format!("\"{}\":{{\"stand\":\"{}\",\"why\":\"{why}\"}}", kind.name(), stand.name())
+            });
+            let (number, since) = (verdict.number, f64::from(verdict.age_ms) / 1e3);
+            let server = sonic_rs::to_string(&*verdict.server).unwrap_or_default();
+            format!("{{\"server\":{server},\"number\":{number},\"since_s\":{since:.1},{}}}", kinds.join(","))
+        };
+        format!("[{}]", quay.fleet().book().verdicts(now).map(told).collect::<Vec<_>>().join(",\n "))
+    }
+
     /// What an operator sees of this supervisor.
     pub fn status(&self, now: Duration) -> String {
         let edition = self.view.as_ref().map_or(0, |v| v.configuration.edition);
--- a/crates/lantern/src/control.rs
+++ b/crates/lantern/src/control.rs
@@ -183,6 +183,7 @@
             ("GET", ["-", "cells", id, "get"]) => self.call(Call::CellGet { name: name(id) }),
             ("GET", ["-", "watch", id]) => self.watch(id, query),
             ("GET", ["-", "status"]) => self.told(Asked::Status),
+            ("GET", ["-", "verdicts"]) => self.told(Asked::Verdicts),
             _ => Err(Refused::Unknown),
         }
     }
--- a/crates/lantern/src/engine.rs
+++ b/crates/lantern/src/engine.rs
@@ -67,6 +67,8 @@
 /// How often stalled links and the settings file are looked at, and what servers did is told to the home.
 const SLOW: Duration = Duration::from_millis(500);
 const REPORTS: Duration = Duration::from_millis(1000);
+/// A failure is told sooner: verdicts rest on it.
+const URGENT: Duration = Duration::from_millis(250);
 /// After the word to end: clients are still sent here for two seconds.
 const LINGER: Duration = Duration::from_millis(2600);
 /// Before the platform ends the process.
@@ -124,8 +126,10 @@
 
     fn next_wake(&self) -> Duration {
         let hub = self.hub.iter().flat_map(|h| [h.registry.next_wake(), h.distribution.next_wake()]);
+        let hub = hub.chain(self.hub.iter().filter_map(|h| h.lights.next_wake()));
+        let urgent = self.quay.as_ref().and_then(|quay| quay.fleet().failure()).map(|at| at + URGENT);
         let quay = self.quay.as_ref().and_then(Quay::next_wake);
-        let rest = [self.calls.next_wake(), self.follower.next_wake(), quay].into_iter().flatten();
+        let rest = [self.calls.next_wake(), self.follower.next_wake(), quay, urgent].into_iter().flatten();
         let all = [self.beacon.next_wake(), self.keeper.next_wake(), self.slow, self.reports];
         all.into_iter().chain(rest).chain(hub).min().unwrap_or(self.slow)
     }
@@ -144,6 +148,9 @@
             if hub.distribution.next_wake() <= now {
                 hub.distribution.woke(now);
             }
+            if hub.lights.next_wake().is_some_and(|at| at <= now) {
+                hub.lights.woke(now, &hub.registry);
+            }
         }
         if self.follower.next_wake().is_some_and(|at| at <= now) {
             self.follower.woke(now);
@@ -171,7 +178,8 @@
                 }
             }
         }
-        if now >= self.reports {
+        let failure = self.quay.as_ref().and_then(|quay| quay.fleet().failure());
+        if now >= self.reports || failure.is_some_and(|at| now >= at + URGENT) {
             self.reports = now + REPORTS;
             self.report(now);
         }
@@ -217,6 +225,9 @@
                 Asked::Status => {
                     let _ = reply.try_send(Told::Status(self.status(now)));
                 }
+                Asked::Verdicts => {
+                    let _ = reply.try_send(Told::Status(self.verdicts(now)));
+                }
             }
         }
         while let Some(done) = self.disk.as_ref().and_then(|d| d.done.try_recv().ok()) {
@@ -294,10 +305,12 @@
             *node == self.me || peer.is_some_and(|p| p.card.zone == self.settings.zone)
         };
         // Near ones first, and among them each supervisor its own: they share the work.
-        let mut homes = calls::by_key(&Key::Number(self.me.to_string()), self.keepers());
+        let keepers = self.keepers();
+        let mut homes = calls::by_key(&Key::Number(self.me.to_string()), keepers.clone());
         homes.sort_by_key(|node| (*node != self.me, !zone(node)));
         self.follower.homes(now, homes);
         if let Some(hub) = &mut self.hub {
+            hub.lights.keepers(keepers);
             hub.registry.peers(now, peers.iter().filter(|p| p.here).map(|p| p.node).collect());
             let gone = self.beacon.peers().filter(|p| p.state == State::Gone);
             gone.for_each(|peer| hub.distribution.left(peer.card.node));
--- a/crates/lantern/src/hub.rs
+++ b/crates/lantern/src/hub.rs
@@ -3,7 +3,9 @@
 
 use crate::memory::{Notebook, Remembered, Subject};
 use fallgap_chart::Configuration;
+use fallgap_lightlist::Lightlist;
 use fallgap_roster::{Distribution, Registry, Terms};
+use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,6 +18,7 @@
 pub struct Hub {
     pub registry: Registry,
     pub distribution: Distribution,
+    pub lights: Lightlist,
     /// Until then it is young.
     young: Duration,
     /// Since when the keeper has been heard by a majority without a break.
@@ -28,11 +31,14 @@
 
 impl Hub {
     /// `touch`: after so long a machine that was started is in touch.
-    pub fn start(now: Duration, seed: u64, terms: Terms, touch: Duration, remembered: Remembered) -> Hub {
+    pub fn start(
+        now: Duration, me: Ipv4Addr, seed: u64, terms: Terms, touch: Duration, remembered: Remembered,
+    ) -> Hub {
         let mut rng = fastrand::Rng::with_seed(seed);
         let mut hub = Hub {
             registry: Registry::start(now, rng.u64(..), terms),
             distribution: Distribution::start(now, rng.u64(..), terms),
+            lights: Lightlist::new(now, me, fallgap_lightlist::Terms::default()),
             young: now + touch.mul_f64(YOUNG),
             settled: None,
             committed: None,
@@ -108,7 +114,7 @@
 
     fn hub(configuration: Option<&[u8]>) -> Hub {
         let remembered = Remembered { servers: Vec::new(), configuration: configuration.map(<[u8]>::to_vec) };
-        Hub::start(at(5), 1, Terms::default(), at(3000), remembered)
+        Hub::start(at(5), Ipv4Addr::LOCALHOST, 1, Terms::default(), at(3000), remembered)
     }
 
     #[test]
--- a/crates/lantern/src/main.rs
+++ b/crates/lantern/src/main.rs
@@ -61,6 +61,12 @@
         #[arg(long)]
         at: SocketAddrV4,
     },
+    /// Tell which servers are not simply well for one supervisor, for what work and why
+    Verdicts {
+        /// A supervisor's control address
+        #[arg(long)]
+        at: SocketAddrV4,
+    },
 }
 
 #[derive(Subcommand)]
@@ -109,5 +115,6 @@
         Verb::Config { what: Configured::Get { at } } => ask::done(ask::get(at, "/-/config/get")),
         Verb::Config { what: Configured::Put { at, file } } => ask::done(ask::put(&at, &file)),
         Verb::Status { at } => ask::done(ask::get(at, "/-/status")),
+        Verb::Verdicts { at } => ask::done(ask::get(at, "/-/verdicts")),
     }
 }
--- a/crates/lantern/src/start.rs
+++ b/crates/lantern/src/start.rs
@@ -147,7 +147,8 @@
     };
     let beacon = Beacon::start(now, rng.u64(..), card, seeds, fallgap_beacon::Terms::default());
     let roster = fallgap_roster::Terms::with_beat(settings.beat);
-    let hub = disk.as_ref().map(|_| Hub::start(now, rng.u64(..), roster, settings.bounds.touch, remembered));
+    let hub =
+        disk.as_ref().map(|_| Hub::start(now, me, rng.u64(..), roster, settings.bounds.touch, remembered));
     let follower = Follower::start(now, rng.u64(..), me, roster);
     let quay = match settings.front {
         Some(front) => {
--- a/crates/lantern/tests/whole.rs
+++ b/crates/lantern/tests/whole.rs
@@ -180,6 +180,7 @@
     let (_server, _beating) = serve(&fleet, "i-1");
     all_ready(&fleet);
     let one = &mut fleet.machines[1];
+    assert_eq!(one.get("/-/verdicts").map(|said| (said.status, said.body)), Some((200, b"[]".to_vec())));
     std::fs::write(one.settings(), "{").unwrap();
     one.signal("HUP");
     let logged = |line: &str, one: &Supervisor| {
--- a/crates/pilot/src/fleet.rs
+++ b/crates/pilot/src/fleet.rs
@@ -5,6 +5,7 @@
 use crate::health::{Health, HealthEvent};
 use crate::terms::Terms;
 use fallgap_chart::{Berth, RouteClass, View, spread};
+use fallgap_lightlist::{Book, Count, Kind, Stand, Verdict};
 use slotmap::{SlotMap, new_key_type};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
@@ -20,8 +21,8 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Report {
     pub server: Arc<str>,
-    pub total: u32,
-    pub failed: u32,
+    /// By kind of work.
+    pub kinds: [Count; 3],
     pub good_ms: f32,
 }
 
@@ -34,10 +35,12 @@
     Shed,
     /// A failure of its own, a break, bytes that are no answer.
     Failed,
-    /// It was silent up to the end.
-    Silent,
-    /// There was no connection.
+    /// It was silent up to the end, for so long.
+    Silent(Duration),
+    /// It takes no connections.
     Unreached,
+    /// A connection did not come up in time.
+    Hung,
     /// It is another server.
     Other,
     /// The end was not the server's doing.
@@ -57,12 +60,26 @@
     at_work: u32,
     /// Of good answers, in seconds; 0 before the first.
     typical: f64,
-    total: u32,
-    failed: u32,
+    kinds: [Count; 3],
+    /// As all supervisors are told.
+    stands: [Stand; 3],
     good: u32,
     good_s: f64,
 }
 
+impl Server {
+    /// The part of its work that it gets, as all supervisors are told.
+    fn part(&self, class: RouteClass, terms: &Terms) -> f64 {
+        let kind = Kind::from(class);
+        self.stands[kind as usize].part(kind, &terms.lights)
+    }
+
+    /// As one's own requests show it.
+    pub fn health(&self) -> &Health {
+        &self.health
+    }
+}
+
 struct Service {
     name: Arc<str>,
     servers: Vec<ServerKey>,
@@ -72,6 +89,8 @@
     budget: Budget,
     gate: Gate,
     typical: f64,
+    /// The part of requests of late that met silence.
+    mute: f64,
 }
 
 pub struct Fleet {
@@ -84,11 +103,22 @@
     by_name: BTreeMap<Arc<str>, ServiceKey>,
     servers: SlotMap<ServerKey, Server>,
     by_id: BTreeMap<(Arc<str>, SocketAddrV4), ServerKey>,
+    book: Book,
+    /// When stands that all were told of change next by themselves.
+    eases: Option<Duration>,
+    /// The first failure since the last report.
+    failure: Option<Duration>,
     rng: fastrand::Rng,
 }
 
 /// How much a new answer moves what is typical.
 const MOVES: f64 = 0.1;
+/// Silent for so many times the usual time, a server is ill, and not slow.
+const SILENT: f64 = 3.0;
+/// How much one request moves the part of those that are mute, and the part from which on that says nothing of one
+/// server.
+const MUTE_MOVES: f64 = 0.03;
+const MUTE: f64 = 0.15;
 /// How many are drawn for a pick.
 const DRAWN: usize = 3;
 
@@ -103,6 +133,9 @@
             by_name: BTreeMap::new(),
             servers: SlotMap::with_key(),
             by_id: BTreeMap::new(),
+            book: Book::default(),
+            eases: None,
+            failure: None,
             rng: fastrand::Rng::with_seed(seed),
         }
     }
@@ -139,6 +172,8 @@
                 held.line_cap = service.line_cap;
             }
         }
+        // Stands of new servers, too, are looked up at the next choice.
+        self.eases = (!self.book.is_empty()).then_some(Duration::ZERO);
         let mut here = BTreeSet::new();
         for berth in &view.berths {
             here.insert(self.berth(berth));
@@ -166,6 +201,7 @@
             budget: Budget::new(terms.retry_ratio, terms.retry_slack, terms.retry_window),
             gate: Gate::default(),
             typical: 0.0,
+            mute: 0.0,
         });
         self.by_name.insert(name.clone(), key);
         key
@@ -189,8 +225,8 @@
                     health: Health::new(&self.terms),
                     at_work: 0,
                     typical: 0.0,
-                    total: 0,
-                    failed: 0,
+                    kinds: Default::default(),
+                    stands: Default::default(),
                     good: 0,
                     good_s: 0.0,
                 };
@@ -279,11 +315,12 @@
         &mut self, now: Duration, service: ServiceKey, class: RouteClass, target: Duration,
         skip: &[ServerKey],
     ) -> Option<ServerKey> {
+        self.ease(now);
         let asked = self.services.get(service)?;
-        let mut open = with_room(&self.servers, &self.terms, now, &asked.held, skip);
+        let mut open = with_room(&self.servers, &self.terms, now, &asked.held, class, skip);
         // Where half of one's own are out, or are full, the others help.
         if open.len() * 2 < asked.held.len() && asked.held.len() < asked.servers.len() {
-            open = with_room(&self.servers, &self.terms, now, &asked.servers, skip);
+            open = with_room(&self.servers, &self.terms, now, &asked.servers, class, skip);
         }
         if class == RouteClass::Outbound {
             let most = target.as_secs_f64() * self.terms.own_zone_large;
@@ -295,7 +332,11 @@
         }
         let pull = self.terms.own_zone;
         // The weight tells of the slots already: it comes from them.
-        let share = |server: &Server| server.weight * if server.near { pull } else { 1.0 };
+        let share = |server: &Server| {
+            server.weight
+                * server.part(class, &self.terms).max(f64::MIN_POSITIVE)
+                * if server.near { pull } else { 1.0 }
+        };
         let sum: f64 = open.iter().map(|(_, server)| share(server)).sum();
         let mut best: Option<(f64, ServerKey)> = None;
         for _ in 0..DRAWN.min(open.len()) {
@@ -325,19 +366,40 @@
     }
 
     /// A request at a server ended.
-    pub fn ended(&mut self, now: Duration, key: ServerKey, how: Ended) {
+    pub fn ended(&mut self, now: Duration, key: ServerKey, class: RouteClass, how: Ended) {
         let Some(server) = self.servers.get_mut(key) else { return };
         server.at_work = server.at_work.saturating_sub(1);
         let event = match how {
             Ended::Good(_) | Ended::Shed => HealthEvent::Answered,
-            Ended::Failed | Ended::Silent => HealthEvent::Failed,
-            Ended::Unreached => HealthEvent::Unreached,
+            Ended::Failed | Ended::Silent(_) => HealthEvent::Failed,
+            Ended::Unreached | Ended::Hung => HealthEvent::Unreached,
             Ended::Other => HealthEvent::Other,
             Ended::Void => HealthEvent::Void,
         };
         server.health.happened(now, event, &self.terms);
-        if how != Ended::Void {
-            server.total = server.total.saturating_add(1);
+        let usual = self.services.get(server.service).map_or(0.0, |service| service.typical);
+        let usual = usual.max(server.typical);
+        let mute = matches!(how, Ended::Silent(_) | Ended::Hung);
+        // With many servers mute at a time it is one's own link or load that is.
+        let own = self.services.get_mut(server.service).is_none_or(|service| {
+            if how != Ended::Void {
+                service.mute += (f64::from(u8::from(mute)) - service.mute) * MUTE_MOVES;
+            }
+            service.mute > MUTE
+        });
+        let (counts, failed) = match how {
+            Ended::Void => (false, false),
+            Ended::Good(_) | Ended::Shed => (true, false),
+            Ended::Silent(_) | Ended::Hung if own => (false, false),
+            // A slow answer that was not waited for speaks against nobody.
+            Ended::Silent(waited) if usual == 0.0 || waited.as_secs_f64() < usual * SILENT => (false, false),
+            Ended::Failed | Ended::Silent(_) | Ended::Unreached | Ended::Hung | Ended::Other => (true, true),
+        };
+        if counts {
+            server.kinds[Kind::from(class) as usize].run(failed);
+        }
+        if failed {
+            self.failure.get_or_insert(now);
         }
         let service = self.services.get_mut(server.service);
         match how {
@@ -355,20 +417,27 @@
                     service.gate.shed();
                 }
             }
-            Ended::Failed | Ended::Silent | Ended::Unreached | Ended::Other => server.failed += 1,
-            Ended::Void => {}
+            Ended::Failed | Ended::Silent(_) | Ended::Unreached | Ended::Hung => {}
+            Ended::Other | Ended::Void => {}
         }
     }
 
     /// What was seen since the last call, of servers that were asked.
-    pub fn reports(&mut self) -> Vec<Report> {
+    pub fn reports(&mut self, now: Duration) -> Vec<Report> {
+        self.failure = None;
+        if !self.book.expire(now, &self.terms.lights).is_empty() {
+            self.eases = Some(now);
+        }
         let mut reports = Vec::new();
         for key in self.by_id.values() {
-            let Some(server) = self.servers.get_mut(*key).filter(|server| server.total > 0) else { continue };
+            let Some(server) =
+                self.servers.get_mut(*key).filter(|server| server.kinds.iter().any(|count| count.runs > 0))
+            else {
+                continue;
+            };
             reports.push(Report {
                 server: server.id.clone(),
-                total: std::mem::take(&mut server.total),
-                failed: std::mem::take(&mut server.failed),
+                kinds: std::mem::take(&mut server.kinds),
                 good_ms: (std::mem::take(&mut server.good_s) * 1e3
                     / f64::from(std::mem::take(&mut server.good).max(1))) as f32,
             });
@@ -376,6 +445,34 @@
         reports
     }
 
+    /// Since when there is a failure that was not reported.
+    pub fn failure(&self) -> Option<Duration> {
+        self.failure
+    }
+
+    /// Verdicts on servers, as all supervisors are told them.
+    pub fn verdicts(&mut self, now: Duration, verdicts: &[Verdict]) {
+        if !self.book.told(now, verdicts, &self.terms.lights).is_empty() {
+            self.eases = Some(now);
+        }
+    }
+
+    /// What it was told of servers.
+    pub fn book(&self) -> &Book {
+        &self.book
+    }
+
+    /// Stands of which the moment has come.
+    fn ease(&mut self, now: Duration) {
+        if self.eases.is_none_or(|at| now < at) {
+            return;
+        }
+        for server in self.servers.values_mut() {
+            server.stands = self.book.stands(now, &server.id);
+        }
+        self.eases = self.book.next_ease(now);
+    }
+
     /// Names of services with a count of their servers, for those who look.
     pub fn services(&self) -> impl Iterator<Item = (&str, usize)> {
         self.by_name.values().filter_map(|key| self.services.get(*key)).map(|s| (&*s.name, s.servers.len()))
@@ -385,15 +482,19 @@
 /// Those of these servers that may be asked: well ones if there are such.
 fn with_room<'a>(
     servers: &'a SlotMap<ServerKey, Server>, terms: &Terms, now: Duration, of: &[ServerKey],
-    skip: &[ServerKey],
+    class: RouteClass, skip: &[ServerKey],
 ) -> Vec<(ServerKey, &'a Server)> {
     let there = of.iter().filter(|key| !skip.contains(key));
     let there = there.filter_map(|key| Some((*key, servers.get(*key)?)));
     let room =
         |server: &Server| server.at_work < server.slots + terms.beyond_slots && !server.health.is_gone();
     let mut open: Vec<(ServerKey, &Server)> = there.filter(|(_, server)| room(server)).collect();
-    if open.iter().any(|(_, server)| server.health.is_open(now)) {
-        open.retain(|(_, server)| server.health.is_open(now));
+    let again = class.may_run_again();
+    if open.iter().any(|(_, server)| server.health.is_open(now, again)) {
+        open.retain(|(_, server)| server.health.is_open(now, again));
+    }
+    if open.iter().any(|(_, server)| server.part(class, terms) > 0.0) {
+        open.retain(|(_, server)| server.part(class, terms) > 0.0);
     }
     open
 }
--- a/crates/pilot/src/health.rs
+++ b/crates/pilot/src/health.rs
@@ -34,6 +34,8 @@
 
 /// A trial that ended without a word counts for so long.
 const TRIAL: Duration = Duration::from_secs(2);
+/// So long after its avoidance a server waits for a repeatable request before an order may be the first there.
+const FOR_OTHERS: Duration = Duration::from_secs(4);
 
 #[derive(Clone, Debug)]
 pub struct Health {
@@ -51,12 +53,14 @@
         self.state
     }
 
-    /// Whether it may be asked when others may be, too.
-    pub fn is_open(&self, now: Duration) -> bool {
+    /// Whether it may be asked when others may be, too. What may run once is no trial, as long as some repeatable
+    /// work may come to be one.
+    pub fn is_open(&self, now: Duration, may_run_again: bool) -> bool {
+        let wait = if may_run_again { Duration::ZERO } else { FOR_OTHERS };
         match self.state {
             HealthState::Well { .. } => true,
-            HealthState::Avoided { until } => now >= until,
-            HealthState::Trial { since } => now >= since + TRIAL,
+            HealthState::Avoided { until } => now >= until + wait,
+            HealthState::Trial { since } => now >= since + TRIAL + wait,
             HealthState::Gone => false,
         }
     }
--- a/crates/pilot/src/terms.rs
+++ b/crates/pilot/src/terms.rs
@@ -43,6 +43,8 @@
     /// Large answers come from the own zone while that usually takes no more than this part of the target: what is
     /// left is for the spread of times around the usual one.
     pub own_zone_large: f64,
+    /// What binds verdicts that all supervisors are told.
+    pub lights: fallgap_lightlist::Terms,
 }
 
 impl Default for Terms {
@@ -67,6 +69,7 @@
             pass_from: 16 << 10,
             own_zone: 1.5,
             own_zone_large: 0.5,
+            lights: fallgap_lightlist::Terms::default(),
         }
     }
 }
--- a/crates/pilot/tests/fleet.rs
+++ b/crates/pilot/tests/fleet.rs
@@ -53,7 +53,7 @@
     }
     // Three slots and two more at each.
     assert_eq!(taken.len(), 15);
-    fleet.ended(ms(1), taken[0], Ended::Good(ms(60)));
+    fleet.ended(ms(1), taken[0], RouteClass::Safe, Ended::Good(ms(60)));
     assert_eq!(pick(&mut fleet, 1, service, &[]), Some(taken[0]));
     assert_eq!(pick(&mut fleet, 1, service, &[taken[0]]), None);
 }
@@ -86,12 +86,12 @@
     }
     // Its slots are taken; or it was asked already; or it is slow.
     assert!((0..20).any(|_| large(&mut fleet, &[]) != near));
-    (0..3).for_each(|_| fleet.ended(ms(50), near, Ended::Good(ms(50))));
+    (0..3).for_each(|_| fleet.ended(ms(50), near, RouteClass::Safe, Ended::Good(ms(50))));
     assert_eq!(large(&mut fleet, &[]), near);
     assert_ne!(large(&mut fleet, &[near]), near);
     for _ in 0..20 {
         fleet.began(ms(50), near);
-        fleet.ended(ms(250), near, Ended::Good(ms(200)));
+        fleet.ended(ms(250), near, RouteClass::Safe, Ended::Good(ms(200)));
     }
     assert!((0..100).any(|_| large(&mut fleet, &[]) != near));
 }
@@ -102,7 +102,7 @@
     let first = pick(&mut fleet, 0, service, &[]).unwrap();
     for _ in 0..3 {
         fleet.began(ms(0), first);
-        fleet.ended(ms(0), first, Ended::Failed);
+        fleet.ended(ms(0), first, RouteClass::Safe, Ended::Failed);
     }
     let other = pick(&mut fleet, 499, service, &[]).unwrap();
     assert_ne!(other, first);
@@ -112,14 +112,14 @@
     assert_eq!(counts(&mut fleet, 500, service).len(), 2);
     fleet.began(ms(500), first);
     assert_eq!(counts(&mut fleet, 500, service).len(), 1);
-    fleet.ended(ms(510), first, Ended::Unreached);
+    fleet.ended(ms(510), first, RouteClass::Safe, Ended::Unreached);
     assert_eq!(counts(&mut fleet, 1500, service).len(), 1);
     fleet.began(ms(1510), first);
-    fleet.ended(ms(1520), first, Ended::Good(ms(10)));
+    fleet.ended(ms(1520), first, RouteClass::Safe, Ended::Good(ms(10)));
     assert_eq!(counts(&mut fleet, 1520, service).len(), 2);
     // Another one lives at its address now.
     fleet.began(ms(1600), first);
-    fleet.ended(ms(1610), first, Ended::Other);
+    fleet.ended(ms(1610), first, RouteClass::Safe, Ended::Other);
     assert_eq!(pick(&mut fleet, 100_000, service, &[other]), None);
 }
 
@@ -139,14 +139,14 @@
 fn reports_tell_what_was_seen_once() {
     let (mut fleet, service) = fleet(vec![berth(1, "near", 1.0)]);
     let key = pick(&mut fleet, 0, service, &[]).unwrap();
-    for how in [Ended::Good(ms(40)), Ended::Good(ms(60)), Ended::Silent, Ended::Shed, Ended::Void] {
+    for how in [Ended::Good(ms(40)), Ended::Good(ms(60)), Ended::Silent(ms(400)), Ended::Shed, Ended::Void] {
         fleet.began(ms(0), key);
-        fleet.ended(ms(0), key, how);
+        fleet.ended(ms(0), key, RouteClass::Safe, how);
     }
-    let reports = fleet.reports();
-    let told = (reports[0].total, reports[0].failed, reports[0].good_ms.round());
+    let reports = fleet.reports(ms(2000));
+    let told = (reports[0].kinds[0].runs, reports[0].kinds[0].failed, reports[0].good_ms.round());
     assert_eq!((reports.len(), told), (1, (4, 1, 50.0)));
-    assert_eq!(fleet.reports(), []);
+    assert_eq!(fleet.reports(ms(2000)), []);
 }
 
 #[test]
@@ -159,7 +159,12 @@
         low += usize::from(fleet.arrives(ms(step), service, 0));
         fleet.sends(ms(step), service, false);
         fleet.began(ms(step), key);
-        fleet.ended(ms(step), key, if step % 2 == 0 { Ended::Shed } else { Ended::Good(ms(60)) });
+        fleet.ended(
+            ms(step),
+            key,
+            RouteClass::Safe,
+            if step % 2 == 0 { Ended::Shed } else { Ended::Good(ms(60)) },
+        );
     }
     assert!(low < 2500 && high > low + 1000, "{low} {high}");
     // Nothing is turned away any more.
@@ -222,7 +227,7 @@
         let key = pick(&mut fleet, 0, service, &[]).unwrap();
         (0..3).for_each(|_| {
             fleet.began(ms(0), key);
-            fleet.ended(ms(0), key, Ended::Unreached);
+            fleet.ended(ms(0), key, RouteClass::Safe, Ended::Unreached);
         });
     }
     assert!(counts(&mut fleet, 1, service).len() > own);
--- a/crates/quay/src/ops.rs
+++ b/crates/quay/src/ops.rs
@@ -4,6 +4,7 @@
 use crate::line::TryAt;
 use crate::quay::Quay;
 use crate::timers::{ClientKey, LineKey, OpKey, Who};
+use fallgap_chart::RouteClass;
 use fallgap_pilot::{
     Answer, Ended, Final, Next, Op, Plan, Request, ServerKey, ServiceKey, answer_head, own_answer,
 };
@@ -100,17 +101,19 @@
         self.timers.set(&mut op.noted, None, Who::Op(key));
         self.memory = self.memory.saturating_sub(op.request.body.len());
         let patience = op.core.plan.target / 2;
-        op.tries.drain(..).for_each(|one| self.drop_try(now, one, patience));
+        let class = op.core.plan.class;
+        op.tries.drain(..).for_each(|one| self.drop_try(now, one, class, patience));
         if let Some(client) = op.client.filter(|client| self.clients.contains_key(*client)) {
             answer(self, client, &op.request);
         }
     }
 
     /// A try is of no use any more: another has answered, or time is over.
-    fn drop_try(&mut self, now: Duration, one: Try, patience: Duration) {
+    fn drop_try(&mut self, now: Duration, one: Try, class: RouteClass, patience: Duration) {
         // Was it silent all the while?
-        let silent = one.sent && now >= one.began + patience;
-        self.fleet.ended(now, one.server, if silent { Ended::Silent } else { Ended::Void });
+        let waited = now.saturating_sub(one.began);
+        let how = if one.sent && waited >= patience { Ended::Silent(waited) } else { Ended::Void };
+        self.fleet.ended(now, one.server, class, how);
         self.close_line(one.line);
     }
 
@@ -129,9 +132,10 @@
             let patience = op.core.plan.target / 2;
             let (mine, others): (Vec<Try>, Vec<Try>) =
                 std::mem::take(&mut op.tries).into_iter().partition(|one| one.number == at.number);
+            let class = op.core.plan.class;
             (op.tries, op.hedge_at) = (mine, None);
             let keep = op.request.head.keep;
-            others.into_iter().for_each(|one| self.drop_try(now, one, patience));
+            others.into_iter().for_each(|one| self.drop_try(now, one, class, patience));
             let ends = self.ends(client, keep);
             let Some((op, line)) = self.ops.get(at.op).zip(self.lines.get(key)) else { return };
             let mut head = Vec::with_capacity(512);
@@ -218,7 +222,7 @@
             // It may still come up: the next request is glad of it, and how long it took is worth knowing.
             let line = std::mem::take(&mut hung.line);
             self.leave_coming(now, line);
-            self.try_ended(now, at, fallgap_pilot::TryOutcome::NotSent, Ended::Unreached, None);
+            self.try_ended(now, at, fallgap_pilot::TryOutcome::NotSent, Ended::Hung, None);
         } else if op.hedge_at.take_if(|at| now >= *at).is_some() {
             self.hedge(now, key);
         }
--- a/crates/quay/src/quay.rs
+++ b/crates/quay/src/quay.rs
@@ -7,6 +7,7 @@
 use crate::terms::Terms;
 use crate::timers::{ClientKey, LineKey, OpKey, Timers, Who};
 use fallgap_chart::{Limits, Routing, View};
+use fallgap_lightlist::Verdict;
 use fallgap_pilot::{Ends, Fleet, Report, ServerKey, ServiceKey};
 use mio::event::Event;
 use mio::net::TcpListener;
@@ -230,8 +231,18 @@
         self.clients.values().filter(at_work).count() + self.ops.len()
     }
 
-    pub fn reports(&mut self) -> Vec<Report> {
-        self.fleet.reports()
+    pub fn reports(&mut self, now: Duration) -> Vec<Report> {
+        self.fleet.reports(now)
+    }
+
+    /// The servers as ops see them: what is told of them, and what they did.
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
+    /// Verdicts that all supervisors are told.
+    pub fn verdicts(&mut self, now: Duration, verdicts: &[Verdict]) {
+        self.fleet.verdicts(now, verdicts);
     }
 
     /// There are routes, and servers for some.
--- a/crates/quay/src/tries.rs
+++ b/crates/quay/src/tries.rs
@@ -121,6 +121,10 @@
         let took = now.saturating_sub(began);
         let (outcome, how) = match judgement {
             Judgement::Good | Judgement::Plain => (TryOutcome::Answered, Ended::Good(took)),
+            // Time was over before a server had a fair part of it: the client's doing.
+            Judgement::Failed if answer.status == 504 && took < op.core.plan.target / 2 => {
+                (TryOutcome::Failed, Ended::Void)
+            }
             Judgement::Failed => (TryOutcome::Failed, Ended::Failed),
             Judgement::NotRun => (TryOutcome::NotRun, Ended::Shed),
             Judgement::Elsewhere => (TryOutcome::NotRun, Ended::Other),
@@ -152,12 +156,12 @@
         let Some(op) = self.ops.get_mut(at.op) else { return };
         let Some(place) = op.tries.iter().position(|one| one.number == at.number) else { return };
         let one = op.tries.swap_remove(place);
-        let service = op.service;
-        if how == Ended::Unreached {
+        let (service, class) = (op.service, op.core.plan.class);
+        if matches!(how, Ended::Unreached | Ended::Hung) {
             self.counters.unreached += 1;
         }
         self.close_line(one.line);
-        self.fleet.ended(now, one.server, how);
+        self.fleet.ended(now, one.server, class, how);
         let budget = self.fleet.budget_allows(now, service, 1.0);
         let Some(op) = self.ops.get_mut(at.op) else { return };
         let next = op.core.ended(now, at.number, outcome, budget);
--- a/crates/quay/tests/sockets.rs
+++ b/crates/quay/tests/sockets.rs
@@ -55,6 +55,7 @@
         ("is another", Box::new(|got| Does::Sends(status(got, 421, ""))), 200, 200),
         ("fails", Box::new(|got| Does::Sends(status(got, 500, ""))), 500, 200),
         ("hangs", Box::new(|_| Does::Hangs), 504, 200),
+        ("stalls behind half of it", Box::new(move |got| Does::Sends(half(got))), 504, 200),
     ]
 }
 
--- a/crates/roster/src/messages.rs
+++ b/crates/roster/src/messages.rs
@@ -4,6 +4,7 @@
 use crate::terms::Terms;
 use fallgap_chart::Beat;
 use fallgap_feed::wire::{Said, Told, Unreadable};
+use fallgap_lightlist::{Count, LightWord};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
@@ -32,6 +33,8 @@
     Fit,
     /// To a home: what a follower saw of servers since its last report.
     Report(Vec<ServerReport>),
+    /// Verdicts on servers, and what they rest on.
+    Lights(LightWord),
 }
 
 /// What a follower saw of one server.
@@ -39,8 +42,8 @@
 pub struct ServerReport {
     /// The server's id.
     pub server: Arc<str>,
-    pub total: u32,
-    pub failed: u32,
+    /// By kind of work.
+    pub kinds: [Count; 3],
     /// Mean time of the good answers.
     pub good_ms: f32,
 }
@@ -80,6 +83,13 @@
     pub first: Duration,
 }
 
+impl ServerReport {
+    pub(crate) fn good(&self) -> u32 {
+        let good = self.kinds.iter().map(|count| count.runs.saturating_sub(count.failed));
+        good.fold(0, u32::saturating_add)
+    }
+}
+
 impl RosterWord {
     pub fn join(said: &Said) -> RosterWord {
         RosterWord::Join(said.encode())
--- a/crates/roster/src/registry.rs
+++ b/crates/roster/src/registry.rs
@@ -6,6 +6,7 @@
 use crate::messages::{Record, RosterWord};
 use crate::terms::Terms;
 use fallgap_chart::Beat;
+use fallgap_lightlist::Roll;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
@@ -340,3 +341,14 @@
         self.called = self.called.max(now);
     }
 }
+
+impl Roll for Registry {
+    fn berth(&self, server: &str) -> Option<(Arc<str>, u32)> {
+        let life = self.lives.get(server).filter(|life| life.state == State::Open)?;
+        Some((life.beat.service.clone(), life.beat.slots.max(1)))
+    }
+
+    fn strength(&self, service: &str) -> u32 {
+        self.open().filter(|life| *life.beat.service == *service).map(|life| life.beat.slots.max(1)).sum()
+    }
+}
--- a/crates/roster/src/servers.rs
+++ b/crates/roster/src/servers.rs
@@ -78,7 +78,7 @@
     }
 
     pub(crate) fn reported(&mut self, report: &ServerReport) {
-        let good = report.total.saturating_sub(report.failed);
+        let good = report.good();
         let ms = f64::from(report.good_ms) * f64::from(good);
         if let Some(server) = self.by_id.get_mut(&report.server).filter(|_| ms.is_finite() && ms >= 0.0) {
             server.seen.good = server.seen.good.saturating_add(good);
--- a/crates/roster/tests/cases.rs
+++ b/crates/roster/tests/cases.rs
@@ -5,6 +5,7 @@
 mod world;
 
 use fallgap_feed::wire::{Said, Told};
+use fallgap_lightlist::Count;
 use fallgap_roster::{
     Distribution, Follower, FollowerOut, News, NodeId, Out, Registry, RosterWord, ServerReport, State, Terms,
 };
@@ -293,8 +294,11 @@
                 if self.registry.beat(self.now, beat).is_change() {
                     self.home.registry_changed(self.now, &self.registry);
                 }
-                let report =
-                    ServerReport { server: (*id).into(), total: *total, failed: 0, good_ms: *good_ms };
+                let report = ServerReport {
+                    server: (*id).into(),
+                    kinds: [Count { runs: *total, failed: 0 }, Count::default(), Count::default()],
+                    good_ms: *good_ms,
+                };
                 self.home.reported(self.now, node(4), &[report]);
             }
             for _ in 0..20 {
