--- a/crates/pilot/src/terms.rs
+++ b/crates/pilot/src/terms.rs
@@ -45,6 +45,9 @@
     pub own_zone_large: f64,
     /// What binds verdicts that all supervisors are told.
     pub lights: fallgap_lightlist::Terms,
+    /// A large answer that would wait for others on the own link for more than this part of its target is sent for
+    /// elsewhere: small answers wait behind it several times, once for each step of their way.
+    pub laden_part: f64,
 }
 
 impl Default for Terms {
@@ -70,6 +73,7 @@
             own_zone: 1.5,
             own_zone_large: 0.5,
             lights: fallgap_lightlist::Terms::default(),
+            laden_part: 0.1,
         }
     }
 }
