--- a/crates/pilot/src/draught.rs
+++ b/crates/pilot/src/draught.rs
@@ -85,7 +85,7 @@
         // A thin link: 90 kB take 190 ms.
         let mut draught = Draught::new(3.8, 0.1);
         draught.brought(&scan, 90_000);
-        let mut asks = |draught: &mut Draught, class, wait| draught.has_room(&scan, class, target, wait);
+        let asks = |draught: &mut Draught, class, wait| draught.has_room(&scan, class, target, wait);
         assert!(asks(&mut draught, RouteClass::Outbound, wait(4000)), "nothing is at work");
         let bytes = draught.loads(&scan);
         let cases = [
