--- a/crates/lantern/src/asks.rs
+++ b/crates/lantern/src/asks.rs
@@ -16,6 +16,7 @@
     Left(String),
     Status,
     Desk(desk::Question),
+    Verdicts,
 }
 
 pub enum Told {
--- a/crates/lantern/src/control.rs
+++ b/crates/lantern/src/control.rs
@@ -185,6 +185,7 @@
             ("GET", ["-", "watch", id]) => self.watch(id, query),
             ("GET", ["-", "status"]) => self.told(Asked::Status),
             ("GET", ["-", "desk", what]) => self.desk(request, what),
+            ("GET", ["-", "verdicts"]) => self.told(Asked::Verdicts),
             _ => Err(Refused::Unknown),
         }
     }
--- a/crates/lantern/src/main.rs
+++ b/crates/lantern/src/main.rs
@@ -91,6 +91,12 @@
     },
     /// Print a completion file for a shell
     Completions { shell: clap_complete::Shell },
+    /// Tell which servers are not simply well for one supervisor, for what work and why
+    Verdicts {
+        /// A supervisor's control address
+        #[arg(long)]
+        at: SocketAddrV4,
+    },
 }
 
 #[derive(Subcommand)]
@@ -170,5 +176,6 @@
             ExitCode::SUCCESS
         }
         Verb::Status { at } => ask::done(ask::get(at, "/-/status")),
+        Verb::Verdicts { at } => ask::done(ask::get(at, "/-/verdicts")),
     }
 }
--- a/crates/pilot/src/why.rs
+++ b/crates/pilot/src/why.rs
@@ -80,8 +80,8 @@
 /// How a try ended, in a word.
 pub fn try_word(outcome: TryOutcome, how: Ended) -> &'static str {
     match (outcome, how) {
-        (_, Ended::Silent) => "silent",
-        (_, Ended::Unreached) => "unreached",
+        (_, Ended::Silent(_)) => "silent",
+        (_, Ended::Unreached | Ended::Hung) => "unreached",
         (_, Ended::Other) => "other-server",
         (TryOutcome::Answered, _) => "answered",
         (TryOutcome::NotRun, _) => "turned-away",
--- a/crates/quay/src/ops.rs
+++ b/crates/quay/src/ops.rs
@@ -5,6 +5,7 @@
 use crate::logbook::{Draft, Over};
 use crate::quay::Quay;
 use crate::timers::{ClientKey, LineKey, OpKey, Who};
+use fallgap_chart::RouteClass;
 use fallgap_pilot::{
     Answer, Ended, Final, Next, Op, Plan, Request, ServerKey, ServiceKey, TryOutcome, Why, answer_head,
     own_answer,
@@ -158,8 +159,9 @@
         self.memory = self.memory.saturating_sub(op.request.body.len());
         self.draught.unloads(op.cargo);
         let patience = op.core.plan.target / 2;
+        let class = op.core.plan.class;
         for one in op.tries.drain(..) {
-            let (outcome, how) = self.drop_try(now, one, patience);
+            let (outcome, how) = self.drop_try(now, one, class, patience);
             // It was not silent if a part of its answer has left.
             let how = if op.draft.why == Why::Broke { Ended::Failed } else { how };
             op.draft.ended(one.server, now.saturating_sub(op.core.plan.began), outcome, how);
@@ -185,11 +187,13 @@
     }
 
     /// A try is of no use any more: another has answered, or time is over.
-    fn drop_try(&mut self, now: Duration, one: Try, patience: Duration) -> (TryOutcome, Ended) {
+    fn drop_try(
+        &mut self, now: Duration, one: Try, class: RouteClass, patience: Duration,
+    ) -> (TryOutcome, Ended) {
         // Was it silent all the while?
-        let silent = one.sent && now >= one.began + patience;
-        let how = if silent { Ended::Silent } else { Ended::Void };
-        self.fleet.ended(now, one.server, how);
+        let waited = now.saturating_sub(one.began);
+        let how = if one.sent && waited >= patience { Ended::Silent(waited) } else { Ended::Void };
+        self.fleet.ended(now, one.server, class, how);
         self.close_line(one.line);
         (if one.sent { TryOutcome::Unknown } else { TryOutcome::NotSent }, how)
     }
@@ -209,10 +213,11 @@
             let patience = op.core.plan.target / 2;
             let (mine, others): (Vec<Try>, Vec<Try>) =
                 std::mem::take(&mut op.tries).into_iter().partition(|one| one.number == at.number);
+            let class = op.core.plan.class;
             (op.tries, op.hedge_at) = (mine, None);
             let keep = op.request.head.keep;
             for one in others {
-                let (outcome, how) = self.drop_try(now, one, patience);
+                let (outcome, how) = self.drop_try(now, one, class, patience);
                 let Some(op) = self.ops.get_mut(at.op) else { return };
                 op.draft.ended(one.server, now.saturating_sub(op.core.plan.began), outcome, how);
             }
@@ -304,7 +309,7 @@
             // It may still come up: the next request is glad of it, and how long it took is worth knowing.
             let line = std::mem::take(&mut hung.line);
             self.leave_coming(now, line);
-            self.try_ended(now, at, fallgap_pilot::TryOutcome::NotSent, Ended::Unreached, None);
+            self.try_ended(now, at, fallgap_pilot::TryOutcome::NotSent, Ended::Hung, None);
         } else if op.hedge_at.take_if(|at| now >= *at).is_some() {
             self.hedge(now, key);
         }
