Licence: accounts, offices and their changes, checked whole; kept as one register

crates/licence holds accounts (areas, services with shares, classes, best priority, attempts, limits), offices with slices and hashes of keys, and their routes as one ledger with a revision. A change names the edition of the office that it starts from, is checked whole with each fault at its place, and gives a plan and the next ledger, or changes nothing; the newest change can be taken back.

One register for all was chosen over one for each office: that two offices, two changes of one account and the account's sum cannot pass each other is then the register's own condition and nobody's second look.

crates/keeper: that register, written only over the revision that it was made from, polled only where there is one. crates/chart: the reading of documents is open to other crates; a configuration names whose a route is, in notes of their own, none without accounts. crates/roster: what is in force goes back in neither of its two numbers.

--- a/crates/chart/src/configuration.rs
+++ b/crates/chart/src/configuration.rs
@@ -47,11 +47,11 @@
     let names = services.iter().map(|s| s.name.clone()).collect();
     let routes = read_routes(&top.field("routes"), &names, &mut faults);
     let limits = read_limits(&top.field("limits"), &mut faults);
-    faults.or(Configuration { edition, routes, services, limits })
+    faults.or(Configuration { edition, routes, services, limits, licences: None })
 }
 
 /// What a route is found by; routes stand in this order.
-pub(crate) fn place(route: &Route) -> (&str, &str) {
+pub fn place(route: &Route) -> (&str, &str) {
     (&route.depot, &route.lane_prefix)
 }
 
@@ -161,14 +161,21 @@
 ];
 
 fn read_routes(table: &Field<'_, '_>, names: &Names, faults: &mut Faults) -> Vec<Route> {
+    read_route_rows(table, names, TERMS.routes, faults).into_iter().map(|(route, _)| route).collect()
+}
+
+/// Routes by host and prefix, each with its number among the entries of the table; `names`: services that are known.
+pub fn read_route_rows(
+    table: &Field<'_, '_>, names: &BTreeSet<Arc<str>>, most: usize, faults: &mut Faults,
+) -> Vec<(Route, usize)> {
     let mut routes = Vec::new();
-    rows(table, ROUTE, TERMS.routes, faults, |faults, row| {
+    rows(table, ROUTE, most, faults, |faults, row| {
         routes.push((read_route(&row, names, faults), row.number));
     });
     routes.sort_unstable_by(|(a, i), (b, j)| (place(a), i).cmp(&(place(b), j)));
     let told = |route: &Route| route.depot.is_empty() || route.lane_prefix.is_empty();
     tell_again(table, &routes, |a, b| place(a) == place(b) && !told(a), faults);
-    routes.into_iter().map(|(route, _)| route).collect()
+    routes
 }
 
 fn read_route(row: &Row<'_, '_, 10>, names: &Names, faults: &mut Faults) -> Route {
@@ -260,7 +267,7 @@
 }
 
 /// A host in lower case and without a port.
-fn host(value: &Value) -> Option<String> {
+pub fn host(value: &Value) -> Option<String> {
     let text = value.as_str()?;
     let host = crate::routing::without_port(text);
     let fit = !host.is_empty() && host.len() <= TERMS.name_bytes && host.chars().all(stands_in_host);
@@ -280,11 +287,11 @@
 }
 
 /// A path that no query or fragment cuts short.
-fn prefix(value: &Value) -> Option<String> {
+pub fn prefix(value: &Value) -> Option<String> {
     path(value).filter(|text| text.ends_with('/') && !text.contains(['?', '#']))
 }
 
-fn class(value: &Value) -> Option<RouteClass> {
+pub fn class(value: &Value) -> Option<RouteClass> {
     RouteClass::from_word(value.as_str()?)
 }
 
--- a/crates/chart/src/document.rs
+++ b/crates/chart/src/document.rs
@@ -8,7 +8,7 @@
 
 /// Where something stands: a chain of steps up to the top of the document. Costs nothing until it is told.
 #[derive(Clone, Copy)]
-pub(crate) struct Spot<'p> {
+pub struct Spot<'p> {
     up: Option<&'p Spot<'p>>,
     step: Step<'p>,
 }
@@ -21,13 +21,13 @@
 }
 
 impl<'p> Spot<'p> {
-    pub(crate) const TOP: Spot<'static> = Spot { up: None, step: Step::Top };
+    pub const TOP: Spot<'static> = Spot { up: None, step: Step::Top };
 
-    pub(crate) fn key(&'p self, key: &'p str) -> Spot<'p> {
+    pub fn key(&'p self, key: &'p str) -> Spot<'p> {
         Spot { up: Some(self), step: Step::Key(key) }
     }
 
-    pub(crate) fn at(&'p self, index: usize) -> Spot<'p> {
+    pub fn at(&'p self, index: usize) -> Spot<'p> {
         Spot { up: Some(self), step: Step::At(index) }
     }
 }
@@ -46,7 +46,7 @@
 }
 
 /// The whole document, checked as JSON to its last byte.
-pub(crate) fn document(body: &[u8], most: usize) -> Result<Value, Faults> {
+pub fn document(body: &[u8], most: usize) -> Result<Value, Faults> {
     if body.len() > most {
         return Err(Faults::one(What::TooLarge(most)));
     }
@@ -100,28 +100,28 @@
 }
 
 /// A value with its place. Null counts as left out.
-pub(crate) struct Field<'p, 'v> {
-    pub(crate) value: Option<&'v Value>,
-    pub(crate) spot: Spot<'p>,
+pub struct Field<'p, 'v> {
+    pub value: Option<&'v Value>,
+    pub spot: Spot<'p>,
 }
 
 impl<'p, 'v> Field<'p, 'v> {
-    pub(crate) fn new(value: Option<&'v Value>, spot: Spot<'p>) -> Self {
+    pub fn new(value: Option<&'v Value>, spot: Spot<'p>) -> Self {
         Field { value: value.filter(|v| !v.is_null()), spot }
     }
 
-    pub(crate) fn top(value: &'v Value) -> Self {
+    pub fn top(value: &'v Value) -> Self {
         Field::new(Some(value), Spot::TOP)
     }
 
     /// A field of this object.
-    pub(crate) fn field<'a>(&'a self, key: &'a str) -> Field<'a, 'v> {
+    pub fn field<'a>(&'a self, key: &'a str) -> Field<'a, 'v> {
         let value = self.value.and_then(|v| v.pointer([key]));
         Field::new(value, self.spot.key(key))
     }
 
     /// What `of` makes of the value. Left out: `None`. Not fit: `None` and a fault.
-    pub(crate) fn may<T>(
+    pub fn may<T>(
         &self, faults: &mut Faults, expected: &'static str, of: impl FnOnce(&'v Value) -> Option<T>,
     ) -> Option<T> {
         let value = self.value?;
@@ -133,7 +133,7 @@
     }
 
     /// The same, and to be left out is a fault too.
-    pub(crate) fn must<T>(
+    pub fn must<T>(
         &self, faults: &mut Faults, expected: &'static str, of: impl FnOnce(&'v Value) -> Option<T>,
     ) -> Option<T> {
         self.needed(faults, expected);
@@ -141,24 +141,24 @@
     }
 
     /// To be left out is a fault.
-    pub(crate) fn needed(&self, faults: &mut Faults, expected: &'static str) {
+    pub fn needed(&self, faults: &mut Faults, expected: &'static str) {
         if self.value.is_none() {
             faults.add(&self.spot, What::Missing(expected));
         }
     }
 
     /// A name that must be there; empty where it is not.
-    pub(crate) fn name(&self, faults: &mut Faults) -> String {
+    pub fn name(&self, faults: &mut Faults) -> String {
         self.must(faults, NAME, name).unwrap_or_default()
     }
 
     /// Checks that it is an object. What is left out is none and is no fault.
-    pub(crate) fn object(&self, faults: &mut Faults) {
+    pub fn object(&self, faults: &mut Faults) {
         self.may(faults, "an object", |v| v.is_object().then_some(()));
     }
 
     /// Hands out the elements of a list, `most` at most. What is left out has none.
-    pub(crate) fn elements(
+    pub fn elements(
         &self, faults: &mut Faults, most: usize, mut each: impl FnMut(&mut Faults, Field<'_, '_>),
     ) {
         let Some(list) = self.may(faults, "a list", |v| v.as_array()) else { return };
@@ -172,7 +172,7 @@
     }
 }
 
-pub(crate) fn unexpected(expected: &'static str, value: &Value) -> What {
+pub fn unexpected(expected: &'static str, value: &Value) -> What {
     What::Unexpected { expected, found: shown(value) }
 }
 
@@ -191,20 +191,20 @@
     shown
 }
 
-pub(crate) const NAME: &str = "a name";
-pub(crate) const SECONDS: &str = "seconds";
-pub(crate) const WHOLE: &str = "a whole number from 0 on";
-pub(crate) const NUMBER: &str = "a number";
-pub(crate) const TRUTH: &str = "true or false";
+pub const NAME: &str = "a name";
+pub const SECONDS: &str = "seconds";
+pub const WHOLE: &str = "a whole number from 0 on";
+pub const NUMBER: &str = "a number";
+pub const TRUTH: &str = "true or false";
 
 /// Not empty, not too long, no control characters.
-pub(crate) fn name(value: &Value) -> Option<String> {
+pub fn name(value: &Value) -> Option<String> {
     let text = value.as_str()?;
     let fit = !text.is_empty() && text.len() <= TERMS.name_bytes && !text.contains(char::is_control);
     fit.then(|| text.to_owned())
 }
 
-pub(crate) fn number(value: &Value) -> Option<f64> {
+pub fn number(value: &Value) -> Option<f64> {
     if !value.is_number() {
         return None;
     }
@@ -212,7 +212,7 @@
 }
 
 /// Also from a number written with a fraction of 0.
-pub(crate) fn whole(value: &Value) -> Option<u64> {
+pub fn whole(value: &Value) -> Option<u64> {
     const EXACT: f64 = (1u64 << 53) as f64;
     if !value.is_number() {
         return None;
@@ -224,16 +224,16 @@
 }
 
 /// A number that is drawn to its nearest whole one within the bounds.
-pub(crate) fn count(value: &Value, least: u32, most: u32) -> Option<u32> {
+pub fn count(value: &Value, least: u32, most: u32) -> Option<u32> {
     number(value).map(|n| n.round().clamp(f64::from(least), f64::from(most)) as u32)
 }
 
 /// Not below 0; what is longer than the terms allow is cut.
-pub(crate) fn seconds(value: &Value) -> Option<Duration> {
+pub fn seconds(value: &Value) -> Option<Duration> {
     number(value).and_then(duration)
 }
 
-pub(crate) fn duration(seconds: f64) -> Option<Duration> {
+pub fn duration(seconds: f64) -> Option<Duration> {
     if !seconds.is_finite() || seconds < 0.0 {
         return None;
     }
--- a/crates/chart/src/fault.rs
+++ b/crates/chart/src/fault.rs
@@ -27,6 +27,8 @@
     NoShare,
     /// stands there already, at entry {0}
     Again(usize),
+    /// {0}
+    Against(String),
 }
 
 /// One fault and its place in the document: the steps from the top, each behind a slash.
@@ -44,11 +46,11 @@
 }
 
 impl Faults {
-    pub(crate) fn one(what: What) -> Self {
+    pub fn one(what: What) -> Self {
         Faults { list: vec![Fault { place: String::new(), what }], untold: 0 }
     }
 
-    pub(crate) fn add(&mut self, spot: &Spot<'_>, what: What) {
+    pub fn add(&mut self, spot: &Spot<'_>, what: What) {
         if self.list.len() < TERMS.faults {
             self.list.push(Fault { place: spot.to_string(), what });
         } else {
@@ -57,7 +59,7 @@
     }
 
     /// The value, if no fault was found.
-    pub(crate) fn or<T>(self, value: T) -> Result<T, Faults> {
+    pub fn or<T>(self, value: T) -> Result<T, Faults> {
         if self.list.is_empty() { Ok(value) } else { Err(self) }
     }
 
--- a/crates/chart/src/lib.rs
+++ b/crates/chart/src/lib.rs
@@ -7,8 +7,9 @@
 mod bounds;
 mod calls;
 mod configuration;
-mod document;
+pub mod document;
 mod fault;
+mod licences;
 mod notes;
 mod routing;
 mod settings;
@@ -21,7 +22,7 @@
     Beat, CellPut, LockBeat, LockEnd, LockStart, is_name, read_beat, read_cell_put, read_lock_beat,
     read_lock_end, read_lock_start,
 };
-pub use configuration::read_configuration;
+pub use configuration::{class, host, place, prefix, read_configuration, read_route_rows};
 pub use fault::{Fault, Faults, What};
 pub use routing::Routing;
 pub use settings::{Resources, Settings, read_settings};
--- a/crates/chart/src/notes.rs
+++ b/crates/chart/src/notes.rs
@@ -3,6 +3,7 @@
 //! The parts of a text stand behind one another with tabs between; no name holds one. Times are in nanoseconds.
 
 use crate::configuration::{place, shares_fit};
+use crate::licences::Gathered;
 use crate::types::{Configuration, Limits, Route, RouteClass, Service};
 use std::collections::BTreeSet;
 use std::fmt::Write;
@@ -27,6 +28,9 @@
             let text = format!("{}\t{}", service.line_cap, service.health_path);
             notes.push((format!("{SERVICE}{}", service.name), text));
         }
+        if let Some(licences) = &self.licences {
+            licences.notes(&self.routes, &mut notes);
+        }
         notes
     }
 
@@ -36,6 +40,7 @@
         let (mut edition, mut limits) = (None, None);
         let (mut routes, mut services) = (Vec::new(), Vec::new());
         let mut names: BTreeSet<Arc<str>> = BTreeSet::new();
+        let mut licences = Gathered::default();
         for (key, text) in notes {
             if let Some(place) = key.strip_prefix(ROUTE) {
                 routes.push(route_of(place, text, &mut names)?);
@@ -45,11 +50,14 @@
                 edition = Some(text.parse().ok()?);
             } else if key == LIMITS {
                 limits = Some(limits_of(text)?);
+            } else {
+                licences.take(key, text)?;
             }
         }
         routes.sort_unstable_by(|a, b| place(a).cmp(&place(b)));
         services.sort_unstable_by(|a, b| a.name.cmp(&b.name));
-        let whole = Configuration { edition: edition?, routes, services, limits: limits? };
+        let licences = licences.whole(&routes)?;
+        let whole = Configuration { edition: edition?, routes, services, limits: limits?, licences };
         is_whole(&whole, &names).then_some(whole)
     }
 }
@@ -96,14 +104,14 @@
 }
 
 /// The parts of a text, one after the other.
-struct Parts<'a>(std::str::Split<'a, char>);
+pub(crate) struct Parts<'a>(std::str::Split<'a, char>);
 
 impl<'a> Parts<'a> {
-    fn of(text: &'a str) -> Self {
+    pub(crate) fn of(text: &'a str) -> Self {
         Parts(text.split('\t'))
     }
 
-    fn read<T: std::str::FromStr>(&mut self) -> Option<T> {
+    pub(crate) fn read<T: std::str::FromStr>(&mut self) -> Option<T> {
         self.0.next()?.parse().ok()
     }
 
--- a/crates/chart/src/types.rs
+++ b/crates/chart/src/types.rs
@@ -1,12 +1,13 @@
 //! What the parts of the gateway share: the configuration as the operator gave it, checked, and the view that a
 //! supervisor routes by.
 
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
 
 /// What may be repeated on a route.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum RouteClass {
     /// May run more than once.
     Safe,
@@ -22,7 +23,7 @@
     }
 }
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Route {
     pub name: Arc<str>,
     /// The host, in lower case and without a port.
@@ -65,6 +66,55 @@
     pub routes: Vec<Route>,
     pub services: Vec<Service>,
     pub limits: Limits,
+    /// What offices have of it; none in a system without accounts.
+    pub licences: Option<Arc<Licences>>,
+}
+
+impl Configuration {
+    /// Of the accounts that are joined in; 0 without any.
+    pub fn revision(&self) -> u64 {
+        self.licences.as_ref().map_or(0, |licences| licences.revision)
+    }
+
+    /// Whether neither the operator's edition nor the accounts' revision is below the other's.
+    pub fn follows(&self, held: &Configuration) -> bool {
+        self.edition >= held.edition && self.revision() >= held.revision()
+    }
+}
+
+/// What an account or an office may have at most; without end where nothing is said.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Allowance {
+    pub routes: u32,
+    pub changes_a_minute: u32,
+    /// Requests a second: safe, fragile, outbound.
+    pub rates: [f64; 3],
+    /// Requests at work at a time.
+    pub at_work: u32,
+    /// Bytes a second of answers on outbound routes.
+    pub download_bytes: f64,
+}
+
+/// An office whose routes are in force.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Licence {
+    pub name: Arc<str>,
+    /// Its place among the accounts.
+    pub account: usize,
+    pub allowance: Allowance,
+}
+
+/// Who of accounts and offices has which route.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Licences {
+    /// Rises with each change of accounts or of offices' routes.
+    pub revision: u64,
+    /// By name.
+    pub accounts: Vec<(Arc<str>, Allowance)>,
+    /// By name.
+    pub offices: Vec<Licence>,
+    /// For each route of the configuration its place among the offices; none: the operator's own.
+    pub owners: Vec<Option<usize>>,
 }
 
 /// One life of a server, as a supervisor may send to it.
--- a/crates/chart/tests/routing.rs
+++ b/crates/chart/tests/routing.rs
@@ -20,7 +20,7 @@
 
 fn routing(routes: Vec<Route>) -> Routing {
     let limits = Limits::default();
-    Routing::new(Arc::new(Configuration { edition: 1, routes, services: vec![], limits }))
+    Routing::new(Arc::new(Configuration { edition: 1, routes, services: vec![], limits, licences: None }))
 }
 
 #[test]
--- a/crates/keeper/src/desk.rs
+++ b/crates/keeper/src/desk.rs
@@ -27,7 +27,7 @@
 
 impl Entry {
     pub fn reads(&self) -> bool {
-        matches!(self.call, Call::ConfigGet | Call::CellGet { .. } | Call::Watch { .. })
+        matches!(self.call, Call::ConfigGet | Call::AccountsGet | Call::CellGet { .. } | Call::Watch { .. })
     }
 
     pub fn is_own(&self) -> bool {
--- a/crates/keeper/src/keeper.rs
+++ b/crates/keeper/src/keeper.rs
@@ -442,7 +442,7 @@
 
 fn name_of(key: &Key) -> &str {
     match key {
-        Key::Config => "",
+        Key::Config | Key::Accounts => "",
         Key::Lock(name) | Key::Number(name) | Key::Group(name) => name,
     }
 }
--- a/crates/keeper/src/news.rs
+++ b/crates/keeper/src/news.rs
@@ -21,6 +21,8 @@
             return;
         }
         let mut calls = vec![Call::ConfigGet];
+        // Without accounts nothing is asked.
+        calls.extend(self.acceptor.get(&Key::Accounts).map(|_| Call::AccountsGet));
         let groups = self.watches.groups();
         calls.extend(groups.into_iter().map(|group| Call::Watch { group, after: 0, wait: Duration::ZERO }));
         for call in calls {
@@ -34,7 +36,7 @@
     pub(crate) fn learn(&mut self, now: Duration, key: &Key, ballot: Ballot, value: &Value) {
         let _ = now;
         self.acceptor.commit(key, ballot);
-        if !matches!(key, Key::Config | Key::Group(_)) {
+        if !matches!(key, Key::Config | Key::Accounts | Key::Group(_)) {
             return;
         }
         match self.shown.get_mut(key) {
@@ -52,7 +54,7 @@
 
     /// Tells the other members that a value was committed, where somebody waits for it.
     pub(crate) fn hint(&mut self, key: &Key, ballot: Ballot) {
-        if !matches!(key, Key::Config | Key::Group(_)) {
+        if !matches!(key, Key::Config | Key::Accounts | Key::Group(_)) {
             return;
         }
         for node in self.members() {
--- a/crates/keeper/src/subjects/mod.rs
+++ b/crates/keeper/src/subjects/mod.rs
@@ -40,7 +40,8 @@
     let limits = memory.limits;
     match call {
         Call::ConfigPut { edition, body } => config::put(*edition, body, held, limits.config_bytes),
-        Call::ConfigGet => config::get(held),
+        Call::ConfigGet | Call::AccountsGet => config::get(held),
+        Call::AccountsPut { base, body } => config::swap(*base, body, held, limits.config_bytes),
         Call::LockStart { holder, .. } if holder.len() > limits.name_bytes => Verdict::busy(),
         Call::LockStart { holder, hold, .. } => locks::start(holder, *hold, held, age),
         Call::LockBeat { holder, fence, hold, .. } => locks::beat(holder, *fence, *hold, held, age),
--- a/crates/keeper/src/types.rs
+++ b/crates/keeper/src/types.rs
@@ -15,6 +15,8 @@
     Number(String),
     /// A group with its dot.
     Group(String),
+    /// All accounts, with the routes of their offices.
+    Accounts,
 }
 
 /// What a caller wants of the control state.
@@ -58,6 +60,12 @@
         after: u64,
         wait: Duration,
     },
+    /// Holds if the revision held is `base`, 0 for none; it becomes the one after.
+    AccountsPut {
+        base: u64,
+        body: Vec<u8>,
+    },
+    AccountsGet,
 }
 
 impl Call {
@@ -71,6 +79,7 @@
             Call::Number { name } => Key::Number(name.clone()),
             Call::CellPut { name, .. } | Call::CellGet { name } => Key::Group(group_of(name).to_owned()),
             Call::Watch { group, .. } => Key::Group(group.clone()),
+            Call::AccountsPut { .. } | Call::AccountsGet => Key::Accounts,
         }
     }
 
@@ -80,7 +89,8 @@
             Call::ConfigPut { .. } | Call::LockStart { .. } | Call::Number { .. } | Call::CellPut { .. } => {
                 true
             }
-            Call::ConfigGet | Call::LockBeat { .. } | Call::LockEnd { .. } => false,
+            Call::AccountsPut { .. } => true,
+            Call::ConfigGet | Call::AccountsGet | Call::LockBeat { .. } | Call::LockEnd { .. } => false,
             Call::CellGet { .. } | Call::Watch { .. } => false,
         }
     }
@@ -88,8 +98,8 @@
     /// How many bytes the call's words hold, for bounds.
     pub fn bytes(&self) -> usize {
         match self {
-            Call::ConfigPut { body, .. } => body.len(),
-            Call::ConfigGet => 0,
+            Call::ConfigPut { body, .. } | Call::AccountsPut { body, .. } => body.len(),
+            Call::ConfigGet | Call::AccountsGet => 0,
             Call::LockStart { name, holder, .. }
             | Call::LockBeat { name, holder, .. }
             | Call::LockEnd { name, holder, .. } => name.len() + holder.len(),
--- a/crates/keeper/tests/subjects.rs
+++ b/crates/keeper/tests/subjects.rs
@@ -157,6 +157,27 @@
     assert_eq!(config_body(register.held.as_deref()), Some(&b"more"[..]));
 }
 
+#[test]
+fn accounts_are_written_only_over_what_they_were_made_from() {
+    use Answer::{Busy, Config, Conflict, Missing, Revision};
+    let put = |base, body: &str| Call::AccountsPut { base, body: body.as_bytes().to_vec() };
+    check(
+        &mut Register::new(),
+        &[
+            (0, Call::AccountsGet, Missing, false),
+            (0, put(1, "one"), Conflict { revision: 0 }, false),
+            (0, put(0, "one"), Revision(1), true),
+            // It comes again: at a second keeper, or out of a slow one.
+            (0, put(0, "one"), Revision(1), false),
+            (0, put(0, "other"), Conflict { revision: 1 }, false),
+            (0, put(1, "two"), Revision(2), true),
+            (0, put(0, "one"), Conflict { revision: 2 }, false),
+            (0, put(u64::MAX, "last"), Busy, false),
+            (0, Call::AccountsGet, Config(b"two".to_vec()), false),
+        ],
+    );
+}
+
 fn event(name: &str, value: &str, revision: u64) -> Event {
     Event { name: name.into(), value: value.into(), revision }
 }
@@ -295,6 +316,7 @@
         Call::Number { name: "n".into() },
         Call::ConfigGet,
         Call::ConfigPut { edition: 1, body: vec![] },
+        Call::AccountsPut { base: 0, body: vec![] },
     ];
     for held in [&[][..], &[0xff; 7], &[1, 0xff, 0xff]] {
         for call in &calls {
--- a/crates/lantern/src/calls.rs
+++ b/crates/lantern/src/calls.rs
@@ -312,6 +312,7 @@
         Key::Lock(name) => (1, name.as_str()),
         Key::Number(name) => (2, name.as_str()),
         Key::Group(name) => (3, name.as_str()),
+        Key::Accounts => (4, ""),
     };
     let hash =
         |node: &Ipv4Addr| fallgap_chart::spread([kind].into_iter().chain(name.bytes()).chain(node.octets()));
--- /dev/null
+++ b/crates/licence/src/ledger.rs
@@ -0,0 +1,152 @@
+//! All accounts, as they are kept.
+
+use crate::keys::KeyHash;
+use fallgap_chart::{Allowance, Route, RouteClass};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Ledger {
+    /// Rises by one with each change of anything here.
+    pub revision: u64,
+    pub accounts: BTreeMap<String, Account>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Account {
+    /// Of the operator's order.
+    pub edition: u64,
+    pub grant: Grant,
+    /// No two offices have the same name, in whatever accounts.
+    pub offices: BTreeMap<String, Office>,
+}
+
+/// What an account may do.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Grant {
+    pub areas: Vec<Area>,
+    /// Services with the largest share of a route's requests that may go to each.
+    pub services: BTreeMap<String, f64>,
+    pub classes: BTreeSet<RouteClass>,
+    pub offices: u32,
+    /// The best that a route may have; 0 is the highest.
+    pub priority: u8,
+    pub attempts: u32,
+    /// Of all offices together.
+    pub allowance: Allowance,
+}
+
+/// A host, and the prefix that routes there begin with.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Area {
+    pub depot: String,
+    pub prefix: String,
+}
+
+/// What an office has of its account.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Slice {
+    /// None of its own: those of the account.
+    pub areas: Vec<Area>,
+    pub allowance: Allowance,
+    pub keys: Vec<KeyHash>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Office {
+    pub slice: Slice,
+    /// The ledger's revision with which its routes changed last; 0: never.
+    pub edition: u64,
+    /// By host and prefix.
+    pub routes: Vec<Route>,
+    /// Its newest changes, the last one at the end.
+    pub trail: VecDeque<Entry>,
+    /// When it changed something within the last minute, in seconds of the calendar.
+    pub recent: Vec<u64>,
+}
+
+/// Where a route stands: its host and its prefix.
+pub type Place = (Arc<str>, Arc<str>);
+
+/// A change that an office made.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Entry {
+    pub edition: u64,
+    /// The office's edition that it started from.
+    pub base: u64,
+    /// Seconds of the calendar, by the supervisor that took it.
+    pub at: u64,
+    /// Drawn for it: whoever made it knows it again by that.
+    pub mark: u64,
+    /// The first digits of the key's hash that it was made with.
+    pub key: String,
+    /// The change that it takes back.
+    pub undoes: Option<u64>,
+    /// What stood at the places that it touched.
+    pub before: Vec<(Place, Option<Route>)>,
+}
+
+/// what is kept of accounts cannot be read
+#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display, thiserror::Error)]
+pub struct UnreadableLedger;
+
+impl Area {
+    pub fn holds(&self, depot: &str, prefix: &str) -> bool {
+        self.depot == depot && prefix.starts_with(&self.prefix)
+    }
+
+    /// Whether there is a place in both.
+    pub fn meets(&self, other: &Area) -> bool {
+        self.holds(&other.depot, &other.prefix) || other.holds(&self.depot, &self.prefix)
+    }
+}
+
+impl Ledger {
+    /// # Errors
+    /// [`UnreadableLedger`].
+    pub fn decode(bytes: &[u8]) -> Result<Ledger, UnreadableLedger> {
+        postcard::from_bytes(bytes).map_err(|_| UnreadableLedger)
+    }
+
+    pub fn encode(&self) -> Vec<u8> {
+        // Plain values: this fails only for want of memory.
+        postcard::to_stdvec(self).unwrap_or_default()
+    }
+
+    /// An office with its account and the account's name.
+    pub fn office(&self, name: &str) -> Option<(&str, &Account, &Office)> {
+        let found =
+            |(id, account): (&'_ String, &'_ Account)| account.offices.contains_key(name).then(|| id.clone());
+        let id = self.accounts.iter().find_map(found)?;
+        let (id, account) = self.accounts.get_key_value(&id)?;
+        Some((id, account, account.offices.get(name)?))
+    }
+
+    /// Whether a key opens an office; an office that is not there is opened by none.
+    pub fn opens(&self, office: &str, key: &KeyHash) -> bool {
+        self.office(office).is_some_and(|(_, _, office)| office.slice.keys.contains(key))
+    }
+}
+
+impl Account {
+    pub fn routes(&self) -> usize {
+        self.offices.values().map(|office| office.routes.len()).sum()
+    }
+
+    /// The areas of an office: within those of the account.
+    pub fn areas<'a>(&'a self, slice: &'a Slice) -> &'a [Area] {
+        if slice.areas.is_empty() { &self.grant.areas } else { &slice.areas }
+    }
+}
+
+impl Office {
+    pub fn new(slice: Slice) -> Office {
+        Office { slice, edition: 0, routes: Vec::new(), trail: VecDeque::new(), recent: Vec::new() }
+    }
+
+    /// Whether the change with this mark is in.
+    pub fn has(&self, mark: u64) -> Option<&Entry> {
+        self.trail.iter().rev().find(|entry| entry.mark == mark)
+    }
+}
--- a/crates/pilot/tests/fleet.rs
+++ b/crates/pilot/tests/fleet.rs
@@ -16,7 +16,16 @@
 fn view(berths: Vec<Berth>) -> View {
     let services = vec![Service { name: "s".into(), health_path: "/".into(), line_cap: 130 }];
     let limits = Limits { header_bytes: 1, body_bytes: 1, header: ms(1), idle: ms(1) };
-    View { configuration: Arc::new(Configuration { edition: 1, routes: vec![], services, limits }), berths }
+    View {
+        configuration: Arc::new(Configuration {
+            edition: 1,
+            routes: vec![],
+            services,
+            limits,
+            licences: None,
+        }),
+        berths,
+    }
 }
 
 fn fleet(berths: Vec<Berth>) -> (Fleet, ServiceKey) {
--- a/crates/quay/tests/world/mod.rs
+++ b/crates/quay/tests/world/mod.rs
@@ -127,7 +127,7 @@
     ];
     let services = vec![Service { name: "s".into(), health_path: "/health".into(), line_cap: 64 }];
     let limits = Limits { header_bytes: 16 << 10, body_bytes: 64 << 20, header: ms(300), idle: ms(15_000) };
-    Configuration { edition: 1, routes, services, limits }
+    Configuration { edition: 1, routes, services, limits, licences: None }
 }
 
 pub fn berth(server: &Server) -> Berth {
--- a/crates/roster/src/distribution.rs
+++ b/crates/roster/src/distribution.rs
@@ -168,7 +168,7 @@
     /// A configuration was committed, or read from a majority. An older one than is held changes nothing.
     pub fn set_configuration(&mut self, now: Duration, configuration: Arc<Configuration>) {
         let held = self.configuration.as_ref();
-        if held.is_some_and(|held| held.edition > configuration.edition || **held == *configuration) {
+        if held.is_some_and(|held| !configuration.follows(held) || **held == *configuration) {
             return;
         }
         self.configuration = Some(configuration);
--- a/crates/roster/src/views.rs
+++ b/crates/roster/src/views.rs
@@ -110,7 +110,7 @@
         });
         let Some(told) = Configuration::from_notes(notes) else { return };
         let held = self.configuration.as_ref();
-        if held.is_none_or(|held| told.edition >= held.edition && **held != told) {
+        if held.is_none_or(|held| told.follows(held) && **held != told) {
             self.configuration = Some(Arc::new(told));
         }
     }
--- a/crates/roster/tests/world/mod.rs
+++ b/crates/roster/tests/world/mod.rs
@@ -84,7 +84,7 @@
     let service = Service { name: "shop".into(), health_path: "/health".into(), line_cap: 64 };
     let limits = Limits { header_bytes: 16384, body_bytes: 1 << 20, header: 3000 * MS, idle: 15_000 * MS };
     let routes = (0..routes).map(route).collect();
-    Arc::new(Configuration { edition, routes, services: vec![service], limits })
+    Arc::new(Configuration { edition, routes, services: vec![service], limits, licences: None })
 }
 
 pub fn beat(id: &str, port: u16, postmark: u64) -> Beat {
