Offices change their own routes, on every node at once

Until now only the operator's whole configuration could change a route; lantern had no call for offices, and a configuration is acknowledged when a majority has it, while a node may route by the one before for up to 2.5 s.

Every keeper joins the newest configuration and the newest accounts, and notes both for the time after a start. A node whose home has not confirmed for 1 s does not answer for routes of offices (`crates/pilot/src/lease.rs`).

--- a/crates/chart/src/lib.rs
+++ b/crates/chart/src/lib.rs
@@ -24,7 +24,7 @@
 };
 pub use configuration::{class, host, place, prefix, read_configuration, read_route_rows};
 pub use fault::{Fault, Faults, What};
-pub use routing::Routing;
+pub use routing::{Routing, plain_host};
 pub use settings::{Resources, Settings, read_settings};
 pub use spread::spread;
 pub use terms::{TERMS, Terms};
--- a/crates/chart/src/routing.rs
+++ b/crates/chart/src/routing.rs
@@ -62,7 +62,7 @@
 
     /// The same as a place among the routes of the configuration.
     pub fn find_index(&self, host: &str, path: &str) -> Option<usize> {
-        let range = self.hosts.get(lowered(without_port(host)).as_ref())?.clone();
+        let range = self.hosts.get(plain_host(host).as_ref())?.clone();
         let path = path.find('?').and_then(|end| path.get(..end)).unwrap_or(path);
         let slots = self.slots.get(range.clone())?;
         let behind = slots.partition_point(|slot| self.prefix(slot).is_some_and(|prefix| prefix <= path));
@@ -89,6 +89,11 @@
     }
 }
 
+/// A host as configurations name it.
+pub fn plain_host(host: &str) -> Cow<'_, str> {
+    lowered(without_port(host))
+}
+
 fn lowered(host: &str) -> Cow<'_, str> {
     if host.bytes().any(|b| b.is_ascii_uppercase()) {
         Cow::Owned(host.to_ascii_lowercase())
--- a/crates/lantern/src/ask.rs
+++ b/crates/lantern/src/ask.rs
@@ -35,7 +35,7 @@
     }
 }
 
-fn read(file: &Path) -> Result<Vec<u8>, Failed> {
+pub fn read(file: &Path) -> Result<Vec<u8>, Failed> {
     std::fs::read(file).map_err(|e| Failed::File(file.to_owned(), e))
 }
 
@@ -54,12 +54,12 @@
 }
 
 /// Calls are answered within a second, or not at all.
-fn agent() -> ureq::Agent {
+pub fn agent() -> ureq::Agent {
     let limits = ureq::Agent::config_builder().timeout_global(Some(Duration::from_secs(5)));
     limits.http_status_as_error(false).build().new_agent()
 }
 
-fn said(
+pub fn said(
     at: SocketAddrV4, answer: Result<ureq::http::Response<ureq::Body>, ureq::Error>,
 ) -> Result<String, Failed> {
     let silent = |e| Failed::Silent(at, Box::new(e));
--- a/crates/lantern/src/asks.rs
+++ b/crates/lantern/src/asks.rs
@@ -1,7 +1,9 @@
 //! What threads that hold a caller ask of the engine, and how they wait for it.
 
+use crate::spread::Spreading;
 use fallgap_chart::Beat;
 use fallgap_keeper::{Answer, Call};
+use fallgap_pilot::Place;
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, TrySendError, sync_channel};
 use std::time::Duration;
@@ -14,6 +16,8 @@
     Beat(Beat),
     Left(String),
     Status,
+    /// A revision of the accounts is kept, with what it touches: all supervisors are to route by it.
+    Spread(u64, Vec<Place>),
 }
 
 pub enum Told {
@@ -21,6 +25,7 @@
     /// The beat is known where it has to be.
     Taken,
     Status(String),
+    Spread(Spreading),
 }
 
 pub struct Ask {
--- a/crates/lantern/src/carry.rs
+++ b/crates/lantern/src/carry.rs
@@ -5,9 +5,11 @@
 use crate::disk::Work;
 use crate::engine::Engine;
 use crate::words::Word;
-use fallgap_beacon::Out as BeaconOut;
+use fallgap_beacon::{Out as BeaconOut, State};
 use fallgap_chart::Beat;
 use fallgap_keeper::{Key, Out as KeeperOut, subjects};
+use fallgap_licence::Ledger;
+use fallgap_pilot::Place;
 use fallgap_roster::{FollowerOut, Out as RosterOut, RosterWord, ServerReport};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::sync::atomic::Ordering::Relaxed;
@@ -79,6 +81,7 @@
                 }
                 KeeperOut::Answer(id, answer) => self.answered(now, self.me, id, answer),
                 KeeperOut::Committed { key: Key::Config, value } => self.configured(now, &value),
+                KeeperOut::Committed { key: Key::Accounts, value } => self.accounted(now, &value),
                 KeeperOut::Committed { .. } => {}
                 KeeperOut::Note(line) => tracing::info!("{line}"),
             }
@@ -99,6 +102,26 @@
         }
     }
 
+    /// A revision of the accounts is committed.
+    fn accounted(&mut self, now: Duration, value: &[u8]) {
+        let Some(body) = subjects::config_body(Some(value)) else { return };
+        match Ledger::decode(body) {
+            Ok(ledger) => self.hub.iter_mut().for_each(|hub| hub.accounted(now, ledger.clone(), body)),
+            Err(unreadable) => tracing::error!("lantern: committed accounts: {unreadable}"),
+        }
+    }
+
+    /// All supervisors are told of a revision that is kept.
+    pub fn spread(&mut self, now: Duration, reply: SyncSender<Told>, revision: u64, places: &[Place]) {
+        let there = self.beacon.peers().filter(|peer| peer.state != State::Gone).map(|peer| peer.card.node);
+        let mut nodes: Vec<Ipv4Addr> = there.filter(|node| *node != self.me).collect();
+        nodes.push(self.me);
+        let Some(id) = self.spread.begin(now, reply, &nodes) else { return };
+        for node in nodes {
+            self.say(now, node, Word::Heed { id, revision, places: places.to_vec() });
+        }
+    }
+
     fn carry_roster(&mut self, now: Duration) -> bool {
         let mut any = false;
         if let Some(hub) = &mut self.hub {
@@ -124,6 +147,9 @@
                 FollowerOut::Join(to, said) => self.say(now, to, Word::Roster(RosterWord::join(&said))),
                 FollowerOut::Say(to, said) => self.say(now, to, Word::Roster(RosterWord::said(&said))),
                 FollowerOut::NewView(view) => {
+                    for (to, id) in self.spread.holds(view.configuration.revision()) {
+                        self.say(now, to, Word::Heeded { id, in_force: true });
+                    }
                     self.view = Some(view.clone());
                     self.quay.iter_mut().for_each(|quay| quay.view(now, view.clone()));
                     let ready = self.leaving.is_none() && self.quay.as_ref().is_some_and(|q| q.is_ready());
@@ -158,6 +184,15 @@
                 }
             }
             Word::BeatTaken { id } => self.beats.taken(id, from),
+            Word::Heed { id, revision, places } => {
+                let held = self.view.as_ref().is_some_and(|view| view.configuration.revision() >= revision);
+                let routed = self.quay.as_mut().is_some_and(|quay| quay.heed(now, revision, places));
+                if !held {
+                    self.spread.owe(from, id, revision);
+                }
+                self.say(now, from, Word::Heeded { id, in_force: held || routed });
+            }
+            Word::Heeded { id, in_force } => self.spread.heeded(now, id, from, in_force),
         }
     }
 
@@ -255,12 +290,13 @@
     /// What an operator sees of this supervisor.
     pub fn status(&self, now: Duration) -> String {
         let edition = self.view.as_ref().map_or(0, |v| v.configuration.edition);
+        let accounts = self.view.as_ref().map_or(0, |v| v.configuration.revision());
         let servers = self.view.as_ref().map_or(0, |v| v.berths.len());
         let list =
             |nodes: Vec<Ipv4Addr>| nodes.iter().map(|n| format!("\"{n}\"")).collect::<Vec<_>>().join(",");
         let home = self.follower.home().map_or("null".into(), |h| format!("\"{h}\""));
         format!(
-            "{{\"node\":\"{}\",\"edition\":{edition},\"servers\":{servers},\"supervisors\":{},\"home\":{home},\
+            "{{\"node\":\"{}\",\"edition\":{edition},\"accounts\":{accounts},\"servers\":{servers},\"supervisors\":{},\"home\":{home},\
              \"table_age_s\":{:.1},\"epoch\":{},\"keepers\":[{}],\"keeper\":{},\"settled\":{},\"at_work\":{}}}",
             self.settings.node,
             self.beacon.here(),
--- a/crates/lantern/src/control.rs
+++ b/crates/lantern/src/control.rs
@@ -1,6 +1,7 @@
 //! The control address: calls of servers, the operator and applications. One dispatch on method and segments.
 
 use crate::asks::{Asked, Desk, Told, Untold};
+use crate::offices::{self, Clerk, Wanted};
 use fallgap_chart as chart;
 use fallgap_keeper::{Answer, Call};
 use rouille::{Request, Response, ResponseBody};
@@ -61,6 +62,8 @@
     Unknown,
     /// {0}
     Untold(Untold),
+    /// {0}
+    Office(offices::Refused),
 }
 
 impl From<chart::Faults> for Refused {
@@ -68,6 +71,11 @@
         Refused::Faults(faults)
     }
 }
+impl From<offices::Refused> for Refused {
+    fn from(refused: offices::Refused) -> Refused {
+        Refused::Office(refused)
+    }
+}
 impl From<Untold> for Refused {
     fn from(untold: Untold) -> Refused {
         Refused::Untold(untold)
@@ -113,17 +121,22 @@
     Response { status_code: code, headers: vec![], data: ResponseBody::empty(), upgrade: None }
 }
 
-fn json(code: u16, body: Vec<u8>) -> Response {
+pub fn json(code: u16, body: Vec<u8>) -> Response {
     let headers = vec![("Content-Type".into(), "application/json".into())];
     Response { status_code: code, headers, data: ResponseBody::from_data(body), upgrade: None }
 }
 
-fn text(code: u16, why: &Refused) -> Response {
+pub fn text(code: u16, why: &dyn std::fmt::Display) -> Response {
     let headers = vec![("Content-Type".into(), "text/plain; charset=utf-8".into())];
     let data = ResponseBody::from_data(format!("{why}\n").into_bytes());
     Response { status_code: code, headers, data, upgrade: None }
 }
 
+/// What an office shows that it is one.
+fn key(request: &Request) -> &str {
+    request.header("X-Office-Key").unwrap_or_default()
+}
+
 /// A string as JSON.
 fn quoted(text: &str) -> String {
     sonic_rs::to_string(text).unwrap_or_else(|_| "\"\"".into())
@@ -139,6 +152,7 @@
             Refused::Faults(_) | Refused::Broken => text(400, &refused),
             Refused::Long(_) => text(413, &refused),
             Refused::Unknown => text(404, &refused),
+            Refused::Office(refused) => refused.response(),
             // Nothing was done, and nothing will be.
             Refused::Untold(Untold::Full) => text(503, &refused).with_additional_header("Retry-After", "0.2"),
             Refused::Untold(Untold::Late) => text(500, &refused),
@@ -181,12 +195,31 @@
                 self.call(Call::CellPut { name: name(id), value: asked.value, on: asked.on })
             }
             ("GET", ["-", "cells", id, "get"]) => self.call(Call::CellGet { name: name(id) }),
+            ("GET", ["-", "accounts"]) => Ok(self.clerk().accounts()?),
+            ("POST", ["-", "accounts", id, "put"]) => {
+                Ok(self.clerk().order(id, &self.body(request, self.terms.configuration)?)?)
+            }
+            ("GET", ["-", "offices", id, "routes"]) => Ok(self.clerk().routes(id, key(request))?),
+            ("POST", ["-", "offices", id, "routes", verb]) => {
+                let wanted = match *verb {
+                    "plan" => Wanted::Plan,
+                    "put" => Wanted::Put,
+                    "undo" => Wanted::Undo,
+                    _ => return Err(Refused::Unknown),
+                };
+                let body = self.body(request, self.terms.configuration)?;
+                Ok(self.clerk().change(id, key(request), wanted, &body)?)
+            }
             ("GET", ["-", "watch", id]) => self.watch(id, query),
             ("GET", ["-", "status"]) => self.told(Asked::Status),
             _ => Err(Refused::Unknown),
         }
     }
 
+    fn clerk(&self) -> Clerk<'_> {
+        Clerk { desk: &self.desk, wait: self.terms.answer }
+    }
+
     fn body(&self, request: &Request, most: usize) -> Result<Vec<u8>, Refused> {
         let mut body = Vec::new();
         let data = request.data().ok_or(Refused::Broken)?;
@@ -203,6 +236,7 @@
             Told::Answer(answer) => said(answer),
             Told::Taken => json(200, b"{}".to_vec()),
             Told::Status(status) => json(200, status.into_bytes()),
+            Told::Spread(_) => return Err(Refused::Untold(Untold::Late)),
         })
     }
 
--- a/crates/lantern/src/engine.rs
+++ b/crates/lantern/src/engine.rs
@@ -8,6 +8,7 @@
 use crate::hub::Hub;
 use crate::links::Links;
 use crate::signals::Heard;
+use crate::spread::Spread;
 use crate::words::Word;
 use fallgap_beacon::{Beacon, State};
 use fallgap_chart::{Settings, View};
@@ -48,6 +49,7 @@
     /// The processes that were here when it was last looked.
     pub lives: BTreeMap<Ipv4Addr, u64>,
     pub beats: Beats,
+    pub spread: Spread,
     pub inbox: Receiver<Ask>,
     pub heard: Heard,
     pub ready: Arc<AtomicBool>,
@@ -93,6 +95,9 @@
                 other => other?,
             }
             let now = self.now();
+            // Before anything is routed: this process may have been frozen.
+            let confirmed = self.follower.age(now).map(|age| now.saturating_sub(age));
+            self.quay.iter_mut().for_each(|quay| quay.confirmed(confirmed));
             for event in &events {
                 let token = event.token().0;
                 if token >= QUAY {
@@ -125,7 +130,8 @@
     fn next_wake(&self) -> Duration {
         let hub = self.hub.iter().flat_map(|h| [h.registry.next_wake(), h.distribution.next_wake()]);
         let quay = self.quay.as_ref().and_then(Quay::next_wake);
-        let rest = [self.calls.next_wake(), self.follower.next_wake(), quay].into_iter().flatten();
+        let spread = self.spread.next_wake();
+        let rest = [self.calls.next_wake(), self.follower.next_wake(), quay, spread].into_iter().flatten();
         let all = [self.beacon.next_wake(), self.keeper.next_wake(), self.slow, self.reports];
         all.into_iter().chain(rest).chain(hub).min().unwrap_or(self.slow)
     }
@@ -159,6 +165,9 @@
             let steps = self.calls.woke(now, self.me, order);
             steps.into_iter().for_each(|step| self.step(now, step));
         }
+        if self.spread.next_wake().is_some_and(|at| at <= now) {
+            self.spread.woke(now);
+        }
         if now >= self.slow {
             self.slow = now + SLOW;
             self.links.woke(now, self.poll.registry());
@@ -214,6 +223,7 @@
                     self.tell_keepers(now, || Word::Roster(left.clone()));
                     let _ = reply.try_send(Told::Taken);
                 }
+                Asked::Spread(revision, places) => self.spread(now, reply, revision, &places),
                 Asked::Status => {
                     let _ = reply.try_send(Told::Status(self.status(now)));
                 }
--- a/crates/lantern/src/hub.rs
+++ b/crates/lantern/src/hub.rs
@@ -3,6 +3,7 @@
 
 use crate::memory::{Notebook, Remembered, Subject};
 use fallgap_chart::Configuration;
+use fallgap_licence::Ledger;
 use fallgap_roster::{Distribution, Registry, Terms};
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,8 +23,13 @@
     settled: Option<Duration>,
     /// The newest configuration that is committed: its edition and what the operator sent.
     committed: Option<(u64, Arc<[u8]>)>,
+    /// What the operator has, and the accounts whose routes are joined in.
+    operator: Option<Arc<Configuration>>,
+    ledger: Ledger,
+    accounted: Option<(u64, Arc<[u8]>)>,
     servers: Notebook,
     configuration: Notebook,
+    accounts: Notebook,
 }
 
 impl Hub {
@@ -36,17 +42,24 @@
             young: now + touch.mul_f64(YOUNG),
             settled: None,
             committed: None,
+            operator: None,
+            ledger: Ledger::default(),
+            accounted: None,
             servers: Notebook::default(),
             configuration: Notebook::default(),
+            accounts: Notebook::default(),
         };
         let count = remembered.servers.len();
         hub.registry.remember(now, remembered.servers);
         hub.distribution.registry_changed(now, &hub.registry);
+        let accounts = remembered.accounts.as_deref().and_then(|bytes| Ledger::decode(bytes).ok());
+        hub.ledger = accounts.unwrap_or_default();
         let body = remembered.configuration.as_deref().map(fallgap_chart::read_configuration);
         if let Some(Ok(configuration)) = body {
             let edition = configuration.edition;
             tracing::info!("roster: edition {edition} and {count} servers are remembered");
-            hub.distribution.set_configuration(now, Arc::new(configuration));
+            hub.operator = Some(Arc::new(configuration));
+            hub.join(now);
         }
         hub.see_whether_fit(now, false);
         hub
@@ -57,7 +70,38 @@
         if self.committed.as_ref().is_none_or(|(edition, _)| *edition < configuration.edition) {
             self.committed = Some((configuration.edition, body.into()));
         }
-        self.distribution.set_configuration(now, Arc::new(configuration));
+        if self.operator.as_ref().is_none_or(|held| held.edition <= configuration.edition) {
+            self.operator = Some(Arc::new(configuration));
+            self.join(now);
+        }
+    }
+
+    /// A revision of the accounts is committed.
+    pub fn accounted(&mut self, now: Duration, ledger: Ledger, body: &[u8]) {
+        let revision = ledger.revision;
+        if self.accounted.as_ref().is_none_or(|(held, _)| *held < revision) {
+            self.accounted = Some((revision, body.into()));
+        }
+        if self.ledger.revision < revision {
+            self.ledger = ledger;
+            self.join(now);
+        }
+    }
+
+    fn join(&mut self, now: Duration) {
+        let Some(operator) = &self.operator else { return };
+        let joined = match self.ledger.revision {
+            0 => operator.clone(),
+            _ => {
+                let joined = fallgap_licence::join(operator, &self.ledger);
+                let unfit = joined.unfit.len();
+                if unfit > 0 {
+                    tracing::info!("licence: {unfit} routes of offices do not fit, and are not in force");
+                }
+                Arc::new(joined.configuration)
+            }
+        };
+        self.distribution.set_configuration(now, joined);
     }
 
     /// Whether it can be followed: it is settled and knows the configuration, if there seems to be one; or it is
@@ -88,6 +132,12 @@
             self.configuration.wrote(now, *edition, body.len());
             due.push((Subject::Configuration, body.to_vec()));
         }
+        if let Some((revision, body)) = &self.accounted
+            && self.accounts.is_due(now, *revision)
+        {
+            self.accounts.wrote(now, *revision, body.len());
+            due.push((Subject::Accounts, body.to_vec()));
+        }
         due
     }
 }
@@ -107,7 +157,11 @@
     }
 
     fn hub(configuration: Option<&[u8]>) -> Hub {
-        let remembered = Remembered { servers: Vec::new(), configuration: configuration.map(<[u8]>::to_vec) };
+        let remembered = Remembered {
+            servers: Vec::new(),
+            configuration: configuration.map(<[u8]>::to_vec),
+            accounts: None,
+        };
         Hub::start(at(5), 1, Terms::default(), at(3000), remembered)
     }
 
--- a/crates/lantern/src/main.rs
+++ b/crates/lantern/src/main.rs
@@ -6,12 +6,15 @@
 mod calls;
 mod carry;
 mod control;
+mod counter;
 mod disk;
 mod engine;
 mod hub;
 mod links;
 mod memory;
+mod offices;
 mod signals;
+mod spread;
 mod start;
 mod usual;
 mod words;
@@ -55,6 +58,16 @@
         #[command(subcommand)]
         what: Configured,
     },
+    /// Read or write accounts, which the operator grants to offices
+    Account {
+        #[command(subcommand)]
+        what: counter::Account,
+    },
+    /// Read or change what an office has
+    Office {
+        #[command(subcommand)]
+        what: counter::Office,
+    },
     /// Tell how one supervisor stands: its edition, servers, home and keepers
     Status {
         /// A supervisor's control address
@@ -108,6 +121,8 @@
         Verb::Check { what: Checked::Config { file } } => ask::done(ask::check_configuration(&file)),
         Verb::Config { what: Configured::Get { at } } => ask::done(ask::get(at, "/-/config/get")),
         Verb::Config { what: Configured::Put { at, file } } => ask::done(ask::put(&at, &file)),
+        Verb::Account { what } => ask::done(counter::account(what)),
+        Verb::Office { what } => ask::done(counter::office(what)),
         Verb::Status { at } => ask::done(ask::get(at, "/-/status")),
     }
 }
--- a/crates/lantern/src/memory.rs
+++ b/crates/lantern/src/memory.rs
@@ -1,5 +1,5 @@
 //! What a keeper remembers over its own start, to serve with before a majority is there: the open servers and the
-//! newest committed configuration, in small files on its disk, written by the disk's thread. Nothing else rests on
+//! newest committed configuration and accounts, in small files on its disk, written by the disk's thread. Nothing else rests on
 //! them: what cannot be read counts as nothing remembered.
 
 use fallgap_roster::Record;
@@ -34,12 +34,14 @@
 pub enum Subject {
     Servers,
     Configuration,
+    Accounts,
 }
 
 /// On the disk's thread: all subjects.
 pub struct Memory {
     servers: Kept,
     configuration: Kept,
+    accounts: Kept,
 }
 
 /// What was remembered at the start.
@@ -47,6 +49,7 @@
 pub struct Remembered {
     pub servers: Vec<Record>,
     pub configuration: Option<Vec<u8>>,
+    pub accounts: Option<Vec<u8>>,
 }
 
 impl Memory {
@@ -54,9 +57,11 @@
     pub fn open(folder: &Path) -> (Memory, Remembered) {
         let (servers, listed) = Kept::open(folder, "servers");
         let (configuration, body) = Kept::open(folder, "configuration");
+        let (accounts, ledger) = Kept::open(folder, "accounts");
         let listed = listed.and_then(|bytes| postcard::from_bytes(&bytes).ok());
-        let remembered = Remembered { servers: listed.unwrap_or_default(), configuration: body };
-        (Memory { servers, configuration }, remembered)
+        let remembered =
+            Remembered { servers: listed.unwrap_or_default(), configuration: body, accounts: ledger };
+        (Memory { servers, configuration, accounts }, remembered)
     }
 
     /// # Errors
@@ -65,6 +70,7 @@
         match subject {
             Subject::Servers => self.servers.write(bytes),
             Subject::Configuration => self.configuration.write(bytes),
+            Subject::Accounts => self.accounts.write(bytes),
         }
     }
 }
--- a/crates/lantern/src/start.rs
+++ b/crates/lantern/src/start.rs
@@ -10,6 +10,7 @@
 use crate::links::{self, Links};
 use crate::memory::{Memory, Remembered};
 use crate::signals;
+use crate::spread::Spread;
 use fallgap_beacon::{Beacon, Card};
 use fallgap_chart::Settings;
 use fallgap_keeper::store::{Store, StoreError};
@@ -186,6 +187,7 @@
         quay,
         calls: Calls::new(calls::Terms::default(), rng.u64(1..1 << 62)),
         beats: Beats::default(),
+        spread: Spread::default(),
         lives: BTreeMap::new(),
         inbox,
         heard,
--- a/crates/lantern/src/words.rs
+++ b/crates/lantern/src/words.rs
@@ -4,6 +4,7 @@
 
 use fallgap_chart::Beat;
 use fallgap_keeper::{Answer, Call, Message};
+use fallgap_pilot::Place;
 use fallgap_roster::RosterWord;
 use lz4_flex::block::{compress_prepend_size, decompress, uncompressed_size};
 use serde::{Deserialize, Serialize};
@@ -38,6 +39,17 @@
     BeatTaken {
         id: u64,
     },
+    /// A revision of the accounts is kept that touches these places; the other does not answer for them before it
+    /// routes by it, and says so then and at once.
+    Heed {
+        id: u64,
+        revision: u64,
+        places: Vec<Place>,
+    },
+    Heeded {
+        id: u64,
+        in_force: bool,
+    },
 }
 
 impl Word {
--- /dev/null
+++ b/crates/pilot/src/lease.rs
@@ -0,0 +1,134 @@
+//! Whether routes of offices may still be gone by. A change of them is acknowledged when nobody in touch can route by
+//! what was before, so whoever may have missed one does not answer for them until it knows.
+//!
+//! Two things make for doubt: a word that a revision is kept that is not held here yet, for the places that it
+//! touches; and a home that has not confirmed for too long what is held, for all routes of offices.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A host and a prefix.
+pub type Place = (Arc<str>, Arc<str>);
+
+/// How long a home's word holds, and how long a word on a kept revision is waited upon.
+#[derive(Clone, Copy, Debug)]
+pub struct LeaseTerms {
+    /// Homes confirm every 0.2 to 0.3 s.
+    pub confirmed: Duration,
+    /// By then a supervisor in touch has followed twice over. What is told goes out of force with it.
+    pub heeded: Duration,
+    /// Words at a time; over it the oldest gives way to doubt of all routes of offices.
+    pub words: usize,
+}
+
+impl Default for LeaseTerms {
+    fn default() -> Self {
+        let ms = Duration::from_millis;
+        LeaseTerms { confirmed: ms(1000), heeded: ms(5000), words: 64 }
+    }
+}
+
+struct Word {
+    revision: u64,
+    until: Duration,
+    /// `None`: wherever an office has a route.
+    places: Option<Vec<Place>>,
+}
+
+#[derive(Default)]
+pub struct Lease {
+    terms: LeaseTerms,
+    confirmed: Option<Duration>,
+    revision: u64,
+    words: Vec<Word>,
+}
+
+impl Lease {
+    /// When the home last confirmed what is held.
+    pub fn confirmed(&mut self, at: Option<Duration>) {
+        self.confirmed = at;
+    }
+
+    /// Routes by a revision from here on.
+    pub fn holds(&mut self, revision: u64) {
+        self.revision = revision;
+        self.words.retain(|word| word.revision > revision);
+    }
+
+    /// A revision is kept. Tells whether it, or a later one, is held already.
+    pub fn heed(&mut self, now: Duration, revision: u64, places: Vec<Place>) -> bool {
+        if revision <= self.revision {
+            return true;
+        }
+        self.words.retain(|word| now < word.until);
+        if self.words.len() >= self.terms.words
+            && let Some(oldest) = self.words.first_mut()
+        {
+            oldest.places = None;
+            oldest.revision = oldest.revision.max(revision);
+            oldest.until = now + self.terms.heeded;
+        } else {
+            self.words.push(Word { revision, until: now + self.terms.heeded, places: Some(places) });
+        }
+        false
+    }
+
+    /// Whether a request may not be routed by what is held. `owned`: its route is an office's.
+    pub fn doubts(&self, now: Duration, host: &str, path: &str, owned: bool) -> bool {
+        let unsure = || self.confirmed.is_none_or(|at| now > at + self.terms.confirmed);
+        let told = |word: &Word| match &word.places {
+            None => owned,
+            Some(places) => places.iter().any(|(h, prefix)| **h == *host && path.starts_with(&**prefix)),
+        };
+        (owned && unsure()) || self.words.iter().any(|word| now < word.until && told(word))
+    }
+
+    /// Whether it can be in doubt at all.
+    pub fn is_told(&self) -> bool {
+        !self.words.is_empty()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_may_have_been_missed_is_not_gone_by() {
+        let ms = Duration::from_millis;
+        let place = |prefix: &str| vec![(Arc::from("h"), Arc::from(prefix))];
+        let mut lease = Lease::default();
+        assert!(lease.doubts(ms(0), "h", "/a/", true) && !lease.doubts(ms(0), "h", "/a/", false));
+        lease.holds(3);
+        lease.confirmed(Some(ms(1000)));
+        assert!(lease.heed(ms(1000), 3, place("/a/")) && !lease.is_told());
+        assert!(!lease.heed(ms(1000), 5, place("/a/")) && !lease.heed(ms(1000), 4, place("/b/")));
+        // When, the path, whether its route is an office's, whether it is in doubt.
+        let rows = [
+            (1000, "/a/x", true, true),
+            // A route that is new there was the operator's before.
+            (1000, "/a/x", false, true),
+            (1000, "/b/x", true, true),
+            (1000, "/c/x", true, false),
+            (2000, "/c/x", true, false),
+            (2001, "/c/x", true, true),
+            (2001, "/c/x", false, false),
+            (6000, "/a/x", false, false),
+        ];
+        for (at, path, owned, doubted) in rows {
+            assert_eq!(lease.doubts(ms(at), "h", path, owned), doubted, "{at} {path} {owned}");
+        }
+        assert!(!lease.doubts(ms(1000), "g", "/a/x", true));
+        lease.holds(4);
+        assert!(lease.doubts(ms(1000), "h", "/a/x", true) && !lease.doubts(ms(1000), "h", "/b/x", true));
+        lease.holds(5);
+        assert!(!lease.is_told());
+        // More words than are kept: all routes of offices are in doubt instead.
+        for revision in 6..=70 {
+            lease.heed(ms(1000), revision, place("/n/"));
+        }
+        assert!(lease.doubts(ms(1000), "h", "/c/", true) && !lease.doubts(ms(1000), "h", "/c/", false));
+        lease.holds(70);
+        assert!(!lease.doubts(ms(1000), "h", "/c/", true));
+    }
+}
--- a/crates/quay/src/ops.rs
+++ b/crates/quay/src/ops.rs
@@ -4,6 +4,7 @@
 use crate::line::TryAt;
 use crate::quay::Quay;
 use crate::timers::{ClientKey, LineKey, OpKey, Who};
+use fallgap_chart::plain_host;
 use fallgap_pilot::{
     Answer, Ended, Final, Next, Op, Plan, Request, ServerKey, ServiceKey, answer_head, own_answer,
 };
@@ -43,7 +44,16 @@
         let Some(routing) = &self.routing else {
             return self.not_run(now, key, &request);
         };
-        let Some(route) = routing.find(head.host(), head.path()) else {
+        let found = routing.find_index(head.host(), head.path());
+        let configuration = routing.configuration();
+        let owner = configuration.licences.as_ref().and_then(|licences| licences.owner(found?));
+        if (owner.is_some() || self.lease.is_told())
+            && self.lease.doubts(now, &plain_host(head.host()), head.path(), owner.is_some())
+        {
+            self.counters.doubted += 1;
+            return self.not_run(now, key, &request);
+        }
+        let Some(route) = found.and_then(|at| configuration.routes.get(at)) else {
             self.counters.no_route += 1;
             return self.own_answer(now, key, &request, 404, None);
         };
--- a/crates/quay/src/quay.rs
+++ b/crates/quay/src/quay.rs
@@ -7,7 +7,7 @@
 use crate::terms::Terms;
 use crate::timers::{ClientKey, LineKey, OpKey, Timers, Who};
 use fallgap_chart::{Limits, Routing, View};
-use fallgap_pilot::{Ends, Fleet, Report, ServerKey, ServiceKey};
+use fallgap_pilot::{Ends, Fleet, Lease, Place, Report, ServerKey, ServiceKey};
 use mio::event::Event;
 use mio::net::TcpListener;
 use mio::{Interest, Registry, Token};
@@ -62,6 +62,8 @@
     pub unreached: u64,
     /// Refused before any server was asked, as it is pressed.
     pub pressed: u64,
+    /// Refused as their route may have changed meanwhile.
+    pub doubted: u64,
     /// Clients that were gone before their answer.
     pub abandoned: u64,
 }
@@ -81,6 +83,8 @@
     pub(crate) rests: SecondaryMap<ServiceKey, Duration>,
     pub(crate) fleet: Fleet,
     pub(crate) routing: Option<Routing>,
+    /// Whether routes of offices may be gone by.
+    pub(crate) lease: Lease,
     pub(crate) limits: Limits,
     /// The lowest rank of all routes.
     pub(crate) last_priority: u8,
@@ -132,6 +136,7 @@
             rests: SecondaryMap::new(),
             fleet: Fleet::new(zone, terms.pilot, rng.u64(..)),
             routing: None,
+            lease: Lease::default(),
             limits,
             last_priority: 0,
             timers: Timers::default(),
@@ -195,6 +200,7 @@
         let known = self.routing.as_ref().map(Routing::configuration);
         if known.is_none_or(|known| !Arc::ptr_eq(known, configuration)) {
             self.routing = Some(Routing::new(configuration.clone()));
+            self.lease.holds(configuration.revision());
             self.limits = configuration.limits;
             self.last_priority = configuration.routes.iter().map(|route| route.priority).max().unwrap_or(0);
         }
@@ -204,6 +210,16 @@
         self.see_to_clients(now);
     }
 
+    /// When the home last confirmed what is held.
+    pub fn confirmed(&mut self, at: Option<Duration>) {
+        self.lease.confirmed(at);
+    }
+
+    /// A revision of the accounts is kept that touches these places. Tells whether it is routed by here.
+    pub fn heed(&mut self, now: Duration, revision: u64, places: Vec<Place>) -> bool {
+        self.lease.heed(now, revision, places)
+    }
+
     /// How many supervisors are known, with this one, and its place among them in an order that all share: what is
     /// shared by all is shared by so many.
     pub fn supervisors(&mut self, place: usize, count: usize) {
