--- a/crates/keeper/tests/sea/waters.rs
+++ b/crates/keeper/tests/sea/waters.rs
@@ -336,7 +336,7 @@
         let Some(machine) = self.machines.get_mut(&node) else { return };
         let before = machine.shown.insert(key.clone(), value.clone());
         let mark = |value: &[u8]| match key {
-            Key::Config => fallgap_keeper::subjects::config_edition(Some(value)).unwrap_or(0),
+            Key::Config | Key::Accounts => fallgap_keeper::subjects::config_edition(Some(value)).unwrap_or(0),
             _ => fallgap_keeper::subjects::revision(Some(value)),
         };
         if let Some(before) = before {
