Offices: their calls never take the threads that beats need; what a change costs

Cause: a call of an office asks the control state several times and waits for all supervisors, up to 3 s, on one of the 28 threads of the control address. Enough of them at a time would have held up servers' beats. Six at most now, as 14 for watches, by one and the same count; one beyond gets 503.

--- a/crates/lantern/src/control.rs
+++ b/crates/lantern/src/control.rs
@@ -19,6 +19,9 @@
     pub threads: usize,
     /// Of these, watches at most: they hold a thread for seconds. One beyond is turned away.
     pub watches: usize,
+    /// Of these, calls of offices and on accounts at most: they ask several times, and must not hold up beats. One
+    /// beyond is turned away.
+    pub offices: usize,
     /// Bytes of a body: of a configuration, as many as a register takes, and of any other call. Longer ones are
     /// refused, and it is said that asking again is of no use.
     pub configuration: usize,
@@ -35,6 +38,7 @@
         Terms {
             threads: 28,
             watches: 14,
+            offices: 6,
             configuration: fallgap_keeper::subjects::Limits::default().config_bytes,
             body: 64 << 10,
             answer: Duration::from_millis(930),
@@ -47,6 +51,7 @@
     desk: Desk,
     terms: Terms,
     watching: AtomicUsize,
+    at_counter: AtomicUsize,
 }
 
 /// Why a call is not carried out.
@@ -89,7 +94,8 @@
 pub fn start(
     at: SocketAddrV4, desk: Desk, terms: Terms,
 ) -> Result<(), Box<dyn std::error::Error + Send + Sync>> {
-    let control = Arc::new(Control { desk, terms, watching: AtomicUsize::new(0) });
+    let control =
+        Arc::new(Control { desk, terms, watching: AtomicUsize::new(0), at_counter: AtomicUsize::new(0) });
     let server = rouille::Server::new(at, move |request| control.answer(request))?.pool_size(terms.threads);
     thread::Builder::new().name("control".into()).stack_size(256 << 10).spawn(move || server.run())?;
     Ok(())
@@ -195,11 +201,12 @@
                 self.call(Call::CellPut { name: name(id), value: asked.value, on: asked.on })
             }
             ("GET", ["-", "cells", id, "get"]) => self.call(Call::CellGet { name: name(id) }),
-            ("GET", ["-", "accounts"]) => Ok(self.clerk().accounts()?),
+            ("GET", ["-", "accounts"]) => self.clerk(|clerk| clerk.accounts()),
             ("POST", ["-", "accounts", id, "put"]) => {
-                Ok(self.clerk().order(id, &self.body(request, self.terms.configuration)?)?)
+                let body = self.body(request, self.terms.configuration)?;
+                self.clerk(|clerk| clerk.order(id, &body))
             }
-            ("GET", ["-", "offices", id, "routes"]) => Ok(self.clerk().routes(id, key(request))?),
+            ("GET", ["-", "offices", id, "routes"]) => self.clerk(|clerk| clerk.routes(id, key(request))),
             ("POST", ["-", "offices", id, "routes", verb]) => {
                 let wanted = match *verb {
                     "plan" => Wanted::Plan,
@@ -208,7 +215,7 @@
                     _ => return Err(Refused::Unknown),
                 };
                 let body = self.body(request, self.terms.configuration)?;
-                Ok(self.clerk().change(id, key(request), wanted, &body)?)
+                self.clerk(|clerk| clerk.change(id, key(request), wanted, &body))
             }
             ("GET", ["-", "watch", id]) => self.watch(id, query),
             ("GET", ["-", "status"]) => self.told(Asked::Status),
@@ -216,8 +223,11 @@
         }
     }
 
-    fn clerk(&self) -> Clerk<'_> {
-        Clerk { desk: &self.desk, wait: self.terms.answer }
+    fn clerk(
+        &self, call: impl FnOnce(&Clerk<'_>) -> Result<Response, offices::Refused>,
+    ) -> Result<Response, Refused> {
+        let clerk = Clerk { desk: &self.desk, wait: self.terms.answer };
+        Ok(counted(&self.at_counter, self.terms.offices, || call(&clerk))??)
     }
 
     fn body(&self, request: &Request, most: usize) -> Result<Vec<u8>, Refused> {
@@ -256,20 +266,23 @@
         };
         let after: u64 = figure("after").unwrap_or(0);
         let wait = Duration::from_millis(figure("wait_ms").unwrap_or(0)).min(self.terms.watch);
-        if self.watching.fetch_add(1, Relaxed) >= self.terms.watches {
-            self.watching.fetch_sub(1, Relaxed);
-            return Err(Refused::Untold(Untold::Full));
-        }
         let call = Call::Watch { group: group.to_owned(), after, wait };
-        let told = self.desk.ask(Asked::Call(call), wait + self.terms.answer);
-        self.watching.fetch_sub(1, Relaxed);
-        match told? {
+        let watch = || self.desk.ask(Asked::Call(call), wait + self.terms.answer);
+        match counted(&self.watching, self.terms.watches, watch)?? {
             Told::Answer(answer) => Ok(said(answer)),
             _ => Err(Refused::Untold(Untold::Late)),
         }
     }
 }
 
+/// Does what holds a thread for long, unless as many do as may.
+fn counted<T>(at_work: &AtomicUsize, most: usize, call: impl FnOnce() -> T) -> Result<T, Untold> {
+    let room = at_work.fetch_add(1, Relaxed) < most;
+    let done = room.then(call);
+    at_work.fetch_sub(1, Relaxed);
+    done.ok_or(Untold::Full)
+}
+
 /// An answer as it goes to the caller.
 fn said(answer: Answer) -> Response {
     match answer {
--- a/crates/lantern/src/offices.rs
+++ b/crates/lantern/src/offices.rs
@@ -205,7 +205,7 @@
         let count = places.len();
         let how = match self.desk.ask(Asked::Spread(revision, places), SPREAD) {
             Ok(Told::Spread(spreading)) => format!(
-                ",\"in_force\":{},\"of\":{},\"first_s\":{:.3},\"last_s\":{:.3}",
+                ",\"in_force\":{},\"of\":{},\"first_s\":{:.6},\"last_s\":{:.6}",
                 spreading.in_force,
                 spreading.of,
                 spreading.first.as_secs_f64(),
