--- a/crates/keeper/src/types.rs
+++ b/crates/keeper/src/types.rs
@@ -19,8 +19,18 @@
     Accounts,
 }
 
+impl Key {
+    /// The configuration has none.
+    pub fn name(&self) -> &str {
+        match self {
+            Key::Config | Key::Accounts => "",
+            Key::Lock(name) | Key::Number(name) | Key::Group(name) => name,
+        }
+    }
+}
+
 /// What a caller wants of the control state.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Hash, Serialize, Deserialize)]
 pub enum Call {
     ConfigPut {
         edition: u64,
@@ -60,6 +70,10 @@
         after: u64,
         wait: Duration,
     },
+    /// A register as it is, whatever it holds.
+    Look {
+        key: Key,
+    },
     /// Holds if the revision held is `base`, 0 for none; it becomes the one after.
     AccountsPut {
         base: u64,
@@ -79,6 +93,7 @@
             Call::Number { name } => Key::Number(name.clone()),
             Call::CellPut { name, .. } | Call::CellGet { name } => Key::Group(group_of(name).to_owned()),
             Call::Watch { group, .. } => Key::Group(group.clone()),
+            Call::Look { key } => key.clone(),
             Call::AccountsPut { .. } | Call::AccountsGet => Key::Accounts,
         }
     }
@@ -91,7 +106,7 @@
             }
             Call::AccountsPut { .. } => true,
             Call::ConfigGet | Call::AccountsGet | Call::LockBeat { .. } | Call::LockEnd { .. } => false,
-            Call::CellGet { .. } | Call::Watch { .. } => false,
+            Call::CellGet { .. } | Call::Watch { .. } | Call::Look { .. } => false,
         }
     }
 
@@ -106,6 +121,7 @@
             Call::Number { name } | Call::CellGet { name } => name.len(),
             Call::CellPut { name, value, .. } => name.len() + value.len(),
             Call::Watch { group, .. } => group.len(),
+            Call::Look { key } => key.name().len(),
         }
     }
 }
@@ -119,7 +135,7 @@
 }
 
 /// What a caller is told.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Hash, Serialize, Deserialize)]
 pub enum Answer {
     Done,
     Config(Vec<u8>),
@@ -148,10 +164,14 @@
     Unknown,
     /// 503: has not taken effect and never will.
     Busy,
+    /// The bytes that a register holds.
+    Looked {
+        value: Option<Vec<u8>>,
+    },
 }
 
 /// One put, as a watch shows it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Event {
     pub name: String,
     pub value: String,
--- a/crates/lantern/src/carry.rs
+++ b/crates/lantern/src/carry.rs
@@ -146,6 +146,7 @@
             match out {
                 FollowerOut::Join(to, said) => self.say(now, to, Word::Roster(RosterWord::join(&said))),
                 FollowerOut::Say(to, said) => self.say(now, to, Word::Roster(RosterWord::said(&said))),
+                FollowerOut::Leave(home) => self.say(now, home, Word::Roster(RosterWord::Leave)),
                 FollowerOut::NewView(view) => {
                     for (to, id) in self.spread.holds(view.configuration.revision()) {
                         self.say(now, to, Word::Heeded { id, in_force: true });
@@ -224,6 +225,11 @@
                 said.into_iter().for_each(|said| hub.distribution.said(now, from, said));
                 false
             }
+            RosterWord::Leave => {
+                self.links.drop_tables(from);
+                hub.distribution.left(from);
+                false
+            }
             RosterWord::Report(reports) => {
                 hub.distribution.reported(now, from, &reports);
                 false
--- a/crates/licence/tests/sea.rs
+++ b/crates/licence/tests/sea.rs
@@ -1,15 +1,11 @@
 //! Two offices and the operator, each at a keeper of its own choice, over keepers in virtual time: messages are lost and
 //! late, keepers are cut off and killed, just after an acknowledgement too, and all lose power.
 
-#[allow(dead_code)]
-#[path = "../../keeper/tests/sea/waters.rs"]
-mod waters;
-
 use fallgap_chart::{Configuration, read_configuration};
 use fallgap_keeper::{Answer, Call};
 use fallgap_licence::{Ledger, Maker, Refused, plan, read_change, read_order};
+use fallgap_sextant::waters::{Sea, ms};
 use std::time::Duration;
-use waters::{Sea, Weather, ms};
 
 /// How far a clerk is with what it wants.
 #[derive(Clone, Debug)]
@@ -183,7 +179,7 @@
         };
         world.sea.run(ms(3000));
         world.sea.first = false;
-        world.sea.weather = Weather { lost: 30, late: 30 };
+        (world.sea.weather.lost, world.sea.weather.late) = (30, 30);
         while world.sea.now < ms(25_000) {
             world.sea.run(world.sea.now + ms(7));
             (0..3).for_each(|at| world.step(at));
