--- a/crates/keeper/src/desk.rs
+++ b/crates/keeper/src/desk.rs
@@ -27,11 +27,8 @@
 
 impl Entry {
     pub fn reads(&self) -> bool {
-        match self.call {
-            Call::ConfigGet | Call::AccountsGet | Call::CellGet { .. } => true,
-            Call::Watch { .. } | Call::Look { .. } => true,
-            _ => false,
-        }
+        use Call::{AccountsGet, CellGet, ConfigGet, Look, Watch};
+        matches!(self.call, ConfigGet | AccountsGet | CellGet { .. } | Watch { .. } | Look { .. })
     }
 
     pub fn is_own(&self) -> bool {
