--- a/crates/desk/tests/printed.rs
+++ b/crates/desk/tests/printed.rs
@@ -238,7 +238,7 @@
     };
     let service = |name: &str| Service { name: name.into(), health_path: "/health".into(), line_cap: 64 };
     let routes = prefixes.iter().map(route).collect();
-    Configuration { edition, routes, services: vec![service("s")], limits: Limits::default() }
+    Configuration { edition, routes, services: vec![service("s")], limits: Limits::default(), licences: None }
 }
 
 #[test]
--- a/crates/keeper/src/desk.rs
+++ b/crates/keeper/src/desk.rs
@@ -27,7 +27,8 @@
 
 impl Entry {
     pub fn reads(&self) -> bool {
-        matches!(self.call, Call::ConfigGet | Call::CellGet { .. } | Call::Watch { .. } | Call::Look { .. })
+        use Call::{AccountsGet, CellGet, ConfigGet, Look, Watch};
+        matches!(self.call, ConfigGet | AccountsGet | CellGet { .. } | Watch { .. } | Look { .. })
     }
 
     pub fn is_own(&self) -> bool {
--- a/crates/keeper/src/types.rs
+++ b/crates/keeper/src/types.rs
@@ -15,13 +15,15 @@
     Number(String),
     /// A group with its dot.
     Group(String),
+    /// All accounts, with the routes of their offices.
+    Accounts,
 }
 
 impl Key {
     /// The configuration has none.
     pub fn name(&self) -> &str {
         match self {
-            Key::Config => "",
+            Key::Config | Key::Accounts => "",
             Key::Lock(name) | Key::Number(name) | Key::Group(name) => name,
         }
     }
@@ -72,6 +74,12 @@
     Look {
         key: Key,
     },
+    /// Holds if the revision held is `base`, 0 for none; it becomes the one after.
+    AccountsPut {
+        base: u64,
+        body: Vec<u8>,
+    },
+    AccountsGet,
 }
 
 impl Call {
@@ -86,6 +94,7 @@
             Call::CellPut { name, .. } | Call::CellGet { name } => Key::Group(group_of(name).to_owned()),
             Call::Watch { group, .. } => Key::Group(group.clone()),
             Call::Look { key } => key.clone(),
+            Call::AccountsPut { .. } | Call::AccountsGet => Key::Accounts,
         }
     }
 
@@ -95,7 +104,8 @@
             Call::ConfigPut { .. } | Call::LockStart { .. } | Call::Number { .. } | Call::CellPut { .. } => {
                 true
             }
-            Call::ConfigGet | Call::LockBeat { .. } | Call::LockEnd { .. } => false,
+            Call::AccountsPut { .. } => true,
+            Call::ConfigGet | Call::AccountsGet | Call::LockBeat { .. } | Call::LockEnd { .. } => false,
             Call::CellGet { .. } | Call::Watch { .. } | Call::Look { .. } => false,
         }
     }
@@ -103,8 +113,8 @@
     /// How many bytes the call's words hold, for bounds.
     pub fn bytes(&self) -> usize {
         match self {
-            Call::ConfigPut { body, .. } => body.len(),
-            Call::ConfigGet => 0,
+            Call::ConfigPut { body, .. } | Call::AccountsPut { body, .. } => body.len(),
+            Call::ConfigGet | Call::AccountsGet => 0,
             Call::LockStart { name, holder, .. }
             | Call::LockBeat { name, holder, .. }
             | Call::LockEnd { name, holder, .. } => name.len() + holder.len(),
--- a/crates/lantern/src/asks.rs
+++ b/crates/lantern/src/asks.rs
@@ -1,8 +1,10 @@
 //! What threads that hold a caller ask of the engine, and how they wait for it.
 
+use crate::spread::Spreading;
 use fallgap_chart::Beat;
 use fallgap_desk as desk;
 use fallgap_keeper::{Answer, Call};
+use fallgap_pilot::Place;
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, TrySendError, sync_channel};
 use std::time::Duration;
@@ -17,6 +19,8 @@
     Status,
     Desk(desk::Question),
     Verdicts,
+    /// A revision of the accounts is kept, with what it touches: all supervisors are to route by it.
+    Spread(u64, Vec<Place>),
 }
 
 pub enum Told {
@@ -25,6 +29,7 @@
     Taken,
     Status(String),
     Desk(desk::Answer),
+    Spread(Spreading),
 }
 
 pub struct Ask {
--- a/crates/lantern/src/control.rs
+++ b/crates/lantern/src/control.rs
@@ -1,6 +1,7 @@
 //! The control address: calls of servers, the operator and applications. One dispatch on method and segments.
 
 use crate::asks::{Asked, Desk, Told, Untold};
+use crate::offices::{self, Clerk, Wanted};
 use fallgap_chart as chart;
 use fallgap_desk::Question;
 use fallgap_keeper::{Answer, Call};
@@ -19,6 +20,9 @@
     pub threads: usize,
     /// Of these, watches at most: they hold a thread for seconds. One beyond is turned away.
     pub watches: usize,
+    /// Of these, calls of offices and on accounts at most: they ask several times, and must not hold up beats. One
+    /// beyond is turned away.
+    pub offices: usize,
     /// Bytes of a body: of a configuration, as many as a register takes, and of any other call. Longer ones are
     /// refused, and it is said that asking again is of no use.
     pub configuration: usize,
@@ -35,6 +39,7 @@
         Terms {
             threads: 28,
             watches: 14,
+            offices: 6,
             configuration: fallgap_keeper::subjects::Limits::default().config_bytes,
             body: 64 << 10,
             answer: Duration::from_millis(930),
@@ -47,6 +52,7 @@
     desk: Desk,
     terms: Terms,
     watching: AtomicUsize,
+    at_counter: AtomicUsize,
 }
 
 /// Why a call is not carried out.
@@ -62,6 +68,8 @@
     Unknown,
     /// {0}
     Untold(Untold),
+    /// {0}
+    Office(offices::Refused),
 }
 
 impl From<chart::Faults> for Refused {
@@ -69,6 +77,11 @@
         Refused::Faults(faults)
     }
 }
+impl From<offices::Refused> for Refused {
+    fn from(refused: offices::Refused) -> Refused {
+        Refused::Office(refused)
+    }
+}
 impl From<Untold> for Refused {
     fn from(untold: Untold) -> Refused {
         Refused::Untold(untold)
@@ -82,7 +95,8 @@
 pub fn start(
     at: SocketAddrV4, desk: Desk, terms: Terms,
 ) -> Result<(), Box<dyn std::error::Error + Send + Sync>> {
-    let control = Arc::new(Control { desk, terms, watching: AtomicUsize::new(0) });
+    let control =
+        Arc::new(Control { desk, terms, watching: AtomicUsize::new(0), at_counter: AtomicUsize::new(0) });
     let server = rouille::Server::new(at, move |request| control.answer(request))?.pool_size(terms.threads);
     thread::Builder::new().name("control".into()).stack_size(256 << 10).spawn(move || server.run())?;
     Ok(())
@@ -114,17 +128,22 @@
     Response { status_code: code, headers: vec![], data: ResponseBody::empty(), upgrade: None }
 }
 
-fn json(code: u16, body: Vec<u8>) -> Response {
+pub fn json(code: u16, body: Vec<u8>) -> Response {
     let headers = vec![("Content-Type".into(), "application/json".into())];
     Response { status_code: code, headers, data: ResponseBody::from_data(body), upgrade: None }
 }
 
-fn text(code: u16, why: &Refused) -> Response {
+pub fn text(code: u16, why: &dyn std::fmt::Display) -> Response {
     let headers = vec![("Content-Type".into(), "text/plain; charset=utf-8".into())];
     let data = ResponseBody::from_data(format!("{why}\n").into_bytes());
     Response { status_code: code, headers, data, upgrade: None }
 }
 
+/// What an office shows that it is one.
+fn key(request: &Request) -> &str {
+    request.header("X-Office-Key").unwrap_or_default()
+}
+
 /// A string as JSON.
 fn quoted(text: &str) -> String {
     sonic_rs::to_string(text).unwrap_or_else(|_| "\"\"".into())
@@ -140,6 +159,7 @@
             Refused::Faults(_) | Refused::Broken => text(400, &refused),
             Refused::Long(_) => text(413, &refused),
             Refused::Unknown => text(404, &refused),
+            Refused::Office(refused) => refused.response(),
             // Nothing was done, and nothing will be.
             Refused::Untold(Untold::Full) => text(503, &refused).with_additional_header("Retry-After", "0.2"),
             Refused::Untold(Untold::Late) => text(500, &refused),
@@ -182,6 +202,22 @@
                 self.call(Call::CellPut { name: name(id), value: asked.value, on: asked.on })
             }
             ("GET", ["-", "cells", id, "get"]) => self.call(Call::CellGet { name: name(id) }),
+            ("GET", ["-", "accounts"]) => self.clerk(|clerk| clerk.accounts()),
+            ("POST", ["-", "accounts", id, "put"]) => {
+                let body = self.body(request, self.terms.configuration)?;
+                self.clerk(|clerk| clerk.order(id, &body))
+            }
+            ("GET", ["-", "offices", id, "routes"]) => self.clerk(|clerk| clerk.routes(id, key(request))),
+            ("POST", ["-", "offices", id, "routes", verb]) => {
+                let wanted = match *verb {
+                    "plan" => Wanted::Plan,
+                    "put" => Wanted::Put,
+                    "undo" => Wanted::Undo,
+                    _ => return Err(Refused::Unknown),
+                };
+                let body = self.body(request, self.terms.configuration)?;
+                self.clerk(|clerk| clerk.change(id, key(request), wanted, &body))
+            }
             ("GET", ["-", "watch", id]) => self.watch(id, query),
             ("GET", ["-", "status"]) => self.told(Asked::Status),
             ("GET", ["-", "desk", what]) => self.desk(request, what),
@@ -210,6 +246,13 @@
         self.told(Asked::Desk(question))
     }
 
+    fn clerk(
+        &self, call: impl FnOnce(&Clerk<'_>) -> Result<Response, offices::Refused>,
+    ) -> Result<Response, Refused> {
+        let clerk = Clerk { desk: &self.desk, wait: self.terms.answer };
+        Ok(counted(&self.at_counter, self.terms.offices, || call(&clerk))??)
+    }
+
     fn body(&self, request: &Request, most: usize) -> Result<Vec<u8>, Refused> {
         let mut body = Vec::new();
         let data = request.data().ok_or(Refused::Broken)?;
@@ -230,6 +273,7 @@
                 Ok(body) => json(200, body),
                 Err(_) => status(500),
             },
+            Told::Spread(_) => return Err(Refused::Untold(Untold::Late)),
         })
     }
 
@@ -249,20 +293,23 @@
         };
         let after: u64 = figure("after").unwrap_or(0);
         let wait = Duration::from_millis(figure("wait_ms").unwrap_or(0)).min(self.terms.watch);
-        if self.watching.fetch_add(1, Relaxed) >= self.terms.watches {
-            self.watching.fetch_sub(1, Relaxed);
-            return Err(Refused::Untold(Untold::Full));
-        }
         let call = Call::Watch { group: group.to_owned(), after, wait };
-        let told = self.desk.ask(Asked::Call(call), wait + self.terms.answer);
-        self.watching.fetch_sub(1, Relaxed);
-        match told? {
+        let watch = || self.desk.ask(Asked::Call(call), wait + self.terms.answer);
+        match counted(&self.watching, self.terms.watches, watch)?? {
             Told::Answer(answer) => Ok(said(answer)),
             _ => Err(Refused::Untold(Untold::Late)),
         }
     }
 }
 
+/// Does what holds a thread for long, unless as many do as may.
+fn counted<T>(at_work: &AtomicUsize, most: usize, call: impl FnOnce() -> T) -> Result<T, Untold> {
+    let room = at_work.fetch_add(1, Relaxed) < most;
+    let done = room.then(call);
+    at_work.fetch_sub(1, Relaxed);
+    done.ok_or(Untold::Full)
+}
+
 /// An answer as it goes to the caller.
 fn said(answer: Answer) -> Response {
     match answer {
--- a/crates/lantern/src/engine.rs
+++ b/crates/lantern/src/engine.rs
@@ -8,6 +8,7 @@
 use crate::hub::Hub;
 use crate::links::Links;
 use crate::signals::Heard;
+use crate::spread::Spread;
 use crate::words::Word;
 use fallgap_beacon::{Beacon, State};
 use fallgap_chart::{Settings, View};
@@ -52,6 +53,7 @@
     /// What operators asked that others have to answer, and the editions that were in force here.
     pub surveys: Surveys<SyncSender<Told>>,
     pub history: History,
+    pub spread: Spread,
     pub inbox: Receiver<Ask>,
     pub heard: Heard,
     pub ready: Arc<AtomicBool>,
@@ -99,6 +101,9 @@
                 other => other?,
             }
             let now = self.now();
+            // Before anything is routed: this process may have been frozen.
+            let confirmed = self.follower.age(now).map(|age| now.saturating_sub(age));
+            self.quay.iter_mut().for_each(|quay| quay.confirmed(confirmed));
             for event in &events {
                 let token = event.token().0;
                 if token >= QUAY {
@@ -133,7 +138,7 @@
         let hub = hub.chain(self.hub.iter().filter_map(|h| h.lights.next_wake()));
         let urgent = self.quay.as_ref().and_then(|quay| quay.fleet().failure()).map(|at| at + URGENT);
         let quay = self.quay.as_ref().and_then(Quay::next_wake);
-        let asked = [self.calls.next_wake(), self.surveys.next_wake()];
+        let asked = [self.calls.next_wake(), self.surveys.next_wake(), self.spread.next_wake()];
         let rest = [self.follower.next_wake(), quay, urgent].into_iter().chain(asked).flatten();
         let all = [self.beacon.next_wake(), self.keeper.next_wake(), self.slow, self.reports];
         all.into_iter().chain(rest).chain(hub).min().unwrap_or(self.slow)
@@ -174,6 +179,9 @@
         if self.surveys.next_wake().is_some_and(|at| at <= now) {
             self.surveys_woke(now);
         }
+        if self.spread.next_wake().is_some_and(|at| at <= now) {
+            self.spread.woke(now);
+        }
         if now >= self.slow {
             self.slow = now + SLOW;
             self.links.woke(now, self.poll.registry());
@@ -231,6 +239,7 @@
                     let _ = reply.try_send(Told::Taken);
                 }
                 Asked::Desk(question) => self.desk_asked(now, question, reply),
+                Asked::Spread(revision, places) => self.spread(now, reply, revision, &places),
                 Asked::Status => {
                     let _ = reply.try_send(Told::Status(self.status(now)));
                 }
--- a/crates/lantern/src/main.rs
+++ b/crates/lantern/src/main.rs
@@ -7,13 +7,16 @@
 mod calls;
 mod carry;
 mod control;
+mod counter;
 mod desk;
 mod disk;
 mod engine;
 mod hub;
 mod links;
 mod memory;
+mod offices;
 mod signals;
+mod spread;
 mod start;
 mod usual;
 mod words;
@@ -59,6 +62,16 @@
         #[command(subcommand)]
         what: Configured,
     },
+    /// Read or write accounts, which the operator grants to offices
+    Account {
+        #[command(subcommand)]
+        what: counter::Account,
+    },
+    /// Read or change what an office has
+    Office {
+        #[command(subcommand)]
+        what: counter::Office,
+    },
     /// Tell how one supervisor stands: its edition, servers, home and keepers
     Status {
         /// A supervisor's control address
@@ -175,6 +188,8 @@
             clap_complete::generate(shell, &mut command, "lantern", &mut std::io::stdout());
             ExitCode::SUCCESS
         }
+        Verb::Account { what } => ask::done(counter::account(what)),
+        Verb::Office { what } => ask::done(counter::office(what)),
         Verb::Status { at } => ask::done(ask::get(at, "/-/status")),
         Verb::Verdicts { at } => ask::done(ask::get(at, "/-/verdicts")),
     }
--- a/crates/lantern/src/start.rs
+++ b/crates/lantern/src/start.rs
@@ -10,6 +10,7 @@
 use crate::links::{self, Links};
 use crate::memory::{Memory, Remembered};
 use crate::signals;
+use crate::spread::Spread;
 use fallgap_beacon::{Beacon, Card};
 use fallgap_chart::Settings;
 use fallgap_desk::{History, Surveys};
@@ -190,6 +191,7 @@
         beats: Beats::default(),
         surveys: Surveys::new(fallgap_desk::Terms::USUAL, rng.u64(1..1 << 62)),
         history: History::default(),
+        spread: Spread::default(),
         lives: BTreeMap::new(),
         inbox,
         heard,
--- a/crates/lantern/tests/landing/mod.rs
+++ b/crates/lantern/tests/landing/mod.rs
@@ -1,10 +1,11 @@
 //! Fleets of real processes, as the tests here share them.
 
-use fallgap_standin::gateway::{Beating, Does, Landing, Notice, Server, Supervisor, ok};
+use fallgap_standin::gateway::{Beating, Client, Does, Landing, Notice, Reply, Server, Supervisor, get, ok};
 use std::path::Path;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
+pub const S: Duration = Duration::from_secs(1);
 /// Longer than anything here takes, also on a busy machine.
 pub const LONG: Duration = Duration::from_secs(40);
 pub const PREFIXES: [&str; 2] = ["/safe/", "/fragile/"];
@@ -49,3 +50,21 @@
         until("it is ready", || machine.is_ready().then_some(()));
     }
 }
+
+pub fn ask(at: &Supervisor, path: &str, id: &str) -> Reply {
+    Client::connect(at.front(), 5 * S).unwrap().ask(&get(path, id))
+}
+
+/// Calls on the control state may come again: on a busy machine some are put off, or late.
+pub fn settled(mut call: impl FnMut() -> Option<Reply>) -> (u16, String) {
+    let reply = until("a call is answered", || call().filter(|reply| reply.status < 500));
+    (reply.status, reply.text())
+}
+
+pub fn post(at: &Supervisor, path: &str, body: &str) -> (u16, String) {
+    settled(|| at.post(path, body))
+}
+
+pub fn read(at: &Supervisor, path: &str) -> (u16, String) {
+    settled(|| at.get(path))
+}
--- a/crates/lantern/tests/prompt.rs
+++ b/crates/lantern/tests/prompt.rs
@@ -1,5 +1,6 @@
 //! What an operator asks at the prompt, of real processes.
 
+#[allow(dead_code)]
 mod landing;
 
 use fallgap_standin::gateway::{Client, Landing, Supervisor, configuration, get};
--- a/crates/lantern/tests/whole.rs
+++ b/crates/lantern/tests/whole.rs
@@ -1,30 +1,10 @@
 //! Whole fleets of supervisors on loopback: real processes, real disks, servers that beat, clients that ask.
 
+#[allow(dead_code)]
 mod landing;
 
-use fallgap_standin::gateway::{Client, Reply, Supervisor, call, configuration, get};
-use landing::{LONG, PREFIXES, all_ready, configure, fleet, serve, until};
-use std::time::Duration;
-
-const S: Duration = Duration::from_secs(1);
-
-fn ask(at: &Supervisor, path: &str, id: &str) -> Reply {
-    Client::connect(at.front(), 5 * S).unwrap().ask(&get(path, id))
-}
-
-/// Calls on the control state may come again: on a busy machine some are put off, or late.
-fn settled(mut call: impl FnMut() -> Option<Reply>) -> (u16, String) {
-    let reply = until("a call is answered", || call().filter(|reply| reply.status < 500));
-    (reply.status, reply.text())
-}
-
-fn post(at: &Supervisor, path: &str, body: &str) -> (u16, String) {
-    settled(|| at.post(path, body))
-}
-
-fn read(at: &Supervisor, path: &str) -> (u16, String) {
-    settled(|| at.get(path))
-}
+use fallgap_standin::gateway::{Supervisor, call, configuration};
+use landing::*;
 
 #[test]
 fn requests_are_carried_once_there_is_a_configuration_and_a_server() {
--- a/crates/quay/src/ops.rs
+++ b/crates/quay/src/ops.rs
@@ -5,7 +5,7 @@
 use crate::logbook::{Draft, Over};
 use crate::quay::Quay;
 use crate::timers::{ClientKey, LineKey, OpKey, Who};
-use fallgap_chart::RouteClass;
+use fallgap_chart::{RouteClass, plain_host};
 use fallgap_pilot::{
     Answer, Ended, Final, Next, Op, Plan, Request, ServerKey, ServiceKey, TryOutcome, Why, answer_head,
     own_answer,
@@ -53,8 +53,17 @@
             self.refused(now, began, &request, 503, Why::NoView, None);
             return self.not_run(now, key, &request);
         };
-        let edition = routing.configuration().edition;
-        let Some(route) = routing.find(head.host(), head.path()) else {
+        let found = routing.find_index(head.host(), head.path());
+        let configuration = routing.configuration();
+        let edition = configuration.edition;
+        let owner = configuration.licences.as_ref().and_then(|licences| licences.owner(found?));
+        if (owner.is_some() || self.lease.is_told())
+            && self.lease.doubts(now, &plain_host(head.host()), head.path(), owner.is_some())
+        {
+            self.counters.doubted += 1;
+            return self.not_run(now, key, &request);
+        }
+        let Some(route) = found.and_then(|at| configuration.routes.get(at)) else {
             self.counters.no_route += 1;
             self.refused(now, began, &request, 404, Why::NoRoute, None);
             return self.own_answer(now, key, &request, 404, None);
--- a/crates/quay/src/quay.rs
+++ b/crates/quay/src/quay.rs
@@ -9,7 +9,7 @@
 use crate::timers::{ClientKey, LineKey, OpKey, Timers, Who};
 use fallgap_chart::{Limits, Routing, View};
 use fallgap_lightlist::Verdict;
-use fallgap_pilot::{Draught, Ends, Fleet, Report, ServerKey, ServiceKey};
+use fallgap_pilot::{Draught, Ends, Fleet, Lease, Place, Report, ServerKey, ServiceKey};
 use mio::event::Event;
 use mio::net::TcpListener;
 use mio::{Interest, Registry, Token};
@@ -64,6 +64,8 @@
     pub unreached: u64,
     /// Refused before any server was asked, as it is pressed.
     pub pressed: u64,
+    /// Refused as their route may have changed meanwhile.
+    pub doubted: u64,
     /// Sent elsewhere, as the own link is laden.
     pub laden: u64,
     /// Clients that were gone before their answer.
@@ -86,6 +88,8 @@
     pub(crate) fleet: Fleet,
     pub(crate) draught: Draught,
     pub(crate) routing: Option<Routing>,
+    /// Whether routes of offices may be gone by.
+    pub(crate) lease: Lease,
     pub(crate) limits: Limits,
     /// The lowest rank of all routes.
     pub(crate) last_priority: u8,
@@ -139,6 +143,7 @@
             draught: Draught::new(terms.link_mbps, terms.pilot.laden_part),
             fleet: Fleet::new(zone, terms.pilot, rng.u64(..)),
             routing: None,
+            lease: Lease::default(),
             limits,
             last_priority: 0,
             timers: Timers::default(),
@@ -203,6 +208,7 @@
         let known = self.routing.as_ref().map(Routing::configuration);
         if known.is_none_or(|known| !Arc::ptr_eq(known, configuration)) {
             self.routing = Some(Routing::new(configuration.clone()));
+            self.lease.holds(configuration.revision());
             self.limits = configuration.limits;
             let names: HashSet<&str> = configuration.routes.iter().map(|route| &*route.name).collect();
             self.draught.keep(|route| names.contains(route));
@@ -215,6 +221,17 @@
         self.see_to_clients(now);
     }
 
+    /// When a home last confirmed the table that is routed by.
+    pub fn confirmed(&mut self, at: Option<Duration>) {
+        self.lease.confirmed(at);
+        self.logbook.confirmed(at);
+    }
+
+    /// A revision of the accounts is kept that touches these places. Tells whether it is routed by here.
+    pub fn heed(&mut self, now: Duration, revision: u64, places: Vec<Place>) -> bool {
+        self.lease.heed(now, revision, places)
+    }
+
     /// How many supervisors are known, with this one, and its place among them in an order that all share: what is
     /// shared by all is shared by so many.
     pub fn supervisors(&mut self, place: usize, count: usize) {
@@ -248,11 +265,6 @@
         self.logbook.find(now, id, most, service, server)
     }
 
-    /// When a home last confirmed the table that is routed by.
-    pub fn confirmed(&mut self, at: Option<Duration>) {
-        self.logbook.confirmed(at);
-    }
-
     pub fn reports(&mut self, now: Duration) -> Vec<Report> {
         self.fleet.reports(now)
     }
