--- a/crates/lightlist/tests/world/mod.rs
+++ b/crates/lightlist/tests/world/mod.rs
@@ -319,6 +319,7 @@
     };
     let services = vec![Service { name: "s".into(), health_path: "/".into(), line_cap: 130 }];
     let limits = Limits { header_bytes: 1, body_bytes: 1, header: MS, idle: MS };
-    let configuration = Arc::new(Configuration { edition: 1, routes: vec![], services, limits });
+    let configuration =
+        Arc::new(Configuration { edition: 1, routes: vec![], services, limits, licences: None });
     View { configuration, berths: lives.iter().enumerate().map(berth).collect() }
 }
