--- a/crates/sextant/tests/drawn.rs
+++ b/crates/sextant/tests/drawn.rs
@@ -46,7 +46,7 @@
 
 #[test]
 fn what_failed_once_holds() {
-    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/found");
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/findings");
     let mut played = 0;
     for file in std::fs::read_dir(folder).expect("a folder") {
         let path = file.expect("a file").path();
