--- a/crates/lantern/src/control.rs
+++ b/crates/lantern/src/control.rs
@@ -37,9 +37,9 @@
     fn default() -> Self {
         let s = Duration::from_secs;
         Terms {
-            threads: 28,
-            watches: 14,
-            offices: 6,
+            threads: 20,
+            watches: 10,
+            offices: 4,
             configuration: fallgap_keeper::subjects::Limits::default().config_bytes,
             body: 64 << 10,
             answer: Duration::from_millis(930),
