--- a/crates/pilot/src/draught.rs
+++ b/crates/pilot/src/draught.rs
@@ -1,14 +1,12 @@
 //! How deep the own link lies: what the answers of the ops at work will bring over it. A client whose answer would
 //! come late here does better at another supervisor, and is told so at once.
 
+use crate::fleet::moved;
 use fallgap_chart::RouteClass;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// How much a new answer moves what is usual.
-const MOVES: f64 = 0.1;
-
 /// A client that is ready to wait for less than this part of the longest wait has been elsewhere.
 const FIRST: f64 = 0.985;
 
@@ -65,7 +63,7 @@
     /// An answer of a route came.
     pub fn brought(&mut self, route: &Arc<str>, bytes: usize) {
         let usual = self.routes.entry(route.clone()).or_default();
-        usual.bytes += (bytes as f64 - usual.bytes) * if usual.bytes == 0.0 { 1.0 } else { MOVES };
+        moved(&mut usual.bytes, bytes as f64);
     }
 
     /// Only these routes are there.
--- a/crates/pilot/src/fleet.rs
+++ b/crates/pilot/src/fleet.rs
@@ -533,6 +533,7 @@
     f64::from(server.at_work + 1) / server.weight * slow.clamp(0.5, 3.0) * zone
 }
 
-fn moved(typical: &mut f64, took: f64) {
+/// What is typical moves towards a new figure; the first one is taken as it is.
+pub(crate) fn moved(typical: &mut f64, took: f64) {
     *typical += (took - *typical) * if *typical == 0.0 { 1.0 } else { MOVES };
 }
