Calls: what was handed on is run there or not at all, not handed on in rounds

Cause: a keeper that was handed a call and could not run it placed it anew with the list of all keepers, so that without a majority each call went on in rounds of six, with its body, until 0.88 s or 2,048 calls at each keeper. Found by the stacks of pages touched first: seven keepers at their founding had 37 MB of heap after a second, for a configuration of 10 KB.

Ruled out: the store (262 KB of log), stacks of threads, the body's reading at the control address.

Change: who may run a call depends on whom it came from. The tests' stand-in caller was one of another supervisor; it is one of this supervisor now, as their names say, and all their assertions stand as they were.

--- a/crates/lantern/src/calls.rs
+++ b/crates/lantern/src/calls.rs
@@ -131,6 +131,15 @@
     fn last(&self, terms: &Terms) -> Duration {
         self.since + self.wait + terms.whole
     }
+
+    /// Who may run it. What another supervisor handed here is run here or not at all: whoever handed it on asks the
+    /// others. If each keeper that cannot run it asked all the rest in its turn, one call would become thousands.
+    fn runners(&self, me: Ipv4Addr, keepers: impl Fn(&Key) -> Vec<Ipv4Addr>) -> Vec<Ipv4Addr> {
+        match self.caller {
+            Caller::Here(_) => keepers(&self.call.key()),
+            Caller::There(..) => vec![me],
+        }
+    }
 }
 
 /// What is to be done for a call.
@@ -254,7 +263,7 @@
         if pending.doubt {
             return vec![Step::Answer(pending.caller, Answer::Unknown)];
         }
-        let keepers = keepers(&pending.call.key());
+        let keepers = pending.runners(me, keepers);
         self.place(now, me, id, pending, &keepers)
     }
 
@@ -285,7 +294,7 @@
                     self.sign(now, asked.keeper, Sign::Silent);
                 }
             }
-            let keepers = keepers(&pending.call.key());
+            let keepers = pending.runners(me, &keepers);
             steps.extend(self.place(now, me, id, pending, &keepers));
         }
         steps
@@ -334,6 +343,11 @@
         Call::Number { name: "n".into() }
     }
 
+    /// A caller of this supervisor, who does not listen any more.
+    fn here() -> Caller {
+        Caller::Here(std::sync::mpsc::sync_channel(1).0)
+    }
+
     /// One supervisor, itself no keeper, that knows three.
     struct World {
         calls: Calls,
@@ -369,7 +383,7 @@
         }
         fn comes(&mut self, now: Duration) -> &'static str {
             let keepers = self.keepers.clone();
-            let step = self.calls.came(now, node(9), Caller::There(node(8), 1), call(), &keepers);
+            let step = self.calls.came(now, node(9), here(), call(), &keepers);
             self.take(step)
         }
         fn answers(&mut self, now: Duration, answer: Answer) -> &'static str {
@@ -476,13 +490,35 @@
         assert_eq!(world.comes(891 * MS), "busy");
     }
 
+    /// Fails where a keeper that cannot run what was handed to it asks the others as the first one does: seven keepers
+    /// without a majority made one call two thousand, each with its body.
+    #[test]
+    fn what_was_handed_here_is_run_here_or_not_at_all() {
+        for (answer, wanted) in [(Some(Answer::Busy), Answer::Busy), (None, Answer::Unknown)] {
+            let mut calls = Calls::new(Terms::default(), 1);
+            let all = || vec![node(1), node(2), node(3)];
+            let steps = calls.came(MS, node(1), Caller::There(node(3), 7), call(), &[node(1)]);
+            let [Step::Run(id, _)] = steps.as_slice() else { panic!("it is to be run here") };
+            let mut said = match answer {
+                Some(answer) => calls.answered(2 * MS, node(1), node(1), *id, answer, |_| all()),
+                None => Vec::new(),
+            };
+            (3..1000).for_each(|at| said.extend(calls.woke(at * MS, node(1), |_| all())));
+            let told = |step: &Step| match step {
+                Step::Answer(Caller::There(to, 7), answer) => *to == node(3) && *answer == wanted,
+                _ => false,
+            };
+            assert!(said.len() == 1 && said.iter().all(told), "{wanted:?}: {} steps", said.len());
+        }
+    }
+
     /// Fails with a watch at one keeper: while that was cut off, its watchers heard of no put for seconds.
     #[test]
     fn a_watch_waits_at_two_keepers() {
         let mut world = World::new();
         let keepers = world.keepers.clone();
         let watch = Call::Watch { group: "g.".into(), after: 1, wait: 2000 * MS };
-        let steps = world.calls.came(MS, node(9), Caller::There(node(8), 1), watch, &keepers);
+        let steps = world.calls.came(MS, node(9), here(), watch, &keepers);
         assert_eq!(steps.into_iter().map(|step| world.take(vec![step])).collect::<Vec<_>>(), ["1", "2"]);
         assert_eq!(world.wakes(2400 * MS), [] as [&str; 0]);
         let heard = || Answer::Events { events: vec![], revision: 2 };
