Roster: one table for all followers of a home, led on from what each acknowledged

Cause: a home built and kept a table for each follower. All had the same content.

Change: one table in the home, under one number; the feed has kept for each receiver what it holds, what is under way and what it has heard all along. Each follower is told under its own number, as before on the wire. What is marked, in which order it is served, the cap of lines, one update under way, the newest behind it, and differences from what was acknowledged are the feed's and stay. The periodic rebuild is one for the home, and silent if nothing differs; each follower is still looked at for being there. A table is built also while some wait for lines: they are told what is newest then. Versions are kept by 4 MB and 400 in place of 40 for each. The feed does not work out what it may not send yet, and not twice what two hold alike.

--- a/crates/feed/src/feed.rs
+++ b/crates/feed/src/feed.rs
@@ -159,6 +159,9 @@
         if let Some(receiver) = self.receivers.remove(&id) {
             self.by_table.entry(receiver.table).or_default().remove(&id);
             self.looks.remove(&(receiver.word, id));
+            if self.marks.front() == Some(&id) {
+                self.budget_at = None;
+            }
             self.marks.retain(|marked| *marked != id);
         }
     }
@@ -324,8 +327,14 @@
     /// Serves marks in their order, as far as the lines allow; a receiver with something in flight waits for its
     /// answer, and gets what is newest then.
     fn send(&mut self, now: Duration, tables: &Tables) {
+        // The first that waits for lines is not served before: what it is to be told is not worked out till then.
+        if !self.marks.is_empty() && self.budget_at.is_some_and(|at| now < at) {
+            return;
+        }
         self.budget_at = None;
         let mut waiting = VecDeque::new();
+        // Most of those that share a table hold the same of it.
+        let mut worked_out: Option<(u32, Option<Version>, Sent)> = None;
         while let Some(id) = self.marks.pop_front() {
             let Some(receiver) = self.receivers.get_mut(&id) else { continue };
             if receiver.in_flight.is_some() && !receiver.overtakes(now) {
@@ -333,7 +342,15 @@
                 receiver.marked = false;
                 continue;
             }
-            let sent = tables.since(receiver.table, receiver.holds);
+            let (table, holds) = (receiver.table, receiver.holds);
+            let sent = match &worked_out {
+                Some((of, from, sent)) if (*of, *from) == (table, holds) => sent.clone(),
+                _ => {
+                    let sent = tables.since(table, holds);
+                    worked_out = Some((table, holds, sent.clone()));
+                    sent
+                }
+            };
             let lines = match &sent {
                 Sent::Nothing => {
                     (receiver.marked, receiver.urgent) = (false, false);
--- a/crates/roster/src/distribution.rs
+++ b/crates/roster/src/distribution.rs
@@ -1,18 +1,19 @@
-//! A home: builds the table of each supervisor that follows it, and feeds it. The pace, the differences and the
-//! withdrawals are the feed's and the tables'; here it is said when a table is built, and of what.
+//! A home: builds the table that all supervisors route by that follow it, and feeds it to each. There is one table for
+//! all of them: what each holds of it, by version, and what is under way to it is the feed's. The pace, the differences
+//! and the withdrawals are the feed's and the tables', too; here it is said when the table is built, and of what.
 
 use crate::NodeId;
 use crate::lives::State;
 use crate::messages::ServerReport;
 use crate::registry::Registry;
-use crate::sending::{Sending, receiver_of, table_of};
+use crate::sending::{SHARED, Sending, receiver_of, table_of};
 use crate::servers::Servers;
 use crate::terms::Terms;
 use fallgap_chart::Configuration;
 use fallgap_feed::wire::{Said, Told};
 use fallgap_feed::{Feed, Limits};
 use fallgap_tables::{Entry, Kept, Key, Tables, Withdrawals};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -31,12 +32,8 @@
 }
 
 struct Following {
-    /// The count of notes that its table was built of.
-    notes: u64,
-    /// There is something new for its table.
-    dirty: bool,
-    /// When its table is built in any case.
-    rebuild: Duration,
+    /// When it is looked at whether it is still there.
+    look: Duration,
     said: Duration,
 }
 
@@ -62,12 +59,14 @@
     /// The part of a table that is notes, and how often it changed.
     notes: BTreeMap<Key, Entry>,
     notes_count: u64,
+    /// The count of notes that the table was built of.
+    built_notes: u64,
     followers: BTreeMap<NodeId, Following>,
-    /// Followers whose tables are to be built, in the order of arrival.
-    dirty: VecDeque<NodeId>,
-    /// When dirty tables are built: changes are gathered a little.
+    /// When the table is built, if there is something new for it: changes are gathered a little.
     build: Option<Duration>,
-    rebuilds: BTreeSet<(Duration, NodeId)>,
+    /// When it is built in any case.
+    rebuild: Duration,
+    looks: BTreeSet<(Duration, NodeId)>,
     step: Duration,
     rise: Option<Duration>,
     fit: bool,
@@ -91,11 +90,16 @@
             word: terms.word,
             ..Limits::default()
         };
-        let kept = Kept { versions: terms.versions, bytes: 256 << 10, age: terms.remember };
+        let kept = Kept { versions: terms.versions, bytes: terms.history, age: terms.remember };
         let epoch = rng.u64(1..);
         let step = now + terms.rebuild.mul_f64(1.0 + rng.f64());
+        let rebuild = now + terms.rebuild.mul_f64(1.0 + rng.f64());
+        let mut tables = Tables::start(epoch, kept);
+        // Nothing is a table, too.
+        tables.set(SHARED, Key::Line("".into()), None);
+        tables.seal(now, SHARED);
         Distribution {
-            tables: Tables::start(epoch, kept),
+            tables,
             feed: Feed::start(Sending::default(), limits, rng.u64(..)),
             terms,
             withdrawals: Withdrawals::default(),
@@ -106,10 +110,11 @@
             configuration: None,
             notes: BTreeMap::new(),
             notes_count: 1,
+            built_notes: 0,
             followers: BTreeMap::new(),
-            dirty: VecDeque::new(),
             build: None,
-            rebuilds: BTreeSet::new(),
+            rebuild,
+            looks: BTreeSet::new(),
             step,
             rise: None,
             fit: true,
@@ -128,17 +133,20 @@
             return;
         }
         if !known {
-            let rebuild = now + self.terms.rebuild.mul_f64(1.0 + self.rng.f64());
-            self.rebuilds.insert((rebuild, follower));
-            self.followers.insert(follower, Following { notes: 0, dirty: false, rebuild, said: now });
+            let look = now + self.terms.rebuild.mul_f64(1.0 + self.rng.f64());
+            self.looks.insert((look, follower));
+            self.followers.insert(follower, Following { look, said: now });
             let count = self.followers.len();
             self.out.push(Out::Note(format!("roster: {follower} follows this home, {count} do")));
         }
         self.heard(now, follower);
-        self.refresh(now);
-        self.build_table(now, follower);
-        let (id, table) = (receiver_of(follower), table_of(follower));
-        self.feed.joined(now, id, table, said.holds, said.heard, &self.tables, &self.withdrawals);
+        // What waits to be gathered it gets with the others; what there is, it gets now.
+        if self.tables.version(SHARED).is_none_or(|version| version.number == 0) {
+            self.build = Some(now);
+            self.build_due(now);
+        }
+        let id = receiver_of(follower);
+        self.feed.joined(now, id, SHARED, said.holds, said.heard, &self.tables, &self.withdrawals);
     }
 
     /// A follower says what it holds now. One that is not known is one that this home forgot; one that has not heard
@@ -159,10 +167,8 @@
     /// A follower is gone, or follows another home.
     pub fn left(&mut self, follower: NodeId) {
         if let Some(held) = self.followers.remove(&follower) {
-            self.rebuilds.remove(&(held.rebuild, follower));
-            self.dirty.retain(|dirty| *dirty != follower);
+            self.looks.remove(&(held.look, follower));
             self.feed.left(receiver_of(follower));
-            self.tables.remove(table_of(follower));
         }
     }
 
@@ -182,9 +188,8 @@
         }
         self.configuration = Some(configuration);
         self.renote();
-        self.mark_all();
         self.build = Some(now);
-        self.build_dirty(now);
+        self.build_due(now);
     }
 
     /// Servers have changed, or the registry has become warm.
@@ -212,7 +217,6 @@
             self.renote();
         }
         if warms || self.seen != before {
-            self.mark_all();
             self.build.get_or_insert(now + self.terms.gather);
         }
     }
@@ -271,9 +275,13 @@
 
     /// Does what is due.
     pub fn woke(&mut self, now: Duration) {
-        while let Some((at, follower)) = self.rebuilds.first().copied().filter(|(at, _)| *at <= now) {
-            self.rebuilds.remove(&(at, follower));
-            self.due(now, follower);
+        while let Some((at, follower)) = self.looks.first().copied().filter(|(at, _)| *at <= now) {
+            self.looks.remove(&(at, follower));
+            self.look(now, follower);
+        }
+        if now >= self.rebuild {
+            self.rebuild = now + self.terms.rebuild;
+            self.build.get_or_insert(now);
         }
         if now >= self.step {
             // Followed here or not, what was seen is of this period only.
@@ -286,18 +294,16 @@
             self.refresh(now);
         }
         self.feed.woke(now, &self.tables, &self.withdrawals);
-        self.build_dirty(now);
+        self.build_due(now);
     }
 
     /// When to call [`woke`](Distribution::woke) next.
     pub fn next_wake(&self) -> Duration {
-        let rebuild = self.rebuilds.first().map(|(at, _)| *at);
-        // Tables that wait for lines are built when the feed goes on.
-        let build = self.build.filter(|_| self.feed.held().1 == 0);
-        [rebuild, build, self.rise, self.feed.next_wake()]
+        let look = self.looks.first().map(|(at, _)| *at);
+        [look, self.build, self.rise, self.feed.next_wake()]
             .into_iter()
             .flatten()
-            .fold(self.step, Duration::min)
+            .fold(self.step.min(self.rebuild), Duration::min)
     }
 
     /// What is to be sent, in order.
@@ -314,18 +320,16 @@
         }
     }
 
-    /// A follower's table is built in any case, if it is still there.
-    fn due(&mut self, now: Duration, follower: NodeId) {
+    /// Whether a follower is still there.
+    fn look(&mut self, now: Duration, follower: NodeId) {
         let Some(held) = self.followers.get_mut(&follower) else { return };
         if now > held.said + self.terms.idle {
             self.left(follower);
             self.out.push(Out::Note(format!("roster: {follower} follows this home no more")));
             return;
         }
-        held.rebuild = now + self.terms.rebuild;
-        self.rebuilds.insert((held.rebuild, follower));
-        self.mark(follower);
-        self.build.get_or_insert(now);
+        held.look = now + self.terms.rebuild;
+        self.looks.insert((held.look, follower));
     }
 
     /// The notes anew, of the configuration and of this home.
@@ -339,71 +343,48 @@
         self.notes_count += 1;
     }
 
-    /// Weights anew; if any of them is to be sent all tables are dirty.
+    /// Weights anew; if any of them is to be sent the table is built.
     fn refresh(&mut self, now: Duration) {
         let rising = self.servers.refresh(now, &self.terms);
         self.rise = rising.then(|| now + self.terms.rise_look);
         if self.servers.take_moved() {
-            self.mark_all();
             self.build.get_or_insert(now);
         }
     }
 
-    fn mark_all(&mut self) {
-        let all: Vec<NodeId> = self.followers.keys().copied().collect();
-        all.into_iter().for_each(|follower| self.mark(follower));
-    }
-
-    fn mark(&mut self, follower: NodeId) {
-        if let Some(held) = self.followers.get_mut(&follower)
-            && !std::mem::replace(&mut held.dirty, true)
-        {
-            self.dirty.push_back(follower);
-        }
-    }
-
-    /// Builds dirty tables in their order, as long as lines may leave.
-    fn build_dirty(&mut self, now: Duration) {
+    /// Builds the table if that is due. What is new in it is marked for all followers, by the feed, which serves marks
+    /// in the order of their arrival as long as lines may leave; who waits for lines or an answer gets what is newest
+    /// then.
+    fn build_due(&mut self, now: Duration) {
         if self.build.is_none_or(|at| now < at) {
             return;
         }
         self.refresh(now);
-        while self.feed.held().1 == 0 {
-            let Some(follower) = self.dirty.pop_front() else {
-                self.build = None;
-                return;
-            };
-            let table = table_of(follower);
-            match self.build_table(now, follower) {
-                Built::Configuration => self.feed.hastened(now, table, &self.tables),
-                Built::Lines => self.feed.sealed(now, table, &self.tables),
-            }
+        self.build = None;
+        let before = self.tables.version(SHARED);
+        match self.build_table(now) {
+            _ if self.tables.version(SHARED) == before => {}
+            Built::Configuration => self.feed.hastened(now, SHARED, &self.tables),
+            Built::Lines => self.feed.sealed(now, SHARED, &self.tables),
         }
     }
 
-    /// A follower's table from the present state: only what differs is set.
-    fn build_table(&mut self, now: Duration, follower: NodeId) -> Built {
-        let Some(held) = self.followers.get_mut(&follower) else { return Built::Lines };
-        held.dirty = false;
-        let table = table_of(follower);
-        if self.tables.content(table).is_none() {
-            // An empty table is one, too.
-            self.tables.set(table, Key::Line("".into()), None);
-        }
+    /// The table from the present state: only what differs is set.
+    fn build_table(&mut self, now: Duration) -> Built {
         let is_note = |key: &Key| matches!(key, Key::Note(_));
         let mut changes = Vec::new();
         let mut built = Built::Lines;
-        if let Some(content) = self.tables.content(table) {
+        if let Some(content) = self.tables.content(SHARED) {
             let lines = content.entries().iter().filter(|(key, _)| !is_note(key));
             differences(lines, self.servers.lines().iter(), &mut changes);
-            if std::mem::replace(&mut held.notes, self.notes_count) != self.notes_count {
+            if std::mem::replace(&mut self.built_notes, self.notes_count) != self.notes_count {
                 let notes = content.entries().iter().filter(|(key, _)| is_note(key));
                 differences(notes, self.notes.iter(), &mut changes);
                 built = Built::Configuration;
             }
         }
-        changes.into_iter().for_each(|(key, entry)| self.tables.set(table, key, entry));
-        self.tables.seal(now, table);
+        changes.into_iter().for_each(|(key, entry)| self.tables.set(SHARED, key, entry));
+        self.tables.seal(now, SHARED);
         built
     }
 
--- a/crates/roster/src/sending.rs
+++ b/crates/roster/src/sending.rs
@@ -5,7 +5,10 @@
 use fallgap_feed::{Out, ReceiverId};
 use fallgap_tables::{Delta, Version, Whole, Withdrawal};
 
-/// A follower's table, by its address: the same at every home.
+/// The one table that a home has for all that follow it.
+pub(crate) const SHARED: u32 = 0;
+
+/// The table as a follower knows it, by its address: the same at every home.
 pub(crate) fn table_of(follower: NodeId) -> u32 {
     u32::from(follower)
 }
@@ -14,6 +17,11 @@
     u64::from(table_of(follower))
 }
 
+/// The number under which a follower holds its table.
+fn own(to: ReceiverId) -> u32 {
+    u32::try_from(to).unwrap_or(SHARED)
+}
+
 /// Messages that wait to be taken.
 #[derive(Default)]
 pub(crate) struct Sending {
@@ -30,10 +38,10 @@
 
 impl Out for Sending {
     fn delta(&mut self, to: ReceiverId, delta: Delta) {
-        self.tell(to, Told::Delta(delta));
+        self.tell(to, Told::Delta(Delta { table: own(to), ..delta }));
     }
     fn whole(&mut self, to: ReceiverId, whole: Whole) {
-        self.tell(to, Told::Whole(whole));
+        self.tell(to, Told::Whole(Whole { table: own(to), ..whole }));
     }
     fn same(&mut self, to: ReceiverId, version: Version) {
         self.tell(to, Told::Same(version));
--- a/crates/roster/src/terms.rs
+++ b/crates/roster/src/terms.rs
@@ -43,8 +43,11 @@
     pub gather: Duration,
     /// A table is built anew so often, changed or not; the first time after up to twice that.
     pub rebuild: Duration,
-    /// Versions of a table that are kept to send differences from; beyond, it goes whole.
+    /// Versions of the table that are kept to send differences from; beyond, it goes whole. One is made as often as
+    /// changes are gathered, so that they have to last for as long as an answer may take.
     pub versions: usize,
+    /// Bytes of what changed between them, names not counted; beyond, the oldest are let go of.
+    pub history: usize,
     /// A server's weight moves by that part in a period.
     pub step: f64,
     /// Gaps of load under that part of the mean are ignored.
@@ -99,7 +102,8 @@
             word: ms(200),
             gather: ms(20),
             rebuild: s(5),
-            versions: 40,
+            versions: 400,
+            history: 4 << 20,
             step: 0.05,
             ignored: 0.1,
             bounds: (0.5, 2.0),
