--- a/crates/beacon/tests/sim/mod.rs
+++ b/crates/beacon/tests/sim/mod.rs
@@ -32,6 +32,7 @@
     /// Datagrams to these are lost.
     pub deaf: BTreeSet<NodeId>,
     pub sent: u64,
+    pub bytes: u64,
     pub longest: usize,
     pub notes: Vec<(Duration, NodeId, String)>,
     /// Each time that one node came to doubt another, or to hold it gone.
@@ -51,6 +52,7 @@
             cut: BTreeSet::new(),
             deaf: BTreeSet::new(),
             sent: 0,
+            bytes: 0,
             longest: 0,
             notes: Vec::new(),
             verdicts: Vec::new(),
@@ -197,6 +199,7 @@
         assert_ne!(from, to);
         self.longest = self.longest.max(bytes.len());
         self.sent += 1;
+        self.bytes += bytes.len() as u64;
         let cut = self.cut.contains(&from) != self.cut.contains(&to) || self.deaf.contains(&to);
         let copies = if self.rng.f64() < 0.01 { 2 } else { 1 };
         for _ in 0..copies {
--- a/crates/lantern/src/links.rs
+++ b/crates/lantern/src/links.rs
@@ -431,4 +431,5 @@
 }
 
 #[cfg(test)]
+#[path = "links/tests.rs"]
 mod tests;
