--- a/crates/sextant/src/waters.rs
+++ b/crates/sextant/src/waters.rs
@@ -15,6 +15,9 @@
     Duration::from_millis(millis)
 }
 
+/// Bytes of an epoch's record: seven members and its number.
+const LONGEST_CHARTER: usize = 400;
+
 pub fn node(n: u8) -> NodeId {
     NodeId::new(10, n % 3 + 1, 0, n)
 }
@@ -37,6 +40,8 @@
     pub kept: Vec<Vec<u8>>,
     pub loose: Vec<(u64, Vec<u8>)>,
     pub life: u64,
+    /// Its first start is the system's too.
+    first: bool,
     /// Its clock is ahead of the sea's by this.
     ahead: Duration,
     /// What its wall clock was set forward by since it started. Nobody may go by it.
@@ -79,13 +84,18 @@
     sequence: u64,
     pub weather: Weather,
     pub tolerate: u32,
-    seeds: Vec<NodeId>,
+    /// What all machines are told of others when they start.
+    pub seeds: Vec<NodeId>,
+    /// Links that carry nothing: from, to.
+    pub dead_links: BTreeSet<(NodeId, NodeId)>,
     /// What callers were told: id, time, answer.
     pub answers: Vec<(u64, Duration, Answer)>,
     /// Calls under way: id to machine and life.
     asked: BTreeMap<u64, (NodeId, u64)>,
     beacon_at: Duration,
     epochs: BTreeMap<u64, Vec<NodeId>>,
+    /// Each epoch that was ever written, lost again or not.
+    charters: BTreeMap<u64, Charter>,
     pub terms: Terms,
     /// A disk that holds more records takes a snapshot.
     pub snapshot_after: usize,
@@ -107,10 +117,12 @@
             weather: Weather::default(),
             tolerate: 1,
             seeds: (1..=disks + plain).rev().take(3).map(node).collect(),
+            dead_links: BTreeSet::new(),
             answers: Vec::new(),
             asked: BTreeMap::new(),
             beacon_at: Duration::ZERO,
             epochs: BTreeMap::new(),
+            charters: BTreeMap::new(),
             terms: Terms::default(),
             snapshot_after: 600,
             notes: std::env::var("SEA_NOTES").is_ok(),
@@ -128,6 +140,7 @@
     pub fn founded(seed: u64, disks: u8, plain: u8) -> Sea {
         let mut sea = Sea::new(seed, disks, plain);
         sea.first = false;
+        sea.machines.values_mut().for_each(|machine| machine.first = false);
         let nodes = (1..=disks).map(node);
         let mut members: Vec<Member> =
             nodes.map(|node| Member { node, disk: sea.rng.u64(1..), joined: 1 }).collect();
@@ -151,6 +164,7 @@
                 kept: Vec::new(),
                 loose: Vec::new(),
                 life: 0,
+                first: self.first,
                 ahead: Duration::ZERO,
                 set: Duration::ZERO,
                 frozen: false,
@@ -179,7 +193,7 @@
             node,
             disk: machine.disk.then_some(drawn),
             life,
-            first_start: self.first && machine.life == 0,
+            first_start: machine.first && machine.life == 0,
             empty: machine.kept.is_empty(),
             seeds: self.seeds.clone(),
             tolerate: self.tolerate,
@@ -250,7 +264,7 @@
 
     fn reaches(&self, from: NodeId, to: NodeId) -> bool {
         match (self.machines.get(&from), self.machines.get(&to)) {
-            (Some(a), Some(b)) => a.side == b.side,
+            (Some(a), Some(b)) => a.side == b.side && !self.dead_links.contains(&(from, to)),
             _ => false,
         }
     }
@@ -316,6 +330,15 @@
         }
     }
 
+    /// The same for what goes to the disks.
+    fn compare_charter(&mut self, node: NodeId, record: &[u8]) {
+        let record = Some(record).filter(|record| record.len() < LONGEST_CHARTER);
+        if let Some(Ok(Record::Epoch(charter))) = record.map(postcard::from_bytes) {
+            let known = self.charters.entry(charter.number).or_insert_with(|| charter.clone());
+            hold!(*known == charter, Check::Epochs, "{node} writes {charter:?}, there is {known:?}");
+        }
+    }
+
     fn beacon(&mut self) {
         self.compare_epochs();
         let seen: Vec<(NodeId, Option<u64>, bool, Duration, u8)> = self
@@ -333,7 +356,8 @@
             let Some(machine) = self.machines.get_mut(&node) else { continue };
             let mut peers = Vec::new();
             for (other, disk, up, down_since, side) in &seen {
-                let here = if *up { *side == machine.side } else { now < *down_since + ms(1200) };
+                let reached = *side == machine.side && !self.dead_links.contains(&(*other, node));
+                let here = if *up { reached } else { now < *down_since + ms(1200) };
                 if *other != node {
                     peers.push(Peer { node: *other, disk: *disk, here });
                 }
@@ -368,6 +392,7 @@
                 Out::Send(to, message) => self.send(from, to, &message),
                 Out::Log { number, record } => {
                     self.records += 1;
+                    self.compare_charter(from, &record);
                     if let Some(machine) = self.machines.get_mut(&from) {
                         machine.loose.push((number, record));
                     }
--- /dev/null
+++ b/crates/sextant/tests/founding.rs
@@ -0,0 +1,308 @@
+//! The very first start under cuts, kills, slow disks, loss and late starts: epoch 1 is one, everywhere and for good, and
+//! begins within a stated time whenever a majority of the seeds can talk and remembers.
+
+use std::time::Duration;
+
+use fallgap_keeper::{Answer, Call, NodeId};
+use fallgap_sextant::Check;
+use fallgap_sextant::voyage::guarded;
+use fallgap_sextant::waters::{Sea, Weather, ms, node};
+
+/// With enough disks in sight, without loss, all are founded by then.
+const FOUNDED: Duration = ms(2300);
+/// The same with messages lost or one machine missing, slow or wiped.
+const IN_TROUBLE: Duration = ms(7000);
+const WHOLE: Duration = ms(40_000);
+
+/// A system that starts, whose seeds are these machines. Disks are 1 to `disks`.
+fn begin(rng: u64, disks: u8, plain: u8, seeds: &[u8]) -> Sea {
+    let mut sea = Sea::new(rng, disks, plain);
+    sea.seeds = seeds.iter().copied().map(node).collect();
+    sea
+}
+
+fn all(sea: &Sea) -> Vec<NodeId> {
+    sea.machines.keys().copied().collect()
+}
+
+/// Machines that run and know of an epoch.
+fn knowing(sea: &Sea) -> Vec<NodeId> {
+    sea.up().into_iter().filter(|node| sea.keeper(*node).is_some_and(|keeper| keeper.epoch() > 0)).collect()
+}
+
+fn until(sea: &mut Sea, limit: Duration, done: impl Fn(&Sea) -> bool) -> bool {
+    while sea.now < limit && !done(sea) {
+        sea.run(sea.now + ms(1));
+    }
+    done(sea)
+}
+
+/// The lowest seed: as a rule it is the one that founds.
+fn lowest(seeds: &[u8]) -> NodeId {
+    seeds.iter().copied().map(node).min().expect("a seed")
+}
+
+/// Stops what comes to it and what goes from it, or one of both.
+fn cut_links(sea: &mut Sea, node: NodeId, hears: bool, is_heard: bool) {
+    for other in all(sea).into_iter().filter(|other| *other != node) {
+        if !hears {
+            sea.dead_links.insert((other, node));
+        }
+        if !is_heard {
+            sea.dead_links.insert((node, other));
+        }
+    }
+}
+
+/// Acknowledged by whoever takes it.
+fn put(sea: &mut Sea, id: u64, edition: u64) -> bool {
+    let mut body = edition.to_be_bytes().to_vec();
+    body.push(1);
+    for (place, at) in sea.up().into_iter().enumerate() {
+        let id = id + place as u64;
+        sea.call(at, id, Call::ConfigPut { edition, body: body.clone() });
+        sea.run(sea.now + ms(1000));
+        if sea.answers.iter().any(|(told, _, answer)| *told == id && *answer == Answer::Done) {
+            return true;
+        }
+    }
+    false
+}
+
+/// All is well again: the members are whole, and a change that was acknowledged is read everywhere.
+fn sound(sea: &mut Sea, what: &str) {
+    sea.dead_links.clear();
+    sea.weather = Weather::default();
+    sea.machines.values_mut().for_each(|machine| machine.slow_until = Duration::ZERO);
+    // Of one or two disks none can be spared.
+    sea.tolerate = sea.tolerate.min((sea.disk_machines().len() as u32 - 1) / 2);
+    let limit = sea.now + WHOLE;
+    assert!(until(sea, limit, Sea::is_whole), "{what}: not whole: {:?}", sea.view());
+    assert!(put(sea, 1_000_000, 1_000_000), "{what}: no change is taken");
+    for at in sea.disk_machines() {
+        sea.call(at, 2_000_000 + u64::from(at.octets()[3]), Call::ConfigGet);
+    }
+    sea.run(sea.now + ms(2000));
+    let read = sea.answers.iter().filter(|(id, ..)| *id >= 2_000_000);
+    let editions: Vec<bool> = read
+        .map(|(.., answer)| {
+            matches!(answer, Answer::Config(body) if body.starts_with(&1_000_000u64.to_be_bytes()))
+        })
+        .collect();
+    assert!(editions.len() == sea.disk_machines().len() && editions.iter().all(|read| *read), "{what}");
+}
+
+/// Seeds, by the number of disks and of machines without: all of them at the machines with a disk, some, none.
+const SEEDS: &[(u8, u8, &[u8])] = &[
+    (1, 0, &[1]),
+    (1, 2, &[1, 2, 3]),
+    (2, 0, &[1, 2]),
+    (3, 0, &[1, 2, 3]),
+    (3, 2, &[1]),
+    (3, 2, &[1, 4]),
+    (3, 3, &[4, 5, 6]),
+    (4, 2, &[2, 3, 6]),
+    (5, 3, &[1, 6, 7]),
+    (7, 0, &[2, 4, 6]),
+];
+
+#[test]
+fn in_calm_waters_all_are_founded_in_time_whoever_starts_first() {
+    for (disks, plain, seeds) in SEEDS {
+        for rng in 0..30 {
+            let what = format!("{disks} disks, seeds {seeds:?}, {rng}");
+            let mut sea = begin(rng, *disks, *plain, seeds);
+            // Fewer disks than the loss of one leaves a majority of might be those that are here, not all.
+            let limit = if *disks < 3 { ms(4300) } else { FOUNDED };
+            let done = until(&mut sea, limit, |sea| knowing(sea).len() == sea.machines.len());
+            assert!(done, "{what}: {:?}", sea.view());
+            let members = sea.keeper(node(1)).map(|keeper| keeper.members().len());
+            assert_eq!(members, Some(usize::from(*disks)), "{what}");
+            sound(&mut sea, &what);
+        }
+    }
+}
+
+/// The founder is cut off, silently, from a moment on, and comes back after twenty seconds. The others are founded
+/// without it, or with it; what they confirm meanwhile stays.
+#[test]
+fn a_founder_that_is_cut_off_founds_nothing_of_its_own() {
+    let table = [("both ways", false, false), ("it hears", true, false), ("it is heard", false, true)];
+    for (disks, plain, seeds) in [(3, 2, [1, 2, 3]), (4, 2, [2, 3, 6]), (5, 0, [1, 3, 5]), (3, 3, [4, 5, 6])] {
+        for (way, hears, is_heard) in table {
+            for after in (0..2400).step_by(40) {
+                let what = format!("{disks} disks, seeds {seeds:?}, {way} after {after} ms");
+                let mut sea = begin(after, disks, plain, &seeds);
+                sea.run(ms(after));
+                cut_links(&mut sea, lowest(&seeds), hears, is_heard);
+                let others = |sea: &Sea| knowing(sea).iter().filter(|node| **node != lowest(&seeds)).count();
+                let limit = ms(after) + IN_TROUBLE;
+                let done = until(&mut sea, limit, |sea| others(sea) + 1 == sea.machines.len());
+                assert!(done, "{what}: {:?}", sea.view());
+                put(&mut sea, 100, 7);
+                sea.run(ms(after + 20_000));
+                sound(&mut sea, &what);
+            }
+        }
+    }
+}
+
+/// A machine loses its power in the moment that somebody first tells of the members, or a little before or after it,
+/// with none of what it had not synced; or all do.
+#[test]
+fn power_lost_between_telling_and_syncing_makes_no_second_beginning() {
+    for (disks, seeds) in [(3, vec![1, 2, 3]), (4, vec![2, 3, 4]), (5, vec![1, 3, 5]), (3, vec![1, 2]), (3, vec![2])] {
+        for who in 0..=usize::from(disks) {
+            for (slow, later) in [(false, 0), (false, 2), (false, 7), (true, 0), (true, 3), (true, 40), (true, 700)] {
+                let what = format!("{disks} disks, seeds {seeds:?}, {who}, slow {slow}, {later} ms later");
+                let mut sea = begin(later + 100 * who as u64, disks, 0, &seeds);
+                sea.run(ms(500));
+                if slow {
+                    sea.machines.values_mut().for_each(|machine| machine.slow_until = ms(60_000));
+                }
+                until(&mut sea, ms(40_000), |sea| !knowing(sea).is_empty());
+                sea.run(sea.now + ms(later));
+                let lost = match sea.disk_machines().get(who) {
+                    Some(one) => vec![*one],
+                    None => sea.disk_machines(),
+                };
+                for (place, node) in lost.into_iter().enumerate() {
+                    sea.stop(node, 0);
+                    sea.restart(node, ms(300 + 400 * place as u64));
+                }
+                sea.run(sea.now + ms(3000));
+                sound(&mut sea, &what);
+            }
+        }
+    }
+}
+
+/// Processes are killed, with what they had written or with a part of it, one after the other from the first moment
+/// on, as long as they have written down that they were there.
+#[test]
+fn seeds_that_die_and_come_back_agree_on_one_beginning() {
+    for (disks, seeds) in [(3, vec![1, 2, 3]), (5, vec![1, 3, 5]), (4, vec![1, 2])] {
+        for rng in 0..120 {
+            let what = format!("{disks} disks, seeds {seeds:?}, {rng}");
+            let mut sea = begin(rng, disks, 0, &seeds);
+            sea.weather = Weather { lost: 50, late: 50, doubled: 50 };
+            for _ in 0..12 {
+                let pause = ms(sea.rng.u64(100..500));
+                sea.run(sea.now + pause);
+                let one = node(sea.rng.u8(1..=disks));
+                if sea.machines.get(&one).is_some_and(|machine| machine.kept.len() >= 2) {
+                    let power = sea.rng.bool();
+                    sea.kill(one, power);
+                    let after = ms(sea.rng.u64(1..900));
+                    sea.restart(one, after);
+                }
+            }
+            sea.run(sea.now + ms(1000));
+            sound(&mut sea, &what);
+        }
+    }
+}
+
+/// A disk that needs up to three seconds for each sync: at the founder, at another seed, at one that is no seed.
+#[test]
+fn a_slow_disk_holds_nobody_up_for_long() {
+    for slow in 1..=4 {
+        for rng in 0..40 {
+            let what = format!("slow {slow}, {rng}");
+            let mut sea = begin(rng, 4, 0, &[1, 2, 3]);
+            sea.machines.get_mut(&node(slow)).expect("a machine").slow_until = ms(30_000);
+            let done = until(&mut sea, IN_TROUBLE, |sea| knowing(sea).len() == 4);
+            assert!(done, "{what}: {:?}", sea.view());
+            sound(&mut sea, &what);
+        }
+    }
+}
+
+#[test]
+fn with_messages_lost_late_and_doubled_all_are_founded() {
+    for (disks, plain, seeds) in SEEDS {
+        for rng in 0..30 {
+            let what = format!("{disks} disks, seeds {seeds:?}, {rng}");
+            let mut sea = begin(rng, *disks, *plain, seeds);
+            sea.weather = Weather { lost: 250, late: 200, doubled: 200 };
+            let done = until(&mut sea, IN_TROUBLE, |sea| knowing(sea).len() == sea.machines.len());
+            assert!(done, "{what}: {:?}", sea.view());
+            sound(&mut sea, &what);
+        }
+    }
+}
+
+/// The disk of one seed is lost during the founding, and the machine comes back empty: it does not count a second time.
+#[test]
+fn a_wiped_seed_has_no_second_vote() {
+    for (disks, seeds) in [(3, [1, 2, 3]), (5, [1, 3, 5])] {
+        for after in (200..2000).step_by(25) {
+            for who in seeds {
+                let what = format!("{disks} disks, seeds {seeds:?}, {who} after {after} ms");
+                let mut sea = begin(after, disks, 0, &seeds);
+                sea.run(ms(after));
+                sea.wipe(node(who));
+                let back = ms(sea.rng.u64(1..1500));
+                sea.restart(node(who), back);
+                let done = until(&mut sea, ms(after + 1500) + IN_TROUBLE, |sea| {
+                    knowing(sea).len() == sea.machines.len()
+                });
+                assert!(done, "{what}: {:?}", sea.view());
+                sound(&mut sea, &what);
+            }
+        }
+    }
+}
+
+/// Two of three seeds cannot be reached: nobody founds. They can be reached: all are founded.
+#[test]
+fn without_a_majority_of_the_seeds_nothing_begins() {
+    for alone in [1u8, 2, 3] {
+        let mut sea = begin(u64::from(alone), 5, 0, &[1, 2, 3]);
+        for seed in [1, 2, 3u8].into_iter().filter(|seed| *seed != alone) {
+            cut_links(&mut sea, node(seed), false, false);
+        }
+        sea.run(ms(20_000));
+        assert!(knowing(&sea).is_empty(), "{alone}: {:?}", sea.view());
+        sound(&mut sea, &alone.to_string());
+    }
+}
+
+/// The three seeds are parted, each with some of the others; later they meet.
+#[test]
+fn parts_that_meet_later_have_one_beginning() {
+    for rng in 0..60 {
+        let mut sea = begin(rng, 6, 0, &[1, 2, 3]);
+        let nodes = all(&sea);
+        let part: Vec<u8> = nodes.iter().map(|_| sea.rng.u8(0..3)).collect();
+        for (a, from) in nodes.iter().enumerate() {
+            for (b, to) in nodes.iter().enumerate().filter(|(b, _)| part[a] != part[*b]) {
+                let _ = b;
+                sea.dead_links.insert((*from, *to));
+            }
+        }
+        sea.run(ms(12_000));
+        sound(&mut sea, &rng.to_string());
+    }
+}
+
+/// What the checks above have to find: two beginnings, and writes that only one of them knows.
+#[test]
+fn the_checks_compare_beginnings() {
+    use fallgap_keeper::Message;
+    use fallgap_keeper::charter::{Charter, Member};
+    let found = guarded(|| {
+        let mut sea = begin(1, 2, 0, &[1]);
+        for n in 1..=2 {
+            let charter = Charter { number: 1, members: vec![Member { node: node(n), disk: 1, joined: 1 }] };
+            sea.run(ms(300));
+            sea.machines.get_mut(&node(n)).and_then(|m| m.keeper.as_mut()).expect("a keeper").heard(
+                ms(200_000),
+                node(9),
+                Message::Members(charter),
+            );
+        }
+        sea.run(ms(900));
+    });
+    assert_eq!(found.err().map(|breach| breach.check()), Some(Check::Epochs));
+}
