Founding: the first members are decided by a majority of the seeds, on disk before they are told

Cause: one seed named epoch 1 from whom it had heard and told it at once; another took its place after four seconds. A founder that was cut off, or seeds that were parted, left two epochs 1. Change: the seeds of the first start are epoch 0. They hold nothing and decide on its successor as the members of each epoch do: ballots, promised and accepted by a majority, written first by those that have a disk. Epoch 0 stands on the disk; a seed that starts again without it (no disk, or a wiped one) has no vote. With fewer than 2 tolerate + 1 it waits three seconds without a new one; for one that is here and silent (a wiped one) three seconds in all, where it waited for good. A ballot is asked for again as it is, so that a slow disk comes to answer. Schedules::at_founding draws faults from the first moment on (explore founding).

--- a/crates/keeper/src/charter.rs
+++ b/crates/keeper/src/charter.rs
@@ -25,9 +25,19 @@
 }
 
 impl Charter {
+    /// Epoch 0: the seeds. They hold nothing and decide on the first members only, so their disks do not matter.
+    pub fn of_seeds(seeds: &[NodeId]) -> Charter {
+        let mut members: Vec<Member> =
+            seeds.iter().map(|node| Member { node: *node, disk: 0, joined: 0 }).collect();
+        members.sort();
+        members.dedup();
+        Charter { number: 0, members }
+    }
+
     /// More than half of the members.
     pub fn quorum(&self) -> usize {
-        self.members.len() / 2 + usize::from(!fault::is(Fault::MajorityLessOne))
+        let few = fault::is(Fault::MajorityLessOne) || (self.number == 0 && fault::is(Fault::FoundedByFew));
+        self.members.len() / 2 + usize::from(!few)
     }
 
     /// From so many members one that comes in has to read, so that each majority of the members before it is met.
--- a/crates/keeper/src/fault.rs
+++ b/crates/keeper/src/fault.rs
@@ -58,10 +58,15 @@
     NoRepair,
     /// A process takes its times from a clock that is set by hand. The checker's machines do this, not the core.
     WallClock,
+    // Founding.
+    /// One seed less than a majority decides on the first members.
+    FoundedByFew,
+    /// A seed that lost its memory or its disk has a vote again.
+    WipedSeedVotes,
 }
 
 impl Fault {
-    pub const ALL: [Fault; 26] = [
+    pub const ALL: [Fault; 28] = [
         Fault::MajorityLessOne,
         Fault::CoverLessOne,
         Fault::PromiseUnsynced,
@@ -88,6 +93,8 @@
         Fault::ConditionNotAsked,
         Fault::NoRepair,
         Fault::WallClock,
+        Fault::FoundedByFew,
+        Fault::WipedSeedVotes,
     ];
 }
 
--- a/crates/keeper/src/founding.rs
+++ b/crates/keeper/src/founding.rs
@@ -1,58 +1,83 @@
-//! The very first start: one node gathers the disk machines and names the first epoch.
+//! The very first start. Epoch 0 is the seeds: the machines that all were told of, the same ones at the system's first
+//! start. They hold no registers. They decide on the first members as the members of each epoch decide on those of the
+//! next (`succession`): a majority of them accepts one proposal, on disk where they have one, before anybody is told.
+//!
+//! A seed without a disk keeps what it promised in memory. One that starts again, or whose disk was wiped, is told that
+//! it is not the first start: it does not know what it promised before, so it has no vote any more.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::ballot::Ballot;
 use crate::charter::{Charter, Member};
+use crate::fault::{self, Fault};
 use crate::keeper::Keeper;
-use crate::messages::Message;
+use crate::messages::{Message, Record};
+use crate::succession::Drive;
+use crate::terms::Terms;
 use crate::types::NodeId;
 
 #[derive(Clone, Debug, Hash)]
 pub(crate) struct Founding {
     started: Duration,
-    /// Machines with empty disks that said they are here.
-    present: BTreeMap<NodeId, u64>,
+    /// The record of this disk's number: nobody is told of a disk that may be another after a loss of power.
+    pub enrolled: u64,
+    /// Machines with empty disks that said they are here: the disk, and when they said so last.
+    present: BTreeMap<NodeId, (u64, Duration)>,
+    /// When somebody said so first, or again after a silence.
     newest: Duration,
+    /// The attempt that is asked for again, and how often it was.
+    insisted: Option<(Ballot, u32)>,
     /// Next time to say or ask.
     pub at: Duration,
 }
 
 impl Founding {
     pub fn new(now: Duration) -> Founding {
-        Founding { started: now, present: BTreeMap::new(), newest: now, at: now }
+        let present = BTreeMap::new();
+        Founding { started: now, enrolled: 0, present, newest: now, insisted: None, at: now }
     }
 }
 
 impl Keeper {
-    /// This node's place among the seeds. All are up at the first start; the first one is the founder, the next takes
-    /// over only much later.
-    fn founder(&self) -> Option<u32> {
-        if !self.first {
-            return None;
+    /// Takes up epoch 0 at the system's first start. Later a disk that holds nothing of it may have been told of other
+    /// seeds, or was wiped after it had voted.
+    pub(crate) fn elect(&mut self, empty: bool) {
+        let first = self.first || fault::is(Fault::WipedSeedVotes);
+        if self.charter.is_some() || !empty || !first {
+            return;
+        }
+        let charter = Charter::of_seeds(&self.me.seeds);
+        if self.me.disk.is_some() {
+            self.chartered = self.pen.log(&Record::Epoch(charter.clone()));
         }
-        let mut seeds = self.me.seeds.clone();
-        seeds.sort();
-        let place = seeds.iter().position(|seed| *seed == self.me.node)?;
-        u32::try_from(place).ok()
+        self.charter = Some(charter);
+    }
+
+    /// Has a vote on the first members.
+    fn is_seed(&self) -> bool {
+        self.member_epoch() == Some(0)
     }
 
-    /// When this node has no members yet: says that it is here, asks for members, or names them.
+    /// When this node has no members yet: says that it is here, and asks for members.
     pub(crate) fn founding_woke(&mut self, now: Duration) {
         if now < self.founding.at {
             return;
         }
-        if self.charter.is_some() {
+        if self.epoch() > 0 {
             return self.ask_members(now);
         }
         self.founding.at = now + self.terms.present;
-        if let Some(disk) = self.me.disk.filter(|_| self.first) {
-            for seed in self.me.seeds.clone() {
+        let enrolled = self.pen.is_synced(self.founding.enrolled);
+        if let Some(disk) = self.me.disk.filter(|_| self.first && enrolled) {
+            let electors = self.electors();
+            let seeds = if electors.is_empty() { self.me.seeds.clone() } else { electors };
+            for seed in seeds {
                 self.pen.send(seed, Message::Present { disk });
             }
         }
         let mut here: Vec<NodeId> = self.crew.here().map(|(node, ..)| node).collect();
-        if self.founder().is_none() {
+        if !self.is_seed() {
             here.extend(self.me.seeds.iter().copied());
             let drawn = self.rng.usize(0..here.len().max(1));
             here = here.get(drawn).copied().into_iter().collect();
@@ -60,7 +85,6 @@
         for node in here.into_iter().filter(|node| *node != self.me.node).collect::<Vec<_>>() {
             self.pen.send(node, Message::Ask { epoch: 0 });
         }
-        self.found(now);
     }
 
     /// One that is no member hears of changes by asking now and then.
@@ -78,35 +102,68 @@
     }
 
     pub(crate) fn present(&mut self, now: Duration, from: NodeId, disk: u64) {
-        if self.charter.is_some() {
+        if self.epoch() > 0 {
             return self.send_members(from);
         }
-        if self.founder().is_none() || self.founding.present.len() >= self.terms.peers {
+        if !self.is_seed() || self.founding.present.len() >= self.terms.peers {
             return;
         }
-        if self.founding.present.insert(from, disk) != Some(disk) {
+        let before = self.founding.present.insert(from, (disk, now));
+        if before.is_none_or(|(told, at)| told != disk || now.saturating_sub(at) > self.terms.alive) {
             self.founding.newest = now;
         }
     }
 
-    fn found(&mut self, now: Duration) {
-        let Some(place) = self.founder() else { return };
+    /// Whom this seed proposes, once it is time: those only that said a moment ago that they are here. It does not wait
+    /// for ever for others that are here, nor for more than there are; they are added later.
+    pub(crate) fn first_members(&self, now: Duration) -> Option<Charter> {
         let Founding { started, present, newest, .. } = &self.founding;
-        let least = self.terms.found_least + self.terms.found_next * place;
-        let due = now >= *started + least && now >= *newest + self.terms.found_quiet;
-        // One that is here and does not say that it knows of no members may know some.
-        let all = self.crew.here().all(|(node, ..)| present.contains_key(&node));
-        if !due || !all || present.is_empty() {
-            return;
+        let Terms { alive, members, found_least, found_quiet, found_few, .. } = self.terms;
+        let seen = present.iter().filter(|(_, (_, at))| now.saturating_sub(*at) <= alive);
+        let members: Vec<Member> = seen
+            .map(|(node, (disk, _))| Member { node: *node, disk: *disk, joined: 1 })
+            .take(members)
+            .collect();
+        let enough = (self.me.tolerate as usize).saturating_mul(2).saturating_add(1).min(self.terms.members);
+        let all =
+            self.crew.here().all(|(node, disk, _)| present.get(&node).is_some_and(|(told, _)| *told == disk));
+        let (up, quiet) = (now.saturating_sub(*started), now.saturating_sub(*newest));
+        let due = match members.len() {
+            0 => false,
+            few if few < enough => quiet >= found_few,
+            _ => quiet >= found_quiet && up >= if all { found_least } else { found_few },
+        };
+        due.then_some(Charter { number: 1, members })
+    }
+
+    /// What seeds have not answered goes out again under the same ballot: one whose disk is slow would never come to
+    /// answer if it had to write each attempt anew.
+    pub(crate) fn insist(&mut self, now: Duration) -> bool {
+        if self.epoch() != 0 {
+            return false;
+        }
+        let (message, ballot, told) = match &mut self.drive {
+            Drive::Preparing { ballot, told, .. } => {
+                (Message::HeirPrepare { ballot: *ballot }, *ballot, told.clone())
+            }
+            Drive::Accepting { ballot, charter, told, .. } => {
+                (Message::HeirAccept { ballot: *ballot, charter: charter.clone() }, *ballot, told.clone())
+            }
+            Drive::Idle | Drive::Waiting { .. } => return false,
+        };
+        let times =
+            self.founding.insisted.filter(|(asked, _)| *asked == ballot).map_or(0, |(_, times)| times);
+        if times >= self.terms.found_insist {
+            return false;
+        }
+        self.founding.insisted = Some((ballot, times + 1));
+        let again = now + self.terms.decide;
+        if let Drive::Preparing { until, .. } | Drive::Accepting { until, .. } = &mut self.drive {
+            *until = again;
         }
-        let first = present.iter().take(self.terms.members);
-        let members = first.map(|(node, disk)| Member { node: *node, disk: *disk, joined: 1 }).collect();
-        let charter = Charter { number: 1, members };
-        let nodes: Vec<NodeId> = present.keys().copied().collect();
-        self.pen.note(format!("keeper: founded with {} disks", charter.members.len()));
-        self.enter_epoch(now, charter);
-        for node in nodes {
-            self.send_members(node);
+        for node in self.electors().into_iter().filter(|node| !told.contains(node)) {
+            self.pen.send(node, message.clone());
         }
+        true
     }
 }
--- a/crates/keeper/src/keeper.rs
+++ b/crates/keeper/src/keeper.rs
@@ -25,14 +25,14 @@
 #[derive(Clone)]
 pub struct Keeper {
     pub(crate) me: Me,
-    /// It has been there since the system's first start: it may found the system, as long as it knows of no epoch.
+    /// It has been there since the system's first start, and has forgotten nothing since.
     pub(crate) first: bool,
     pub(crate) terms: Terms,
     pub(crate) rng: fastrand::Rng,
     pub(crate) pen: Pen,
     pub(crate) acceptor: Acceptor,
     pub(crate) memory: Memory,
-    /// The newest epoch, and the record of it.
+    /// The newest epoch, and the record of it. Epoch 0: see `founding`.
     pub(crate) charter: Option<Charter>,
     pub(crate) chartered: u64,
     /// The epoch with which this disk came in, once it has caught up.
@@ -203,7 +203,7 @@
     /// The member that calls for this key best go to, so that members do not get in each other's way. Whoever runs
     /// a call, it is right.
     pub fn steward(&self, key: &Key) -> Option<NodeId> {
-        let charter = self.charter.as_ref()?;
+        let charter = self.charter.as_ref().filter(|charter| charter.number > 0)?;
         let new = charter.newcomer().map(|member| member.node);
         let fit = |node: &NodeId| {
             if *node == self.me.node {
@@ -227,6 +227,11 @@
     }
 
     pub fn members(&self) -> Vec<NodeId> {
+        if self.epoch() == 0 { Vec::new() } else { self.electors() }
+    }
+
+    /// Those that decide in the newest epoch: its members, or the seeds.
+    pub(crate) fn electors(&self) -> Vec<NodeId> {
         self.charter.iter().flat_map(|charter| &charter.members).map(|member| member.node).collect()
     }
 
@@ -253,16 +258,17 @@
         }
     }
 
-    /// This disk is a member of the newest epoch, caught up or not.
+    /// This disk is a member of the newest epoch, caught up or not; or this is a seed in epoch 0.
     pub(crate) fn member_epoch(&self) -> Option<u64> {
         let charter = self.charter.as_ref()?;
         let member = charter.member(self.me.node)?;
-        (Some(member.disk) == self.me.disk || fault::is(Fault::WipedDiskVotes)).then_some(charter.number)
+        (charter.number == 0 || Some(member.disk) == self.me.disk || fault::is(Fault::WipedDiskVotes))
+            .then_some(charter.number)
     }
 
     /// This disk counts in the majorities of the newest epoch.
     pub(crate) fn voting_epoch(&self) -> Option<u64> {
-        let epoch = self.member_epoch()?;
+        let epoch = self.member_epoch().filter(|epoch| *epoch > 0)?;
         let joined = self.charter.as_ref()?.member(self.me.node)?.joined;
         (joined == 1 || self.whole == Some(joined) || fault::is(Fault::NewcomerVotes)).then_some(epoch)
     }
@@ -291,7 +297,7 @@
     }
 
     pub(crate) fn tell_members(&mut self, message: &Message) {
-        for node in self.members() {
+        for node in self.electors() {
             self.pen.send(node, message.clone());
         }
     }
@@ -341,6 +347,7 @@
         if let Some(charter) = &self.charter
             && let Some(member) = charter.member(self.me.node)
             && member.joined == charter.number
+            && charter.number > 0
         {
             self.catch_up = Some(CatchUp::new(now, charter.number, member.joined, charter.cover()));
         }
@@ -354,7 +361,7 @@
             self.pulse_whole_at = now + self.terms.pulse_whole;
         }
         let said = self.said(epoch);
-        for node in self.members() {
+        for node in self.electors() {
             if node != self.me.node && (whole || !spoken.contains(&node)) {
                 self.pen.send(node, said.clone());
             }
--- a/crates/keeper/src/kept.rs
+++ b/crates/keeper/src/kept.rs
@@ -49,10 +49,11 @@
                 if !kept.records.is_empty() {
                     return Err(KeptError::Disk);
                 }
-                self.pen.log(&Record::Disk { number, first: self.first });
+                self.founding.enrolled = self.pen.log(&Record::Disk { number, first: self.first });
             }
             (_, None) => {}
         }
+        self.elect(kept.records.is_empty());
         self.start_catch_up(now);
         Ok(())
     }
--- a/crates/keeper/src/succession.rs
+++ b/crates/keeper/src/succession.rs
@@ -65,6 +65,9 @@
         if self.member_epoch().is_none() {
             return self.drive(Drive::Idle);
         }
+        if self.insist(now) {
+            return;
+        }
         let sealed = self.heir.accepted.is_some();
         let own = if sealed { None } else { self.wanted(now) };
         if own.is_none() && !sealed {
@@ -90,6 +93,9 @@
 
     /// The change that is needed now, if this node may ask for one. The rules and why they are safe: see `recovery`.
     fn wanted(&self, now: Duration) -> Option<Charter> {
+        if self.epoch() == 0 {
+            return self.first_members(now);
+        }
         self.voting_epoch()?;
         if !self.is_settled(now) {
             return None;
@@ -153,6 +159,9 @@
     }
 
     fn log_heir(&mut self, epoch: u64) {
+        if self.me.disk.is_none() {
+            return;
+        }
         let Heir { promised, accepted, .. } = self.heir.clone();
         self.heir.logged = self.pen.log(&Record::Heir { epoch, promised, accepted });
     }
@@ -233,6 +242,9 @@
             return;
         }
         let charter = charter.clone();
+        if old.number == 0 {
+            self.pen.note(format!("keeper: founded with {} disks", charter.members.len()));
+        }
         self.enter_epoch(now, charter.clone());
         let mut nodes: Vec<NodeId> = old.members.iter().chain(&charter.members).map(|m| m.node).collect();
         nodes.extend(self.crew.here().map(|(node, ..)| node));
--- a/crates/keeper/src/terms.rs
+++ b/crates/keeper/src/terms.rs
@@ -44,11 +44,14 @@
     pub decide: Duration,
     /// A wake-up later than this was a freeze: the others' silence is counted anew.
     pub freeze: Duration,
-    /// The founder waits this long at least, and this long without a new machine.
+    /// A seed proposes the first members after this long at the earliest, and this long without a new machine.
     pub found_least: Duration,
     pub found_quiet: Duration,
-    /// The next seed takes the founder's place so much later.
-    pub found_next: Duration,
+    /// It waits so long for one that is here and silent; and so long without a new one, while they are too few to lose
+    /// as many as may be lost.
+    pub found_few: Duration,
+    /// What a seed has not answered is asked for again under the same ballot so often.
+    pub found_insist: u32,
     /// A machine that has no members yet says so this often.
     pub present: Duration,
     /// One that is no member asks for the newest members this often.
@@ -121,7 +124,8 @@
             freeze: ms(500),
             found_least: ms(1000),
             found_quiet: ms(700),
-            found_next: ms(4000),
+            found_few: ms(3000),
+            found_insist: 12,
             present: ms(200),
             ask: ms(1000),
             fetch: ms(300),
--- a/crates/sextant/examples/explore.rs
+++ b/crates/sextant/examples/explore.rs
@@ -1,6 +1,7 @@
 //! Plays many short schedules, or one from a file; walks all orders of small scripts.
 //!
 //!     explore drawn [COUNT] [JOBS] [FIRST SEED] [SECONDS]
+//!     explore founding [COUNT] [JOBS] [FIRST SEED] [SECONDS]
 //!     explore play FILE
 //!     explore walk [MOST STATES]
 
@@ -18,13 +19,16 @@
     let words: Vec<String> = std::env::args().skip(1).collect();
     let number = |at: usize, usual: u64| words.get(at).and_then(|word| word.parse().ok()).unwrap_or(usual);
     let fine = match words.first().map(String::as_str) {
-        Some("drawn") => {
-            drawn(number(1, 100_000), number(2, 4), number(3, 0), Duration::from_secs(number(4, 600)))
+        Some(kind @ ("drawn" | "founding")) => {
+            let draw = if kind == "drawn" { Schedule::short } else { Schedule::at_founding };
+            drawn(draw, number(1, 100_000), number(2, 4), number(3, 0), Duration::from_secs(number(4, 600)))
         }
         Some("play") if words.len() == 2 => play(&words[1]),
         Some("walk") => walks(number(1, 1_000_000) as usize),
         _ => {
-            eprintln!("explore drawn [COUNT] [JOBS] [FIRST SEED] [SECONDS] | play FILE | walk [MOST STATES]");
+            eprintln!(
+                "explore drawn|founding [COUNT] [JOBS] [FIRST SEED] [SECONDS] | play FILE | walk [MOST STATES]"
+            );
             false
         }
     };
@@ -32,7 +36,7 @@
 }
 
 /// The first breach is made short, printed, and ends it.
-fn drawn(count: u64, jobs: u64, first: u64, most: Duration) -> bool {
+fn drawn(draw: fn(u64) -> Schedule, count: u64, jobs: u64, first: u64, most: Duration) -> bool {
     let began = Instant::now();
     let next = AtomicU64::new(first);
     let (ran, calls, good, messages) =
@@ -46,7 +50,7 @@
                     if seed >= first + count {
                         return;
                     }
-                    let schedule = Schedule::short(seed);
+                    let schedule = draw(seed);
                     match sail(&schedule) {
                         Ok(log) => {
                             ran.fetch_add(1, Relaxed);
--- a/crates/sextant/src/schedule.rs
+++ b/crates/sextant/src/schedule.rs
@@ -95,8 +95,12 @@
 
 impl Schedule {
     pub fn draw(seed: u64, waters: &Waters) -> Schedule {
+        Schedule::draw_from(seed, waters, if waters.founding { 3500 } else { 500 })
+    }
+
+    /// Steps begin at this millisecond.
+    fn draw_from(seed: u64, waters: &Waters, from: u64) -> Schedule {
         let mut rng = fastrand::Rng::with_seed(seed);
-        let from = if waters.founding { 3500 } else { 500 };
         let mut steps = Vec::new();
         let mut lay = |rng: &mut fastrand::Rng, apart: (u64, u64), acts: &[Act]| {
             let mut at_ms = from;
@@ -179,6 +183,29 @@
 };
 
 impl Schedule {
+    /// A schedule whose faults begin with the first start: of one disk to seven, with and without seeds that have none.
+    pub fn at_founding(seed: u64) -> Schedule {
+        use Act::*;
+        let waters = Waters {
+            disks: &[1, 2, 3, 3, 4, 5, 7],
+            tolerate: 1,
+            troubles: &[
+                Kill, Power, Power, KillAll, PowerAll, Blink, Freeze, Cut, Cut, Weather, SlowDisk, Clock,
+            ],
+            time_ms: 3500,
+            apart_ms: (10, 600),
+            callers: 3,
+            calls_ms: (10, 200),
+            founding: true,
+        };
+        let mut schedule = Schedule::draw_from(seed, &waters, 0);
+        schedule.plain = (seed % 4) as u8;
+        if schedule.disks < 3 {
+            schedule.tolerate = 0;
+        }
+        schedule
+    }
+
     /// The short schedule of a seed.
     pub fn short(seed: u64) -> Schedule {
         Schedule::draw(seed, &SHORT[seed as usize % SHORT.len()])
--- a/crates/sextant/src/storm.rs
+++ b/crates/sextant/src/storm.rs
@@ -298,16 +298,18 @@
         let (short, long) = (ms(rng.u64(50..1000)), ms(rng.u64(300..5000)));
         let tolerate = self.sea.tolerate as usize;
         match act {
-            Act::Kill | Act::Power => {
+            Act::Kill | Act::Power if self.sea.spares(one) => {
                 self.sea.kill(one, act == Act::Power);
                 let after = if rng.bool() { short } else { long };
                 self.sea.restart(one, after);
             }
             Act::KillAll | Act::PowerAll => {
                 for node in disks {
-                    self.sea.kill(node, act == Act::PowerAll);
                     let after = ms(rng.u64(50..1500));
-                    self.sea.restart(node, after);
+                    if self.sea.spares(node) {
+                        self.sea.kill(node, act == Act::PowerAll);
+                        self.sea.restart(node, after);
+                    }
                 }
             }
             Act::Freeze => self.sea.freeze(one, long),
@@ -361,11 +363,13 @@
                 let all = rng.u8(0..4) == 0;
                 for node in disks.into_iter().filter(|node| all || *node == one) {
                     let after = Duration::from_micros(rng.u64(0..3000));
-                    self.sea.kill(node, true);
-                    self.sea.restart(node, after);
+                    if self.sea.spares(node) {
+                        self.sea.kill(node, true);
+                        self.sea.restart(node, after);
+                    }
                 }
             }
-            Act::Wipe | Act::Replace | Act::Call | Act::Clash => {}
+            Act::Kill | Act::Power | Act::Wipe | Act::Replace | Act::Call | Act::Clash => {}
         }
     }
 }
--- a/crates/sextant/src/waters.rs
+++ b/crates/sextant/src/waters.rs
@@ -42,6 +42,8 @@
     pub life: u64,
     /// Its first start is the system's too.
     first: bool,
+    /// It started again, and what it voted on as a seed is not on its disk.
+    forgot: bool,
     /// Its clock is ahead of the sea's by this.
     ahead: Duration,
     /// What its wall clock was set forward by since it started. Nobody may go by it.
@@ -69,6 +71,11 @@
         now + self.before()
     }
 
+    /// Its disk holds an epoch, if only that of the seeds.
+    fn has_epoch(&self) -> bool {
+        self.kept.iter().any(|record| matches!(postcard::from_bytes(record), Ok(Record::Epoch(_))))
+    }
+
     /// By how much that is ahead of the sea's.
     fn before(&self) -> Duration {
         self.ahead + if fault::is(Fault::WallClock) { self.set } else { Duration::ZERO }
@@ -165,6 +172,7 @@
                 loose: Vec::new(),
                 life: 0,
                 first: self.first,
+                forgot: false,
                 ahead: Duration::ZERO,
                 set: Duration::ZERO,
                 frozen: false,
@@ -198,6 +206,7 @@
             seeds: self.seeds.clone(),
             tolerate: self.tolerate,
         };
+        machine.forgot |= !me.first_start && !machine.has_epoch();
         let kept = Kept { records: machine.kept.clone() };
         machine.life = life;
         machine.ahead = ahead;
@@ -230,6 +239,19 @@
         self.asked.retain(|_, (at, _)| *at != node);
     }
 
+    /// The system is founded, or can be though this machine loses what is not on its disk: a majority of the seeds
+    /// remembers.
+    pub fn spares(&self, node: NodeId) -> bool {
+        let knows = |machine: &Machine| machine.keeper.as_ref().is_some_and(|keeper| keeper.epoch() > 0);
+        let begun = !self.epochs.is_empty() || self.machines.values().any(knows);
+        let of = |node| self.machines.get(&node);
+        if begun || !self.seeds.contains(&node) || of(node).is_some_and(Machine::has_epoch) {
+            return true;
+        }
+        let remembers = |seed: &&NodeId| **seed != node && of(**seed).is_some_and(|machine| !machine.forgot);
+        self.seeds.iter().filter(remembers).count() > self.seeds.len() / 2
+    }
+
     pub fn restart(&mut self, node: NodeId, after: Duration) {
         self.event(self.now + after, Event::Start { node });
     }
--- a/crates/sextant/tests/founding.rs
+++ b/crates/sextant/tests/founding.rs
@@ -5,8 +5,9 @@
 
 use fallgap_keeper::{Answer, Call, NodeId};
 use fallgap_sextant::Check;
-use fallgap_sextant::voyage::guarded;
-use fallgap_sextant::waters::{Sea, Weather, ms, node};
+use fallgap_sextant::schedule::Schedule;
+use fallgap_sextant::voyage::{guarded, sail};
+use fallgap_sextant::waters::{Event, Sea, Weather, ms, node};
 
 /// With enough disks in sight, without loss, all are founded by then.
 const FOUNDED: Duration = ms(2300);
@@ -69,8 +70,24 @@
     false
 }
 
-/// All is well again: the members are whole, and a change that was acknowledged is read everywhere.
-fn sound(sea: &mut Sea, what: &str) {
+/// The editions that the disk machines read, one after the other.
+fn read(sea: &mut Sea, id: u64) -> Vec<Option<u64>> {
+    let disks = sea.disk_machines();
+    for (place, at) in (0..).zip(&disks) {
+        sea.call(*at, id + place, Call::ConfigGet);
+    }
+    sea.run(sea.now + ms(2000));
+    let told = |id| sea.answers.iter().find(|(told, ..)| *told == id).map(|(.., answer)| answer);
+    let edition = |id| match told(id) {
+        Some(Answer::Config(body)) => body.first_chunk().map(|first| u64::from_be_bytes(*first)),
+        Some(Answer::Missing) => Some(0),
+        _ => None,
+    };
+    (0..).zip(&disks).map(|(place, _)| edition(id + place)).collect()
+}
+
+/// All is well again: the members are whole, what was acknowledged is read everywhere, and so is what is written now.
+fn sound(sea: &mut Sea, acknowledged: u64, what: &str) {
     sea.dead_links.clear();
     sea.weather = Weather::default();
     sea.machines.values_mut().for_each(|machine| machine.slow_until = Duration::ZERO);
@@ -78,18 +95,12 @@
     sea.tolerate = sea.tolerate.min((sea.disk_machines().len() as u32 - 1) / 2);
     let limit = sea.now + WHOLE;
     assert!(until(sea, limit, Sea::is_whole), "{what}: not whole: {:?}", sea.view());
-    assert!(put(sea, 1_000_000, 1_000_000), "{what}: no change is taken");
-    for at in sea.disk_machines() {
-        sea.call(at, 2_000_000 + u64::from(at.octets()[3]), Call::ConfigGet);
-    }
-    sea.run(sea.now + ms(2000));
-    let read = sea.answers.iter().filter(|(id, ..)| *id >= 2_000_000);
-    let editions: Vec<bool> = read
-        .map(|(.., answer)| {
-            matches!(answer, Answer::Config(body) if body.starts_with(&1_000_000u64.to_be_bytes()))
-        })
-        .collect();
-    assert!(editions.len() == sea.disk_machines().len() && editions.iter().all(|read| *read), "{what}");
+    let editions = read(sea, 1_000);
+    let kept = editions.iter().all(|edition| edition.is_some_and(|edition| edition >= acknowledged));
+    assert!(kept, "{what}: {acknowledged} was acknowledged, {editions:?}");
+    assert!(put(sea, 2_000, 9_000), "{what}: no change is taken");
+    let editions = read(sea, 3_000);
+    assert!(editions.iter().all(|edition| *edition == Some(9_000)), "{what}: {editions:?}");
 }
 
 /// Seeds, by the number of disks and of machines without: all of them at the machines with a disk, some, none.
@@ -118,7 +129,7 @@
             assert!(done, "{what}: {:?}", sea.view());
             let members = sea.keeper(node(1)).map(|keeper| keeper.members().len());
             assert_eq!(members, Some(usize::from(*disks)), "{what}");
-            sound(&mut sea, &what);
+            sound(&mut sea, 0, &what);
         }
     }
 }
@@ -128,7 +139,8 @@
 #[test]
 fn a_founder_that_is_cut_off_founds_nothing_of_its_own() {
     let table = [("both ways", false, false), ("it hears", true, false), ("it is heard", false, true)];
-    for (disks, plain, seeds) in [(3, 2, [1, 2, 3]), (4, 2, [2, 3, 6]), (5, 0, [1, 3, 5]), (3, 3, [4, 5, 6])] {
+    for (disks, plain, seeds) in [(3, 2, [1, 2, 3]), (4, 2, [2, 3, 6]), (5, 0, [1, 3, 5]), (3, 3, [4, 5, 6])]
+    {
         for (way, hears, is_heard) in table {
             for after in (0..2400).step_by(40) {
                 let what = format!("{disks} disks, seeds {seeds:?}, {way} after {after} ms");
@@ -139,44 +151,134 @@
                 let limit = ms(after) + IN_TROUBLE;
                 let done = until(&mut sea, limit, |sea| others(sea) + 1 == sea.machines.len());
                 assert!(done, "{what}: {:?}", sea.view());
-                put(&mut sea, 100, 7);
+                let acknowledged = if put(&mut sea, 100, 7) { 7 } else { 0 };
                 sea.run(ms(after + 20_000));
-                sound(&mut sea, &what);
+                sound(&mut sea, acknowledged, &what);
             }
         }
     }
 }
 
 /// A machine loses its power in the moment that somebody first tells of the members, or a little before or after it,
-/// with none of what it had not synced; or all do.
+/// with none of what it had not synced; or all do. One more may be cut off from then on, so that whoever would decide
+/// anew would name others.
+fn power_lost(sea: &mut Sea, who: usize, parted: bool, slow: bool, later: u64) {
+    sea.run(ms(500));
+    if slow {
+        sea.machines.values_mut().for_each(|machine| machine.slow_until = ms(60_000));
+    }
+    until(sea, ms(40_000), |sea| !knowing(sea).is_empty());
+    sea.run(sea.now + ms(later));
+    let disks = sea.disk_machines();
+    let lost = disks.get(who).map_or(disks.clone(), |one| vec![*one]);
+    for (place, node) in lost.into_iter().enumerate() {
+        sea.stop(node, 0);
+        sea.restart(node, ms(300 + 400 * place as u64));
+    }
+    sea.machines.values_mut().for_each(|machine| machine.slow_until = Duration::ZERO);
+    if let Some(last) = disks.last().filter(|_| parted) {
+        cut_links(sea, *last, false, false);
+    }
+    sea.run(sea.now + ms(9000));
+}
+
 #[test]
 fn power_lost_between_telling_and_syncing_makes_no_second_beginning() {
-    for (disks, seeds) in [(3, vec![1, 2, 3]), (4, vec![2, 3, 4]), (5, vec![1, 3, 5]), (3, vec![1, 2]), (3, vec![2])] {
+    for (disks, seeds) in
+        [(3, vec![1, 2, 3]), (4, vec![2, 3, 4]), (5, vec![1, 3, 5]), (3, vec![1, 2]), (3, vec![2])]
+    {
         for who in 0..=usize::from(disks) {
-            for (slow, later) in [(false, 0), (false, 2), (false, 7), (true, 0), (true, 3), (true, 40), (true, 700)] {
-                let what = format!("{disks} disks, seeds {seeds:?}, {who}, slow {slow}, {later} ms later");
-                let mut sea = begin(later + 100 * who as u64, disks, 0, &seeds);
-                sea.run(ms(500));
-                if slow {
-                    sea.machines.values_mut().for_each(|machine| machine.slow_until = ms(60_000));
-                }
-                until(&mut sea, ms(40_000), |sea| !knowing(sea).is_empty());
-                sea.run(sea.now + ms(later));
-                let lost = match sea.disk_machines().get(who) {
-                    Some(one) => vec![*one],
-                    None => sea.disk_machines(),
-                };
-                for (place, node) in lost.into_iter().enumerate() {
-                    sea.stop(node, 0);
-                    sea.restart(node, ms(300 + 400 * place as u64));
+            for parted in [false, true] {
+                for (slow, later) in
+                    [(false, 0), (false, 2), (false, 7), (true, 0), (true, 3), (true, 40), (true, 700)]
+                {
+                    let what = format!(
+                        "{disks} disks, seeds {seeds:?}, {who}, {parted}, slow {slow}, {later} ms later"
+                    );
+                    let mut sea = begin(later + 100 * who as u64, disks, 0, &seeds);
+                    power_lost(&mut sea, who, parted, slow, later);
+                    sound(&mut sea, 0, &what);
                 }
-                sea.run(sea.now + ms(3000));
-                sound(&mut sea, &what);
             }
         }
     }
 }
 
+/// Whoever first knows of the members is cut off before it can tell, with a disk that it has named: those that are
+/// left find what a majority has accepted, and begin with that.
+fn news_lost(sea: &mut Sea, other: u8) {
+    while knowing(sea).is_empty() && sea.now < ms(20_000) {
+        sea.run(sea.now + Duration::from_micros(100));
+    }
+    for node in knowing(sea).into_iter().chain([node(other)]) {
+        cut_links(sea, node, false, false);
+    }
+    sea.events.retain(|_, event| !matches!(event, Event::Deliver { .. }));
+    sea.run(sea.now + ms(9000));
+}
+
+#[test]
+fn what_was_decided_and_not_told_is_found_again() {
+    for (disks, plain, seeds) in [(5, 0, [1, 2, 3]), (5, 3, [6, 7, 8]), (4, 1, [1, 2, 5])] {
+        for rng in 0..40 {
+            let mut sea = begin(rng, disks, plain, &seeds);
+            news_lost(&mut sea, 4);
+            let known: Vec<_> =
+                sea.up().into_iter().filter_map(|node| sea.keeper(node)).map(|k| k.epoch()).collect();
+            assert!(known.iter().filter(|epoch| **epoch > 0).count() > 2, "{rng}: {:?}", sea.view());
+            sound(&mut sea, 0, &rng.to_string());
+        }
+    }
+}
+
+/// One of the two seeds that decided is cut off, the other loses its disk and meets the third, which was alone so far.
+fn voted_and_wiped(sea: &mut Sea) {
+    let [one, two, three] = [1, 2, 3].map(node);
+    cut_links(sea, three, false, false);
+    until(sea, ms(20_000), |sea| !knowing(sea).is_empty());
+    sea.run(sea.now + ms(300));
+    sea.dead_links.clear();
+    for (from, to) in
+        [(one, three), (two, node(4)), (two, node(5)), (three, node(4)), (three, node(5)), (one, two)]
+    {
+        sea.dead_links.insert((from, to));
+        sea.dead_links.insert((to, from));
+    }
+    sea.wipe(two);
+    sea.restart(two, ms(100));
+    sea.run(sea.now + ms(9000));
+}
+
+#[test]
+fn a_seed_that_voted_and_was_wiped_does_not_vote_again() {
+    for rng in 0..40 {
+        let mut sea = begin(rng, 5, 0, &[1, 2, 3]);
+        voted_and_wiped(&mut sea);
+        for apart in [2, 3].map(node) {
+            assert_eq!(sea.keeper(apart).map(|keeper| keeper.epoch()), Some(0), "{rng}: {:?}", sea.view());
+        }
+        sound(&mut sea, 0, &rng.to_string());
+    }
+}
+
+/// Seeds without a disk remember while they run: one of three may start again.
+#[test]
+fn a_seed_without_a_disk_that_starts_again_has_no_vote_and_is_not_needed() {
+    for after in (0..2400).step_by(40) {
+        for who in [4, 5, 6] {
+            let what = format!("{who} after {after} ms");
+            let mut sea = begin(after, 3, 3, &[4, 5, 6]);
+            sea.run(ms(after));
+            sea.kill(node(who), false);
+            sea.restart(node(who), ms(50));
+            let done =
+                until(&mut sea, ms(after) + IN_TROUBLE, |sea| knowing(sea).len() == sea.machines.len());
+            assert!(done, "{what}: {:?}", sea.view());
+            sound(&mut sea, 0, &what);
+        }
+    }
+}
+
 /// Processes are killed, with what they had written or with a part of it, one after the other from the first moment
 /// on, as long as they have written down that they were there.
 #[test]
@@ -198,7 +300,7 @@
                 }
             }
             sea.run(sea.now + ms(1000));
-            sound(&mut sea, &what);
+            sound(&mut sea, 0, &what);
         }
     }
 }
@@ -213,7 +315,7 @@
             sea.machines.get_mut(&node(slow)).expect("a machine").slow_until = ms(30_000);
             let done = until(&mut sea, IN_TROUBLE, |sea| knowing(sea).len() == 4);
             assert!(done, "{what}: {:?}", sea.view());
-            sound(&mut sea, &what);
+            sound(&mut sea, 0, &what);
         }
     }
 }
@@ -227,7 +329,7 @@
             sea.weather = Weather { lost: 250, late: 200, doubled: 200 };
             let done = until(&mut sea, IN_TROUBLE, |sea| knowing(sea).len() == sea.machines.len());
             assert!(done, "{what}: {:?}", sea.view());
-            sound(&mut sea, &what);
+            sound(&mut sea, 0, &what);
         }
     }
 }
@@ -248,7 +350,7 @@
                     knowing(sea).len() == sea.machines.len()
                 });
                 assert!(done, "{what}: {:?}", sea.view());
-                sound(&mut sea, &what);
+                sound(&mut sea, 0, &what);
             }
         }
     }
@@ -264,7 +366,7 @@
         }
         sea.run(ms(20_000));
         assert!(knowing(&sea).is_empty(), "{alone}: {:?}", sea.view());
-        sound(&mut sea, &alone.to_string());
+        sound(&mut sea, 0, &alone.to_string());
     }
 }
 
@@ -282,7 +384,16 @@
             }
         }
         sea.run(ms(12_000));
-        sound(&mut sea, &rng.to_string());
+        sound(&mut sea, 0, &rng.to_string());
+    }
+}
+
+#[test]
+fn faults_begin_with_the_first_start() {
+    for seed in 0..400 {
+        if let Err(breach) = sail(&Schedule::at_founding(seed)) {
+            panic!("seed {seed}: {breach}");
+        }
     }
 }
 
@@ -306,3 +417,36 @@
     });
     assert_eq!(found.err().map(|breach| breach.check()), Some(Check::Epochs));
 }
+
+#[cfg(feature = "faults")]
+mod faults {
+    use super::*;
+    use fallgap_keeper::fault::{self, Fault};
+
+    /// Plays it with the fault, for some seeds of chance, and without.
+    fn found(fault: Fault, play: impl Fn(u64)) {
+        let broken = |rng: u64| guarded(|| play(rng)).err().map(|breach| breach.check());
+        fault::set(Some(fault));
+        let with: Vec<_> = (0..20).map(broken).collect();
+        fault::set(None);
+        assert!(with.contains(&Some(Check::Epochs)), "{fault:?}: {with:?}");
+        assert!((0..20).all(|rng| broken(rng).is_none()), "without {fault:?}");
+    }
+
+    #[test]
+    fn each_is_found_by_two_beginnings() {
+        found(Fault::FoundedByFew, |rng| {
+            let mut sea = begin(rng, 5, 0, &[1, 2, 3]);
+            cut_links(&mut sea, node(1), false, false);
+            sea.run(ms(9000));
+        });
+        found(Fault::HeirUnsynced, |rng| power_lost(&mut begin(rng, 4, 0, &[2, 3, 4]), 9, true, true, 0));
+        // 2 has not accepted what 3 proposes, and would name others: it has never heard 4.
+        found(Fault::OwnSuccessor, |rng| {
+            let mut sea = begin(rng, 5, 0, &[1, 2, 3]);
+            sea.dead_links.extend([(node(4), node(1)), (node(4), node(2)), (node(3), node(2))]);
+            news_lost(&mut sea, 4);
+        });
+        found(Fault::WipedSeedVotes, |rng| voted_and_wiped(&mut begin(rng, 5, 0, &[1, 2, 3])));
+    }
+}
