One number, one content: an edition of the configuration is confirmed with what it was taken with

Cause: a configuration whose edition was not above the one held was answered 200 whatever its body, so two operators who sent different contents under one edition were both told that theirs was kept.

Equal edition and equal bytes: acknowledged again. Other content: 409 with the edition that holds, and nothing is written. An older edition under which nothing came yet is acknowledged, as the protocol says, and from then on is its content's. Below what is remembered all is acknowledged and changes nothing. The memory stands behind the body in JSON blanks: a text before this one reads the same configuration, and its disks are read as such that remember nothing.

Test changed: subjects.rs asked for 200 to other content under the edition held, which is the fault; it asks for the refusal now, and that an older edition is taken down once.

--- a/crates/keeper/src/fault.rs
+++ b/crates/keeper/src/fault.rs
@@ -58,10 +58,15 @@
     NoRepair,
     /// A process takes its times from a clock that is set by hand. The checker's machines do this, not the core.
     WallClock,
+    // Numbers and orders that come again.
+    /// An edition that holds is acknowledged whatever content comes under it.
+    ContentNotAsked,
+    /// What is overtaken is not remembered.
+    TakenForgotten,
 }
 
 impl Fault {
-    pub const ALL: [Fault; 26] = [
+    pub const ALL: [Fault; 28] = [
         Fault::MajorityLessOne,
         Fault::CoverLessOne,
         Fault::PromiseUnsynced,
@@ -88,6 +93,8 @@
         Fault::ConditionNotAsked,
         Fault::NoRepair,
         Fault::WallClock,
+        Fault::ContentNotAsked,
+        Fault::TakenForgotten,
     ];
 }
 
--- a/crates/keeper/src/subjects/mod.rs
+++ b/crates/keeper/src/subjects/mod.rs
@@ -9,15 +9,17 @@
 mod locks;
 mod memory;
 mod numbers;
+mod taken;
 
 use std::time::Duration;
 
 use crate::types::{Answer, Call};
 
 pub use cells::{events_after, revision};
-pub use config::{config_body, config_edition};
+pub use config::{accounts_body, config_body, config_edition};
 pub use locks::lock_seen;
 pub use memory::{Limits, Memory};
+pub use taken::TAKEN_MOST;
 
 /// What becomes of a call.
 #[derive(Clone, Debug, PartialEq)]
@@ -41,7 +43,8 @@
     let limits = memory.limits;
     match call {
         Call::ConfigPut { edition, body } => config::put(*edition, body, held, limits.config_bytes),
-        Call::ConfigGet | Call::AccountsGet => config::get(held),
+        Call::ConfigGet => config::get(held),
+        Call::AccountsGet => config::accounts(held),
         Call::AccountsPut { base, body } => config::swap(*base, body, held, limits.config_bytes),
         Call::LockStart { holder, .. } if holder.len() > limits.name_bytes => Verdict::busy(),
         Call::LockStart { holder, hold, .. } => locks::start(holder, *hold, held, age),
--- a/crates/keeper/src/types.rs
+++ b/crates/keeper/src/types.rs
@@ -168,6 +168,11 @@
     Looked {
         value: Option<Vec<u8>>,
     },
+    /// 409: the number was taken with other content. This one has not taken effect and never will.
+    Differs {
+        /// The edition that holds.
+        edition: u64,
+    },
 }
 
 /// One put, as a watch shows it.
--- a/crates/keeper/tests/subjects.rs
+++ b/crates/keeper/tests/subjects.rs
@@ -135,7 +135,7 @@
 
 #[test]
 fn the_highest_edition_of_the_configuration_holds() {
-    use Answer::{Config, Done, Missing};
+    use Answer::{Config, Differs, Done, Missing};
     let put = |edition, body: &str| Call::ConfigPut { edition, body: body.as_bytes().to_vec() };
     let mut register = Register::new();
     assert_eq!(config_edition(None), None);
@@ -147,7 +147,10 @@
             (0, put(0, ""), Done, true),
             (0, Call::ConfigGet, Config(vec![]), false),
             (0, put(7, "seven"), Done, true),
-            (0, put(7, "other"), Done, false),
+            (0, put(7, "seven"), Done, false),
+            (0, put(7, "other"), Differs { edition: 7 }, false),
+            // Remembered, so that no other content is acknowledged under this number.
+            (0, put(6, "six"), Done, true),
             (0, put(6, "six"), Done, false),
             (0, Call::ConfigGet, Config(b"seven".to_vec()), false),
             (0, put(300, "more"), Done, true),
--- a/crates/lantern/src/carry.rs
+++ b/crates/lantern/src/carry.rs
@@ -105,7 +105,7 @@
 
     /// A revision of the accounts is committed.
     fn accounted(&mut self, now: Duration, value: &[u8]) {
-        let Some(body) = subjects::config_body(Some(value)) else { return };
+        let Some(body) = subjects::accounts_body(Some(value)) else { return };
         match Ledger::decode(body) {
             Ok(ledger) => self.hub.iter_mut().for_each(|hub| hub.accounted(now, ledger.clone(), body)),
             Err(unreadable) => tracing::error!("lantern: committed accounts: {unreadable}"),
--- a/crates/lantern/src/control.rs
+++ b/crates/lantern/src/control.rs
@@ -317,6 +317,7 @@
         Answer::Config(body) => json(200, body),
         Answer::Fence(fence) => json(200, format!("{{\"fence\":{fence}}}").into_bytes()),
         Answer::Held => json(409, b"{}".to_vec()),
+        Answer::Differs { edition } => json(409, format!("{{\"edition\":{edition}}}").into_bytes()),
         Answer::Value(value) => json(200, format!("{{\"value\":{value}}}").into_bytes()),
         Answer::Revision(revision) => json(200, format!("{{\"revision\":{revision}}}").into_bytes()),
         Answer::Conflict { revision } => json(412, format!("{{\"revision\":{revision}}}").into_bytes()),
