--- a/crates/licence/tests/orders.rs
+++ b/crates/licence/tests/orders.rs
@@ -339,14 +339,16 @@
     let mut world = World::new(seed, forgets);
     let mut first = [world.order(None, "account", account(1, 0), None)];
     world.play(&mut first, false)?;
+    let mut before: Vec<Order> = first.to_vec();
     for _ in 0..rounds {
         let ledger = world.read()?;
         let mut orders = world.draw(&ledger);
         world.play(&mut orders, true)?;
         let ledger = world.read()?;
         world.check(&orders, &ledger)?;
-        // All of them once more, with no other change since: each is told the same, and nothing moves.
-        for order in &orders {
+        // All of them once more, and what was done in the round before: each is told the same, and nothing moves.
+        before.retain(|order| matches!(&order.told, Some(Said::Done(_, touched)) if order.office.is_none() || *touched > 0));
+        for order in orders.iter().chain(&before) {
             let mut again = [Order { told: None, at: Stage::Out(world.sea.now), ..order.clone() }];
             world.play(&mut again, false)?;
             if again[0].told != order.told {
@@ -357,6 +359,7 @@
         if after != ledger {
             return Err(format!("what came again moved {} to {}", ledger.revision, after.revision));
         }
+        before = orders;
     }
     Ok(world.counts)
 }
--- a/crates/sextant/src/breach.rs
+++ b/crates/sextant/src/breach.rs
@@ -11,6 +11,8 @@
     OneHolder,
     /// what was refused never takes effect
     Refused,
+    /// one number is confirmed with one content
+    Content,
     /// a conditional put stands on what it named
     Condition,
     /// a watch skips nothing
--- a/crates/sextant/src/history.rs
+++ b/crates/sextant/src/history.rs
@@ -175,6 +175,7 @@
                 _ => {}
             }
         }
+        self.check_contents();
         for (sent, _, edition, read) in &given {
             for (_, end, before, _) in given.iter().filter(|_| *read) {
                 hold!(end >= sent || before <= edition, Check::Linear, "edition {edition} after {before}");
@@ -182,6 +183,30 @@
         }
     }
 
+    /// An edition is confirmed with one content, and what was refused is not read.
+    fn check_contents(&self) {
+        let mut confirmed: BTreeMap<u64, &Vec<u8>> = BTreeMap::new();
+        let mut refused: BTreeSet<&Vec<u8>> = BTreeSet::new();
+        for (call, _, _, answer) in self.done() {
+            match (call, answer) {
+                (Call::ConfigPut { edition, body }, Answer::Done) => {
+                    let one = *confirmed.entry(*edition).or_insert(body) == body;
+                    hold!(one, Check::Content, "edition {edition} is confirmed with two contents");
+                }
+                (Call::ConfigPut { body, .. }, Answer::Differs { .. }) => _ = refused.insert(body),
+                _ => {}
+            }
+        }
+        for (call, _, _, answer) in self.done() {
+            let body = match (call, answer) {
+                (Call::ConfigGet, Answer::Config(body)) => body,
+                (Call::ConfigPut { body, .. }, Answer::Done) => body,
+                _ => continue,
+            };
+            hold!(!refused.contains(body), Check::Refused, "a content that was refused is in force");
+        }
+    }
+
     fn check_cells(&self) {
         // Group -> revision -> (key, value), from everything shown.
         let mut shown: BTreeMap<String, BTreeMap<u64, (String, String)>> = BTreeMap::new();
--- a/crates/sextant/tests/orders.rs
+++ b/crates/sextant/tests/orders.rs
@@ -7,6 +7,7 @@
 
 use fallgap_keeper::messages::Record;
 use fallgap_keeper::{Answer, Call, Key};
+use fallgap_sextant::tides::{Script, walk};
 use fallgap_sextant::waters::{Sea, ms};
 
 type Body = Vec<u8>;
@@ -293,6 +294,53 @@
     }
 }
 
+const WHOLE: usize = 50_000;
+
+/// Two contents under one edition, and one more above: all orders of what is under way, three nodes.
+fn scripts() -> [(Script, usize); 4] {
+    let put = |edition: u64, own: u8| Call::ConfigPut {
+        edition,
+        body: [&edition.to_be_bytes()[..], &[own]].concat(),
+    };
+    let at = |nodes: [u8; 2]| vec![(nodes[0], put(7, 1)), (nodes[1], put(7, 2))];
+    let script = |calls, powers, lost| Script { calls, powers, lost, doubled: 0 };
+    let above = vec![(1, put(7, 1)), (1, put(8, 1)), (1, put(7, 2))];
+    [
+        (script(at([1, 1]), 0, 0), WHOLE),
+        // Not whole: the first states.
+        (script(above, 0, 0), 4_000),
+        (script(at([1, 2]), 0, 0), 4_000),
+        (script(at([1, 2]), 1, 1), 4_000),
+    ]
+}
+
+#[test]
+fn all_orders_of_two_contents_under_one_number() {
+    for (at, (script, most)) in scripts().into_iter().enumerate() {
+        match walk(&script, most) {
+            Ok(walked) => {
+                println!("{at}: {walked:?}");
+                assert!(walked.whole == (most == WHOLE), "{at}: {walked:?}");
+            }
+            Err(stranded) => panic!("{at}: {}: {:#?}", stranded.breach, stranded.way),
+        }
+    }
+}
+
+#[cfg(feature = "faults")]
+#[test]
+fn the_walk_finds_a_content_that_is_not_asked_for() {
+    use fallgap_keeper::fault::{self, Fault};
+    use fallgap_sextant::Check;
+    for (fault, script) in [(Fault::ContentNotAsked, 0), (Fault::TakenForgotten, 1)] {
+        let (script, most) = scripts()[script].clone();
+        fault::set(Some(fault));
+        let found = walk(&script, most).err().map(|stranded| stranded.breach.check());
+        fault::set(None);
+        assert_eq!(found, Some(Check::Content), "{fault:?}");
+    }
+}
+
 /// The disks hold what the text before wrote: edition and body, and nothing behind them.
 #[test]
 fn disks_of_the_text_before_are_read() {
