Offices: a change is known again after its trail has let it go

Cause: an office's trail holds one change only if two of them put more than 1,000 routes aside, so a large change with a lost answer was refused when it came again after another one of the same office.

Change: 256 changes of all offices that their trails have let go are remembered by key, edition and count, behind the ledger. An office that is left out by an order takes its memory with it. Where the places are not known any more, the change is brought to all nodes for the office's areas.

--- a/crates/lantern/src/offices.rs
+++ b/crates/lantern/src/offices.rs
@@ -162,10 +162,9 @@
         let mut doubt = false;
         for _ in 0..TRIES {
             let ledger = self.ledger()?;
-            let (_, _, of) = opened(&ledger, office, key)?;
-            if let Some(entry) = of.made_by(idempotency_key) {
-                let places: Vec<Place> = entry.before.iter().map(|(place, _)| place.clone()).collect();
-                return Ok(self.spread(ledger.revision, entry.edition, places.len(), places));
+            opened(&ledger, office, key)?;
+            if let Some(again) = ledger.made_by(office, idempotency_key) {
+                return Ok(self.spread(ledger.revision, again.edition, again.touched, again.places));
             }
             let operator = self.operator()?;
             let plan = match wanted {
--- a/crates/licence/src/accounts.rs
+++ b/crates/licence/src/accounts.rs
@@ -186,6 +186,9 @@
         let offices = offices.collect();
         let account = (account.to_owned(), Account { edition: self.edition, grant: self.grant, offices });
         next.accounts.extend([account]);
+        // An office that is gone may come again under its name, and begins anew.
+        let made = std::mem::take(&mut next.made);
+        next.made = made.into_iter().filter(|made| next.office(&made.office).is_some()).collect();
         Carried::Out(next)
     }
 
--- a/crates/licence/src/changes.rs
+++ b/crates/licence/src/changes.rs
@@ -2,6 +2,7 @@
 
 use crate::fitting::{Ground, place_of};
 use crate::ledger::{Account, Entry, Ledger, Office, Place};
+use crate::repeats::Made;
 use crate::terms::TERMS;
 use fallgap_chart::document::{Field, Spot, WHOLE, document, whole};
 use fallgap_chart::{Configuration, Faults, Route, What, host, place, prefix, read_route_rows};
@@ -189,7 +190,15 @@
     next.revision = edition;
     let of_account = next.accounts.get_mut(id).ok_or(Refused::NoOffice)?;
     let held = of_account.offices.get_mut(maker.office).ok_or(Refused::NoOffice)?;
-    held.take(entry, routes.into_values().collect());
+    let forgotten = held.take(entry, routes.into_values().collect());
+    next.made.extend(forgotten.into_iter().map(|entry| Made {
+        office: maker.office.to_owned(),
+        idempotency_key: entry.idempotency_key,
+        edition: entry.edition,
+        touched: entry.before.len() as u64,
+    }));
+    let over = next.made.len().saturating_sub(TERMS.orders);
+    next.made.drain(..over);
     let mut faults = Faults::default();
     if next.encode().len() > TERMS.bytes {
         faults.add(&Spot::TOP, What::Against("all accounts together are full".into()));
@@ -254,7 +263,8 @@
         places.into_iter().map(|at| (at.clone(), now(&at))).collect()
     }
 
-    fn take(&mut self, entry: Entry, routes: Vec<Route>) {
+    /// Hands out the changes that its trail holds no more.
+    fn take(&mut self, entry: Entry, routes: Vec<Route>) -> Vec<Entry> {
         self.edition = entry.edition;
         self.routes = routes;
         self.recent.retain(|at| is_recent(*at, entry.at));
@@ -265,10 +275,12 @@
         let aside = |entries: &std::collections::VecDeque<Entry>| -> usize {
             entries.iter().map(|entry| entry.before.len()).sum()
         };
+        let mut forgotten = Vec::new();
         while self.trail.len() > TERMS.trail
             || (self.trail.len() > 1 && aside(&self.trail) > TERMS.trail_routes)
         {
-            self.trail.pop_front();
+            forgotten.extend(self.trail.pop_front());
         }
+        forgotten
     }
 }
--- a/crates/licence/src/ledger.rs
+++ b/crates/licence/src/ledger.rs
@@ -1,7 +1,7 @@
 //! All accounts, as they are kept.
 
 use crate::keys::KeyHash;
-use crate::repeats::Taken;
+use crate::repeats::{Again, Made, Taken};
 use fallgap_chart::{Allowance, Route, RouteClass};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -16,6 +16,9 @@
     /// reads no further.
     #[serde(skip)]
     pub taken: VecDeque<Taken>,
+    /// Changes of offices that their trails hold no more, the last one at the end. They stand there too.
+    #[serde(skip)]
+    pub made: VecDeque<Made>,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -114,7 +117,7 @@
         let read = |bytes| -> postcard::Result<Ledger> {
             let (mut ledger, rest) = postcard::take_from_bytes::<Ledger>(bytes)?;
             if !rest.is_empty() {
-                ledger.taken = postcard::from_bytes(rest)?;
+                (ledger.taken, ledger.made) = postcard::from_bytes(rest)?;
             }
             Ok(ledger)
         };
@@ -124,7 +127,7 @@
     pub fn encode(&self) -> Vec<u8> {
         // Plain values: this fails only for want of memory.
         let bytes = postcard::to_stdvec(self);
-        bytes.and_then(|bytes| postcard::to_extend(&self.taken, bytes)).unwrap_or_default()
+        bytes.and_then(|bytes| postcard::to_extend(&(&self.taken, &self.made), bytes)).unwrap_or_default()
     }
 
     /// An office with its account and the account's name.
@@ -136,6 +139,21 @@
         Some((id, account, account.offices.get(name)?))
     }
 
+    /// The change that an order made, if it is remembered; the order has come again.
+    pub fn made_by(&self, name: &str, idempotency_key: u64) -> Option<Again> {
+        let (_, account, office) = self.office(name)?;
+        if let Some(entry) = office.made_by(idempotency_key) {
+            let places: Vec<Place> = entry.before.iter().map(|(place, _)| place.clone()).collect();
+            return Some(Again { edition: entry.edition, touched: places.len(), places });
+        }
+        let made = self.made.iter().rev();
+        let made = made.filter(|made| made.office == name);
+        let made = made.into_iter().find(|made| made.idempotency_key == idempotency_key)?;
+        let areas = account.areas(&office.slice).iter();
+        let places = areas.map(|area| (area.depot.as_str().into(), area.prefix.as_str().into())).collect();
+        Some(Again { edition: made.edition, touched: made.touched as usize, places })
+    }
+
     /// Whether a key opens an office; an office that is not there is opened by none.
     pub fn opens(&self, office: &str, key: &KeyHash) -> bool {
         self.office(office).is_some_and(|(_, _, office)| office.slice.keys.contains(key))
--- a/crates/licence/src/lib.rs
+++ b/crates/licence/src/lib.rs
@@ -21,6 +21,6 @@
 pub use joining::{Joined, join};
 pub use keys::KeyHash;
 pub use ledger::{Account, Area, Entry, Grant, Ledger, Office, Place, Slice, UnreadableLedger};
-pub use repeats::{Carried, Digest, Taken, idempotency_key};
+pub use repeats::{Again, Carried, Digest, Made, Taken, idempotency_key};
 pub use shown::{shown_accounts, shown_office, shown_plan, shown_stale};
 pub use terms::{TERMS, Terms};
--- a/crates/licence/src/repeats.rs
+++ b/crates/licence/src/repeats.rs
@@ -1,7 +1,7 @@
 //! Orders that come again: an answer that was lost on its way makes its caller send the same order anew, perhaps to
 //! another supervisor. It is known by its content, and told what the first one was told.
 
-use crate::ledger::Ledger;
+use crate::ledger::{Ledger, Place};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest as _, Sha256};
 
@@ -19,6 +19,25 @@
     pub touched: u64,
 }
 
+/// A change of an office that its trail holds no more.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Made {
+    pub office: String,
+    pub idempotency_key: u64,
+    pub edition: u64,
+    /// How many places it touched.
+    pub touched: u64,
+}
+
+/// What an office's change came to when it was made.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Again {
+    pub edition: u64,
+    pub touched: usize,
+    /// The places that it touched; the office's areas if they are not known any more.
+    pub places: Vec<Place>,
+}
+
 /// What becomes of an order of the operator.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Carried {
--- a/crates/licence/src/terms.rs
+++ b/crates/licence/src/terms.rs
@@ -17,7 +17,8 @@
     /// Changes of an office that are remembered, and the routes that they put aside; the last one always is.
     pub trail: usize,
     pub trail_routes: usize,
-    /// Orders of the operator that are remembered, over all accounts.
+    /// Orders of the operator that are remembered, over all accounts, and so many changes of offices, over all offices,
+    /// beside those in their trails.
     pub orders: usize,
     /// Changes are counted over this time, and so many at most.
     pub minute: Duration,
--- a/crates/licence/tests/orders.rs
+++ b/crates/licence/tests/orders.rs
@@ -237,9 +237,11 @@
         };
         let drawn = self.sea.rng.u64(..);
         let key = if self.forgets { drawn } else { idempotency_key(order.verb, order.body.as_bytes()) };
-        let Some((_, _, held)) = ledger.office(office) else { return Ok(Err(Said::Unclear)) };
-        if let Some(entry) = held.made_by(key) {
-            return Ok(Err(Said::Done(entry.edition, entry.before.len())));
+        if ledger.office(office).is_none() {
+            return Ok(Err(Said::Unclear));
+        }
+        if let Some(again) = ledger.made_by(office, key) {
+            return Ok(Err(Said::Done(again.edition, again.touched)));
         }
         let at = self.sea.now.as_secs() * 60;
         let maker = Maker { office, at, idempotency_key: key, key: String::new() };
--- a/crates/licence/tests/repeats.rs
+++ b/crates/licence/tests/repeats.rs
@@ -1,6 +1,9 @@
 //! Orders of the operator that come again, and ledgers of the text before: tables of cases.
 
-use fallgap_licence::{Account, Carried, Ledger, TERMS, idempotency_key, read_order};
+use fallgap_chart::{Configuration, read_configuration};
+use fallgap_licence::{
+    Account, Carried, Ledger, Maker, TERMS, idempotency_key, plan, read_change, read_order,
+};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -72,6 +75,64 @@
     assert_eq!(carried(&ledger, "b", &order("b", 3, 7)), Carried::Differs { edition });
 }
 
+fn operator() -> Configuration {
+    let text = br#"{"edition":1,"routes":{"fields":[],"entries":[]},"services":{"fields":["name"],"entries":[["s"]]}}"#;
+    read_configuration(text).unwrap()
+}
+
+/// Puts so many routes with this time-out; the order's key is the time-out.
+fn changed(ledger: &Ledger, office: &str, routes: usize, timeout: u64) -> Ledger {
+    let entry = |at: usize| format!(r#"["h","/{}/{at}/","safe","s",{timeout}]"#, &office[3..]);
+    let entries: Vec<String> = (0..routes).map(entry).collect();
+    let base = ledger.office(office).unwrap().2.edition;
+    let text = format!(
+        r#"{{"base":{base},"put":{{"fields":["depot","lane_prefix","route_class","service","timeout_s"],"entries":[{}]}}}}"#,
+        entries.join(",")
+    );
+    let change = read_change(text.as_bytes(), &operator()).unwrap();
+    let maker = Maker { office, at: 60 * timeout, idempotency_key: timeout, key: String::new() };
+    plan(ledger, &operator(), &maker, &change).unwrap_or_else(|why| panic!("{why}")).next.unwrap()
+}
+
+#[test]
+fn a_change_is_known_after_its_trail_has_let_it_go() {
+    let granted = |account: &str, edition: u64| {
+        let more = r#""classes":["safe"],"services":[{"service":"s"}],"offices""#;
+        order(account, edition, 2000).replace(r#""offices""#, more)
+    };
+    let mut ledger = out(&Ledger::default(), "a", &granted("a", 1));
+    ledger = out(&ledger, "b", &granted("b", 1));
+    let told = |ledger: &Ledger, office: &str, key| {
+        ledger.made_by(office, key).map(|again| (again.edition, again.touched))
+    };
+    // Each puts 600 routes aside, so that the trail has room for one.
+    for timeout in 1..=3 {
+        ledger = changed(&ledger, "of-a", 600, timeout);
+        ledger = Ledger::decode(&ledger.encode()).unwrap();
+    }
+    assert_eq!((ledger.office("of-a").unwrap().2.trail.len(), ledger.made.len()), (1, 2));
+    for key in 1..=3 {
+        assert_eq!(told(&ledger, "of-a", key), Some((key + 2, 600)), "{key}");
+    }
+    assert_eq!(told(&ledger, "of-a", 4), None);
+    assert_eq!(told(&ledger, "of-b", 1), None, "another office's");
+    let places = |key| ledger.made_by("of-a", key).unwrap().places;
+    assert_eq!((places(3).len(), places(1)), (600, vec![("h".into(), "/a/".into())]));
+    // Small ones: the trail holds its number, all offices together so many more, the oldest go.
+    let (trail, more) = (TERMS.trail as u64, TERMS.orders as u64);
+    for timeout in 1..=trail + more + 1 {
+        ledger = changed(&ledger, "of-b", 1, timeout);
+    }
+    assert_eq!(ledger.made.len(), TERMS.orders);
+    assert_eq!(told(&ledger, "of-a", 1), None);
+    assert_eq!((told(&ledger, "of-b", 1), told(&ledger, "of-b", 2)), (None, Some((7, 1))));
+    assert_eq!(told(&ledger, "of-b", trail + more + 1), Some((trail + more + 6, 1)));
+    // An office that is gone and comes again begins anew.
+    let none = granted("b", 2).replace(r#"{"id":"of-b"}"#, "");
+    let ledger = out(&out(&ledger, "b", &none), "b", &granted("b", 3));
+    assert_eq!((told(&ledger, "of-b", 2), told(&ledger, "of-b", trail + more + 1)), (None, None));
+}
+
 /// As the text before has it.
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
 struct Earlier {
