--- a/crates/keeper/src/fault.rs
+++ b/crates/keeper/src/fault.rs
@@ -63,10 +63,15 @@
     FoundedByFew,
     /// A seed that lost its memory or its disk has a vote again.
     WipedSeedVotes,
+    // Numbers and orders that come again.
+    /// An edition that holds is acknowledged whatever content comes under it.
+    ContentNotAsked,
+    /// What is overtaken is not remembered.
+    TakenForgotten,
 }
 
 impl Fault {
-    pub const ALL: [Fault; 28] = [
+    pub const ALL: [Fault; 30] = [
         Fault::MajorityLessOne,
         Fault::CoverLessOne,
         Fault::PromiseUnsynced,
@@ -95,6 +100,8 @@
         Fault::WallClock,
         Fault::FoundedByFew,
         Fault::WipedSeedVotes,
+        Fault::ContentNotAsked,
+        Fault::TakenForgotten,
     ];
 }
 
