--- a/crates/keeper/src/acceptor.rs
+++ b/crates/keeper/src/acceptor.rs
@@ -165,6 +165,7 @@
             let held = register.bytes();
             self.bytes = (self.bytes + value.bytes().len()).saturating_sub(held);
             register.accepted = Some(Accepted { ballot, value, at: now, age: Duration::ZERO });
+            register.committed = fault::is(Fault::ReadBackIsCommitted).then_some(ballot);
             self.sum(&key, before, ballot);
         }
     }
--- a/crates/keeper/src/fault.rs
+++ b/crates/keeper/src/fault.rs
@@ -65,10 +65,12 @@
     TornTailTaken,
     /// The files of a disk that is of no use go in any order.
     WipedInAnyOrder,
+    /// What was read back from the disk counts as committed.
+    ReadBackIsCommitted,
 }
 
 impl Fault {
-    pub const ALL: [Fault; 29] = [
+    pub const ALL: [Fault; 30] = [
         Fault::MajorityLessOne,
         Fault::CoverLessOne,
         Fault::PromiseUnsynced,
@@ -98,6 +100,7 @@
         Fault::SnapshotNameUnsynced,
         Fault::TornTailTaken,
         Fault::WipedInAnyOrder,
+        Fault::ReadBackIsCommitted,
     ];
 }
 
--- a/crates/sextant/src/voyage.rs
+++ b/crates/sextant/src/voyage.rs
@@ -98,7 +98,7 @@
 }
 
 /// A register of which two members hold different states, and what each of them accepted and promised.
-fn uneven(sea: &Sea) -> Option<String> {
+pub fn uneven(sea: &Sea) -> Option<String> {
     type Held = BTreeMap<Key, (Ballot, Ballot)>;
     let keepers = sea.machines.iter().filter_map(|(node, machine)| Some((node, machine.keeper.as_ref()?)));
     let members = keepers.filter(|(_, keeper)| keeper.is_member());
--- a/crates/sextant/src/waters.rs
+++ b/crates/sextant/src/waters.rs
@@ -264,6 +264,11 @@
         self.machines.get(&node)?.keeper.as_ref()
     }
 
+    /// The newest committed value of this key that was handed out in the process's present life.
+    pub fn shown(&self, node: NodeId, key: &Key) -> Option<&[u8]> {
+        Some(self.machines.get(&node)?.shown.get(key)?.as_slice())
+    }
+
     /// Whether a committed value of this key was handed out in the process's present life.
     pub fn has_shown(&self, node: NodeId, key: &Key) -> bool {
         self.machines.get(&node).is_some_and(|machine| machine.shown.contains_key(key))
