--- a/crates/keeper/src/fault.rs
+++ b/crates/keeper/src/fault.rs
@@ -68,10 +68,19 @@
     ContentNotAsked,
     /// What is overtaken is not remembered.
     TakenForgotten,
+    // many: the store, and members that come back after many changes.
+    /// A snapshot's name is not made to last before what it replaces goes.
+    SnapshotNameUnsynced,
+    /// The end of a log that is torn is taken for whole.
+    TornTailTaken,
+    /// The files of a disk that is of no use go in any order.
+    WipedInAnyOrder,
+    /// What was read back from the disk counts as committed.
+    ReadBackIsCommitted,
 }
 
 impl Fault {
-    pub const ALL: [Fault; 30] = [
+    pub const ALL: [Fault; 34] = [
         Fault::MajorityLessOne,
         Fault::CoverLessOne,
         Fault::PromiseUnsynced,
@@ -102,6 +111,10 @@
         Fault::WipedSeedVotes,
         Fault::ContentNotAsked,
         Fault::TakenForgotten,
+        Fault::SnapshotNameUnsynced,
+        Fault::TornTailTaken,
+        Fault::WipedInAnyOrder,
+        Fault::ReadBackIsCommitted,
     ];
 }
 
