Roster: what a disk remembers is let go of before a process is in touch

Cause: servers remembered as open were used, with a majority, until a keeper that knows had answered or 3.2 beats had passed: 4.8 s after a loss of all keepers, touch_s being 3 s; a supervisor took them along to its next home. Ruled out: supervisors that stay up, single keepers that start, servers that go on beating. Change: let go of two thirds of touch_s after the start but for those that beat; tables say that a home remembers, and no supervisor takes such servers along.

--- a/crates/lantern/src/hub.rs
+++ b/crates/lantern/src/hub.rs
@@ -56,7 +56,7 @@
             accounts: Notebook::default(),
         };
         let count = remembered.servers.len();
-        hub.registry.remember(now, remembered.servers);
+        hub.registry.remember(now, remembered.servers, hub.young);
         hub.distribution.registry_changed(now, &hub.registry);
         let accounts = remembered.accounts.as_deref().and_then(|bytes| Ledger::decode(bytes).ok());
         hub.ledger = accounts.unwrap_or_default();
--- a/crates/roster/src/distribution.rs
+++ b/crates/roster/src/distribution.rs
@@ -18,6 +18,9 @@
 
 /// The note by which a home says that it knows the servers that there are.
 pub(crate) const WARM: &str = "home/warm";
+/// The note by which a home says that some of its servers it has from its disk only: no other home's table is to be
+/// filled up with them.
+pub(crate) const REMEMBERS: &str = "home/remembers";
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Out {
@@ -58,6 +61,7 @@
     /// The registry's count up to which it was taken in.
     seen: u64,
     warm: bool,
+    remembers: bool,
     configuration: Option<Arc<Configuration>>,
     /// The part of a table that is notes, and how often it changed.
     notes: BTreeMap<Key, Entry>,
@@ -103,6 +107,7 @@
             servers: Servers::default(),
             seen: 0,
             warm: false,
+            remembers: false,
             configuration: None,
             notes: BTreeMap::new(),
             notes_count: 1,
@@ -208,10 +213,12 @@
             self.feed.withdrawn(now, &self.tables, &self.withdrawals);
         }
         let warms = registry.warm(now) && !std::mem::replace(&mut self.warm, true);
-        if warms {
+        let remembers = registry.remembers();
+        let noted = warms || std::mem::replace(&mut self.remembers, remembers) != remembers;
+        if noted {
             self.renote();
         }
-        if warms || self.seen != before {
+        if noted || self.seen != before {
             self.mark_all();
             self.build.get_or_insert(now + self.terms.gather);
         }
@@ -336,6 +343,9 @@
         if self.warm {
             self.notes.insert(Key::Note(WARM.into()), Entry::Note("1".into()));
         }
+        if self.remembers {
+            self.notes.insert(Key::Note(REMEMBERS.into()), Entry::Note("1".into()));
+        }
         self.notes_count += 1;
     }
 
--- a/crates/roster/src/registry.rs
+++ b/crates/roster/src/registry.rs
@@ -54,6 +54,8 @@
     pub(crate) evening: Evening,
     /// Open lives of which only this keeper's disk tells: of the time before its start.
     pub(crate) remembered: BTreeSet<Arc<str>>,
+    /// Until then they are used.
+    remember_until: Duration,
 }
 
 impl Registry {
@@ -73,12 +75,15 @@
             grace: now,
             look: now + terms.silent(),
             remembered: BTreeSet::new(),
+            remember_until: now,
         }
     }
 
     /// What this keeper knew before its start. Such servers are used at once, but they are told to no other keeper,
-    /// and are let go of when one that knows the servers does not know them, or when they do not beat.
-    pub fn remember(&mut self, now: Duration, records: Vec<Record>) {
+    /// and are let go of when one that knows the servers does not know them, or when they have not beaten `until` then:
+    /// one that closed may serve on for long, and all that heard of it may have lost power.
+    pub fn remember(&mut self, now: Duration, records: Vec<Record>, until: Duration) {
+        self.remember_until = until;
         let heard = self.started.saturating_sub(self.terms.beat);
         for record in records.into_iter().take(self.terms.servers) {
             let open = record.state == State::Open && !record.beat.closing;
@@ -97,6 +102,11 @@
         self.open().map(|life| self.record(now, life)).collect()
     }
 
+    /// Whether servers are used of which only the disk tells.
+    pub(crate) fn remembers(&self) -> bool {
+        !self.remembered.is_empty()
+    }
+
     /// Those of which nobody else knows are over.
     pub(crate) fn let_go(&mut self, now: Duration) {
         for id in std::mem::take(&mut self.remembered) {
@@ -140,6 +150,10 @@
         if now >= self.look {
             changed |= self.expire(now);
         }
+        if self.remembers() && now >= self.remember_until {
+            self.let_go(now);
+            changed = true;
+        }
         self.compare(now);
         changed
     }
@@ -148,6 +162,7 @@
     pub fn next_wake(&self) -> Duration {
         let warm = self.started + self.terms.warm_after();
         let next = self.look.min(self.evening.next());
+        let next = if self.remembers() { next.min(self.remember_until) } else { next };
         if self.told_warm { next } else { next.min(warm) }
     }
 
--- a/crates/roster/src/views.rs
+++ b/crates/roster/src/views.rs
@@ -1,6 +1,6 @@
 //! The view that a supervisor routes by, from what its homes sent over time.
 
-use crate::distribution::WARM;
+use crate::distribution::{REMEMBERS, WARM};
 use fallgap_chart::{Berth, Configuration, View};
 use fallgap_tables::{Content, Entry, Key};
 use std::collections::{BTreeMap, BTreeSet};
@@ -15,8 +15,11 @@
     /// The home's life that tables come from, by their epoch.
     epoch: u64,
     /// Servers of the home before this one, or of its life before this one: in use until this one knows what there
-    /// is.
+    /// is. Never those of a table in which a disk's memory may stand: the next home's says itself what is
+    /// remembered, and for how long.
     earlier: Vec<Berth>,
+    /// The table that was built last may hold such servers.
+    remembers: bool,
     /// Lives that ended, by when they may be forgotten.
     ended: BTreeMap<Arc<str>, Duration>,
     forget: Duration,
@@ -31,6 +34,7 @@
             configuration: None,
             epoch: 0,
             earlier: Vec::new(),
+            remembers: false,
             ended: BTreeMap::new(),
             forget: Duration::ZERO,
             newest: None,
@@ -81,7 +85,7 @@
     pub(crate) fn built(
         &mut self, epoch: u64, content: &Content, out: &BTreeSet<Arc<str>>, notes: bool,
     ) -> Option<Arc<View>> {
-        if std::mem::replace(&mut self.epoch, epoch) != epoch {
+        if std::mem::replace(&mut self.epoch, epoch) != epoch && !self.remembers {
             self.earlier = self.newest.as_ref().map(|view| view.berths.clone()).unwrap_or_default();
         }
         if notes {
@@ -95,7 +99,9 @@
                 berth.filter(|berth| !self.ended.contains_key(&berth.id) && !out.contains(&berth.id)),
             );
         }
-        if content.get(&Key::Note(WARM.into())).is_some() {
+        let says = |note: &str| content.get(&Key::Note(note.into())).is_some();
+        self.remembers = says(REMEMBERS);
+        if says(WARM) {
             self.earlier = Vec::new();
         }
         self.add_earlier(&mut berths);
@@ -105,7 +111,9 @@
     /// The table's configuration, unless it is older than what is held.
     fn configure(&mut self, content: &Content) {
         let notes = content.entries().iter().filter_map(|(key, entry)| match (key, entry) {
-            (Key::Note(name), Entry::Note(text)) if **name != *WARM => Some((&**name, &**text)),
+            (Key::Note(name), Entry::Note(text)) if ![WARM, REMEMBERS].contains(&&**name) => {
+                Some((&**name, &**text))
+            }
             _ => None,
         });
         let Some(told) = Configuration::from_notes(notes) else { return };
--- a/crates/roster/tests/world/mod.rs
+++ b/crates/roster/tests/world/mod.rs
@@ -70,6 +70,8 @@
     pub servers: Vec<Server>,
     /// What keepers' disks keep of servers, if they do.
     pub disks: Option<BTreeMap<NodeId, Vec<Record>>>,
+    /// For so long after its start a keeper goes by what its disk remembers.
+    pub young: Duration,
     /// Part of messages that are lost.
     pub loss: f64,
     /// Nodes that hear and say nothing.
@@ -152,6 +154,7 @@
             seen: BTreeMap::new(),
             servers: (0..servers).map(server).collect(),
             disks: None,
+            young: Duration::from_secs(2),
             loss: 0.0,
             cut: BTreeSet::new(),
             link: None,
@@ -174,7 +177,7 @@
         if i < self.keepers {
             let mut registry = Registry::start(now, self.rng.u64(..), terms);
             let kept = self.disks.as_ref().and_then(|disks| disks.get(&id));
-            registry.remember(now, kept.cloned().unwrap_or_default());
+            registry.remember(now, kept.cloned().unwrap_or_default(), now + self.young);
             registry.peers(now, (0..self.keepers).filter(|other| *other != i).map(node).collect());
             let mut distribution = Distribution::start(now, self.rng.u64(..), terms);
             if self.edition > 1 {
