Offices: an order is a transaction, and what may have been done is not said to be undone

Cause: the loop that reads, judges and writes stood in the shell and forgot a write without a clear answer as soon as the next read failed or was turned away: the office was told 503, nothing was changed, while that write could still be done.

Change: the loop is a core of its own, a transaction under optimistic concurrency, with the revision that a write is in doubt about. A later read settles it; until then nothing is told but 200 or 500.

--- a/crates/lantern/src/control.rs
+++ b/crates/lantern/src/control.rs
@@ -1,7 +1,7 @@
 //! The control address: calls of servers, the operator and applications. One dispatch on method and segments.
 
 use crate::asks::{Asked, Desk, Told, Untold};
-use crate::offices::{self, Clerk, Wanted};
+use crate::offices::{self, Clerk, Verb};
 use fallgap_chart as chart;
 use fallgap_desk::Question;
 use fallgap_keeper::{Answer, Call};
@@ -209,14 +209,14 @@
             }
             ("GET", ["-", "offices", id, "routes"]) => self.clerk(|clerk| clerk.routes(id, key(request))),
             ("POST", ["-", "offices", id, "routes", verb]) => {
-                let wanted = match *verb {
-                    "plan" => Wanted::Plan,
-                    "put" => Wanted::Put,
-                    "undo" => Wanted::Undo,
+                let verb = match *verb {
+                    "plan" => Verb::Plan,
+                    "put" => Verb::Put,
+                    "undo" => Verb::Undo,
                     _ => return Err(Refused::Unknown),
                 };
                 let body = self.body(request, self.terms.configuration)?;
-                self.clerk(|clerk| clerk.change(id, key(request), wanted, &body))
+                self.clerk(|clerk| clerk.change(id, key(request), verb, &body))
             }
             ("GET", ["-", "watch", id]) => self.watch(id, query),
             ("GET", ["-", "status"]) => self.told(Asked::Status),
--- a/crates/lantern/src/offices.rs
+++ b/crates/lantern/src/offices.rs
@@ -1,22 +1,16 @@
-//! Calls of offices on their own routes, and of the operator on accounts. Each reads what is kept, lets the core judge
-//! and writes over just what it read; who was overtaken begins anew.
+//! Calls of offices on their own routes, and of the operator on accounts: reads and writes for the core's transactions.
 
 use crate::asks::{Asked, Desk, Told, Untold};
 use crate::control::{json, text};
-use fallgap_chart::{Configuration, Faults, Route, read_configuration};
+use fallgap_chart::{Configuration, Faults, read_configuration};
 use fallgap_keeper::{Answer, Call};
 use fallgap_licence as licence;
-use fallgap_licence::{Carried, KeyHash, Ledger, Maker, Order, Plan, Step, UnreadableLedger};
-use fallgap_pilot::Place;
+use fallgap_licence::{Done, KeyHash, Ledger, Maker, Step, Transaction, UnreadableLedger, Wanted, Wrote};
 use rouille::Response;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-/// Others that come first are made good for so often.
-const TRIES: usize = 5;
 /// Until all supervisors have heard of a change, at the latest.
 const SPREAD: Duration = Duration::from_millis(3000);
-/// More places than that are told of by the areas that they lie in.
-const PLACES: usize = 2000;
 
 /// Why a call is not carried out.
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
@@ -29,8 +23,6 @@
     Faults(Faults),
     /// {0}
     Change(licence::Refused),
-    /// other content was taken under this number; edition {0} holds
-    Differs(u64),
     /// {0}
     Unreadable(UnreadableLedger),
     /// {0}
@@ -78,8 +70,10 @@
             Refused::Change(licence::Refused::Often(after)) => {
                 again(text(429, self), after.as_secs().to_string())
             }
+            Refused::Change(licence::Refused::Differs { edition }) => {
+                json(409, format!("{{\"edition\":{edition}}}").into_bytes())
+            }
             Refused::Change(_) => text(409, self),
-            Refused::Differs(edition) => json(409, format!("{{\"edition\":{edition}}}").into_bytes()),
             Refused::Unreadable(_) | Refused::Unknown | Refused::Untold(Untold::Late) => text(500, self),
             Refused::NoConfiguration | Refused::Busy | Refused::Untold(Untold::Full) => {
                 again(text(503, self), "0.2".into())
@@ -90,18 +84,18 @@
 
 /// What an office asks for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Wanted {
+pub enum Verb {
     Plan,
     Put,
     Undo,
 }
 
-impl Wanted {
-    fn verb(self) -> &'static str {
+impl Verb {
+    fn name(self) -> &'static str {
         match self {
-            Wanted::Plan => "plan",
-            Wanted::Put => "put",
-            Wanted::Undo => "undo",
+            Verb::Plan => "plan",
+            Verb::Put => "put",
+            Verb::Undo => "undo",
         }
     }
 }
@@ -154,77 +148,80 @@
     }
 
     /// An office changes its routes, or would.
-    pub fn change(&self, office: &str, key: &str, wanted: Wanted, body: &[u8]) -> Result<Response, Refused> {
+    pub fn change(&self, office: &str, key: &str, verb: Verb, body: &[u8]) -> Result<Response, Refused> {
         let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs();
         let shown: String = KeyHash::of(key).to_string().chars().take(8).collect();
-        let idempotency_key = licence::idempotency_key(wanted.verb(), body);
-        let maker = Maker { office, at, idempotency_key, key: shown };
-        let mut doubt = false;
-        for _ in 0..TRIES {
-            let ledger = self.ledger()?;
-            opened(&ledger, office, key)?;
-            if let Some(again) = ledger.made_by(office, idempotency_key) {
-                return Ok(self.spread(ledger.revision, again.edition, again.touched, again.places));
-            }
-            let operator = self.operator()?;
-            let plan = match wanted {
-                Wanted::Undo => licence::undo(&ledger, &operator, &maker, licence::read_base(body)?)?,
-                Wanted::Plan | Wanted::Put => {
-                    licence::plan(&ledger, &operator, &maker, &licence::read_change(body, &operator)?)?
-                }
-            };
-            if wanted == Wanted::Plan {
+        let maker = Maker::of(office, verb.name(), body, at, shown);
+        let wanted = match verb {
+            Verb::Plan => {
+                let ledger = self.ledger()?;
+                opened(&ledger, office, key)?;
+                let operator = self.operator()?;
+                let change = licence::read_change(body, &operator)?;
+                let plan = licence::plan(&ledger, &operator, &maker, &change)?;
                 return Ok(json(200, licence::shown_plan(&plan).into_bytes()));
             }
-            let Some(next) = &plan.next else {
-                return Ok(json(200, format!("{{\"edition\":{},\"changed\":0}}", plan.base).into_bytes()));
-            };
-            match self.call(Call::AccountsPut { base: ledger.revision, body: next.encode() })? {
-                Answer::Revision(revision) => {
-                    return Ok(self.spread(revision, revision, plan.steps.len(), touched(&plan)));
-                }
-                Answer::Conflict { .. } => {}
-                Answer::Unknown => doubt = true,
-                answer => return Err(unclear(&answer)),
-            }
-        }
-        Err(if doubt { Refused::Unknown } else { Refused::Busy })
+            Verb::Put => Wanted::Put(maker),
+            Verb::Undo => Wanted::Undo(maker),
+        };
+        self.carry(Transaction::new(wanted, body), |ledger| {
+            opened(ledger, office, key)?;
+            self.operator()
+        })
     }
 
     /// The operator hands in an account.
     pub fn order(&self, account: &str, body: &[u8]) -> Result<Response, Refused> {
-        let mut doubt = false;
-        for _ in 0..TRIES {
-            let ledger = self.ledger()?;
-            let order = licence::read_order(account, body, &ledger)?;
-            let edition = order.edition;
-            let next = match order.carried_out(&ledger, account) {
-                Carried::Out(next) => next,
-                Carried::Again { touched } => {
-                    let places = of_account(&ledger, account);
-                    return Ok(self.spread(ledger.revision, edition, touched, places));
-                }
-                Carried::Overtaken { edition } => {
-                    return Ok(json(200, format!("{{\"edition\":{edition},\"changed\":0}}").into_bytes()));
-                }
-                Carried::Differs { edition } => return Err(Refused::Differs(edition)),
+        let transaction = Transaction::new(Wanted::Account(account), body);
+        self.carry(transaction, |_| Ok(Configuration::default()))
+    }
+
+    /// Reads and writes for it until it has come to something.
+    fn carry(
+        &self, mut transaction: Transaction<'_>, operator: impl Fn(&Ledger) -> Result<Configuration, Refused>,
+    ) -> Result<Response, Refused> {
+        loop {
+            let step = match self.step(&mut transaction, &operator) {
+                // What may have been done is not refused.
+                Err(_) | Ok(Step::GivenUp) if transaction.in_doubt() => return Err(Refused::Unknown),
+                step => step?,
             };
-            Order::fits(&next)?;
-            match self.call(Call::AccountsPut { base: ledger.revision, body: next.encode() })? {
-                Answer::Revision(revision) => {
-                    let touched = ledger.accounts.get(account).map_or(0, licence::Account::routes);
-                    return Ok(self.spread(revision, edition, touched, of_account(&ledger, account)));
+            match step {
+                Step::Read | Step::Write { .. } => {}
+                Step::Done(done) => return Ok(self.spread(done)),
+                Step::Nothing { edition } => {
+                    return Ok(json(200, format!("{{\"edition\":{edition},\"changed\":0}}").into_bytes()));
                 }
-                Answer::Conflict { .. } => {}
-                Answer::Unknown => doubt = true,
-                answer => return Err(unclear(&answer)),
+                Step::GivenUp => return Err(Refused::Busy),
             }
         }
-        Err(if doubt { Refused::Unknown } else { Refused::Busy })
+    }
+
+    fn step(
+        &self, transaction: &mut Transaction<'_>,
+        operator: impl Fn(&Ledger) -> Result<Configuration, Refused>,
+    ) -> Result<Step, Refused> {
+        let ledger = self.ledger()?;
+        let (base, body) = match transaction.read(&ledger, &operator(&ledger)?)? {
+            Step::Write { base, body } => (base, body),
+            step => return Ok(step),
+        };
+        let wrote = match self.call(Call::AccountsPut { base, body }) {
+            Ok(Answer::Revision(_)) => Wrote::Kept,
+            Ok(Answer::Conflict { .. }) => Wrote::Overtaken,
+            Ok(Answer::Busy) | Err(Refused::Untold(Untold::Full)) => Wrote::NotDone,
+            Ok(_) => Wrote::Unclear,
+            Err(late) => {
+                transaction.wrote(Wrote::Unclear);
+                return Err(late);
+            }
+        };
+        Ok(transaction.wrote(wrote))
     }
 
     /// What is kept is brought to all supervisors; the answer says how far it has come.
-    fn spread(&self, revision: u64, edition: u64, changed: usize, places: Vec<Place>) -> Response {
+    fn spread(&self, done: Done) -> Response {
+        let Done { edition, revision, touched, places } = done;
         let how = match self.desk.ask(Asked::Spread(revision, places), SPREAD) {
             Ok(Told::Spread(spreading)) => format!(
                 ",\"in_force\":{},\"of\":{},\"first_s\":{:.6},\"last_s\":{:.6}",
@@ -235,7 +232,7 @@
             ),
             _ => ",\"in_force\":null".to_owned(),
         };
-        let body = format!("{{\"edition\":{edition},\"changed\":{changed}{how}}}");
+        let body = format!("{{\"edition\":{edition},\"changed\":{touched}{how}}}");
         json(200, body.into_bytes())
     }
 }
@@ -254,24 +251,3 @@
         _ => Refused::Unknown,
     }
 }
-
-fn place(route: &Route) -> Place {
-    (route.depot.clone(), route.lane_prefix.clone())
-}
-
-fn touched(plan: &Plan) -> Vec<Place> {
-    let of = |step: &Step| match step {
-        Step::Add(route) | Step::Alter(route, _) | Step::Remove(route) => place(route),
-    };
-    plan.steps.iter().map(of).collect()
-}
-
-/// All places of an account's offices.
-fn of_account(ledger: &Ledger, account: &str) -> Vec<Place> {
-    let Some(held) = ledger.accounts.get(account) else { return Vec::new() };
-    if held.routes() > PLACES {
-        let areas = held.grant.areas.iter();
-        return areas.map(|area| (area.depot.as_str().into(), area.prefix.as_str().into())).collect();
-    }
-    held.offices.values().flat_map(|office| office.routes.iter().map(place)).collect()
-}
--- a/crates/licence/src/changes.rs
+++ b/crates/licence/src/changes.rs
@@ -66,6 +66,8 @@
     Often(Duration),
     /// there is no change to take back
     NothingToUndo,
+    /// other content was taken under this number; edition {edition} holds
+    Differs { edition: u64 },
 }
 
 impl From<Faults> for Refused {
--- a/crates/licence/src/lib.rs
+++ b/crates/licence/src/lib.rs
@@ -14,9 +14,10 @@
 mod repeats;
 mod shown;
 mod terms;
+mod transaction;
 
 pub use accounts::{Order, read_order};
-pub use changes::{Change, Maker, Plan, Refused, Step, plan, read_base, read_change, undo};
+pub use changes::{Change, Maker, Plan, Refused, plan, read_base, read_change, undo};
 pub use fitting::Unfit;
 pub use joining::{Joined, join};
 pub use keys::KeyHash;
@@ -24,3 +25,4 @@
 pub use repeats::{Again, Carried, Digest, Made, Taken, idempotency_key};
 pub use shown::{shown_accounts, shown_office, shown_plan, shown_stale};
 pub use terms::{TERMS, Terms};
+pub use transaction::{Done, Step, Transaction, Wanted, Wrote};
--- a/crates/licence/tests/orders.rs
+++ b/crates/licence/tests/orders.rs
@@ -4,9 +4,7 @@
 
 use fallgap_chart::{Configuration, read_configuration};
 use fallgap_keeper::{Answer, Call};
-use fallgap_licence::{
-    Carried, Ledger, Maker, Refused, idempotency_key, plan, read_base, read_change, read_order, undo,
-};
+use fallgap_licence::{Ledger, Maker, Refused, Step, Transaction, Wanted, Wrote, idempotency_key};
 use fallgap_sextant::waters::{Sea, ms};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -20,7 +18,9 @@
     Overtaken(u64),
     /// 409.
     Refused,
-    /// 500 or 503, or nothing.
+    /// 503: it was not done, and will not be for this coming.
+    NotDone,
+    /// 500, or nothing.
     Unclear,
 }
 
@@ -30,13 +30,13 @@
     /// `None`: the operator's, for the account.
     office: Option<&'static str>,
     verb: &'static str,
-    body: String,
+    body: &'static str,
     /// What only this one puts, if it puts something.
     own: Option<u8>,
     at: Stage,
     since: Duration,
-    /// How often it was begun anew by the supervisor that has it.
-    tries: u32,
+    /// Of the supervisor that has it.
+    transaction: Transaction<'static>,
     told: Option<Said>,
 }
 
@@ -46,7 +46,7 @@
     /// Nobody has it: it goes out at this time.
     Out(Duration),
     Reads(u64),
-    Writes(u64, Said),
+    Writes(u64),
 }
 
 struct World {
@@ -95,10 +95,29 @@
     }
 
     fn order(
-        &mut self, office: Option<&'static str>, verb: &'static str, body: String, own: Option<u8>,
+        &mut self, office: Option<&'static str>, verb: &'static str, body: &str, own: Option<u8>,
     ) -> Order {
+        let body: &'static str = body.to_owned().leak();
         let at = Stage::Out(self.sea.now + ms(self.sea.rng.u64(0..40)));
-        Order { office, verb, body, own, at, since: self.sea.now, tries: 0, told: None }
+        let transaction = Transaction::new(Wanted::Account("survey"), body.as_bytes());
+        Order { office, verb, body, own, at, since: self.sea.now, transaction, told: None }
+    }
+
+    /// A supervisor takes it up.
+    fn take_up(&mut self, order: &mut Order) {
+        let wanted = match order.office {
+            None => Wanted::Account("survey"),
+            Some(office) => {
+                let at = self.sea.now.as_secs() * 60;
+                let mut maker = Maker::of(office, order.verb, order.body.as_bytes(), at, String::new());
+                if self.forgets {
+                    maker.idempotency_key = self.sea.rng.u64(..);
+                }
+                if order.verb == "undo" { Wanted::Undo(maker) } else { Wanted::Put(maker) }
+            }
+        };
+        order.transaction = Transaction::new(wanted, order.body.as_bytes());
+        self.reads(order);
     }
 
     /// Two to eight orders, all of them made from what is held now.
@@ -112,9 +131,9 @@
             let order = match self.sea.rng.u8(0..8) {
                 0..2 => {
                     let content = self.sea.rng.u64(0..3);
-                    self.order(None, "account", account(edition, content), None)
+                    self.order(None, "account", &account(edition, content), None)
                 }
-                2 => self.order(Some(office), "undo", format!(r#"{{"base":{base}}}"#), None),
+                2 => self.order(Some(office), "undo", &format!(r#"{{"base":{base}}}"#), None),
                 // Two who hold one key send the same.
                 3 if orders.iter().any(|order| order.office.is_some()) => {
                     let same = orders.iter().find(|order| order.office.is_some()).cloned();
@@ -128,7 +147,7 @@
                         r#"{{"base":{base},"put":{{"fields":["depot","lane_prefix","route_class","service","priority"],
                             "entries":[["h","/{office}/{place}/","safe","s",{value}]]}}}}"#
                     );
-                    self.order(Some(office), "put", body, Some(value))
+                    self.order(Some(office), "put", &body, Some(value))
                 }
             };
             orders.push(order);
@@ -172,14 +191,13 @@
         self.sea.answers.iter().find(|(told, ..)| *told == id).map(|(.., answer)| answer.clone())
     }
 
-    /// As `lantern` does: it reads, judges, writes over what it read, and begins anew if it was overtaken.
+    /// Carries its transaction out, as `lantern` does.
     fn step(&mut self, order: &mut Order, troubled: bool) -> Result<(), String> {
         let late = self.sea.now > order.since + ms(1000);
         match order.at.clone() {
             Stage::Out(at) if self.sea.now < at => Ok(()),
             Stage::Out(_) => {
-                order.tries = 0;
-                self.reads(order);
+                self.take_up(order);
                 Ok(())
             }
             Stage::Reads(id) => match self.answer(id) {
@@ -189,86 +207,68 @@
                     self.judge(order, &ledger, troubled)
                 }
                 Some(Answer::Missing) => self.judge(order, &Ledger::default(), troubled),
-                _ => self.say(order, Said::Unclear, troubled),
-            },
-            Stage::Writes(id, said) => match self.answer(id) {
-                None if !late => Ok(()),
-                Some(Answer::Revision(_)) => {
-                    self.counts[0] += 1;
-                    self.say(order, said, troubled)
-                }
-                Some(Answer::Conflict { .. } | Answer::Unknown) if order.tries < 5 => {
-                    self.reads(order);
-                    Ok(())
+                Some(Answer::Busy) if !order.transaction.in_doubt() => {
+                    self.say(order, Said::NotDone, troubled)
                 }
                 _ => self.say(order, Said::Unclear, troubled),
             },
+            Stage::Writes(id) => {
+                let wrote = match self.answer(id) {
+                    None if !late => return Ok(()),
+                    Some(Answer::Revision(_)) => Wrote::Kept,
+                    Some(Answer::Conflict { .. }) => Wrote::Overtaken,
+                    Some(Answer::Busy) => Wrote::NotDone,
+                    _ => Wrote::Unclear,
+                };
+                self.counts[0] += u64::from(wrote == Wrote::Kept);
+                let step = order.transaction.wrote(wrote);
+                self.go_on(order, step, troubled)
+            }
         }
     }
 
     fn reads(&mut self, order: &mut Order) {
-        order.tries += 1;
         order.since = self.sea.now;
         order.at = Stage::Reads(self.call(Call::AccountsGet));
     }
 
     fn judge(&mut self, order: &mut Order, ledger: &Ledger, troubled: bool) -> Result<(), String> {
-        let (next, said) = match self.judged(order, ledger)? {
-            Ok(next) => next,
-            Err(said) => return self.say(order, said, troubled),
-        };
-        order.since = self.sea.now;
-        let id = self.call(Call::AccountsPut { base: ledger.revision, body: next.encode() });
-        order.at = Stage::Writes(id, said);
-        Ok(())
+        match order.transaction.read(ledger, &self.operator) {
+            Ok(step) => self.go_on(order, step, troubled),
+            Err(_) if order.transaction.in_doubt() => self.say(order, Said::Unclear, troubled),
+            // The first order of the operator is not there yet.
+            Err(Refused::NoOffice) => self.say(order, Said::Unclear, troubled),
+            Err(Refused::Stale { .. } | Refused::NothingToUndo | Refused::Differs { .. }) => {
+                self.say(order, Said::Refused, troubled)
+            }
+            Err(other) => Err(other.to_string()),
+        }
     }
 
-    fn judged(&mut self, order: &Order, ledger: &Ledger) -> Result<Result<(Ledger, Said), Said>, String> {
-        let Some(office) = order.office else {
-            let read = read_order("survey", order.body.as_bytes(), ledger).map_err(|e| e.to_string())?;
-            let (edition, before) =
-                (read.edition, ledger.accounts.get("survey").map_or(0, |held| held.routes()));
-            return Ok(match read.carried_out(ledger, "survey") {
-                Carried::Out(next) => Ok((next, Said::Done(edition, before))),
-                Carried::Again { touched } => Err(Said::Done(edition, touched)),
-                Carried::Overtaken { edition } => Err(Said::Overtaken(edition)),
-                Carried::Differs { .. } => Err(Said::Refused),
-            });
-        };
-        let drawn = self.sea.rng.u64(..);
-        let key = if self.forgets { drawn } else { idempotency_key(order.verb, order.body.as_bytes()) };
-        if ledger.office(office).is_none() {
-            return Ok(Err(Said::Unclear));
-        }
-        if let Some(again) = ledger.made_by(office, key) {
-            return Ok(Err(Said::Done(again.edition, again.touched)));
-        }
-        let at = self.sea.now.as_secs() * 60;
-        let maker = Maker { office, at, idempotency_key: key, key: String::new() };
-        let planned = match order.verb {
-            "undo" => {
-                let base = read_base(order.body.as_bytes()).map_err(|e| e.to_string())?;
-                undo(ledger, &self.operator, &maker, base)
+    fn go_on(&mut self, order: &mut Order, step: Step, troubled: bool) -> Result<(), String> {
+        let said = match step {
+            Step::Read => {
+                self.reads(order);
+                return Ok(());
             }
-            _ => {
-                let change = read_change(order.body.as_bytes(), &self.operator).map_err(|e| e.to_string())?;
-                plan(ledger, &self.operator, &maker, &change)
+            Step::Write { base, body } => {
+                order.since = self.sea.now;
+                order.at = Stage::Writes(self.call(Call::AccountsPut { base, body }));
+                return Ok(());
             }
+            Step::Done(done) => Said::Done(done.edition, done.touched),
+            Step::Nothing { edition } if order.office.is_none() => Said::Overtaken(edition),
+            Step::Nothing { edition } => Said::Done(edition, 0),
+            Step::GivenUp if order.transaction.in_doubt() => Said::Unclear,
+            Step::GivenUp => Said::NotDone,
         };
-        Ok(match planned {
-            Ok(plan) => match plan.next {
-                Some(next) => Ok((next.clone(), Said::Done(next.revision, plan.steps.len()))),
-                None => Err(Said::Done(plan.base, 0)),
-            },
-            Err(Refused::Stale { .. } | Refused::NothingToUndo) => Err(Said::Refused),
-            Err(other) => return Err(other.to_string()),
-        })
+        self.say(order, said, troubled)
     }
 
     /// The supervisor answers; its answer may be lost.
     fn say(&mut self, order: &mut Order, said: Said, troubled: bool) -> Result<(), String> {
         let again = Stage::Out(self.sea.now + ms(self.sea.rng.u64(20..300)));
-        if said == Said::Unclear {
+        if matches!(said, Said::Unclear | Said::NotDone) {
             order.at = again;
             return Ok(());
         }
@@ -309,7 +309,7 @@
         for order in orders {
             if let Some(Said::Done(edition, touched)) = &order.told
                 && (*touched > 0 || order.office.is_none())
-                && let Some(other) = numbers.insert((order.office, *edition), &order.body)
+                && let Some(other) = numbers.insert((order.office, *edition), order.body)
                 && other != order.body
             {
                 return Err(format!("{:?} {edition} is both {other} and {}", order.office, order.body));
@@ -339,7 +339,7 @@
 
 fn play(seed: u64, rounds: u64, forgets: bool) -> Result<[u64; 4], String> {
     let mut world = World::new(seed, forgets);
-    let mut first = [world.order(None, "account", account(1, 0), None)];
+    let mut first = [world.order(None, "account", &account(1, 0), None)];
     world.play(&mut first, false)?;
     let mut before: Vec<Order> = first.to_vec();
     for _ in 0..rounds {
