Lantern: what is remembered beside a configuration is no reason to read it again

An older edition that comes late is taken down in the register, and each keeper was told of the value anew: it read and joined the whole configuration though nothing in it had changed.

--- a/crates/lantern/src/carry.rs
+++ b/crates/lantern/src/carry.rs
@@ -93,8 +93,14 @@
     /// A configuration is committed.
     fn configured(&mut self, now: Duration, value: &[u8]) {
         let Some(body) = subjects::config_body(Some(value)) else { return };
+        let edition = subjects::config_edition(Some(value));
+        // An edition has one content: only what is remembered beside it is new.
+        if edition <= self.configured {
+            return;
+        }
         match fallgap_chart::read_configuration(body) {
             Ok(configuration) => {
+                self.configured = edition;
                 if let Some(hub) = &mut self.hub {
                     hub.committed(now, configuration, body);
                 }
--- a/crates/lantern/src/engine.rs
+++ b/crates/lantern/src/engine.rs
@@ -42,6 +42,8 @@
     pub keeper: Keeper,
     pub disk: Option<Disk>,
     pub hub: Option<Hub>,
+    /// The highest edition that was committed and read here.
+    pub configured: Option<u64>,
     pub follower: Follower,
     pub roster_terms: fallgap_roster::Terms,
     pub view: Option<Arc<View>>,
--- a/crates/lantern/src/start.rs
+++ b/crates/lantern/src/start.rs
@@ -183,6 +183,7 @@
         keeper,
         disk,
         hub,
+        configured: None,
         follower,
         roster_terms: roster,
         view: None,
