Store: a log gets its lasting name by a synced copy, not by a second name

Cause: the new name was made as a hard link.

Ruled out: going back to a plain rename. tests/power.rs shows that it can lose both names.

Change: the log is copied to log.new, synced, renamed, and the folder synced, before the old name goes; what is left of log.new is removed at the next start. No call but plain reads, writes, renames and syncs.

Test: power.rs plays all losses and kills at each of these steps as before, and store.rs is as it was.

--- a/crates/keeper/src/store/mod.rs
+++ b/crates/keeper/src/store/mod.rs
@@ -250,7 +250,9 @@
 /// Gives the log that was in use at the last end its lasting name. What is found counts from here on, and what it
 /// replaces goes: so the names that were found last first, whatever the process before this one came to.
 fn put_away(dir: &Path, found: &mut Found) -> io::Result<()> {
-    files::remove(&dir.join(files::DRAFT))?;
+    for draft in [files::DRAFT, files::LOG_DRAFT] {
+        files::remove(&dir.join(draft))?;
+    }
     files::sync_folder(dir)?;
     for name in std::mem::take(&mut found.in_use) {
         match log::number_of(&dir.join(&name))? {
