--- a/crates/sextant/src/waters.rs
+++ b/crates/sextant/src/waters.rs
@@ -42,7 +42,7 @@
     pub life: u64,
     /// Its first start is the system's too.
     first: bool,
-    /// It started again, and what it voted on as a seed is not on its disk.
+    /// It ended, and what it voted on as a seed is not on its disk.
     forgot: bool,
     /// Its clock is ahead of the sea's by this.
     ahead: Duration,
@@ -232,10 +232,11 @@
     /// The process ends; so much of what was written but not synced is kept.
     pub fn stop(&mut self, node: NodeId, keep: usize) {
         let Some(machine) = self.machines.get_mut(&node) else { return };
-        machine.keeper = None;
+        let ran = machine.keeper.take().is_some();
         machine.down_since = self.now;
         let loose = std::mem::take(&mut machine.loose);
         machine.kept.extend(loose.into_iter().take(keep).map(|(_, record)| record));
+        machine.forgot |= ran && !machine.has_epoch();
         self.asked.retain(|_, (at, _)| *at != node);
     }
 
--- a/crates/sextant/tests/founding.rs
+++ b/crates/sextant/tests/founding.rs
@@ -134,6 +134,53 @@
     }
 }
 
+/// All within 0.3 s in any order, but for one that comes later: a seed with a disk or without, or no seed.
+#[test]
+fn whoever_comes_late_is_not_waited_for_and_comes_in() {
+    for (disks, plain, seeds) in [(3, 2, [1, 2, 3]), (4, 3, [2, 5, 6]), (5, 0, [1, 3, 5])] {
+        for late in 1..=disks + plain {
+            for rng in 0..12 {
+                let what = format!("{disks} disks, seeds {seeds:?}, {late} is late, {rng}");
+                let mut sea = begin(rng, disks, plain, &seeds);
+                sea.events.clear();
+                for n in 1..=disks + plain {
+                    let after = if n == late { 300 + 500 * rng } else { sea.rng.u64(0..300) };
+                    sea.restart(node(n), ms(after));
+                }
+                let others = |sea: &Sea| knowing(sea).iter().filter(|one| **one != node(late)).count();
+                let done = until(&mut sea, IN_TROUBLE, |sea| others(sea) + 1 == sea.machines.len());
+                assert!(done, "{what}: {:?}", sea.view());
+                let done = until(&mut sea, IN_TROUBLE, |sea| knowing(sea).len() == sea.machines.len());
+                assert!(done, "{what}: {:?}", sea.view());
+                sound(&mut sea, 0, &what);
+            }
+        }
+    }
+}
+
+/// Processes that start again are told of other seeds. Those whose disks hold the first ones go by these.
+#[test]
+fn seeds_named_later_have_no_vote() {
+    for rng in 0..60 {
+        let mut sea = begin(rng, 6, 0, &[1, 2, 3]);
+        sea.run(ms(400));
+        // Nobody hears the seeds yet: none of the others may found in their place.
+        for seed in [1, 2, 3] {
+            cut_links(&mut sea, node(seed), false, false);
+        }
+        sea.seeds = [4, 5, 6].map(node).to_vec();
+        for n in 1..=6 {
+            let power = sea.rng.bool();
+            sea.kill(node(n), power);
+            let after = ms(sea.rng.u64(1..900));
+            sea.restart(node(n), after);
+        }
+        sea.run(ms(9000));
+        assert!(knowing(&sea).is_empty(), "{rng}: {:?}", sea.view());
+        sound(&mut sea, 0, &rng.to_string());
+    }
+}
+
 /// The founder is cut off, silently, from a moment on, and comes back after twenty seconds. The others are founded
 /// without it, or with it; what they confirm meanwhile stays.
 #[test]
