Homes: contact is heard both ways, and a read since it began is what confirms

Cause, each shown by a test that fails without the mend: - A keeper that hears the others and is heard by nobody counted as settled. What it missed stayed missed, and its followers stayed: half of the plain machines showed the old edition until the cut's end. - A keeper that came back into contact was a home at once, with what it held before: it told edition 78 as the newest while 331 was acknowledged, until its first read was back. - A keeper that was started and served what its disk remembers confirmed it like any home. Routes of offices rest on that word: a machine answered by revision 46 when 86 had been in force for longer than the barrier waits. - A keeper that was cut off acknowledged a server's closing alone (its beacon saw no other keeper), and every beat.

Ruled out: an answer other than 503 and silence from a keeper without a majority (none in any case); an edition that goes back within a life (none); a follower that stays with a home that says nothing.

Change: a sign of life says whether its sender hears whom it goes to; contact is a majority heard that hears us. A home out of contact is left within 1.7 s. One in contact reads the configuration and the accounts at once, and confirms what it tells when a read that began since then is back; before, its table carries a note, and followers do not take it as confirmed. Fitness is looked at with each event instead of twice a second. A keeper that is not in contact does not count as one that knows a closing, and answers beats by 503 (unless it was started a moment ago), so that the server calls another. The wait for an office's change that somebody has not heard of is 2.8 s instead of 2.3 s: 1.6 s until who is cut off confirms nothing, a second for which a home's word holds, a twentieth for clocks.

Found without their mechanism: home that goes on feeding, home that does not wait for a read, memory that confirms, contact heard one way, contact alone, reads alone. The row of an office's wait names the new moment.

--- /dev/null
+++ b/crates/keeper/src/contact.rs
@@ -0,0 +1,60 @@
+//! Contact with a majority: what a machine has to have before others may go by what it says.
+//!
+//! To hear a majority is not enough: whose own words reach nobody hears all the same, but what it missed stays missed. So
+//! each sign of life says whether its sender has heard whom it goes to. And who was out of contact may hold something old, so
+//! it tells when a read at a majority began whose answer it has (as for a read index: what was committed before that is known
+//! here).
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::charter::Charter;
+use crate::desk::{Asker, Entry};
+use crate::fault::{self, Fault};
+use crate::keeper::Keeper;
+use crate::types::{Call, Key};
+
+/// When the newest read at a majority began that came back, for what homes tell of.
+pub(crate) type ReadSince = BTreeMap<Key, Duration>;
+
+impl Keeper {
+    /// Hears a majority of the members, and is heard by them. Once it is cut off, in one direction or both, this ends
+    /// after `settled` and `pulse_whole` at the latest.
+    pub fn in_contact(&self, now: Duration) -> bool {
+        if fault::is(Fault::ContactAlone) {
+            return true;
+        }
+        let quorum = self.charter.as_ref().map_or(usize::MAX, Charter::quorum);
+        let heard = self.heard_members(now, self.terms.settled);
+        let both = heard.filter(|node| {
+            *node == self.me.node || self.crew.hears_us(*node) || fault::is(Fault::ContactOneWay)
+        });
+        self.voting_epoch().is_some() && both.count() >= quorum
+    }
+
+    /// All of the configuration and the accounts that was committed before then is known here: when the older of the two
+    /// newest reads began. None: one of them has not been read since the start.
+    pub fn read_since(&self) -> Option<Duration> {
+        let of = |key| self.read_since.get(&key).copied();
+        Some(of(Key::Config)?.min(of(Key::Accounts)?))
+    }
+
+    /// Reads the configuration and the accounts at a majority, unless that is under way.
+    pub fn read_anew(&mut self, now: Duration) {
+        self.clock = now;
+        for call in [Call::ConfigGet, Call::AccountsGet] {
+            if !self.active.contains(&call.key()) {
+                self.admit(now, Entry { asker: Asker::Own, call, came: now, sent: false });
+            }
+        }
+        self.drain(now);
+    }
+
+    /// A call that came at that time has its answer from a majority.
+    pub(crate) fn note_read(&mut self, key: &Key, came: Duration) {
+        if matches!(key, Key::Config | Key::Accounts) {
+            let since = self.read_since.entry(key.clone()).or_default();
+            *since = came.max(*since);
+        }
+    }
+}
--- a/crates/keeper/src/crew.rs
+++ b/crates/keeper/src/crew.rs
@@ -15,6 +15,8 @@
     disk: Option<(u64, Duration)>,
     whole: Option<u64>,
     leaving: bool,
+    /// It has said that it hears this node.
+    hears_us: bool,
     /// As the beacon has it: its disk, whether it is here, and since when that has been so.
     stands: Option<(Option<u64>, bool, Duration)>,
 }
@@ -52,11 +54,13 @@
 
     pub fn pulse(
         &mut self, now: Duration, node: NodeId, disk: Option<u64>, whole: Option<u64>, leaving: bool,
+        hears_us: bool,
     ) {
         if let Some(view) = self.view(now, node) {
             view.disk = disk.map(|disk| (disk, now));
             view.whole = whole;
             view.leaving = leaving;
+            view.hears_us = hears_us;
         }
     }
 
@@ -91,6 +95,11 @@
         heard.is_some_and(|heard| now.saturating_sub(heard) <= within)
     }
 
+    /// As it said last.
+    pub fn hears_us(&self, node: NodeId) -> bool {
+        self.views.get(&node).is_some_and(|view| view.hears_us)
+    }
+
     pub fn is_here(&self, node: NodeId) -> bool {
         self.views.get(&node).and_then(|view| view.stands).is_some_and(|(_, here, _)| here)
     }
--- a/crates/keeper/src/fingerprint.rs
+++ b/crates/keeper/src/fingerprint.rs
@@ -30,6 +30,8 @@
             calls,
             watches,
             shown,
+            // Told, and nothing of its own rests on it.
+            read_since: _,
             count,
             mark,
             pulse_at,
--- a/crates/keeper/src/keeper.rs
+++ b/crates/keeper/src/keeper.rs
@@ -6,6 +6,7 @@
 use crate::acceptor::{Acceptor, mixed};
 use crate::ballot::Ballot;
 use crate::charter::Charter;
+use crate::contact::ReadSince;
 use crate::crew::Crew;
 use crate::desk::{Asker, Desk, Entry};
 use crate::fault::{self, Fault};
@@ -53,6 +54,7 @@
     pub(crate) watches: Watches,
     /// The newest committed values that this node heard of; they never go back.
     pub(crate) shown: BTreeMap<Key, (Ballot, Value)>,
+    pub(crate) read_since: ReadSince,
     /// The highest count of a ballot of this life.
     pub(crate) count: u64,
     /// Names plain reads.
@@ -92,6 +94,7 @@
             calls: 0,
             watches: Watches::default(),
             shown: BTreeMap::new(),
+            read_since: ReadSince::new(),
             count: 0,
             mark,
             pulse_at: now,
@@ -153,7 +156,8 @@
             || key.name().len() > self.terms.name
             || (call.adds() && self.acceptor.bytes() + call.bytes() > self.terms.bytes)
             || (self.acceptor.len() >= self.terms.registers && self.acceptor.get(&key).is_none());
-        if over || self.voting_epoch().is_none() || !self.has_quorum(now) {
+        let alone = fault::is(Fault::ReadAlone);
+        if over || self.voting_epoch().is_none() || (!alone && !self.has_quorum(now)) {
             return self.pen.answer(id, Answer::Busy);
         }
         self.admit(now, Entry { asker: Asker::Caller(id), call, came: now, sent: false });
@@ -247,7 +251,7 @@
         self.drain(now);
     }
 
-    fn drain(&mut self, now: Duration) {
+    pub(crate) fn drain(&mut self, now: Duration) {
         while let Some(message) = self.pen.next_own() {
             self.handle(now, self.me.node, message);
         }
@@ -276,7 +280,7 @@
         self.heard_members(now, self.terms.alive)
     }
 
-    fn heard_members(&self, now: Duration, within: Duration) -> impl Iterator<Item = NodeId> {
+    pub(crate) fn heard_members(&self, now: Duration, within: Duration) -> impl Iterator<Item = NodeId> {
         let members = self.charter.iter().flat_map(|charter| &charter.members).map(|member| member.node);
         members.filter(move |node| *node == self.me.node || self.crew.is_heard(now, *node, within))
     }
@@ -353,23 +357,24 @@
         if whole {
             self.pulse_whole_at = now + self.terms.pulse_whole;
         }
-        let said = self.said(epoch);
         for node in self.members() {
             if node != self.me.node && (whole || !spoken.contains(&node)) {
-                self.pen.send(node, said.clone());
+                let said = self.said(now, epoch, node);
+                self.pen.send(node, said);
             }
         }
     }
 
     fn pulse_to(&mut self, node: NodeId) {
         if let Some(epoch) = self.member_epoch() {
-            let said = self.said(epoch);
+            let said = self.said(self.clock, epoch, node);
             self.pen.send(node, said);
         }
     }
 
-    fn said(&self, epoch: u64) -> Message {
-        Message::Pulse { epoch, disk: self.me.disk, whole: self.whole, leaving: self.leaving }
+    fn said(&self, now: Duration, epoch: u64, to: NodeId) -> Message {
+        let hears_you = self.crew.is_heard(now, to, self.terms.settled);
+        Message::Pulse { epoch, disk: self.me.disk, whole: self.whole, leaving: self.leaving, hears_you }
     }
 
     fn desk_wake(&self, key: &Key) -> Option<Duration> {
@@ -388,8 +393,8 @@
 
     fn handle(&mut self, now: Duration, from: NodeId, message: Message) {
         match message {
-            Message::Pulse { epoch, disk, whole, leaving } => {
-                self.crew.pulse(now, from, disk, whole, leaving);
+            Message::Pulse { epoch, disk, whole, leaving, hears_you } => {
+                self.crew.pulse(now, from, disk, whole, leaving, hears_you);
                 if epoch > self.epoch() {
                     self.pen.send(from, Message::Ask { epoch: self.epoch() });
                 } else if epoch < self.epoch() {
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -6,6 +6,7 @@
 mod acceptor;
 pub mod ballot;
 pub mod charter;
+mod contact;
 mod crew;
 mod desk;
 mod desks;
--- a/crates/keeper/src/messages.rs
+++ b/crates/keeper/src/messages.rs
@@ -34,12 +34,14 @@
 /// Between keepers, in any order; each may be lost or come twice.
 #[derive(Clone, Debug, PartialEq, Hash, Serialize, Deserialize)]
 pub enum Message {
-    /// A sign of life. `whole`: the epoch with which its disk came in, once it has caught up.
+    /// A sign of life. `whole`: the epoch with which its disk came in, once it has caught up. `hears_you`: the sender has
+    /// heard whom this goes to a moment ago.
     Pulse {
         epoch: u64,
         disk: Option<u64>,
         whole: Option<u64>,
         leaving: bool,
+        hears_you: bool,
     },
     /// Asks for the newest epoch, if it is above this one (0: knows none).
     Ask {
--- a/crates/keeper/src/rounds.rs
+++ b/crates/keeper/src/rounds.rs
@@ -42,6 +42,11 @@
         if desk.batch.is_empty() {
             return desk.enter(Stage::Idle);
         }
+        if fault::is(Fault::ReadAlone) && desk.batch.iter().all(Entry::reads) {
+            let base = self.survey(now, key).known;
+            let answers = self.judge_all(now, &desk.batch, base.as_ref()).answers;
+            return self.finish(now, key, desk, answers, base.as_ref());
+        }
         let Some(epoch) = self.voting_epoch().filter(|_| self.has_quorum(now)) else {
             return self.refuse_all(desk);
         };
@@ -283,6 +288,7 @@
         base: Option<&Known>,
     ) {
         for (entry, (answer, _)) in std::mem::take(&mut desk.batch).into_iter().zip(answers) {
+            self.note_read(key, entry.came);
             match (answer, &entry.call) {
                 (Some(answer), _) => self.tell(&entry, answer),
                 (None, Call::Watch { group, after, wait }) if !entry.is_own() => {
--- a/crates/lantern/src/carry.rs
+++ b/crates/lantern/src/carry.rs
@@ -7,7 +7,7 @@
 use crate::words::Word;
 use fallgap_beacon::{Out as BeaconOut, State};
 use fallgap_chart::Beat;
-use fallgap_keeper::{Key, Out as KeeperOut, subjects};
+use fallgap_keeper::{Answer, Key, Out as KeeperOut, subjects};
 use fallgap_licence::Ledger;
 use fallgap_lightlist::{KINDS, LightWord, Out as LightOut, Verdict};
 use fallgap_pilot::Place;
@@ -204,7 +204,8 @@
             Word::Forwarded { id, answer } => self.answered(now, from, id, answer),
             Word::Beat { id, beat } => {
                 self.roster(now, from, RosterWord::Beat(beat));
-                if id > 0 && self.hub.is_some() {
+                // Who is cut off from the majority does not count among those that know.
+                if id > 0 && self.hub.is_some() && self.keeper.in_contact(now) {
                     self.say(now, from, Word::BeatTaken { id });
                 }
             }
@@ -296,7 +297,7 @@
         }
     }
 
-    fn answered(&mut self, now: Duration, from: Ipv4Addr, id: u64, answer: fallgap_keeper::Answer) {
+    fn answered(&mut self, now: Duration, from: Ipv4Addr, id: u64, answer: Answer) {
         let alive = self.keepers();
         let order = |key: &Key| calls::by_key(key, alive.clone());
         let steps = self.calls.answered(now, self.me, from, id, answer, order);
@@ -306,6 +307,14 @@
     /// A server beats here: all keepers are told. One that closes is acknowledged when enough of them know.
     pub fn beat(&mut self, now: Duration, beat: Beat, reply: SyncSender<Told>) {
         let keepers = self.keepers();
+        // The majority may not hear of it from here: the server calls another supervisor.
+        if self.hub.as_ref().is_some_and(|hub| !hub.takes_beats(now)) {
+            let _ = reply.try_send(Told::Answer(Answer::Busy));
+            for keeper in keepers {
+                self.say(now, keeper, Word::Beat { id: 0, beat: beat.clone() });
+            }
+            return;
+        }
         let id = if beat.closing {
             let Some(id) = self.beats.closing(now, reply, &keepers) else { return };
             id
--- a/crates/lantern/src/engine.rs
+++ b/crates/lantern/src/engine.rs
@@ -122,10 +122,7 @@
             }
             self.hear_threads(now);
             self.woke(now);
-            // What makes it fit is not waited for; what makes it unfit is looked for now and then.
-            if let Some(hub) = self.hub.as_mut().filter(|hub| !hub.distribution.is_fit()) {
-                hub.see_whether_fit(now, self.keeper.is_settled(now));
-            }
+            self.see_whether_fit(now);
             self.carry(now);
             if self.ended(now) {
                 return Ok(());
@@ -188,7 +185,6 @@
             self.beats.woke(now);
             self.look_at_settings(now);
             if let Some(hub) = &mut self.hub {
-                hub.see_whether_fit(now, self.keeper.is_settled(now));
                 for (subject, bytes) in hub.take_due(now) {
                     self.disk.iter().for_each(|d| _ = d.work.send(Work::Remember(subject, bytes.clone())));
                 }
@@ -201,6 +197,15 @@
         }
     }
 
+    /// Whether this home can be followed; one that came back into contact with a majority reads there at once.
+    fn see_whether_fit(&mut self, now: Duration) {
+        let Some(hub) = &mut self.hub else { return };
+        hub.see_whether_fit(now, self.keeper.in_contact(now), self.keeper.read_since());
+        if hub.wants_read(now) {
+            self.keeper.read_anew(now);
+        }
+    }
+
     /// Keepers that may run calls and know servers: those with a disk that are here.
     pub fn keepers(&self) -> Vec<Ipv4Addr> {
         let here =
--- a/crates/lantern/src/hub.rs
+++ b/crates/lantern/src/hub.rs
@@ -5,7 +5,7 @@
 use fallgap_chart::Configuration;
 use fallgap_licence::Ledger;
 use fallgap_lightlist::Lightlist;
-use fallgap_roster::{Distribution, Registry, Terms};
+use fallgap_roster::{Distribution, Fit, Fitness, Ground, Registry, Terms};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,17 +13,19 @@
 /// For that part of the time after which a machine is in touch a keeper that was started serves with what its disk
 /// remembers, though it has heard no majority yet: what it remembers was committed, and is at worst a little old.
 const YOUNG: f64 = 2.0 / 3.0;
-/// A home that is settled waits so long for the configuration before it takes followers.
-const FOR_CONFIGURATION: Duration = Duration::from_millis(300);
+/// What was not read at a majority since the last contact with one is asked for again this often.
+const READ_AGAIN: Duration = Duration::from_millis(150);
 
 pub struct Hub {
     pub registry: Registry,
     pub distribution: Distribution,
     pub lights: Lightlist,
-    /// Until then it is young.
-    young: Duration,
-    /// Since when the keeper has been heard by a majority without a break.
-    settled: Option<Duration>,
+    fitness: Fitness,
+    fit: Fit,
+    /// Whether the keeper was in contact with a majority when it was looked at last.
+    contact: bool,
+    /// When a read is asked for next, if it is still wanted then.
+    read_at: Duration,
     /// The newest configuration that is committed: its edition and what the operator sent.
     committed: Option<(u64, Arc<[u8]>)>,
     /// What the operator has, and the accounts whose routes are joined in.
@@ -45,8 +47,10 @@
             registry: Registry::start(now, rng.u64(..), terms),
             distribution: Distribution::start(now, rng.u64(..), terms),
             lights: Lightlist::new(now, me, fallgap_lightlist::Terms::default()),
-            young: now + touch.mul_f64(YOUNG),
-            settled: None,
+            fitness: Fitness::start(now + touch.mul_f64(YOUNG)),
+            fit: Fit::No,
+            contact: false,
+            read_at: now,
             committed: None,
             operator: None,
             ledger: Ledger::default(),
@@ -67,7 +71,7 @@
             hub.operator = Some(Arc::new(configuration));
             hub.join(now);
         }
-        hub.see_whether_fit(now, false);
+        hub.see_whether_fit(now, false, None);
         hub
     }
 
@@ -110,16 +114,32 @@
         self.distribution.set_configuration(now, joined);
     }
 
-    /// Whether it can be followed: it is settled and knows the configuration, if there seems to be one; or it is
-    /// young and remembers one.
-    pub fn see_whether_fit(&mut self, now: Duration, settled: bool) {
-        self.settled = settled.then(|| self.settled.unwrap_or(now));
+    /// Whether it can be followed, and confirms what it tells. `read`: when the newest read of the configuration and the
+    /// accounts at a majority began.
+    pub fn see_whether_fit(&mut self, now: Duration, contact: bool, read: Option<Duration>) {
         let knows = self.distribution.has_configuration();
-        let fit = match self.settled {
-            Some(since) => knows || now >= since + FOR_CONFIGURATION,
-            None => knows && now < self.young,
-        };
-        self.distribution.set_fit(now, fit);
+        self.contact = contact;
+        self.fit = self.fitness.judge(now, Ground { contact, read, knows });
+        self.distribution.stands(now, self.fit);
+    }
+
+    /// What it tells was at a majority since it last came into contact with one.
+    pub fn confirms(&self) -> bool {
+        self.fit == Fit::Confirms
+    }
+
+    /// Whether the keeper is to read anew now: it came into contact with a majority, and has not read there since.
+    pub fn wants_read(&mut self, now: Duration) -> bool {
+        let wants = self.contact && !self.confirms() && now >= self.read_at;
+        if wants {
+            self.read_at = now + READ_AGAIN;
+        }
+        wants
+    }
+
+    /// Whether a server's beat can be acknowledged here: others hear of it, or soon will.
+    pub fn takes_beats(&self, now: Duration) -> bool {
+        self.contact || self.fitness.is_young(now)
     }
 
     /// What is to be written to the disk now, to be remembered over a start.
@@ -193,7 +213,8 @@
                 if ms == committed {
                     hub.committed(at(ms), configuration(), BODY);
                 }
-                hub.see_whether_fit(at(ms), ms >= settled);
+                let read = (ms >= committed).then_some(at(settled));
+                hub.see_whether_fit(at(ms), ms >= settled, read);
                 if let Some((_, fit)) = wanted.iter().find(|(at, _)| *at / 5 == ms / 5) {
                     assert_eq!(hub.distribution.is_fit(), *fit, "row {row}, {ms} ms");
                 }
--- a/crates/lantern/src/spread.rs
+++ b/crates/lantern/src/spread.rs
@@ -9,9 +9,10 @@
 
 /// Those that heard of it answer for the touched routes no more; so long it is waited for that they all route by it.
 const FORCE: Duration = Duration::from_millis(600);
-/// By then one that did not hear of it does not answer for routes of offices any more: a keeper that can be a home
-/// reads what is kept at least once a second, and a home's word holds for a second.
-const HOLD: Duration = Duration::from_millis(2300);
+/// By then one that did not hear of it does not answer for routes of offices any more: a keeper that is cut off, in one
+/// direction or both, confirms nothing 1.6 s later, any other reads what is kept once a second, and a home's word holds
+/// for a second; a twentieth more is for clocks whose rates differ.
+const HOLD: Duration = Duration::from_millis(2800);
 /// Under way at once, and words of others that wait for a view.
 const MOST: usize = 256;
 
@@ -151,8 +152,8 @@
                 (1, Routes(1), None),
                 (2, Routes(2), None),
                 (600, Wakes, None),
-                (2299, Wakes, None),
-                (2300, Wakes, Some((2, 3))),
+                (2799, Wakes, None),
+                (2800, Wakes, Some((2, 3))),
             ],
             &[
                 (1, Routes(1), None),
--- a/crates/roster/src/distribution.rs
+++ b/crates/roster/src/distribution.rs
@@ -2,6 +2,7 @@
 //! withdrawals are the feed's and the tables'; here it is said when a table is built, and of what.
 
 use crate::NodeId;
+use crate::fitness::Fit;
 use crate::lives::State;
 use crate::messages::ServerReport;
 use crate::registry::Registry;
@@ -18,6 +19,8 @@
 
 /// The note by which a home says that it knows the servers that there are.
 pub(crate) const WARM: &str = "home/warm";
+/// The note by which a home says that what it tells may be old: nothing is confirmed by it.
+pub(crate) const UNCONFIRMED: &str = "home/unconfirmed";
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Out {
@@ -71,6 +74,7 @@
     step: Duration,
     rise: Option<Duration>,
     fit: bool,
+    confirms: bool,
     /// Followers that were sent away as unfit, and when.
     sent_away: BTreeMap<NodeId, Duration>,
     out: Vec<Out>,
@@ -113,6 +117,7 @@
             step,
             rise: None,
             fit: true,
+            confirms: true,
             sent_away: BTreeMap::new(),
             out: Vec::new(),
             rng,
@@ -240,6 +245,23 @@
         self.woke(now);
     }
 
+    /// Whether what it tells was at a majority since it last came into contact with one, and whether it can be followed.
+    pub fn stands(&mut self, now: Duration, fit: Fit) {
+        let confirms = fit == Fit::Confirms;
+        if fit == Fit::No {
+            self.set_fit(now, false);
+        }
+        // It is in the tables before anybody may come.
+        if self.confirms != confirms {
+            self.confirms = confirms;
+            self.renote();
+            self.mark_all();
+            self.build = Some(now);
+            self.build_dirty(now);
+        }
+        self.set_fit(now, fit != Fit::No);
+    }
+
     fn send_away(&mut self, now: Duration, follower: NodeId) {
         if !self.fit
             && (self.sent_away.len() < self.terms.followers || self.sent_away.contains_key(&follower))
@@ -336,6 +358,9 @@
         if self.warm {
             self.notes.insert(Key::Note(WARM.into()), Entry::Note("1".into()));
         }
+        if !self.confirms {
+            self.notes.insert(Key::Note(UNCONFIRMED.into()), Entry::Note("1".into()));
+        }
         self.notes_count += 1;
     }
 
--- a/crates/roster/src/follower.rs
+++ b/crates/roster/src/follower.rs
@@ -3,6 +3,7 @@
 //! server that it heard is out.
 
 use crate::NodeId;
+use crate::distribution::UNCONFIRMED;
 use crate::homes::{Choice, Homes};
 use crate::sending::table_of;
 use crate::terms::Terms;
@@ -156,7 +157,7 @@
             }
             Told::Same(version) => {
                 if self.receiver.confirmed(now, version) {
-                    self.confirmed = Some(now);
+                    self.confirm(now);
                 } else if !self.receiver.is_past(version) {
                     self.answer(now, from, true);
                 }
@@ -307,7 +308,7 @@
             Ok(notes) => {
                 self.rejects = 0;
                 self.arrived(home);
-                self.confirmed = Some(now);
+                self.confirm(now);
                 self.answer(now, home, false);
                 let before = self.views.edition();
                 let epoch = self.receiver.version().map_or(0, |version| version.epoch);
@@ -333,6 +334,13 @@
         }
     }
 
+    /// The home has said what is held, or that it is what is held; unless it says with it that it may be old itself.
+    fn confirm(&mut self, now: Duration) {
+        if self.receiver.content().get(&Key::Note(UNCONFIRMED.into())).is_none() {
+            self.confirmed = Some(now);
+        }
+    }
+
     fn answer(&mut self, now: Duration, home: NodeId, rejected: bool) {
         self.say = now + self.terms.say;
         let said = self.holds(rejected);
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod distribution;
 mod evening;
+mod fitness;
 mod follower;
 mod homes;
 mod lives;
@@ -16,6 +17,7 @@
 mod weights;
 
 pub use distribution::{Distribution, Out};
+pub use fitness::{Fit, Fitness, Ground};
 pub use follower::{Follower, FollowerOut};
 pub use lives::{Life, State};
 pub use messages::{Compare, Record, Records, RosterWord, ServerReport};
--- a/crates/roster/src/views.rs
+++ b/crates/roster/src/views.rs
@@ -1,6 +1,6 @@
 //! The view that a supervisor routes by, from what its homes sent over time.
 
-use crate::distribution::WARM;
+use crate::distribution::{UNCONFIRMED, WARM};
 use fallgap_chart::{Berth, Configuration, View};
 use fallgap_tables::{Content, Entry, Key};
 use std::collections::{BTreeMap, BTreeSet};
@@ -105,7 +105,9 @@
     /// The table's configuration, unless it is older than what is held.
     fn configure(&mut self, content: &Content) {
         let notes = content.entries().iter().filter_map(|(key, entry)| match (key, entry) {
-            (Key::Note(name), Entry::Note(text)) if **name != *WARM => Some((&**name, &**text)),
+            (Key::Note(name), Entry::Note(text)) if ![WARM, UNCONFIRMED].contains(&&**name) => {
+                Some((&**name, &**text))
+            }
             _ => None,
         });
         let Some(told) = Configuration::from_notes(notes) else { return };
--- /dev/null
+++ b/crates/sextant/tests/halls/mod.rs
@@ -0,0 +1,552 @@
+//! Whole supervisors in virtual time, as the program wires them: beacon, keeper, home and follower on each machine, over
+//! links that keep order and can be cut in one direction, by silence or by resets.
+
+use fallgap_beacon as beacon;
+use fallgap_chart::{Configuration, Licences, Limits, Route, RouteClass, Service};
+use fallgap_keeper::charter::{Charter, Member};
+use fallgap_keeper::messages::Record;
+use fallgap_keeper::{Answer, Call, Keeper, Kept, Key, Me, Message, NodeId, Out, Peer, subjects};
+use fallgap_pilot::Lease;
+use fallgap_roster::{Distribution, Fit, Fitness, Follower, FollowerOut, Ground, RosterWord};
+use fallgap_sextant::history::History;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+pub const MS: Duration = Duration::from_millis(1);
+/// As the program has it: two thirds of `touch_s`.
+pub const YOUNG: Duration = Duration::from_millis(2000);
+const READ_AGAIN: Duration = Duration::from_millis(150);
+
+pub fn node(n: u8) -> NodeId {
+    NodeId::new(10, 0, 0, n)
+}
+
+#[derive(Clone)]
+enum Word {
+    Keeper(Message),
+    Roster(RosterWord),
+    Beacon(beacon::Message),
+    /// A connection is reset: what was said on it is lost.
+    Reset,
+}
+
+enum Event {
+    Word(NodeId, NodeId, u64, Word),
+    Synced(NodeId, u64),
+    Start(u8),
+}
+
+pub struct Home {
+    pub distribution: Distribution,
+    fitness: Fitness,
+    pub fit: Fit,
+    pub edition: u64,
+    pub revision: u64,
+    read_at: Duration,
+}
+
+pub struct Machine {
+    pub keeper: Keeper,
+    pub home: Option<Home>,
+    pub follower: Follower,
+    beacon: beacon::Beacon,
+    life: u64,
+    started: Duration,
+    /// What this life shows, of the operator and of offices, and whether it may answer for these.
+    pub edition: u64,
+    pub revision: u64,
+    lease: Lease,
+    loose: Vec<(u64, Vec<u8>)>,
+    syncing: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum How {
+    Silent,
+    Reset,
+}
+
+/// A mechanism that is left out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Without {
+    /// A home goes on feeding its followers, fit or not, and they stay.
+    Fitness,
+    /// A home does not wait for a read at a majority, once it is in contact with one.
+    Read,
+    /// A home that serves what it remembers does not say so.
+    Unconfirmed,
+}
+
+pub struct Halls {
+    pub without: Option<Without>,
+    pub now: Duration,
+    pub rng: fastrand::Rng,
+    pub disks: u8,
+    nodes: u8,
+    pub machines: BTreeMap<NodeId, Machine>,
+    /// What is on disks, and what they remember besides.
+    kept: BTreeMap<NodeId, Vec<Vec<u8>>>,
+    pub remembered: BTreeMap<NodeId, (u64, u64)>,
+    /// Nothing gets through from the first to the second.
+    pub cuts: BTreeSet<(NodeId, NodeId)>,
+    pub how: How,
+    net: BTreeMap<(Duration, u64), Event>,
+    last: BTreeMap<(NodeId, NodeId), Duration>,
+    sequence: u64,
+    pub history: History,
+    /// Editions that were acknowledged, and when.
+    pub acked: Vec<(Duration, u64)>,
+    /// Revisions of accounts that were kept, and when.
+    pub kept_revisions: Vec<(Duration, u64)>,
+    pub words: usize,
+}
+
+fn configuration(edition: u64, revision: u64) -> Arc<Configuration> {
+    let route = Route {
+        name: "r".into(),
+        depot: "a.example".into(),
+        lane_prefix: "/a/".into(),
+        class: RouteClass::Safe,
+        timeout: 1000 * MS,
+        target: 300 * MS,
+        priority: 1,
+        sorting: vec![("shop".into(), 1.0)],
+        attempts: 2,
+    };
+    let service = Service { name: "shop".into(), health_path: "/health".into(), line_cap: 64 };
+    let limits = Limits { header_bytes: 16384, body_bytes: 1 << 20, header: 3000 * MS, idle: 15_000 * MS };
+    let licences = Licences { revision, accounts: Vec::new(), offices: Vec::new(), owners: vec![None] };
+    let licences = (revision > 0).then(|| Arc::new(licences));
+    Arc::new(Configuration { edition, routes: vec![route], services: vec![service], limits, licences })
+}
+
+/// A body begins with its edition.
+pub fn put(edition: u64) -> Call {
+    Call::ConfigPut { edition, body: edition.to_be_bytes().to_vec() }
+}
+
+impl Halls {
+    /// The first `disks` machines are members of the first epoch; the others have no disk.
+    pub fn new(seed: u64, disks: u8, plain: u8) -> Halls {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let members = (1..=disks).map(|n| Member { node: node(n), disk: rng.u64(1..), joined: 1 });
+        let members: Vec<Member> = members.collect();
+        let mut kept = BTreeMap::new();
+        for member in &members {
+            let charter = Charter { number: 1, members: members.clone() };
+            let records = [Record::Disk { number: member.disk, first: true }, Record::Epoch(charter)];
+            let records = records.iter().map(|r| postcard::to_stdvec(r).expect("a record"));
+            kept.insert(member.node, records.collect());
+        }
+        let mut halls = Halls {
+            without: None,
+            now: 1000 * MS,
+            rng,
+            disks,
+            nodes: disks + plain,
+            machines: BTreeMap::new(),
+            kept,
+            remembered: BTreeMap::new(),
+            cuts: BTreeSet::new(),
+            how: How::Silent,
+            net: BTreeMap::new(),
+            last: BTreeMap::new(),
+            sequence: 0,
+            history: History::default(),
+            acked: Vec::new(),
+            kept_revisions: Vec::new(),
+            words: 0,
+        };
+        for n in 1..=disks + plain {
+            let at = halls.now + MS * halls.rng.u32(0..300);
+            halls.event(at, Event::Start(n));
+        }
+        halls
+    }
+
+    fn event(&mut self, at: Duration, event: Event) {
+        self.sequence += 1;
+        self.net.insert((at, self.sequence), event);
+    }
+
+    pub fn start(&mut self, n: u8) {
+        let (me, now, life) = (node(n), self.now, self.rng.u64(1..));
+        let disk = (n <= self.disks).then(|| self.rng.u64(1..));
+        let seeds: Vec<NodeId> = (1..=3).map(node).collect();
+        let records = self.kept.get(&me).cloned().unwrap_or_default();
+        let who = Me {
+            node: me,
+            disk,
+            life,
+            first_start: false,
+            empty: records.is_empty(),
+            seeds: seeds.clone(),
+            tolerate: 1,
+        };
+        let seed = self.rng.u64(..);
+        let keeper =
+            Keeper::start(now, seed, who, Kept { records }, Default::default()).expect("what is kept");
+        let card = beacon::Card {
+            node: me,
+            zone: "hall".into(),
+            disk: keeper.disk(),
+            life,
+            leaving: false,
+            sequence: 0,
+        };
+        let beacon = beacon::Beacon::start(now, self.rng.u64(..), card, seeds, beacon::Terms::default());
+        let home = disk.map(|_| {
+            let mut distribution = Distribution::start(now, self.rng.u64(..), Default::default());
+            let (edition, revision) = self.remembered.get(&me).copied().unwrap_or_default();
+            if edition > 0 {
+                distribution.set_configuration(now, configuration(edition, revision));
+            }
+            let fitness = Fitness::start(now + YOUNG);
+            Home { distribution, fitness, fit: Fit::No, edition, revision, read_at: now }
+        });
+        let follower = Follower::start(now, self.rng.u64(..), me, Default::default());
+        let machine = Machine {
+            keeper,
+            home,
+            follower,
+            beacon,
+            life,
+            started: now,
+            edition: 0,
+            revision: 0,
+            lease: Lease::default(),
+            loose: Vec::new(),
+            syncing: false,
+        };
+        self.machines.insert(me, machine);
+        self.seen(me);
+        self.carry(me);
+    }
+
+    /// A process ends, and what is under way to it is lost; it starts again later.
+    pub fn restart(&mut self, n: u8, after: Duration) {
+        self.machines.remove(&node(n));
+        self.event(self.now + after, Event::Start(n));
+    }
+
+    /// From these to those, nothing gets through any more.
+    pub fn cut(&mut self, from: &[NodeId], to: &[NodeId]) {
+        for (a, b) in from.iter().flat_map(|a| to.iter().map(|b| (*a, *b))).filter(|(a, b)| a != b) {
+            self.cuts.insert((a, b));
+        }
+        if self.how == How::Reset {
+            for (a, b) in self.cuts.clone() {
+                // Both ends hear of it; what is under way between them is gone.
+                self.net.retain(
+                    |_, e| !matches!(e, Event::Word(f, t, ..) if (*f, *t) == (a, b) || (*f, *t) == (b, a)),
+                );
+                for (from, to) in [(a, b), (b, a)] {
+                    let life = self.life(to);
+                    self.event(self.now + MS, Event::Word(from, to, life, Word::Reset));
+                }
+            }
+        }
+    }
+
+    fn life(&self, node: NodeId) -> u64 {
+        self.machines.get(&node).map_or(0, |machine| machine.life)
+    }
+
+    fn send(&mut self, from: NodeId, to: NodeId, word: Word) {
+        self.words += 1;
+        let (mut at, life) = (self.now + Duration::from_micros(self.rng.u64(800..2500)), self.life(to));
+        if from == to {
+            at = self.now;
+        } else if self.cuts.contains(&(from, to)) {
+            if self.how == How::Reset {
+                let life = self.life(from);
+                self.event(at, Event::Word(to, from, life, Word::Reset));
+            }
+            return;
+        }
+        at = at.max(self.last.get(&(from, to)).copied().unwrap_or_default());
+        self.last.insert((from, to), at);
+        self.event(at, Event::Word(from, to, life, word));
+    }
+
+    /// Calls a machine's own keeper.
+    pub fn call(&mut self, n: u8, id: u64, call: Call) {
+        self.history.sent(id, self.now, call.clone());
+        if let Some(machine) = self.machines.get_mut(&node(n)) {
+            machine.keeper.call(self.now, id, call);
+            self.carry(node(n));
+        }
+    }
+
+    pub fn told(&self, id: u64) -> Option<Answer> {
+        self.history.calls.get(&id)?.told.as_ref().map(|(_, answer)| answer.clone())
+    }
+
+    /// Who is there has changed, as a machine believes.
+    fn seen(&mut self, me: NodeId) {
+        let (now, disks) = (self.now, self.disks);
+        let Some(machine) = self.machines.get_mut(&me) else { return };
+        let here = |p: &&beacon::Peer| p.state == beacon::State::Here;
+        let with_disk = machine.beacon.peers().filter(|p| p.card.disk.is_some());
+        let peers: Vec<Peer> =
+            with_disk.map(|p| Peer { node: p.card.node, disk: p.card.disk, here: here(&p) }).collect();
+        machine.keeper.peers(now, &peers);
+        let mut homes: Vec<NodeId> = peers.iter().filter(|p| p.here).map(|p| p.node).collect();
+        homes.extend(machine.home.is_some().then_some(me));
+        // Its own first, then each machine another one.
+        let place = |home: &NodeId| (home.octets()[3] + disks - me.octets()[3] % disks) % disks;
+        homes.sort_by_key(|home| (*home != me, place(home)));
+        machine.follower.homes(now, homes);
+    }
+
+    /// Takes what a machine's cores hand back, as the program does.
+    fn carry(&mut self, me: NodeId) {
+        let now = self.now;
+        loop {
+            let Some(machine) = self.machines.get_mut(&me) else { return };
+            if let Some(home) = &mut machine.home {
+                let (contact, read) = (machine.keeper.in_contact(now), machine.keeper.read_since());
+                let knows = home.distribution.has_configuration();
+                let read = if self.without == Some(Without::Read) { Some(now) } else { read };
+                home.fit = home.fitness.judge(now, Ground { contact, read, knows });
+                let says = match (home.fit, self.without) {
+                    (Fit::Serves, Some(Without::Unconfirmed)) | (_, Some(Without::Fitness)) => Fit::Confirms,
+                    (fit, _) => fit,
+                };
+                home.distribution.stands(now, says);
+                if contact && home.fit != Fit::Confirms && now >= home.read_at {
+                    home.read_at = now + READ_AGAIN;
+                    machine.keeper.read_anew(now);
+                }
+            }
+            let beacons = machine.beacon.take();
+            let keepers = machine.keeper.take();
+            let homes = machine.home.as_mut().map(|home| home.distribution.take()).unwrap_or_default();
+            let follows = machine.follower.take();
+            if beacons.is_empty() && keepers.is_empty() && homes.is_empty() && follows.is_empty() {
+                break;
+            }
+            for out in beacons {
+                match out {
+                    beacon::Out::Send(to, message) => self.send(me, to, Word::Beacon(message)),
+                    beacon::Out::Changed => self.seen(me),
+                    beacon::Out::Note(_) => {}
+                }
+            }
+            keepers.into_iter().for_each(|out| self.keeper_says(me, out));
+            for out in homes {
+                let (to, word) = match out {
+                    fallgap_roster::Out::Tell(to, told) => (to, RosterWord::told(&told)),
+                    fallgap_roster::Out::Unfit(to) => (to, RosterWord::Unfit),
+                    fallgap_roster::Out::Fit(to) => (to, RosterWord::Fit),
+                    fallgap_roster::Out::Note(_) => continue,
+                };
+                self.send(me, to, Word::Roster(word));
+            }
+            follows.into_iter().for_each(|out| self.follower_says(me, out));
+        }
+        self.sync(me);
+    }
+
+    fn keeper_says(&mut self, me: NodeId, out: Out) {
+        let now = self.now;
+        match out {
+            Out::Send(to, message) => self.send(me, to, Word::Keeper(message)),
+            Out::Log { number, record } => {
+                self.machines.get_mut(&me).into_iter().for_each(|m| m.loose.push((number, record.clone())));
+            }
+            Out::Answer(id, answer) => {
+                let call = self.history.calls.get(&id).map(|told| told.call.clone());
+                if let (Some(Call::ConfigPut { edition, .. }), Answer::Done) = (call, &answer) {
+                    self.acked.push((now, edition));
+                }
+                if let Answer::Revision(revision) = answer
+                    && matches!(self.history.calls.get(&id), Some(told) if told.call.key() == Key::Accounts)
+                {
+                    self.kept_revisions.push((now, revision));
+                }
+                self.history.told(id, now, answer);
+            }
+            Out::Committed { key: key @ (Key::Config | Key::Accounts), value } => {
+                let number = subjects::config_edition(Some(&value)).expect("a number");
+                let home = self.machines.get_mut(&me).and_then(|machine| machine.home.as_mut());
+                let Some(home) = home else { return };
+                let held = if key == Key::Config { &mut home.edition } else { &mut home.revision };
+                if *held < number {
+                    *held = number;
+                    if home.edition > 0 {
+                        home.distribution.set_configuration(now, configuration(home.edition, home.revision));
+                    }
+                    self.remembered.insert(me, (home.edition, home.revision));
+                }
+            }
+            Out::Committed { .. } | Out::Note(_) => {}
+        }
+    }
+
+    fn follower_says(&mut self, me: NodeId, out: FollowerOut) {
+        match out {
+            FollowerOut::Join(to, said) => self.send(me, to, Word::Roster(RosterWord::join(&said))),
+            FollowerOut::Say(to, said) => self.send(me, to, Word::Roster(RosterWord::said(&said))),
+            FollowerOut::Leave(to) => self.send(me, to, Word::Roster(RosterWord::Leave)),
+            FollowerOut::NewView(view) => {
+                let machine = self.machines.get_mut(&me).expect("a machine that runs");
+                let edition = view.configuration.edition;
+                assert!(edition >= machine.edition, "{me} goes back to {edition} from {}", machine.edition);
+                let revision = view.configuration.revision();
+                assert!(
+                    revision >= machine.revision,
+                    "{me} goes back to {revision} from {}",
+                    machine.revision
+                );
+                (machine.edition, machine.revision) = (edition, revision);
+                machine.lease.holds(revision);
+            }
+            FollowerOut::Note(_) => {}
+        }
+    }
+
+    fn sync(&mut self, me: NodeId) {
+        let Some(machine) = self.machines.get_mut(&me) else { return };
+        if !machine.syncing && !machine.loose.is_empty() {
+            machine.syncing = true;
+            let life = machine.life;
+            let at = self.now + MS * self.rng.u32(4..9);
+            self.event(at, Event::Synced(me, life));
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        let now = self.now;
+        match event {
+            Event::Start(n) => self.start(n),
+            Event::Synced(me, life) => {
+                let Some(machine) = self.machines.get_mut(&me).filter(|m| m.life == life) else { return };
+                machine.syncing = false;
+                let last = machine.loose.last().map_or(0, |(number, _)| *number);
+                let records = machine.loose.drain(..).map(|(_, record)| record);
+                self.kept.entry(me).or_default().extend(records);
+                machine.keeper.synced(now, last);
+                self.carry(me);
+            }
+            Event::Word(from, to, life, word) => {
+                let cut = from != to && self.cuts.contains(&(from, to));
+                let Some(machine) = self.machines.get_mut(&to).filter(|m| m.life == life) else { return };
+                match word {
+                    Word::Reset => machine.follower.unreached(now, from),
+                    _ if cut => {}
+                    Word::Keeper(message) => {
+                        machine.beacon.met(now, from);
+                        machine.keeper.heard(now, from, message);
+                    }
+                    Word::Beacon(message) => machine.beacon.heard(now, from, message),
+                    Word::Roster(word) => {
+                        machine.beacon.met(now, from);
+                        roster(now, machine, from, word);
+                    }
+                }
+                self.carry(to);
+            }
+        }
+    }
+
+    fn wakes(&self) -> Option<(Duration, NodeId)> {
+        let of = |(id, m): (&NodeId, &Machine)| {
+            let home = m.home.as_ref().map(|home| home.distribution.next_wake());
+            let wake = m.keeper.next_wake().min(m.beacon.next_wake());
+            let all = [home, m.follower.next_wake()].into_iter().flatten().fold(wake, Duration::min);
+            (all.max(self.now), *id)
+        };
+        self.machines.iter().map(of).min()
+    }
+
+    fn woke(&mut self, me: NodeId) {
+        let now = self.now;
+        let Some(machine) = self.machines.get_mut(&me) else { return };
+        if machine.beacon.next_wake() <= now {
+            machine.beacon.woke(now);
+        }
+        if machine.keeper.next_wake() <= now {
+            machine.keeper.woke(now);
+        }
+        if let Some(home) = machine.home.as_mut().filter(|home| home.distribution.next_wake() <= now) {
+            home.distribution.woke(now);
+        }
+        if machine.follower.next_wake().is_some_and(|at| at <= now) {
+            machine.follower.woke(now);
+        }
+        self.carry(me);
+    }
+
+    /// Goes on until then.
+    pub fn run(&mut self, until: Duration) {
+        loop {
+            let event = self.net.first_key_value().map(|((at, _), _)| *at);
+            let wake = self.wakes();
+            let next = event.into_iter().chain(wake.map(|(at, _)| at)).min().unwrap_or(until);
+            if next >= until {
+                self.now = until;
+                return;
+            }
+            self.now = self.now.max(next);
+            match wake {
+                Some((at, me)) if event.is_none_or(|event| at <= event) => self.woke(me),
+                _ => {
+                    let (_, event) = self.net.pop_first().expect("an event");
+                    self.handle(event);
+                }
+            }
+        }
+    }
+
+    /// The newest edition that was acknowledged before then.
+    pub fn newest(&self, before: Duration) -> u64 {
+        self.acked.iter().filter(|(at, _)| *at <= before).map(|(_, edition)| *edition).max().unwrap_or(0)
+    }
+
+    /// The newest revision of the accounts that was kept before then.
+    pub fn newest_revision(&self, before: Duration) -> u64 {
+        let kept = self.kept_revisions.iter().filter(|(at, _)| *at <= before);
+        kept.map(|(_, revision)| *revision).max().unwrap_or(0)
+    }
+
+    /// Whether a machine answers for routes of offices now.
+    pub fn answers_for_offices(&mut self, me: NodeId) -> bool {
+        let now = self.now;
+        let Some(machine) = self.machines.get_mut(&me) else { return false };
+        machine.lease.confirmed(machine.follower.age(now).map(|age| now - age));
+        machine.edition > 0 && !machine.lease.doubts(now, "a.example", "/a/x", true)
+    }
+
+    /// Time since a machine's process started.
+    pub fn age(&self, me: NodeId) -> Duration {
+        self.machines.get(&me).map_or(Duration::ZERO, |machine| self.now - machine.started)
+    }
+
+    pub fn ids(&self) -> Vec<NodeId> {
+        (1..=self.nodes).map(node).collect()
+    }
+}
+
+fn roster(now: Duration, machine: &mut Machine, from: NodeId, word: RosterWord) {
+    let terms = fallgap_roster::Terms::default();
+    match (word, machine.home.as_mut()) {
+        (RosterWord::Told(line), _) => {
+            let told = RosterWord::read_told(&line, &terms).expect("what is told");
+            machine.follower.told(now, from, told);
+        }
+        (RosterWord::Unfit, _) => machine.follower.unfit(now, from),
+        (RosterWord::Fit, _) => machine.follower.fit(now, from),
+        (RosterWord::Join(line), Some(home)) => {
+            let said = RosterWord::read_said(&line, &terms).expect("what is said");
+            home.distribution.joined(now, from, said);
+        }
+        (RosterWord::Said(line), Some(home)) => {
+            let said = RosterWord::read_said(&line, &terms).expect("what is said");
+            home.distribution.said(now, from, said);
+        }
+        (RosterWord::Leave, Some(home)) => home.distribution.left(from),
+        _ => {}
+    }
+}
