--- a/crates/keeper/src/fault.rs
+++ b/crates/keeper/src/fault.rs
@@ -77,10 +77,20 @@
     WipedInAnyOrder,
     /// What was read back from the disk counts as committed.
     ReadBackIsCommitted,
+
+    // Cut off, and clocks that drift (tests/cut_off.rs, tests/drift.rs).
+    /// A hold is over when a keeper's own clock says so, however fast that runs.
+    NoDriftMargin,
+    /// Who hears a majority counts as in contact with it, though nobody hears it.
+    ContactOneWay,
+    /// Who hears nobody counts as in contact with a majority.
+    ContactAlone,
+    /// A read is answered by what this disk holds.
+    ReadAlone,
 }
 
 impl Fault {
-    pub const ALL: [Fault; 34] = [
+    pub const ALL: [Fault; 38] = [
         Fault::MajorityLessOne,
         Fault::CoverLessOne,
         Fault::PromiseUnsynced,
@@ -115,6 +125,10 @@
         Fault::TornTailTaken,
         Fault::WipedInAnyOrder,
         Fault::ReadBackIsCommitted,
+        Fault::NoDriftMargin,
+        Fault::ContactOneWay,
+        Fault::ContactAlone,
+        Fault::ReadAlone,
     ];
 }
 
