--- a/crates/beacon/tests/sim/mod.rs
+++ b/crates/beacon/tests/sim/mod.rs
@@ -29,6 +29,8 @@
     pub loss: f64,
     /// Datagrams between these sides are lost.
     pub cut: BTreeSet<NodeId>,
+    /// If not empty, a cut is only between these: the others reach both sides.
+    pub among: BTreeSet<NodeId>,
     /// Datagrams to these are lost.
     pub deaf: BTreeSet<NodeId>,
     pub sent: u64,
@@ -40,7 +42,7 @@
     events: BTreeMap<(Duration, u64), Event>,
     count: u64,
     rng: fastrand::Rng,
-    seeds: Vec<NodeId>,
+    pub seeds: Vec<NodeId>,
 }
 
 impl Net {
@@ -49,6 +51,7 @@
             now: ms(5000),
             loss: 0.0,
             cut: BTreeSet::new(),
+            among: BTreeSet::new(),
             deaf: BTreeSet::new(),
             sent: 0,
             longest: 0,
@@ -197,7 +200,9 @@
         assert_ne!(from, to);
         self.longest = self.longest.max(bytes.len());
         self.sent += 1;
-        let cut = self.cut.contains(&from) != self.cut.contains(&to) || self.deaf.contains(&to);
+        let among = self.among.is_empty() || (self.among.contains(&from) && self.among.contains(&to));
+        let apart = among && self.cut.contains(&from) != self.cut.contains(&to);
+        let cut = apart || self.deaf.contains(&to);
         let copies = if self.rng.f64() < 0.01 { 2 } else { 1 };
         for _ in 0..copies {
             if cut || self.rng.f64() < self.loss {
