--- a/tools/draw_days.py
+++ b/tools/draw_days.py
@@ -1,12 +1,13 @@
 #!/usr/bin/env python3
 """Draws rough days for the gateway's bench: any kind and variant that `BENCH kinds SITE` lists, at any moment, more than once.
 
-    draw_days.py BENCH SITE.toml FIRST_SEED COUNT FOLDER [--length 60] [--dense]
+    draw_days.py BENCH SITE.toml FIRST_SEED COUNT FOLDER [--length 60] [--dense] [--brisk]
 
 Writes FOLDER/<site>-<seed>.toml for `BENCH run SITE FILE`. The same seed draws the same day. What a day leans on takes turns
 by seed modulo 8: a control machine cut off; orders on one version; second losses; hundreds of changes; wrong callers; members
 that are replaced and rolled; losses of the whole core; all kinds alike. Each day keeps a third of its entries open to all kinds.
---dense: days of 24 to 36 entries instead of 8 to 16, and a name of their own.
+--dense: days of 24 to 36 entries instead of 8 to 16. --brisk: no trouble lasts over 2.5 s, so that the next loss comes sooner: one
+that would lose more than `tolerate` says waits its turn. Both have names of their own, ending in d and b.
 """
 import argparse
 import os
@@ -216,19 +217,23 @@
         self.kinds = sorted(set(re.findall(r"^([a-z_]+): ", told, re.M)))
 
 
-def day(site, seed, length, dense):
-    r = random.Random(f"{site.stem} {seed}" + (" dense" if dense else ""))
+def day(site, seed, length, dense, brisk):
+    mark = "d" * dense + "b" * brisk
+    r = random.Random(f"{site.stem} {seed}" + " dense" * dense + " brisk" * brisk)
     known = site.kinds + [name for name, kind in GROUPS.items() if kind in site.kinds]
     lean = LEANS[seed % 8] if seed % 8 < len(LEANS) else known
     lean = [kind for kind in lean if kind in known] or known
     rows = []
     for i in range(r.randint(24, 36) if dense else r.randint(8, 16)):
         rows += entries(r.choice(lean if i % 3 else known), r, site, length)
+    for row in rows:
+        if brisk and "for_s" in row:
+            row["for_s"] = round(min(row["for_s"], r.uniform(.2, 2.5)), 2)
     rows.sort(key=lambda row: row["at"])
     close = r.choice(("power_off_all", "wipe_after_ack", "kill_all"))
     timed = r.choice(("", "timed", "taken"))
     closing = f'closing = {{ kind = "{close}", down_s = {r.uniform(.5, 4):.2f}' + (f', how = "{timed}"' if timed else "") + " }"
-    out = [f'name = "drawn-{seed}{"d" if dense else ""}"', 'slot = "trouble"', f"seed = {r.randrange(1 << 30)}", closing, "one = 0.9", "zero = 0.5",
+    out = [f'name = "drawn-{seed}{mark}"', 'slot = "trouble"', f"seed = {r.randrange(1 << 30)}", closing, "one = 0.9", "zero = 0.5",
            "goal = { floor = 0.3 }", f"length_s = {length}"]
     for part, planned in (("plan", True), ("faults", False)):
         lines = ["  { " + ", ".join(f"{k} = {text(v)}" for k, v in row.items()) + " }," for row in rows
@@ -246,12 +251,13 @@
     a.add_argument("folder")
     a.add_argument("--length", type=float, default=60.0)
     a.add_argument("--dense", action="store_true")
+    a.add_argument("--brisk", action="store_true")
     o = a.parse_args()
     site = Site(o.bench, o.site)
     os.makedirs(o.folder, exist_ok=True)
     for seed in range(o.first, o.first + o.count):
-        with open(os.path.join(o.folder, f"{site.stem}-{seed}{'d' if o.dense else ''}.toml"), "w") as file:
-            file.write(day(site, seed, o.length, o.dense))
+        with open(os.path.join(o.folder, f"{site.stem}-{seed}{'d' * o.dense}{'b' * o.brisk}.toml"), "w") as file:
+            file.write(day(site, seed, o.length, o.dense, o.brisk))
 
 
 if __name__ == "__main__":
