--- a/tools/draw_days.py
+++ b/tools/draw_days.py
@@ -150,7 +150,9 @@
     elif kind == "srv_crash":
         e["share"] = round(r.uniform(.1, .3), 2)
         span(2, 8)
-        how(r.choice(("dark", "gone", "dark gone", "")), spread(r))
+        fate, far = r.choice(("dark", "gone", "dark gone", "")), spread(r)
+        # With no server of a service left for good, nothing can be kept.
+        how(fate, "" if "gone" in fate else far)
     elif kind == "srv_grey":
         e["share"] = round(r.uniform(.1, .35), 2)
         e["x"] = round(r.uniform(.2, .7), 2)
