--- a/crates/keeper/src/fault.rs
+++ b/crates/keeper/src/fault.rs
@@ -58,10 +58,29 @@
     NoRepair,
     /// A process takes its times from a clock that is set by hand. The checker's machines do this, not the core.
     WallClock,
+    // Founding.
+    /// One seed less than a majority decides on the first members.
+    FoundedByFew,
+    /// A seed that lost its memory or its disk has a vote again.
+    WipedSeedVotes,
+    // Numbers and orders that come again.
+    /// An edition that holds is acknowledged whatever content comes under it.
+    ContentNotAsked,
+    /// What is overtaken is not remembered.
+    TakenForgotten,
+    // many: the store, and members that come back after many changes.
+    /// A snapshot's name is not made to last before what it replaces goes.
+    SnapshotNameUnsynced,
+    /// The end of a log that is torn is taken for whole.
+    TornTailTaken,
+    /// The files of a disk that is of no use go in any order.
+    WipedInAnyOrder,
+    /// What was read back from the disk counts as committed.
+    ReadBackIsCommitted,
 }
 
 impl Fault {
-    pub const ALL: [Fault; 26] = [
+    pub const ALL: [Fault; 34] = [
         Fault::MajorityLessOne,
         Fault::CoverLessOne,
         Fault::PromiseUnsynced,
@@ -88,6 +107,14 @@
         Fault::ConditionNotAsked,
         Fault::NoRepair,
         Fault::WallClock,
+        Fault::FoundedByFew,
+        Fault::WipedSeedVotes,
+        Fault::ContentNotAsked,
+        Fault::TakenForgotten,
+        Fault::SnapshotNameUnsynced,
+        Fault::TornTailTaken,
+        Fault::WipedInAnyOrder,
+        Fault::ReadBackIsCommitted,
     ];
 }
 
