--- /dev/null
+++ b/crates/lantern/src/lib.rs
@@ -0,0 +1,30 @@
+//! The parts of `lantern`, fallgap's gateway. The cores that match answers to who waits for them are here for their
+//! tests as well: `beats`, `calls`, `spread`, `links`, `words`.
+
+pub mod ask;
+pub mod asked;
+pub mod asks;
+pub mod beats;
+pub mod calls;
+pub mod carry;
+pub mod control;
+pub mod counter;
+pub mod desk;
+pub mod disk;
+pub mod engine;
+pub mod hub;
+pub mod links;
+pub mod memory;
+pub mod offices;
+pub mod signals;
+pub mod spread;
+pub mod start;
+pub mod usual;
+pub mod words;
+
+/// The thing asked about is not in order; called or configured wrongly; no answer; a defect.
+pub const NOT_IN_ORDER: u8 = 1;
+pub const WRONG_CALL: u8 = 2;
+/// Nobody answered, or the one that did is cut off from the core.
+pub const NO_ANSWER: u8 = 3;
+pub const DEFECT: u8 = 70;
--- a/crates/lantern/src/main.rs
+++ b/crates/lantern/src/main.rs
@@ -1,38 +1,11 @@
 //! `lantern`: fallgap's gateway. `serve` runs one supervisor; the rest is for whoever operates it.
 
-mod ask;
-mod asked;
-mod asks;
-mod beats;
-mod calls;
-mod carry;
-mod control;
-mod counter;
-mod desk;
-mod disk;
-mod engine;
-mod hub;
-mod links;
-mod memory;
-mod offices;
-mod signals;
-mod spread;
-mod start;
-mod usual;
-mod words;
-
 use clap::{Parser, Subcommand};
+use fallgap_lantern::{DEFECT, WRONG_CALL, ask, asked, counter, start};
 use std::net::SocketAddrV4;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-/// The thing asked about is not in order; called or configured wrongly; no answer; a defect.
-const NOT_IN_ORDER: u8 = 1;
-const WRONG_CALL: u8 = 2;
-/// Nobody answered, or the one that did is cut off from the core.
-const NO_ANSWER: u8 = 3;
-const DEFECT: u8 = 70;
-
 #[derive(Parser)]
 #[command(
     name = "lantern",
