Lantern: numbers of beats and of changes on their way begin anew in no life

Cause: both counted from 1 in each life. A keeper's word that it knows of a closing server, or a supervisor's that it routes by a change (which is owed until its next view, so for seconds), came to the life after the one that had asked, and counted there for whatever had the same number: a closing server was acknowledged that one keeper knew of, an office was told «in force» for a change that was not. Ruled out: calls and surveys, whose numbers are drawn already; ballots and marks of keepers carry the life.

--- a/crates/lantern/src/beats.rs
+++ b/crates/lantern/src/beats.rs
@@ -21,13 +21,17 @@
     until: Duration,
 }
 
-#[derive(Default)]
 pub struct Beats {
     pending: BTreeMap<u64, Pending>,
     next: u64,
 }
 
 impl Beats {
+    /// `first`: drawn anew in each life, so that no answer to an earlier one counts for what is asked in this.
+    pub fn new(first: u64) -> Beats {
+        Beats { pending: BTreeMap::new(), next: first }
+    }
+
     /// A server closes; `keepers`: all that are to know. The number under which they are told.
     pub fn closing(&mut self, now: Duration, reply: SyncSender<Told>, keepers: &[Ipv4Addr]) -> Option<u64> {
         if keepers.is_empty() || self.pending.len() >= MOST {
