--- a/crates/keeper/src/fault.rs
+++ b/crates/keeper/src/fault.rs
@@ -58,13 +58,43 @@
     NoRepair,
     /// A process takes its times from a clock that is set by hand. The checker's machines do this, not the core.
     WallClock,
+    // Founding.
+    /// One seed less than a majority decides on the first members.
+    FoundedByFew,
+    /// A seed that lost its memory or its disk has a vote again.
+    WipedSeedVotes,
+    // Numbers and orders that come again.
+    /// An edition that holds is acknowledged whatever content comes under it.
+    ContentNotAsked,
+    /// What is overtaken is not remembered.
+    TakenForgotten,
+    // many: the store, and members that come back after many changes.
+    /// A snapshot's name is not made to last before what it replaces goes.
+    SnapshotNameUnsynced,
+    /// The end of a log that is torn is taken for whole.
+    TornTailTaken,
+    /// The files of a disk that is of no use go in any order.
+    WipedInAnyOrder,
+    /// What was read back from the disk counts as committed.
+    ReadBackIsCommitted,
+
+    // Cut off, and clocks that drift (tests/cut_off.rs, tests/drift.rs).
+    /// A hold is over when a keeper's own clock says so, however fast that runs.
+    NoDriftMargin,
+    /// Who hears a majority counts as in contact with it, though nobody hears it.
+    ContactOneWay,
+    /// Who hears nobody counts as in contact with a majority.
+    ContactAlone,
+    /// A read is answered by what this disk holds.
+    ReadAlone,
+
     // once-only: found by `fallgap-sextant`'s tests/once.rs.
     /// A call that nobody waits for any more is carried out all the same.
     WithdrawalIgnored,
 }
 
 impl Fault {
-    pub const ALL: [Fault; 27] = [
+    pub const ALL: [Fault; 39] = [
         Fault::MajorityLessOne,
         Fault::CoverLessOne,
         Fault::PromiseUnsynced,
@@ -91,7 +121,18 @@
         Fault::ConditionNotAsked,
         Fault::NoRepair,
         Fault::WallClock,
-        // once-only
+        Fault::FoundedByFew,
+        Fault::WipedSeedVotes,
+        Fault::ContentNotAsked,
+        Fault::TakenForgotten,
+        Fault::SnapshotNameUnsynced,
+        Fault::TornTailTaken,
+        Fault::WipedInAnyOrder,
+        Fault::ReadBackIsCommitted,
+        Fault::NoDriftMargin,
+        Fault::ContactOneWay,
+        Fault::ContactAlone,
+        Fault::ReadAlone,
         Fault::WithdrawalIgnored,
     ];
 }
--- a/crates/lantern/src/control.rs
+++ b/crates/lantern/src/control.rs
@@ -1,7 +1,7 @@
 //! The control address: calls of servers, the operator and applications. One dispatch on method and segments.
 
 use crate::asks::{Asked, Desk, Told, Untold};
-use crate::offices::{self, Clerk, Wanted};
+use crate::offices::{self, Clerk, Verb};
 use fallgap_chart as chart;
 use fallgap_desk::Question;
 use fallgap_keeper::{Answer, Call};
@@ -209,14 +209,14 @@
             }
             ("GET", ["-", "offices", id, "routes"]) => self.clerk(|clerk| clerk.routes(id, key(request))),
             ("POST", ["-", "offices", id, "routes", verb]) => {
-                let wanted = match *verb {
-                    "plan" => Wanted::Plan,
-                    "put" => Wanted::Put,
-                    "undo" => Wanted::Undo,
+                let verb = match *verb {
+                    "plan" => Verb::Plan,
+                    "put" => Verb::Put,
+                    "undo" => Verb::Undo,
                     _ => return Err(Refused::Unknown),
                 };
                 let body = self.body(request, self.terms.configuration)?;
-                self.clerk(|clerk| clerk.change(id, key(request), wanted, &body))
+                self.clerk(|clerk| clerk.change(id, key(request), verb, &body))
             }
             ("GET", ["-", "watch", id]) => self.watch(id, query),
             ("GET", ["-", "status"]) => self.told(Asked::Status),
@@ -317,6 +317,7 @@
         Answer::Config(body) => json(200, body),
         Answer::Fence(fence) => json(200, format!("{{\"fence\":{fence}}}").into_bytes()),
         Answer::Held => json(409, b"{}".to_vec()),
+        Answer::Differs { edition } => json(409, format!("{{\"edition\":{edition}}}").into_bytes()),
         Answer::Value(value) => json(200, format!("{{\"value\":{value}}}").into_bytes()),
         Answer::Revision(revision) => json(200, format!("{{\"revision\":{revision}}}").into_bytes()),
         Answer::Conflict { revision } => json(412, format!("{{\"revision\":{revision}}}").into_bytes()),
--- a/crates/licence/src/ledger.rs
+++ b/crates/licence/src/ledger.rs
@@ -1,6 +1,7 @@
 //! All accounts, as they are kept.
 
 use crate::keys::KeyHash;
+use crate::repeats::{Again, Made, Taken};
 use fallgap_chart::{Allowance, Route, RouteClass};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -11,6 +12,13 @@
     /// Rises by one with each change of anything here.
     pub revision: u64,
     pub accounts: BTreeMap<String, Account>,
+    /// The operator's newest orders, the last one at the end. They stand behind all else, where a text before this one
+    /// reads no further.
+    #[serde(skip)]
+    pub taken: VecDeque<Taken>,
+    /// Changes of offices that their trails hold no more, the last one at the end. They stand there too.
+    #[serde(skip)]
+    pub made: VecDeque<Made>,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -77,8 +85,8 @@
     pub base: u64,
     /// Seconds of the calendar, by the supervisor that took it.
     pub at: u64,
-    /// Drawn for it: whoever made it knows it again by that.
-    pub mark: u64,
+    /// By it the same order is known when it comes again.
+    pub idempotency_key: u64,
     /// The first digits of the key's hash that it was made with.
     pub key: String,
     /// The change that it takes back.
@@ -106,12 +114,20 @@
     /// # Errors
     /// [`UnreadableLedger`].
     pub fn decode(bytes: &[u8]) -> Result<Ledger, UnreadableLedger> {
-        postcard::from_bytes(bytes).map_err(|_| UnreadableLedger)
+        let read = |bytes| -> postcard::Result<Ledger> {
+            let (mut ledger, rest) = postcard::take_from_bytes::<Ledger>(bytes)?;
+            if !rest.is_empty() {
+                (ledger.taken, ledger.made) = postcard::from_bytes(rest)?;
+            }
+            Ok(ledger)
+        };
+        read(bytes).map_err(|_| UnreadableLedger)
     }
 
     pub fn encode(&self) -> Vec<u8> {
         // Plain values: this fails only for want of memory.
-        postcard::to_stdvec(self).unwrap_or_default()
+        let bytes = postcard::to_stdvec(self);
+        bytes.and_then(|bytes| postcard::to_extend(&(&self.taken, &self.made), bytes)).unwrap_or_default()
     }
 
     /// An office with its account and the account's name.
@@ -123,6 +139,21 @@
         Some((id, account, account.offices.get(name)?))
     }
 
+    /// The change that an order made, if it is remembered; the order has come again.
+    pub fn made_by(&self, name: &str, idempotency_key: u64) -> Option<Again> {
+        let (_, account, office) = self.office(name)?;
+        if let Some(entry) = office.made_by(idempotency_key) {
+            let places: Vec<Place> = entry.before.iter().map(|(place, _)| place.clone()).collect();
+            return Some(Again { edition: entry.edition, touched: places.len(), places });
+        }
+        let made = self.made.iter().rev();
+        let made = made.filter(|made| made.office == name);
+        let made = made.into_iter().find(|made| made.idempotency_key == idempotency_key)?;
+        let areas = account.areas(&office.slice).iter();
+        let places = areas.map(|area| (area.depot.as_str().into(), area.prefix.as_str().into())).collect();
+        Some(Again { edition: made.edition, touched: made.touched as usize, places })
+    }
+
     /// Whether a key opens an office; an office that is not there is opened by none.
     pub fn opens(&self, office: &str, key: &KeyHash) -> bool {
         self.office(office).is_some_and(|(_, _, office)| office.slice.keys.contains(key))
@@ -145,8 +176,8 @@
         Office { slice, edition: 0, routes: Vec::new(), trail: VecDeque::new(), recent: Vec::new() }
     }
 
-    /// Whether the change with this mark is in.
-    pub fn has(&self, mark: u64) -> Option<&Entry> {
-        self.trail.iter().rev().find(|entry| entry.mark == mark)
+    /// The change that was made by this order, if it is one of the newest.
+    pub fn made_by(&self, idempotency_key: u64) -> Option<&Entry> {
+        self.trail.iter().rev().find(|entry| entry.idempotency_key == idempotency_key)
     }
 }
