--- a/crates/keeper/src/fault.rs
+++ b/crates/keeper/src/fault.rs
@@ -87,10 +87,14 @@
     ContactAlone,
     /// A read is answered by what this disk holds.
     ReadAlone,
+
+    // once-only: found by `fallgap-sextant`'s tests/once.rs.
+    /// A call that nobody waits for any more is carried out all the same.
+    WithdrawalIgnored,
 }
 
 impl Fault {
-    pub const ALL: [Fault; 38] = [
+    pub const ALL: [Fault; 39] = [
         Fault::MajorityLessOne,
         Fault::CoverLessOne,
         Fault::PromiseUnsynced,
@@ -129,6 +133,7 @@
         Fault::ContactOneWay,
         Fault::ContactAlone,
         Fault::ReadAlone,
+        Fault::WithdrawalIgnored,
     ];
 }
 
