--- a/crates/lantern/examples/hollow/main.rs
+++ b/crates/lantern/examples/hollow/main.rs
@@ -7,13 +7,7 @@
 mod crew;
 mod echo;
 mod fleet;
-#[path = "../../src/links.rs"]
-#[allow(dead_code)]
-mod links;
 mod node;
-#[path = "../../src/words.rs"]
-#[allow(dead_code)]
-mod words;
 
 use clap::{Parser, Subcommand};
 use fleet::{Fleet, Outcome, Usage};
--- a/crates/lantern/examples/hollow/node.rs
+++ b/crates/lantern/examples/hollow/node.rs
@@ -3,12 +3,12 @@
 //! did.
 
 use crate::echo::Echo;
-use crate::links::{Links, Terms as LinkTerms};
-use crate::words::Word;
 use fallgap_beacon::{Beacon, Card, Out as BeaconOut, State};
 use fallgap_chart::Beat;
 use fallgap_feed::wire::Told;
 use fallgap_keeper::Key;
+use fallgap_lantern::links::{Links, Terms as LinkTerms};
+use fallgap_lantern::words::Word;
 use fallgap_lightlist::Count;
 use fallgap_roster::{Follower, FollowerOut, RosterWord, ServerReport, Terms};
 use mio::event::Event;
@@ -89,7 +89,7 @@
 
 pub enum Follows {
     Real(Box<Follower>),
-    Echo(Echo),
+    Echo(Box<Echo>),
 }
 
 pub struct Node {
@@ -159,7 +159,7 @@
             follows: if at.is_multiple_of(REAL) {
                 Follows::Real(Box::new(Follower::start(now, rng.u64(..), me, terms)))
             } else {
-                Follows::Echo(Echo::start(now, me, terms))
+                Follows::Echo(Box::new(Echo::start(now, me, terms)))
             },
             terms,
             looks: None,
--- a/crates/lantern/src/links.rs
+++ b/crates/lantern/src/links.rs
@@ -449,5 +449,4 @@
 }
 
 #[cfg(test)]
-#[path = "links/tests.rs"]
 mod tests;
--- a/crates/roster/examples/home_slopes.rs
+++ b/crates/roster/examples/home_slopes.rs
@@ -114,13 +114,15 @@
     lines: usize,
 }
 
+/// What a hollow follower holds, what it has heard of withdrawals, and when it says so next.
+type Hollow = (Option<Version>, (u64, u64), Duration);
+
 struct World {
     now: Duration,
     terms: Terms,
     registry: Registry,
     home: Distribution,
-    /// What each hollow follower holds, and what it has heard of withdrawals.
-    hollow: BTreeMap<NodeId, (Option<Version>, (u64, u64), Duration)>,
+    hollow: BTreeMap<NodeId, Hollow>,
     real: Follower,
     /// As bytes, on their way to the home.
     waiting: Vec<(NodeId, Vec<u8>)>,
