--- a/crates/licence/examples/ledger_slopes.rs
+++ b/crates/licence/examples/ledger_slopes.rs
@@ -5,8 +5,7 @@
 //! Without arguments: all sizes. With a number: so many accounts.
 
 use fallgap_chart::{Allowance, Configuration, Limits, Route, RouteClass, Service};
-use fallgap_keeper::subjects;
-use fallgap_licence::{Account, Area, Grant, KeyHash, Ledger, Office, Slice, join};
+use fallgap_licence::{Account, Area, Grant, KeyHash, Ledger, Office, Slice, TERMS, join};
 use std::fs::read_to_string;
 use std::process::Command;
 use std::time::Duration;
@@ -98,7 +97,7 @@
         let bytes = ledger(accounts, routes).encode();
         figure(&format!("{what}_bytes"), bytes.len() as f64);
         figure(&format!("{what}_bytes_an_account"), bytes.len() as f64 / accounts as f64);
-        let most = subjects::Limits::default().config_bytes as f64;
+        let most = TERMS.bytes as f64;
         figure(&format!("{what}_accounts_at_most"), most / (bytes.len() as f64 / accounts as f64));
         let (before, rounds) = (resident_kb(), 10);
         let began = ran();
