--- a/crates/beacon/tests/sim/mod.rs
+++ b/crates/beacon/tests/sim/mod.rs
@@ -34,6 +34,7 @@
     /// Datagrams to these are lost.
     pub deaf: BTreeSet<NodeId>,
     pub sent: u64,
+    pub bytes: u64,
     pub longest: usize,
     pub notes: Vec<(Duration, NodeId, String)>,
     /// Each time that one node came to doubt another, or to hold it gone.
@@ -54,6 +55,7 @@
             among: BTreeSet::new(),
             deaf: BTreeSet::new(),
             sent: 0,
+            bytes: 0,
             longest: 0,
             notes: Vec::new(),
             verdicts: Vec::new(),
@@ -200,6 +202,7 @@
         assert_ne!(from, to);
         self.longest = self.longest.max(bytes.len());
         self.sent += 1;
+        self.bytes += bytes.len() as u64;
         let among = self.among.is_empty() || (self.among.contains(&from) && self.among.contains(&to));
         let apart = among && self.cut.contains(&from) != self.cut.contains(&to);
         let cut = apart || self.deaf.contains(&to);
