--- a/crates/roster/src/distribution.rs
+++ b/crates/roster/src/distribution.rs
@@ -266,9 +266,8 @@
         if self.confirms != confirms {
             self.confirms = confirms;
             self.renote();
-            self.mark_all();
             self.build = Some(now);
-            self.build_dirty(now);
+            self.build_due(now);
         }
         self.set_fit(now, fit != Fit::No);
     }
