Keeper: a member that ends first shows that those who stay hold what it holds

Cause: at SIGTERM a keeper ended as soon as it had no calls at work.

Ruled out: repair alone. It hands over within 0.5 to 2.5 s what was missed, but nobody waits for it.

Change: before it ends the keeper takes nothing more, sends sums of all it holds to those that stay, lists and hands over what differs, and ends once more than half of them hold all of it on disk. One that makes the number of members even, since a newcomer was added, is taken out first. Without a majority it ends before grace_s as before. The asking lies inside the 2.6 s that a process serves on anyhow. One that said that it leaves is not added or put in anew.

--- a/crates/keeper/src/crew.rs
+++ b/crates/keeper/src/crew.rs
@@ -14,7 +14,8 @@
     /// As it said of itself last, and when.
     disk: Option<(u64, Duration)>,
     whole: Option<u64>,
-    leaving: bool,
+    /// When it said last that it leaves.
+    leaving: Option<Duration>,
     /// As the beacon has it: its disk, whether it is here, and since when that has been so.
     stands: Option<(Option<u64>, bool, Duration)>,
 }
@@ -56,7 +57,7 @@
         if let Some(view) = self.view(now, node) {
             view.disk = disk.map(|disk| (disk, now));
             view.whole = whole;
-            view.leaving = leaving;
+            view.leaving = leaving.then_some(now);
         }
     }
 
@@ -76,7 +77,13 @@
                 Some((disk, here, since)) if disk == peer.disk && here == peer.here => {
                     Some((disk, here, since))
                 }
-                _ => Some((peer.disk, peer.here, now)),
+                before => {
+                    if peer.here && !before.is_some_and(|(_, here, _)| here) {
+                        // Another life.
+                        view.leaving = None;
+                    }
+                    Some((peer.disk, peer.here, now))
+                }
             };
         }
     }
@@ -96,7 +103,13 @@
     }
 
     pub fn is_leaving(&self, node: NodeId) -> bool {
-        self.views.get(&node).is_some_and(|view| view.leaving)
+        self.views.get(&node).is_some_and(|view| view.leaving.is_some())
+    }
+
+    /// It said within this that it leaves: its process may run on for as long.
+    fn is_going(&self, now: Duration, node: NodeId, within: Duration) -> bool {
+        let said = self.views.get(&node).and_then(|view| view.leaving);
+        said.is_some_and(|said| now.saturating_sub(said) <= within)
     }
 
     /// How long a machine has been silent, though this node was awake.
@@ -120,6 +133,11 @@
         disk.filter(|disk| here && told.is_none_or(|told| told == *disk))
     }
 
+    /// Machines with a disk that are here and did not say within this that they leave: node, disk, since when.
+    pub fn staying(&self, now: Duration, within: Duration) -> impl Iterator<Item = (NodeId, u64, Duration)> {
+        self.here().filter(move |(node, ..)| !self.is_going(now, *node, within))
+    }
+
     /// Machines with a disk that are here: node, disk, since when.
     pub fn here(&self) -> impl Iterator<Item = (NodeId, u64, Duration)> {
         self.views.iter().filter_map(|(node, view)| match view.stands {
--- a/crates/keeper/src/fault.rs
+++ b/crates/keeper/src/fault.rs
@@ -58,10 +58,21 @@
     NoRepair,
     /// A process takes its times from a clock that is set by hand. The checker's machines do this, not the core.
     WallClock,
+    // Members that leave, and changes one after the other.
+    /// One that leaves asks nobody what they hold.
+    LeaverDoesNotAsk,
+    /// One that leaves goes on accepting while it asks.
+    LeaverAccepts,
+    /// One that leaves stays a member, though a newcomer has its place.
+    LeaverStaysIn,
+    /// One that stays says that it holds what is not yet on its disk.
+    StayerUnsynced,
+    /// The members change before the newcomer of the change before has caught up.
+    ChangeBeforeCaughtUp,
 }
 
 impl Fault {
-    pub const ALL: [Fault; 26] = [
+    pub const ALL: [Fault; 31] = [
         Fault::MajorityLessOne,
         Fault::CoverLessOne,
         Fault::PromiseUnsynced,
@@ -88,6 +99,11 @@
         Fault::ConditionNotAsked,
         Fault::NoRepair,
         Fault::WallClock,
+        Fault::LeaverDoesNotAsk,
+        Fault::LeaverAccepts,
+        Fault::LeaverStaysIn,
+        Fault::StayerUnsynced,
+        Fault::ChangeBeforeCaughtUp,
     ];
 }
 
--- a/crates/keeper/src/fingerprint.rs
+++ b/crates/keeper/src/fingerprint.rs
@@ -37,6 +37,7 @@
             poll_at,
             polled,
             leaving,
+            departure,
             clock,
         } = self;
         rng.get_seed().hash(state);
@@ -66,6 +67,7 @@
         poll_at.hash(state);
         polled.hash(state);
         leaving.hash(state);
+        departure.hash(state);
         clock.hash(state);
     }
 }
--- a/crates/keeper/src/handover.rs
+++ b/crates/keeper/src/handover.rs
@@ -210,7 +210,7 @@
         for given in entries {
             let (key, ballot, committed) = (given.key.clone(), given.ballot, given.committed);
             let value = given.value.clone();
-            let taken = self.acceptor.adopt(now, epoch, given, &mut self.pen);
+            let taken = !self.is_sealed() && self.acceptor.adopt(now, epoch, given, &mut self.pen);
             if committed {
                 self.learn(now, &key, ballot, &value);
             } else if !taken && self.acceptor.get(&key).is_none_or(|ours| ours.ballot() < Some(ballot)) {
@@ -250,7 +250,9 @@
         let (Some(epoch), Some(known)) = (self.voting_epoch(), known) else { return };
         let given =
             Given { key: key.clone(), ballot: known.ballot, committed: true, value: known.value.clone() };
-        self.acceptor.adopt(now, epoch, given, &mut self.pen);
+        if !self.is_sealed() {
+            self.acceptor.adopt(now, epoch, given, &mut self.pen);
+        }
     }
 
     /// Parts are handed on only by one that has caught up, to a member, and within one epoch.
--- a/crates/keeper/src/keeper.rs
+++ b/crates/keeper/src/keeper.rs
@@ -7,6 +7,7 @@
 use crate::ballot::Ballot;
 use crate::charter::Charter;
 use crate::crew::Crew;
+use crate::departure::Departure;
 use crate::desk::{Asker, Desk, Entry};
 use crate::fault::{self, Fault};
 use crate::founding::Founding;
@@ -63,6 +64,7 @@
     /// It has polled since it last heard a majority: so after a start, or when a cut ends, it does so at once.
     pub(crate) polled: bool,
     pub(crate) leaving: bool,
+    pub(crate) departure: Departure,
     /// The newest time that this node was told.
     pub(crate) clock: Duration,
 }
@@ -99,6 +101,7 @@
             poll_at: now,
             polled: false,
             leaving: false,
+            departure: Departure::default(),
             clock: now,
             me,
             rng,
@@ -180,6 +183,7 @@
             self.repair_woke(now);
             self.poll(now);
         }
+        self.departure_woke(now);
         self.drain(now);
     }
 
@@ -192,6 +196,7 @@
             let catch_up = self.catch_up.as_ref().filter(|catch_up| catch_up.logged.is_none());
             wake = wake.min(catch_up.map_or(Duration::MAX, |catch_up| catch_up.again));
         }
+        wake = wake.min(self.departure.next_wake().unwrap_or(Duration::MAX));
         wake = wake.min(self.watches.next_wake().unwrap_or(Duration::MAX));
         self.active.iter().filter_map(|key| self.desk_wake(key)).fold(wake, Duration::min)
     }
@@ -247,7 +252,7 @@
         self.drain(now);
     }
 
-    fn drain(&mut self, now: Duration) {
+    pub(crate) fn drain(&mut self, now: Duration) {
         while let Some(message) = self.pen.next_own() {
             self.handle(now, self.me.node, message);
         }
@@ -324,6 +329,7 @@
         if self.me.disk.is_some() {
             self.chartered = self.pen.log(&Record::Epoch(charter.clone()));
         }
+        self.departure.entered(self.charter.as_ref(), &charter, self.me.node);
         self.charter = Some(charter);
         self.heir = Heir::default();
         self.drive = Drive::Idle;
@@ -331,6 +337,7 @@
         self.start_catch_up(now);
         self.restart_desks(now);
         self.pulse(now, true);
+        self.departure_woke(now);
     }
 
     pub(crate) fn start_catch_up(&mut self, now: Duration) {
@@ -421,7 +428,7 @@
             }
             Message::Promised { key, ballot, held } => self.promised(now, from, key, ballot, held),
             Message::Accept { key, ballot, next, age, value } => {
-                if self.answers(from, ballot.epoch) {
+                if !self.is_sealed() && self.answers(from, ballot.epoch) {
                     match self.acceptor.accept(now, &key, ballot, next, age, value, &mut self.pen) {
                         Ok(logged) => {
                             let accepted = Message::Accepted { key, ballot };
@@ -447,6 +454,12 @@
             }
             Message::Want { epoch, keys } => self.want(from, epoch, &keys),
             Message::Give { epoch, entries } => self.given(now, from, epoch, entries),
+            Message::Farewell { epoch, life, sums } => self.farewell(from, epoch, life, &sums),
+            Message::Differing { epoch, life, parts } => self.differing(now, from, epoch, life, parts),
+            Message::Held { epoch, life, after, entries } => self.held(from, epoch, life, after, &entries),
+            Message::Lacking { epoch, life, after, keys } => {
+                self.lacking(now, from, epoch, life, after, &keys);
+            }
         }
     }
 }
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod ballot;
 pub mod charter;
 mod crew;
+mod departure;
 mod desk;
 mod desks;
 pub mod fault;
--- a/crates/keeper/src/messages.rs
+++ b/crates/keeper/src/messages.rs
@@ -145,6 +145,33 @@
         epoch: u64,
         entries: Vec<Given>,
     },
+
+    /// From one that leaves, in this life: sums over all that it holds. None: it was taken out.
+    Farewell {
+        epoch: u64,
+        life: u64,
+        sums: Vec<u64>,
+    },
+    /// Parts in which the sender differs. What it holds is on its disk.
+    Differing {
+        epoch: u64,
+        life: u64,
+        parts: u64,
+    },
+    /// From one that leaves: what it holds in those parts, a page of it.
+    Held {
+        epoch: u64,
+        life: u64,
+        after: Option<Key>,
+        entries: Vec<(Key, Ballot)>,
+    },
+    /// Of these the sender holds nothing, or something older. The rest of the page is on its disk.
+    Lacking {
+        epoch: u64,
+        life: u64,
+        after: Option<Key>,
+        keys: Vec<Key>,
+    },
 }
 
 /// On disk. Read back in any order with repeats, they give the same state.
--- a/crates/keeper/src/pen.rs
+++ b/crates/keeper/src/pen.rs
@@ -50,6 +50,11 @@
         self.written
     }
 
+    /// The newest record's number.
+    pub fn written(&self) -> u64 {
+        self.written
+    }
+
     pub fn is_synced(&self, number: u64) -> bool {
         number <= self.synced
     }
--- a/crates/keeper/src/succession.rs
+++ b/crates/keeper/src/succession.rs
@@ -75,8 +75,9 @@
             Drive::Waiting { .. } => self.drive_prepare(now, own),
             _ => {
                 let most = self.terms.change.as_millis() as u64;
-                let delay =
-                    Duration::from_millis(self.rng.u64(1..=most.max(1))) + self.terms.change * self.rank(now);
+                // One that waits for its own leave does not wait for the others.
+                let rank = if self.departure.sealed { 0 } else { self.rank(now) };
+                let delay = Duration::from_millis(self.rng.u64(1..=most.max(1))) + self.terms.change * rank;
                 self.drive(Drive::Waiting { until: now + delay });
             }
         }
@@ -96,9 +97,13 @@
         }
         let charter = self.charter.as_ref()?;
         let newcomer = charter.newcomer();
-        let caught_up =
-            newcomer.is_none_or(|m| self.crew.is_whole(m.node, m.disk, m.joined) || m.node == self.me.node);
+        let caught_up = newcomer
+            .is_none_or(|m| self.crew.is_whole(m.node, m.disk, m.joined) || m.node == self.me.node)
+            || fault::is(Fault::ChangeBeforeCaughtUp);
         let may_go = |node: NodeId| caught_up || newcomer.is_some_and(|m| m.node == node);
+        if caught_up && self.is_to_go(charter) {
+            return Some(charter.changed(Some(self.me.node), None));
+        }
         let others = || charter.members.iter().filter(|m| m.node != self.me.node && may_go(m.node));
         for member in others() {
             let disk = self.crew.disk(now, member.node, self.terms.alive);
@@ -108,8 +113,9 @@
         }
         let gone =
             |node: NodeId, after: Duration| !self.crew.is_here(node) && self.crew.silence(now, node) >= after;
+        let here = || self.crew.staying(now, self.terms.remove);
         let mut stands_by =
-            self.crew.here().filter(|(node, ..)| charter.member(*node).is_none() && *node != self.me.node);
+            here().filter(|(node, ..)| charter.member(*node).is_none() && *node != self.me.node);
         let stand_by = stands_by.next();
         if let (Some((node, disk, _)), Some(out)) =
             (stand_by, others().find(|m| gone(m.node, self.terms.replace)))
@@ -125,7 +131,7 @@
             return Some(charter.changed(Some(out.node), None));
         }
         let all = caught_up && self.alive_members(now).count() == size && size < self.terms.members;
-        let mut long = self.crew.here().filter(|(node, _, since)| {
+        let mut long = here().filter(|(node, _, since)| {
             charter.member(*node).is_none() && now.saturating_sub(*since) >= self.terms.add
         });
         long.next().filter(|_| all).map(|(node, disk, _)| charter.changed(None, Some((node, disk))))
--- a/crates/lantern/src/engine.rs
+++ b/crates/lantern/src/engine.rs
@@ -66,6 +66,8 @@
     pub slow: Duration,
     pub reports: Duration,
     pub leaving: Option<Duration>,
+    /// The keeper was told that the process is about to end.
+    pub parting: bool,
     pub port: u16,
     pub settings_seen: Option<std::time::SystemTime>,
 }
@@ -79,6 +81,8 @@
 const LINGER: Duration = Duration::from_millis(2600);
 /// Before the platform ends the process.
 const MARGIN: Duration = Duration::from_millis(500);
+/// So long before it may end the keeper takes nothing more, and asks those that stay what they hold.
+const PARTING: Duration = Duration::from_millis(600);
 
 impl Engine {
     pub fn now(&self) -> Duration {
@@ -126,6 +130,7 @@
             if let Some(hub) = self.hub.as_mut().filter(|hub| !hub.distribution.is_fit()) {
                 hub.see_whether_fit(now, self.keeper.is_settled(now));
             }
+            self.take_leave(now);
             self.carry(now);
             if self.ended(now) {
                 return Ok(());
@@ -275,12 +280,32 @@
         }
     }
 
-    /// Whether nothing holds the process any more after the word to end.
+    fn is_idle(&self) -> bool {
+        self.quay.as_ref().is_none_or(|q| q.at_work() == 0) && self.calls.under_way() == 0
+    }
+
+    /// How long after the word to end the process goes on, at least and at most.
+    fn stays(&self) -> (Duration, Duration) {
+        let most = self.settings.bounds.grace.saturating_sub(MARGIN);
+        (LINGER.min(most), most)
+    }
+
+    fn take_leave(&mut self, now: Duration) {
+        let Some(since) = self.leaving.filter(|_| !self.parting) else { return };
+        let (least, most) = self.stays();
+        let from = if self.is_idle() { least } else { most };
+        if now >= since + from.saturating_sub(PARTING) {
+            self.parting = true;
+            self.keeper.depart(now);
+        }
+    }
+
+    /// Whether nothing holds the process any more after the word to end: no call, and no value of which a majority of
+    /// those that stay lacks a copy.
     fn ended(&self, now: Duration) -> bool {
         let Some(since) = self.leaving else { return false };
-        let idle = self.quay.as_ref().is_none_or(|q| q.at_work() == 0) && self.calls.under_way() == 0;
-        let most = self.settings.bounds.grace.saturating_sub(MARGIN);
-        (idle && now >= since + LINGER.min(most)) || now >= since + most
+        let (least, most) = self.stays();
+        (now >= since + least && self.is_idle() && self.keeper.may_end()) || now >= since + most
     }
 
     /// The settings file may change with a signal or without.
--- a/crates/lantern/src/start.rs
+++ b/crates/lantern/src/start.rs
@@ -203,6 +203,7 @@
         slow: Duration::ZERO,
         reports: Duration::ZERO,
         leaving: None,
+        parting: false,
         port,
         settings_seen: None,
     };
--- a/crates/sextant/src/voyage.rs
+++ b/crates/sextant/src/voyage.rs
@@ -79,15 +79,20 @@
 const EVEN: Duration = ms(40_000);
 
 /// All come back. Within a while the members are whole, each register is served through each of them, and all hold the
-/// same.
-fn settle(storm: &mut Storm) {
+/// same. Hands out how long it took until they were whole.
+///
+/// # Panics
+/// With a [`Breach`], where that does not hold.
+pub fn settle(storm: &mut Storm) -> Duration {
     storm.sea.weather = Weather::default();
     storm.sea.machines.values_mut().for_each(|machine| machine.slow_until = Duration::ZERO);
-    let until = storm.sea.now + WHOLE;
+    let from = storm.sea.now;
+    let until = from + WHOLE;
     while !storm.sea.is_whole() && storm.sea.now < until {
         storm.run(storm.sea.now + ms(50));
     }
     hold!(storm.sea.is_whole(), Check::Whole, "{:?}", storm.sea.view());
+    let whole = storm.sea.now - from;
     storm.sound(SERVED);
     let until = storm.sea.now + EVEN;
     while uneven(&storm.sea).is_some() && storm.sea.now < until {
@@ -95,6 +100,7 @@
     }
     let uneven = uneven(&storm.sea);
     hold!(uneven.is_none(), Check::Even, "{}", uneven.unwrap_or_default());
+    whole
 }
 
 /// A register of which two members hold different states, and what each of them accepted and promised.
--- a/crates/sextant/src/waters.rs
+++ b/crates/sextant/src/waters.rs
@@ -358,7 +358,7 @@
         self.collect(node);
     }
 
-    fn collect(&mut self, from: NodeId) {
+    pub(crate) fn collect(&mut self, from: NodeId) {
         let now = self.now;
         let Some(machine) = self.machines.get_mut(&from) else { return };
         let Some(keeper) = &mut machine.keeper else { return };
--- a/crates/sextant/tests/mutants.rs
+++ b/crates/sextant/tests/mutants.rs
@@ -1,11 +1,13 @@
-//! Each deliberate fault is found: the table names a short schedule that finds it, and the check that does. `MUTANT`
-//! (a fault's name, or `all`) looks for the first schedules instead, among `MUTANT_SEEDS`, and prints them.
+//! Each deliberate fault is found: the tables name a short schedule or a script that finds it, and the check that does.
+//! `MUTANT` (a fault's name, or `all`) looks for the first schedules instead, among `MUTANT_SEEDS`, and prints them.
 #![cfg(feature = "faults")]
 
+mod scripts;
+
 use fallgap_keeper::fault::{self, Fault};
 use fallgap_sextant::Check;
 use fallgap_sextant::schedule::Schedule;
-use fallgap_sextant::voyage::sail;
+use fallgap_sextant::voyage::{guarded, sail};
 
 /// Faults, the seeds of schedules that find them, and the checks.
 const FOUND: &[(Fault, u64, Check)] = &[
@@ -33,6 +35,25 @@
     (Fault::WallClock, 37, Check::OneHolder),
 ];
 
+/// Faults that show in changes of members only, the scripts that find them, how many of their first 50 seeds do at
+/// least, and the checks.
+const SCRIPTED: &[(Fault, scripts::Script, usize, Check)] = &[
+    (
+        Fault::HeirUnsynced,
+        scripts::epochs::the_driver_is_cut_off_and_the_other_loses_its_power,
+        20,
+        Check::Epochs,
+    ),
+    (Fault::OwnSuccessor, scripts::epochs::two_changes_are_wanted, 40, Check::Epochs),
+    (Fault::NotSealed, scripts::epochs::one_forgets_that_the_epoch_began, 40, Check::Linear),
+    (Fault::AdoptOverPromise, scripts::epochs::a_value_comes_round_about, 40, Check::Linear),
+    (Fault::LeaverDoesNotAsk, scripts::one_of_two_copies, 40, Check::Linear),
+    (Fault::LeaverAccepts, scripts::a_write_between, 40, Check::Linear),
+    (Fault::LeaverStaysIn, scripts::a_loss_right_after_a_planned_replacement, 40, Check::Whole),
+    (Fault::ChangeBeforeCaughtUp, scripts::two_newcomers_at_once, 40, Check::Whole),
+    (Fault::StayerUnsynced, scripts::a_slow_disk_among_those_that_stay, 40, Check::Linear),
+];
+
 fn sailed(fault: Fault, seed: u64) -> Option<Check> {
     fault::set(Some(fault));
     let found = sail(&Schedule::short(seed)).err().map(|breach| breach.check());
@@ -56,3 +77,24 @@
         assert_eq!(sail(&Schedule::short(*seed)).err(), None, "without it, seed {seed}");
     }
 }
+
+#[test]
+fn every_fault_of_a_change_of_members_is_found() {
+    for (fault, script, least, check) in SCRIPTED {
+        fault::set(Some(*fault));
+        let found: Vec<Check> =
+            (0..50).filter_map(|seed| guarded(|| script(seed)).err()).map(|breach| breach.check()).collect();
+        fault::set(None);
+        let expected = found.iter().filter(|found| *found == check).count();
+        println!("{fault:?}: {expected} of 50");
+        assert!(expected >= *least, "{fault:?}: {expected} of 50 runs, and {found:?}");
+    }
+}
+
+/// The tables name every fault that there is.
+#[test]
+fn no_fault_is_left_out() {
+    let named = |fault: &Fault| FOUND.iter().any(|f| f.0 == *fault) || SCRIPTED.iter().any(|f| f.0 == *fault);
+    let left: Vec<Fault> = Fault::ALL.into_iter().filter(|fault| !named(fault)).collect();
+    assert!(left.is_empty(), "{left:?}");
+}
