--- a/crates/keeper/src/crew.rs
+++ b/crates/keeper/src/crew.rs
@@ -14,8 +14,8 @@
     /// As it said of itself last, and when.
     disk: Option<(u64, Duration)>,
     whole: Option<u64>,
-    /// When it said last that it leaves.
-    leaving: Option<Duration>,
+    /// When it said last that it leaves, and in which life: in that one it does not stay after all.
+    leaving: Option<(Duration, u64)>,
     /// As the beacon has it: its disk, whether it is here, and since when that has been so.
     stands: Option<(Option<u64>, bool, Duration)>,
 }
@@ -52,12 +52,16 @@
     }
 
     pub fn pulse(
-        &mut self, now: Duration, node: NodeId, disk: Option<u64>, whole: Option<u64>, leaving: bool,
+        &mut self, now: Duration, node: NodeId, disk: Option<u64>, whole: Option<u64>, life: u64,
+        leaving: bool,
     ) {
         if let Some(view) = self.view(now, node) {
             view.disk = disk.map(|disk| (disk, now));
             view.whole = whole;
-            view.leaving = leaving.then_some(now);
+            // What it said before may come after.
+            if leaving || view.leaving.is_some_and(|(_, left)| left != life) {
+                view.leaving = leaving.then_some((now, life));
+            }
         }
     }
 
@@ -88,6 +92,14 @@
         }
     }
 
+    /// It is no member any more. One that was taken out because it leaves runs on for a while, and its word to say so
+    /// may not have come.
+    pub fn taken_out(&mut self, now: Duration, node: NodeId) {
+        if let Some(view) = self.views.get_mut(&node) {
+            view.leaving = Some((now, view.leaving.map_or(0, |(_, life)| life)));
+        }
+    }
+
     /// Forgets machines that are neither members nor with the beacon.
     pub fn keep(&mut self, members: impl Fn(NodeId) -> bool) {
         self.views.retain(|node, view| view.stands.is_some_and(|(_, here, _)| here) || members(*node));
@@ -107,9 +119,9 @@
     }
 
     /// It said within this that it leaves: its process may run on for as long.
-    fn is_going(&self, now: Duration, node: NodeId, within: Duration) -> bool {
+    pub fn is_going(&self, now: Duration, node: NodeId, within: Duration) -> bool {
         let said = self.views.get(&node).and_then(|view| view.leaving);
-        said.is_some_and(|said| now.saturating_sub(said) <= within)
+        said.is_some_and(|(said, _)| now.saturating_sub(said) <= within)
     }
 
     /// How long a machine has been silent, though this node was awake.
--- a/crates/keeper/src/departure.rs
+++ b/crates/keeper/src/departure.rs
@@ -29,7 +29,7 @@
 pub(crate) struct Departure {
     /// From here on this disk takes nothing more.
     pub sealed: bool,
-    /// It was a member when it was sealed, and was taken out since.
+    /// It was a member when it got the word to end, and was taken out since.
     out: bool,
     /// The members became more with the newest epoch that changed their number, as far as this process saw.
     grown: bool,
@@ -39,10 +39,10 @@
 
 impl Departure {
     /// Another epoch: what was shown was shown to the members of the one before.
-    pub fn entered(&mut self, before: Option<&Charter>, after: &Charter, me: NodeId) {
+    pub fn entered(&mut self, before: Option<&Charter>, after: &Charter, me: NodeId, leaving: bool) {
         self.stayers.clear();
         let Some(before) = before else { return };
-        self.out |= self.sealed && before.member(me).is_some() && after.member(me).is_none();
+        self.out |= leaving && before.member(me).is_some() && after.member(me).is_none();
         if before.members.len() != after.members.len() {
             self.grown = before.members.len() < after.members.len();
         }
@@ -85,7 +85,10 @@
         }
         let stayers = self.stayers();
         let shown = |node: &&NodeId| self.departure.stayers.get(node).is_some_and(|stayer| stayer.shown);
-        stayers.is_empty() || stayers.iter().filter(shown).count() > stayers.len() / 2
+        // One that came in its place says so only once it has caught up.
+        let placed = charter.newcomer().filter(|_| self.departure.out);
+        let caught_up = placed.is_none_or(|member| shown(&&member.node));
+        stayers.is_empty() || (caught_up && stayers.iter().filter(shown).count() > stayers.len() / 2)
     }
 
     /// Whether this member is to be taken out before it ends.
--- a/crates/keeper/src/keeper.rs
+++ b/crates/keeper/src/keeper.rs
@@ -329,7 +329,12 @@
         if self.me.disk.is_some() {
             self.chartered = self.pen.log(&Record::Epoch(charter.clone()));
         }
-        self.departure.entered(self.charter.as_ref(), &charter, self.me.node);
+        for member in self.charter.iter().flat_map(|before| &before.members) {
+            if charter.member(member.node).is_none() {
+                self.crew.taken_out(now, member.node);
+            }
+        }
+        self.departure.entered(self.charter.as_ref(), &charter, self.me.node, self.leaving);
         self.charter = Some(charter);
         self.heir = Heir::default();
         self.drive = Drive::Idle;
@@ -376,7 +381,13 @@
     }
 
     fn said(&self, epoch: u64) -> Message {
-        Message::Pulse { epoch, disk: self.me.disk, whole: self.whole, leaving: self.leaving }
+        Message::Pulse {
+            epoch,
+            disk: self.me.disk,
+            whole: self.whole,
+            life: self.me.life,
+            leaving: self.leaving,
+        }
     }
 
     fn desk_wake(&self, key: &Key) -> Option<Duration> {
@@ -395,8 +406,8 @@
 
     fn handle(&mut self, now: Duration, from: NodeId, message: Message) {
         match message {
-            Message::Pulse { epoch, disk, whole, leaving } => {
-                self.crew.pulse(now, from, disk, whole, leaving);
+            Message::Pulse { epoch, disk, whole, life, leaving } => {
+                self.crew.pulse(now, from, disk, whole, life, leaving);
                 if epoch > self.epoch() {
                     self.pen.send(from, Message::Ask { epoch: self.epoch() });
                 } else if epoch < self.epoch() {
--- a/crates/keeper/src/messages.rs
+++ b/crates/keeper/src/messages.rs
@@ -39,6 +39,7 @@
         epoch: u64,
         disk: Option<u64>,
         whole: Option<u64>,
+        life: u64,
         leaving: bool,
     },
     /// Asks for the newest epoch, if it is above this one (0: knows none).
--- a/crates/keeper/src/succession.rs
+++ b/crates/keeper/src/succession.rs
@@ -117,8 +117,10 @@
         let mut stands_by =
             here().filter(|(node, ..)| charter.member(*node).is_none() && *node != self.me.node);
         let stand_by = stands_by.next();
+        let going = |node: NodeId| self.crew.is_going(now, node, self.terms.remove);
+        let goes = others().find(|m| going(m.node));
         if let (Some((node, disk, _)), Some(out)) =
-            (stand_by, others().find(|m| gone(m.node, self.terms.replace)))
+            (stand_by, goes.or_else(|| others().find(|m| gone(m.node, self.terms.replace))))
         {
             return Some(charter.changed(Some(out.node), Some((node, disk))));
         }
@@ -134,7 +136,9 @@
         let mut long = here().filter(|(node, _, since)| {
             charter.member(*node).is_none() && now.saturating_sub(*since) >= self.terms.add
         });
-        long.next().filter(|_| all).map(|(node, disk, _)| charter.changed(None, Some((node, disk))))
+        long.next()
+            .filter(|_| all && goes.is_none())
+            .map(|(node, disk, _)| charter.changed(None, Some((node, disk))))
     }
 
     fn drive_prepare(&mut self, now: Duration, own: Option<Charter>) {
--- a/crates/sextant/tests/alone.rs
+++ b/crates/sextant/tests/alone.rs
@@ -60,7 +60,7 @@
     fn until<T>(&mut self, of: impl Fn(&Message) -> Option<T>) -> T {
         for _ in 0..1000 {
             self.now += ms(10);
-            let pulse = Message::Pulse { epoch: 1, disk: Some(2), whole: None, leaving: false };
+            let pulse = Message::Pulse { epoch: 1, disk: Some(2), whole: None, life: 2, leaving: false };
             let mut outs = self.hear(2, pulse);
             self.keeper.woke(self.now);
             outs.extend(self.outs());
@@ -104,7 +104,7 @@
 #[test]
 fn what_was_sent_and_not_found_again_is_written_over_before_it_is_refused() {
     let mut alone = Alone::new();
-    let pulse = Message::Pulse { epoch: 1, disk: Some(2), whole: None, leaving: false };
+    let pulse = Message::Pulse { epoch: 1, disk: Some(2), whole: None, life: 2, leaving: false };
     alone.hear(2, pulse);
     let start = Call::LockStart { name: "l".into(), holder: "p".into(), hold: ms(9000) };
     alone.keeper.call(alone.now, 7, start);
