--- a/crates/sextant/tests/losses.rs
+++ b/crates/sextant/tests/losses.rs
@@ -258,3 +258,58 @@
     let shown = left.iter().filter(|(_, shown)| *shown).count();
     println!("in turn: {shown} of {} left as shown, {took:?} at most", left.len());
 }
+
+/// The process gets the word to end and comes back with its disk: what the asking costs, and that nobody is exchanged
+/// for it.
+#[test]
+fn a_plain_restart_takes_no_longer() {
+    let mut ended = Vec::new();
+    let mut back = Vec::new();
+    for (disks, tolerate) in SITES {
+        for seed in 0..6 * more() {
+            let run = || {
+                let mut fleet = Fleet::new(seed, disks, tolerate);
+                for n in 1..=disks {
+                    let sea = &mut fleet.storm.sea;
+                    let left = sea.leave(node(n), GRACE, |sea, until| sea.run(until));
+                    sea.restart(node(n), ms(300));
+                    let start = sea.now + ms(300);
+                    fleet.run(ms(310));
+                    while !fleet.storm.sea.is_whole() && fleet.storm.sea.now < start + GRACE {
+                        fleet.run(ms(10));
+                    }
+                    ended.push((left.took, left.shown));
+                    back.push(fleet.storm.sea.now.saturating_sub(start));
+                    assert_eq!(fleet.storm.sea.keeper(node(n)).map(|keeper| keeper.epoch()), Some(1));
+                }
+                fleet.end();
+            };
+            if let Err(breach) = guarded(run) {
+                panic!("{disks} disks, {tolerate} may be lost, seed {seed}: {breach}");
+            }
+        }
+    }
+    ended.sort();
+    back.sort();
+    let (most, middle) = (ended.last().copied(), ended.get(ended.len() / 2).copied());
+    println!(
+        "plain restart: {} ends, half within {middle:?}, {most:?} at most; a member again after {:?} at most",
+        ended.len(),
+        back.last()
+    );
+    assert!(ended.iter().all(|(_, shown)| *shown), "{most:?}");
+    // The process serves on for longer than that anyhow.
+    assert!(most.is_some_and(|(took, _)| took < ms(2000)), "{most:?}");
+}
+
+/// Nobody is there to be asked: it ends all the same, before it is made to.
+#[test]
+fn without_a_majority_it_ends_in_time() {
+    for disks in [3, 4, 5] {
+        let mut fleet = Fleet::new(0, disks, 1);
+        let sea = &mut fleet.storm.sea;
+        sea.cut(&[node(1)], ms(60_000));
+        let left = sea.leave(node(1), GRACE, |sea, until| sea.run(until));
+        assert!(!left.shown && left.took <= GRACE, "{left:?}");
+    }
+}
