--- a/crates/keeper/src/crew.rs
+++ b/crates/keeper/src/crew.rs
@@ -16,6 +16,8 @@
     whole: Option<u64>,
     /// When it said last that it leaves, and in which life: in that one it does not stay after all.
     leaving: Option<(Duration, u64)>,
+    /// It has said that it hears this node.
+    hears_us: bool,
     /// As the beacon has it: its disk, whether it is here, and since when that has been so.
     stands: Option<(Option<u64>, bool, Duration)>,
 }
@@ -65,6 +67,13 @@
         }
     }
 
+    /// It says whether it hears this node.
+    pub fn hears(&mut self, now: Duration, node: NodeId, us: bool) {
+        if let Some(view) = self.view(now, node) {
+            view.hears_us = us;
+        }
+    }
+
     /// The beacon's view, whole. Machines without a disk are left out; those that it no longer names are not here.
     pub fn peers(&mut self, now: Duration, peers: &[Peer]) {
         for (node, view) in &mut self.views {
@@ -110,6 +119,11 @@
         heard.is_some_and(|heard| now.saturating_sub(heard) <= within)
     }
 
+    /// As it said last.
+    pub fn hears_us(&self, node: NodeId) -> bool {
+        self.views.get(&node).is_some_and(|view| view.hears_us)
+    }
+
     pub fn is_here(&self, node: NodeId) -> bool {
         self.views.get(&node).and_then(|view| view.stands).is_some_and(|(_, here, _)| here)
     }
--- a/crates/keeper/src/fault.rs
+++ b/crates/keeper/src/fault.rs
@@ -77,6 +77,16 @@
     WipedInAnyOrder,
     /// What was read back from the disk counts as committed.
     ReadBackIsCommitted,
+
+    // Cut off, and clocks that drift (tests/cut_off.rs, tests/drift.rs).
+    /// A hold is over when a keeper's own clock says so, however fast that runs.
+    NoDriftMargin,
+    /// Who hears a majority counts as in contact with it, though nobody hears it.
+    ContactOneWay,
+    /// Who hears nobody counts as in contact with a majority.
+    ContactAlone,
+    /// A read is answered by what this disk holds.
+    ReadAlone,
     // Members that leave, and changes one after the other.
     /// One that leaves asks nobody what they hold.
     LeaverDoesNotAsk,
@@ -91,7 +101,7 @@
 }
 
 impl Fault {
-    pub const ALL: [Fault; 39] = [
+    pub const ALL: [Fault; 43] = [
         Fault::MajorityLessOne,
         Fault::CoverLessOne,
         Fault::PromiseUnsynced,
@@ -126,6 +136,10 @@
         Fault::TornTailTaken,
         Fault::WipedInAnyOrder,
         Fault::ReadBackIsCommitted,
+        Fault::NoDriftMargin,
+        Fault::ContactOneWay,
+        Fault::ContactAlone,
+        Fault::ReadAlone,
         Fault::LeaverDoesNotAsk,
         Fault::LeaverAccepts,
         Fault::LeaverStaysIn,
--- a/crates/lantern/src/engine.rs
+++ b/crates/lantern/src/engine.rs
@@ -42,6 +42,8 @@
     pub keeper: Keeper,
     pub disk: Option<Disk>,
     pub hub: Option<Hub>,
+    /// The highest edition that was committed and read here.
+    pub configured: Option<u64>,
     pub follower: Follower,
     pub roster_terms: fallgap_roster::Terms,
     pub view: Option<Arc<View>>,
@@ -126,10 +128,7 @@
             }
             self.hear_threads(now);
             self.woke(now);
-            // What makes it fit is not waited for; what makes it unfit is looked for now and then.
-            if let Some(hub) = self.hub.as_mut().filter(|hub| !hub.distribution.is_fit()) {
-                hub.see_whether_fit(now, self.keeper.is_settled(now));
-            }
+            self.see_whether_fit(now);
             self.take_leave(now);
             self.carry(now);
             if self.ended(now) {
@@ -193,7 +192,6 @@
             self.beats.woke(now);
             self.look_at_settings(now);
             if let Some(hub) = &mut self.hub {
-                hub.see_whether_fit(now, self.keeper.is_settled(now));
                 for (subject, bytes) in hub.take_due(now) {
                     self.disk.iter().for_each(|d| _ = d.work.send(Work::Remember(subject, bytes.clone())));
                 }
@@ -206,6 +204,15 @@
         }
     }
 
+    /// Whether this home can be followed; one that came back into contact with a majority reads there at once.
+    fn see_whether_fit(&mut self, now: Duration) {
+        let Some(hub) = &mut self.hub else { return };
+        hub.see_whether_fit(now, self.keeper.in_contact(now), self.keeper.read_since());
+        if hub.wants_read(now) {
+            self.keeper.read_anew(now);
+        }
+    }
+
     /// Keepers that may run calls and know servers: those with a disk that are here.
     pub fn keepers(&self) -> Vec<Ipv4Addr> {
         let here =
--- a/crates/sextant/tests/losses.rs
+++ b/crates/sextant/tests/losses.rs
@@ -46,6 +46,7 @@
             tolerate,
             callers: 5,
             hasty: seed.is_multiple_of(3),
+            drift_ppm: 200,
             founding: false,
             steps: Vec::new(),
         };
