--- a/crates/keeper/src/fault.rs
+++ b/crates/keeper/src/fault.rs
@@ -87,6 +87,10 @@
     ContactAlone,
     /// A read is answered by what this disk holds.
     ReadAlone,
+
+    // once-only: found by `fallgap-sextant`'s tests/once.rs.
+    /// A call that nobody waits for any more is carried out all the same.
+    WithdrawalIgnored,
     // Members that leave, and changes one after the other.
     /// One that leaves asks nobody what they hold.
     LeaverDoesNotAsk,
@@ -101,7 +105,7 @@
 }
 
 impl Fault {
-    pub const ALL: [Fault; 43] = [
+    pub const ALL: [Fault; 44] = [
         Fault::MajorityLessOne,
         Fault::CoverLessOne,
         Fault::PromiseUnsynced,
@@ -140,6 +144,7 @@
         Fault::ContactOneWay,
         Fault::ContactAlone,
         Fault::ReadAlone,
+        Fault::WithdrawalIgnored,
         Fault::LeaverDoesNotAsk,
         Fault::LeaverAccepts,
         Fault::LeaverStaysIn,
