--- a/crates/sextant/src/waters.rs
+++ b/crates/sextant/src/waters.rs
@@ -43,7 +43,7 @@
     /// Its first start is the system's too.
     first: bool,
     /// It ended, and what it voted on as a seed is not on its disk.
-    forgot: bool,
+    pub forgot: bool,
     /// Its clock is ahead of the sea's by this.
     ahead: Duration,
     /// What its wall clock was set forward by since it started. Nobody may go by it.
@@ -71,9 +71,16 @@
         now + self.before()
     }
 
-    /// Its disk holds an epoch, if only that of the seeds.
-    fn has_epoch(&self) -> bool {
-        self.kept.iter().any(|record| matches!(postcard::from_bytes(record), Ok(Record::Epoch(_))))
+    /// The first epoch that its disk holds, 0 for that of the seeds.
+    fn epoch_kept(&self) -> Option<u64> {
+        self.epochs_kept().next()
+    }
+
+    fn epochs_kept(&self) -> impl Iterator<Item = u64> {
+        self.kept.iter().filter_map(|record| match postcard::from_bytes(record) {
+            Ok(Record::Epoch(charter)) => Some(charter.number),
+            _ => None,
+        })
     }
 
     /// By how much that is ahead of the sea's.
@@ -206,7 +213,7 @@
             seeds: self.seeds.clone(),
             tolerate: self.tolerate,
         };
-        machine.forgot |= !me.first_start && !machine.has_epoch();
+        machine.forgot |= !me.first_start && machine.epoch_kept().is_none();
         let kept = Kept { records: machine.kept.clone() };
         machine.life = life;
         machine.ahead = ahead;
@@ -236,17 +243,16 @@
         machine.down_since = self.now;
         let loose = std::mem::take(&mut machine.loose);
         machine.kept.extend(loose.into_iter().take(keep).map(|(_, record)| record));
-        machine.forgot |= ran && !machine.has_epoch();
+        machine.forgot |= ran && machine.epoch_kept().is_none();
         self.asked.retain(|_, (at, _)| *at != node);
     }
 
-    /// The system is founded, or can be though this machine loses what is not on its disk: a majority of the seeds
-    /// remembers.
+    /// The system is founded for good, or can be though this machine loses what is not on its disk: a majority of the
+    /// seeds remembers.
     pub fn spares(&self, node: NodeId) -> bool {
-        let knows = |machine: &Machine| machine.keeper.as_ref().is_some_and(|keeper| keeper.epoch() > 0);
-        let begun = !self.epochs.is_empty() || self.machines.values().any(knows);
+        let begun = self.machines.values().any(|machine| machine.epochs_kept().any(|epoch| epoch > 0));
         let of = |node| self.machines.get(&node);
-        if begun || !self.seeds.contains(&node) || of(node).is_some_and(Machine::has_epoch) {
+        if begun || !self.seeds.contains(&node) || of(node).is_some_and(|m| m.epoch_kept().is_some()) {
             return true;
         }
         let remembers = |seed: &&NodeId| **seed != node && of(**seed).is_some_and(|machine| !machine.forgot);
--- a/crates/sextant/tests/founding.rs
+++ b/crates/sextant/tests/founding.rs
@@ -95,6 +95,8 @@
     sea.tolerate = sea.tolerate.min((sea.disk_machines().len() as u32 - 1) / 2);
     let limit = sea.now + WHOLE;
     assert!(until(sea, limit, Sea::is_whole), "{what}: not whole: {:?}", sea.view());
+    // What a slow disk is at still.
+    sea.run(sea.now + ms(3000));
     let editions = read(sea, 1_000);
     let kept = editions.iter().all(|edition| edition.is_some_and(|edition| edition >= acknowledged));
     assert!(kept, "{what}: {acknowledged} was acknowledged, {editions:?}");
@@ -435,6 +437,79 @@
     }
 }
 
+/// Anything, to any machine, with a disk or without, in the first four seconds: links cut one way or both, ends, power
+/// lost, disks slow, freezes, weather; and one seed may lose its disk. A majority of the seeds remembers.
+fn anything(rng: u64) {
+    let mut dice = fastrand::Rng::with_seed(rng);
+    let disks = dice.u8(1..=6);
+    let plain = dice.u8(0..=3);
+    let mut seeds: Vec<u8> = (1..=disks + plain).collect();
+    dice.shuffle(&mut seeds);
+    seeds.truncate(dice.usize(1..=3));
+    let mut sea = begin(rng, disks, plain, &seeds);
+    sea.tolerate = u32::from(disks > 2);
+    let mut may_wipe = disks > 2;
+    for _ in 0..dice.u8(2..14) {
+        let pause = ms(if dice.bool() { dice.u64(0..30) } else { dice.u64(30..700) });
+        sea.run(sea.now + pause);
+        let nodes = all(&sea);
+        let one = nodes[dice.usize(0..nodes.len())];
+        let back = ms(dice.u64(1..1200));
+        let ends = sea.spares(one);
+        match dice.u8(0..9) {
+            0..3 => {
+                let part: Vec<NodeId> = nodes.iter().copied().filter(|_| dice.bool()).collect();
+                let way = dice.u8(0..3);
+                for from in &nodes {
+                    for to in nodes.iter().filter(|to| part.contains(to) != part.contains(from)) {
+                        if way == 2 || part.contains(from) == (way == 0) {
+                            sea.dead_links.insert((*from, *to));
+                        }
+                    }
+                }
+            }
+            3 => sea.dead_links.clear(),
+            4 | 5 if ends => {
+                sea.kill(one, dice.bool());
+                sea.restart(one, back);
+            }
+            6 => sea.machines.get_mut(&one).expect("a machine").slow_until = sea.now + back * 4,
+            7 => sea.freeze(one, back),
+            8 if may_wipe && ends && sea.up().contains(&one) && others_remember(&sea, one) => {
+                may_wipe = false;
+                sea.wipe(one);
+                sea.restart(one, back);
+            }
+            _ => {
+                sea.weather =
+                    Weather { lost: dice.u64(0..200), late: dice.u64(0..100), doubled: dice.u64(0..100) }
+            }
+        }
+    }
+    sea.run(sea.now + ms(1500));
+    sound(&mut sea, 0, &format!("{disks} disks, {plain} without, seeds {seeds:?}, {rng}"));
+}
+
+/// A majority of the seeds has not forgotten, this one aside; nobody has more than was said before the beginning.
+fn others_remember(sea: &Sea, one: NodeId) -> bool {
+    let forgot = |seed: &NodeId| sea.machines.get(seed).is_some_and(|machine| machine.forgot);
+    let remember = sea.seeds.iter().filter(|seed| **seed != one && !forgot(seed)).count();
+    remember > sea.seeds.len() / 2
+}
+
+/// `FOUNDING_SEEDS` plays so many instead.
+#[test]
+fn whatever_happens_at_first_there_is_one_beginning() {
+    let most = std::env::var("FOUNDING_SEEDS").ok().and_then(|most| most.parse().ok()).unwrap_or(300);
+    let first = std::env::var("FOUNDING_FIRST").ok().and_then(|first| first.parse().ok()).unwrap_or(0);
+    for rng in first..first + most {
+        if let Err(breach) = guarded(|| anything(rng)) {
+            panic!("{rng}: {breach}");
+        }
+    }
+    println!("figure plays {most}");
+}
+
 #[test]
 fn faults_begin_with_the_first_start() {
     for seed in 0..400 {
@@ -496,4 +571,31 @@
         });
         found(Fault::WipedSeedVotes, |rng| voted_and_wiped(&mut begin(rng, 5, 0, &[1, 2, 3])));
     }
+
+    /// `MUTANT_SEEDS` looks for the first schedules instead, among so many, and prints them.
+    #[test]
+    fn drawn_schedules_find_them() {
+        let sailed = |fault, seed| {
+            fault::set(fault);
+            let found = sail(&Schedule::at_founding(seed)).err().map(|breach| breach.check());
+            fault::set(None);
+            found
+        };
+        let table = [Fault::FoundedByFew, Fault::WipedSeedVotes, Fault::HeirUnsynced, Fault::OwnSuccessor];
+        for (fault, seed) in [(Fault::FoundedByFew, 82), (Fault::HeirUnsynced, 4052)] {
+            assert_eq!(sailed(Some(fault), seed), Some(Check::Epochs), "{fault:?}");
+            assert_eq!(sailed(None, seed), None, "without {fault:?}");
+        }
+        if let Some(most) = std::env::var("MUTANT_SEEDS").ok().and_then(|most| most.parse().ok()) {
+            for fault in table {
+                let found = (0..most).find_map(|seed| Some((seed, sailed(Some(fault), seed)?)));
+                fault::set(Some(fault));
+                let played = |rng| guarded(|| anything(rng)).err().map(|breach| breach.check());
+                let other = (0..most).find_map(|rng| Some((rng, played(rng)?)));
+                fault::set(None);
+                println!("{fault:?}: {found:?}, {other:?}");
+            }
+            return;
+        }
+    }
 }
