--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod charter;
 mod contact;
 mod crew;
+mod departure;
 mod desk;
 mod desks;
 pub mod fault;
