--- a/crates/roster/src/views.rs
+++ b/crates/roster/src/views.rs
@@ -1,6 +1,6 @@
 //! The view that a supervisor routes by, from what its homes sent over time.
 
-use crate::distribution::{REMEMBERS, WARM};
+use crate::distribution::{REMEMBERS, UNCONFIRMED, WARM};
 use fallgap_chart::{Berth, Configuration, View};
 use fallgap_tables::{Content, Entry, Key};
 use std::collections::{BTreeMap, BTreeSet};
@@ -111,7 +111,7 @@
     /// The table's configuration, unless it is older than what is held.
     fn configure(&mut self, content: &Content) {
         let notes = content.entries().iter().filter_map(|(key, entry)| match (key, entry) {
-            (Key::Note(name), Entry::Note(text)) if ![WARM, REMEMBERS].contains(&&**name) => {
+            (Key::Note(name), Entry::Note(text)) if ![WARM, REMEMBERS, UNCONFIRMED].contains(&&**name) => {
                 Some((&**name, &**text))
             }
             _ => None,
