Keeper: what one member holds half written above the committed value is finished

Reads were right all the while. Ruled out: lost hints, a steward that changes, promises of a life before.

--- a/crates/keeper/src/desk.rs
+++ b/crates/keeper/src/desk.rs
@@ -34,6 +34,11 @@
     pub fn is_own(&self) -> bool {
         self.asker == Asker::Own
     }
+
+    /// It makes all members hold the same again.
+    pub fn mends(&self) -> bool {
+        self.is_own() && matches!(self.call, Call::Look { .. })
+    }
 }
 
 /// A value with its ballot, and its proven age at a time.
--- a/crates/keeper/src/rounds.rs
+++ b/crates/keeper/src/rounds.rs
@@ -144,11 +144,19 @@
 
     /// Ends a plain read, if what was seen is enough.
     fn weigh(&mut self, now: Duration, key: &Key, desk: &mut Desk) {
+        let mends = desk.batch.iter().any(Entry::mends);
         let Stage::Reading { survey, .. } = &mut desk.stage else { return };
         let Some(found) = found(now, self.charter.as_ref(), survey) else { return };
         if found.committed {
+            // What one member holds above it, half written, only that member can tell.
+            if mends && survey.replies.len() < self.alive_members(now).count() {
+                let since = *survey.troubled.get_or_insert(now);
+                if now < since + self.terms.patience {
+                    return;
+                }
+            }
             self.learn_known(now, key, found.base.as_ref());
-            if desk.batch.iter().any(|entry| entry.is_own() && matches!(entry.call, Call::Look { .. })) {
+            if mends {
                 self.take_over(now, key, found.base.as_ref());
             }
             let judged = self.judge_all(now, &desk.batch, found.base.as_ref());
@@ -194,7 +202,10 @@
     /// A majority has promised: judges, and writes unless nothing depends on a write.
     fn decide(&mut self, now: Duration, key: &Key, desk: &mut Desk, ballot: Ballot, found: Found) {
         let mut judged = self.judge_all(now, &desk.batch, found.base.as_ref());
-        let tainted = desk.batch.iter().any(|entry| entry.sent);
+        // What was begun to make all hold the same is written anew: the majority that promised may be one that lacks
+        // what another member holds half written.
+        let mends = desk.batch.iter().any(Entry::mends);
+        let tainted = mends || desk.batch.iter().any(|entry| entry.sent);
         if judged.written.is_none() && found.committed && !tainted {
             self.learn_known(now, key, found.base.as_ref());
             desk.ready = Some(Ready { next: ballot, base: found.base.clone() });
