--- a/crates/keeper/src/crew.rs
+++ b/crates/keeper/src/crew.rs
@@ -14,7 +14,8 @@
     /// As it said of itself last, and when.
     disk: Option<(u64, Duration)>,
     whole: Option<u64>,
-    leaving: bool,
+    /// When it said last that it leaves, and in which life: in that one it does not stay after all.
+    leaving: Option<(Duration, u64)>,
     /// It has said that it hears this node.
     hears_us: bool,
     /// As the beacon has it: its disk, whether it is here, and since when that has been so.
@@ -53,14 +54,23 @@
     }
 
     pub fn pulse(
-        &mut self, now: Duration, node: NodeId, disk: Option<u64>, whole: Option<u64>, leaving: bool,
-        hears_us: bool,
+        &mut self, now: Duration, node: NodeId, disk: Option<u64>, whole: Option<u64>, life: u64,
+        leaving: bool,
     ) {
         if let Some(view) = self.view(now, node) {
             view.disk = disk.map(|disk| (disk, now));
             view.whole = whole;
-            view.leaving = leaving;
-            view.hears_us = hears_us;
+            // What it said before may come after.
+            if leaving || view.leaving.is_some_and(|(_, left)| left != life) {
+                view.leaving = leaving.then_some((now, life));
+            }
+        }
+    }
+
+    /// It says whether it hears this node.
+    pub fn hears(&mut self, now: Duration, node: NodeId, us: bool) {
+        if let Some(view) = self.view(now, node) {
+            view.hears_us = us;
         }
     }
 
@@ -80,11 +90,25 @@
                 Some((disk, here, since)) if disk == peer.disk && here == peer.here => {
                     Some((disk, here, since))
                 }
-                _ => Some((peer.disk, peer.here, now)),
+                before => {
+                    if peer.here && !before.is_some_and(|(_, here, _)| here) {
+                        // Another life.
+                        view.leaving = None;
+                    }
+                    Some((peer.disk, peer.here, now))
+                }
             };
         }
     }
 
+    /// It is no member any more. One that was taken out because it leaves runs on for a while, and its word to say so
+    /// may not have come.
+    pub fn taken_out(&mut self, now: Duration, node: NodeId) {
+        if let Some(view) = self.views.get_mut(&node) {
+            view.leaving = Some((now, view.leaving.map_or(0, |(_, life)| life)));
+        }
+    }
+
     /// Forgets machines that are neither members nor with the beacon.
     pub fn keep(&mut self, members: impl Fn(NodeId) -> bool) {
         self.views.retain(|node, view| view.stands.is_some_and(|(_, here, _)| here) || members(*node));
@@ -105,7 +129,13 @@
     }
 
     pub fn is_leaving(&self, node: NodeId) -> bool {
-        self.views.get(&node).is_some_and(|view| view.leaving)
+        self.views.get(&node).is_some_and(|view| view.leaving.is_some())
+    }
+
+    /// It said within this that it leaves: its process may run on for as long.
+    pub fn is_going(&self, now: Duration, node: NodeId, within: Duration) -> bool {
+        let said = self.views.get(&node).and_then(|view| view.leaving);
+        said.is_some_and(|(said, _)| now.saturating_sub(said) <= within)
     }
 
     /// How long a machine has been silent, though this node was awake.
@@ -129,6 +159,11 @@
         disk.filter(|disk| here && told.is_none_or(|told| told == *disk))
     }
 
+    /// Machines with a disk that are here and did not say within this that they leave: node, disk, since when.
+    pub fn staying(&self, now: Duration, within: Duration) -> impl Iterator<Item = (NodeId, u64, Duration)> {
+        self.here().filter(move |(node, ..)| !self.is_going(now, *node, within))
+    }
+
     /// Machines with a disk that are here: node, disk, since when.
     pub fn here(&self) -> impl Iterator<Item = (NodeId, u64, Duration)> {
         self.views.iter().filter_map(|(node, view)| match view.stands {
--- a/crates/lantern/src/engine.rs
+++ b/crates/lantern/src/engine.rs
@@ -5,6 +5,7 @@
 use crate::beats::Beats;
 use crate::calls::{self, Caller, Calls};
 use crate::disk::{Disk, Done, Work};
+use crate::holdup::HoldUp;
 use crate::hub::Hub;
 use crate::links::Links;
 use crate::signals::Heard;
@@ -13,7 +14,7 @@
 use fallgap_beacon::{Beacon, State};
 use fallgap_chart::{Settings, View};
 use fallgap_desk::{History, Surveys};
-use fallgap_keeper::{Keeper, Key, Peer as KeeperPeer};
+use fallgap_keeper::{Answer, Keeper, Key, Peer as KeeperPeer};
 use fallgap_quay::Quay;
 use fallgap_roster::{Follower, RosterWord};
 use mio::net::UdpSocket;
@@ -49,6 +50,7 @@
     pub view: Option<Arc<View>>,
     pub quay: Option<Quay>,
     pub calls: Calls,
+    pub hold_up: HoldUp,
     /// The processes that were here when it was last looked.
     pub lives: BTreeMap<Ipv4Addr, u64>,
     pub beats: Beats,
@@ -68,6 +70,8 @@
     pub slow: Duration,
     pub reports: Duration,
     pub leaving: Option<Duration>,
+    /// The keeper was told that the process is about to end.
+    pub parting: bool,
     pub port: u16,
     pub settings_seen: Option<std::time::SystemTime>,
 }
@@ -81,6 +85,8 @@
 const LINGER: Duration = Duration::from_millis(2600);
 /// Before the platform ends the process.
 const MARGIN: Duration = Duration::from_millis(500);
+/// So long before it may end the keeper takes nothing more, and asks those that stay what they hold.
+const PARTING: Duration = Duration::from_millis(600);
 
 impl Engine {
     pub fn now(&self) -> Duration {
@@ -103,6 +109,7 @@
                 other => other?,
             }
             let now = self.now();
+            self.hold_up.turns(now, wait);
             // Before anything is routed: this process may have been frozen.
             let confirmed = self.follower.age(now).map(|age| now.saturating_sub(age));
             self.quay.iter_mut().for_each(|quay| quay.confirmed(confirmed));
@@ -125,6 +132,7 @@
             self.hear_threads(now);
             self.woke(now);
             self.see_whether_fit(now);
+            self.take_leave(now);
             self.carry(now);
             if self.ended(now) {
                 return Ok(());
@@ -234,6 +242,9 @@
     fn hear_threads(&mut self, now: Duration) {
         while let Ok(Ask { asked, reply }) = self.inbox.try_recv() {
             match asked {
+                Asked::Call(call) if self.hold_up.turns_away(now, &call) => {
+                    let _ = reply.try_send(Told::Answer(Answer::Busy));
+                }
                 Asked::Call(call) => {
                     let order = calls::by_key(&call.key(), self.keepers());
                     let steps = self.calls.came(now, self.me, Caller::Here(reply), call, &order);
@@ -282,12 +293,32 @@
         }
     }
 
-    /// Whether nothing holds the process any more after the word to end.
+    fn is_idle(&self) -> bool {
+        self.quay.as_ref().is_none_or(|q| q.at_work() == 0) && self.calls.under_way() == 0
+    }
+
+    /// How long after the word to end the process goes on, at least and at most.
+    fn stays(&self) -> (Duration, Duration) {
+        let most = self.settings.bounds.grace.saturating_sub(MARGIN);
+        (LINGER.min(most), most)
+    }
+
+    fn take_leave(&mut self, now: Duration) {
+        let Some(since) = self.leaving.filter(|_| !self.parting) else { return };
+        let (least, most) = self.stays();
+        let from = if self.is_idle() { least } else { most };
+        if now >= since + from.saturating_sub(PARTING) {
+            self.parting = true;
+            self.keeper.depart(now);
+        }
+    }
+
+    /// Whether nothing holds the process any more after the word to end: no call, and no value of which a majority of
+    /// those that stay lacks a copy.
     fn ended(&self, now: Duration) -> bool {
         let Some(since) = self.leaving else { return false };
-        let idle = self.quay.as_ref().is_none_or(|q| q.at_work() == 0) && self.calls.under_way() == 0;
-        let most = self.settings.bounds.grace.saturating_sub(MARGIN);
-        (idle && now >= since + LINGER.min(most)) || now >= since + most
+        let (least, most) = self.stays();
+        (now >= since + least && self.is_idle() && self.keeper.may_end()) || now >= since + most
     }
 
     /// The settings file may change with a signal or without.
