Quay: a stream is not broken off for want of room, nor an answer for the kernel's silence

Cause: a large answer that goes on as it comes was read as fast as its server sent, however slowly its client took it; once all requests and answers together held their bound, every answer that was read counted as broken off, streams midway too. What was not run was sent to a second server for a client that was gone. A break before a byte had left counted as «may have run». Change: of a stream 256 KiB are read ahead of its client, and it goes on when that has taken them; the kernel's patience is the request's time, 2 s at least (one system call more only where that is longer); nobody asks again for a client that is gone.

--- a/crates/quay/src/clients.rs
+++ b/crates/quay/src/clients.rs
@@ -86,6 +86,7 @@
             match self.clients.get(key).map(|client| client.state) {
                 Some(ClientState::Reading) => self.read_client(now, key),
                 Some(ClientState::Lingering) => self.linger(now, key),
+                Some(ClientState::Passing { op, .. }) => self.hear_on(now, op),
                 Some(_) | None => {}
             }
         }
@@ -154,7 +155,10 @@
             _ => return,
         };
         match client.out.write(&mut client.stream) {
-            Ok(true) if !whole => client.moved = now,
+            Ok(true) if !whole => {
+                client.moved = now;
+                self.ready.push_back(key);
+            }
             Ok(true) if keep => {
                 client.turn(now, ClientState::Reading);
                 client.since = (!client.inbox.is_empty()).then_some(now);
--- a/crates/quay/src/line.rs
+++ b/crates/quay/src/line.rs
@@ -45,6 +45,10 @@
     pub held: usize,
     /// Answers of other requests that were let fall.
     pub foreign: u32,
+    /// More may stand there to be read: its client has not taken yet what came before.
+    pub held_back: bool,
+    /// After so long without a sign from the other machine the kernel ends it.
+    pub silence: Duration,
 }
 
 impl Line {
@@ -63,6 +67,8 @@
             noted: None,
             held: 0,
             foreign: 0,
+            held_back: false,
+            silence: Duration::ZERO,
         }
     }
 
--- a/crates/quay/src/lines.rs
+++ b/crates/quay/src/lines.rs
@@ -1,8 +1,10 @@
 //! Connections to servers: opened, kept at rest, closed.
 
 use crate::line::{Line, LineState, TryAt};
+use crate::ops::OpEntry;
 use crate::quay::{Quay, note};
-use crate::timers::{LineKey, Who};
+use crate::timers::{LineKey, OpKey, Who};
+use fallgap_chart::RouteClass;
 use fallgap_pilot::{AnswerReader, Ended, Progress, ServerKey, TryOutcome};
 use mio::Interest;
 use mio::event::Event;
@@ -63,7 +65,6 @@
         let stream = TcpStream::connect(address).ok()?;
         // Without these it is only slower to notice.
         let _ = stream.set_nodelay(true);
-        let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(self.terms.silence));
         let key = self.lines.insert(Line::new(now, stream, server, at));
         let token = self.line_token(key);
         let both = Interest::READABLE | Interest::WRITABLE;
@@ -84,6 +85,14 @@
         Some(key)
     }
 
+    /// How long the other machine may be silent before the kernel ends the connection: its silence is no reason to end
+    /// an answer that there is still time for.
+    pub(crate) fn bear_silence(line: &mut Line, time: Duration) {
+        if time > line.silence && SockRef::from(&line.stream).set_tcp_user_timeout(Some(time)).is_ok() {
+            line.silence = time;
+        }
+    }
+
     pub(crate) fn close_line(&mut self, key: LineKey) {
         let Some(mut line) = self.lines.remove(key) else { return };
         self.timers.set(&mut line.noted, None, Who::Line(key));
@@ -209,12 +218,29 @@
         let room = self.terms.memory.saturating_sub(self.memory);
         let Some(line) = self.lines.get_mut(key) else { return };
         let Some(op) = self.ops.get(at.op) else { return self.close_line(key) };
+        // A stream takes no more room than its client's slowness is worth, and is not broken off for want of it.
+        let passing = op.core.is_passing();
+        let out = op.client.filter(|_| passing).and_then(|client| self.clients.get(client));
+        line.held_back = out.is_some_and(|client| client.out.len() >= self.terms.ahead);
+        if line.held_back {
+            return;
+        }
+        let room = if passing { usize::MAX } else { room };
+        let most = if op.core.plan.class == RouteClass::Outbound { self.terms.ahead } else { usize::MAX };
         let id = op.request.head.id();
-        let heard = hear_line(line, &mut self.scratch, &self.terms.pilot, closed, room, id);
+        let heard = hear_line(line, &mut self.scratch, &self.terms.pilot, closed, (room, most), id);
         let held = line.reader.held();
         self.memory = (self.memory + held).saturating_sub(std::mem::replace(&mut line.held, held));
         match heard {
-            Heard::Nothing => self.pass_on(now, key, at),
+            Heard::Nothing => {
+                self.pass_on(now, key, at);
+                let goes_on = |op: &OpEntry| op.core.is_passing();
+                let waits = self.lines.get(key).is_some_and(|line| line.held_back);
+                // What does not go on as it comes is read whole.
+                if waits && !self.ops.get(at.op).is_some_and(goes_on) {
+                    self.hear(now, key, at, closed);
+                }
+            }
             Heard::Foreign => {
                 self.counters.void += 1;
                 self.help(now, at.op);
@@ -225,11 +251,22 @@
             }
             Heard::Broken => {
                 self.counters.void += 1;
-                self.try_ended(now, at, TryOutcome::Unknown, Ended::Failed, None);
+                // What ended before a byte had left has not run.
+                let sent = self.lines.get(key).is_some_and(|line| line.sent > 0);
+                let outcome = if sent { TryOutcome::Unknown } else { TryOutcome::NotSent };
+                self.try_ended(now, at, outcome, Ended::Failed, None);
             }
         }
     }
 
+    /// A client has taken what came of its stream: the rest is read on.
+    pub(crate) fn hear_on(&mut self, now: Duration, op: OpKey) {
+        let Some(one) = self.ops.get(op).and_then(|op| op.tries.first()).copied() else { return };
+        if self.lines.get(one.line).is_some_and(|line| line.held_back) {
+            self.hear(now, one.line, TryAt { op, number: one.number }, true);
+        }
+    }
+
     /// A server is out: nothing new goes to it. What it works on may end.
     pub(crate) fn server_gone(&mut self, now: Duration, server: ServerKey) {
         self.pools.remove(server);
@@ -247,11 +284,14 @@
     }
 }
 
-/// Reads until an answer is whole or nothing more is there. `closed`: the end is to be looked for, too.
+/// Reads until an answer is whole or nothing more is there. `closed`: the end is to be looked for, too. `most`: bytes
+/// after which the line is held back.
 fn hear_line(
-    line: &mut Line, scratch: &mut [u8], terms: &fallgap_pilot::Terms, closed: bool, room: usize, id: &str,
+    line: &mut Line, scratch: &mut [u8], terms: &fallgap_pilot::Terms, closed: bool,
+    (room, most): (usize, usize), id: &str,
 ) -> Heard {
     let mut foreign = false;
+    let mut read = 0;
     let before = line.reader.held();
     loop {
         let count = match line.stream.read(scratch) {
@@ -264,6 +304,7 @@
             Err(_) => return Heard::Broken,
         };
         let full = count == scratch.len();
+        read += count;
         let mut progress = line.reader.push(scratch.get(..count).unwrap_or_default(), terms);
         while matches!(progress, Ok(Progress::Whole { .. })) && line.reader.is_foreign(id) {
             line.foreign += 1;
@@ -282,6 +323,10 @@
                 return Heard::Answer { fit };
             }
             Ok(Progress::More) if line.reader.held().saturating_sub(before) > room => return Heard::Broken,
+            Ok(Progress::More) if read >= most => {
+                line.held_back = true;
+                return Heard::Nothing;
+            }
             Ok(Progress::More) if full || closed => {}
             Ok(Progress::More) if foreign => return Heard::Foreign,
             Ok(Progress::More) => return Heard::Nothing,
--- a/crates/quay/src/ops.rs
+++ b/crates/quay/src/ops.rs
@@ -122,6 +122,10 @@
     pub(crate) fn act(&mut self, now: Duration, op: OpKey, next: Next, answer: Option<Answer>) {
         match next {
             Next::Wait => self.set_op_due(op),
+            // Nobody waits for it: what did not run need not.
+            Next::Try if self.ops.get(op).is_some_and(|op| op.client.is_none()) => {
+                self.finish(now, op, 0, |_, _, _| {});
+            }
             Next::Try => self.start_try(now, op),
             Next::Pass => {
                 if let Some((op, answer)) = self.ops.get(op).zip(answer.as_ref()) {
--- a/crates/quay/src/quay.rs
+++ b/crates/quay/src/quay.rs
@@ -294,6 +294,11 @@
         (self.clients.len(), self.lines.len())
     }
 
+    /// How long each connection to a server is borne silent by the kernel.
+    pub fn silences(&self) -> Vec<Duration> {
+        self.lines.values().map(|line| line.silence).collect()
+    }
+
     /// Bytes of requests and answers held.
     pub fn held(&self) -> usize {
         self.memory
--- a/crates/quay/src/terms.rs
+++ b/crates/quay/src/terms.rs
@@ -15,6 +15,8 @@
     /// Bytes of requests and answers held, all together. Over it bodies are refused with 503, and answers count as
     /// broken off.
     pub memory: usize,
+    /// Bytes of a large answer that are read ahead of what its client takes.
+    pub ahead: usize,
     /// A client that takes nothing of its answer for so long is dropped, once its op's time is over too.
     pub slow_reader: Duration,
     /// How long a connection is still heard behind its last answer.
@@ -27,7 +29,8 @@
     pub rest_most: Duration,
     /// How much earlier than the server says.
     pub rest_margin: Duration,
-    /// After so long without a sign from the other machine the kernel ends a connection to a server.
+    /// After so long without a sign from the other machine the kernel ends a connection to a server; not before the
+    /// time of its request is over.
     pub silence: Duration,
     /// How long a connection that is given up by its try may still come up.
     pub coming: Duration,
@@ -52,6 +55,7 @@
             connections: 2500,
             lines: 1000,
             memory: 48 << 20,
+            ahead: 256 << 10,
             slow_reader: ms(5000),
             linger: ms(1000),
             leave: ms(1500),
--- a/crates/quay/src/tries.rs
+++ b/crates/quay/src/tries.rs
@@ -72,6 +72,7 @@
                 return self.try_ended(now, at, TryOutcome::NotSent, Ended::Void, None);
             };
             let left = op.core.plan.deadline.saturating_sub(now);
+            Quay::bear_silence(line, left.max(self.terms.silence));
             line.head.clear();
             forwarded_head(&op.request.head, &server.id, left, op.request.body.len(), &mut line.head);
         }
