--- a/crates/keeper/src/fault.rs
+++ b/crates/keeper/src/fault.rs
@@ -91,10 +91,21 @@
     // once-only: found by `fallgap-sextant`'s tests/once.rs.
     /// A call that nobody waits for any more is carried out all the same.
     WithdrawalIgnored,
+    // Members that leave, and changes one after the other.
+    /// One that leaves asks nobody what they hold.
+    LeaverDoesNotAsk,
+    /// One that leaves goes on accepting while it asks.
+    LeaverAccepts,
+    /// One that leaves stays a member, though a newcomer has its place.
+    LeaverStaysIn,
+    /// One that stays says that it holds what is not yet on its disk.
+    StayerUnsynced,
+    /// The members change before the newcomer of the change before has caught up.
+    ChangeBeforeCaughtUp,
 }
 
 impl Fault {
-    pub const ALL: [Fault; 39] = [
+    pub const ALL: [Fault; 44] = [
         Fault::MajorityLessOne,
         Fault::CoverLessOne,
         Fault::PromiseUnsynced,
@@ -134,6 +145,11 @@
         Fault::ContactAlone,
         Fault::ReadAlone,
         Fault::WithdrawalIgnored,
+        Fault::LeaverDoesNotAsk,
+        Fault::LeaverAccepts,
+        Fault::LeaverStaysIn,
+        Fault::StayerUnsynced,
+        Fault::ChangeBeforeCaughtUp,
     ];
 }
 
--- a/crates/keeper/src/keeper.rs
+++ b/crates/keeper/src/keeper.rs
@@ -8,6 +8,7 @@
 use crate::charter::Charter;
 use crate::contact::ReadSince;
 use crate::crew::Crew;
+use crate::departure::Departure;
 use crate::desk::{Asker, Desk, Entry};
 use crate::fault::{self, Fault};
 use crate::founding::Founding;
@@ -65,6 +66,7 @@
     /// It has polled since it last heard a majority: so after a start, or when a cut ends, it does so at once.
     pub(crate) polled: bool,
     pub(crate) leaving: bool,
+    pub(crate) departure: Departure,
     /// The newest time that this node was told.
     pub(crate) clock: Duration,
 }
@@ -102,6 +104,7 @@
             poll_at: now,
             polled: false,
             leaving: false,
+            departure: Departure::default(),
             clock: now,
             me,
             rng,
@@ -184,6 +187,7 @@
             self.repair_woke(now);
             self.poll(now);
         }
+        self.departure_woke(now);
         self.drain(now);
     }
 
@@ -196,6 +200,7 @@
             let catch_up = self.catch_up.as_ref().filter(|catch_up| catch_up.logged.is_none());
             wake = wake.min(catch_up.map_or(Duration::MAX, |catch_up| catch_up.again));
         }
+        wake = wake.min(self.departure.next_wake().unwrap_or(Duration::MAX));
         wake = wake.min(self.watches.next_wake().unwrap_or(Duration::MAX));
         self.active.iter().filter_map(|key| self.desk_wake(key)).fold(wake, Duration::min)
     }
@@ -334,6 +339,12 @@
         if self.me.disk.is_some() {
             self.chartered = self.pen.log(&Record::Epoch(charter.clone()));
         }
+        for member in self.charter.iter().flat_map(|before| &before.members) {
+            if charter.member(member.node).is_none() {
+                self.crew.taken_out(now, member.node);
+            }
+        }
+        self.departure.entered(self.charter.as_ref(), &charter, self.me.node, self.leaving);
         self.charter = Some(charter);
         self.heir = Heir::default();
         self.drive = Drive::Idle;
@@ -341,6 +352,7 @@
         self.start_catch_up(now);
         self.restart_desks(now);
         self.pulse(now, true);
+        self.departure_woke(now);
     }
 
     pub(crate) fn start_catch_up(&mut self, now: Duration) {
@@ -380,8 +392,14 @@
     }
 
     fn said(&self, now: Duration, epoch: u64, to: NodeId) -> Message {
-        let hears_you = self.crew.is_heard(now, to, self.terms.settled);
-        Message::Pulse { epoch, disk: self.me.disk, whole: self.whole, leaving: self.leaving, hears_you }
+        Message::Pulse {
+            epoch,
+            disk: self.me.disk,
+            whole: self.whole,
+            life: self.me.life,
+            leaving: self.leaving,
+            hears_you: self.crew.is_heard(now, to, self.terms.settled),
+        }
     }
 
     fn desk_wake(&self, key: &Key) -> Option<Duration> {
@@ -400,8 +418,9 @@
 
     fn handle(&mut self, now: Duration, from: NodeId, message: Message) {
         match message {
-            Message::Pulse { epoch, disk, whole, leaving, hears_you } => {
-                self.crew.pulse(now, from, disk, whole, leaving, hears_you);
+            Message::Pulse { epoch, disk, whole, life, leaving, hears_you } => {
+                self.crew.pulse(now, from, disk, whole, life, leaving);
+                self.crew.hears(now, from, hears_you);
                 if epoch > self.epoch() {
                     self.pen.send(from, Message::Ask { epoch: self.epoch() });
                 } else if epoch < self.epoch() {
@@ -433,7 +452,7 @@
             }
             Message::Promised { key, ballot, held } => self.promised(now, from, key, ballot, held),
             Message::Accept { key, ballot, next, age, value } => {
-                if self.answers(from, ballot.epoch) {
+                if !self.is_sealed() && self.answers(from, ballot.epoch) {
                     match self.acceptor.accept(now, &key, ballot, next, age, value, &mut self.pen) {
                         Ok(logged) => {
                             let accepted = Message::Accepted { key, ballot };
@@ -459,6 +478,12 @@
             }
             Message::Want { epoch, keys } => self.want(from, epoch, &keys),
             Message::Give { epoch, entries } => self.given(now, from, epoch, entries),
+            Message::Farewell { epoch, life, sums } => self.farewell(from, epoch, life, &sums),
+            Message::Differing { epoch, life, parts } => self.differing(now, from, epoch, life, parts),
+            Message::Held { epoch, life, after, entries } => self.held(from, epoch, life, after, &entries),
+            Message::Lacking { epoch, life, after, keys } => {
+                self.lacking(now, from, epoch, life, after, &keys);
+            }
         }
     }
 }
