Control: what a call leaves of its body is no call

Cause: the library beneath takes what is left of a body in chunks for the next request. A call that reads no body (numbers, leave, one that is not known) or refuses it as too long left it there: the next call on that connection got the 400 of what nobody had asked. Ruled out: bodies with a length, which the library reads to their end. Change: what is left is read and let fall before the answer, up to twice the longest body.

--- a/crates/lantern/src/control.rs
+++ b/crates/lantern/src/control.rs
@@ -151,7 +151,11 @@
 
 impl Control {
     fn answer(&self, request: &Request) -> Response {
-        let refused = match self.dispatch(request) {
+        let done = self.dispatch(request);
+        if let Some(body) = request.data() {
+            self.drain(body);
+        }
+        let refused = match done {
             Ok(response) => return response,
             Err(refused) => refused,
         };
@@ -253,10 +257,18 @@
         Ok(counted(&self.at_counter, self.terms.offices, || call(&clerk))??)
     }
 
+    /// What a call does not ask for is read all the same: the library takes what is left of a body in chunks for the
+    /// next request, and answers it.
+    fn drain(&self, body: impl Read) {
+        // Whether it breaks off is of no matter: it was not wanted.
+        let _ = std::io::copy(&mut body.take(2 * self.terms.configuration as u64), &mut std::io::sink());
+    }
+
     fn body(&self, request: &Request, most: usize) -> Result<Vec<u8>, Refused> {
         let mut body = Vec::new();
-        let data = request.data().ok_or(Refused::Broken)?;
-        data.take(most as u64 + 1).read_to_end(&mut body).map_err(|_| Refused::Broken)?;
+        let mut data = request.data().ok_or(Refused::Broken)?;
+        data.by_ref().take(most as u64 + 1).read_to_end(&mut body).map_err(|_| Refused::Broken)?;
+        self.drain(data);
         let declared = request.header("Content-Length").and_then(|n| n.parse::<usize>().ok());
         if body.len() > most {
             return Err(Refused::Long(most));
