Keeper: locks and numbers that nobody uses are given up under pressure, and none comes twice

Cause: a register was never given up, so at 20,000 names a new lock was busy for good. From three quarters of the bound on the steward of each register asks all members whether they hold it with just this ballot; with that their floors rise to the collection's own ballot. Once all have said so each gives it up: the floor takes its place, a promise and the highest fence and number of all that went. A register that is not there counts as one that promised that and holds a free lock with that fence. What is handed over carries the giver's floor and is refused below the one here; a member that comes in again drops what none of those it reads from lists. Registers that were only promised go with the same step.

Groups of cells stay: their keys never vanish.

--- a/crates/keeper/src/acceptor.rs
+++ b/crates/keeper/src/acceptor.rs
@@ -7,8 +7,10 @@
 
 use crate::ballot::Ballot;
 use crate::fault::{self, Fault};
+use crate::floor::{Floor, NEVER};
 use crate::messages::{Given, Record, Sight};
 use crate::pen::Pen;
+use crate::subjects::lock_seen;
 use crate::types::Key;
 use crate::value::Value;
 
@@ -62,11 +64,14 @@
     sums: Vec<u64>,
     /// Of all values.
     bytes: usize,
+    /// Stands for registers that are not there, and the newest record of it.
+    floor: Floor,
+    floor_logged: u64,
 }
 
 impl Acceptor {
     pub fn new() -> Acceptor {
-        Acceptor { registers: BTreeMap::new(), sums: vec![0; PARTS], bytes: 0 }
+        Acceptor { sums: vec![0; PARTS], ..Acceptor::default() }
     }
 
     pub fn len(&self) -> usize {
@@ -86,21 +91,45 @@
         &self.sums
     }
 
+    pub fn floor(&self) -> Floor {
+        self.floor
+    }
+
+    pub fn floor_logged(&self) -> u64 {
+        self.floor_logged
+    }
+
     /// What is held, and the record that it rests on.
     pub fn see(&self, now: Duration, key: &Key, known: Option<Ballot>) -> (Option<Sight>, u64) {
-        match self.registers.get(key) {
-            Some(register) => (register.sight(now, known), register.logged),
-            None => (None, 0),
-        }
+        let register = self.registers.get(key);
+        let logged = register.map_or(0, |register| register.logged).max(self.floor_logged);
+        (register.and_then(|register| register.sight(now, known)).or_else(|| self.given_up(key)), logged)
+    }
+
+    /// What the floor has for a register without a value.
+    fn given_up(&self, key: &Key) -> Option<Sight> {
+        let value = self.floor.value(key)?;
+        Some(Sight { ballot: NEVER, age: Duration::ZERO, committed: true, value: Some(value) })
+    }
+
+    /// What was promised for a register: for one that is not there, the floor.
+    pub fn promised(&self, key: &Key) -> Option<Ballot> {
+        self.registers.get(key).map_or(self.floor.ballot, |register| register.promised)
     }
 
     /// Promises, or names the higher promise that forbids it.
     pub fn promise(
         &mut self, now: Duration, key: &Key, ballot: Ballot, known: Option<Ballot>, pen: &mut Pen,
     ) -> Result<(Option<Sight>, u64), Ballot> {
-        let register = Self::entry(&mut self.registers, key);
+        if let Some(promised) = self.promised(key).filter(|promised| *promised > ballot)
+            && !fault::is(Fault::PromiseFalls)
+        {
+            return Err(promised);
+        }
+        let given_up = self.given_up(key);
+        let floor = self.floor_logged;
+        let register = self.entry(key);
         match register.promised {
-            Some(promised) if promised > ballot && !fault::is(Fault::PromiseFalls) => return Err(promised),
             Some(promised) if promised == ballot => {}
             _ => {
                 register.promised = Some(ballot);
@@ -109,7 +138,7 @@
                 }
             }
         }
-        Ok((register.sight(now, known), register.logged))
+        Ok((register.sight(now, known).or(given_up), register.logged.max(floor)))
     }
 
     /// Accepts, or names the higher promise that forbids it. What was accepted before is accepted still.
@@ -117,11 +146,10 @@
         &mut self, now: Duration, key: &Key, ballot: Ballot, next: Ballot, age: Duration, value: Value,
         pen: &mut Pen,
     ) -> Result<u64, Ballot> {
-        let register = Self::entry(&mut self.registers, key);
-        if register.ballot() == Some(ballot) {
+        if let Some(register) = self.registers.get(key).filter(|register| register.ballot() == Some(ballot)) {
             return Ok(register.logged);
         }
-        if let Some(promised) = register.promised.filter(|promised| *promised > ballot)
+        if let Some(promised) = self.promised(key).filter(|promised| *promised > ballot)
             && !fault::is(Fault::AcceptBelowPromise)
         {
             return Err(promised);
@@ -132,14 +160,21 @@
 
     /// Takes what another member holds. A committed ballot may be taken whatever was promised: each attempt above it
     /// met a member that had accepted it. One of an older epoch too: no attempt of that epoch can succeed any more,
-    /// and it stands below all of this one. What remains is an accept of this epoch that came round about.
-    pub fn adopt(&mut self, now: Duration, epoch: u64, given: Given, pen: &mut Pen) -> bool {
+    /// and it stands below all of this one. What remains is an accept of this epoch that came round about. `floor`: the
+    /// giver's. Below the one here it may have been said before all gave the register up, and brings none back.
+    pub fn adopt(
+        &mut self, now: Duration, epoch: u64, given: Given, floor: Option<Ballot>, pen: &mut Pen,
+    ) -> bool {
         let Given { key, ballot, committed, value } = given;
-        let register = Self::entry(&mut self.registers, &key);
-        if ballot.epoch > epoch || register.ballot() >= Some(ballot) {
+        let ours = self.registers.get(&key).and_then(Register::ballot);
+        if ballot.epoch > epoch || ours >= Some(ballot) {
+            return false;
+        }
+        let old = ours.is_none() && key.is_reusable() && floor < self.floor.ballot;
+        if old && !fault::is(Fault::OldGivenTaken) {
             return false;
         }
-        let promised = register.promised.unwrap_or(ballot);
+        let promised = self.promised(&key).unwrap_or(ballot);
         let taken = committed || ballot.epoch != epoch || fault::is(Fault::AdoptOverPromise);
         if !taken && promised > ballot {
             return false;
@@ -157,7 +192,7 @@
 
     /// A record read back, whatever came before it.
     pub fn replay(&mut self, now: Duration, key: Key, promised: Ballot, accepted: Option<(Ballot, Value)>) {
-        let register = Self::entry(&mut self.registers, &key);
+        let register = self.registers.entry(key.clone()).or_default();
         register.promised = register.promised.max(Some(promised));
         let Some((ballot, value)) = accepted else { return };
         if register.ballot() < Some(ballot) {
@@ -170,9 +205,11 @@
         }
     }
 
-    /// Records that alone bring back all registers.
+    /// Records that alone bring back all registers, and the floor behind them.
     pub fn records(&self) -> impl Iterator<Item = Record> {
-        self.registers.iter().flat_map(|(key, register)| {
+        let floor = Some(self.floor).filter(|floor| *floor != Floor::default());
+        let floor = floor.map(|floor| Record::Forget { floor, entries: Vec::new() });
+        let registers = self.registers.iter().flat_map(|(key, register)| {
             let promised = register.promised.filter(|_| !fault::is(Fault::SnapshotWithoutPromises));
             let accepted = register.accepted.as_ref().map(|accepted| Record::Accept {
                 key: key.clone(),
@@ -184,7 +221,8 @@
                 (None, Some(ballot)) => Some(Record::Promise { key: key.clone(), ballot }),
                 (accepted, _) => accepted,
             }
-        })
+        });
+        registers.chain(floor)
     }
 
     /// Registers with a value in these parts, after a key.
@@ -211,8 +249,97 @@
         })
     }
 
-    fn entry<'a>(registers: &'a mut BTreeMap<Key, Register>, key: &Key) -> &'a mut Register {
-        registers.entry(key.clone()).or_default()
+    /// Registers of locks and numbers behind a key that may be given up as they are: nobody holds the lock, and nothing
+    /// came for so long.
+    pub fn unused(
+        &self, now: Duration, for_long: Duration, after: Option<&Key>,
+    ) -> impl Iterator<Item = (&Key, Ballot)> {
+        let long = move |key: &Key, accepted: &Accepted| {
+            let quiet = now.saturating_sub(accepted.at);
+            let age = accepted.age.saturating_add(quiet);
+            let free = || lock_seen(accepted.value.bytes(), age).is_some_and(|(_, _, left)| left.is_zero());
+            quiet >= for_long && (!matches!(key, Key::Lock(_)) || free())
+        };
+        let all = self.list(u64::MAX, after).filter(|(key, _)| key.is_reusable());
+        all.filter(move |(key, accepted)| long(key, accepted)).map(|(key, accepted)| (key, accepted.ballot))
+    }
+
+    /// From here on nothing is promised below this floor for registers that are not there. Those that were only
+    /// promised go: the floor says as much.
+    pub fn raise(&mut self, floor: Floor, pen: &mut Pen) {
+        let floor = self.floor.raised(floor);
+        if floor != self.floor {
+            self.set_floor(floor);
+            self.floor_logged = pen.log(&Record::Forget { floor, entries: Vec::new() });
+        }
+    }
+
+    /// Whether it holds just this, and the record of that.
+    pub fn holds(&self, key: &Key, ballot: Ballot) -> Option<u64> {
+        let register = self.registers.get(key)?;
+        (register.ballot() == Some(ballot)).then_some(register.logged)
+    }
+
+    /// Gives up registers that hold just these ballots. One that promised more than the floor says stays.
+    pub fn forget(&mut self, entries: &[(Key, Ballot)], floor: Floor, pen: &mut Pen) {
+        let mut floor = self.floor.raised(floor);
+        let mut gone = Vec::new();
+        for (key, ballot) in entries {
+            let Some(register) = self.registers.get(key) else { continue };
+            let Some(accepted) = register.accepted.as_ref().filter(|accepted| accepted.ballot == *ballot)
+            else {
+                continue;
+            };
+            if register.promised > floor.ballot {
+                continue;
+            }
+            let Some(over) = floor.over(key, accepted.value.bytes()) else { continue };
+            if !fault::is(Fault::ForgottenWithoutFloor) {
+                floor = over;
+            }
+            gone.push((key.clone(), *ballot));
+        }
+        if gone.is_empty() && floor == self.floor {
+            return;
+        }
+        self.set_floor(floor);
+        gone.iter().for_each(|(key, _)| self.remove(key));
+        self.floor_logged = pen.log(&Record::Forget { floor, entries: gone });
+    }
+
+    /// A record read back, behind what came before it.
+    pub fn replay_forget(&mut self, floor: Floor, entries: &[(Key, Ballot)]) {
+        for (key, ballot) in entries {
+            if self.registers.get(key).is_some_and(|register| register.ballot() <= Some(*ballot)) {
+                self.remove(key);
+            }
+        }
+        self.set_floor(self.floor.raised(floor));
+    }
+
+    fn set_floor(&mut self, floor: Floor) {
+        if floor.ballot > self.floor.ballot {
+            let says = |register: &Register| register.accepted.is_none() && register.promised <= floor.ballot;
+            self.registers.retain(|_, register| !says(register));
+        }
+        self.floor = floor;
+    }
+
+    fn remove(&mut self, key: &Key) {
+        let Some(register) = self.registers.remove(key) else { return };
+        self.bytes = self.bytes.saturating_sub(register.bytes());
+        if let Some(ballot) = register.ballot()
+            && let Some(sum) = self.sums.get_mut(part_of(key) as usize)
+        {
+            *sum ^= mixed(&(key, ballot));
+        }
+    }
+
+    /// One that was not there has promised what the floor says.
+    fn entry(&mut self, key: &Key) -> &mut Register {
+        let promised = self.floor.ballot;
+        let new = || Register { promised, ..Register::default() };
+        self.registers.entry(key.clone()).or_insert_with(new)
     }
 
     fn put(
@@ -221,13 +348,14 @@
     ) -> u64 {
         let record = Record::Accept { key: key.clone(), ballot, promised, value: value.clone() };
         let logged = pen.log(&record);
-        let register = Self::entry(&mut self.registers, key);
+        let bytes = value.bytes().len();
+        let register = self.entry(key);
         let before = register.ballot();
         let held = register.bytes();
-        self.bytes = (self.bytes + value.bytes().len()).saturating_sub(held);
         register.promised = Some(promised);
         register.accepted = Some(Accepted { ballot, value, at: now, age });
         register.logged = logged;
+        self.bytes = (self.bytes + bytes).saturating_sub(held);
         self.sum(key, before, ballot);
         logged
     }
@@ -308,7 +436,11 @@
         for (what, at, committed, taken) in table {
             let mut pen = Pen::new(NodeId::LOCALHOST, 9);
             let mut acceptor = acceptor(&mut pen);
-            assert_eq!(acceptor.adopt(Duration::ZERO, 2, given(at, committed), &mut pen), taken, "{what}");
+            assert_eq!(
+                acceptor.adopt(Duration::ZERO, 2, given(at, committed), None, &mut pen),
+                taken,
+                "{what}"
+            );
             let register = acceptor.get(&Key::Config).expect("a register");
             assert_eq!(register.ballot(), Some(if taken { at } else { ballot(2, 3) }), "{what}");
             assert!(register.promised >= Some(ballot(2, 5)), "{what}");
--- a/crates/keeper/src/desk.rs
+++ b/crates/keeper/src/desk.rs
@@ -63,6 +63,8 @@
 #[derive(Clone, Debug, Hash)]
 pub(crate) struct Survey {
     pub known: Option<Known>,
+    /// The floor here when it began.
+    pub floor: Option<Ballot>,
     pub replies: Vec<(NodeId, Option<Sight>)>,
     pub refused: Vec<NodeId>,
     /// Since when it is contested or without agreement.
--- a/crates/keeper/src/fault.rs
+++ b/crates/keeper/src/fault.rs
@@ -67,10 +67,18 @@
     WipedInAnyOrder,
     /// What was read back from the disk counts as committed.
     ReadBackIsCommitted,
+    /// A register is given up without the floor that stands for its fence or number.
+    ForgottenWithoutFloor,
+    /// A register is given up once a majority holds it with the same ballot.
+    ForgottenByMajority,
+    /// What is handed over is taken, however long ago it was said.
+    OldGivenTaken,
+    /// A member that comes in again keeps what it held of registers that were given up meanwhile.
+    OldRegistersStay,
 }
 
 impl Fault {
-    pub const ALL: [Fault; 30] = [
+    pub const ALL: [Fault; 34] = [
         Fault::MajorityLessOne,
         Fault::CoverLessOne,
         Fault::PromiseUnsynced,
@@ -101,6 +109,10 @@
         Fault::TornTailTaken,
         Fault::WipedInAnyOrder,
         Fault::ReadBackIsCommitted,
+        Fault::ForgottenWithoutFloor,
+        Fault::ForgottenByMajority,
+        Fault::OldGivenTaken,
+        Fault::OldRegistersStay,
     ];
 }
 
--- a/crates/keeper/src/fingerprint.rs
+++ b/crates/keeper/src/fingerprint.rs
@@ -24,6 +24,7 @@
             crew,
             catch_up,
             repair,
+            reuse,
             founding,
             desks,
             active,
@@ -53,6 +54,7 @@
         crew.hash(state);
         catch_up.hash(state);
         repair.hash(state);
+        reuse.hash(state);
         founding.hash(state);
         desks.hash(state);
         active.hash(state);
--- a/crates/keeper/src/handover.rs
+++ b/crates/keeper/src/handover.rs
@@ -6,10 +6,20 @@
 use crate::ballot::Ballot;
 use crate::desk::{Asker, Entry, Known};
 use crate::fault::{self, Fault};
+use crate::floor::{Floor, NEVER};
 use crate::keeper::Keeper;
 use crate::messages::{Given, Message};
 use crate::types::{Call, Key, NodeId};
 
+/// A page of what a member holds.
+pub(crate) struct Page {
+    pub parts: u64,
+    pub after: Option<Key>,
+    pub entries: Vec<(Key, Ballot)>,
+    pub more: bool,
+    pub floor: Floor,
+}
+
 #[derive(Clone, Debug, Hash)]
 pub(crate) struct Repair {
     /// For each member what it did not accept in time: the ballot, and when.
@@ -93,15 +103,16 @@
         let Some(epoch) = self.voting_epoch() else { return };
         let others: Vec<NodeId> = self.alive_members(now).filter(|node| *node != self.me.node).collect();
         if let Some(node) = others.get(self.rng.usize(0..others.len().max(1))) {
-            let sums = self.acceptor.sums().to_vec();
-            self.pen.send(*node, Message::Digest { epoch, sums });
+            let (sums, floor) = (self.acceptor.sums().to_vec(), self.acceptor.floor());
+            self.pen.send(*node, Message::Digest { epoch, sums, floor });
         }
     }
 
-    pub(crate) fn digest(&mut self, from: NodeId, epoch: u64, sums: &[u64]) {
+    pub(crate) fn digest(&mut self, from: NodeId, epoch: u64, sums: &[u64], floor: Floor) {
         if !self.serves(from, epoch) {
             return;
         }
+        self.heard_floor(floor);
         let mut parts = 0u64;
         for (at, (ours, theirs)) in self.acceptor.sums().iter().zip(sums).enumerate() {
             if ours != theirs {
@@ -128,19 +139,19 @@
             bytes += self.terms.name.min(64);
             entries.push((key.clone(), accepted.ballot));
         }
-        self.pen.send(from, Message::Listed { epoch, parts, after, entries, more });
+        let floor = self.acceptor.floor();
+        self.pen.send(from, Message::Listed { epoch, parts, after, entries, more, floor });
     }
 
-    pub(crate) fn listed(
-        &mut self, now: Duration, from: NodeId, epoch: u64, parts: u64, after: Option<Key>,
-        entries: Vec<(Key, Ballot)>, more: bool,
-    ) {
+    pub(crate) fn listed(&mut self, now: Duration, from: NodeId, epoch: u64, page: Page) {
         if self.catch_up.is_some() {
-            return self.caught_list(now, from, epoch, after, entries, more);
+            return self.caught_list(now, from, epoch, page);
         }
         if !self.serves(from, epoch) {
             return;
         }
+        let Page { parts, after, entries, more, floor } = page;
+        self.heard_floor(floor);
         let last = entries.last().map(|(key, _)| key.clone());
         let theirs: BTreeMap<&Key, Ballot> = entries.iter().map(|(key, ballot)| (key, *ballot)).collect();
         let settled = |at: Duration| now.saturating_sub(at) >= self.terms.fresh;
@@ -198,19 +209,23 @@
             entries.push(given);
         }
         if !entries.is_empty() {
-            self.pen.send(to, Message::Give { epoch, entries });
+            let floor = self.acceptor.floor();
+            self.pen.send(to, Message::Give { epoch, entries, floor });
         }
     }
 
-    pub(crate) fn given(&mut self, now: Duration, from: NodeId, epoch: u64, entries: Vec<Given>) {
+    pub(crate) fn given(
+        &mut self, now: Duration, from: NodeId, epoch: u64, entries: Vec<Given>, floor: Floor,
+    ) {
         if !self.is_in(from) || self.member_epoch() != Some(epoch) {
             return;
         }
         let mut refused = Vec::new();
+        self.heard_floor(floor);
         for given in entries {
             let (key, ballot, committed) = (given.key.clone(), given.ballot, given.committed);
             let value = given.value.clone();
-            let taken = self.acceptor.adopt(now, epoch, given, &mut self.pen);
+            let taken = self.acceptor.adopt(now, epoch, given, floor.ballot, &mut self.pen);
             if committed {
                 self.learn(now, &key, ballot, &value);
             } else if !taken && self.acceptor.get(&key).is_none_or(|ours| ours.ballot() < Some(ballot)) {
@@ -245,12 +260,15 @@
         }
     }
 
-    /// Holds what a majority accepted, whatever was promised here.
-    pub(crate) fn take_over(&mut self, now: Duration, key: &Key, known: Option<&Known>) {
-        let (Some(epoch), Some(known)) = (self.voting_epoch(), known) else { return };
+    /// Holds what a majority accepted, whatever was promised here. `floor`: as it was here when the others were asked.
+    pub(crate) fn take_over(
+        &mut self, now: Duration, key: &Key, known: Option<&Known>, floor: Option<Ballot>,
+    ) {
+        let Some(known) = known.filter(|known| known.ballot != NEVER) else { return };
+        let Some(epoch) = self.voting_epoch() else { return };
         let given =
             Given { key: key.clone(), ballot: known.ballot, committed: true, value: known.value.clone() };
-        self.acceptor.adopt(now, epoch, given, &mut self.pen);
+        self.acceptor.adopt(now, epoch, given, floor, &mut self.pen);
     }
 
     /// Parts are handed on only by one that has caught up, to a member, and within one epoch.
--- a/crates/keeper/src/keeper.rs
+++ b/crates/keeper/src/keeper.rs
@@ -10,10 +10,11 @@
 use crate::desk::{Asker, Desk, Entry};
 use crate::fault::{self, Fault};
 use crate::founding::Founding;
-use crate::handover::Repair;
+use crate::handover::{Page, Repair};
 use crate::messages::{Message, Record};
 use crate::pen::Pen;
 use crate::recovery::CatchUp;
+use crate::reuse::Reuse;
 use crate::subjects::Memory;
 use crate::succession::{Drive, Heir};
 use crate::terms::Terms;
@@ -44,6 +45,7 @@
     pub(crate) crew: Crew,
     pub(crate) catch_up: Option<CatchUp>,
     pub(crate) repair: Repair,
+    pub(crate) reuse: Reuse,
     pub(crate) founding: Founding,
     /// Where calls wait; those with an attempt under way are active.
     pub(crate) desks: BTreeMap<Key, Desk>,
@@ -86,6 +88,7 @@
             crew: Crew::new(now, terms.peers),
             catch_up: None,
             repair: Repair::new(now + terms.handover, now + terms.compare),
+            reuse: Reuse::new(now),
             founding: Founding::new(now),
             desks: BTreeMap::new(),
             active: BTreeSet::new(),
@@ -178,6 +181,7 @@
             self.succession_woke(now);
             self.catch_up_woke(now);
             self.repair_woke(now);
+            self.reuse_woke(now);
             self.poll(now);
         }
         self.drain(now);
@@ -188,6 +192,7 @@
         if self.member_epoch().is_some() {
             let repair = self.repair.hand_over_at.min(self.repair.compare_at);
             wake = wake.min(self.pulse_at).min(repair).min(self.poll_at);
+            wake = wake.min(if self.is_short() { self.reuse.at } else { Duration::MAX });
             wake = wake.min(self.drive.wake().unwrap_or(Duration::MAX));
             let catch_up = self.catch_up.as_ref().filter(|catch_up| catch_up.logged.is_none());
             wake = wake.min(catch_up.map_or(Duration::MAX, |catch_up| catch_up.again));
@@ -303,7 +308,7 @@
     }
 
     /// Whether this disk answers requests of an epoch. Who is behind is told the newest; who is ahead is asked.
-    fn answers(&mut self, from: NodeId, epoch: u64) -> bool {
+    pub(crate) fn answers(&mut self, from: NodeId, epoch: u64) -> bool {
         let ours = self.epoch();
         if ours > epoch {
             self.send_members(from);
@@ -328,6 +333,7 @@
         self.heir = Heir::default();
         self.drive = Drive::Idle;
         self.duels = 0;
+        self.reuse.ended();
         self.start_catch_up(now);
         self.restart_desks(now);
         self.pulse(now, true);
@@ -440,13 +446,16 @@
             Message::HeirAccept { ballot, charter } => self.heir_accept(from, ballot, charter),
             Message::HeirAccepted { ballot } => self.heir_accepted(now, from, ballot),
             Message::HeirRefused { ballot, promised } => self.heir_refused(now, ballot, promised),
-            Message::Digest { epoch, sums } => self.digest(from, epoch, &sums),
+            Message::Digest { epoch, sums, floor } => self.digest(from, epoch, &sums, floor),
             Message::List { epoch, parts, after } => self.list(from, epoch, parts, after),
-            Message::Listed { epoch, parts, after, entries, more } => {
-                self.listed(now, from, epoch, parts, after, entries, more);
+            Message::Listed { epoch, parts, after, entries, more, floor } => {
+                self.listed(now, from, epoch, Page { parts, after, entries, more, floor });
             }
             Message::Want { epoch, keys } => self.want(from, epoch, &keys),
-            Message::Give { epoch, entries } => self.given(now, from, epoch, entries),
+            Message::Give { epoch, entries, floor } => self.given(now, from, epoch, entries, floor),
+            Message::Retire { ballot, entries } => self.retire(from, ballot, &entries),
+            Message::Retired { ballot, keys, above } => self.retired(from, ballot, keys, above),
+            Message::Forget { ballot, entries } => self.forget(from, ballot, &entries),
         }
     }
 }
--- a/crates/keeper/src/kept.rs
+++ b/crates/keeper/src/kept.rs
@@ -26,6 +26,7 @@
                 Record::Accept { key, ballot, promised, value } => {
                     self.acceptor.replay(now, key, promised, Some((ballot, value)));
                 }
+                Record::Forget { floor, entries } => self.acceptor.replay_forget(floor, &entries),
                 Record::Heir { epoch, promised, accepted } => {
                     heirs.push((epoch, Heir { promised, accepted, logged: 0 }));
                 }
--- a/crates/keeper/src/messages.rs
+++ b/crates/keeper/src/messages.rs
@@ -6,6 +6,7 @@
 
 use crate::ballot::Ballot;
 use crate::charter::Charter;
+use crate::floor::Floor;
 use crate::types::Key;
 use crate::value::Value;
 
@@ -123,6 +124,7 @@
     Digest {
         epoch: u64,
         sums: Vec<u64>,
+        floor: Floor,
     },
     /// What do you hold in these parts, from here on?
     List {
@@ -136,18 +138,38 @@
         after: Option<Key>,
         entries: Vec<(Key, Ballot)>,
         more: bool,
+        floor: Floor,
     },
     Want {
         epoch: u64,
         keys: Vec<Key>,
     },
+    /// With the floor as it was when this was said: what was given up since is not to come back by it.
     Give {
         epoch: u64,
         entries: Vec<Given>,
+        floor: Floor,
+    },
+
+    /// Do you hold these registers with just these ballots? From here on your floor is that of this ballot.
+    Retire {
+        ballot: Ballot,
+        entries: Vec<(Key, Ballot)>,
+    },
+    /// Those that are held so, on disk. `above`: the floor, if it stands above already; then nothing was done.
+    Retired {
+        ballot: Ballot,
+        keys: Vec<Key>,
+        above: Option<Ballot>,
+    },
+    /// All members held these: who still does gives them up.
+    Forget {
+        ballot: Ballot,
+        entries: Vec<(Key, Ballot)>,
     },
 }
 
-/// On disk. Read back in any order with repeats, they give the same state.
+/// On disk. Read back in their order, lots of them repeated, they give the same state.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Record {
     /// The disk's number, and whether it was first used at the system's first start.
@@ -174,4 +196,9 @@
         promised: Option<Ballot>,
         accepted: Option<(Ballot, Charter)>,
     },
+    /// Registers given up with these ballots or lower ones, and the floor that stands for them.
+    Forget {
+        floor: Floor,
+        entries: Vec<(Key, Ballot)>,
+    },
 }
--- a/crates/keeper/src/recovery.rs
+++ b/crates/keeper/src/recovery.rs
@@ -12,11 +12,13 @@
 //! One is removed only from an even number: q of n = 2k is k + 1, and the k left of them are a majority of 2k - 1.
 //! Hence one change at a time: the newcomer of an epoch has caught up before the next, or is the one that goes.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::ballot::Ballot;
-use crate::handover::ALL_PARTS;
+use crate::fault::{self, Fault};
+use crate::floor::Floor;
+use crate::handover::{ALL_PARTS, Page};
 use crate::keeper::Keeper;
 use crate::messages::{Message, Record};
 use crate::types::{Key, NodeId};
@@ -34,6 +36,9 @@
     rest: Option<Key>,
     lacking: BTreeMap<Key, Ballot>,
     listed: bool,
+    /// The highest floor of those it reads from, and what they listed of registers that may be given up.
+    floor: Floor,
+    there: BTreeSet<Key>,
     pub again: Duration,
     silent: u32,
     /// The record that says so.
@@ -52,6 +57,8 @@
             rest: None,
             lacking: BTreeMap::new(),
             listed: false,
+            floor: Floor::default(),
+            there: BTreeSet::new(),
             again: now,
             silent: 0,
             logged: None,
@@ -110,14 +117,15 @@
         self.pen.send(from, message);
     }
 
-    pub(crate) fn caught_list(
-        &mut self, now: Duration, from: NodeId, epoch: u64, after: Option<Key>, entries: Vec<(Key, Ballot)>,
-        more: bool,
-    ) {
+    pub(crate) fn caught_list(&mut self, now: Duration, from: NodeId, epoch: u64, page: Page) {
+        let Page { after, entries, more, floor, .. } = page;
         let Some(mut catch_up) = self.catch_up.take() else { return };
         let awaited = catch_up.from == Some(from) && catch_up.epoch == epoch && catch_up.after == after;
         if awaited && !catch_up.listed && catch_up.logged.is_none() {
             catch_up.listed = true;
+            catch_up.floor = catch_up.floor.raised(floor);
+            let reusable = entries.iter().map(|(key, _)| key).filter(|key| key.is_reusable());
+            catch_up.there.extend(reusable.cloned());
             catch_up.rest = entries.last().map(|(key, _)| key.clone()).filter(|_| more);
             catch_up.lacking = entries.into_iter().collect();
             self.advance(now, &mut catch_up);
@@ -149,6 +157,7 @@
         }
         catch_up.done.extend(catch_up.from);
         if catch_up.done.len() >= catch_up.cover {
+            self.forget_left(catch_up);
             // It stands on the disk behind all that was read.
             catch_up.logged = Some(self.pen.log(&Record::Whole(catch_up.joined)));
             return;
@@ -157,6 +166,24 @@
         self.fetch(now, catch_up);
     }
 
+    /// Locks and numbers that this disk holds from before, and that none of those it read from has, may have been given
+    /// up while it was away; what a majority holds they had. The floor takes their place.
+    fn forget_left(&mut self, catch_up: &CatchUp) {
+        let before = self.acceptor.floor().ballot;
+        if catch_up.floor.ballot > before && !fault::is(Fault::OldRegistersStay) {
+            let all = self.acceptor.list(ALL_PARTS, None);
+            let left = all.filter(|(key, accepted)| {
+                key.is_reusable() && accepted.ballot.epoch < catch_up.epoch && !catch_up.there.contains(*key)
+            });
+            let left: Vec<(Key, Ballot)> =
+                left.map(|(key, accepted)| (key.clone(), accepted.ballot)).collect();
+            for lot in left.chunks(self.terms.listed.max(1)) {
+                self.acceptor.forget(lot, catch_up.floor, &mut self.pen);
+            }
+        }
+        self.acceptor.raise(catch_up.floor, &mut self.pen);
+    }
+
     /// Counts from here on, once the record of it is durable.
     pub(crate) fn catch_up_synced(&mut self, now: Duration) {
         let done =
--- a/crates/keeper/src/rounds.rs
+++ b/crates/keeper/src/rounds.rs
@@ -70,7 +70,8 @@
             at: accepted.at,
         });
         let resend = now + self.terms.resend;
-        Survey { known, replies: Vec::new(), refused: Vec::new(), troubled: None, resend }
+        let floor = self.acceptor.floor().ballot;
+        Survey { known, floor, replies: Vec::new(), refused: Vec::new(), troubled: None, resend }
     }
 
     fn read(&mut self, now: Duration, key: &Key, desk: &mut Desk) {
@@ -82,7 +83,7 @@
 
     fn prepare(&mut self, now: Duration, key: &Key, desk: &mut Desk, epoch: u64) {
         desk.ready = None;
-        if let Some(promised) = self.acceptor.get(key).and_then(|register| register.promised) {
+        if let Some(promised) = self.acceptor.promised(key) {
             desk.met(promised);
         }
         self.count = self.count.max(desk.top).saturating_add(1);
@@ -141,10 +142,11 @@
     fn weigh(&mut self, now: Duration, key: &Key, desk: &mut Desk) {
         let Stage::Reading { survey, .. } = &mut desk.stage else { return };
         let Some(found) = found(now, self.charter.as_ref(), survey) else { return };
+        let floor = survey.floor;
         if found.committed {
             self.learn_known(now, key, found.base.as_ref());
             if desk.batch.iter().any(|entry| entry.is_own() && matches!(entry.call, Call::Look { .. })) {
-                self.take_over(now, key, found.base.as_ref());
+                self.take_over(now, key, found.base.as_ref(), floor);
             }
             let judged = self.judge_all(now, &desk.batch, found.base.as_ref());
             if judged.written.is_none() {
--- a/crates/keeper/src/subjects/locks.rs
+++ b/crates/keeper/src/subjects/locks.rs
@@ -38,6 +38,16 @@
     })
 }
 
+/// The last fence that was given.
+pub(crate) fn fence_seen(held: &[u8]) -> Option<u64> {
+    postcard::from_bytes::<Lock<'_>>(held).ok().map(|lock| lock.fence)
+}
+
+/// A lock that nobody holds.
+pub(crate) fn free_lock(fence: u64) -> Option<Vec<u8>> {
+    encoded(&Lock { fence, state: State::Free })
+}
+
 /// What a call wants of a lock.
 enum Wish<'a> {
     Start { holder: &'a str, hold: Duration },
--- a/crates/keeper/src/subjects/mod.rs
+++ b/crates/keeper/src/subjects/mod.rs
@@ -17,7 +17,9 @@
 pub use cells::{events_after, revision};
 pub use config::{config_body, config_edition};
 pub use locks::lock_seen;
+pub(crate) use locks::{fence_seen, free_lock};
 pub use memory::{Limits, Memory};
+pub(crate) use numbers::{number, number_seen};
 
 /// What becomes of a call.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/keeper/src/terms.rs
+++ b/crates/keeper/src/terms.rs
@@ -63,6 +63,10 @@
     pub fresh: Duration,
     /// What a member missed is handed over this long after the write, if it is there.
     pub handover: Duration,
+    /// Under pressure registers that nobody uses are looked for this often.
+    pub reuse: Duration,
+    /// A lock that was free, or a number that was not asked for, this long is given up under pressure.
+    pub unused: Duration,
     /// A watch waits this long at most, whatever it asks.
     pub watch: Duration,
     /// How far back watches may reach.
@@ -75,7 +79,8 @@
     pub calls: usize,
     /// Watches that wait; one more is `Busy` at once.
     pub watches: usize,
-    /// Registers; calls to one more are `Busy` at once.
+    /// Registers; calls to one more are `Busy` at once. From three quarters of it on those that nobody uses are given
+    /// up.
     pub registers: usize,
     /// Bytes of all values together: two snapshots and the logs between them have to fit on the disk. Calls that
     /// would write are `Busy` at once over it.
@@ -129,6 +134,8 @@
             compare: ms(2000),
             fresh: ms(1000),
             handover: ms(500),
+            reuse: ms(1000),
+            unused: ms(10_000),
             watch: ms(60_000),
             history: ms(20_000),
             members: 7,
--- a/crates/keeper/src/types.rs
+++ b/crates/keeper/src/types.rs
@@ -20,6 +20,12 @@
 }
 
 impl Key {
+    /// Whether its register may be given up once nobody uses it. Cells never vanish, so groups stay, and there is one
+    /// configuration and one set of accounts.
+    pub(crate) fn is_reusable(&self) -> bool {
+        matches!(self, Key::Lock(_) | Key::Number(_))
+    }
+
     /// The configuration has none.
     pub fn name(&self) -> &str {
         match self {
