--- a/crates/keeper/src/keeper.rs
+++ b/crates/keeper/src/keeper.rs
@@ -6,6 +6,7 @@
 use crate::acceptor::{Acceptor, mixed};
 use crate::ballot::Ballot;
 use crate::charter::Charter;
+use crate::contact::ReadSince;
 use crate::crew::Crew;
 use crate::desk::{Asker, Desk, Entry};
 use crate::fault::{self, Fault};
@@ -26,14 +27,14 @@
 #[derive(Clone)]
 pub struct Keeper {
     pub(crate) me: Me,
-    /// It has been there since the system's first start: it may found the system, as long as it knows of no epoch.
+    /// It has been there since the system's first start, and has forgotten nothing since.
     pub(crate) first: bool,
     pub(crate) terms: Terms,
     pub(crate) rng: fastrand::Rng,
     pub(crate) pen: Pen,
     pub(crate) acceptor: Acceptor,
     pub(crate) memory: Memory,
-    /// The newest epoch, and the record of it.
+    /// The newest epoch, and the record of it. Epoch 0: see `founding`.
     pub(crate) charter: Option<Charter>,
     pub(crate) chartered: u64,
     /// The epoch with which this disk came in, once it has caught up.
@@ -55,6 +56,7 @@
     pub(crate) watches: Watches,
     /// The newest committed values that this node heard of; they never go back.
     pub(crate) shown: BTreeMap<Key, (Ballot, Value)>,
+    pub(crate) read_since: ReadSince,
     /// The highest count of a ballot of this life.
     pub(crate) count: u64,
     /// Names plain reads.
@@ -95,6 +97,7 @@
             calls: 0,
             watches: Watches::default(),
             shown: BTreeMap::new(),
+            read_since: ReadSince::new(),
             count: 0,
             mark,
             pulse_at: now,
@@ -156,7 +159,8 @@
             || key.name().len() > self.terms.name
             || (call.adds() && self.acceptor.bytes() + call.bytes() > self.terms.bytes)
             || (self.acceptor.len() >= self.terms.registers && self.acceptor.get(&key).is_none());
-        if over || self.voting_epoch().is_none() || !self.has_quorum(now) {
+        let alone = fault::is(Fault::ReadAlone);
+        if over || self.voting_epoch().is_none() || (!alone && !self.has_quorum(now)) {
             return self.pen.answer(id, Answer::Busy);
         }
         self.admit(now, Entry { asker: Asker::Caller(id), call, came: now, sent: false });
@@ -208,7 +212,7 @@
     /// The member that calls for this key best go to, so that members do not get in each other's way. Whoever runs
     /// a call, it is right.
     pub fn steward(&self, key: &Key) -> Option<NodeId> {
-        let charter = self.charter.as_ref()?;
+        let charter = self.charter.as_ref().filter(|charter| charter.number > 0)?;
         let new = charter.newcomer().map(|member| member.node);
         let fit = |node: &NodeId| {
             if *node == self.me.node {
@@ -232,6 +236,11 @@
     }
 
     pub fn members(&self) -> Vec<NodeId> {
+        if self.epoch() == 0 { Vec::new() } else { self.electors() }
+    }
+
+    /// Those that decide in the newest epoch: its members, or the seeds.
+    pub(crate) fn electors(&self) -> Vec<NodeId> {
         self.charter.iter().flat_map(|charter| &charter.members).map(|member| member.node).collect()
     }
 
@@ -252,22 +261,23 @@
         self.drain(now);
     }
 
-    fn drain(&mut self, now: Duration) {
+    pub(crate) fn drain(&mut self, now: Duration) {
         while let Some(message) = self.pen.next_own() {
             self.handle(now, self.me.node, message);
         }
     }
 
-    /// This disk is a member of the newest epoch, caught up or not.
+    /// This disk is a member of the newest epoch, caught up or not; or this is a seed in epoch 0.
     pub(crate) fn member_epoch(&self) -> Option<u64> {
         let charter = self.charter.as_ref()?;
         let member = charter.member(self.me.node)?;
-        (Some(member.disk) == self.me.disk || fault::is(Fault::WipedDiskVotes)).then_some(charter.number)
+        (charter.number == 0 || Some(member.disk) == self.me.disk || fault::is(Fault::WipedDiskVotes))
+            .then_some(charter.number)
     }
 
     /// This disk counts in the majorities of the newest epoch.
     pub(crate) fn voting_epoch(&self) -> Option<u64> {
-        let epoch = self.member_epoch()?;
+        let epoch = self.member_epoch().filter(|epoch| *epoch > 0)?;
         let joined = self.charter.as_ref()?.member(self.me.node)?.joined;
         (joined == 1 || self.whole == Some(joined) || fault::is(Fault::NewcomerVotes)).then_some(epoch)
     }
@@ -281,7 +291,7 @@
         self.heard_members(now, self.terms.alive)
     }
 
-    fn heard_members(&self, now: Duration, within: Duration) -> impl Iterator<Item = NodeId> {
+    pub(crate) fn heard_members(&self, now: Duration, within: Duration) -> impl Iterator<Item = NodeId> {
         let members = self.charter.iter().flat_map(|charter| &charter.members).map(|member| member.node);
         members.filter(move |node| *node == self.me.node || self.crew.is_heard(now, *node, within))
     }
@@ -296,7 +306,7 @@
     }
 
     pub(crate) fn tell_members(&mut self, message: &Message) {
-        for node in self.members() {
+        for node in self.electors() {
             self.pen.send(node, message.clone());
         }
     }
@@ -347,6 +357,7 @@
         if let Some(charter) = &self.charter
             && let Some(member) = charter.member(self.me.node)
             && member.joined == charter.number
+            && charter.number > 0
         {
             self.catch_up = Some(CatchUp::new(now, charter.number, member.joined, charter.cover()));
         }
@@ -359,23 +370,24 @@
         if whole {
             self.pulse_whole_at = now + self.terms.pulse_whole;
         }
-        let said = self.said(epoch);
-        for node in self.members() {
+        for node in self.electors() {
             if node != self.me.node && (whole || !spoken.contains(&node)) {
-                self.pen.send(node, said.clone());
+                let said = self.said(now, epoch, node);
+                self.pen.send(node, said);
             }
         }
     }
 
     fn pulse_to(&mut self, node: NodeId) {
         if let Some(epoch) = self.member_epoch() {
-            let said = self.said(epoch);
+            let said = self.said(self.clock, epoch, node);
             self.pen.send(node, said);
         }
     }
 
-    fn said(&self, epoch: u64) -> Message {
-        Message::Pulse { epoch, disk: self.me.disk, whole: self.whole, leaving: self.leaving }
+    fn said(&self, now: Duration, epoch: u64, to: NodeId) -> Message {
+        let hears_you = self.crew.is_heard(now, to, self.terms.settled);
+        Message::Pulse { epoch, disk: self.me.disk, whole: self.whole, leaving: self.leaving, hears_you }
     }
 
     fn desk_wake(&self, key: &Key) -> Option<Duration> {
@@ -394,8 +406,8 @@
 
     fn handle(&mut self, now: Duration, from: NodeId, message: Message) {
         match message {
-            Message::Pulse { epoch, disk, whole, leaving } => {
-                self.crew.pulse(now, from, disk, whole, leaving);
+            Message::Pulse { epoch, disk, whole, leaving, hears_you } => {
+                self.crew.pulse(now, from, disk, whole, leaving, hears_you);
                 if epoch > self.epoch() {
                     self.pen.send(from, Message::Ask { epoch: self.epoch() });
                 } else if epoch < self.epoch() {
--- a/crates/keeper/src/rounds.rs
+++ b/crates/keeper/src/rounds.rs
@@ -42,6 +42,11 @@
         if desk.batch.is_empty() {
             return desk.enter(Stage::Idle);
         }
+        if fault::is(Fault::ReadAlone) && desk.batch.iter().all(Entry::reads) {
+            let base = self.survey(now, key).known;
+            let answers = self.judge_all(now, &desk.batch, base.as_ref()).answers;
+            return self.finish(now, key, desk, answers, base.as_ref());
+        }
         let Some(epoch) = self.voting_epoch().filter(|_| self.has_quorum(now)) else {
             return self.refuse_all(desk);
         };
@@ -285,6 +290,7 @@
         base: Option<&Known>,
     ) {
         for (entry, (answer, _)) in std::mem::take(&mut desk.batch).into_iter().zip(answers) {
+            self.note_read(key, entry.came);
             match (answer, &entry.call) {
                 (Some(answer), _) => self.tell(&entry, answer),
                 (None, Call::Watch { group, after, wait }) if !entry.is_own() => {
@@ -301,7 +307,7 @@
         self.begin_anew(now, key, desk);
     }
 
-    fn begin_anew(&mut self, now: Duration, key: &Key, desk: &mut Desk) {
+    pub(crate) fn begin_anew(&mut self, now: Duration, key: &Key, desk: &mut Desk) {
         desk.losses = 0;
         desk.enter(Stage::Idle);
         self.begin(now, key, desk);
--- a/crates/lantern/src/carry.rs
+++ b/crates/lantern/src/carry.rs
@@ -7,7 +7,7 @@
 use crate::words::Word;
 use fallgap_beacon::{Out as BeaconOut, State};
 use fallgap_chart::Beat;
-use fallgap_keeper::{Key, Out as KeeperOut, subjects};
+use fallgap_keeper::{Answer, Key, Out as KeeperOut, subjects};
 use fallgap_licence::Ledger;
 use fallgap_lightlist::{KINDS, LightWord, Out as LightOut, Verdict};
 use fallgap_pilot::Place;
@@ -93,8 +93,14 @@
     /// A configuration is committed.
     fn configured(&mut self, now: Duration, value: &[u8]) {
         let Some(body) = subjects::config_body(Some(value)) else { return };
+        let edition = subjects::config_edition(Some(value));
+        // An edition has one content: only what is remembered beside it is new.
+        if edition <= self.configured {
+            return;
+        }
         match fallgap_chart::read_configuration(body) {
             Ok(configuration) => {
+                self.configured = edition;
                 if let Some(hub) = &mut self.hub {
                     hub.committed(now, configuration, body);
                 }
@@ -105,7 +111,7 @@
 
     /// A revision of the accounts is committed.
     fn accounted(&mut self, now: Duration, value: &[u8]) {
-        let Some(body) = subjects::config_body(Some(value)) else { return };
+        let Some(body) = subjects::accounts_body(Some(value)) else { return };
         match Ledger::decode(body) {
             Ok(ledger) => self.hub.iter_mut().for_each(|hub| hub.accounted(now, ledger.clone(), body)),
             Err(unreadable) => tracing::error!("lantern: committed accounts: {unreadable}"),
@@ -195,6 +201,9 @@
             Word::Hello(_) => {}
             Word::Keeper(message) => self.keeper.heard(now, from, message),
             Word::Roster(word) => self.roster(now, from, word),
+            Word::Forward { id, call } if self.hold_up.turns_away(now, &call) => {
+                self.say(now, from, Word::Forwarded { id, answer: Answer::Busy });
+            }
             Word::Forward { id, call } => {
                 let caller = Caller::There(from, id);
                 let me = [self.me];
@@ -202,9 +211,14 @@
                 steps.into_iter().for_each(|step| self.step(now, step));
             }
             Word::Forwarded { id, answer } => self.answered(now, from, id, answer),
+            Word::Withdraw { id } => {
+                let steps = self.calls.withdrawn(self.me, from, id);
+                steps.into_iter().for_each(|step| self.step(now, step));
+            }
             Word::Beat { id, beat } => {
                 self.roster(now, from, RosterWord::Beat(beat));
-                if id > 0 && self.hub.is_some() {
+                // Who is cut off from the majority does not count among those that know.
+                if id > 0 && self.hub.is_some() && self.keeper.in_contact(now) {
                     self.say(now, from, Word::BeatTaken { id });
                 }
             }
@@ -289,6 +303,8 @@
         match step {
             Step::Run(id, call) => self.keeper.call(now, id, call),
             Step::Ask(to, id, call) => self.say(now, to, Word::Forward { id, call }),
+            Step::Stop(id, key) => self.keeper.withdraw(now, id, &key),
+            Step::Withdraw(to, id) => self.say(now, to, Word::Withdraw { id }),
             Step::Answer(Caller::Here(reply), answer) => {
                 let _ = reply.try_send(Told::Answer(answer));
             }
@@ -296,7 +312,7 @@
         }
     }
 
-    fn answered(&mut self, now: Duration, from: Ipv4Addr, id: u64, answer: fallgap_keeper::Answer) {
+    fn answered(&mut self, now: Duration, from: Ipv4Addr, id: u64, answer: Answer) {
         let alive = self.keepers();
         let order = |key: &Key| calls::by_key(key, alive.clone());
         let steps = self.calls.answered(now, self.me, from, id, answer, order);
@@ -306,6 +322,14 @@
     /// A server beats here: all keepers are told. One that closes is acknowledged when enough of them know.
     pub fn beat(&mut self, now: Duration, beat: Beat, reply: SyncSender<Told>) {
         let keepers = self.keepers();
+        // The majority may not hear of it from here: the server calls another supervisor.
+        if self.hub.as_ref().is_some_and(|hub| !hub.takes_beats(now)) {
+            let _ = reply.try_send(Told::Answer(Answer::Busy));
+            for keeper in keepers {
+                self.say(now, keeper, Word::Beat { id: 0, beat: beat.clone() });
+            }
+            return;
+        }
         let id = if beat.closing {
             let Some(id) = self.beats.closing(now, reply, &keepers) else { return };
             id
--- a/crates/lantern/src/engine.rs
+++ b/crates/lantern/src/engine.rs
@@ -5,6 +5,7 @@
 use crate::beats::Beats;
 use crate::calls::{self, Caller, Calls};
 use crate::disk::{Disk, Done, Work};
+use crate::holdup::HoldUp;
 use crate::hub::Hub;
 use crate::links::Links;
 use crate::signals::Heard;
@@ -13,7 +14,7 @@
 use fallgap_beacon::{Beacon, State};
 use fallgap_chart::{Settings, View};
 use fallgap_desk::{History, Surveys};
-use fallgap_keeper::{Keeper, Key, Peer as KeeperPeer};
+use fallgap_keeper::{Answer, Keeper, Key, Peer as KeeperPeer};
 use fallgap_quay::Quay;
 use fallgap_roster::{Follower, RosterWord};
 use mio::net::UdpSocket;
@@ -42,11 +43,14 @@
     pub keeper: Keeper,
     pub disk: Option<Disk>,
     pub hub: Option<Hub>,
+    /// The highest edition that was committed and read here.
+    pub configured: Option<u64>,
     pub follower: Follower,
     pub roster_terms: fallgap_roster::Terms,
     pub view: Option<Arc<View>>,
     pub quay: Option<Quay>,
     pub calls: Calls,
+    pub hold_up: HoldUp,
     /// The processes that were here when it was last looked.
     pub lives: BTreeMap<Ipv4Addr, u64>,
     pub beats: Beats,
@@ -101,6 +105,7 @@
                 other => other?,
             }
             let now = self.now();
+            self.hold_up.turns(now, wait);
             // Before anything is routed: this process may have been frozen.
             let confirmed = self.follower.age(now).map(|age| now.saturating_sub(age));
             self.quay.iter_mut().for_each(|quay| quay.confirmed(confirmed));
@@ -122,10 +127,7 @@
             }
             self.hear_threads(now);
             self.woke(now);
-            // What makes it fit is not waited for; what makes it unfit is looked for now and then.
-            if let Some(hub) = self.hub.as_mut().filter(|hub| !hub.distribution.is_fit()) {
-                hub.see_whether_fit(now, self.keeper.is_settled(now));
-            }
+            self.see_whether_fit(now);
             self.carry(now);
             if self.ended(now) {
                 return Ok(());
@@ -188,7 +190,6 @@
             self.beats.woke(now);
             self.look_at_settings(now);
             if let Some(hub) = &mut self.hub {
-                hub.see_whether_fit(now, self.keeper.is_settled(now));
                 for (subject, bytes) in hub.take_due(now) {
                     self.disk.iter().for_each(|d| _ = d.work.send(Work::Remember(subject, bytes.clone())));
                 }
@@ -201,6 +202,15 @@
         }
     }
 
+    /// Whether this home can be followed; one that came back into contact with a majority reads there at once.
+    fn see_whether_fit(&mut self, now: Duration) {
+        let Some(hub) = &mut self.hub else { return };
+        hub.see_whether_fit(now, self.keeper.in_contact(now), self.keeper.read_since());
+        if hub.wants_read(now) {
+            self.keeper.read_anew(now);
+        }
+    }
+
     /// Keepers that may run calls and know servers: those with a disk that are here.
     pub fn keepers(&self) -> Vec<Ipv4Addr> {
         let here =
@@ -227,6 +237,9 @@
     fn hear_threads(&mut self, now: Duration) {
         while let Ok(Ask { asked, reply }) = self.inbox.try_recv() {
             match asked {
+                Asked::Call(call) if self.hold_up.turns_away(now, &call) => {
+                    let _ = reply.try_send(Told::Answer(Answer::Busy));
+                }
                 Asked::Call(call) => {
                     let order = calls::by_key(&call.key(), self.keepers());
                     let steps = self.calls.came(now, self.me, Caller::Here(reply), call, &order);
--- a/crates/sextant/src/waters.rs
+++ b/crates/sextant/src/waters.rs
@@ -15,6 +15,9 @@
     Duration::from_millis(millis)
 }
 
+/// Bytes of an epoch's record: seven members and its number.
+const LONGEST_CHARTER: usize = 400;
+
 pub fn node(n: u8) -> NodeId {
     NodeId::new(10, n % 3 + 1, 0, n)
 }
@@ -37,10 +40,16 @@
     pub kept: Vec<Vec<u8>>,
     pub loose: Vec<(u64, Vec<u8>)>,
     pub life: u64,
+    /// Its first start is the system's too.
+    first: bool,
+    /// It ended, and what it voted on as a seed is not on its disk.
+    forgot: bool,
     /// Its clock is ahead of the sea's by this.
     ahead: Duration,
     /// What its wall clock was set forward by since it started. Nobody may go by it.
     set: Duration,
+    /// Its steady clock runs faster than the sea's by this many parts in a million, or slower.
+    pub rate_ppm: i32,
     pub frozen: bool,
     syncing: bool,
     pub slow_until: Duration,
@@ -61,15 +70,41 @@
 impl Machine {
     /// What its process takes for the time.
     pub fn time(&self, now: Duration) -> Duration {
-        now + self.before()
+        let gained = drifted(now, self.rate_ppm.unsigned_abs(), 1_000_000);
+        let own = if self.rate_ppm < 0 { now.saturating_sub(gained) } else { now + gained };
+        own + self.before()
+    }
+
+    /// Its disk holds an epoch, if only that of the seeds.
+    fn has_epoch(&self) -> bool {
+        self.kept.iter().any(|record| matches!(postcard::from_bytes(record), Ok(Record::Epoch(_))))
     }
 
-    /// By how much that is ahead of the sea's.
+    /// When its process takes it for that time, at the earliest.
+    fn when(&self, time: Duration) -> Duration {
+        let own = time.saturating_sub(self.before());
+        if self.rate_ppm == 0 {
+            return own;
+        }
+        let (by, rate) = (self.rate_ppm.unsigned_abs(), i64::from(self.rate_ppm) + 1_000_000);
+        let gained = drifted(own, by, u32::try_from(rate).unwrap_or(1_000_000));
+        let at = if self.rate_ppm < 0 { own + gained } else { own.saturating_sub(gained) };
+        // Divisions leave something off.
+        at + Duration::from_nanos(2)
+    }
+
+    /// By how much it was ahead of the sea's at the sea's beginning.
     fn before(&self) -> Duration {
         self.ahead + if fault::is(Fault::WallClock) { self.set } else { Duration::ZERO }
     }
 }
 
+/// So many parts of a time.
+fn drifted(time: Duration, parts: u32, of: u32) -> Duration {
+    let nanos = time.as_nanos() * u128::from(parts) / u128::from(of);
+    Duration::from_nanos(u64::try_from(nanos).unwrap_or(u64::MAX))
+}
+
 #[derive(Clone)]
 pub struct Sea {
     pub now: Duration,
@@ -79,13 +114,18 @@
     sequence: u64,
     pub weather: Weather,
     pub tolerate: u32,
-    seeds: Vec<NodeId>,
+    /// What all machines are told of others when they start.
+    pub seeds: Vec<NodeId>,
+    /// Links that carry nothing: from, to.
+    pub dead_links: BTreeSet<(NodeId, NodeId)>,
     /// What callers were told: id, time, answer.
     pub answers: Vec<(u64, Duration, Answer)>,
     /// Calls under way: id to machine and life.
     asked: BTreeMap<u64, (NodeId, u64)>,
     beacon_at: Duration,
     epochs: BTreeMap<u64, Vec<NodeId>>,
+    /// Each epoch that was ever written, lost again or not.
+    charters: BTreeMap<u64, Charter>,
     pub terms: Terms,
     /// A disk that holds more records takes a snapshot.
     pub snapshot_after: usize,
@@ -94,6 +134,8 @@
     pub messages: usize,
     /// The system has not been founded yet.
     pub first: bool,
+    /// Steady clocks run faster or slower than the sea's by so many parts in a million at most.
+    pub drift_ppm: u32,
 }
 
 impl Sea {
@@ -107,16 +149,19 @@
             weather: Weather::default(),
             tolerate: 1,
             seeds: (1..=disks + plain).rev().take(3).map(node).collect(),
+            dead_links: BTreeSet::new(),
             answers: Vec::new(),
             asked: BTreeMap::new(),
             beacon_at: Duration::ZERO,
             epochs: BTreeMap::new(),
+            charters: BTreeMap::new(),
             terms: Terms::default(),
             snapshot_after: 600,
             notes: std::env::var("SEA_NOTES").is_ok(),
             records: 0,
             messages: 0,
             first: true,
+            drift_ppm: 0,
         };
         for n in 1..=disks + plain {
             sea.add(node(n), n <= disks);
@@ -128,6 +173,7 @@
     pub fn founded(seed: u64, disks: u8, plain: u8) -> Sea {
         let mut sea = Sea::new(seed, disks, plain);
         sea.first = false;
+        sea.machines.values_mut().for_each(|machine| machine.first = false);
         let nodes = (1..=disks).map(node);
         let mut members: Vec<Member> =
             nodes.map(|node| Member { node, disk: sea.rng.u64(1..), joined: 1 }).collect();
@@ -151,8 +197,11 @@
                 kept: Vec::new(),
                 loose: Vec::new(),
                 life: 0,
+                first: self.first,
+                forgot: false,
                 ahead: Duration::ZERO,
                 set: Duration::ZERO,
+                rate_ppm: 0,
                 frozen: false,
                 syncing: false,
                 slow_until: Duration::ZERO,
@@ -174,16 +223,21 @@
     fn start(&mut self, node: NodeId) {
         let (seed, life, drawn, ahead) =
             (self.rng.u64(..), self.rng.u64(..), self.rng.u64(..), ms(self.rng.u64(0..100_000)));
+        // Not of the sea's dice, so that all else is the same with drift and without. One machine keeps its clock.
+        let most = i32::try_from(self.drift_ppm).unwrap_or(0);
+        let rate_ppm = fastrand::Rng::with_seed(u64::from(u32::from(node))).i32(-most..=most);
         let Some(machine) = self.machines.get_mut(&node) else { return };
+        machine.rate_ppm = rate_ppm;
         let me = Me {
             node,
             disk: machine.disk.then_some(drawn),
             life,
-            first_start: self.first && machine.life == 0,
+            first_start: machine.first && machine.life == 0,
             empty: machine.kept.is_empty(),
             seeds: self.seeds.clone(),
             tolerate: self.tolerate,
         };
+        machine.forgot |= !me.first_start && !machine.has_epoch();
         let kept = Kept { records: machine.kept.clone() };
         machine.life = life;
         machine.ahead = ahead;
@@ -193,7 +247,7 @@
         machine.frozen = false;
         machine.since = self.now;
         machine.shown.clear();
-        let keeper = Keeper::start(self.now + ahead, seed, me, kept, self.terms.clone());
+        let keeper = Keeper::start(machine.time(self.now), seed, me, kept, self.terms.clone());
         machine.keeper = Some(keeper.expect("the records can be read"));
         self.beacon();
         self.collect(node);
@@ -209,13 +263,27 @@
     /// The process ends; so much of what was written but not synced is kept.
     pub fn stop(&mut self, node: NodeId, keep: usize) {
         let Some(machine) = self.machines.get_mut(&node) else { return };
-        machine.keeper = None;
+        let ran = machine.keeper.take().is_some();
         machine.down_since = self.now;
         let loose = std::mem::take(&mut machine.loose);
         machine.kept.extend(loose.into_iter().take(keep).map(|(_, record)| record));
+        machine.forgot |= ran && !machine.has_epoch();
         self.asked.retain(|_, (at, _)| *at != node);
     }
 
+    /// The system is founded, or can be though this machine loses what is not on its disk: a majority of the seeds
+    /// remembers.
+    pub fn spares(&self, node: NodeId) -> bool {
+        let knows = |machine: &Machine| machine.keeper.as_ref().is_some_and(|keeper| keeper.epoch() > 0);
+        let begun = !self.epochs.is_empty() || self.machines.values().any(knows);
+        let of = |node| self.machines.get(&node);
+        if begun || !self.seeds.contains(&node) || of(node).is_some_and(Machine::has_epoch) {
+            return true;
+        }
+        let remembers = |seed: &&NodeId| **seed != node && of(**seed).is_some_and(|machine| !machine.forgot);
+        self.seeds.iter().filter(remembers).count() > self.seeds.len() / 2
+    }
+
     pub fn restart(&mut self, node: NodeId, after: Duration) {
         self.event(self.now + after, Event::Start { node });
     }
@@ -250,7 +318,7 @@
 
     fn reaches(&self, from: NodeId, to: NodeId) -> bool {
         match (self.machines.get(&from), self.machines.get(&to)) {
-            (Some(a), Some(b)) => a.side == b.side,
+            (Some(a), Some(b)) => a.side == b.side && !self.dead_links.contains(&(from, to)),
             _ => false,
         }
     }
@@ -321,6 +389,15 @@
         }
     }
 
+    /// The same for what goes to the disks.
+    fn compare_charter(&mut self, node: NodeId, record: &[u8]) {
+        let record = Some(record).filter(|record| record.len() < LONGEST_CHARTER);
+        if let Some(Ok(Record::Epoch(charter))) = record.map(postcard::from_bytes) {
+            let known = self.charters.entry(charter.number).or_insert_with(|| charter.clone());
+            hold!(*known == charter, Check::Epochs, "{node} writes {charter:?}, there is {known:?}");
+        }
+    }
+
     fn beacon(&mut self) {
         self.compare_epochs();
         let seen: Vec<(NodeId, Option<u64>, bool, Duration, u8)> = self
@@ -338,7 +415,8 @@
             let Some(machine) = self.machines.get_mut(&node) else { continue };
             let mut peers = Vec::new();
             for (other, disk, up, down_since, side) in &seen {
-                let here = if *up { *side == machine.side } else { now < *down_since + ms(1200) };
+                let reached = *side == machine.side && !self.dead_links.contains(&(*other, node));
+                let here = if *up { reached } else { now < *down_since + ms(1200) };
                 if *other != node {
                     peers.push(Peer { node: *other, disk: *disk, here });
                 }
@@ -373,6 +451,7 @@
                 Out::Send(to, message) => self.send(from, to, &message),
                 Out::Log { number, record } => {
                     self.records += 1;
+                    self.compare_charter(from, &record);
                     if let Some(machine) = self.machines.get_mut(&from) {
                         machine.loose.push((number, record));
                     }
@@ -531,7 +610,7 @@
             let mut wakes = None;
             for (node, machine) in self.machines.iter().filter(|(_, machine)| !machine.frozen) {
                 let Some(keeper) = &machine.keeper else { continue };
-                let wake = keeper.next_wake().saturating_sub(machine.before()).max(self.now);
+                let wake = machine.when(keeper.next_wake()).max(self.now);
                 if wake < next {
                     next = wake;
                     wakes = Some(*node);
