--- a/crates/keeper/src/fingerprint.rs
+++ b/crates/keeper/src/fingerprint.rs
@@ -40,6 +40,7 @@
             poll_at,
             polled,
             leaving,
+            departure,
             clock,
         } = self;
         rng.get_seed().hash(state);
@@ -70,6 +71,7 @@
         poll_at.hash(state);
         polled.hash(state);
         leaving.hash(state);
+        departure.hash(state);
         clock.hash(state);
     }
 }
--- a/crates/keeper/src/handover.rs
+++ b/crates/keeper/src/handover.rs
@@ -225,7 +225,8 @@
         for given in entries {
             let (key, ballot, committed) = (given.key.clone(), given.ballot, given.committed);
             let value = given.value.clone();
-            let taken = self.acceptor.adopt(now, epoch, given, floor.ballot, &mut self.pen);
+            let taken =
+                !self.is_sealed() && self.acceptor.adopt(now, epoch, given, floor.ballot, &mut self.pen);
             if committed {
                 self.learn(now, &key, ballot, &value);
             } else if !taken && self.acceptor.get(&key).is_none_or(|ours| ours.ballot() < Some(ballot)) {
@@ -268,7 +269,9 @@
         let Some(epoch) = self.voting_epoch() else { return };
         let given =
             Given { key: key.clone(), ballot: known.ballot, committed: true, value: known.value.clone() };
-        self.acceptor.adopt(now, epoch, given, floor, &mut self.pen);
+        if !self.is_sealed() {
+            self.acceptor.adopt(now, epoch, given, floor, &mut self.pen);
+        }
     }
 
     /// Parts are handed on only by one that has caught up, to a member, and within one epoch.
