--- a/crates/keeper/src/fault.rs
+++ b/crates/keeper/src/fault.rs
@@ -77,6 +77,14 @@
     WipedInAnyOrder,
     /// What was read back from the disk counts as committed.
     ReadBackIsCommitted,
+    /// A register is given up without the floor that stands for its fence or number.
+    ForgottenWithoutFloor,
+    /// A register is given up once a majority holds it with the same ballot.
+    ForgottenByMajority,
+    /// What is handed over is taken, however long ago it was said.
+    OldGivenTaken,
+    /// A member that comes in again keeps what it held of registers that were given up meanwhile.
+    OldRegistersStay,
 
     // Cut off, and clocks that drift (tests/cut_off.rs, tests/drift.rs).
     /// A hold is over when a keeper's own clock says so, however fast that runs.
@@ -105,7 +113,7 @@
 }
 
 impl Fault {
-    pub const ALL: [Fault; 44] = [
+    pub const ALL: [Fault; 48] = [
         Fault::MajorityLessOne,
         Fault::CoverLessOne,
         Fault::PromiseUnsynced,
@@ -140,6 +148,10 @@
         Fault::TornTailTaken,
         Fault::WipedInAnyOrder,
         Fault::ReadBackIsCommitted,
+        Fault::ForgottenWithoutFloor,
+        Fault::ForgottenByMajority,
+        Fault::OldGivenTaken,
+        Fault::OldRegistersStay,
         Fault::NoDriftMargin,
         Fault::ContactOneWay,
         Fault::ContactAlone,
--- a/crates/keeper/src/subjects/mod.rs
+++ b/crates/keeper/src/subjects/mod.rs
@@ -18,7 +18,9 @@
 pub use cells::{events_after, revision};
 pub use config::{accounts_body, config_body, config_edition};
 pub use locks::lock_seen;
+pub(crate) use locks::{fence_seen, free_lock};
 pub use memory::{Limits, Memory};
+pub(crate) use numbers::{number, number_seen};
 pub use taken::TAKEN_MOST;
 
 /// What becomes of a call.
