--- a/crates/beacon/examples/ring_cost.rs
+++ b/crates/beacon/examples/ring_cost.rs
@@ -4,30 +4,20 @@
 //!
 //! Without arguments: all sizes. With a number: that size.
 
+mod gauge;
+
 #[path = "../tests/sim/mod.rs"]
 #[allow(dead_code)]
 mod sim;
 
 use fallgap_beacon::State;
+use gauge::{ran, resident_kb};
 use sim::{Net, ms, node};
-use std::fs::read_to_string;
 use std::process::Command;
 use std::time::Duration;
 
 const SIZES: [usize; 4] = [100, 300, 580, 1000];
 
-fn ran() -> Duration {
-    let text = read_to_string("/proc/thread-self/schedstat").unwrap_or_default();
-    let first = text.split(' ').next().and_then(|nanos| nanos.parse().ok());
-    Duration::from_nanos(first.unwrap_or_default())
-}
-
-fn resident_kb() -> u64 {
-    let text = read_to_string("/proc/self/status").unwrap_or_default();
-    let kb = text.lines().find_map(|line| line.strip_prefix("VmRSS:")?.trim().strip_suffix(" kB"));
-    kb.and_then(|kb| kb.parse().ok()).unwrap_or_default()
-}
-
 fn main() {
     if let Some(nodes) = std::env::args().nth(1).and_then(|arg| arg.parse().ok()) {
         return one(nodes);
--- a/crates/keeper/examples/register_slopes.rs
+++ b/crates/keeper/examples/register_slopes.rs
@@ -4,26 +4,17 @@
 //!
 //! Without arguments: all sizes. With a number: so many tenants.
 
+#[path = "../../beacon/examples/gauge/mod.rs"]
+mod gauge;
+
 use fallgap_keeper::{Answer, Call, Keeper, Kept, Me, NodeId, Out, Terms};
-use std::fs::read_to_string;
+use gauge::{ran, resident_kb};
 use std::process::Command;
 use std::time::Duration;
 
 const MS: Duration = Duration::from_millis(1);
 const SIZES: [usize; 4] = [1000, 5000, 9900, 29_000];
 
-fn ran() -> Duration {
-    let text = read_to_string("/proc/thread-self/schedstat").unwrap_or_default();
-    let first = text.split(' ').next().and_then(|nanos| nanos.parse().ok());
-    Duration::from_nanos(first.unwrap_or_default())
-}
-
-fn resident_kb() -> u64 {
-    let text = read_to_string("/proc/self/status").unwrap_or_default();
-    let kb = text.lines().find_map(|line| line.strip_prefix("VmRSS:")?.trim().strip_suffix(" kB"));
-    kb.and_then(|kb| kb.parse().ok()).unwrap_or_default()
-}
-
 struct Alone {
     keeper: Keeper,
     now: Duration,
--- a/crates/lantern/examples/harbour/main.rs
+++ b/crates/lantern/examples/harbour/main.rs
@@ -2,8 +2,11 @@
 //! that beat, and four clients. Each second it prints what was served and refused, and which edition is in force.
 //! `--kill` ends one supervisor hard on the way and starts it again. All ends with it, at 60 s at the latest.
 
+#[path = "../beside/mod.rs"]
+mod beside;
 mod callers;
 
+use beside::beside;
 use callers::{Callers, Sums};
 use clap::Parser;
 use fallgap_standin::gateway::{Beating, Does, Landing, Notice, Server, Supervisor, configuration, ok};
@@ -92,16 +95,6 @@
     played
 }
 
-/// The program, as the release build leaves it.
-fn beside() -> Outcome<PathBuf> {
-    let example = std::env::current_exe()?;
-    let program =
-        example.parent().and_then(|examples| examples.parent()).map(|folder| folder.join("lantern"));
-    program
-        .filter(|path| path.exists())
-        .ok_or_else(|| "build it first: cargo build --release -p fallgap-lantern".into())
-}
-
 /// Hands a configuration in until one supervisor has taken it.
 fn configure(landing: &Landing, edition: u64, prefixes: [&str; 2], ended: &AtomicBool) -> Outcome<()> {
     let agent = ureq::Agent::config_builder().timeout_global(Some(SECOND)).build().new_agent();
--- a/crates/lantern/examples/hollow/main.rs
+++ b/crates/lantern/examples/hollow/main.rs
@@ -4,11 +4,14 @@
 //! each step can be told from the one before it, and prints `figure NAME VALUE`. Bounded in count and in time, and
 //! all that it started ends with it.
 
+#[path = "../beside/mod.rs"]
+mod beside;
 mod crew;
 mod echo;
 mod fleet;
 mod node;
 
+use beside::beside;
 use clap::{Parser, Subcommand};
 use fleet::{Fleet, Outcome, Usage};
 use std::collections::BTreeMap;
@@ -99,16 +102,6 @@
     played
 }
 
-/// The program, as the release build leaves it.
-fn beside() -> Outcome<PathBuf> {
-    let example = std::env::current_exe()?;
-    let program =
-        example.parent().and_then(|examples| examples.parent()).map(|folder| folder.join("lantern"));
-    program
-        .filter(|path| path.exists())
-        .ok_or_else(|| "build it first: cargo build --release -p fallgap-lantern".into())
-}
-
 struct Run {
     asked: Asked,
     fleet: Fleet,
--- a/crates/licence/examples/ledger_slopes.rs
+++ b/crates/licence/examples/ledger_slopes.rs
@@ -4,26 +4,17 @@
 //!
 //! Without arguments: all sizes. With a number: so many accounts.
 
+#[path = "../../beacon/examples/gauge/mod.rs"]
+mod gauge;
+
 use fallgap_chart::{Allowance, Configuration, Limits, Route, RouteClass, Service};
 use fallgap_licence::{Account, Area, Grant, KeyHash, Ledger, Office, Slice, TERMS, join};
-use std::fs::read_to_string;
+use gauge::{ran, resident_kb};
 use std::process::Command;
 use std::time::Duration;
 
 const SIZES: [usize; 4] = [1000, 3000, 10_000, 29_000];
 
-fn ran() -> Duration {
-    let text = read_to_string("/proc/thread-self/schedstat").unwrap_or_default();
-    let first = text.split(' ').next().and_then(|nanos| nanos.parse().ok());
-    Duration::from_nanos(first.unwrap_or_default())
-}
-
-fn resident_kb() -> u64 {
-    let text = read_to_string("/proc/self/status").unwrap_or_default();
-    let kb = text.lines().find_map(|line| line.strip_prefix("VmRSS:")?.trim().strip_suffix(" kB"));
-    kb.and_then(|kb| kb.parse().ok()).unwrap_or_default()
-}
-
 fn route(i: usize, office: bool) -> Route {
     let prefix = if office { "/shop/" } else { "/v1/" };
     Route {
--- a/crates/roster/examples/home_slopes.rs
+++ b/crates/roster/examples/home_slopes.rs
@@ -4,14 +4,17 @@
 //!
 //! Without arguments: all sizes, each in a process of its own. With `FOLLOWERS SERVERS ROUTES`: one.
 
+#[path = "../../beacon/examples/gauge/mod.rs"]
+mod gauge;
+
 use fallgap_chart::{Beat, Configuration, Limits, Route, RouteClass, Service};
 use fallgap_feed::wire::{Said, Told};
 use fallgap_lightlist::{Count, Lightlist};
 use fallgap_roster::{Distribution, Follower, FollowerOut, NodeId, Out, Registry, RosterWord};
 use fallgap_roster::{ServerReport, Terms};
 use fallgap_tables::Version;
+use gauge::{ran, resident_kb};
 use std::collections::BTreeMap;
-use std::fs::read_to_string;
 use std::process::Command;
 use std::sync::Arc;
 use std::time::Duration;
@@ -38,19 +41,6 @@
     NodeId::new(10, 1, (i / 250) as u8, (i % 250) as u8 + 1)
 }
 
-/// Processor time of this thread. It moves on with the system's ticks, some milliseconds.
-fn ran() -> Duration {
-    let text = read_to_string("/proc/thread-self/schedstat").unwrap_or_default();
-    let first = text.split(' ').next().and_then(|nanos| nanos.parse().ok());
-    Duration::from_nanos(first.unwrap_or_default())
-}
-
-fn resident_kb() -> u64 {
-    let text = read_to_string("/proc/self/status").unwrap_or_default();
-    let kb = text.lines().find_map(|line| line.strip_prefix("VmRSS:")?.trim().strip_suffix(" kB"));
-    kb.and_then(|kb| kb.parse().ok()).unwrap_or_default()
-}
-
 /// The length of a word as links pack it, with frame and headers.
 fn packed(bytes: &[u8]) -> usize {
     let length = if bytes.len() > 1500 { lz4_flex::block::compress(bytes).len() } else { bytes.len() };
