--- a/crates/keeper/src/crew.rs
+++ b/crates/keeper/src/crew.rs
@@ -13,7 +13,7 @@
     from: Duration,
     /// As it said of itself last, and when.
     disk: Option<(u64, Duration)>,
-    whole: Option<u64>,
+    caught_up: Option<u64>,
     /// When it said last that it leaves, and in which life: in that one it does not stay after all.
     leaving: Option<(Duration, u64)>,
     /// It has said that it hears this node.
@@ -54,12 +54,12 @@
     }
 
     pub fn pulse(
-        &mut self, now: Duration, node: NodeId, disk: Option<u64>, whole: Option<u64>, life: u64,
+        &mut self, now: Duration, node: NodeId, disk: Option<u64>, caught_up: Option<u64>, life: u64,
         leaving: bool,
     ) {
         if let Some(view) = self.view(now, node) {
             view.disk = disk.map(|disk| (disk, now));
-            view.whole = whole;
+            view.caught_up = caught_up;
             // What it said before may come after.
             if leaving || view.leaving.is_some_and(|(_, left)| left != life) {
                 view.leaving = leaving.then_some((now, life));
@@ -145,10 +145,10 @@
     }
 
     /// It said that its disk has caught up since it came in with this epoch.
-    pub fn is_whole(&self, node: NodeId, disk: u64, joined: u64) -> bool {
-        self.views
-            .get(&node)
-            .is_some_and(|view| view.whole == Some(joined) && view.disk.is_some_and(|(told, _)| told == disk))
+    pub fn is_caught_up(&self, node: NodeId, disk: u64, joined: u64) -> bool {
+        self.views.get(&node).is_some_and(|view| {
+            view.caught_up == Some(joined) && view.disk.is_some_and(|(told, _)| told == disk)
+        })
     }
 
     /// The disk that a machine is here with, if it has not said otherwise itself a moment ago.
--- a/crates/keeper/src/departure.rs
+++ b/crates/keeper/src/departure.rs
@@ -80,7 +80,7 @@
         if self.voting_epoch().is_none() && !self.departure.out {
             return true;
         }
-        if self.heir.accepted.is_some() || self.is_to_go(charter) {
+        if self.successor.accepted.is_some() || self.is_to_go(charter) {
             return false;
         }
         let stayers = self.stayers();
--- a/crates/keeper/src/fault.rs
+++ b/crates/keeper/src/fault.rs
@@ -15,7 +15,7 @@
     /// An accept is told before it is on disk.
     AcceptUnsynced,
     /// What was accepted or promised for the successor is told before it is on disk.
-    HeirUnsynced,
+    SuccessorUnsynced,
     /// A promise is not written at all.
     PromiseNotWritten,
     /// A snapshot holds no promises.
@@ -118,7 +118,7 @@
         Fault::CoverLessOne,
         Fault::PromiseUnsynced,
         Fault::AcceptUnsynced,
-        Fault::HeirUnsynced,
+        Fault::SuccessorUnsynced,
         Fault::PromiseNotWritten,
         Fault::SnapshotWithoutPromises,
         Fault::WipedDiskVotes,
--- a/crates/keeper/src/fingerprint.rs
+++ b/crates/keeper/src/fingerprint.rs
@@ -17,10 +17,10 @@
             memory,
             charter,
             chartered,
-            whole,
-            heir,
+            caught_up,
+            successor,
             drive,
-            duels,
+            contention,
             crew,
             catch_up,
             repair,
@@ -50,10 +50,10 @@
         memory.hash(state);
         charter.hash(state);
         chartered.hash(state);
-        whole.hash(state);
-        heir.hash(state);
+        caught_up.hash(state);
+        successor.hash(state);
         drive.hash(state);
-        duels.hash(state);
+        contention.hash(state);
         crew.hash(state);
         catch_up.hash(state);
         repair.hash(state);
--- a/crates/keeper/src/founding.rs
+++ b/crates/keeper/src/founding.rs
@@ -144,11 +144,13 @@
         }
         let (message, ballot, told) = match &mut self.drive {
             Drive::Preparing { ballot, told, .. } => {
-                (Message::HeirPrepare { ballot: *ballot }, *ballot, told.clone())
-            }
-            Drive::Accepting { ballot, charter, told, .. } => {
-                (Message::HeirAccept { ballot: *ballot, charter: charter.clone() }, *ballot, told.clone())
+                (Message::SuccessorPrepare { ballot: *ballot }, *ballot, told.clone())
             }
+            Drive::Accepting { ballot, charter, told, .. } => (
+                Message::SuccessorAccept { ballot: *ballot, charter: charter.clone() },
+                *ballot,
+                told.clone(),
+            ),
             Drive::Idle | Drive::Waiting { .. } => return false,
         };
         let times =
--- a/crates/keeper/src/keeper.rs
+++ b/crates/keeper/src/keeper.rs
@@ -18,7 +18,7 @@
 use crate::recovery::CatchUp;
 use crate::reuse::Reuse;
 use crate::subjects::Memory;
-use crate::succession::{Drive, Heir};
+use crate::succession::{Drive, Successor};
 use crate::terms::Terms;
 use crate::types::{Answer, Call, Key, NodeId};
 use crate::value::Value;
@@ -39,11 +39,11 @@
     pub(crate) charter: Option<Charter>,
     pub(crate) chartered: u64,
     /// The epoch with which this disk came in, once it has caught up.
-    pub(crate) whole: Option<u64>,
-    pub(crate) heir: Heir,
+    pub(crate) caught_up: Option<u64>,
+    pub(crate) successor: Successor,
     pub(crate) drive: Drive,
     /// How often others came first with a change of this epoch.
-    pub(crate) duels: u32,
+    pub(crate) contention: u32,
     pub(crate) crew: Crew,
     pub(crate) catch_up: Option<CatchUp>,
     pub(crate) repair: Repair,
@@ -85,10 +85,10 @@
             memory: Memory::new(terms.history),
             charter: None,
             chartered: 0,
-            whole: None,
-            heir: Heir::default(),
+            caught_up: None,
+            successor: Successor::default(),
             drive: Drive::Idle,
-            duels: 0,
+            contention: 0,
             crew: Crew::new(now, terms.peers),
             catch_up: None,
             repair: Repair::new(now + terms.handover, now + terms.compare),
@@ -223,9 +223,9 @@
             if *node == self.me.node {
                 return self.voting_epoch().is_some() && !self.leaving;
             }
-            let whole = new != Some(*node);
+            let caught_up = new != Some(*node);
             let alive = self.crew.is_heard(self.clock, *node, self.terms.alive) || self.crew.is_here(*node);
-            whole && alive && !self.crew.is_leaving(*node)
+            caught_up && alive && !self.crew.is_leaving(*node)
         };
         charter.members.iter().map(|member| member.node).filter(fit).max_by_key(|node| mixed(&(key, node)))
     }
@@ -284,7 +284,7 @@
     pub(crate) fn voting_epoch(&self) -> Option<u64> {
         let epoch = self.member_epoch().filter(|epoch| *epoch > 0)?;
         let joined = self.charter.as_ref()?.member(self.me.node)?.joined;
-        (joined == 1 || self.whole == Some(joined) || fault::is(Fault::NewcomerVotes)).then_some(epoch)
+        (joined == 1 || self.caught_up == Some(joined) || fault::is(Fault::NewcomerVotes)).then_some(epoch)
     }
 
     pub(crate) fn is_in(&self, node: NodeId) -> bool {
@@ -332,7 +332,7 @@
         }
         ours == epoch
             && self.voting_epoch().is_some()
-            && (self.heir.accepted.is_none() || fault::is(Fault::NotSealed))
+            && (self.successor.accepted.is_none() || fault::is(Fault::NotSealed))
     }
 
     /// A decided epoch above the one known.
@@ -351,9 +351,9 @@
         }
         self.departure.entered(self.charter.as_ref(), &charter, self.me.node, self.leaving);
         self.charter = Some(charter);
-        self.heir = Heir::default();
+        self.successor = Successor::default();
         self.drive = Drive::Idle;
-        self.duels = 0;
+        self.contention = 0;
         self.reuse.ended();
         self.start_catch_up(now);
         self.restart_desks(now);
@@ -401,7 +401,7 @@
         Message::Pulse {
             epoch,
             disk: self.me.disk,
-            whole: self.whole,
+            caught_up: self.caught_up,
             life: self.me.life,
             leaving: self.leaving,
             hears_you: self.crew.is_heard(now, to, self.terms.settled),
@@ -424,8 +424,8 @@
 
     fn handle(&mut self, now: Duration, from: NodeId, message: Message) {
         match message {
-            Message::Pulse { epoch, disk, whole, life, leaving, hears_you } => {
-                self.crew.pulse(now, from, disk, whole, life, leaving);
+            Message::Pulse { epoch, disk, caught_up, life, leaving, hears_you } => {
+                self.crew.pulse(now, from, disk, caught_up, life, leaving);
                 self.crew.hears(now, from, hears_you);
                 if epoch > self.epoch() {
                     self.pen.send(from, Message::Ask { epoch: self.epoch() });
@@ -472,11 +472,13 @@
             Message::Accepted { key, ballot } => self.accepted(now, from, key, ballot),
             Message::Refused { key, ballot, promised } => self.refused(now, from, key, ballot, promised),
             Message::Committed { key, ballot } => self.hinted(now, from, key, ballot),
-            Message::HeirPrepare { ballot } => self.heir_prepare(from, ballot),
-            Message::HeirPromised { ballot, accepted } => self.heir_promised(now, from, ballot, accepted),
-            Message::HeirAccept { ballot, charter } => self.heir_accept(from, ballot, charter),
-            Message::HeirAccepted { ballot } => self.heir_accepted(now, from, ballot),
-            Message::HeirRefused { ballot, promised } => self.heir_refused(now, ballot, promised),
+            Message::SuccessorPrepare { ballot } => self.successor_prepare(from, ballot),
+            Message::SuccessorPromised { ballot, accepted } => {
+                self.successor_promised(now, from, ballot, accepted)
+            }
+            Message::SuccessorAccept { ballot, charter } => self.successor_accept(from, ballot, charter),
+            Message::SuccessorAccepted { ballot } => self.successor_accepted(now, from, ballot),
+            Message::SuccessorRefused { ballot, promised } => self.successor_refused(now, ballot, promised),
             Message::Digest { epoch, sums, floor } => self.digest(from, epoch, &sums, floor),
             Message::List { epoch, parts, after } => self.list(from, epoch, parts, after),
             Message::Listed { epoch, parts, after, entries, more, floor } => {
--- a/crates/keeper/src/kept.rs
+++ b/crates/keeper/src/kept.rs
@@ -5,14 +5,14 @@
 use crate::keeper::Keeper;
 use crate::messages::Record;
 use crate::recovery::CatchUp;
-use crate::succession::Heir;
+use crate::succession::Successor;
 use crate::{Kept, KeptError};
 
 impl Keeper {
     /// Takes in what the disk held.
     pub(crate) fn replay(&mut self, now: Duration, kept: Kept) -> Result<(), KeptError> {
         let mut disk = None;
-        let mut heirs: Vec<(u64, Heir)> = Vec::new();
+        let mut successors: Vec<(u64, Successor)> = Vec::new();
         for (at, bytes) in kept.records.iter().enumerate() {
             match postcard::from_bytes(bytes).map_err(|_| KeptError::Record(at))? {
                 Record::Disk { number, first } => disk = Some((number, first)),
@@ -21,23 +21,23 @@
                         self.charter = Some(charter);
                     }
                 }
-                Record::Whole(joined) => self.whole = self.whole.max(Some(joined)),
+                Record::CaughtUp(joined) => self.caught_up = self.caught_up.max(Some(joined)),
                 Record::Promise { key, ballot } => self.acceptor.replay(now, key, ballot, None),
                 Record::Accept { key, ballot, promised, value } => {
                     self.acceptor.replay(now, key, promised, Some((ballot, value)));
                 }
                 Record::Forget { floor, entries } => self.acceptor.replay_forget(floor, &entries),
-                Record::Heir { epoch, promised, accepted } => {
-                    heirs.push((epoch, Heir { promised, accepted, logged: 0 }));
+                Record::Successor { epoch, promised, accepted } => {
+                    successors.push((epoch, Successor { promised, accepted, logged: 0 }));
                 }
             }
         }
-        for (epoch, heir) in heirs {
+        for (epoch, successor) in successors {
             if self.charter.as_ref().is_some_and(|charter| charter.number == epoch) {
-                self.heir.promised = self.heir.promised.max(heir.promised);
-                let at = |heir: &Heir| heir.accepted.as_ref().map(|(at, _)| *at);
-                if at(&self.heir) < at(&heir) {
-                    self.heir.accepted = heir.accepted;
+                self.successor.promised = self.successor.promised.max(successor.promised);
+                let at = |successor: &Successor| successor.accepted.as_ref().map(|(at, _)| *at);
+                if at(&self.successor) < at(&successor) {
+                    self.successor.accepted = successor.accepted;
                 }
             }
         }
@@ -62,16 +62,18 @@
     /// Records that alone bring back the present state.
     pub fn snapshot(&self) -> Vec<Vec<u8>> {
         let epoch = self.charter.iter().cloned().map(Record::Epoch);
-        let heir = self.charter.iter().filter(|_| self.heir.promised.is_some()).map(|charter| Record::Heir {
-            epoch: charter.number,
-            promised: self.heir.promised,
-            accepted: self.heir.accepted.clone(),
+        let successor = self.charter.iter().filter(|_| self.successor.promised.is_some()).map(|charter| {
+            Record::Successor {
+                epoch: charter.number,
+                promised: self.successor.promised,
+                accepted: self.successor.accepted.clone(),
+            }
         });
         // What is caught up but not yet durable is in the snapshot as a whole, so it may say so.
         let logged = self.catch_up.as_ref().and_then(CatchUp::finished);
-        let whole = self.whole.max(logged).map(Record::Whole);
+        let caught_up = self.caught_up.max(logged).map(Record::CaughtUp);
         let disk = self.me.disk.map(|number| Record::Disk { number, first: self.first });
-        let records = disk.into_iter().chain(epoch).chain(whole).chain(heir);
+        let records = disk.into_iter().chain(epoch).chain(caught_up).chain(successor);
         let records = records.chain(self.acceptor.records());
         records.filter_map(|record| postcard::to_stdvec(&record).ok()).collect()
     }
--- a/crates/keeper/src/messages.rs
+++ b/crates/keeper/src/messages.rs
@@ -35,12 +35,12 @@
 /// Between keepers, in any order; each may be lost or come twice.
 #[derive(Clone, Debug, PartialEq, Hash, Serialize, Deserialize)]
 pub enum Message {
-    /// A sign of life. `whole`: the epoch with which its disk came in, once it has caught up. `hears_you`: the sender has
+    /// A sign of life. `caught_up`: the epoch with which its disk came in, once it has caught up. `hears_you`: the sender has
     /// heard whom this goes to a moment ago.
     Pulse {
         epoch: u64,
         disk: Option<u64>,
-        whole: Option<u64>,
+        caught_up: Option<u64>,
         life: u64,
         leaving: bool,
         hears_you: bool,
@@ -104,21 +104,21 @@
     },
 
     /// The next epoch's members are one register more, with one decision.
-    HeirPrepare {
+    SuccessorPrepare {
         ballot: Ballot,
     },
-    HeirPromised {
+    SuccessorPromised {
         ballot: Ballot,
         accepted: Option<(Ballot, Charter)>,
     },
-    HeirAccept {
+    SuccessorAccept {
         ballot: Ballot,
         charter: Charter,
     },
-    HeirAccepted {
+    SuccessorAccepted {
         ballot: Ballot,
     },
-    HeirRefused {
+    SuccessorRefused {
         ballot: Ballot,
         promised: Ballot,
     },
@@ -209,7 +209,7 @@
     },
     Epoch(Charter),
     /// This disk has caught up as the member that came in with this epoch.
-    Whole(u64),
+    CaughtUp(u64),
     Promise {
         key: Key,
         ballot: Ballot,
@@ -221,7 +221,7 @@
         value: Value,
     },
     /// Promised and accepted for the successor of an epoch.
-    Heir {
+    Successor {
         epoch: u64,
         promised: Option<Ballot>,
         accepted: Option<(Ballot, Charter)>,
--- a/crates/keeper/src/recovery.rs
+++ b/crates/keeper/src/recovery.rs
@@ -159,7 +159,7 @@
         if catch_up.done.len() >= catch_up.cover {
             self.forget_left(catch_up);
             // It stands on the disk behind all that was read.
-            catch_up.logged = Some(self.pen.log(&Record::Whole(catch_up.joined)));
+            catch_up.logged = Some(self.pen.log(&Record::CaughtUp(catch_up.joined)));
             return;
         }
         self.next_source(catch_up);
@@ -190,7 +190,7 @@
             self.catch_up.as_ref().filter(|catch_up| catch_up.logged.is_some_and(|n| self.pen.is_synced(n)));
         let Some(joined) = done.map(|catch_up| catch_up.joined) else { return };
         self.catch_up = None;
-        self.whole = Some(joined);
+        self.caught_up = Some(joined);
         self.pen.note(format!("keeper: caught up, {} registers", self.acceptor.len()));
         self.pulse(now, true);
     }
--- a/crates/keeper/src/reuse.rs
+++ b/crates/keeper/src/reuse.rs
@@ -78,10 +78,10 @@
         let Some(epoch) = self.voting_epoch() else { return };
         let Some(charter) = &self.charter else { return };
         let all = self.alive_members(now).count() == charter.members.len();
-        let whole = charter
+        let caught_up = charter
             .newcomer()
-            .is_none_or(|m| m.node == self.me.node || self.crew.is_whole(m.node, m.disk, m.joined));
-        if !all || !whole {
+            .is_none_or(|m| m.node == self.me.node || self.crew.is_caught_up(m.node, m.disk, m.joined));
+        if !all || !caught_up {
             return;
         }
         let entries = self.unused(now);
--- a/crates/keeper/src/succession.rs
+++ b/crates/keeper/src/succession.rs
@@ -14,7 +14,7 @@
 
 /// What this disk promised and accepted for the successor of the present epoch.
 #[derive(Clone, Debug, Hash, Default)]
-pub(crate) struct Heir {
+pub(crate) struct Successor {
     pub promised: Option<Ballot>,
     pub accepted: Option<(Ballot, Charter)>,
     pub logged: u64,
@@ -68,10 +68,10 @@
         if self.insist(now) {
             return;
         }
-        let sealed = self.heir.accepted.is_some();
+        let sealed = self.successor.accepted.is_some();
         let own = if sealed { None } else { self.wanted(now) };
         if own.is_none() && !sealed {
-            self.duels = 0;
+            self.contention = 0;
             return self.drive(Drive::Idle);
         }
         match self.drive {
@@ -104,7 +104,7 @@
         let charter = self.charter.as_ref()?;
         let newcomer = charter.newcomer();
         let caught_up = newcomer
-            .is_none_or(|m| self.crew.is_whole(m.node, m.disk, m.joined) || m.node == self.me.node)
+            .is_none_or(|m| self.crew.is_caught_up(m.node, m.disk, m.joined) || m.node == self.me.node)
             || fault::is(Fault::ChangeBeforeCaughtUp);
         let may_go = |node: NodeId| caught_up || newcomer.is_some_and(|m| m.node == node);
         if caught_up && self.is_to_go(charter) {
@@ -149,16 +149,16 @@
 
     fn drive_prepare(&mut self, now: Duration, own: Option<Charter>) {
         let Some(epoch) = self.member_epoch() else { return };
-        let top = self.heir.promised.map_or(0, |promised| promised.count);
+        let top = self.successor.promised.map_or(0, |promised| promised.count);
         self.count = self.count.max(top).saturating_add(1);
         let ballot = Ballot { epoch, count: self.count, node: self.me.node, life: self.me.life };
         let until = now + self.terms.decide;
         self.drive(Drive::Preparing { ballot, own, told: Vec::new(), found: None, until });
-        self.tell_members(&Message::HeirPrepare { ballot });
+        self.tell_members(&Message::SuccessorPrepare { ballot });
     }
 
     /// Only members of the present epoch vote on its successor, those too that have not caught up.
-    fn heir_gate(&mut self, from: NodeId, epoch: u64) -> bool {
+    fn successor_gate(&mut self, from: NodeId, epoch: u64) -> bool {
         let ours = self.charter.as_ref().map_or(0, |charter| charter.number);
         if ours > epoch {
             self.send_members(from);
@@ -168,37 +168,37 @@
         self.member_epoch() == Some(epoch)
     }
 
-    fn log_heir(&mut self, epoch: u64) {
+    fn log_successor(&mut self, epoch: u64) {
         if self.me.disk.is_none() {
             return;
         }
-        let Heir { promised, accepted, .. } = self.heir.clone();
-        self.heir.logged = self.pen.log(&Record::Heir { epoch, promised, accepted });
+        let Successor { promised, accepted, .. } = self.successor.clone();
+        self.successor.logged = self.pen.log(&Record::Successor { epoch, promised, accepted });
     }
 
-    fn heir_rests(&self) -> u64 {
-        if fault::is(Fault::HeirUnsynced) { 0 } else { self.heir.logged }
+    fn successor_rests(&self) -> u64 {
+        if fault::is(Fault::SuccessorUnsynced) { 0 } else { self.successor.logged }
     }
 
-    pub(crate) fn heir_prepare(&mut self, from: NodeId, ballot: Ballot) {
-        if !self.heir_gate(from, ballot.epoch) {
+    pub(crate) fn successor_prepare(&mut self, from: NodeId, ballot: Ballot) {
+        if !self.successor_gate(from, ballot.epoch) {
             return;
         }
-        match self.heir.promised {
+        match self.successor.promised {
             Some(promised) if promised > ballot => {
-                return self.pen.send(from, Message::HeirRefused { ballot, promised });
+                return self.pen.send(from, Message::SuccessorRefused { ballot, promised });
             }
             Some(promised) if promised == ballot => {}
             _ => {
-                self.heir.promised = Some(ballot);
-                self.log_heir(ballot.epoch);
+                self.successor.promised = Some(ballot);
+                self.log_successor(ballot.epoch);
             }
         }
-        let accepted = self.heir.accepted.clone();
-        self.pen.reply(self.heir_rests(), from, Message::HeirPromised { ballot, accepted });
+        let accepted = self.successor.accepted.clone();
+        self.pen.reply(self.successor_rests(), from, Message::SuccessorPromised { ballot, accepted });
     }
 
-    pub(crate) fn heir_promised(
+    pub(crate) fn successor_promised(
         &mut self, now: Duration, from: NodeId, ballot: Ballot, accepted: Option<(Ballot, Charter)>,
     ) {
         let Some(quorum) = self.charter.as_ref().filter(|c| c.member(from).is_some()).map(Charter::quorum)
@@ -223,25 +223,25 @@
         let Some(charter) = chosen else { return };
         let until = now + self.terms.decide;
         self.drive(Drive::Accepting { ballot, charter: charter.clone(), told: Vec::new(), until });
-        self.tell_members(&Message::HeirAccept { ballot, charter });
+        self.tell_members(&Message::SuccessorAccept { ballot, charter });
     }
 
-    pub(crate) fn heir_accept(&mut self, from: NodeId, ballot: Ballot, charter: Charter) {
-        if !self.heir_gate(from, ballot.epoch) || charter.number != ballot.epoch.saturating_add(1) {
+    pub(crate) fn successor_accept(&mut self, from: NodeId, ballot: Ballot, charter: Charter) {
+        if !self.successor_gate(from, ballot.epoch) || charter.number != ballot.epoch.saturating_add(1) {
             return;
         }
-        if let Some(promised) = self.heir.promised.filter(|promised| *promised > ballot) {
-            return self.pen.send(from, Message::HeirRefused { ballot, promised });
+        if let Some(promised) = self.successor.promised.filter(|promised| *promised > ballot) {
+            return self.pen.send(from, Message::SuccessorRefused { ballot, promised });
         }
-        if self.heir.accepted.as_ref().is_none_or(|(at, _)| *at != ballot) {
-            self.heir.promised = Some(ballot);
-            self.heir.accepted = Some((ballot, charter));
-            self.log_heir(ballot.epoch);
+        if self.successor.accepted.as_ref().is_none_or(|(at, _)| *at != ballot) {
+            self.successor.promised = Some(ballot);
+            self.successor.accepted = Some((ballot, charter));
+            self.log_successor(ballot.epoch);
         }
-        self.pen.reply(self.heir_rests(), from, Message::HeirAccepted { ballot });
+        self.pen.reply(self.successor_rests(), from, Message::SuccessorAccepted { ballot });
     }
 
-    pub(crate) fn heir_accepted(&mut self, now: Duration, from: NodeId, ballot: Ballot) {
+    pub(crate) fn successor_accepted(&mut self, now: Duration, from: NodeId, ballot: Ballot) {
         let Some(old) = self.charter.clone().filter(|charter| charter.member(from).is_some()) else { return };
         let Drive::Accepting { ballot: asked, charter, told, .. } = &mut self.drive else { return };
         if *asked != ballot || told.contains(&from) {
@@ -266,7 +266,7 @@
         }
     }
 
-    pub(crate) fn heir_refused(&mut self, now: Duration, ballot: Ballot, promised: Ballot) {
+    pub(crate) fn successor_refused(&mut self, now: Duration, ballot: Ballot, promised: Ballot) {
         let asked = match &self.drive {
             Drive::Preparing { ballot, .. } | Drive::Accepting { ballot, .. } => *ballot,
             _ => return,
@@ -274,9 +274,10 @@
         if asked == ballot {
             self.count = self.count.max(promised.count);
             // The longer they are in each other's way, the further apart they draw.
-            let most = (self.terms.change.as_millis() as u64).max(1) << self.duels.min(self.terms.duels);
+            let most = (self.terms.change.as_millis() as u64).max(1)
+                << self.contention.min(self.terms.contention_doublings);
             let drawn = Duration::from_millis(self.rng.u64(0..=most));
-            self.duels += 1;
+            self.contention += 1;
             self.drive(Drive::Waiting { until: now + self.terms.change + drawn });
         }
     }
--- a/crates/keeper/src/terms.rs
+++ b/crates/keeper/src/terms.rs
@@ -39,7 +39,7 @@
     /// Delays before a change of members are drawn up to this, and rise by it with the rank.
     pub change: Duration,
     /// The delay doubles this often at most while several ask for changes.
-    pub duels: u32,
+    pub contention_doublings: u32,
     /// An undecided change is taken up again after this.
     pub decide: Duration,
     /// A wake-up later than this was a freeze: the others' silence is counted anew.
@@ -124,7 +124,7 @@
             add: ms(2500),
             remove: ms(8000),
             change: ms(100),
-            duels: 5,
+            contention_doublings: 5,
             decide: ms(300),
             freeze: ms(500),
             found_least: ms(1000),
--- a/crates/sextant/examples/explore.rs
+++ b/crates/sextant/examples/explore.rs
@@ -114,7 +114,7 @@
             Ok(walked) => {
                 println!("figure {name}_states {}", walked.states);
                 println!("figure {name}_ends {}", walked.ends);
-                println!("figure {name}_whole {}", walked.whole);
+                println!("figure {name}_exhaustive {}", walked.exhaustive);
                 println!(
                     "figure {name}_states_a_second {:.0}",
                     walked.states as f64 / began.elapsed().as_secs_f64()
--- a/crates/sextant/examples/time_to_whole.rs
+++ b/crates/sextant/examples/time_to_catch_up.rs
@@ -42,7 +42,7 @@
     }
 }
 
-fn whole(sea: &mut Sea, lost: u8) -> (Duration, Duration) {
+fn caught_up(sea: &mut Sea, lost: u8) -> (Duration, Duration) {
     let since = sea.now;
     let mut counts = None;
     while sea.now < since + MOST {
@@ -51,7 +51,7 @@
             counts = Some(sea.now - since);
         }
         if let Some(counts) = counts
-            && sea.is_whole()
+            && sea.is_caught_up()
             && uneven(sea).is_none()
         {
             return (counts, sea.now - since);
@@ -96,7 +96,7 @@
                     sea.add(node(lost), true);
                 }
             }
-            let (counts, even) = whole(&mut sea, lost);
+            let (counts, even) = caught_up(&mut sea, lost);
             runs += 1;
             println!("figure {loss}_{registers}_counts_ms {}", counts.as_millis());
             println!("figure {loss}_{registers}_even_ms {}", even.as_millis());
--- a/crates/sextant/src/breach.rs
+++ b/crates/sextant/src/breach.rs
@@ -25,8 +25,8 @@
     Shown,
     /// a keeper comes to rest
     Rest,
-    /// the members are whole again
-    Whole,
+    /// the members have caught up again
+    CaughtUp,
     /// calls are served again
     Served,
     /// all members hold the same again
--- a/crates/sextant/src/schedule.rs
+++ b/crates/sextant/src/schedule.rs
@@ -22,9 +22,9 @@
     SlowDisk,
     /// Messages are lost, late and doubled from here on, or not any more.
     Weather,
-    /// Up to `tolerate` disks are lost, once the members are whole.
+    /// Up to `tolerate` disks are lost, once the members have caught up.
     Wipe,
-    /// A machine goes for good and a new one comes, once the members are whole.
+    /// A machine goes for good and a new one comes, once the members have caught up.
     Replace,
     /// A wall clock is set forward.
     Clock,
--- a/crates/sextant/src/storm.rs
+++ b/crates/sextant/src/storm.rs
@@ -327,7 +327,7 @@
                 self.sea.weather = Weather { lost: rng.u64(0..60), late, doubled: rng.u64(0..30) };
             }
             // What may be lost for good is lost only while nothing else is missing.
-            Act::Wipe if tolerate > 0 && self.sea.is_whole() => {
+            Act::Wipe if tolerate > 0 && self.sea.is_caught_up() => {
                 let lost = rng.usize(1..=tolerate);
                 let others = rng.bool();
                 let mut disks = disks;
@@ -343,7 +343,7 @@
                     }
                 }
             }
-            Act::Replace if self.sea.is_whole() && self.fresh < 30 => {
+            Act::Replace if self.sea.is_caught_up() && self.fresh < 30 => {
                 self.fresh += 1;
                 let new = node(self.fresh);
                 let before = rng.bool();
@@ -352,7 +352,7 @@
                     let wait = ms(rng.u64(0..4000));
                     self.run(self.sea.now + wait);
                 }
-                if !before || self.sea.is_whole() {
+                if !before || self.sea.is_caught_up() {
                     self.sea.remove(one);
                 }
                 if !before {
--- a/crates/sextant/src/tides.rs
+++ b/crates/sextant/src/tides.rs
@@ -34,7 +34,7 @@
     pub ends: usize,
     pub deepest: usize,
     /// Every state was gone on from. If not, the bound was reached.
-    pub whole: bool,
+    pub exhaustive: bool,
 }
 
 /// A breach, and the way to it: at each state the place of the step that was taken, and what it was.
@@ -179,7 +179,7 @@
 /// # Errors
 /// [`Stranded`]: the first breach that was met.
 pub fn walk(script: &Script, most: usize) -> Result<Walked, Box<Stranded>> {
-    let mut walked = Walked { whole: true, ..Walked::default() };
+    let mut walked = Walked { exhaustive: true, ..Walked::default() };
     let mut known = HashSet::new();
     let mut open = vec![Tide::new(script)];
     while let Some(tide) = open.pop() {
@@ -201,7 +201,7 @@
         }
         walked.states = known.len();
         if walked.states >= most {
-            walked.whole = false;
+            walked.exhaustive = false;
             return Ok(walked);
         }
     }
--- a/crates/sextant/src/voyage.rs
+++ b/crates/sextant/src/voyage.rs
@@ -59,7 +59,7 @@
     Breach::Not(Check::Panic, text.unwrap_or_default())
 }
 
-/// Plays it whole.
+/// Plays all of it.
 pub fn sail(schedule: &Schedule) -> Result<Log, Breach> {
     guarded(|| {
         let mut storm = Storm::new(schedule);
@@ -73,13 +73,13 @@
     })
 }
 
-/// The longest that the members may need to be whole, that a call may go unserved, and that what they hold may differ.
-const WHOLE: Duration = ms(25_000);
+/// The longest that the members may need to catch up, that a call may go unserved, and that what they hold may differ.
+const CAUGHT_UP: Duration = ms(25_000);
 const SERVED: Duration = ms(5_000);
 const EVEN: Duration = ms(40_000);
 
-/// All come back. Within a while the members are whole, each register is served through each of them, and all hold the
-/// same. Hands out how long it took until they were whole.
+/// All come back. Within a while the members have caught up, each register is served through each of them, and all hold the
+/// same. Hands out how long it took until they had.
 ///
 /// # Panics
 /// With a [`Breach`], where that does not hold.
@@ -87,12 +87,12 @@
     storm.sea.weather = Weather::default();
     storm.sea.machines.values_mut().for_each(|machine| machine.slow_until = Duration::ZERO);
     let from = storm.sea.now;
-    let until = from + WHOLE;
-    while !storm.sea.is_whole() && storm.sea.now < until {
+    let until = from + CAUGHT_UP;
+    while !storm.sea.is_caught_up() && storm.sea.now < until {
         storm.run(storm.sea.now + ms(50));
     }
-    hold!(storm.sea.is_whole(), Check::Whole, "{:?}", storm.sea.view());
-    let whole = storm.sea.now - from;
+    hold!(storm.sea.is_caught_up(), Check::CaughtUp, "{:?}", storm.sea.view());
+    let caught_up = storm.sea.now - from;
     storm.sound(SERVED);
     let until = storm.sea.now + EVEN;
     while uneven(&storm.sea).is_some() && storm.sea.now < until {
@@ -100,7 +100,7 @@
     }
     let uneven = uneven(&storm.sea);
     hold!(uneven.is_none(), Check::Even, "{}", uneven.unwrap_or_default());
-    whole
+    caught_up
 }
 
 /// A register of which two members hold different states, and what each of them accepted and promised.
--- a/crates/sextant/src/waters.rs
+++ b/crates/sextant/src/waters.rs
@@ -353,7 +353,7 @@
     }
 
     /// All disk machines run, reach each other, and as many as may be are caught-up members of one epoch.
-    pub fn is_whole(&self) -> bool {
+    pub fn is_caught_up(&self) -> bool {
         let mut epochs = BTreeSet::new();
         let mut counted = 0;
         let disks = self.disk_machines();
--- a/crates/sextant/tests/alone.rs
+++ b/crates/sextant/tests/alone.rs
@@ -63,7 +63,7 @@
             let pulse = Message::Pulse {
                 epoch: 1,
                 disk: Some(2),
-                whole: None,
+                caught_up: None,
                 life: 2,
                 leaving: false,
                 hears_you: true,
@@ -93,15 +93,15 @@
         let peer = |n, here| Peer { node: node(n), disk: Some(u64::from(n)), here };
         alone.keeper.peers(alone.now, &[peer(2, true), peer(3, false), peer(4, true)]);
         let ballot = alone.until(|message| match message {
-            Message::HeirPrepare { ballot } => Some(*ballot),
+            Message::SuccessorPrepare { ballot } => Some(*ballot),
             _ => None,
         });
         let other = Charter { number: 2, members: vec![Member { node: node(2), disk: 2, joined: 1 }] };
         let earlier = Ballot { count: 0, ..ballot };
         let accepted = found.then(|| (earlier, other.clone()));
-        let outs = alone.hear(2, Message::HeirPromised { ballot, accepted });
+        let outs = alone.hear(2, Message::SuccessorPromised { ballot, accepted });
         let charter = sent(&outs, |message| match message {
-            Message::HeirAccept { charter, .. } => Some(charter.clone()),
+            Message::SuccessorAccept { charter, .. } => Some(charter.clone()),
             _ => None,
         });
         assert_eq!(charter.is_some_and(|charter| charter == other), found);
@@ -112,7 +112,7 @@
 fn what_was_sent_and_not_found_again_is_written_over_before_it_is_refused() {
     let mut alone = Alone::new();
     let pulse =
-        Message::Pulse { epoch: 1, disk: Some(2), whole: None, life: 2, leaving: false, hears_you: true };
+        Message::Pulse { epoch: 1, disk: Some(2), caught_up: None, life: 2, leaving: false, hears_you: true };
     alone.hear(2, pulse);
     let start = Call::LockStart { name: "l".into(), holder: "p".into(), hold: ms(9000) };
     alone.keeper.call(alone.now, 7, start);
--- a/crates/sextant/tests/calm.rs
+++ b/crates/sextant/tests/calm.rs
@@ -110,7 +110,7 @@
         let members = sea.keeper(node(1)).map(|keeper| (keeper.epoch(), keeper.is_member()));
         assert!(members.is_some_and(|(epoch, member)| epoch > 0 && member), "{after}: {:?}", sea.view());
         if lowest != node(3) {
-            assert!(sea.is_whole(), "{after}: {:?}", sea.view());
+            assert!(sea.is_caught_up(), "{after}: {:?}", sea.view());
         }
     }
 }
--- a/crates/sextant/tests/founding.rs
+++ b/crates/sextant/tests/founding.rs
@@ -13,7 +13,7 @@
 const FOUNDED: Duration = ms(2300);
 /// The same with messages lost or one machine missing, slow or wiped.
 const IN_TROUBLE: Duration = ms(7000);
-const WHOLE: Duration = ms(40_000);
+const CAUGHT_UP: Duration = ms(40_000);
 
 /// A system that starts, whose seeds are these machines. Disks are 1 to `disks`.
 fn begin(rng: u64, disks: u8, plain: u8, seeds: &[u8]) -> Sea {
@@ -86,15 +86,15 @@
     (0..).zip(&disks).map(|(place, _)| edition(id + place)).collect()
 }
 
-/// All is well again: the members are whole, what was acknowledged is read everywhere, and so is what is written now.
+/// All is well again: the members have caught up, what was acknowledged is read everywhere, and so is what is written now.
 fn sound(sea: &mut Sea, acknowledged: u64, what: &str) {
     sea.dead_links.clear();
     sea.weather = Weather::default();
     sea.machines.values_mut().for_each(|machine| machine.slow_until = Duration::ZERO);
     // Of one or two disks none can be spared.
     sea.tolerate = sea.tolerate.min((sea.disk_machines().len() as u32 - 1) / 2);
-    let limit = sea.now + WHOLE;
-    assert!(until(sea, limit, Sea::is_whole), "{what}: not whole: {:?}", sea.view());
+    let limit = sea.now + CAUGHT_UP;
+    assert!(until(sea, limit, Sea::is_caught_up), "{what}: not caught up: {:?}", sea.view());
     // What a slow disk is at still.
     sea.run(sea.now + ms(3000));
     let editions = read(sea, 1_000);
@@ -562,7 +562,9 @@
             cut_links(&mut sea, node(1), false, false);
             sea.run(ms(9000));
         });
-        found(Fault::HeirUnsynced, |rng| power_lost(&mut begin(rng, 4, 0, &[2, 3, 4]), 9, true, true, 0));
+        found(Fault::SuccessorUnsynced, |rng| {
+            power_lost(&mut begin(rng, 4, 0, &[2, 3, 4]), 9, true, true, 0)
+        });
         // 2 has not accepted what 3 proposes, and would name others: it has never heard 4.
         found(Fault::OwnSuccessor, |rng| {
             let mut sea = begin(rng, 5, 0, &[1, 2, 3]);
@@ -581,8 +583,9 @@
             fault::set(None);
             found
         };
-        let table = [Fault::FoundedByFew, Fault::WipedSeedVotes, Fault::HeirUnsynced, Fault::OwnSuccessor];
-        for (fault, seed) in [(Fault::FoundedByFew, 82), (Fault::HeirUnsynced, 4052)] {
+        let table =
+            [Fault::FoundedByFew, Fault::WipedSeedVotes, Fault::SuccessorUnsynced, Fault::OwnSuccessor];
+        for (fault, seed) in [(Fault::FoundedByFew, 82), (Fault::SuccessorUnsynced, 4052)] {
             assert_eq!(sailed(Some(fault), seed), Some(Check::Epochs), "{fault:?}");
             assert_eq!(sailed(None, seed), None, "without {fault:?}");
         }
--- a/crates/sextant/tests/losses.rs
+++ b/crates/sextant/tests/losses.rs
@@ -130,20 +130,20 @@
         }
     }
 
-    /// No more losses: all comes to rest, and what callers were told is checked. How long until the members are whole.
+    /// No more losses: all comes to rest, and what callers were told is checked. How long until the members have caught up.
     fn end(mut self) -> Duration {
         let most = GRACE;
         let until = self.storm.sea.now + most;
         while self.leaving.is_some() && self.storm.sea.now < until + ms(100) {
             self.run(ms(10));
         }
-        let whole = settle(&mut self.storm);
+        let caught_up = settle(&mut self.storm);
         self.storm.history.check();
-        whole
+        caught_up
     }
 }
 
-/// Two losses, the second at a drawn moment that `tolerate` allows. How long until the members were whole again.
+/// Two losses, the second at a drawn moment that `tolerate` allows. How long until the members had caught up again.
 fn two_losses(
     seed: u64, disks: u8, tolerate: u32, first: Loss, second: Loss,
 ) -> (Duration, Vec<(Duration, bool)>) {
@@ -206,8 +206,8 @@
             for seed in 0..4 * more() {
                 let run = || two_losses(seed, disks, tolerate, first, second);
                 match guarded(run) {
-                    Ok((whole, ended)) => {
-                        longest = longest.max(whole);
+                    Ok((caught_up, ended)) => {
+                        longest = longest.max(caught_up);
                         left.extend(ended);
                         runs += 1;
                     }
@@ -223,7 +223,7 @@
     let took = left.iter().map(|(took, _)| *took).max().unwrap_or_default();
     let shown = left.iter().filter(|(_, shown)| *shown).count();
     println!(
-        "{first:?}: {runs} runs, whole after {longest:?} at most; {shown} of {} left as shown, {took:?} at most",
+        "{first:?}: {runs} runs, caught up after {longest:?} at most; {shown} of {} left as shown, {took:?} at most",
         left.len()
     );
     assert!(longest < ms(15_000), "{longest:?}");
@@ -276,7 +276,7 @@
                     sea.restart(node(n), ms(300));
                     let start = sea.now + ms(300);
                     fleet.run(ms(310));
-                    while !fleet.storm.sea.is_whole() && fleet.storm.sea.now < start + GRACE {
+                    while !fleet.storm.sea.is_caught_up() && fleet.storm.sea.now < start + GRACE {
                         fleet.run(ms(10));
                     }
                     ended.push((left.took, left.shown));
--- a/crates/sextant/tests/many.rs
+++ b/crates/sextant/tests/many.rs
@@ -152,7 +152,7 @@
     }
 
     /// Asks one member for everything, all the while, until it counts and all hold the same.
-    fn whole(&mut self, lost: NodeId) -> (Duration, Duration) {
+    fn caught_up(&mut self, lost: NodeId) -> (Duration, Duration) {
         let since = self.sea.now;
         let mut even = None;
         (self.lost, self.counts) = (Some(lost), None);
@@ -172,7 +172,7 @@
             // What is under way just now differs.
             if self.counts.is_some() {
                 self.run(ms(300));
-                even = (self.sea.is_whole() && uneven(&self.sea).is_none()).then(|| self.sea.now - since);
+                even = (self.sea.is_caught_up() && uneven(&self.sea).is_none()).then(|| self.sea.now - since);
             }
         }
         let counts = self.counts.map(|at| at - since);
@@ -209,7 +209,7 @@
     Blinks,
 }
 
-/// Changes, a loss, and what it took to be whole again.
+/// Changes, a loss, and what it took to catch up again.
 fn play(loss: Loss, seed: u64, disks: u8, changes: u64) -> (Duration, Duration) {
     let mut world = World::new(seed, disks);
     if seed % 3 == 1 {
@@ -263,7 +263,7 @@
             world.sea.add(lost, true);
         }
     }
-    let times = world.whole(lost);
+    let times = world.caught_up(lost);
     if lost == node(LOST) {
         world.check();
     }
--- a/crates/sextant/tests/mutants.rs
+++ b/crates/sextant/tests/mutants.rs
@@ -39,7 +39,7 @@
 /// least, and the checks.
 const SCRIPTED: &[(Fault, scripts::Script, usize, Check)] = &[
     (
-        Fault::HeirUnsynced,
+        Fault::SuccessorUnsynced,
         scripts::epochs::the_driver_is_cut_off_and_the_other_loses_its_power,
         20,
         Check::Epochs,
@@ -49,8 +49,8 @@
     (Fault::AdoptOverPromise, scripts::epochs::a_value_comes_round_about, 40, Check::Linear),
     (Fault::LeaverDoesNotAsk, scripts::one_of_two_copies, 40, Check::Linear),
     (Fault::LeaverAccepts, scripts::a_write_between, 40, Check::Linear),
-    (Fault::LeaverStaysIn, scripts::a_loss_right_after_a_planned_replacement, 40, Check::Whole),
-    (Fault::ChangeBeforeCaughtUp, scripts::two_newcomers_at_once, 40, Check::Whole),
+    (Fault::LeaverStaysIn, scripts::a_loss_right_after_a_planned_replacement, 40, Check::CaughtUp),
+    (Fault::ChangeBeforeCaughtUp, scripts::two_newcomers_at_once, 40, Check::CaughtUp),
     (Fault::StayerUnsynced, scripts::a_slow_disk_among_those_that_stay, 40, Check::Linear),
 ];
 
--- a/crates/sextant/tests/orders.rs
+++ b/crates/sextant/tests/orders.rs
@@ -165,18 +165,18 @@
 
     fn blow(&mut self) {
         let up = self.sea.up();
-        let whole = up.len() > self.sea.disk_machines().len();
+        let full = up.len() > self.sea.disk_machines().len();
         match self.sea.rng.u16(0..600) {
-            0 if whole => {
+            0 if full => {
                 let node = up[self.sea.rng.usize(0..up.len())];
                 self.sea.kill(node, true);
                 self.sea.restart(node, ms(400));
             }
-            1 if whole => {
+            1 if full => {
                 let span = ms(self.sea.rng.u64(100..1500));
                 self.sea.cut(&up[..1], span);
             }
-            2 if whole => {
+            2 if full => {
                 let node = up[self.sea.rng.usize(0..up.len())];
                 self.sea.freeze(node, ms(900));
             }
@@ -294,7 +294,7 @@
     }
 }
 
-const WHOLE: usize = 50_000;
+const EXHAUSTIVE: usize = 50_000;
 
 /// Two contents under one edition, and one more above: all orders of what is under way, three nodes.
 fn scripts() -> [(Script, usize); 4] {
@@ -306,8 +306,8 @@
     let script = |calls, powers, lost| Script { calls, powers, lost, doubled: 0 };
     let above = vec![(1, put(7, 1)), (1, put(8, 1)), (1, put(7, 2))];
     [
-        (script(at([1, 1]), 0, 0), WHOLE),
-        // Not whole: the first states.
+        (script(at([1, 1]), 0, 0), EXHAUSTIVE),
+        // Not exhaustive: the first states.
         (script(above, 0, 0), 4_000),
         (script(at([1, 2]), 0, 0), 4_000),
         (script(at([1, 2]), 1, 1), 4_000),
@@ -320,7 +320,7 @@
         match walk(&script, most) {
             Ok(walked) => {
                 println!("{at}: {walked:?}");
-                assert!(walked.whole == (most == WHOLE), "{at}: {walked:?}");
+                assert!(walked.exhaustive == (most == EXHAUSTIVE), "{at}: {walked:?}");
             }
             Err(stranded) => panic!("{at}: {}: {:#?}", stranded.breach, stranded.way),
         }
--- a/crates/sextant/tests/reuse.rs
+++ b/crates/sextant/tests/reuse.rs
@@ -127,17 +127,17 @@
                 let late = self.rng.u64(0..300) * u64::from(self.rng.bool());
                 self.sea.weather = Weather { lost: self.rng.u64(0..40), late, doubled: self.rng.u64(0..100) };
             }
-            6 if self.sea.is_whole() => {
+            6 if self.sea.is_caught_up() => {
                 self.sea.wipe(one);
                 self.sea.restart(one, long);
             }
-            7 if self.sea.is_whole() => {
+            7 if self.sea.is_caught_up() => {
                 self.fresh += 1;
                 self.sea.remove(one);
                 self.sea.add(node(self.fresh), true);
             }
             // Long enough that it is taken out, or its place given away, and it comes in again with its old disk.
-            8 if self.sea.is_whole() && disks.len() > 3 => {
+            8 if self.sea.is_caught_up() && disks.len() > 3 => {
                 self.sea.kill(one, false);
                 self.sea.restart(one, ms(9000 + self.rng.u64(0..2000)));
                 self.calm = self.calm.max(self.sea.now + ms(12_000));
@@ -163,10 +163,10 @@
         self.sea.weather = Weather::default();
         self.run(self.calm.saturating_sub(self.sea.now));
         let until = self.sea.now + ms(25_000);
-        while !self.sea.is_whole() && self.sea.now < until {
+        while !self.sea.is_caught_up() && self.sea.now < until {
             self.run(ms(50));
         }
-        assert!(self.sea.is_whole(), "{:?}", self.sea.view());
+        assert!(self.sea.is_caught_up(), "{:?}", self.sea.view());
         for which in 0..ROOM {
             let until = self.sea.now + ms(8000);
             loop {
--- a/crates/sextant/tests/scripts/epochs.rs
+++ b/crates/sextant/tests/scripts/epochs.rs
@@ -25,7 +25,7 @@
             }
         }
     }
-    hold(false, Check::Whole, "no change was decided");
+    hold(false, Check::CaughtUp, "no change was decided");
     (node(2), node(3))
 }
 
@@ -50,7 +50,7 @@
     sea.cut(&[driver], ms(6000));
     sea.restart(node(1), ms(100));
     sea.run_without(sea.now + ms(5000), |from, _, message| {
-        from == other && matches!(message, Message::HeirPrepare { .. })
+        from == other && matches!(message, Message::SuccessorPrepare { .. })
     });
     sea.run(sea.now + ms(4000));
 }
@@ -64,7 +64,11 @@
         machine.slow_until = ms(60_000);
     }
     sea.run(sea.now + ms(300));
-    hold(sea.keeper(node(4)).is_some_and(|keeper| keeper.is_member()), Check::Whole, sea.view().join(", "));
+    hold(
+        sea.keeper(node(4)).is_some_and(|keeper| keeper.is_member()),
+        Check::CaughtUp,
+        sea.view().join(", "),
+    );
     sea.stop(other, 0);
     sea.machines.values_mut().for_each(|machine| machine.slow_until = ms(0));
     sea.keep_back(&mut Kept::default(), |_, to, _| to == other || to == node(1));
@@ -74,7 +78,9 @@
     let mut old = None;
     for id in 2..8 {
         sea.call(node(1), id, number());
-        sea.run_without(sea.now + ms(150), |_, _, message| matches!(message, Message::HeirPrepare { .. }));
+        sea.run_without(sea.now + ms(150), |_, _, message| {
+            matches!(message, Message::SuccessorPrepare { .. })
+        });
         old = sea.answers.iter().find(|(told, ..)| *told == id).map(|(.., answer)| answer.clone());
         if matches!(old, Some(Answer::Value(_))) {
             break;
--- a/crates/sextant/tests/scripts/mod.rs
+++ b/crates/sextant/tests/scripts/mod.rs
@@ -125,17 +125,17 @@
     sea.add(node(4), true);
     sea.run(sea.now + ms(4000));
     let members = sea.keeper(node(1)).map_or(0, |keeper| keeper.members().len());
-    hold(sea.is_whole() && members == 4, Check::Whole, sea.view().join(", "));
+    hold(sea.is_caught_up() && members == 4, Check::CaughtUp, sea.view().join(", "));
     let left = leave(&mut sea, node(1));
-    hold(left.shown && left.took < ms(1000), Check::Whole, format!("{left:?}"));
+    hold(left.shown && left.took < ms(1000), Check::CaughtUp, format!("{left:?}"));
     sea.remove(node(1));
     sea.wipe(node(2));
     sea.restart(node(2), ms(300));
     let from = sea.now;
-    while !sea.is_whole() && sea.now < from + ms(6000) {
+    while !sea.is_caught_up() && sea.now < from + ms(6000) {
         sea.run(sea.now + ms(10));
     }
-    hold(sea.is_whole(), Check::Whole, sea.view().join(", "));
+    hold(sea.is_caught_up(), Check::CaughtUp, sea.view().join(", "));
     let answer = ask(&mut sea, node(3), 2, number(), 1000);
     hold(answer == Some(Answer::Value(2)), Check::Linear, format!("{answer:?}"));
 }
@@ -154,10 +154,10 @@
         from == node(1) && matches!(message, Message::List { .. })
     });
     let from = sea.now;
-    while !sea.is_whole() && sea.now < from + ms(6000) {
+    while !sea.is_caught_up() && sea.now < from + ms(6000) {
         sea.run(sea.now + ms(10));
     }
-    hold(sea.is_whole(), Check::Whole, sea.view().join(", "));
+    hold(sea.is_caught_up(), Check::CaughtUp, sea.view().join(", "));
     let answer = ask(&mut sea, node(1), 2, number(), 1000);
     hold(answer == Some(Answer::Value(2)), Check::Linear, format!("{answer:?}"));
 }
--- a/crates/sextant/tests/walked.rs
+++ b/crates/sextant/tests/walked.rs
@@ -17,11 +17,11 @@
     ];
     for (script, most) in table {
         match walk(&script, most) {
-            Ok(walked) => assert!(walked.whole && walked.ends > 0, "{script:?}: {walked:?}"),
+            Ok(walked) => assert!(walked.exhaustive && walked.ends > 0, "{script:?}: {walked:?}"),
             Err(stranded) => panic!("{}: {:#?}", stranded.breach, stranded.way),
         }
     }
-    // Not whole: the first states of those with a loss of power, and of two callers at once.
+    // Not exhaustive: the first states of those with a loss of power, and of two callers at once.
     let table =
         [Script { powers: 1, ..one.clone() }, Script { calls: vec![(1, number()), (2, number())], ..one }];
     for script in table {
