--- a/crates/lantern/src/links.rs
+++ b/crates/lantern/src/links.rs
@@ -449,4 +449,5 @@
 }
 
 #[cfg(test)]
+#[path = "../tests/inner/links.rs"]
 mod tests;
