--- a/tools/aimed_days.py
+++ b/tools/aimed_days.py
@@ -4,7 +4,7 @@
     aimed_days.py BENCH SITE.toml SEED FOLDER [NAME ...]
 
 Writes FOLDER/<site>-<NAME>-<SEED>.toml for `BENCH run SITE FILE`, all of AIMS if no NAME is given. The seed sets the luck, the
-variants and moments within an aim, and takes the closing fault in turn, so that nine seeds play all nine on each aim. A trouble that would lose
+variants and moments within an aim, and takes the closing fault in turn, so that eleven seeds play all eleven on each aim. A trouble that would lose
 more than `tolerate` says waits its turn at the bench; what the bench does not know under the site's contracts is left out.
 """
 import argparse
--- a/tools/draw_days.py
+++ b/tools/draw_days.py
@@ -3,10 +3,10 @@
 
     draw_days.py BENCH SITE.toml FIRST_SEED COUNT FOLDER [--length 60] [--dense] [--brisk]
 
-Writes FOLDER/<site>-v2-<seed>.toml for `BENCH run SITE FILE`. The same seed draws the same day. What a day leans on takes turns
+Writes FOLDER/<site>-v3-<seed>.toml for `BENCH run SITE FILE`. The same seed draws the same day. What a day leans on takes turns
 by seed modulo 8: a control machine cut off; orders on one version; second losses; hundreds of changes; wrong callers; members
 that are replaced and rolled; losses of the whole core; all kinds alike. Beside it, six entries are dealt in turn from all kinds with
-each of their variants, and the closing fault takes turns by seed modulo 9, so that days in a row leave none out.
+each of their variants, and the closing fault takes turns by seed modulo 11, so that days in a row leave none out.
 --dense: days of 30 to 40 entries instead of 10 to 16. --brisk: no trouble lasts over 2.5 s, so that the next loss comes sooner: one
 that would lose more than `tolerate` says waits its turn. Both have names of their own, ending in d and b.
 """
@@ -40,7 +40,7 @@
 
 
 # The days that a seed draws change with this word, which is part of their names.
-VERSION = "v2"
+VERSION = "v3"
 # Dealt entries of a day, beside those that its lean draws.
 DEALT = 6
 # What a kind's `how` begins with: each is dealt to days in turn. Who is struck, and what meets it on its return, is drawn besides.
@@ -57,8 +57,9 @@
 # Kinds that the bench plays wherever a contract is in force, whether or not its page lists them for the site.
 KINDS = {"config": ("config_change", "config_storm", "config_race", "bad_config", "big_config"),
          "pool": ("idle_race",), "health": ("srv_grey", "srv_flap", "srv_lying_health")}
-# Closing faults, one a day in turn.
+# Closing faults, one a day in turn. `aimed` stands in the sites' own days, not on the bench's page.
 CLOSINGS = [(kind, how) for how in ("", "timed", "taken") for kind in ("power_off_all", "wipe_after_ack", "kill_all")]
+CLOSINGS += [("wipe_after_ack", "aimed"), ("wipe_after_ack", "timed aimed")]
 
 
 def words(r, *choices):
@@ -138,7 +139,7 @@
         e["share"] = round(r.uniform(.2, 1), 2)
         e["x"] = r.randint(500, 20000)
         span(2, 15)
-        how(variant)
+        how(variant, r.choice(("", "", "leader")))
     elif kind == "config_change":
         how(variant)
     elif kind == "config_storm":
