Store: a log that lost what was synced makes its disk another one, and is no torn end

Cause: a log was read up to its first entry that is not sound, whatever stood behind it, so rot in its middle brought a keeper back under its disk's number with promises and accepted values missing.

Change: an entry is begun once the one before it was synced, so a sound entry behind one that is not tells of rot; a log that is left is written anew with one checksum; a small file beside the log in use, never synced, tells how many of its records last. Logs of earlier programs are read as they were.

Ruled out: a second synced record behind each (twice the syncs); any sound bytes behind a hole (a torn entry has them when its blocks come out of order).

Tests: store.rs' table of torn tails changed what had been synced and wanted it dropped quietly. Each row is now played twice: as it was, where it has to be told as damaged, and with the mark of before the write, where a torn end is dropped as before.

--- a/crates/keeper/src/fault.rs
+++ b/crates/keeper/src/fault.rs
@@ -73,6 +73,8 @@
     SnapshotNameUnsynced,
     /// The end of a log that is torn is taken for whole.
     TornTailTaken,
+    /// What the disk lost though it was synced is taken for an end that was never synced.
+    RotIsTorn,
     /// The files of a disk that is of no use go in any order.
     WipedInAnyOrder,
     /// What was read back from the disk counts as committed.
@@ -113,7 +115,7 @@
 }
 
 impl Fault {
-    pub const ALL: [Fault; 48] = [
+    pub const ALL: [Fault; 49] = [
         Fault::MajorityLessOne,
         Fault::CoverLessOne,
         Fault::PromiseUnsynced,
@@ -146,6 +148,7 @@
         Fault::TakenForgotten,
         Fault::SnapshotNameUnsynced,
         Fault::TornTailTaken,
+        Fault::RotIsTorn,
         Fault::WipedInAnyOrder,
         Fault::ReadBackIsCommitted,
         Fault::ForgottenWithoutFloor,
--- a/crates/keeper/src/store/files.rs
+++ b/crates/keeper/src/store/files.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::fs::{self, File};
-use std::io::{self, ErrorKind, Read, Write};
+use std::io::{self, ErrorKind};
 use std::path::Path;
 
 use crate::store::steps::{Step, did};
@@ -13,8 +13,8 @@
 pub const DRAFT: &str = "snapshot.new";
 /// A log that is to have its lasting name, in the making.
 pub const LOG_DRAFT: &str = "log.new";
-
-const COPIED_AT_ONCE: usize = 64 << 10;
+/// What is known to last of the newest log.
+pub const MARK: &str = "synced";
 
 /// The store's files in a folder.
 #[derive(Debug, Default)]
@@ -59,36 +59,11 @@
     }
 }
 
-/// Gives a file another name so that it lasts: the old one goes only once the new one is there to stay, since after a
-/// loss of power a name that was changed may be gone and the one before it too. Does no harm if it was done already,
-/// in part or whole. By a copy: not every file system has a second name for a file.
-pub fn rename_synced(dir: &Path, from: &str, to: &str) -> io::Result<()> {
-    if !dir.join(to).is_file() {
-        let draft = dir.join(LOG_DRAFT);
-        if let Err(error) = copy_synced(&dir.join(from), &draft) {
-            let _ = remove(&draft);
-            return Err(error);
-        }
-        fs::rename(draft, dir.join(to))?;
-        did(Step::Changed);
-    }
-    sync_folder(dir)?;
-    remove(&dir.join(from))
-}
-
-/// What the copy holds lasts, its name need not. With plain reads and writes, and a bounded buffer.
-fn copy_synced(from: &Path, to: &Path) -> io::Result<()> {
-    let (mut source, mut copy) = (File::open(from)?, File::create(to)?);
-    let mut buffer = vec![0; COPIED_AT_ONCE];
-    loop {
-        let read = source.read(&mut buffer)?;
-        let Some(bytes) = buffer.get(..read).filter(|bytes| !bytes.is_empty()) else { break };
-        copy.write_all(bytes)?;
-    }
+/// Gives a draft that was synced its name so that it lasts.
+pub fn name_synced(dir: &Path, draft: &str, name: &str) -> io::Result<()> {
+    fs::rename(dir.join(draft), dir.join(name))?;
     did(Step::Changed);
-    copy.sync_all()?;
-    did(Step::FileSynced(LOG_DRAFT));
-    Ok(())
+    sync_folder(dir)
 }
 
 /// Makes new names, and those that were changed or removed, last.
--- a/crates/keeper/src/store/log.rs
+++ b/crates/keeper/src/store/log.rs
@@ -6,7 +6,7 @@
 //! first that does not.
 
 use std::fs::{self, File};
-use std::io::{self, ErrorKind, Read};
+use std::io;
 use std::mem::ManuallyDrop;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::path::Path;
@@ -16,7 +16,7 @@
 
 use crate::fault::{self, Fault};
 use crate::store::steps::{Step, did};
-use crate::store::{Limits, files};
+use crate::store::{Limits, files, snapshot};
 
 /// Bytes that a record takes besides its own.
 const FRAME: u64 = 9;
@@ -24,7 +24,6 @@
 const ENTRY_FRAME: usize = 64;
 
 const HEAD: &[u8; 5] = b"okw\0\x08";
-const HEAD_BYTES: usize = HEAD.len() + 8;
 const ENTRY: u8 = 1;
 const CHUNK: u8 = 2;
 const END: u8 = 3;
@@ -40,6 +39,8 @@
 pub struct Log {
     pub number: u64,
     entries: u64,
+    /// So many records in it last.
+    pub lasting: u64,
     library: WriteAheadLog,
     /// Stands for a disk that takes what is written and fails to sync it.
     #[cfg(test)]
@@ -63,6 +64,7 @@
         Ok(Log {
             number,
             entries: 0,
+            lasting: 0,
             library,
             #[cfg(test)]
             fails: false,
@@ -102,6 +104,7 @@
             return Err(io::Error::other("fails"));
         }
         self.entries += 1;
+        self.lasting += records.len() as u64;
         Ok(())
     }
 }
@@ -116,31 +119,53 @@
     fits.count().max(1)
 }
 
+/// How a log ends.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum End {
+    #[default]
+    Whole,
+    /// With an entry that was never synced.
+    Torn,
+    /// Something that lasted is not there any more, here or further on.
+    Rotten,
+}
+
 /// A log as it was read back.
 #[derive(Debug, Default, PartialEq)]
 pub struct ReadBack {
     pub records: Vec<Vec<u8>>,
-    /// What they take in the log.
-    pub bytes: u64,
-    /// Behind the last whole entry something else begins.
-    pub is_torn: bool,
+    pub end: End,
 }
 
-/// The number of a log. None: it was never written to.
-pub fn number_of(path: &Path) -> io::Result<Option<u64>> {
-    let mut head = [0; HEAD_BYTES];
-    match File::open(path)?.read_exact(&mut head) {
-        Ok(()) => Ok(number(&head).map(|(number, _)| number)),
-        Err(error) if error.kind() == ErrorKind::UnexpectedEof => Ok(None),
-        Err(error) => Err(error),
-    }
+/// The number of a log that may have been written to, and what it holds. No number: nothing of it ever counted.
+pub fn read_in_use(path: &Path) -> io::Result<(Option<u64>, ReadBack)> {
+    let bytes = fs::read(path)?;
+    Ok((number(&bytes).map(|(number, _)| number), read(&bytes)))
 }
 
-/// Reads a log, and syncs it, so that what was read lasts.
+/// Reads a log that has its lasting name, and syncs it, so that what was read lasts.
 pub fn read_synced(path: &Path) -> io::Result<ReadBack> {
     let bytes = fs::read(path)?;
     File::open(path)?.sync_all()?;
-    Ok(read(&bytes))
+    Ok(match snapshot::records(&bytes) {
+        Some(records) => ReadBack { records, end: End::Whole },
+        // Before they were written anew, logs were renamed as they were.
+        None if number(&bytes).is_some() => read(&bytes),
+        None => ReadBack { records: Vec::new(), end: rotten() },
+    })
+}
+
+/// Writes a log anew under its lasting name, torn end left out, and removes the one it came from, once the new one is
+/// there to stay. Does no harm if it was done already, in part or whole.
+pub fn close(dir: &Path, number: u64, records: &[Vec<u8>]) -> io::Result<()> {
+    let name = files::log_name(number);
+    if dir.join(&name).is_file() {
+        files::sync_folder(dir)?;
+    } else {
+        snapshot::write_synced(dir, files::LOG_DRAFT, records)?;
+        files::name_synced(dir, files::LOG_DRAFT, &name)?;
+    }
+    files::remove(&dir.join(files::IN_USE))
 }
 
 fn number(bytes: &[u8]) -> Option<(u64, &[u8])> {
@@ -148,21 +173,43 @@
     Some((u64::from_le_bytes(*number), rest))
 }
 
+fn rotten() -> End {
+    if fault::is(Fault::RotIsTorn) { End::Torn } else { End::Rotten }
+}
+
 fn read(bytes: &[u8]) -> ReadBack {
-    let mut back = ReadBack::default();
-    let Some((_, mut rest)) = number(bytes) else {
-        back.is_torn = !bytes.is_empty();
-        return back;
-    };
+    let mut records = Vec::new();
     let mut expected: u64 = 1;
-    while let Some((entry, behind)) = read_entry(rest, expected) {
-        back.bytes += size(&entry);
-        back.records.extend(entry);
-        expected = expected.saturating_add(1);
+    let mut rest = bytes;
+    if let Some((_, behind)) = number(bytes) {
         rest = behind;
+        while let Some((entry, behind)) = read_entry(rest, expected) {
+            records.extend(entry);
+            expected = expected.saturating_add(1);
+            rest = behind;
+        }
     }
-    back.is_torn = rest.first().is_some_and(|first| *first != 0);
-    back
+    let end = if has_sound_behind(rest, expected) {
+        rotten()
+    } else if rest.iter().any(|byte| *byte != 0) {
+        End::Torn
+    } else {
+        End::Whole
+    };
+    ReadBack { records, end }
+}
+
+/// A sound entry behind that of a number, which is not sound itself: it says that one was synced.
+fn has_sound_behind(bytes: &[u8], missing: u64) -> bool {
+    let most = missing.saturating_add(bytes.len() as u64);
+    bytes.windows(1 + 8).enumerate().any(|(at, window)| {
+        let Some(id) = window.strip_prefix(&[ENTRY]).and_then(|id| id.first_chunk::<8>()) else {
+            return false;
+        };
+        let id = u64::from_le_bytes(*id);
+        let sound = || bytes.get(at..).and_then(|rest| read_entry(rest, id));
+        (missing < id && id <= most) && sound().is_some_and(|(records, _)| !records.is_empty())
+    })
 }
 
 /// The entry of a number and what stands behind it. None: there is no such whole entry.
--- a/crates/keeper/src/store/mod.rs
+++ b/crates/keeper/src/store/mod.rs
@@ -5,12 +5,17 @@
 //! there or not, or at the next start) becomes `log-N`, and the next one begins, so that nothing is ever written
 //! behind a torn tail.
 //!
+//! A torn end was never synced; what was synced and cannot be read is rot, and the folder is damaged. They are told
+//! apart by what an entry says of the one before it (`log`), by one checksum over each file that is written to no more
+//! (`snapshot`), and by what is known to last of the log in use (`mark`).
+//!
 //! What is read back is the newest sound snapshot and all logs from its number on. Old files go only after the
 //! snapshot that replaces them lasts, name included. A log is synced again before its records are handed out: a
 //! process may have been killed between write and sync, and what others are told must not be lost afterwards.
 
 mod files;
 mod log;
+mod mark;
 mod snapshot;
 pub mod steps;
 
@@ -19,7 +24,8 @@
 
 use crate::fault::{self, Fault};
 use files::Found;
-use log::Log;
+use log::{End, Log};
+use mark::{Mark, Marker};
 use steps::{Step, did};
 
 /// What binds the store. A record's bytes count with a few more for its frame.
@@ -76,6 +82,7 @@
     /// What the logs that count hold.
     log_bytes: u64,
     snapshot_bytes: u64,
+    marker: Marker,
 }
 
 /// What there is of a log in use.
@@ -84,8 +91,11 @@
     /// Nothing that counts, though a file may be there.
     None,
     Open(Log),
-    /// Something in the log of this number counts, and nothing more may be written to it.
-    Left(u64),
+    /// So many records in the log of this number last, and nothing more may be written to it.
+    Left {
+        number: u64,
+        lasting: u64,
+    },
 }
 
 impl Store {
@@ -111,24 +121,33 @@
             next: newest.number,
             log_bytes: 0,
             snapshot_bytes: log::size(&records),
+            marker: Marker::default(),
         };
+        let mark = mark::read(dir).filter(|_| !fault::is(Fault::RotIsTorn));
         for number in found.logs.range(newest.number..) {
             if *number != store.next {
                 return Err(StoreError::Damaged(files::log_name(store.next)));
             }
             let read = log::read_synced(&dir.join(files::log_name(*number)))?;
-            if read.is_torn {
-                tracing::info!("store: log {number} ends torn behind {} records", read.records.len());
+            let known = mark.filter(|mark| mark.log == *number).map_or(0, |mark| mark.records);
+            if read.end == End::Rotten || (read.records.len() as u64) < known {
+                return Err(StoreError::Damaged(files::log_name(*number)));
             }
-            store.log_bytes += read.bytes;
+            store.log_bytes += log::size(&read.records);
             store.next = number.saturating_add(1);
             records.extend(read.records);
         }
+        if let Some(mark) = mark.filter(|mark| mark.log >= store.next) {
+            return Err(StoreError::Damaged(files::log_name(mark.log)));
+        }
         match newest.damaged {
             // All that it held is there besides.
             Some(damaged) if store.next < damaged => Err(StoreError::Damaged(files::snapshot_name(damaged))),
             _ => {
                 store.sweep()?;
+                if mark.is_none_or(|mark| mark.log < store.base) {
+                    store.marker.remove(dir)?;
+                }
                 Ok((store, records))
             }
         }
@@ -144,6 +163,8 @@
         let mut names: Vec<(u64, String)> = snapshots.chain(logs).collect();
         names.sort_by_key(|(number, _)| *number);
         names.extend(found.in_use.into_iter().map(|name| (u64::MAX, name)));
+        // The mark goes last: without what it tells of the folder is of no use.
+        names.push((u64::MAX, files::MARK.to_owned()));
         for (_, name) in names {
             files::remove(&dir.join(name))?;
             if !fault::is(Fault::WipedInAnyOrder) {
@@ -168,12 +189,17 @@
         }
         let mut log = self.log_to_write()?;
         let written = log.write_all(records, self.limits.entry_bytes);
+        let (number, lasting) = (log.number, log.lasting);
         if log.has_lasting() {
-            self.next = log.number.saturating_add(1);
+            self.next = number.saturating_add(1);
+            // Without it the next start knows less of what lasts, and that is all.
+            if let Err(error) = self.marker.write(&self.dir, Mark { log: number, records: lasting }) {
+                tracing::info!("store: what is synced is not marked, {error}");
+            }
         }
         self.state = match &written {
             Ok(()) => State::Open(log),
-            Err(_) if log.has_lasting() => State::Left(log.number),
+            Err(_) if log.has_lasting() => State::Left { number, lasting },
             Err(_) => State::None,
         };
         written?;
@@ -190,16 +216,12 @@
     /// Puts a snapshot in the place of all that was written before. It has to hold all that `append` took, and may
     /// hold more. After an error nothing is lost: what was written before counts, or the snapshot does.
     pub fn checkpoint(&mut self, snapshot: Vec<Vec<u8>>) -> Result<(), StoreError> {
-        let draft = self.dir.join(files::DRAFT);
-        if let Err(error) = snapshot::write_synced(&draft, &snapshot) {
-            let _ = files::remove(&draft);
-            return Err(error.into());
-        }
+        snapshot::write_synced(&self.dir, files::DRAFT, &snapshot)?;
         // Once the name is there the logs before it no longer count, so none of them may be written to.
         if let State::Open(log) = &self.state {
-            self.state = State::Left(log.number);
+            self.state = State::Left { number: log.number, lasting: log.lasting };
         }
-        std::fs::rename(&draft, self.dir.join(files::snapshot_name(self.next)))?;
+        std::fs::rename(self.dir.join(files::DRAFT), self.dir.join(files::snapshot_name(self.next)))?;
         did(Step::Changed);
         if !fault::is(Fault::SnapshotNameUnsynced) {
             files::sync_folder(&self.dir)?;
@@ -208,7 +230,7 @@
         self.base = self.next;
         self.log_bytes = 0;
         self.snapshot_bytes = log::size(&snapshot);
-        if self.sweep().is_err() {
+        if self.sweep().and_then(|()| self.marker.remove(&self.dir)).is_err() {
             // They go the next time.
             tracing::info!("store: old files stay for now");
         }
@@ -224,17 +246,30 @@
         match std::mem::replace(&mut self.state, State::None) {
             State::Open(log) => return Ok(log),
             State::None => files::remove(&self.dir.join(files::IN_USE))?,
-            State::Left(number) => {
-                let moved = files::rename_synced(&self.dir, files::IN_USE, &files::log_name(number));
-                if moved.is_err() {
-                    self.state = State::Left(number);
+            State::Left { number, lasting } => {
+                let closed = self.close(number, lasting);
+                if closed.is_err() {
+                    self.state = State::Left { number, lasting };
                 }
-                moved?;
+                closed?;
             }
         }
         Log::begin(&self.dir, self.next, &self.limits)
     }
 
+    /// Gives the log in use its lasting name.
+    fn close(&self, number: u64, lasting: u64) -> io::Result<()> {
+        let in_use = self.dir.join(files::IN_USE);
+        if !in_use.is_file() && self.dir.join(files::log_name(number)).is_file() {
+            return files::sync_folder(&self.dir);
+        }
+        let (_, read) = log::read_in_use(&in_use)?;
+        if (read.records.len() as u64) < lasting {
+            return Err(io::Error::other("what lasted in the log cannot be read any more"));
+        }
+        log::close(&self.dir, number, &read.records)
+    }
+
     /// Removes what the snapshot in force replaces. It need not last: numbers tell what counts.
     fn sweep(&self) -> io::Result<()> {
         let found = files::list(&self.dir)?;
@@ -249,15 +284,22 @@
 
 /// Gives the log that was in use at the last end its lasting name. What is found counts from here on, and what it
 /// replaces goes: so the names that were found last first, whatever the process before this one came to.
-fn put_away(dir: &Path, found: &mut Found) -> io::Result<()> {
+fn put_away(dir: &Path, found: &mut Found) -> Result<(), StoreError> {
     for draft in [files::DRAFT, files::LOG_DRAFT] {
         files::remove(&dir.join(draft))?;
     }
     files::sync_folder(dir)?;
     for name in std::mem::take(&mut found.in_use) {
-        match log::number_of(&dir.join(&name))? {
+        let (number, read) = log::read_in_use(&dir.join(&name))?;
+        if read.end == End::Rotten {
+            return Err(StoreError::Damaged(name));
+        }
+        match number {
             Some(number) if found.logs.insert(number) => {
-                files::rename_synced(dir, &name, &files::log_name(number))?;
+                if read.end == End::Torn {
+                    tracing::info!("store: log {number} ends torn behind {} records", read.records.len());
+                }
+                log::close(dir, number, &read.records)?;
             }
             // It was never written to, or has its new name besides.
             _ => files::remove(&dir.join(&name))?,
--- a/crates/keeper/src/store/snapshot.rs
+++ b/crates/keeper/src/store/snapshot.rs
@@ -1,4 +1,5 @@
-//! A snapshot's file: a mark, the count of records, each with its length, and a checksum over all.
+//! A file of records that is written once: a mark, their count, each with its length, and a checksum over all. So are
+//! snapshots, and logs that nothing is written to any more.
 
 use std::fs::{self, File};
 use std::io::{self, BufWriter, Write};
@@ -9,8 +10,17 @@
 
 const MARK: &[u8; 8] = b"keeper 1";
 
-/// Writes a new file and syncs it. Its name does not last yet.
-pub fn write_synced(path: &Path, records: &[Vec<u8>]) -> io::Result<()> {
+/// Writes a new file and syncs it. Its name does not last yet. After an error it is gone, if the disk lets it go.
+pub fn write_synced(dir: &Path, name: &'static str, records: &[Vec<u8>]) -> io::Result<()> {
+    let path = dir.join(name);
+    let written = write(&path, name, records);
+    if written.is_err() {
+        let _ = files::remove(&path);
+    }
+    written
+}
+
+fn write(path: &Path, name: &'static str, records: &[Vec<u8>]) -> io::Result<()> {
     let mut out = Summed { file: BufWriter::with_capacity(64 << 10, File::create(path)?), sum: 0 };
     out.put(MARK)?;
     out.put(&length(records.len())?)?;
@@ -23,7 +33,7 @@
     let file = out.file.into_inner().map_err(io::IntoInnerError::into_error)?;
     did(Step::Changed);
     file.sync_all()?;
-    did(Step::FileSynced(files::DRAFT));
+    did(Step::FileSynced(name));
     Ok(())
 }
 
@@ -48,7 +58,8 @@
     Ok(records(&fs::read(path)?))
 }
 
-fn records(bytes: &[u8]) -> Option<Vec<Vec<u8>>> {
+/// The records of such a file. None: it is damaged, or another kind of file.
+pub fn records(bytes: &[u8]) -> Option<Vec<Vec<u8>>> {
     let (body, sum) = bytes.split_last_chunk::<4>()?;
     if crc32c::crc32c(body) != u32::from_le_bytes(*sum) {
         return None;
--- a/crates/keeper/tests/power.rs
+++ b/crates/keeper/tests/power.rs
@@ -32,6 +32,8 @@
     /// What each file held when it was synced last, and holds now.
     synced: BTreeMap<u64, Vec<u8>>,
     newest: BTreeMap<u64, Vec<u8>>,
+    /// All that the mark of what is synced ever held: it is written over, and never synced.
+    marks: BTreeMap<u64, BTreeSet<Vec<u8>>>,
     /// What may be read back from here on.
     allowed: Vec<Records>,
     found: Found,
@@ -41,6 +43,8 @@
 
 struct Killed;
 
+const MARK: &str = "synced";
+
 impl Disk {
     fn look(&mut self) -> BTreeMap<String, u64> {
         let mut present = BTreeMap::new();
@@ -51,8 +55,12 @@
             if !pin.exists() {
                 fs::hard_link(entry.path(), &pin).unwrap();
             }
-            self.newest.insert(number, fs::read(&pin).unwrap());
-            present.insert(entry.file_name().into_string().unwrap(), number);
+            let (name, bytes) = (entry.file_name().into_string().unwrap(), fs::read(&pin).unwrap());
+            if name == MARK {
+                self.marks.entry(number).or_default().insert(bytes.clone());
+            }
+            self.newest.insert(number, bytes);
+            present.insert(name, number);
         }
         present
     }
@@ -97,7 +105,7 @@
         }
     }
 
-    /// What was synced, what was written since, and the one or other half of it.
+    /// What was synced, what was written since, one or other half of it, and two thirds of it with a hole.
     fn contents(&self, number: u64) -> BTreeSet<Vec<u8>> {
         let synced = self.synced.get(&number).cloned().unwrap_or_default();
         let newest = self.newest[&number].clone();
@@ -109,7 +117,14 @@
         let cut = newest[..half].to_vec();
         let mut hole = newest.clone();
         hole[from..half].fill(0);
-        [synced, newest, torn, cut, hole].into()
+        let third = written.saturating_sub(from) / 3;
+        let mut late = newest.clone();
+        late[from..from + third].fill(0);
+        let mut middle = newest.clone();
+        middle[from + third..from + 2 * third].fill(0);
+        let mut contents = self.marks.get(&number).cloned().unwrap_or_default();
+        contents.extend([synced, newest, torn, cut, hole, late, middle]);
+        contents
     }
 
     fn did(&mut self, step: Step) {
@@ -172,10 +187,16 @@
     }
 }
 
+/// In memory, where there is such a folder: no power is lost here, and thousands of folders are opened.
+fn scratch() -> PathBuf {
+    let memory = PathBuf::from("/dev/shm");
+    if memory.is_dir() { memory } else { std::env::temp_dir() }
+}
+
 fn folder(name: &str) -> PathBuf {
     static COUNT: AtomicU32 = AtomicU32::new(0);
     let count = COUNT.fetch_add(1, Ordering::Relaxed);
-    let dir = std::env::temp_dir().join(format!("keeper-power-{}-{count}-{name}", std::process::id()));
+    let dir = scratch().join(format!("keeper-power-{}-{count}-{name}", std::process::id()));
     let _ = fs::remove_dir_all(&dir);
     fs::create_dir_all(&dir).unwrap();
     dir
@@ -189,6 +210,7 @@
             names: BTreeMap::new(),
             synced: BTreeMap::new(),
             newest: BTreeMap::new(),
+            marks: BTreeMap::new(),
             allowed: vec![Vec::new()],
             found: BTreeSet::new(),
             steps: 0,
@@ -264,7 +286,7 @@
 
 /// The newest snapshot is damaged, and a log that would stand in for it is gone: nothing may be made of what is left,
 /// however far the emptying of the folder came. The first state of which something is.
-fn brought_back() -> Option<String> {
+fn brought_back(has_mark: bool) -> Option<String> {
     let old = folder("old");
     let (mut store, _) = Store::open_with(&old, limits()).unwrap();
     let mut kept = Files::new();
@@ -288,8 +310,10 @@
     kept.remove("wal-1");
     kept.remove("log-3");
     kept.get_mut("snapshot-5").unwrap()[16] ^= 1;
+    let mark = kept.remove(MARK).unwrap();
     let names: Vec<&str> = kept.keys().map(String::as_str).collect();
     assert_eq!(names, ["log-2", "snapshot-2", "snapshot-5"]);
+    kept.extend(has_mark.then(|| (MARK.to_owned(), mark)));
     let mut found = Found::new();
     let mut at = 0;
     loop {
@@ -328,7 +352,7 @@
 
 #[test]
 fn no_loss_of_power_while_a_disk_is_emptied_brings_back_what_is_old() {
-    assert_eq!(brought_back(), None);
+    assert_eq!((brought_back(false), brought_back(true)), (None, None));
 }
 
 #[test]
@@ -340,7 +364,7 @@
         assert!(!matches!(found, Ok(None)), "{fault:?}");
     }
     fault::set(Some(Fault::WipedInAnyOrder));
-    let found = brought_back();
+    let found = brought_back(false);
     fault::set(None);
     assert!(found.is_some());
 }
--- a/crates/keeper/tests/store.rs
+++ b/crates/keeper/tests/store.rs
@@ -136,29 +136,54 @@
     assert!(folder.open().0.wants_checkpoint());
 }
 
+/// What was known to be synced before a moment is put in the place of what is known now.
+fn forget_mark(folder: &Folder, before: Option<Vec<u8>>) {
+    match before {
+        Some(bytes) => fs::write(folder.path("synced"), bytes).unwrap(),
+        None => fs::remove_file(folder.path("synced")).unwrap(),
+    }
+}
+
 #[test]
-fn torn_tails_are_dropped() {
-    // (what is done to the log, what is left)
+fn torn_tails_are_dropped_and_what_was_synced_is_missed() {
+    // (what is done to the log, how many of its entries were synced, what is left; None: the log is damaged)
     type Harm = fn(&Path);
-    let table: [(&str, Harm, &[&str]); 9] = [
-        ("cut in the last entry", |p| cut(p, find(p, b"third") + 2), &["first", "second"]),
-        ("cut before its end mark", |p| cut(p, find(p, b"third") + 9), &["first", "second"]),
-        ("cut in the first entry", |p| cut(p, find(p, b"first")), &[]),
-        ("cut in the head", |p| cut(p, 7), &[]),
-        ("nothing left", |p| cut(p, 0), &[]),
-        ("a byte changed", |p| garble(p, find(p, b"third"), b"T"), &["first", "second"]),
-        ("a length changed", |p| garble(p, find(p, b"third") - 4, &[255; 4]), &["first", "second"]),
-        ("a count changed", |p| garble(p, find(p, b"third") - 13, &[9]), &["first", "second"]),
-        ("a hole, the last entry whole", |p| garble(p, find(p, b"second"), &[0; 6]), &["first"]),
+    let table: [(&str, Harm, usize, Option<&[&str]>); 9] = [
+        ("cut in the last entry", |p| cut(p, find(p, b"third") + 2), 2, Some(&["first", "second"])),
+        ("cut before its end mark", |p| cut(p, find(p, b"third") + 9), 2, Some(&["first", "second"])),
+        ("cut in the first entry", |p| cut(p, find(p, b"first")), 0, Some(&[])),
+        ("cut in the head", |p| cut(p, 7), 0, Some(&[])),
+        ("nothing left", |p| cut(p, 0), 0, Some(&[])),
+        ("a byte changed", |p| garble(p, find(p, b"third"), b"T"), 2, Some(&["first", "second"])),
+        ("a length changed", |p| garble(p, find(p, b"third") - 4, &[255; 4]), 2, Some(&["first", "second"])),
+        // Sound entries are begun behind those that were synced: no tear makes the ninth of a third.
+        ("a count changed", |p| garble(p, find(p, b"third") - 13, &[9]), 2, None),
+        ("a hole, the last entry whole", |p| garble(p, find(p, b"second"), &[0; 6]), 1, None),
     ];
-    for (what, harm, left) in table {
-        let folder = Folder::new();
-        let (mut store, _) = folder.open();
-        for word in ["first", "second", "third"] {
-            store.append(&records(&[word])).unwrap();
-        }
-        drop(store);
-        harm(&folder.path("wal-1"));
+    for (what, harm, synced, left) in table {
+        let torn = || {
+            let folder = Folder::new();
+            let (mut store, _) = folder.open();
+            let mut marks = vec![None];
+            for word in ["first", "second", "third"] {
+                store.append(&records(&[word])).unwrap();
+                marks.push(fs::read(folder.path("synced")).ok());
+            }
+            drop(store);
+            harm(&folder.path("wal-1"));
+            (folder, marks)
+        };
+        // All three were synced: none of these is a torn end.
+        let (folder, _) = torn();
+        let opened = Store::open_with(&folder.0, small());
+        assert!(matches!(opened, Err(StoreError::Damaged(_))), "{what}");
+        // Power was lost in the write behind those that were synced.
+        let (folder, marks) = torn();
+        forget_mark(&folder, marks[synced].clone());
+        let Some(left) = left else {
+            assert!(matches!(Store::open_with(&folder.0, small()), Err(StoreError::Damaged(_))), "{what}");
+            continue;
+        };
         let (mut store, kept) = folder.open();
         assert_eq!(kept, records(left), "{what}");
         // What comes after it is not lost behind the torn part.
@@ -229,7 +254,7 @@
     unblock("log-1");
     store.append(&records(&["c"])).unwrap();
     unblock("snapshot-2");
-    assert_eq!(folder.names(), ["log-1", "snapshot.new", "wal-1"]);
+    assert_eq!(folder.names(), ["log-1", "snapshot.new", "synced", "wal-1"]);
     let copy = Folder::new();
     for name in folder.names() {
         fs::copy(folder.path(&name), copy.path(&name)).unwrap();
@@ -250,6 +275,11 @@
 fn lose_power(
     rng: &mut fastrand::Rng, folder: &Folder, before: &[(String, Vec<u8>)], names_last: bool,
 ) -> &'static str {
+    // It is written behind the sync that was not waited for.
+    let mark = before.iter().find(|(name, _)| name == "synced").map(|(_, bytes)| bytes.clone());
+    if folder.path("synced").exists() {
+        forget_mark(folder, mark);
+    }
     for (name, now) in picture(folder) {
         let old = before.iter().find(|(n, _)| *n == name).map(|(_, bytes)| bytes.as_slice());
         let Some(old) = old else {
--- a/crates/sextant/src/hand.rs
+++ b/crates/sextant/src/hand.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use fallgap_keeper::fault::{self, Fault};
 use fallgap_keeper::{Message, NodeId};
 
 use crate::waters::{Event, Sea, ms};
@@ -19,6 +20,15 @@
 pub struct Kept(Vec<Event>);
 
 impl Sea {
+    /// A process ends, and its disk loses what was synced behind so many records. Its store sees that, and the disk begins
+    /// anew as another one; or it is taken for an end that was never synced.
+    pub fn rot(&mut self, node: NodeId, left: usize) {
+        self.kill(node, false);
+        if let Some(machine) = self.machines.get_mut(&node) {
+            machine.kept.truncate(if fault::is(Fault::RotIsTorn) { left } else { 0 });
+        }
+    }
+
     /// The word to end: the others are told.
     pub fn word_to_end(&mut self, node: NodeId) {
         self.at_keeper(node, |keeper, time| keeper.leaving(time));
--- a/crates/sextant/tests/members.rs
+++ b/crates/sextant/tests/members.rs
@@ -4,7 +4,8 @@
 
 use fallgap_sextant::voyage::guarded;
 
-const SCRIPTS: [(&str, scripts::Script); 9] = [
+const SCRIPTS: [(&str, scripts::Script); 10] = [
+    ("a rotten log and a loss", scripts::rot::a_rotten_log_and_a_loss),
     ("one of two copies", scripts::one_of_two_copies),
     ("a write between", scripts::a_write_between),
     ("a slow disk among those that stay", scripts::a_slow_disk_among_those_that_stay),
--- a/crates/sextant/tests/mutants.rs
+++ b/crates/sextant/tests/mutants.rs
@@ -51,6 +51,7 @@
     (Fault::LeaverAccepts, scripts::a_write_between, 40, Check::Linear),
     (Fault::LeaverStaysIn, scripts::a_loss_right_after_a_planned_replacement, 40, Check::Whole),
     (Fault::ChangeBeforeCaughtUp, scripts::two_newcomers_at_once, 40, Check::Whole),
+    (Fault::RotIsTorn, scripts::rot::a_rotten_log_and_a_loss, 50, Check::Linear),
     (Fault::StayerUnsynced, scripts::a_slow_disk_among_those_that_stay, 40, Check::Linear),
 ];
 
--- a/crates/sextant/tests/scripts/mod.rs
+++ b/crates/sextant/tests/scripts/mod.rs
@@ -1,6 +1,7 @@
 //! Runs of members' changes, step by step. Each ends with a [`Breach`] where a rule is broken.
 
 pub mod epochs;
+pub mod rot;
 
 use std::panic::panic_any;
 
