--- a/crates/sextant/tests/scripts/rot.rs
+++ b/crates/sextant/tests/scripts/rot.rs
@@ -62,10 +62,10 @@
     }
     asked.sea.restart(first, ms(10));
     let from = asked.sea.now;
-    while !asked.sea.is_whole() && asked.sea.now < from + ms(6000) {
+    while !asked.sea.is_caught_up() && asked.sea.now < from + ms(6000) {
         asked.sea.run(asked.sea.now + ms(10));
     }
-    hold(asked.sea.is_whole(), Check::Whole, asked.sea.view().join(", "));
+    hold(asked.sea.is_caught_up(), Check::CaughtUp, asked.sea.view().join(", "));
     let answer = asked.asked(second);
     hold(matches!(answer, Some(Answer::Value(_))), Check::Served, format!("{answer:?}"));
     asked.history.check();
