Control: what waits for a majority leaves threads for beats

20 threads carried calls; watches could hold 10, offices 4, and orders and other calls all. Configurations may hold 8 and other registers 12; one beyond is told 503. One bound of 12 for both was tried: one of eight orders was then turned away, as numbers had come between.

--- a/crates/lantern/src/control.rs
+++ b/crates/lantern/src/control.rs
@@ -16,13 +16,18 @@
 /// What binds the control address.
 #[derive(Clone, Copy, Debug)]
 pub struct Terms {
-    /// Calls worked on at once. Threads are made once and kept.
+    /// Calls worked on at once. Threads are made once and kept. Whatever the kinds below hold, some are left for
+    /// beats, ends of servers and looks.
     pub threads: usize,
     /// Of these, watches at most: they hold a thread for seconds. One beyond is turned away.
     pub watches: usize,
-    /// Of these, calls of offices and on accounts at most: they ask several times, and must not hold up beats. One
-    /// beyond is turned away.
+    /// Of these, calls of offices and on accounts at most: they ask several times. One beyond is turned away.
     pub offices: usize,
+    /// Of these, configurations at most: eight may be under way at once, and wait for a majority, 0.9 s if it is slow.
+    /// One beyond is turned away.
+    pub orders: usize,
+    /// Of these, calls on other registers at most: they wait just so. One beyond is turned away.
+    pub registers: usize,
     /// Bytes of a body: of a configuration, as many as a register takes, and of any other call. Longer ones are
     /// refused, and it is said that asking again is of no use.
     pub configuration: usize,
@@ -33,13 +38,19 @@
     pub watch: Duration,
 }
 
+/// Threads that no kind of call may hold.
+const FREE: usize = 6;
+
 impl Default for Terms {
     fn default() -> Self {
         let s = Duration::from_secs;
+        let (watches, offices, orders, registers) = (10, 4, 8, 12);
         Terms {
-            threads: 20,
-            watches: 10,
-            offices: 4,
+            threads: watches + offices + orders + registers + FREE,
+            watches,
+            offices,
+            orders,
+            registers,
             configuration: fallgap_keeper::subjects::Limits::default().config_bytes,
             body: 64 << 10,
             answer: Duration::from_millis(930),
@@ -53,6 +64,8 @@
     terms: Terms,
     watching: AtomicUsize,
     at_counter: AtomicUsize,
+    ordering: AtomicUsize,
+    at_registers: AtomicUsize,
 }
 
 /// Why a call is not carried out.
@@ -95,8 +108,9 @@
 pub fn start(
     at: SocketAddrV4, desk: Desk, terms: Terms,
 ) -> Result<(), Box<dyn std::error::Error + Send + Sync>> {
-    let control =
-        Arc::new(Control { desk, terms, watching: AtomicUsize::new(0), at_counter: AtomicUsize::new(0) });
+    let none = || AtomicUsize::new(0);
+    let (watching, at_counter, ordering, at_registers) = (none(), none(), none(), none());
+    let control = Arc::new(Control { desk, terms, watching, at_counter, ordering, at_registers });
     let server = rouille::Server::new(at, move |request| control.answer(request))?.pool_size(terms.threads);
     thread::Builder::new().name("control".into()).stack_size(256 << 10).spawn(move || server.run())?;
     Ok(())
@@ -182,30 +196,17 @@
             }
             ("POST", ["-", "servers", id, "leave"]) => self.told(Asked::Left(name(id))),
             ("POST", ["-", "config", "put"]) => {
-                let body = self.body(request, self.terms.configuration)?;
-                let edition = chart::read_configuration(&body)?.edition;
-                self.call(Call::ConfigPut { edition, body })
-            }
-            ("GET", ["-", "config", "get"]) => self.call(Call::ConfigGet),
-            ("POST", ["-", "locks", id, "start"]) => {
-                let asked = chart::read_lock_start(&self.body(request, self.terms.body)?)?;
-                self.call(Call::LockStart { name: name(id), holder: asked.holder, hold: asked.hold })
-            }
-            ("POST", ["-", "locks", id, "beat"]) => {
-                let asked = chart::read_lock_beat(&self.body(request, self.terms.body)?)?;
-                let (holder, fence, hold) = (asked.holder, asked.fence, asked.hold);
-                self.call(Call::LockBeat { name: name(id), holder, fence, hold })
-            }
-            ("POST", ["-", "locks", id, "end"]) => {
-                let asked = chart::read_lock_end(&self.body(request, self.terms.body)?)?;
-                self.call(Call::LockEnd { name: name(id), holder: asked.holder, fence: asked.fence })
+                let call = || {
+                    let body = self.body(request, self.terms.configuration)?;
+                    let edition = chart::read_configuration(&body)?.edition;
+                    self.call(Call::ConfigPut { edition, body })
+                };
+                counted(&self.ordering, self.terms.orders, call)?
             }
-            ("POST", ["-", "numbers", id]) => self.call(Call::Number { name: name(id) }),
-            ("POST", ["-", "cells", id, "put"]) => {
-                let asked = chart::read_cell_put(&self.body(request, self.terms.body)?)?;
-                self.call(Call::CellPut { name: name(id), value: asked.value, on: asked.on })
+            (_, ["-", "config" | "locks" | "numbers" | "cells", ..]) => {
+                let call = || self.call(self.on_register(request, &segments)?);
+                counted(&self.at_registers, self.terms.registers, call)?
             }
-            ("GET", ["-", "cells", id, "get"]) => self.call(Call::CellGet { name: name(id) }),
             ("GET", ["-", "accounts"]) => self.clerk(|clerk| clerk.accounts()),
             ("POST", ["-", "accounts", id, "put"]) => {
                 let body = self.body(request, self.terms.configuration)?;
@@ -230,6 +231,34 @@
         }
     }
 
+    /// A call on a register.
+    fn on_register(&self, request: &Request, segments: &[&str]) -> Result<Call, Refused> {
+        let name = |id: &&str| (*id).to_owned();
+        match (request.method(), segments) {
+            ("GET", ["-", "config", "get"]) => Ok(Call::ConfigGet),
+            ("POST", ["-", "locks", id, "start"]) => {
+                let asked = chart::read_lock_start(&self.body(request, self.terms.body)?)?;
+                Ok(Call::LockStart { name: name(id), holder: asked.holder, hold: asked.hold })
+            }
+            ("POST", ["-", "locks", id, "beat"]) => {
+                let asked = chart::read_lock_beat(&self.body(request, self.terms.body)?)?;
+                let (holder, fence, hold) = (asked.holder, asked.fence, asked.hold);
+                Ok(Call::LockBeat { name: name(id), holder, fence, hold })
+            }
+            ("POST", ["-", "locks", id, "end"]) => {
+                let asked = chart::read_lock_end(&self.body(request, self.terms.body)?)?;
+                Ok(Call::LockEnd { name: name(id), holder: asked.holder, fence: asked.fence })
+            }
+            ("POST", ["-", "numbers", id]) => Ok(Call::Number { name: name(id) }),
+            ("POST", ["-", "cells", id, "put"]) => {
+                let asked = chart::read_cell_put(&self.body(request, self.terms.body)?)?;
+                Ok(Call::CellPut { name: name(id), value: asked.value, on: asked.on })
+            }
+            ("GET", ["-", "cells", id, "get"]) => Ok(Call::CellGet { name: name(id) }),
+            _ => Err(Refused::Unknown),
+        }
+    }
+
     /// An operator looks. Nothing is changed by it.
     fn desk(&self, request: &Request, what: &str) -> Result<Response, Refused> {
         let param = |name: &str| {
--- /dev/null
+++ b/crates/lantern/tests/many_orders.rs
@@ -0,0 +1,90 @@
+//! Eight orders come to one supervisor at once while its keepers are slow, with watches and calls of offices beside them:
+//! beats there are answered within their second all the same.
+
+#[allow(dead_code)]
+mod landing;
+
+use fallgap_standin::gateway::{Client, Reply, configuration};
+use landing::*;
+use std::net::SocketAddr;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// A beat has to be answered within this.
+const BEAT: Duration = S;
+
+fn sent(at: SocketAddr, patience: Duration, method: &str, path: &str, body: &str) -> Client {
+    let mut client = Client::connect(at, patience).unwrap();
+    client.send(&request(method, path, body.len(), body));
+    client
+}
+
+fn request(method: &str, path: &str, length: usize, body: &str) -> String {
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: {length}\r\n\r\n{body}"
+    )
+}
+
+fn beat(at: SocketAddr, id: &str, state: &str) -> (Option<u16>, Duration) {
+    let body = format!(
+        r#"{{"address":"127.9.9.9:8080","notice":{{"service":"s","edition":"v1","zone":"a","slots":4}},
+            "tracking":{{"state":"{state}","postmark":4,"cold_s_time":0}}}}"#
+    );
+    let since = Instant::now();
+    let reply: Option<Reply> = sent(at, BEAT, "POST", &format!("/-/servers/{id}/beat"), &body).reply();
+    (reply.map(|reply| reply.status), since.elapsed())
+}
+
+/// Beats of open servers, one after the other: how they are answered, and the longest that it took.
+fn beats(at: SocketAddr, since: Instant, span: Duration) -> (Vec<Option<u16>>, Duration) {
+    let (mut statuses, mut slowest) = (Vec::new(), Duration::ZERO);
+    while statuses.is_empty() || since.elapsed() < span {
+        let (status, took) = beat(at, &format!("i-{}", statuses.len()), "open");
+        statuses.push(status);
+        slowest = slowest.max(took);
+    }
+    println!("{} beats, {slowest:?} at most", statuses.len());
+    (statuses, slowest)
+}
+
+#[test]
+fn beats_are_answered_while_orders_wait_for_slow_keepers() {
+    let mut fleet = fleet();
+    configure(&fleet.machines[0], &configuration(7, PREFIXES));
+    for machine in &fleet.machines {
+        until("the edition is in force", || machine.figure("edition").filter(|edition| *edition == 7));
+        until("it knows the others", || machine.figure("supervisors").filter(|known| *known == 4));
+    }
+    let at = fleet.machines[0].control();
+    assert_eq!(beat(at, "i-0", "open").0, Some(200));
+    let watches: Vec<Client> =
+        (0..10).map(|n| sent(at, LONG, "GET", &format!("/-/watch/w{n}?after=0&wait_ms=8000"), "")).collect();
+    // Two of three keepers stand still: nothing that needs a majority comes to an end.
+    fleet.machines[1..3].iter_mut().for_each(|machine| machine.signal("STOP"));
+    let texts: Vec<String> = (0..8).map(|n| configuration(8 + n, PREFIXES)).collect();
+    let since = Instant::now();
+    let orders: Vec<Client> =
+        texts.iter().map(|text| sent(at, LONG, "POST", "/-/config/put", text)).collect();
+    let offices: Vec<Client> = (0..4).map(|_| sent(at, LONG, "GET", "/-/accounts", "")).collect();
+    let locks: Vec<Client> =
+        (0..12).map(|n| sent(at, LONG, "POST", &format!("/-/numbers/n{n}"), "{}")).collect();
+    let closing = thread::spawn(move || beat(at, "i-closing", "closing"));
+    // Without a majority for 0.6 s it takes none. Until then no order is over.
+    let (statuses, slowest) = beats(at, since, Duration::from_millis(200));
+    assert!(statuses.iter().all(|status| *status == Some(200)), "{statuses:?}");
+    assert!(slowest < BEAT / 2, "{slowest:?}");
+    // An end that too few know of is not acknowledged, and that is said in time.
+    let (status, took) = closing.join().unwrap();
+    assert!(matches!(status, Some(200 | 500 | 503)) && took < BEAT, "{status:?} after {took:?}");
+    for (what, clients) in [("orders", orders), ("offices", offices), ("numbers", locks)] {
+        let told = |mut client: Client| client.reply().map(|reply| reply.status);
+        let told: Vec<Option<u16>> = clients.into_iter().map(told).collect();
+        println!("{what}: {told:?}");
+        assert!(told.iter().all(|status| matches!(status, Some(200 | 500 | 503))), "{what}: {told:?}");
+    }
+    fleet.machines[1..3].iter_mut().for_each(|machine| machine.signal("CONT"));
+    let newest = texts.last().unwrap();
+    assert_eq!(post(&fleet.machines[0], "/-/config/put", newest).0, 200);
+    assert_eq!(read(&fleet.machines[1], "/-/config/get").1, *newest);
+    drop(watches);
+}
