Accounts: an order that was taken is known though it would not be taken any more

Read by the eye through the 4xx: each coming was checked against all other accounts before it was looked for among those that were taken. What it had granted and a later edition gave up could be another account's by then, and the repeat was told 400, 'granted to account b'. An order that is not above the edition held changes nothing, so it is not checked against others. Besides: a configuration that is held and cannot be read was told as 400 to an office, as if its own call were at fault; it is 500.

--- a/crates/lantern/src/offices.rs
+++ b/crates/lantern/src/offices.rs
@@ -119,7 +119,8 @@
 
     fn operator(&self) -> Result<Configuration, Refused> {
         match self.call(Call::ConfigGet)? {
-            Answer::Config(body) => Ok(read_configuration(&body)?),
+            // What is held is at fault then, not this call.
+            Answer::Config(body) => read_configuration(&body).map_err(|_| Refused::Unknown),
             Answer::Missing => Err(Refused::NoConfiguration),
             answer => Err(unclear(&answer)),
         }
--- a/crates/licence/src/accounts.rs
+++ b/crates/licence/src/accounts.rs
@@ -27,7 +27,8 @@
     Some(text.to_owned())
 }
 
-/// Reads the body of an order for the account `account`, and checks it against all other accounts.
+/// Reads the body of an order for the account `account`, and checks it against all other accounts if it is to be
+/// carried out.
 pub fn read_order(account: &str, body: &[u8], ledger: &Ledger) -> Result<Order, Faults> {
     let document = document(body, fallgap_chart::TERMS.configuration_bytes)?;
     let top = Field::top(&document);
@@ -51,7 +52,10 @@
         faults.add(&listed.spot, What::TooMany(grant.offices as usize));
     }
     let order = Order { edition, grant, offices };
-    against_others(account, &order, ledger, &top.spot, &mut faults);
+    // One that has come before, or too late, changes nothing: what others have by now is no reason to refuse it.
+    if ledger.accounts.get(account).is_none_or(|held| held.edition < order.edition) {
+        against_others(account, &order, ledger, &top.spot, &mut faults);
+    }
     faults.or(order)
 }
 
--- a/crates/licence/tests/repeats.rs
+++ b/crates/licence/tests/repeats.rs
@@ -172,3 +172,22 @@
     }
     assert_eq!(idempotency_key("put", b"{}"), drawn[0]);
 }
+
+/// What it was granted then may be another's by now.
+#[test]
+fn an_order_that_was_taken_is_known_though_it_would_not_be_taken_any_more() {
+    let ledger = out(&Ledger::default(), "a", &order("a", 1, 1));
+    let ledger = out(&ledger, "a", &order("z", 2, 1));
+    let ledger = out(&ledger, "b", &order("a", 1, 1));
+    for (at, (body, wanted)) in [
+        (order("a", 1, 1), Carried::Again { touched: 0 }),
+        (order("a", 1, 2), Carried::Differs { edition: 2 }),
+        (order("z", 2, 1), Carried::Again { touched: 0 }),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        assert_eq!(carried(&ledger, "a", &body), wanted, "row {at}");
+    }
+    assert!(read_order("a", order("a", 3, 1).as_bytes(), &ledger).is_err(), "a newer one is checked");
+}
