Homes: tables and values are packed once for all that get the same

Cause: 83 followers that join took 7.3 s of the 8 that they have: the cap counted lines, and each table was put into words, written byte by byte and packed for each follower; a value of 250 KB was packed for each member.

A block of LZ4 may be preceded by bytes that stand for themselves, so that the frame unpacks to just what it was before. An Accept is framed once in a turn. The feed asks its Out what an update weighs (lines, unless it says otherwise); for homes that is bytes as they leave, 6 MB a second.

Ruled out: a frame of two parts, the second shared by queues (a table given up in the middle would cut it); one number for all followers (another wire).

Tests: two set the cap in lines and set it now in bytes, by what a table or a change weighs, to the same strictness (9.4 tables a second; one change a second).

--- a/crates/feed/src/feed.rs
+++ b/crates/feed/src/feed.rs
@@ -12,8 +12,9 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limits {
     pub receivers: usize,
+    /// In the unit of [`Out::weight`], as is `head`.
     pub lines_a_second: f64,
-    /// Lines that a message costs beside its own.
+    /// What a message costs beside its own.
     pub head: f64,
     /// After so long without an answer what was sent counts as lost; each line of an update adds to it, since a
     /// large one takes its time on a thin link and in a small machine, and sent again meanwhile it would take twice
@@ -48,6 +49,10 @@
 
 /// What the feed acts through.
 pub trait Out {
+    /// What an update counts for under the cap: its lines, if nothing else is known of it.
+    fn weight(&mut self, sent: &Sent) -> f64 {
+        lines(sent)
+    }
     fn delta(&mut self, to: ReceiverId, delta: Delta);
     fn whole(&mut self, to: ReceiverId, whole: Whole);
     /// Nothing is new: the version still holds.
@@ -92,6 +97,14 @@
     }
 }
 
+fn lines(sent: &Sent) -> f64 {
+    match sent {
+        Sent::Nothing => 0.0,
+        Sent::Delta(delta) => delta.changes.len() as f64,
+        Sent::Whole(whole) => whole.entries.len() as f64,
+    }
+}
+
 pub struct Feed<O> {
     pub out: O,
     limits: Limits,
@@ -351,21 +364,17 @@
                     sent
                 }
             };
-            let lines = match &sent {
-                Sent::Nothing => {
-                    (receiver.marked, receiver.urgent) = (false, false);
-                    continue;
-                }
-                Sent::Delta(delta) => delta.changes.len() as f64,
-                Sent::Whole(whole) => whole.entries.len() as f64,
-            };
-            if let Err(next) = self.budget.take(now, lines + self.limits.head) {
+            if matches!(sent, Sent::Nothing) {
+                (receiver.marked, receiver.urgent) = (false, false);
+                continue;
+            }
+            if let Err(next) = self.budget.take(now, self.out.weight(&sent) + self.limits.head) {
                 self.budget_at = Some(next);
                 waiting.push_back(id);
                 break;
             }
             (receiver.marked, receiver.urgent) = (false, false);
-            let travels = self.limits.answer_line.mul_f64(lines);
+            let travels = self.limits.answer_line.mul_f64(lines(&sent));
             let (until, urgent) = (now + receiver.patience + travels, now + self.limits.urgent + travels);
             let under_way = |version| Some(InFlight { version, sent: now, until, urgent });
             match sent {
--- a/crates/keeper/src/types.rs
+++ b/crates/keeper/src/types.rs
@@ -40,6 +40,7 @@
 pub enum Call {
     ConfigPut {
         edition: u64,
+        #[serde(with = "serde_bytes")]
         body: Vec<u8>,
     },
     ConfigGet,
@@ -83,6 +84,7 @@
     /// Holds if the revision held is `base`, 0 for none; it becomes the one after.
     AccountsPut {
         base: u64,
+        #[serde(with = "serde_bytes")]
         body: Vec<u8>,
     },
     AccountsGet,
@@ -144,7 +146,7 @@
 #[derive(Clone, Debug, PartialEq, Hash, Serialize, Deserialize)]
 pub enum Answer {
     Done,
-    Config(Vec<u8>),
+    Config(#[serde(with = "serde_bytes")] Vec<u8>),
     Fence(u64),
     /// 409.
     Held,
@@ -172,6 +174,7 @@
     Busy,
     /// The bytes that a register holds.
     Looked {
+        #[serde(with = "serde_bytes")]
         value: Option<Vec<u8>>,
     },
     /// 409: the number was taken with other content. This one has not taken effect and never will.
--- a/crates/lantern/src/carry.rs
+++ b/crates/lantern/src/carry.rs
@@ -11,7 +11,7 @@
 use fallgap_licence::Ledger;
 use fallgap_lightlist::{KINDS, LightWord, Out as LightOut, Verdict};
 use fallgap_pilot::Place;
-use fallgap_roster::{FollowerOut, Out as RosterOut, RosterWord, ServerReport};
+use fallgap_roster::{FollowerOut, Out as RosterOut, RosterWord, ServerReport, Told as TableTold};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::sync::atomic::Ordering::Relaxed;
 use std::sync::mpsc::SyncSender;
@@ -43,6 +43,15 @@
         }
     }
 
+    /// A follower of this home is told.
+    fn tell(&mut self, now: Duration, to: Ipv4Addr, told: &TableTold) {
+        let Some(hub) = self.hub.as_mut().filter(|_| to != self.me) else {
+            return self.say(now, to, Word::Roster(RosterWord::told(told)));
+        };
+        let line = hub.distribution.line(told);
+        self.links.tell(now, self.poll.registry(), to, &line);
+    }
+
     pub fn tell_keepers(&mut self, now: Duration, word: impl Fn() -> Word) {
         for keeper in self.keepers() {
             self.say(now, keeper, word());
@@ -140,7 +149,7 @@
             }
             for out in outs {
                 match out {
-                    RosterOut::Tell(to, told) => self.say(now, to, Word::Roster(RosterWord::told(&told))),
+                    RosterOut::Tell(to, told) => self.tell(now, to, &told),
                     RosterOut::Unfit(to) => self.say(now, to, Word::Roster(RosterWord::Unfit)),
                     RosterOut::Fit(to) => self.say(now, to, Word::Roster(RosterWord::Fit)),
                     RosterOut::Note(line) => tracing::info!("{line}"),
--- a/crates/lantern/src/links.rs
+++ b/crates/lantern/src/links.rs
@@ -1,14 +1,16 @@
 //! Streams between supervisors: one for each direction, opened when there is something to say, closed when it
 //! breaks or stalls. What a broken link held is lost; the cores cope with that.
 
-use crate::words::{Frames, Word};
-use fallgap_roster::RosterWord;
+use crate::words::{Frames, Word, told_frame};
+use fallgap_keeper::Message;
+use fallgap_roster::{Line as Told, RosterWord};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Registry, Token};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::sync::Arc;
 use std::time::Duration;
 
 pub struct Terms {
@@ -64,7 +66,7 @@
 
 /// A word as it leaves.
 struct Frame {
-    bytes: Vec<u8>,
+    bytes: Arc<Vec<u8>>,
     /// It is of a follower's table.
     table: bool,
 }
@@ -99,6 +101,10 @@
     buffer: Vec<u8>,
     /// Bytes that wait, for all peers.
     held: usize,
+    /// The value that members were last sent in this turn, as a frame: the same to each of them.
+    last: Option<(Message, Arc<Vec<u8>>)>,
+    /// Frames that were made.
+    made: u64,
     /// Peers with frames to be written.
     ready: Vec<Ipv4Addr>,
     /// Peers that could not be connected with, or whose stream broke, since this was last asked.
@@ -128,6 +134,8 @@
             next: first + 1,
             buffer: vec![0; 64 << 10],
             held: 0,
+            last: None,
+            made: 0,
             ready: Vec::new(),
             broken: Vec::new(),
         })
@@ -135,8 +143,38 @@
 
     /// Puts a word on its way. It may be lost.
     pub fn say(&mut self, now: Duration, registry: &Registry, to: Ipv4Addr, word: &Word) {
-        let Some(bytes) = word.frame() else { return };
-        let frame = Frame { bytes, table: matches!(word, Word::Roster(RosterWord::Told(_))) };
+        let Some(bytes) = self.framed(word) else { return };
+        let table = matches!(word, Word::Roster(RosterWord::Told(_)));
+        self.send(now, registry, to, Frame { bytes, table });
+    }
+
+    /// Puts a part of a follower's table on its way.
+    pub fn tell(&mut self, now: Duration, registry: &Registry, to: Ipv4Addr, told: &Told) {
+        let Some(bytes) = told_frame(told) else { return };
+        self.made += 1;
+        self.send(now, registry, to, Frame { bytes: Arc::new(bytes), table: true });
+    }
+
+    fn framed(&mut self, word: &Word) -> Option<Arc<Vec<u8>>> {
+        let Word::Keeper(message @ Message::Accept { .. }) = word else {
+            self.made += 1;
+            return word.frame().map(Arc::new);
+        };
+        if let Some((_, frame)) = self.last.as_ref().filter(|(last, _)| last == message) {
+            return Some(frame.clone());
+        }
+        self.made += 1;
+        let frame = Arc::new(word.frame()?);
+        self.last = Some((message.clone(), frame.clone()));
+        Some(frame)
+    }
+
+    /// How many frames were made, for those who look.
+    pub fn frames_made(&self) -> u64 {
+        self.made
+    }
+
+    fn send(&mut self, now: Duration, registry: &Registry, to: Ipv4Addr, frame: Frame) {
         let new = || Outgoing { line: Line::Rest, queue: VecDeque::new(), bytes: 0, sent: 0, moved: now };
         let out = self.out.entry(to).or_insert_with(new);
         if matches!(out.line, Line::Failed { until } if now < until) {
@@ -182,6 +220,7 @@
 
     /// Writes what is to be written, several words with one call.
     pub fn flush(&mut self, now: Duration, registry: &Registry) {
+        self.last = None;
         for to in std::mem::take(&mut self.ready) {
             self.write(now, registry, to);
         }
@@ -298,7 +337,7 @@
                 if let (Some(out), Some(hello)) = (self.out.get_mut(&to), Word::Hello(self.me).frame()) {
                     self.held += hello.len();
                     out.bytes += hello.len();
-                    out.queue.push_front(Frame { bytes: hello, table: false });
+                    out.queue.push_front(Frame { bytes: Arc::new(hello), table: false });
                 }
                 self.turn(now, registry, to, Turn::Opens(stream));
             }
--- a/crates/lantern/src/links/tests.rs
+++ b/crates/lantern/src/links/tests.rs
@@ -104,3 +104,36 @@
     links.turn(NOW, poll.registry(), to, Turn::Fails);
     assert_eq!(links.held, 0);
 }
+
+/// Fails where a value is put into bytes and packed for each member anew.
+#[test]
+fn a_value_is_packed_once_for_all_members() {
+    let poll = Poll::new().unwrap();
+    let (mut links, _other, _) = opened(&poll, Terms::default());
+    // The ninth message, as it stands in words: register, ballot and the next one, age, value.
+    let accept = |number: u8| -> Message {
+        let value: Vec<u8> = (0..50_000).map(|at| (at % 251) as u8 ^ number).collect();
+        let ballot = (1_u64, u64::from(number), Ipv4Addr::new(127, 0, 0, 71), 1_u64);
+        let message = (8_u8, fallgap_keeper::Key::Config, ballot, ballot, NOW, value);
+        postcard::from_bytes(&postcard::to_stdvec(&message).unwrap()).unwrap()
+    };
+    assert!(matches!(accept(1), Message::Accept { .. }));
+    let members: Vec<Ipv4Addr> = (72..78).map(|last| Ipv4Addr::new(127, 0, 0, last)).collect();
+    for (round, made) in [(1, 1), (2, 2)] {
+        let word = Word::Keeper(accept(round));
+        for to in &members {
+            links.say(NOW, poll.registry(), *to, &word);
+        }
+        assert_eq!(links.frames_made(), made);
+    }
+    let frames =
+        |to: &Ipv4Addr| links.out[to].queue.iter().map(|frame| frame.bytes.clone()).collect::<Vec<_>>();
+    // The name, and both values, at each.
+    for to in &members {
+        assert_eq!(frames(to), frames(&members[0]));
+        assert_eq!(frames(to).len(), 3);
+    }
+    // What is said in a turn is not kept beyond it.
+    links.flush(NOW, poll.registry());
+    assert!(links.last.is_none());
+}
--- a/crates/lantern/src/words.rs
+++ b/crates/lantern/src/words.rs
@@ -5,7 +5,7 @@
 use fallgap_chart::Beat;
 use fallgap_keeper::{Answer, Call, Message};
 use fallgap_pilot::Place;
-use fallgap_roster::RosterWord;
+use fallgap_roster::{Line, RosterWord};
 use lz4_flex::block::{compress_prepend_size, decompress, uncompressed_size};
 use serde::{Deserialize, Serialize};
 use std::net::Ipv4Addr;
@@ -43,10 +43,12 @@
     /// read ends no link.
     Survey {
         id: u64,
+        #[serde(with = "serde_bytes")]
         errand: Vec<u8>,
     },
     Surveyed {
         id: u64,
+        #[serde(with = "serde_bytes")]
         told: Vec<u8>,
     },
     /// A revision of the accounts is kept that touches these places; the other does not answer for them before it
@@ -85,6 +87,25 @@
     }
 }
 
+/// The frame of [`RosterWord::Told`] with that line, whose long part is packed already.
+pub fn told_frame(line: &Line) -> Option<Vec<u8>> {
+    let line = match line {
+        Line::Short(line) => return Word::Roster(RosterWord::Told(line.clone())).frame(),
+        line => line,
+    };
+    // All of the word that stands before the line's bytes: the empty one's, and another count.
+    let mut before = postcard::to_stdvec(&Word::Roster(RosterWord::Told(Vec::new()))).ok()?;
+    before.pop();
+    let before = postcard::to_extend(&line.length(), before).ok()?;
+    let length = u32::try_from(before.len() + line.length()).ok().filter(|n| *n as usize <= FRAME)?;
+    let block = line.packed(&before)?;
+    let mut frame = Vec::with_capacity(8 + block.len());
+    frame.extend_from_slice(&(u32::try_from(4 + block.len()).ok()? | PACKED).to_le_bytes());
+    frame.extend_from_slice(&length.to_le_bytes());
+    frame.extend_from_slice(&block);
+    Some(frame)
+}
+
 /// A packed word. Its length is looked at before it is unpacked.
 fn unpacked(packed: &[u8]) -> Option<Word> {
     let (length, rest) = uncompressed_size(packed).ok().filter(|(length, _)| *length <= FRAME)?;
--- a/crates/roster/examples/home_slopes.rs
+++ b/crates/roster/examples/home_slopes.rs
@@ -47,6 +47,16 @@
     length + 4 + 60 * length.div_ceil(1448)
 }
 
+/// As bytes on their way to a hollow follower, which knows what it was told without reading it.
+fn left(home: &mut Distribution, told: &Told) -> usize {
+    let line = home.line(told);
+    // The word and its count stand before the line.
+    match line.packed(&[0; 6]) {
+        Some(block) => block.len() + 8 + 60 * (block.len() + 8).div_ceil(1448),
+        None => packed(&postcard::to_stdvec(&RosterWord::told(told)).expect("a word as bytes")),
+    }
+}
+
 /// `moved`: how many routes differ from the edition before.
 fn configuration(edition: u64, routes: usize, moved: &mut [u64], change: usize) -> Arc<Configuration> {
     for at in 0..change.min(routes) {
@@ -201,11 +211,9 @@
                     Told::Delta(delta) => self.spent.lines += delta.changes.len(),
                     _ => {}
                 }
-                let bytes = frame(&told);
-                self.spent.bytes += packed(&bytes);
+                self.spent.bytes += left(&mut self.home, &told);
                 self.spent.words += 1;
-                // A hollow one knows what it was told without reading it.
-                let bytes = if to == node(0) { bytes } else { Vec::new() };
+                let bytes = if to == node(0) { frame(&told) } else { Vec::new() };
                 frames.push((to, told, bytes));
             }
             let framed = ran();
--- a/crates/roster/src/distribution.rs
+++ b/crates/roster/src/distribution.rs
@@ -6,6 +6,7 @@
 use crate::fitness::Fit;
 use crate::lives::State;
 use crate::messages::ServerReport;
+use crate::packing::Line;
 use crate::registry::Registry;
 use crate::sending::{SHARED, Sending, receiver_of, table_of};
 use crate::servers::Servers;
@@ -90,13 +91,13 @@
         let mut rng = fastrand::Rng::with_seed(seed);
         let limits = Limits {
             receivers: terms.followers,
-            lines_a_second: terms.lines_a_second,
+            lines_a_second: terms.bytes_a_second,
+            head: terms.head_bytes,
             answer: terms.answer,
             answer_line: terms.answer_line,
             answer_most: terms.answer_most,
             urgent: terms.urgent,
             word: terms.word,
-            ..Limits::default()
         };
         let kept = Kept { versions: terms.versions, bytes: terms.history, age: terms.remember };
         let epoch = rng.u64(1..);
@@ -342,6 +343,16 @@
         out
     }
 
+    /// What is told, as the bytes of [`RosterWord::Told`](crate::RosterWord::Told): made once for all that get the same.
+    pub fn line(&mut self, told: &Told) -> Line {
+        self.feed.out.packer.line(told)
+    }
+
+    /// How often tables and differences were put into words.
+    pub fn lines_made(&self) -> u64 {
+        self.feed.out.packer.made
+    }
+
     fn heard(&mut self, now: Duration, follower: NodeId) {
         if let Some(held) = self.followers.get_mut(&follower) {
             held.said = now;
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -9,6 +9,7 @@
 mod homes;
 mod lives;
 mod messages;
+mod packing;
 mod registry;
 mod sending;
 mod servers;
@@ -17,10 +18,12 @@
 mod weights;
 
 pub use distribution::{Distribution, Out};
+pub use fallgap_feed::wire::Told;
 pub use fitness::{Fit, Fitness, Ground};
 pub use follower::{Follower, FollowerOut};
 pub use lives::{Life, State};
 pub use messages::{Compare, Record, Records, RosterWord, ServerReport};
+pub use packing::Line;
 pub use registry::{News, Registry};
 pub use terms::Terms;
 
--- a/crates/roster/src/messages.rs
+++ b/crates/roster/src/messages.rs
@@ -22,11 +22,11 @@
     Compare(Compare),
     Records(Records),
     /// To a home: a follower comes, with what it holds.
-    Join(Vec<u8>),
+    Join(#[serde(with = "serde_bytes")] Vec<u8>),
     /// To a home: what a follower holds now.
-    Said(Vec<u8>),
+    Said(#[serde(with = "serde_bytes")] Vec<u8>),
     /// From a home to a follower.
-    Told(Vec<u8>),
+    Told(#[serde(with = "serde_bytes")] Vec<u8>),
     /// From a home that is cut off from the majority, or full.
     Unfit,
     /// From a home that was unfit a moment ago, to those that it sent away.
--- a/crates/roster/src/sending.rs
+++ b/crates/roster/src/sending.rs
@@ -1,9 +1,10 @@
 //! What the feed acts through: messages for followers, by their numbers.
 
 use crate::NodeId;
+use crate::packing::Packer;
 use fallgap_feed::wire::Told;
 use fallgap_feed::{Out, ReceiverId};
-use fallgap_tables::{Delta, Version, Whole, Withdrawal};
+use fallgap_tables::{Delta, Sent, Version, Whole, Withdrawal};
 
 /// The one table that a home has for all that follow it.
 pub(crate) const SHARED: u32 = 0;
@@ -26,8 +27,14 @@
 #[derive(Default)]
 pub(crate) struct Sending {
     pub told: Vec<(NodeId, Told)>,
+    pub packer: Packer,
 }
 
+/// Changes up to which an update is not packed to be weighed, and what each of them counts for: bytes of a line
+/// before packing.
+const FEW: usize = 8;
+const LINE: f64 = 90.0;
+
 impl Sending {
     fn tell(&mut self, to: ReceiverId, told: Told) {
         if let Ok(address) = u32::try_from(to) {
@@ -37,6 +44,13 @@
 }
 
 impl Out for Sending {
+    /// Bytes that will leave.
+    fn weight(&mut self, sent: &Sent) -> f64 {
+        match sent {
+            Sent::Delta(delta) if delta.changes.len() <= FEW => delta.changes.len() as f64 * LINE,
+            sent => self.packer.weight(sent) as f64,
+        }
+    }
     fn delta(&mut self, to: ReceiverId, delta: Delta) {
         self.tell(to, Told::Delta(Delta { table: own(to), ..delta }));
     }
--- a/crates/roster/src/terms.rs
+++ b/crates/roster/src/terms.rs
@@ -26,8 +26,10 @@
     pub followers: usize,
     /// A follower that said nothing for so long is let go of.
     pub idle: Duration,
-    /// Lines that leave a home in a second; what is over waits.
-    pub lines_a_second: f64,
+    /// Bytes of tables, as packed, that leave a home in a second; what is over waits. Half of a link of 100 Mbit/s.
+    pub bytes_a_second: f64,
+    /// What each message counts for beside that: frame and headers.
+    pub head_bytes: f64,
     /// After so long without an answer an update counts as lost; each of its lines adds to that: 2,000 lines take
     /// half a second on the thinnest links, and as much again in a machine with a tenth of a core.
     pub answer: Duration,
@@ -94,7 +96,8 @@
             quiet: 400,
             followers: 2000,
             idle: s(5),
-            lines_a_second: 100_000.0,
+            bytes_a_second: 6e6,
+            head_bytes: 64.0,
             answer: ms(400),
             answer_line: Duration::from_micros(500),
             answer_most: s(3),
--- a/crates/roster/tests/net.rs
+++ b/crates/roster/tests/net.rs
@@ -6,7 +6,7 @@
 use fallgap_roster::{RosterWord, Terms};
 use std::collections::BTreeMap;
 use std::time::Duration;
-use world::{Link, MS, World, node};
+use world::{Link, MS, World, bytes_of, node};
 
 const S: Duration = Duration::from_secs(1);
 /// Thin links that clients fill.
@@ -42,7 +42,8 @@
 /// Followers that wait for lines are not silent homes' followers: they stay, and all get there.
 #[test]
 fn a_large_change_waits_for_lines_and_nobody_leaves() {
-    let terms = Terms { lines_a_second: 300.0, ..Terms::default() };
+    // As much as the change to one follower takes.
+    let terms = Terms { bytes_a_second: bytes_of(30, 330).1, head_bytes: 0.0, ..Terms::default() };
     let mut world = World::with(terms, 5, 4, 12, 20);
     world.configure(1, 30);
     assert!(world.until(8 * S, |w| w.all(|seen| seen.edition() == 1 && seen.ids().len() == 20)).is_some());
--- a/crates/roster/tests/shared.rs
+++ b/crates/roster/tests/shared.rs
@@ -8,7 +8,7 @@
 use fallgap_tables::Version;
 use std::collections::BTreeMap;
 use std::time::Duration;
-use world::{MS, configuration, node};
+use world::{MS, bytes_of, configuration, node};
 
 /// A home, and followers that answer only when they are asked to.
 struct Home {
@@ -142,8 +142,8 @@
 /// the edition that they waited with, and the next one behind it.
 #[test]
 fn who_waits_for_lines_is_told_what_is_newest_then() {
-    // A table has 33 entries: some three go at once, and then nine in a second.
-    let terms = Terms { lines_a_second: 320.0, ..Terms::default() };
+    // Some nine tables go at once, and then nine in a second.
+    let terms = Terms { bytes_a_second: bytes_of(30, 30).0 * 9.4, head_bytes: 0.0, ..Terms::default() };
     let mut home = Home::new(terms);
     let all: Vec<NodeId> = (1..40).map(node).collect();
     all.iter().for_each(|follower| home.joins(*follower));
--- a/crates/roster/tests/world/mod.rs
+++ b/crates/roster/tests/world/mod.rs
@@ -1,7 +1,7 @@
 //! Keepers, followers and servers in virtual time, over links that keep order, are slow, lose messages and are cut.
 
 use fallgap_chart::{Beat, Configuration, Limits, Route, RouteClass, Service, View};
-use fallgap_feed::wire::Told;
+use fallgap_feed::wire::{Said, Told};
 use fallgap_roster::{Distribution, Follower, FollowerOut, NodeId, Out, Record, Registry, RosterWord, Terms};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -109,6 +109,29 @@
     Arc::new(Configuration { edition, routes, services: vec![service], limits, licences: None })
 }
 
+/// Bytes that leave for a whole table of so many routes, and for what leads on from it to so many.
+pub fn bytes_of(routes: usize, then: usize) -> (f64, f64) {
+    let (now, follower) = (1000 * MS, node(1));
+    let mut home = Distribution::start(now, 1, Terms::default());
+    home.set_configuration(now, configuration(1, routes));
+    let said = |holds| Said { table: u32::from(follower), holds, heard: (0, 0), rejected: false };
+    home.joined(now, follower, said(None));
+    let told = |home: &mut Distribution| {
+        let told = home.take().into_iter().find_map(|out| match out {
+            Out::Tell(_, told @ (Told::Whole(_) | Told::Delta(_))) => Some(told),
+            _ => None,
+        });
+        let told = told.expect("a follower is told");
+        (home.line(&told).bytes() as f64, told)
+    };
+    let (whole, table) = told(&mut home);
+    let Told::Whole(table) = table else { panic!("who holds nothing is told a whole table") };
+    home.said(now, follower, said(Some(table.version)));
+    home.set_configuration(now, configuration(2, then));
+    let (change, _) = told(&mut home);
+    (whole, change)
+}
+
 pub fn beat(id: &str, port: u16, postmark: u64) -> Beat {
     Beat {
         id: id.into(),
