Test: a watch is asked until the put is seen, and one that ends is asked while it has to be there

Cause: `locks_numbers_cells_and_watches_are_answered_anywhere` gave a put 1.5 s from the start of the watch's thread. On a busy machine a put may be answered 500 after 0.93 s and sent again, so the watch ended first, and said rightly that there was no news. `a_hangup_reads_the_settings_and_an_end_is_in_order` asked a process that has 2.5 s left at a moment that nothing bounds. Ruled out: a fault of the program in the first: with the put held back by 2 s the old test fails by the watch's empty answer, as (200, no events, revision 2), and the new one passes. Change, as strict: a watch without news says the revision that it was asked from, and is asked again; any other answer than that or 5xx has to be the put alone. The process that ends has to answer with 200 and `close` if it was asked within the 2.5 s that it stays; where the test was held up for longer it shows nothing, and the next machine is told to end; at one of three it has to be shown.

--- a/crates/lantern/tests/whole.rs
+++ b/crates/lantern/tests/whole.rs
@@ -3,8 +3,12 @@
 #[allow(dead_code)]
 mod landing;
 
-use fallgap_standin::gateway::{Supervisor, call, configuration};
+use fallgap_standin::gateway::{Client, Supervisor, call, configuration, get};
 use landing::*;
+use std::time::{Duration, Instant};
+
+/// How long a supervisor that is told to end goes on at least.
+const LINGERS: Duration = Duration::from_millis(2500);
 
 #[test]
 fn requests_are_carried_once_there_is_a_configuration_and_a_server() {
@@ -76,11 +80,17 @@
     assert_eq!(put(second, "v2", 0), (412, r#"{"revision":2}"#.into()));
     assert_eq!(read(diskless, "/-/cells/g.k/get"), (200, r#"{"value":"v1","revision":2}"#.into()));
     let at = diskless.control();
-    let watch = std::thread::spawn(move || call(at, "GET", "/-/watch/g.?after=2&wait_ms=1500", ""));
+    // A watch may end before the put is done, where that is put off: then it is asked again from where it is.
+    let watch = std::thread::spawn(move || {
+        until("the put is seen", || {
+            let reply = call(at, "GET", "/-/watch/g.?after=2&wait_ms=900", "")?;
+            let said = (reply.status, reply.text());
+            (reply.status < 500 && said != (200, r#"{"events":[],"revision":2}"#.into())).then_some(said)
+        })
+    });
     assert_eq!(put(second, "v2", 2).0, 200);
     let events = r#"{"events":[{"name":"g.k","value":"v2","revision":3}],"revision":3}"#;
-    let seen = watch.join().unwrap().map(|reply| (reply.status, reply.text()));
-    assert_eq!(seen, Some((200, events.into())));
+    assert_eq!(watch.join().unwrap(), (200, events.into()));
 }
 
 #[test]
@@ -104,7 +114,9 @@
     assert_eq!(cell.text(), r#"{"value":"v1","revision":2}"#);
     all_ready(&fleet);
     for machine in &fleet.machines {
-        assert_eq!(ask(machine, "/safe/x", "r1").status, 200);
+        let status = ask(machine, "/safe/x", "r1").status;
+        // Seen to fail once on a busy machine: what it knew then is in its log.
+        assert_eq!(status, 200, "{}", std::fs::read_to_string(machine.log()).unwrap());
     }
 }
 
@@ -126,13 +138,28 @@
     until("the hangup is heard", || logged("told to read the settings again", one));
     until("the old settings stay", || logged("the settings stay, the file cannot be used", one));
     assert_eq!(ask(one, "/safe/x", "r1").status, 200);
-    one.signal("TERM");
-    until("it is not ready any more", || (!one.is_ready()).then_some(()));
-    // It still takes what the platform goes on sending, and says that the connection ends.
-    let last = ask(one, "/safe/x", "r2");
-    assert_eq!((last.status, last.line("connection")), (200, Some("close")));
-    assert_eq!(one.wait(LONG).map(|status| status.code()), Some(Some(0)));
-    assert!(std::fs::read_to_string(one.log()).unwrap().trim_end().ends_with("lantern: ends"));
+    // It still takes what the platform goes on sending, for 2.5 s at least, and says that the connection ends. Where
+    // this test was held up for so long it has seen nothing, and the next machine is told to end.
+    let mut ending = 1;
+    until("one that ends is asked in time", || {
+        let one = &mut fleet.machines[ending];
+        let told = Instant::now();
+        one.signal("TERM");
+        until("it is not ready any more", || (!one.is_ready()).then_some(()));
+        let last = Client::connect(one.front(), LONG).ok().and_then(|mut c| c.try_ask(&get("/safe/x", "r2")));
+        let in_time = told.elapsed() < LINGERS;
+        if in_time {
+            let last = last.expect("an answer");
+            assert_eq!((last.status, last.line("connection")), (200, Some("close")));
+        }
+        assert_eq!(one.wait(LONG).map(|status| status.code()), Some(Some(0)));
+        assert!(std::fs::read_to_string(one.log()).unwrap().trim_end().ends_with("lantern: ends"));
+        if !in_time {
+            ending += 1;
+            assert!(ending < fleet.machines.len(), "held up with each of them");
+        }
+        in_time.then_some(())
+    });
     // The others serve on.
     assert_eq!(ask(&fleet.machines[0], "/safe/x", "r3").status, 200);
 }
