--- a/crates/pilot/src/draught.rs
+++ b/crates/pilot/src/draught.rs
@@ -1,7 +1,7 @@
 //! How deep the own link lies: what the answers of the ops at work will bring over it. A client whose answer would
 //! come late here does better at another supervisor, and is told so at once.
 
-use crate::fleet::moved;
+use crate::server::moved;
 use fallgap_chart::RouteClass;
 use std::collections::BTreeMap;
 use std::sync::Arc;
--- a/crates/pilot/src/fleet.rs
+++ b/crates/pilot/src/fleet.rs
@@ -3,10 +3,11 @@
 use crate::budget::Budget;
 use crate::gate::Gate;
 use crate::health::{Health, HealthEvent};
+use crate::server::{Ended, Report, Server, moved};
 use crate::terms::Terms;
 use crate::why::Why;
 use fallgap_chart::{Berth, RouteClass, View, spread};
-use fallgap_lightlist::{Book, Count, Kind, Stand, Verdict};
+use fallgap_lightlist::{Book, Kind, Verdict};
 use slotmap::{SlotMap, new_key_type};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
@@ -18,78 +19,6 @@
     pub struct ServiceKey;
 }
 
-/// What one's own requests showed of a server since the last report.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Report {
-    pub server: Arc<str>,
-    /// By kind of work.
-    pub kinds: [Count; 3],
-    pub good_ms: f32,
-}
-
-/// How a request at a server ended, for the server's record.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Ended {
-    /// It answered well after so long.
-    Good(Duration),
-    /// It turned the request away.
-    Shed,
-    /// A failure of its own, a break, bytes that are no answer.
-    Failed,
-    /// It was silent up to the end, for so long.
-    Silent(Duration),
-    /// It takes no connections.
-    Unreached,
-    /// A connection did not come up in time.
-    Hung,
-    /// It is another server.
-    Other,
-    /// The end was not the server's doing.
-    Void,
-}
-
-pub struct Server {
-    pub id: Arc<str>,
-    pub address: SocketAddrV4,
-    pub service: ServiceKey,
-    near: bool,
-    /// Its place in the order that all supervisors share.
-    order: u64,
-    slots: u32,
-    weight: f64,
-    health: Health,
-    at_work: u32,
-    /// Of good answers, in seconds; 0 before the first.
-    typical: f64,
-    kinds: [Count; 3],
-    /// As all supervisors are told.
-    stands: [Stand; 3],
-    good: u32,
-    good_s: f64,
-}
-
-impl Server {
-    /// Requests from here that it works on.
-    pub fn at_work(&self) -> u32 {
-        self.at_work
-    }
-
-    pub fn health(&self) -> &Health {
-        &self.health
-    }
-
-    /// How long its good answers take; none before the first.
-    pub fn typical(&self) -> Option<Duration> {
-        (self.typical > 0.0).then(|| Duration::from_secs_f64(self.typical.min(3600.0)))
-    }
-
-    /// The part of its work that it gets, as all supervisors are told.
-    fn part(&self, class: RouteClass, terms: &Terms) -> f64 {
-        let kind = Kind::from(class);
-        self.stands[kind as usize].part(kind, &terms.lights)
-    }
-}
-
 struct Service {
     name: Arc<str>,
     servers: Vec<ServerKey>,
@@ -121,8 +50,6 @@
     rng: fastrand::Rng,
 }
 
-/// How much a new answer moves what is typical.
-const MOVES: f64 = 0.1;
 /// Silent for so many times the usual time, a server is ill, and not slow.
 const SILENT: f64 = 3.0;
 /// How much one request moves the part of those that are mute, and the part from which on that says nothing of one
@@ -532,8 +459,3 @@
     let zone = if server.near { 1.0 } else { 1.1 };
     f64::from(server.at_work + 1) / server.weight * slow.clamp(0.5, 3.0) * zone
 }
-
-/// What is typical moves towards a new figure; the first one is taken as it is.
-pub(crate) fn moved(typical: &mut f64, took: f64) {
-    *typical += (took - *typical) * if *typical == 0.0 { 1.0 } else { MOVES };
-}
--- a/crates/pilot/src/why.rs
+++ b/crates/pilot/src/why.rs
@@ -1,7 +1,7 @@
 //! Why an op ended as it did, in a word that fits into a record.
 
-use crate::fleet::Ended;
 use crate::op::TryOutcome;
+use crate::server::Ended;
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Why {
