--- a/crates/sextant/src/lib.rs
+++ b/crates/sextant/src/lib.rs
@@ -1,17 +1,21 @@
 //! Checks of the control state over the cores that run in service.
 //!
-//! [`waters::Sea`] is the world: nodes, disks, a network, in virtual time. A [`schedule::Schedule`] says what happens
+//! [`waters::Sea`] is the world, in virtual time: [`machine`]s with clocks and disks, a [`network`]. A [`schedule::Schedule`] says what happens
 //! when, [`voyage`] plays it and checks what callers were told, [`shrink`] makes a failing one short. [`tides`] walks
 //! all orders of what is under way for a small script.
 
 pub mod breach;
+mod faults;
 pub mod hand;
 pub mod history;
 pub mod ledger;
+pub mod machine;
+pub mod network;
 pub mod schedule;
 pub mod shrink;
 pub mod storm;
 pub mod tides;
+mod view;
 pub mod voyage;
 pub mod waters;
 
--- a/crates/sextant/tests/founding/main.rs
+++ b/crates/sextant/tests/founding/main.rs
@@ -1,109 +1,18 @@
 //! The very first start under cuts, kills, slow disks, loss and late starts: epoch 1 is one, everywhere and for good, and
 //! begins within a stated time whenever a majority of the seeds can talk and remembers.
 
+#[cfg(feature = "faults")]
+mod faults;
+mod world;
+
 use std::time::Duration;
 
-use fallgap_keeper::{Answer, Call, NodeId};
+use fallgap_keeper::NodeId;
 use fallgap_sextant::Check;
 use fallgap_sextant::schedule::Schedule;
 use fallgap_sextant::voyage::{guarded, sail};
 use fallgap_sextant::waters::{Event, Sea, Weather, ms, node};
-
-/// With enough disks in sight, without loss, all are founded by then.
-const FOUNDED: Duration = ms(2300);
-/// The same with messages lost or one machine missing, slow or wiped.
-const IN_TROUBLE: Duration = ms(7000);
-const CAUGHT_UP: Duration = ms(40_000);
-
-/// A system that starts, whose seeds are these machines. Disks are 1 to `disks`.
-fn begin(rng: u64, disks: u8, plain: u8, seeds: &[u8]) -> Sea {
-    let mut sea = Sea::new(rng, disks, plain);
-    sea.seeds = seeds.iter().copied().map(node).collect();
-    sea
-}
-
-fn all(sea: &Sea) -> Vec<NodeId> {
-    sea.machines.keys().copied().collect()
-}
-
-/// Machines that run and know of an epoch.
-fn knowing(sea: &Sea) -> Vec<NodeId> {
-    sea.up().into_iter().filter(|node| sea.keeper(*node).is_some_and(|keeper| keeper.epoch() > 0)).collect()
-}
-
-fn until(sea: &mut Sea, limit: Duration, done: impl Fn(&Sea) -> bool) -> bool {
-    while sea.now < limit && !done(sea) {
-        sea.run(sea.now + ms(1));
-    }
-    done(sea)
-}
-
-/// The lowest seed: as a rule it is the one that founds.
-fn lowest(seeds: &[u8]) -> NodeId {
-    seeds.iter().copied().map(node).min().expect("a seed")
-}
-
-/// Stops what comes to it and what goes from it, or one of both.
-fn cut_links(sea: &mut Sea, node: NodeId, hears: bool, is_heard: bool) {
-    for other in all(sea).into_iter().filter(|other| *other != node) {
-        if !hears {
-            sea.dead_links.insert((other, node));
-        }
-        if !is_heard {
-            sea.dead_links.insert((node, other));
-        }
-    }
-}
-
-/// Acknowledged by whoever takes it.
-fn put(sea: &mut Sea, id: u64, edition: u64) -> bool {
-    let mut body = edition.to_be_bytes().to_vec();
-    body.push(1);
-    for (place, at) in sea.up().into_iter().enumerate() {
-        let id = id + place as u64;
-        sea.call(at, id, Call::ConfigPut { edition, body: body.clone() });
-        sea.run(sea.now + ms(1000));
-        if sea.answers.iter().any(|(told, _, answer)| *told == id && *answer == Answer::Done) {
-            return true;
-        }
-    }
-    false
-}
-
-/// The editions that the disk machines read, one after the other.
-fn read(sea: &mut Sea, id: u64) -> Vec<Option<u64>> {
-    let disks = sea.disk_machines();
-    for (place, at) in (0..).zip(&disks) {
-        sea.call(*at, id + place, Call::ConfigGet);
-    }
-    sea.run(sea.now + ms(2000));
-    let told = |id| sea.answers.iter().find(|(told, ..)| *told == id).map(|(.., answer)| answer);
-    let edition = |id| match told(id) {
-        Some(Answer::Config(body)) => body.first_chunk().map(|first| u64::from_be_bytes(*first)),
-        Some(Answer::Missing) => Some(0),
-        _ => None,
-    };
-    (0..).zip(&disks).map(|(place, _)| edition(id + place)).collect()
-}
-
-/// All is well again: the members have caught up, what was acknowledged is read everywhere, and so is what is written now.
-fn sound(sea: &mut Sea, acknowledged: u64, what: &str) {
-    sea.dead_links.clear();
-    sea.weather = Weather::default();
-    sea.machines.values_mut().for_each(|machine| machine.slow_until = Duration::ZERO);
-    // Of one or two disks none can be spared.
-    sea.tolerate = sea.tolerate.min((sea.disk_machines().len() as u32 - 1) / 2);
-    let limit = sea.now + CAUGHT_UP;
-    assert!(until(sea, limit, Sea::is_caught_up), "{what}: not caught up: {:?}", sea.view());
-    // What a slow disk is at still.
-    sea.run(sea.now + ms(3000));
-    let editions = read(sea, 1_000);
-    let kept = editions.iter().all(|edition| edition.is_some_and(|edition| edition >= acknowledged));
-    assert!(kept, "{what}: {acknowledged} was acknowledged, {editions:?}");
-    assert!(put(sea, 2_000, 9_000), "{what}: no change is taken");
-    let editions = read(sea, 3_000);
-    assert!(editions.iter().all(|edition| *edition == Some(9_000)), "{what}: {editions:?}");
-}
+use world::*;
 
 /// Seeds, by the number of disks and of machines without: all of them at the machines with a disk, some, none.
 const SEEDS: &[(u8, u8, &[u8])] = &[
@@ -539,66 +448,3 @@
     });
     assert_eq!(found.err().map(|breach| breach.check()), Some(Check::Epochs));
 }
-
-#[cfg(feature = "faults")]
-mod faults {
-    use super::*;
-    use fallgap_keeper::fault::{self, Fault};
-
-    /// Plays it with the fault, for some seeds of chance, and without.
-    fn found(fault: Fault, play: impl Fn(u64)) {
-        let broken = |rng: u64| guarded(|| play(rng)).err().map(|breach| breach.check());
-        fault::set(Some(fault));
-        let with: Vec<_> = (0..20).map(broken).collect();
-        fault::set(None);
-        assert!(with.contains(&Some(Check::Epochs)), "{fault:?}: {with:?}");
-        assert!((0..20).all(|rng| broken(rng).is_none()), "without {fault:?}");
-    }
-
-    #[test]
-    fn each_is_found_by_two_beginnings() {
-        found(Fault::FoundedByFew, |rng| {
-            let mut sea = begin(rng, 5, 0, &[1, 2, 3]);
-            cut_links(&mut sea, node(1), false, false);
-            sea.run(ms(9000));
-        });
-        found(Fault::SuccessorUnsynced, |rng| {
-            power_lost(&mut begin(rng, 4, 0, &[2, 3, 4]), 9, true, true, 0)
-        });
-        // 2 has not accepted what 3 proposes, and would name others: it has never heard 4.
-        found(Fault::OwnSuccessor, |rng| {
-            let mut sea = begin(rng, 5, 0, &[1, 2, 3]);
-            sea.dead_links.extend([(node(4), node(1)), (node(4), node(2)), (node(3), node(2))]);
-            news_lost(&mut sea, 4);
-        });
-        found(Fault::WipedSeedVotes, |rng| voted_and_wiped(&mut begin(rng, 5, 0, &[1, 2, 3])));
-    }
-
-    /// `MUTANT_SEEDS` looks for the first schedules instead, among so many, and prints them.
-    #[test]
-    fn drawn_schedules_find_them() {
-        let sailed = |fault, seed| {
-            fault::set(fault);
-            let found = sail(&Schedule::at_founding(seed)).err().map(|breach| breach.check());
-            fault::set(None);
-            found
-        };
-        let table =
-            [Fault::FoundedByFew, Fault::WipedSeedVotes, Fault::SuccessorUnsynced, Fault::OwnSuccessor];
-        for (fault, seed) in [(Fault::FoundedByFew, 82), (Fault::SuccessorUnsynced, 4052)] {
-            assert_eq!(sailed(Some(fault), seed), Some(Check::Epochs), "{fault:?}");
-            assert_eq!(sailed(None, seed), None, "without {fault:?}");
-        }
-        if let Some(most) = std::env::var("MUTANT_SEEDS").ok().and_then(|most| most.parse().ok()) {
-            for fault in table {
-                let found = (0..most).find_map(|seed| Some((seed, sailed(Some(fault), seed)?)));
-                fault::set(Some(fault));
-                let played = |rng| guarded(|| anything(rng)).err().map(|breach| breach.check());
-                let other = (0..most).find_map(|rng| Some((rng, played(rng)?)));
-                fault::set(None);
-                println!("{fault:?}: {found:?}, {other:?}");
-            }
-            return;
-        }
-    }
-}
