Links: given up is reset, withdrawals are said again, and go before what came with them

Cause, by sockets: a stream that its asker gave up was closed, and the kernel delivered what it held behind the next stream; withdrawals in the pause after a failure were dropped. Cause, by the model that follows: a call that came in one read with its own withdrawal was begun, and its effect sent, before the withdrawal was looked at. Both new tests of tests/once_only.rs fail without their mends.

--- a/crates/lantern/src/engine.rs
+++ b/crates/lantern/src/engine.rs
@@ -10,7 +10,7 @@
 use crate::links::Links;
 use crate::signals::Heard;
 use crate::spread::Spread;
-use crate::words::Word;
+use crate::words::{Word, withdrawals_first};
 use fallgap_beacon::{Beacon, State};
 use fallgap_chart::{Settings, View};
 use fallgap_desk::{History, Surveys};
@@ -123,6 +123,7 @@
                     self.links.event(now, self.poll.registry(), event, &mut words);
                 }
             }
+            withdrawals_first(&mut words, |(_, word)| word.is_withdrawal());
             for (from, word) in words.drain(..) {
                 self.heard(now, from, word);
             }
--- a/crates/lantern/src/links.rs
+++ b/crates/lantern/src/links.rs
@@ -5,7 +5,8 @@
 use fallgap_roster::RosterWord;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Registry, Token};
-use socket2::{Domain, Protocol, Socket, Type};
+use owed::Owed;
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
@@ -67,6 +68,8 @@
     bytes: Vec<u8>,
     /// It is of a follower's table.
     table: bool,
+    /// It is among those that are said again.
+    owed: bool,
 }
 
 struct Outgoing {
@@ -77,6 +80,20 @@
     sent: usize,
     /// When it last moved on.
     moved: Duration,
+    owed: Owed,
+}
+
+impl Outgoing {
+    fn new(now: Duration) -> Outgoing {
+        Outgoing {
+            line: Line::Rest,
+            queue: VecDeque::new(),
+            bytes: 0,
+            sent: 0,
+            moved: now,
+            owed: Owed::default(),
+        }
+    }
 }
 
 struct Incoming {
@@ -136,9 +153,12 @@
     /// Puts a word on its way. It may be lost.
     pub fn say(&mut self, now: Duration, registry: &Registry, to: Ipv4Addr, word: &Word) {
         let Some(bytes) = word.frame() else { return };
-        let frame = Frame { bytes, table: matches!(word, Word::Roster(RosterWord::Told(_))) };
-        let new = || Outgoing { line: Line::Rest, queue: VecDeque::new(), bytes: 0, sent: 0, moved: now };
-        let out = self.out.entry(to).or_insert_with(new);
+        let owed = word.is_withdrawal();
+        let frame = Frame { bytes, table: matches!(word, Word::Roster(RosterWord::Told(_))), owed };
+        let out = self.out.entry(to).or_insert_with(|| Outgoing::new(now));
+        if owed {
+            out.owed.add(now, &frame.bytes);
+        }
         if matches!(out.line, Line::Failed { until } if now < until) {
             return;
         }
@@ -175,7 +195,10 @@
                 }
                 self.connect(now, registry, peer);
             }
-            Line::Failed { .. } => self.turn(now, registry, peer, Turn::Met),
+            Line::Failed { .. } => {
+                self.turn(now, registry, peer, Turn::Met);
+                self.connect_if_owed(now, registry, peer);
+            }
             _ => {}
         }
     }
@@ -252,6 +275,11 @@
         for to in stalled {
             self.turn(now, registry, to, Turn::Fails);
         }
+        let paused = |out: &Outgoing| matches!(out.line, Line::Failed { until } if now >= until);
+        let paused: Vec<Ipv4Addr> = self.out.iter().filter(|(_, o)| paused(o)).map(|(to, _)| *to).collect();
+        for to in paused {
+            self.connect_if_owed(now, registry, to);
+        }
         self.out.retain(
             |_, o| !matches!(o.line, Line::Failed { until } if now > until + Duration::from_secs(60)),
         );
@@ -267,6 +295,8 @@
             (before, Turn::Fails) => {
                 if let Line::Opening(mut stream) | Line::Open(mut stream) = before {
                     let _ = registry.deregister(&mut stream);
+                    // A reset. The kernel would go on delivering what it holds, behind what is said on the next stream.
+                    let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
                 }
                 if let Some(token) = self.tokens.remove(&to) {
                     self.by_token.remove(&token);
@@ -296,9 +326,14 @@
                 self.by_token.insert(token, to);
                 self.tokens.insert(to, token);
                 if let (Some(out), Some(hello)) = (self.out.get_mut(&to), Word::Hello(self.me).frame()) {
-                    self.held += hello.len();
-                    out.bytes += hello.len();
-                    out.queue.push_front(Frame { bytes: hello, table: false });
+                    self.held -= out.bytes;
+                    out.queue.retain(|frame| !frame.owed);
+                    let again = out.owed.again(now).rev().map(|bytes| (bytes, true));
+                    for (bytes, owed) in again.chain([(hello, false)]) {
+                        out.queue.push_front(Frame { bytes, table: false, owed });
+                    }
+                    out.bytes = out.queue.iter().map(|frame| frame.bytes.len()).sum();
+                    self.held += out.bytes;
                 }
                 self.turn(now, registry, to, Turn::Opens(stream));
             }
@@ -306,6 +341,12 @@
         }
     }
 
+    fn connect_if_owed(&mut self, now: Duration, registry: &Registry, to: Ipv4Addr) {
+        if self.out.get_mut(&to).is_some_and(|out| !out.owed.is_empty(now)) {
+            self.connect(now, registry, to);
+        }
+    }
+
     fn stream(&self, to: Ipv4Addr) -> io::Result<TcpStream> {
         let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP))?;
         socket.set_nonblocking(true)?;
@@ -448,5 +489,6 @@
     }
 }
 
+mod owed;
 #[cfg(test)]
 mod tests;
--- a/crates/lantern/src/words.rs
+++ b/crates/lantern/src/words.rs
@@ -66,7 +66,17 @@
     },
 }
 
+/// Withdrawals go before the rest of what was read at one time, which stays in its order: a call that comes along with
+/// its own withdrawal, as after a cut, is not begun at all.
+pub fn withdrawals_first<T>(heard: &mut [T], withdraws: impl Fn(&T) -> bool) {
+    heard.sort_by_key(|one| !withdraws(one));
+}
+
 impl Word {
+    pub fn is_withdrawal(&self) -> bool {
+        matches!(self, Word::Withdraw { .. })
+    }
+
     /// The word as a frame; `None` if it is too long for one.
     pub fn frame(&self) -> Option<Vec<u8>> {
         let mut frame = postcard::to_extend(self, vec![0; 4]).ok()?;
--- a/crates/lantern/tests/once_only.rs
+++ b/crates/lantern/tests/once_only.rs
@@ -7,10 +7,10 @@
 use fallgap_lantern::holdup::HoldUp;
 use fallgap_lantern::links::{self, Links};
 use fallgap_lantern::spread::{Spread, Spreading};
-use fallgap_lantern::words::Word;
+use fallgap_lantern::words::{Frames, Word};
 use mio::{Events, Poll};
 use std::io::{ErrorKind, Read, Write};
-use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, TcpStream};
 use std::sync::mpsc::{Receiver, sync_channel};
 use std::time::{Duration, Instant};
 
@@ -209,3 +209,150 @@
         assert!(harmless.iter().all(|call| !hold_up.turns_away(at * MS, call)));
     }
 }
+
+/// The other end of a link that this process opens.
+struct Peer {
+    listener: TcpListener,
+    wire: Wire,
+    to: Ipv4Addr,
+}
+
+impl Peer {
+    fn new(last: u8, terms: links::Terms) -> Peer {
+        let (me, to) = (Ipv4Addr::new(127, 0, 1, last), Ipv4Addr::new(127, 0, 2, last));
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        // Small, so that what is under way is soon in the sender's kernel.
+        socket.set_recv_buffer_size(8 << 10).unwrap();
+        socket.bind(&SocketAddr::from((to, 0)).into()).unwrap();
+        socket.listen(16).unwrap();
+        let listener: TcpListener = socket.into();
+        let port = listener.local_addr().unwrap().port();
+        let poll = Poll::new().unwrap();
+        let links = Links::open(poll.registry(), me, port, 16, terms).unwrap();
+        let at = SocketAddrV4::new(me, port);
+        Peer { listener, wire: Wire { poll, links, at, clock: Instant::now(), heard: Vec::new() }, to }
+    }
+
+    fn say(&mut self, word: &Word) {
+        let now = self.wire.clock.elapsed();
+        self.wire.links.say(now, self.wire.poll.registry(), self.to, word);
+    }
+
+    /// Turns until nothing has happened for a moment.
+    fn settle(&mut self) {
+        let mut events = Events::with_capacity(16);
+        loop {
+            let now = self.wire.clock.elapsed();
+            self.wire.links.flush(now, self.wire.poll.registry());
+            self.wire.poll.poll(&mut events, Some(50 * MS)).unwrap();
+            if events.is_empty() {
+                return;
+            }
+            for event in &events {
+                self.wire.links.event(now, self.wire.poll.registry(), event, &mut Vec::new());
+            }
+        }
+    }
+
+    /// So much later, by the links' clock.
+    fn later(&mut self, time: Duration) {
+        let now = self.wire.clock.elapsed() + time;
+        self.wire.links.woke(now, self.wire.poll.registry());
+    }
+
+    fn accept(&self) -> TcpStream {
+        self.listener.set_nonblocking(true).unwrap();
+        let start = Instant::now();
+        let stream = loop {
+            match self.listener.accept() {
+                Ok((stream, _)) => break stream,
+                Err(error) => assert_eq!(error.kind(), ErrorKind::WouldBlock),
+            }
+            assert!(start.elapsed() < Duration::from_secs(2), "no stream is opened");
+            std::thread::yield_now();
+        };
+        stream.set_nonblocking(false).unwrap();
+        stream.set_read_timeout(Some(200 * MS)).unwrap();
+        stream
+    }
+}
+
+/// The words on a stream until it ends, or says no more, and whether its end was a reset.
+fn words(stream: &mut TcpStream) -> (Vec<Word>, bool) {
+    let (mut frames, mut words, mut piece) = (Frames::default(), Vec::new(), [0; 64 << 10]);
+    let reset = loop {
+        match stream.read(&mut piece) {
+            Ok(0) => break false,
+            Ok(count) => frames.push(&piece[..count]),
+            Err(error) => break error.kind() == ErrorKind::ConnectionReset,
+        }
+        while let Some(word) = frames.next().unwrap() {
+            words.push(word);
+        }
+    };
+    (words, reset)
+}
+
+fn withdraws(words: &[Word]) -> Vec<u64> {
+    words.iter().filter_map(|word| if let Word::Withdraw { id } = word { Some(*id) } else { None }).collect()
+}
+
+/// What a stream holds when it is given up counts as lost. Fails if it is closed: the kernel went on delivering it
+/// behind what was said on the next one, a call behind its withdrawal.
+#[test]
+fn a_stream_that_is_given_up_delivers_nothing_more() {
+    let terms = links::Terms { waiting: 32 << 20, waiting_all: 32 << 20, ..links::Terms::default() };
+    let mut peer = Peer::new(3, terms);
+    // More than two kernels take.
+    let errand: Vec<u8> = (0..100_000).map(|_| fastrand::u8(..)).collect();
+    for _ in 0..100 {
+        peer.say(&Word::Survey { id: 1, errand: errand.clone() });
+    }
+    peer.say(&Word::Forward { id: 9, call: Call::ConfigGet });
+    peer.settle();
+    let mut stream = peer.accept();
+    peer.settle();
+    peer.later(links::Terms::default().stall + MS);
+    let (words, reset) = words(&mut stream);
+    assert!(reset, "it goes on to its end");
+    assert!(!words.iter().any(|word| matches!(word, Word::Forward { .. })));
+}
+
+/// Fails without what is said again: a call that had been delivered ran on for 0.9 s after its caller had gone on.
+#[test]
+fn a_withdrawal_is_said_again_on_the_next_stream() {
+    let terms = || links::Terms { pause: 500 * MS, ..links::Terms::default() };
+    let said = |peer: &mut Peer, id| peer.say(&Word::Withdraw { id });
+    // Whether it was said before the reset, in the pause behind it, or both; whether anything else is to be said later;
+    // how long after; what the next stream says.
+    let rows: [(u8, &[u64], &[u64], Duration, &[u64]); 4] = [
+        (4, &[1], &[], 600 * MS, &[1]),
+        (5, &[], &[2], 600 * MS, &[2]),
+        (6, &[1], &[2, 3], 600 * MS, &[1, 2, 3]),
+        (7, &[1], &[2], 1300 * MS, &[]),
+    ];
+    for (last, before, pause, late, wanted) in rows {
+        let mut peer = Peer::new(last, terms());
+        peer.say(&Word::Forward { id: 1, call: Call::ConfigGet });
+        before.iter().for_each(|id| said(&mut peer, *id));
+        peer.settle();
+        let stream = peer.accept();
+        socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+        drop(stream);
+        peer.settle();
+        assert_eq!(peer.wire.links.take_broken(), [peer.to]);
+        pause.iter().for_each(|id| said(&mut peer, *id));
+        peer.later(late);
+        if wanted.is_empty() {
+            peer.listener.set_nonblocking(true).unwrap();
+            assert!(peer.listener.accept().is_err(), "{last}");
+            continue;
+        }
+        let mut next = peer.accept();
+        peer.settle();
+        let (words, _) = words(&mut next);
+        assert!(matches!(words.first(), Some(Word::Hello(_))), "{last}: {words:?}");
+        assert_eq!(withdraws(&words), wanted, "{last}");
+        assert!(!words.iter().any(|word| matches!(word, Word::Forward { .. })), "{last}");
+    }
+}
