--- a/crates/quay/tests/once_only.rs
+++ b/crates/quay/tests/once_only.rs
@@ -7,8 +7,8 @@
 use fallgap_standin::gateway::status;
 use socket2::SockRef;
 use std::io::Read;
-use std::sync::Mutex;
 use std::sync::mpsc::channel;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use world::*;
 
@@ -181,3 +181,33 @@
         }
     }
 }
+
+/// A connection at rest when a configuration changes how long that may be: it is kept for the longer of the two, of
+/// which one was promised with its last answer. (When its time is over its socket is looked at, and the time counted anew.)
+#[test]
+fn a_connection_at_rest_is_kept_for_the_longer_time() {
+    // Seconds before, after, a look when it still rests and one when it is over.
+    for (before, after, rests, over) in [(15, 60, 59, 61), (60, 15, 59, 61), (15, 15, 14, 16)] {
+        let server = Server::start("i-1", |got| Does::Sends(ok(got, "bytes")));
+        let world = World::new(Terms::default());
+        let idle = |seconds: u64| {
+            let mut configuration = configuration();
+            configuration.limits.idle = ms(seconds * 1000);
+            let view =
+                fallgap_chart::View { configuration: Arc::new(configuration), berths: vec![berth(&server)] };
+            world.ask(move |quay, now| quay.view(now, Arc::new(view)));
+        };
+        idle(before);
+        let mut client = world.client();
+        assert_eq!(client.ask(&get("/safe/", "1")).status, 200);
+        idle(after);
+        let clients = |seconds: u64| {
+            world.ask(move |quay, now| {
+                quay.woke(now + ms(seconds * 1000));
+                quay.connections().0
+            })
+        };
+        assert_eq!(clients(rests), 1, "{before} {after}");
+        assert_eq!(clients(over), 0, "{before} {after}");
+    }
+}
