--- a/crates/lantern/src/links.rs
+++ b/crates/lantern/src/links.rs
@@ -1,15 +1,17 @@
 //! Streams between supervisors: one for each direction, opened when there is something to say, closed when it
 //! breaks or stalls. What a broken link held is lost; the cores cope with that.
 
-use crate::words::{Frames, Word};
-use fallgap_roster::RosterWord;
+use crate::words::{Frames, Word, told_frame};
+use fallgap_keeper::Message;
+use fallgap_roster::{Line as Told, RosterWord};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Registry, Token};
-use owed::Owed;
+use outgoing::{Frame, Line, Outgoing, Turn};
 use socket2::{Domain, Protocol, SockRef, Socket, Type};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::sync::Arc;
 use std::time::Duration;
 
 pub struct Terms {
@@ -42,60 +44,6 @@
     }
 }
 
-/// How an outgoing link stands.
-enum Line {
-    /// Nothing is to be said.
-    Rest,
-    Opening(TcpStream),
-    Open(TcpStream),
-    /// It failed: what is to be said meanwhile is dropped.
-    Failed {
-        until: Duration,
-    },
-}
-
-/// What changes a link's state.
-enum Turn {
-    Opens(TcpStream),
-    Opened,
-    Fails,
-    /// Its peer is there: it may be tried again.
-    Met,
-}
-
-/// A word as it leaves.
-struct Frame {
-    bytes: Vec<u8>,
-    /// It is of a follower's table.
-    table: bool,
-    /// It is among those that are said again.
-    owed: bool,
-}
-
-struct Outgoing {
-    line: Line,
-    queue: VecDeque<Frame>,
-    bytes: usize,
-    /// Of the first frame, how much has gone.
-    sent: usize,
-    /// When it last moved on.
-    moved: Duration,
-    owed: Owed,
-}
-
-impl Outgoing {
-    fn new(now: Duration) -> Outgoing {
-        Outgoing {
-            line: Line::Rest,
-            queue: VecDeque::new(),
-            bytes: 0,
-            sent: 0,
-            moved: now,
-            owed: Owed::default(),
-        }
-    }
-}
-
 struct Incoming {
     stream: TcpStream,
     peer: Option<Ipv4Addr>,
@@ -116,6 +64,10 @@
     buffer: Vec<u8>,
     /// Bytes that wait, for all peers.
     held: usize,
+    /// The value that members were last sent in this turn, as a frame: the same to each of them.
+    last: Option<(Message, Arc<Vec<u8>>)>,
+    /// Frames that were made.
+    made: u64,
     /// Peers with frames to be written.
     ready: Vec<Ipv4Addr>,
     /// Peers that could not be connected with, or whose stream broke, since this was last asked.
@@ -145,6 +97,8 @@
             next: first + 1,
             buffer: vec![0; 64 << 10],
             held: 0,
+            last: None,
+            made: 0,
             ready: Vec::new(),
             broken: Vec::new(),
         })
@@ -152,11 +106,40 @@
 
     /// Puts a word on its way. It may be lost.
     pub fn say(&mut self, now: Duration, registry: &Registry, to: Ipv4Addr, word: &Word) {
-        let Some(bytes) = word.frame() else { return };
-        let owed = word.is_withdrawal();
-        let frame = Frame { bytes, table: matches!(word, Word::Roster(RosterWord::Told(_))), owed };
+        let Some(bytes) = self.framed(word) else { return };
+        let table = matches!(word, Word::Roster(RosterWord::Told(_)));
+        self.send(now, registry, to, Frame { bytes, table, owed: word.is_withdrawal() });
+    }
+
+    /// Puts a part of a follower's table on its way.
+    pub fn tell(&mut self, now: Duration, registry: &Registry, to: Ipv4Addr, told: &Told) {
+        let Some(bytes) = told_frame(told) else { return };
+        self.made += 1;
+        self.send(now, registry, to, Frame { bytes: Arc::new(bytes), table: true, owed: false });
+    }
+
+    fn framed(&mut self, word: &Word) -> Option<Arc<Vec<u8>>> {
+        let Word::Keeper(message @ Message::Accept { .. }) = word else {
+            self.made += 1;
+            return word.frame().map(Arc::new);
+        };
+        if let Some((_, frame)) = self.last.as_ref().filter(|(last, _)| last == message) {
+            return Some(frame.clone());
+        }
+        self.made += 1;
+        let frame = Arc::new(word.frame()?);
+        self.last = Some((message.clone(), frame.clone()));
+        Some(frame)
+    }
+
+    /// How many frames were made, for those who look.
+    pub fn frames_made(&self) -> u64 {
+        self.made
+    }
+
+    fn send(&mut self, now: Duration, registry: &Registry, to: Ipv4Addr, frame: Frame) {
         let out = self.out.entry(to).or_insert_with(|| Outgoing::new(now));
-        if owed {
+        if frame.owed {
             out.owed.add(now, &frame.bytes);
         }
         if matches!(out.line, Line::Failed { until } if now < until) {
@@ -205,6 +188,7 @@
 
     /// Writes what is to be written, several words with one call.
     pub fn flush(&mut self, now: Duration, registry: &Registry) {
+        self.last = None;
         for to in std::mem::take(&mut self.ready) {
             self.write(now, registry, to);
         }
@@ -329,7 +313,7 @@
                     self.held -= out.bytes;
                     out.queue.retain(|frame| !frame.owed);
                     let again = out.owed.again(now).rev().map(|bytes| (bytes, true));
-                    for (bytes, owed) in again.chain([(hello, false)]) {
+                    for (bytes, owed) in again.chain([(Arc::new(hello), false)]) {
                         out.queue.push_front(Frame { bytes, table: false, owed });
                     }
                     out.bytes = out.queue.iter().map(|frame| frame.bytes.len()).sum();
@@ -489,6 +473,8 @@
     }
 }
 
+mod outgoing;
 mod owed;
 #[cfg(test)]
+#[path = "../tests/inner/links.rs"]
 mod tests;
--- a/crates/lantern/src/links/owed.rs
+++ b/crates/lantern/src/links/owed.rs
@@ -2,6 +2,7 @@
 //! and lost its withdrawal. A withdrawal that comes twice changes nothing.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// A call that was delivered runs for 0.9 s at most.
@@ -12,16 +13,16 @@
 #[derive(Default)]
 pub(super) struct Owed {
     /// The oldest first.
-    frames: VecDeque<(Duration, Vec<u8>)>,
+    frames: VecDeque<(Duration, Arc<Vec<u8>>)>,
 }
 
 impl Owed {
-    pub fn add(&mut self, now: Duration, frame: &[u8]) {
+    pub fn add(&mut self, now: Duration, frame: &Arc<Vec<u8>>) {
         self.forget(now);
         if self.frames.len() >= MOST {
             self.frames.pop_front();
         }
-        self.frames.push_back((now, frame.to_vec()));
+        self.frames.push_back((now, frame.clone()));
     }
 
     fn forget(&mut self, now: Duration) {
@@ -36,7 +37,7 @@
     }
 
     /// What is to be said again, in the order in which it was said.
-    pub fn again(&mut self, now: Duration) -> impl DoubleEndedIterator<Item = Vec<u8>> {
+    pub fn again(&mut self, now: Duration) -> impl DoubleEndedIterator<Item = Arc<Vec<u8>>> {
         self.forget(now);
         self.frames.iter().map(|(_, frame)| frame.clone())
     }
