--- a/crates/lantern/tests/once_only.rs
+++ b/crates/lantern/tests/once_only.rs
@@ -325,7 +325,8 @@
     let said = |peer: &mut Peer, id| peer.say(&Word::Withdraw { id });
     // Whether it was said before the reset, in the pause behind it, or both; whether anything else is to be said later;
     // how long after; what the next stream says.
-    let rows: [(u8, &[u64], &[u64], Duration, &[u64]); 4] = [
+    type Row<'a> = (u8, &'a [u64], &'a [u64], Duration, &'a [u64]);
+    let rows: [Row; 4] = [
         (4, &[1], &[], 600 * MS, &[1]),
         (5, &[], &[2], 600 * MS, &[2]),
         (6, &[1], &[2, 3], 600 * MS, &[1, 2, 3]),
