--- a/crates/lantern/src/links.rs
+++ b/crates/lantern/src/links.rs
@@ -6,8 +6,9 @@
 use fallgap_roster::{Line as Told, RosterWord};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Registry, Token};
-use socket2::{Domain, Protocol, Socket, Type};
-use std::collections::{BTreeMap, VecDeque};
+use outgoing::{Frame, Line, Outgoing, Turn};
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
+use std::collections::BTreeMap;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::sync::Arc;
@@ -43,44 +44,6 @@
     }
 }
 
-/// How an outgoing link stands.
-enum Line {
-    /// Nothing is to be said.
-    Rest,
-    Opening(TcpStream),
-    Open(TcpStream),
-    /// It failed: what is to be said meanwhile is dropped.
-    Failed {
-        until: Duration,
-    },
-}
-
-/// What changes a link's state.
-enum Turn {
-    Opens(TcpStream),
-    Opened,
-    Fails,
-    /// Its peer is there: it may be tried again.
-    Met,
-}
-
-/// A word as it leaves.
-struct Frame {
-    bytes: Arc<Vec<u8>>,
-    /// It is of a follower's table.
-    table: bool,
-}
-
-struct Outgoing {
-    line: Line,
-    queue: VecDeque<Frame>,
-    bytes: usize,
-    /// Of the first frame, how much has gone.
-    sent: usize,
-    /// When it last moved on.
-    moved: Duration,
-}
-
 struct Incoming {
     stream: TcpStream,
     peer: Option<Ipv4Addr>,
@@ -145,14 +108,14 @@
     pub fn say(&mut self, now: Duration, registry: &Registry, to: Ipv4Addr, word: &Word) {
         let Some(bytes) = self.framed(word) else { return };
         let table = matches!(word, Word::Roster(RosterWord::Told(_)));
-        self.send(now, registry, to, Frame { bytes, table });
+        self.send(now, registry, to, Frame { bytes, table, owed: word.is_withdrawal() });
     }
 
     /// Puts a part of a follower's table on its way.
     pub fn tell(&mut self, now: Duration, registry: &Registry, to: Ipv4Addr, told: &Told) {
         let Some(bytes) = told_frame(told) else { return };
         self.made += 1;
-        self.send(now, registry, to, Frame { bytes: Arc::new(bytes), table: true });
+        self.send(now, registry, to, Frame { bytes: Arc::new(bytes), table: true, owed: false });
     }
 
     fn framed(&mut self, word: &Word) -> Option<Arc<Vec<u8>>> {
@@ -175,8 +138,10 @@
     }
 
     fn send(&mut self, now: Duration, registry: &Registry, to: Ipv4Addr, frame: Frame) {
-        let new = || Outgoing { line: Line::Rest, queue: VecDeque::new(), bytes: 0, sent: 0, moved: now };
-        let out = self.out.entry(to).or_insert_with(new);
+        let out = self.out.entry(to).or_insert_with(|| Outgoing::new(now));
+        if frame.owed {
+            out.owed.add(now, &frame.bytes);
+        }
         if matches!(out.line, Line::Failed { until } if now < until) {
             return;
         }
@@ -213,7 +178,10 @@
                 }
                 self.connect(now, registry, peer);
             }
-            Line::Failed { .. } => self.turn(now, registry, peer, Turn::Met),
+            Line::Failed { .. } => {
+                self.turn(now, registry, peer, Turn::Met);
+                self.connect_if_owed(now, registry, peer);
+            }
             _ => {}
         }
     }
@@ -291,6 +259,11 @@
         for to in stalled {
             self.turn(now, registry, to, Turn::Fails);
         }
+        let paused = |out: &Outgoing| matches!(out.line, Line::Failed { until } if now >= until);
+        let paused: Vec<Ipv4Addr> = self.out.iter().filter(|(_, o)| paused(o)).map(|(to, _)| *to).collect();
+        for to in paused {
+            self.connect_if_owed(now, registry, to);
+        }
         self.out.retain(
             |_, o| !matches!(o.line, Line::Failed { until } if now > until + Duration::from_secs(60)),
         );
@@ -306,6 +279,8 @@
             (before, Turn::Fails) => {
                 if let Line::Opening(mut stream) | Line::Open(mut stream) = before {
                     let _ = registry.deregister(&mut stream);
+                    // A reset. The kernel would go on delivering what it holds, behind what is said on the next stream.
+                    let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
                 }
                 if let Some(token) = self.tokens.remove(&to) {
                     self.by_token.remove(&token);
@@ -335,9 +310,14 @@
                 self.by_token.insert(token, to);
                 self.tokens.insert(to, token);
                 if let (Some(out), Some(hello)) = (self.out.get_mut(&to), Word::Hello(self.me).frame()) {
-                    self.held += hello.len();
-                    out.bytes += hello.len();
-                    out.queue.push_front(Frame { bytes: Arc::new(hello), table: false });
+                    self.held -= out.bytes;
+                    out.queue.retain(|frame| !frame.owed);
+                    let again = out.owed.again(now).rev().map(|bytes| (bytes, true));
+                    for (bytes, owed) in again.chain([(Arc::new(hello), false)]) {
+                        out.queue.push_front(Frame { bytes, table: false, owed });
+                    }
+                    out.bytes = out.queue.iter().map(|frame| frame.bytes.len()).sum();
+                    self.held += out.bytes;
                 }
                 self.turn(now, registry, to, Turn::Opens(stream));
             }
@@ -345,6 +325,12 @@
         }
     }
 
+    fn connect_if_owed(&mut self, now: Duration, registry: &Registry, to: Ipv4Addr) {
+        if self.out.get_mut(&to).is_some_and(|out| !out.owed.is_empty(now)) {
+            self.connect(now, registry, to);
+        }
+    }
+
     fn stream(&self, to: Ipv4Addr) -> io::Result<TcpStream> {
         let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP))?;
         socket.set_nonblocking(true)?;
@@ -487,6 +473,8 @@
     }
 }
 
+mod outgoing;
+mod owed;
 #[cfg(test)]
 #[path = "../tests/inner/links.rs"]
 mod tests;
