Keepers: the bound of registers follows a machine's memory and disk

Cause: 20,000 on any machine, against 58,000 that a lock and a number for each of 29,000 tenants take: 38,000 of them were «busy» for good.

No machine gets less than before. Members may differ: each refuses beyond its own bound and holds what others took.

--- a/crates/keeper/examples/register_slopes.rs
+++ b/crates/keeper/examples/register_slopes.rs
@@ -1,6 +1,6 @@
 //! What registers cost a keeper by how many there are: memory by the resident set of a process of its own for each
 //! size, processor time of a call by the clock of one thread, bytes of a snapshot; and what the one above the bound is
-//! told. A keeper alone, its disk hollow (each record counts as synced at once); a lock and a number for each tenant.
+//! told. A machine with 256 MB of memory and 128 MB of disk. A keeper alone, its disk hollow (each record counts as synced at once); a lock and a number for each tenant.
 //!
 //! Without arguments: all sizes. With a number: so many tenants.
 
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 const MS: Duration = Duration::from_millis(1);
-const SIZES: [usize; 4] = [1000, 5000, 9900, 29_000];
+const SIZES: [usize; 5] = [1000, 5000, 10_000, 29_000, 50_000];
 
 struct Alone {
     keeper: Keeper,
@@ -87,7 +87,7 @@
     let node = NodeId::new(10, 0, 0, 1);
     let me =
         Me { node, disk: Some(7), life: 9, first_start: true, empty: true, seeds: vec![node], tolerate: 0 };
-    let keeper = Keeper::start(MS, 1, me, Kept { records: Vec::new() }, Terms::default());
+    let keeper = Keeper::start(MS, 1, me, Kept { records: Vec::new() }, Terms::for_machine(256, 128));
     let keeper = keeper.expect("an empty disk");
     let mut alone = Alone { keeper, now: MS, done: 0, busy: 0, records: 0 };
     alone.pass(Duration::from_secs(10));
--- a/crates/keeper/src/terms.rs
+++ b/crates/keeper/src/terms.rs
@@ -82,7 +82,7 @@
     pub calls: usize,
     /// Watches that wait; one more is `Busy` at once.
     pub watches: usize,
-    /// Registers; calls to one more are `Busy` at once. From three quarters of it on those that nobody uses are given
+    /// Registers; calls to one more are `Busy` at once. See [`Terms::for_machine`]. From three quarters of it on those that nobody uses are given
     /// up.
     pub registers: usize,
     /// Bytes of all values together: two snapshots and the logs between them have to fit on the disk. Calls that
@@ -159,3 +159,26 @@
         }
     }
 }
+
+/// Registers that any machine bears, and the most for the largest.
+const REGISTERS_LEAST: usize = 20_000;
+const REGISTERS_MOST: usize = 100_000;
+/// Memory in MB with which a machine bears the least, and the most.
+const MEMORY_LEAST: usize = 64;
+const MEMORY_MOST: usize = 256;
+/// Registers for each MB of disk: two snapshots (the one in force, the next one) have to fit beside 16 MB of values
+/// twice, the logs' quarter and what else is kept.
+const REGISTERS_A_DISK_MB: usize = 940;
+
+impl Terms {
+    /// With the bound of registers that a machine's memory and disk bear, in MB. Members may differ: each refuses names
+    /// beyond its own bound, and holds what others took.
+    pub fn for_machine(memory_mb: u64, disk_mb: u64) -> Terms {
+        let memory = usize::try_from(memory_mb).unwrap_or(usize::MAX).clamp(MEMORY_LEAST, MEMORY_MOST);
+        let more =
+            (REGISTERS_MOST - REGISTERS_LEAST) * (memory - MEMORY_LEAST) / (MEMORY_MOST - MEMORY_LEAST);
+        let disk = usize::try_from(disk_mb).unwrap_or(usize::MAX).saturating_mul(REGISTERS_A_DISK_MB);
+        let registers = (REGISTERS_LEAST + more).min(disk).max(REGISTERS_LEAST);
+        Terms { registers, ..Terms::default() }
+    }
+}
--- a/crates/lantern/src/start.rs
+++ b/crates/lantern/src/start.rs
@@ -118,9 +118,10 @@
     let links =
         Links::open(poll.registry(), me, port, LINKS, links::Terms::default()).map_err(address(inner))?;
 
+    let disk_mb = settings.resources.disk_mb.unwrap_or(64);
     let (kept, remembered, disk) = match &settings.data_dir {
         Some(folder) => {
-            let (store, records) = open_store(folder, settings.resources.disk_mb.unwrap_or(64))?;
+            let (store, records) = open_store(folder, disk_mb)?;
             let (memory, remembered) = Memory::open(folder);
             (records, remembered, Some(disk::start(store, memory, wake.clone())?))
         }
@@ -138,7 +139,10 @@
         seeds: seeds.clone(),
         tolerate: settings.tolerate_machines,
     };
-    let terms = fallgap_keeper::Terms { history: settings.bounds.history, ..Default::default() };
+    let terms = fallgap_keeper::Terms {
+        history: settings.bounds.history,
+        ..fallgap_keeper::Terms::for_machine(settings.resources.memory_mb, disk_mb)
+    };
     let keeper = Keeper::start(now, rng.u64(..), who, Kept { records: kept }, terms)?;
     let card = Card {
         node: me,
