Keepers: a change of members is decided however slow the disks are; an even number is told by the epoch

Cause: each try of a change had a new ballot after 0.3 s, so where a majority needed longer for a sync nothing was ever decided.

An even number that a newcomer brought about before this process's start was not made odd at the word to leave: the epoch's members now say whether their number last grew, so a restarted process and a newcomer know it. The script fails with the old rule.

The epoch's record and message have one field more: disks written before are not read.

--- a/crates/keeper/src/charter.rs
+++ b/crates/keeper/src/charter.rs
@@ -1,5 +1,7 @@
 //! An epoch's members, and what a majority of them is.
 
+use std::cmp::Ordering;
+
 use serde::{Deserialize, Serialize};
 
 use crate::fault::{self, Fault};
@@ -22,6 +24,8 @@
     pub number: u64,
     /// Sorted by node, each node once.
     pub members: Vec<Member>,
+    /// The last change of their number made them more: an even number is one more than is needed.
+    pub grown: bool,
 }
 
 impl Charter {
@@ -31,7 +35,7 @@
             seeds.iter().map(|node| Member { node: *node, disk: 0, joined: 0 }).collect();
         members.sort();
         members.dedup();
-        Charter { number: 0, members }
+        Charter { number: 0, members, grown: false }
     }
 
     /// More than half of the members.
@@ -65,7 +69,11 @@
             members.push(Member { node, disk, joined: number });
         }
         members.sort();
-        Charter { number, members }
+        let grown = match members.len().cmp(&self.members.len()) {
+            Ordering::Equal => self.grown,
+            than => than == Ordering::Greater,
+        };
+        Charter { number, members, grown }
     }
 }
 
@@ -78,7 +86,7 @@
         let node = |n: u8| NodeId::new(10, 0, 0, n);
         for size in 1..=7u8 {
             let members = (1..=size).map(|n| Member { node: node(n), disk: 1, joined: 1 }).collect();
-            let old = Charter { number: 1, members };
+            let old = Charter { number: 1, members, grown: false };
             let (size, quorum) = (usize::from(size), old.quorum());
             let replaced = old.changed(Some(node(1)), Some((node(9), 2)));
             assert_eq!(replaced.newcomer().map(|m| m.node), Some(node(9)));
--- a/crates/keeper/src/departure.rs
+++ b/crates/keeper/src/departure.rs
@@ -31,8 +31,6 @@
     pub sealed: bool,
     /// It was a member when it got the word to end, and was taken out since.
     out: bool,
-    /// The members became more with the newest epoch that changed their number, as far as this process saw.
-    grown: bool,
     /// Those compared with in the newest epoch.
     stayers: BTreeMap<NodeId, Stayer>,
 }
@@ -43,9 +41,6 @@
         self.stayers.clear();
         let Some(before) = before else { return };
         self.out |= leaving && before.member(me).is_some() && after.member(me).is_none();
-        if before.members.len() != after.members.len() {
-            self.grown = before.members.len() < after.members.len();
-        }
     }
 
     pub fn next_wake(&self) -> Option<Duration> {
@@ -96,7 +91,7 @@
         let enough = (self.me.tolerate as usize).saturating_mul(2).saturating_add(1);
         let size = charter.members.len();
         self.departure.sealed
-            && self.departure.grown
+            && charter.grown
             && !fault::is(Fault::LeaverStaysIn)
             && charter.member(self.me.node).is_some()
             && size.is_multiple_of(2)
--- a/crates/keeper/src/fault.rs
+++ b/crates/keeper/src/fault.rs
@@ -110,10 +110,12 @@
     StayerUnsynced,
     /// The members change before the newcomer of the change before has caught up.
     ChangeBeforeCaughtUp,
+    /// Each try to decide on a change has a ballot of its own.
+    BallotEachTry,
 }
 
 impl Fault {
-    pub const ALL: [Fault; 48] = [
+    pub const ALL: [Fault; 49] = [
         Fault::MajorityLessOne,
         Fault::CoverLessOne,
         Fault::PromiseUnsynced,
@@ -162,6 +164,7 @@
         Fault::LeaverStaysIn,
         Fault::StayerUnsynced,
         Fault::ChangeBeforeCaughtUp,
+        Fault::BallotEachTry,
     ];
 }
 
--- a/crates/keeper/src/founding.rs
+++ b/crates/keeper/src/founding.rs
@@ -8,12 +8,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::ballot::Ballot;
 use crate::charter::{Charter, Member};
 use crate::fault::{self, Fault};
 use crate::keeper::Keeper;
 use crate::messages::{Message, Record};
-use crate::succession::Drive;
 use crate::terms::Terms;
 use crate::types::NodeId;
 
@@ -26,8 +24,6 @@
     present: BTreeMap<NodeId, (u64, Duration)>,
     /// When somebody said so first, or again after a silence.
     newest: Duration,
-    /// The attempt that is asked for again, and how often it was.
-    insisted: Option<(Ballot, u32)>,
     /// Next time to say or ask.
     pub at: Duration,
 }
@@ -35,7 +31,7 @@
 impl Founding {
     pub fn new(now: Duration) -> Founding {
         let present = BTreeMap::new();
-        Founding { started: now, enrolled: 0, present, newest: now, insisted: None, at: now }
+        Founding { started: now, enrolled: 0, present, newest: now, at: now }
     }
 }
 
@@ -133,37 +129,6 @@
             few if few < enough => quiet >= found_few,
             _ => quiet >= found_quiet && up >= if all { found_least } else { found_few },
         };
-        due.then_some(Charter { number: 1, members })
-    }
-
-    /// What seeds have not answered goes out again under the same ballot: one whose disk is slow would never come to
-    /// answer if it had to write each attempt anew.
-    pub(crate) fn insist(&mut self, now: Duration) -> bool {
-        if self.epoch() != 0 {
-            return false;
-        }
-        let (message, ballot, told) = match &mut self.drive {
-            Drive::Preparing { ballot, told, .. } => {
-                (Message::HeirPrepare { ballot: *ballot }, *ballot, told.clone())
-            }
-            Drive::Accepting { ballot, charter, told, .. } => {
-                (Message::HeirAccept { ballot: *ballot, charter: charter.clone() }, *ballot, told.clone())
-            }
-            Drive::Idle | Drive::Waiting { .. } => return false,
-        };
-        let times =
-            self.founding.insisted.filter(|(asked, _)| *asked == ballot).map_or(0, |(_, times)| times);
-        if times >= self.terms.found_insist {
-            return false;
-        }
-        self.founding.insisted = Some((ballot, times + 1));
-        let again = now + self.terms.decide;
-        if let Drive::Preparing { until, .. } | Drive::Accepting { until, .. } = &mut self.drive {
-            *until = again;
-        }
-        for node in self.electors().into_iter().filter(|node| !told.contains(node)) {
-            self.pen.send(node, message.clone());
-        }
-        true
+        due.then_some(Charter { number: 1, members, grown: false })
     }
 }
--- a/crates/keeper/src/keeper.rs
+++ b/crates/keeper/src/keeper.rs
@@ -433,7 +433,7 @@
                     self.send_members(from);
                 }
             }
-            Message::Ask { epoch } if epoch < self.epoch() => self.send_members(from),
+            Message::Ask { epoch } if epoch < self.epoch() => self.is_behind(now, from),
             Message::Ask { .. } => {}
             Message::Members(charter) => self.enter_epoch(now, charter),
             Message::Present { disk } => self.present(now, from, disk),
--- a/crates/keeper/src/kept.rs
+++ b/crates/keeper/src/kept.rs
@@ -28,7 +28,7 @@
                 }
                 Record::Forget { floor, entries } => self.acceptor.replay_forget(floor, &entries),
                 Record::Heir { epoch, promised, accepted } => {
-                    heirs.push((epoch, Heir { promised, accepted, logged: 0 }));
+                    heirs.push((epoch, Heir { promised, accepted, ..Heir::default() }));
                 }
             }
         }
--- a/crates/keeper/src/recovery.rs
+++ b/crates/keeper/src/recovery.rs
@@ -103,6 +103,16 @@
         catch_up.turn_to(next);
     }
 
+    /// One that does not know of the newest epoch asks for it. If this newcomer reads from it, it has not answered.
+    pub(crate) fn is_behind(&mut self, now: Duration, from: NodeId) {
+        self.send_members(from);
+        let soon = now + self.terms.patience;
+        if let Some(catch_up) = self.catch_up.as_mut().filter(|catch_up| catch_up.from == Some(from)) {
+            catch_up.again = catch_up.again.min(soon);
+            catch_up.silent = 0;
+        }
+    }
+
     /// Asks for what is next.
     fn fetch(&mut self, now: Duration, catch_up: &mut CatchUp) {
         catch_up.again = now + self.terms.fetch;
--- a/crates/keeper/src/succession.rs
+++ b/crates/keeper/src/succession.rs
@@ -18,6 +18,15 @@
     pub promised: Option<Ballot>,
     pub accepted: Option<(Ballot, Charter)>,
     pub logged: u64,
+    pub rival: Option<Rival>,
+}
+
+/// A change that another node asks for: who, and when it asked first and last.
+#[derive(Clone, Debug, Hash)]
+pub(crate) struct Rival {
+    ballot: Ballot,
+    since: Duration,
+    at: Duration,
 }
 
 /// How far this node has come with a change of its own, or with one that somebody left undone.
@@ -65,7 +74,7 @@
         if self.member_epoch().is_none() {
             return self.drive(Drive::Idle);
         }
-        if self.insist(now) {
+        if self.ask_again(now) {
             return;
         }
         let sealed = self.heir.accepted.is_some();
@@ -75,6 +84,9 @@
             return self.drive(Drive::Idle);
         }
         match self.drive {
+            Drive::Waiting { .. } if self.yields(now) => {
+                self.drive(Drive::Waiting { until: now + self.terms.decide });
+            }
             Drive::Waiting { .. } => self.drive_prepare(now, own),
             _ => {
                 let most = self.terms.change.as_millis() as u64;
@@ -86,6 +98,69 @@
         }
     }
 
+    /// Whoever has not answered is asked again under the same ballot: a new one would have to be written anew, and where
+    /// a majority needs longer for a sync than the time until then no change would ever be decided. Only a higher ballot
+    /// ends an attempt, or that it is not wanted any more. Those that have answered hear of it too, so that they do not
+    /// begin one of their own.
+    fn ask_again(&mut self, now: Duration) -> bool {
+        if fault::is(Fault::BallotEachTry) && self.epoch() > 0 {
+            return false;
+        }
+        let wanted = match &self.drive {
+            Drive::Preparing { .. } if self.heir.accepted.is_none() => self.wanted(now),
+            _ => None,
+        };
+        let founds = self.epoch() == 0;
+        let again = now + self.terms.decide;
+        let message = match &mut self.drive {
+            Drive::Preparing { ballot, own, until, .. } => {
+                if own.is_some() && self.heir.accepted.is_none() {
+                    match wanted {
+                        None if !founds => return false,
+                        None => {}
+                        wanted => *own = wanted,
+                    }
+                }
+                *until = again;
+                Message::HeirPrepare { ballot: *ballot }
+            }
+            Drive::Accepting { ballot, charter, until, .. } => {
+                *until = again;
+                Message::HeirAccept { ballot: *ballot, charter: charter.clone() }
+            }
+            Drive::Idle | Drive::Waiting { .. } => return false,
+        };
+        self.tell_members(&message);
+        true
+    }
+
+    /// Another node's attempt is under way: it asks on, hears this node, and stands above all that was promised here. It
+    /// is left alone for a time that doubles with each contention.
+    fn yields(&self, now: Duration) -> bool {
+        let Some(rival) = self.heir.rival.as_ref().filter(|_| !fault::is(Fault::BallotEachTry)) else {
+            return false;
+        };
+        let Rival { ballot, since, at } = rival;
+        let patience = self.terms.yielding * (1 << self.duels.min(self.terms.yielding_doublings));
+        self.heir.promised == Some(*ballot)
+            && now.saturating_sub(*at) <= self.terms.alive
+            && now.saturating_sub(*since) < patience
+            && self.crew.is_heard(now, ballot.node, self.terms.alive)
+            && self.crew.hears_us(ballot.node)
+    }
+
+    /// A ballot that this disk promised or accepted, of another node.
+    fn rival_asked(&mut self, ballot: Ballot) {
+        if ballot.node == self.me.node {
+            return;
+        }
+        let now = self.clock;
+        match &mut self.heir.rival {
+            Some(rival) if rival.ballot == ballot => rival.at = now,
+            rival => *rival = Some(Rival { ballot, since: now, at: now }),
+        }
+    }
+
     /// This node's place among the members alive, so that not all act at once.
     fn rank(&self, now: Duration) -> u32 {
         let before = self.alive_members(now).filter(|node| *node < self.me.node).count();
@@ -194,6 +269,7 @@
                 self.log_heir(ballot.epoch);
             }
         }
+        self.rival_asked(ballot);
         let accepted = self.heir.accepted.clone();
         self.pen.reply(self.heir_rests(), from, Message::HeirPromised { ballot, accepted });
     }
@@ -238,6 +314,7 @@
             self.heir.accepted = Some((ballot, charter));
             self.log_heir(ballot.epoch);
         }
+        self.rival_asked(ballot);
         self.pen.reply(self.heir_rests(), from, Message::HeirAccepted { ballot });
     }
 
--- a/crates/keeper/src/terms.rs
+++ b/crates/keeper/src/terms.rs
@@ -40,8 +40,12 @@
     pub change: Duration,
     /// The delay doubles this often at most while several ask for changes.
     pub duels: u32,
-    /// An undecided change is taken up again after this.
+    /// Who has not answered on a change is asked again after this.
     pub decide: Duration,
+    /// A change that another node asks for is left alone for this long; longer with each contention, doubled so often
+    /// at most.
+    pub yielding: Duration,
+    pub yielding_doublings: u32,
     /// A wake-up later than this was a freeze: the others' silence is counted anew.
     pub freeze: Duration,
     /// A seed proposes the first members after this long at the earliest, and this long without a new machine.
@@ -50,8 +54,6 @@
     /// It waits so long for one that is here and silent; and so long without a new one, while they are too few to lose
     /// as many as may be lost.
     pub found_few: Duration,
-    /// What a seed has not answered is asked for again under the same ballot so often.
-    pub found_insist: u32,
     /// A machine that has no members yet says so this often.
     pub present: Duration,
     /// One that is no member asks for the newest members this often.
@@ -126,11 +128,12 @@
             change: ms(100),
             duels: 5,
             decide: ms(300),
+            yielding: ms(3600),
+            yielding_doublings: 2,
             freeze: ms(500),
             found_least: ms(1000),
             found_quiet: ms(700),
             found_few: ms(3000),
-            found_insist: 12,
             present: ms(200),
             ask: ms(1000),
             fetch: ms(300),
--- a/crates/sextant/src/waters.rs
+++ b/crates/sextant/src/waters.rs
@@ -186,7 +186,7 @@
             nodes.map(|node| Member { node, disk: sea.rng.u64(1..), joined: 1 }).collect();
         members.sort();
         for member in &members {
-            let charter = Charter { number: 1, members: members.clone() };
+            let charter = Charter { number: 1, members: members.clone(), grown: false };
             let records = [Record::Disk { number: member.disk, first: true }, Record::Epoch(charter)];
             if let Some(machine) = sea.machines.get_mut(&member.node) {
                 machine.kept = records.iter().filter_map(|r| postcard::to_stdvec(r).ok()).collect();
--- a/crates/sextant/tests/scripts/mod.rs
+++ b/crates/sextant/tests/scripts/mod.rs
@@ -119,6 +119,21 @@
 
 /// A newcomer is there and has caught up; one leaves for good, and right after it another one is wiped.
 pub fn a_loss_right_after_a_planned_replacement(seed: u64) {
+    loss_after_a_replacement(seed, |_| {});
+}
+
+/// The same, and since the newcomer came all others were started again, with what is on their disks.
+pub fn a_loss_right_after_a_replacement_and_restarts(seed: u64) {
+    loss_after_a_replacement(seed, |sea| {
+        for n in [2, 3, 1] {
+            sea.kill(node(n), n == 1);
+            sea.restart(node(n), ms(300));
+            sea.run(sea.now + ms(2000));
+        }
+    });
+}
+
+fn loss_after_a_replacement(seed: u64, between: impl Fn(&mut Sea)) {
     let mut sea = Sea::founded(seed, 3, 0);
     sea.run(ms(1500));
     hold(ask(&mut sea, node(1), 1, number(), 100) == Some(Answer::Value(1)), Check::Served, "a calm sea");
@@ -126,6 +141,8 @@
     sea.run(sea.now + ms(4000));
     let members = sea.keeper(node(1)).map_or(0, |keeper| keeper.members().len());
     hold(sea.is_whole() && members == 4, Check::Whole, sea.view().join(", "));
+    between(&mut sea);
+    hold(sea.is_whole(), Check::Whole, sea.view().join(", "));
     let left = leave(&mut sea, node(1));
     hold(left.shown && left.took < ms(1000), Check::Whole, format!("{left:?}"));
     sea.remove(node(1));
