--- a/crates/keeper/src/terms.rs
+++ b/crates/keeper/src/terms.rs
@@ -39,7 +39,7 @@
     /// Delays before a change of members are drawn up to this, and rise by it with the rank.
     pub change: Duration,
     /// The delay doubles this often at most while several ask for changes.
-    pub duels: u32,
+    pub contention_doublings: u32,
     /// Who has not answered on a change is asked again after this.
     pub decide: Duration,
     /// A change that another node asks for is left alone for this long; longer with each contention, doubled so often
@@ -126,7 +126,7 @@
             add: ms(2500),
             remove: ms(8000),
             change: ms(100),
-            duels: 5,
+            contention_doublings: 5,
             decide: ms(300),
             yielding: ms(3600),
             yielding_doublings: 2,
--- a/crates/sextant/tests/second_losses.rs
+++ b/crates/sextant/tests/second_losses.rs
@@ -1,6 +1,6 @@
 //! Three disks, of which one is replaced, as planned or since it is gone: at each message and each sync of that, one after
 //! the other, a second trouble strikes each machine. Then all is well again. Whatever the moment, each epoch has one set of
-//! members, numbers only rise, and the members are whole again in time. Over the real cores, in virtual time.
+//! members, numbers only rise, and the members are caught up again in time. Over the real cores, in virtual time.
 
 use std::time::Duration;
 
@@ -51,8 +51,8 @@
 const GRACE: Duration = ms(5500);
 /// A trouble lasts this long.
 const TROUBLE: Duration = ms(2500);
-/// All is well: whole after this at most.
-const WHOLE: Duration = ms(15_000);
+/// All is well: caught up after this at most.
+const CAUGHT_UP: Duration = ms(15_000);
 
 fn number(sea: &mut Sea, id: u64) -> Option<u64> {
     for (id, at) in (id..).zip(sea.disk_machines()) {
@@ -107,7 +107,7 @@
         let until = (next + Duration::from_nanos(1)).max(sea.now + Duration::from_nanos(1));
         sea.run(until.min(sea.now + ms(20)));
         self.leaves(sea, false);
-        self.over = self.gone && sea.is_whole();
+        self.over = self.gone && sea.is_caught_up();
     }
 
     fn leaves(&mut self, sea: &mut Sea, late: bool) {
@@ -175,7 +175,7 @@
     !for_good || first == First::Planned || newcomer
 }
 
-/// How long after the second trouble the members were whole.
+/// How long after the second trouble the members were caught up.
 fn play(first: First, second: Second, at: NodeId, moment: usize, seed: u64) -> Option<Duration> {
     let mut sea = before(first, seed);
     let begun = sea.now;
@@ -194,10 +194,10 @@
     change.run(&mut sea, begun, until.max(if change.gone { until } else { begun + GRACE + ms(20) }));
     // A machine that is gone for good in the middle is followed by another, as every one that is removed.
     let from = sea.now;
-    while !sea.is_whole() && sea.now < from + WHOLE {
+    while !sea.is_caught_up() && sea.now < from + CAUGHT_UP {
         sea.run(sea.now + ms(10));
     }
-    assert!(sea.is_whole(), "not whole: {:?}", sea.view());
+    assert!(sea.is_caught_up(), "not caught up: {:?}", sea.view());
     let took = sea.now - from;
     let after = number(&mut sea, 200);
     assert!(after > acknowledged.max(Some(1)), "{acknowledged:?}, then {after:?}");
@@ -228,7 +228,7 @@
             }
         }
     }
-    println!("{first:?}: {runs} runs, whole after {longest:?} at most");
+    println!("{first:?}: {runs} runs, caught up after {longest:?} at most");
 }
 
 #[test]
--- a/crates/sextant/tests/slow_disks.rs
+++ b/crates/sextant/tests/slow_disks.rs
@@ -52,7 +52,7 @@
         && counted == first.members().len()
 }
 
-/// How long from the loss until the members were whole again.
+/// How long from the loss until the members had caught up again.
 fn play(seed: u64, disks: u8, slow: usize, loss: Loss, lossy: bool) -> Duration {
     let mut sea = Sea::founded(seed, disks, 0);
     sea.run(ms(1500));
