--- a/crates/sextant/tests/mutants.rs
+++ b/crates/sextant/tests/mutants.rs
@@ -52,6 +52,7 @@
     (Fault::LeaverStaysIn, scripts::a_loss_right_after_a_planned_replacement, 40, Check::CaughtUp),
     (Fault::LeaverStaysIn, scripts::a_loss_right_after_a_replacement_and_restarts, 40, Check::CaughtUp),
     (Fault::ChangeBeforeCaughtUp, scripts::two_newcomers_at_once, 40, Check::CaughtUp),
+    (Fault::RotIsTorn, scripts::rot::a_rotten_log_and_a_loss, 50, Check::Linear),
     (Fault::StayerUnsynced, scripts::a_slow_disk_among_those_that_stay, 40, Check::Linear),
 ];
 
