--- a/crates/keeper/src/charter.rs
+++ b/crates/keeper/src/charter.rs
@@ -1,5 +1,7 @@
 //! An epoch's members, and what a majority of them is.
 
+use std::cmp::Ordering;
+
 use serde::{Deserialize, Serialize};
 
 use crate::fault::{self, Fault};
@@ -22,6 +24,8 @@
     pub number: u64,
     /// Sorted by node, each node once.
     pub members: Vec<Member>,
+    /// The last change of their number made them more: an even number is one more than is needed.
+    pub grown: bool,
 }
 
 impl Charter {
@@ -31,7 +35,7 @@
             seeds.iter().map(|node| Member { node: *node, disk: 0, joined: 0 }).collect();
         members.sort();
         members.dedup();
-        Charter { number: 0, members }
+        Charter { number: 0, members, grown: false }
     }
 
     /// More than half of the members.
@@ -65,6 +69,10 @@
             members.push(Member { node, disk, joined: number });
         }
         members.sort();
-        Charter { number, members }
+        let grown = match members.len().cmp(&self.members.len()) {
+            Ordering::Equal => self.grown,
+            than => than == Ordering::Greater,
+        };
+        Charter { number, members, grown }
     }
 }
--- a/crates/keeper/src/fault.rs
+++ b/crates/keeper/src/fault.rs
@@ -112,10 +112,12 @@
     StayerUnsynced,
     /// The members change before the newcomer of the change before has caught up.
     ChangeBeforeCaughtUp,
+    /// Each try to decide on a change has a ballot of its own.
+    BallotEachTry,
 }
 
 impl Fault {
-    pub const ALL: [Fault; 49] = [
+    pub const ALL: [Fault; 50] = [
         Fault::MajorityLessOne,
         Fault::CoverLessOne,
         Fault::PromiseUnsynced,
@@ -165,6 +167,7 @@
         Fault::LeaverStaysIn,
         Fault::StayerUnsynced,
         Fault::ChangeBeforeCaughtUp,
+        Fault::BallotEachTry,
     ];
 }
 
--- a/crates/keeper/src/kept.rs
+++ b/crates/keeper/src/kept.rs
@@ -28,7 +28,7 @@
                 }
                 Record::Forget { floor, entries } => self.acceptor.replay_forget(floor, &entries),
                 Record::Successor { epoch, promised, accepted } => {
-                    successors.push((epoch, Successor { promised, accepted, logged: 0 }));
+                    successors.push((epoch, Successor { promised, accepted, ..Successor::default() }));
                 }
             }
         }
--- a/crates/keeper/tests/charter.rs
+++ b/crates/keeper/tests/charter.rs
@@ -6,7 +6,7 @@
     let node = |n: u8| NodeId::new(10, 0, 0, n);
     for size in 1..=7u8 {
         let members = (1..=size).map(|n| Member { node: node(n), disk: 1, joined: 1 }).collect();
-        let old = Charter { number: 1, members };
+        let old = Charter { number: 1, members, grown: false };
         let (size, quorum) = (usize::from(size), old.quorum());
         let replaced = old.changed(Some(node(1)), Some((node(9), 2)));
         assert_eq!(replaced.newcomer().map(|m| m.node), Some(node(9)));
