Quay: a connection at rest gives way to a new one

All 1,000 connections to servers were open, most at rest for 3 s, and none gave way: a service whose servers have none was not served.

Change: at the bound the one at rest for longest is closed, as it is for clients' connections.

--- a/crates/quay/src/lines.rs
+++ b/crates/quay/src/lines.rs
@@ -59,7 +59,7 @@
     pub(crate) fn open_line(
         &mut self, now: Duration, server: ServerKey, address: SocketAddr, at: TryAt,
     ) -> Option<LineKey> {
-        if self.lines.len() >= self.terms.lines {
+        if self.lines.len() >= self.terms.lines && !self.close_oldest_line() {
             return None;
         }
         let stream = TcpStream::connect(address).ok()?;
@@ -85,6 +85,19 @@
         Some(key)
     }
 
+    /// Closes the connection at rest for longest, if there is one.
+    fn close_oldest_line(&mut self) -> bool {
+        let at_rest = self.lines.iter().filter_map(|(key, line)| match line.state {
+            LineState::Resting { since, .. } => Some((since, key)),
+            LineState::Connecting(_) | LineState::Coming | LineState::Working(_) => None,
+        });
+        let oldest = at_rest.min().map(|(_, key)| key);
+        oldest.is_some_and(|key| {
+            self.close_line(key);
+            true
+        })
+    }
+
     /// How long the other machine may be silent before the kernel ends the connection: its silence is no reason to end
     /// an answer that there is still time for.
     pub(crate) fn bear_silence(line: &mut Line, time: Duration) {
--- a/crates/quay/src/terms.rs
+++ b/crates/quay/src/terms.rs
@@ -10,7 +10,8 @@
     /// Connections of clients. Over it the one at rest for longest is closed for a new one; with none at rest, new
     /// ones wait in the kernel's queue.
     pub connections: usize,
-    /// Connections to servers, all together. Over it ops go where a connection is.
+    /// Connections to servers, all together. Over it the one at rest for longest is closed for a new one; with none at
+    /// rest, ops go where a connection is.
     pub lines: usize,
     /// Bytes of requests and answers held, all together. Over it bodies are refused with 503, and answers count as
     /// broken off.
