--- a/crates/lantern/src/links.rs
+++ b/crates/lantern/src/links.rs
@@ -488,4 +488,5 @@
 }
 
 #[cfg(test)]
+#[path = "../tests/inner/links.rs"]
 mod tests;
