Keepers: disks of the text before are read, whose epochs did not say whether they had grown

Cause: an epoch has a new field, so a keeper of this text could not read its own disk of the one before, and an upgrade would have lost all that was acknowledged. Ruled out: to keep it beside the epoch (a second record that may be lost alone). Change: an epoch stands last in its record, so where the last byte is missing it has not grown. What begins half of a record of another kind is an error as before. Test: records without their last byte, by kind; the schedule of disks of the text before loses the field too.

--- a/crates/keeper/src/kept.rs
+++ b/crates/keeper/src/kept.rs
@@ -14,7 +14,7 @@
         let mut disk = None;
         let mut successors: Vec<(u64, Successor)> = Vec::new();
         for (at, bytes) in kept.records.iter().enumerate() {
-            match postcard::from_bytes(bytes).map_err(|_| KeptError::Record(at))? {
+            match Record::read(bytes).map_err(|_| KeptError::Record(at))? {
                 Record::Disk { number, first } => disk = Some((number, first)),
                 Record::Epoch(charter) => {
                     if self.charter.as_ref().is_none_or(|before| before.number < charter.number) {
--- a/crates/keeper/src/messages.rs
+++ b/crates/keeper/src/messages.rs
@@ -232,3 +232,21 @@
         entries: Vec<(Key, Ballot)>,
     },
 }
+
+impl Record {
+    /// As this text wrote it or the one before, whose epochs did not say whether they had grown. An epoch stands last in its
+    /// record, so there its last byte is missing.
+    ///
+    /// # Errors
+    ///
+    /// The bytes are no record.
+    pub fn read(bytes: &[u8]) -> Result<Record, postcard::Error> {
+        let Err(postcard::Error::DeserializeUnexpectedEnd) = postcard::from_bytes::<Record>(bytes) else {
+            return postcard::from_bytes(bytes);
+        };
+        match postcard::from_bytes(&[bytes, &[0]].concat())? {
+            record @ (Record::Epoch(_) | Record::Successor { accepted: Some(_), .. }) => Ok(record),
+            _ => Err(postcard::Error::DeserializeUnexpectedEnd),
+        }
+    }
+}
--- a/crates/keeper/tests/charter.rs
+++ b/crates/keeper/tests/charter.rs
@@ -1,5 +1,7 @@
 use fallgap_keeper::NodeId;
+use fallgap_keeper::ballot::Ballot;
 use fallgap_keeper::charter::{Charter, Member};
+use fallgap_keeper::messages::Record;
 
 #[test]
 fn whoever_comes_in_meets_every_majority_before_it() {
@@ -24,3 +26,29 @@
         assert!(wiped.changed(Some(node(1)), Some((node(1), 3))).newcomer().is_some_and(|m| m.disk == 3));
     }
 }
+
+#[test]
+fn epochs_on_disks_of_the_text_before_are_read() {
+    let node = NodeId::new(10, 0, 0, 1);
+    let charter = |grown| Charter { number: 3, members: vec![Member { node, disk: 5, joined: 2 }], grown };
+    let ballot = Ballot { epoch: 3, count: 300, node, life: 7 };
+    let successor = |accepted| Record::Successor { epoch: 3, promised: Some(ballot), accepted };
+    // (a record, whether it is read without its last byte, as the text before wrote it)
+    let table = [
+        (Record::Epoch(charter(false)), true),
+        (successor(Some((ballot, charter(false)))), true),
+        (successor(None), false),
+        (Record::CaughtUp(300), false),
+        (Record::Disk { number: 300, first: true }, false),
+        (Record::Promise { key: fallgap_keeper::Key::Config, ballot }, false),
+    ];
+    for (record, is_read) in table {
+        let bytes = postcard::to_stdvec(&record).unwrap();
+        let shown = |read: Result<Record, _>| read.ok().map(|record| format!("{record:?}"));
+        let whole = Some(format!("{record:?}"));
+        assert_eq!(shown(Record::read(&bytes)), whole);
+        assert_eq!(shown(Record::read(&bytes[..bytes.len() - 1])), whole.filter(|_| is_read), "{record:?}");
+    }
+    let grown = postcard::to_stdvec(&Record::Epoch(charter(true))).unwrap();
+    assert!(matches!(Record::read(&grown), Ok(Record::Epoch(Charter { grown: true, .. }))));
+}
--- a/crates/lantern/tests/calls_model.rs
+++ b/crates/lantern/tests/calls_model.rs
@@ -127,7 +127,11 @@
             };
             let terms = fallgap_keeper::Terms::default();
             let mut keeper = Keeper::start(START, seed, me, Kept::default(), terms).expect("empty");
-            keeper.heard(START, node(9), Message::Members(Charter { number: 1, members: members.clone() }));
+            keeper.heard(
+                START,
+                node(9),
+                Message::Members(Charter { number: 1, members: members.clone(), grown: false }),
+            );
             keeper
         };
         let nodes = (0..NODES)
--- a/crates/sextant/src/machine.rs
+++ b/crates/sextant/src/machine.rs
@@ -48,7 +48,7 @@
     }
 
     pub(crate) fn epochs_kept(&self) -> impl Iterator<Item = u64> {
-        self.kept.iter().filter_map(|record| match postcard::from_bytes(record) {
+        self.kept.iter().filter_map(|record| match Record::read(record) {
             Ok(Record::Epoch(charter)) => Some(charter.number),
             _ => None,
         })
--- a/crates/sextant/src/voyage.rs
+++ b/crates/sextant/src/voyage.rs
@@ -110,7 +110,7 @@
     let members = keepers.filter(|(_, keeper)| keeper.is_member());
     let held = members.map(|(node, keeper)| {
         let records = keeper.snapshot();
-        let records = records.iter().filter_map(|bytes| postcard::from_bytes(bytes).ok());
+        let records = records.iter().filter_map(|bytes| Record::read(bytes).ok());
         let accepted = records.filter_map(|record| match record {
             Record::Accept { key, ballot, promised, .. } => Some((key, (ballot, promised))),
             _ => None,
--- a/crates/sextant/tests/orders.rs
+++ b/crates/sextant/tests/orders.rs
@@ -342,7 +342,8 @@
     }
 }
 
-/// The disks hold what the text before wrote: edition and body, and nothing behind them.
+/// The disks hold what the text before wrote: edition and body, and nothing behind them; epochs that do not say whether
+/// they have grown.
 #[test]
 fn disks_of_the_text_before_are_read() {
     for seed in 0..5 {
@@ -355,11 +356,16 @@
         }
         let nodes = world.sea.disk_machines();
         world.sea.run(world.sea.now + ms(2500));
-        let mut rewritten = 0;
+        let (mut rewritten, mut epochs) = (0, 0);
         for node in &nodes {
             world.sea.kill(*node, false);
             let machine = world.sea.machines.get_mut(node).unwrap();
             for kept in &mut machine.kept {
+                if let Ok(Record::Epoch(_) | Record::Successor { accepted: Some(_), .. }) = Record::read(kept)
+                {
+                    kept.pop();
+                    epochs += 1;
+                }
                 let Ok(Record::Accept { key: Key::Config, ballot, promised, value }) =
                     postcard::from_bytes::<Record>(kept)
                 else {
@@ -373,7 +379,7 @@
                 rewritten += 1;
             }
         }
-        assert!(rewritten >= nodes.len(), "{rewritten}");
+        assert!(rewritten >= nodes.len() && epochs >= nodes.len(), "{rewritten}, {epochs}");
         nodes.iter().for_each(|node| world.sea.restart(*node, ms(100)));
         world.sea.run(world.sea.now + ms(2000));
         assert_eq!(world.settle().unwrap(), top);
