Roster: a server's end is acknowledged when all keepers that are followed know it

Cause: `closing` was acknowledged by a majority of keepers in contact, and what keepers know of servers is in memory.

Each keeper that knows says whom it takes to be followed still: members heard within 2.2 s that do not say for 1.5 s that they are out of contact. All these have to know. A keeper that was out of contact for 0.5 s doubts what it held as open: it is not followed until all other members have told it what they know, or a second has passed. With a majority that kept its memory all stays; else it begins anew, cold. Records in doubt are taken up by nobody. A supervisor that nothing was confirmed to for 2.2 s uses what it held of servers for 1.8 s at a home that is cold.

Ruled out: `closing` on a majority's disks (those that follow the cut-off keeper still do not hear of it while the others are down; a sync for each server that leaves); to wait for the contact's end at those who acknowledge alone (a keeper that only hears is heard).

--- a/crates/keeper/src/contact.rs
+++ b/crates/keeper/src/contact.rs
@@ -12,7 +12,7 @@
 use crate::desk::{Asker, Entry};
 use crate::fault::{self, Fault};
 use crate::keeper::Keeper;
-use crate::types::{Call, Key};
+use crate::types::{Call, Key, NodeId};
 
 /// When the newest read at a majority began that came back, for what homes tell of.
 pub(crate) type ReadSince = BTreeMap<Key, Duration>;
@@ -32,6 +32,20 @@
         self.voting_epoch().is_some() && both.count() >= quorum
     }
 
+    /// Members that others may still go by as homes: those heard within a time after which who is not heard by a majority knows
+    /// that it is out of contact (`settled` and `pulse_whole`), and its followers have gone elsewhere; and of these not who has said for long enough itself that it is out of contact. A machine that has
+    /// just started, or slept, takes all for such.
+    pub fn may_be_followed(&self, now: Duration) -> Vec<NodeId> {
+        let members = self.charter.iter().flat_map(|charter| &charter.members).map(|member| member.node);
+        let may = |node: &NodeId| {
+            let silent = self.crew.silence(now, *node) > self.terms.unfollowed;
+            let out = self.crew.is_out(now, *node, self.terms.let_go);
+            let near = !silent && !out && !self.crew.is_leaving(*node);
+            *node == self.me.node || near
+        };
+        members.filter(may).collect()
+    }
+
     /// All of the configuration and the accounts that was committed before then is known here: when the older of the two
     /// newest reads began. None: one of them has not been read since the start.
     pub fn read_since(&self) -> Option<Duration> {
--- a/crates/keeper/src/crew.rs
+++ b/crates/keeper/src/crew.rs
@@ -18,6 +18,8 @@
     leaving: Option<(Duration, u64)>,
     /// It has said that it hears this node.
     hears_us: bool,
+    /// Since when it says that it is out of contact with a majority.
+    out: Option<Duration>,
     /// As the beacon has it: its disk, whether it is here, and since when that has been so.
     stands: Option<(Option<u64>, bool, Duration)>,
 }
@@ -67,10 +69,11 @@
         }
     }
 
-    /// It says whether it hears this node.
-    pub fn hears(&mut self, now: Duration, node: NodeId, us: bool) {
+    /// It says whether it hears this node, and whether it is in contact with a majority.
+    pub fn hears(&mut self, now: Duration, node: NodeId, us: bool, contact: bool) {
         if let Some(view) = self.view(now, node) {
             view.hears_us = us;
+            view.out = if contact { None } else { view.out.or(Some(now)) };
         }
     }
 
@@ -124,6 +127,12 @@
         self.views.get(&node).is_some_and(|view| view.hears_us)
     }
 
+    /// For so long it has said that it is out of contact with a majority.
+    pub fn is_out(&self, now: Duration, node: NodeId, since: Duration) -> bool {
+        let out = self.views.get(&node).and_then(|view| view.out);
+        out.is_some_and(|out| now.saturating_sub(out) >= since)
+    }
+
     pub fn is_here(&self, node: NodeId) -> bool {
         self.views.get(&node).and_then(|view| view.stands).is_some_and(|(_, here, _)| here)
     }
--- a/crates/keeper/src/keeper.rs
+++ b/crates/keeper/src/keeper.rs
@@ -405,6 +405,7 @@
             life: self.me.life,
             leaving: self.leaving,
             hears_you: self.crew.is_heard(now, to, self.terms.settled),
+            contact: self.in_contact(now),
         }
     }
 
@@ -424,9 +425,9 @@
 
     fn handle(&mut self, now: Duration, from: NodeId, message: Message) {
         match message {
-            Message::Pulse { epoch, disk, whole, life, leaving, hears_you } => {
+            Message::Pulse { epoch, disk, whole, life, leaving, hears_you, contact } => {
                 self.crew.pulse(now, from, disk, whole, life, leaving);
-                self.crew.hears(now, from, hears_you);
+                self.crew.hears(now, from, hears_you, contact);
                 if epoch > self.epoch() {
                     self.pen.send(from, Message::Ask { epoch: self.epoch() });
                 } else if epoch < self.epoch() {
--- a/crates/keeper/src/messages.rs
+++ b/crates/keeper/src/messages.rs
@@ -36,7 +36,7 @@
 #[derive(Clone, Debug, PartialEq, Hash, Serialize, Deserialize)]
 pub enum Message {
     /// A sign of life. `whole`: the epoch with which its disk came in, once it has caught up. `hears_you`: the sender has
-    /// heard whom this goes to a moment ago.
+    /// heard whom this goes to a moment ago. `contact`: it is in contact with a majority.
     Pulse {
         epoch: u64,
         disk: Option<u64>,
@@ -44,6 +44,7 @@
         life: u64,
         leaving: bool,
         hears_you: bool,
+        contact: bool,
     },
     /// Asks for the newest epoch, if it is above this one (0: knows none).
     Ask {
--- a/crates/keeper/src/terms.rs
+++ b/crates/keeper/src/terms.rs
@@ -28,6 +28,11 @@
     pub pulse_whole: Duration,
     /// A majority of members heard within this: settled.
     pub settled: Duration,
+    /// A member that was not heard for so long is followed by nobody: `settled`, `pulse_whole`, the time that followers
+    /// take to be elsewhere, and a margin for clocks.
+    pub unfollowed: Duration,
+    /// Who has said for so long that it is out of contact is followed by nobody: followers bear silence for 1.2 s.
+    pub let_go: Duration,
     /// A member heard within this counts as alive, for stewards and for calls.
     pub alive: Duration,
     /// A member silent this long is replaced by one that stands by.
@@ -119,6 +124,8 @@
             pulse: ms(200),
             pulse_whole: ms(1000),
             settled: ms(600),
+            unfollowed: ms(2200),
+            let_go: ms(1500),
             alive: ms(1000),
             replace: ms(1500),
             add: ms(2500),
--- a/crates/lantern/src/beats.rs
+++ b/crates/lantern/src/beats.rs
@@ -1,64 +1,52 @@
-//! Beats that say `closing`: they are acknowledged when enough keepers know, for the acknowledgement starts the
-//! clock by which every supervisor has stopped to use the server.
+//! Beats that say `closing`, and who waits for the acknowledgement: when it may be given is [`Closings`]' matter.
 
 use crate::asks::Told;
+use fallgap_chart::Beat;
+use fallgap_roster::Closings;
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use std::sync::mpsc::SyncSender;
 use std::time::Duration;
 
-/// Servers go on to another supervisor after a second.
-const WHOLE: Duration = Duration::from_millis(850);
-/// Under way at once; one beyond is not acknowledged.
-const MOST: usize = 1024;
-
-struct Pending {
-    reply: SyncSender<Told>,
-    /// Keepers that have not said yet that they know.
-    missing: Vec<Ipv4Addr>,
-    /// How many more have to.
-    wanted: usize,
-    until: Duration,
-}
-
 pub struct Beats {
-    pending: BTreeMap<u64, Pending>,
-    next: u64,
+    closings: Closings,
+    replies: BTreeMap<u64, SyncSender<Told>>,
 }
 
 impl Beats {
     /// `first`: drawn anew in each life, so that no answer to an earlier one counts for what is asked in this.
     pub fn new(first: u64) -> Beats {
-        Beats { pending: BTreeMap::new(), next: first }
+        Beats { closings: Closings::new(first), replies: BTreeMap::new() }
     }
 
     /// A server closes; `keepers`: all that are to know. The number under which they are told.
-    pub fn closing(&mut self, now: Duration, reply: SyncSender<Told>, keepers: &[Ipv4Addr]) -> Option<u64> {
-        if keepers.is_empty() || self.pending.len() >= MOST {
-            return None;
-        }
-        self.next += 1;
-        let wanted = keepers.len() / 2 + 1;
-        let pending = Pending { reply, missing: keepers.to_vec(), wanted, until: now + WHOLE };
-        self.pending.insert(self.next, pending);
-        Some(self.next)
+    pub fn closing(
+        &mut self, now: Duration, beat: Beat, reply: SyncSender<Told>, keepers: &[Ipv4Addr],
+    ) -> Option<u64> {
+        let id = self.closings.begin(now, beat, keepers)?;
+        self.replies.insert(id, reply);
+        Some(id)
     }
 
-    /// A keeper knows.
-    pub fn taken(&mut self, id: u64, keeper: Ipv4Addr) {
-        let Some(pending) = self.pending.get_mut(&id) else { return };
-        let before = pending.missing.len();
-        pending.missing.retain(|k| *k != keeper);
-        pending.wanted = pending.wanted.saturating_sub(before - pending.missing.len());
-        if pending.wanted == 0
-            && let Some(pending) = self.pending.remove(&id)
+    /// A keeper knows, and takes these for keepers that others may go by.
+    pub fn taken(&mut self, id: u64, keeper: Ipv4Addr, followed: &[Ipv4Addr]) {
+        if self.closings.taken(id, keeper, followed)
+            && let Some(reply) = self.replies.remove(&id)
         {
-            let _ = pending.reply.try_send(Told::Taken);
+            let _ = reply.try_send(Told::Taken);
+        }
+    }
+
+    /// Who is to be told again. Those that too few know of are not acknowledged: the server asks elsewhere.
+    pub fn woke(&mut self, now: Duration) -> Vec<(Ipv4Addr, u64, Beat)> {
+        let due = self.closings.woke(now);
+        for id in due.over {
+            self.replies.remove(&id);
         }
+        due.again
     }
 
-    /// Those that too few know of are not acknowledged: the server asks elsewhere.
-    pub fn woke(&mut self, now: Duration) {
-        self.pending.retain(|_, p| now < p.until);
+    pub fn next_wake(&self) -> Option<Duration> {
+        self.closings.next_wake()
     }
 }
--- a/crates/lantern/src/carry.rs
+++ b/crates/lantern/src/carry.rs
@@ -219,10 +219,11 @@
                 self.roster(now, from, RosterWord::Beat(beat));
                 // Who is cut off from the majority does not count among those that know.
                 if id > 0 && self.hub.is_some() && self.keeper.in_contact(now) {
-                    self.say(now, from, Word::BeatTaken { id });
+                    let followed = self.keeper.may_be_followed(now);
+                    self.say(now, from, Word::BeatTaken { id, followed });
                 }
             }
-            Word::BeatTaken { id } => self.beats.taken(id, from),
+            Word::BeatTaken { id, followed } => self.beats.taken(id, from, &followed),
             Word::Survey { id, errand } => self.surveyed_by(now, from, id, &errand),
             Word::Surveyed { id, told } => self.survey_heard(now, from, id, &told),
             Word::Heed { id, revision, places } => {
@@ -319,7 +320,8 @@
         steps.into_iter().for_each(|step| self.step(now, step));
     }
 
-    /// A server beats here: all keepers are told. One that closes is acknowledged when enough of them know.
+    /// A server beats here: all keepers are told. One that closes is acknowledged when all of them that others may go by
+    /// know, a majority at least.
     pub fn beat(&mut self, now: Duration, beat: Beat, reply: SyncSender<Told>) {
         let keepers = self.keepers();
         // The majority may not hear of it from here: the server calls another supervisor.
@@ -331,7 +333,7 @@
             return;
         }
         let id = if beat.closing {
-            let Some(id) = self.beats.closing(now, reply, &keepers) else { return };
+            let Some(id) = self.beats.closing(now, beat.clone(), reply, &keepers) else { return };
             id
         } else {
             if !keepers.is_empty() {
--- a/crates/lantern/src/engine.rs
+++ b/crates/lantern/src/engine.rs
@@ -145,7 +145,12 @@
         let hub = hub.chain(self.hub.iter().filter_map(|h| h.lights.next_wake()));
         let urgent = self.quay.as_ref().and_then(|quay| quay.fleet().failure()).map(|at| at + URGENT);
         let quay = self.quay.as_ref().and_then(Quay::next_wake);
-        let asked = [self.calls.next_wake(), self.surveys.next_wake(), self.spread.next_wake()];
+        let asked = [
+            self.calls.next_wake(),
+            self.surveys.next_wake(),
+            self.spread.next_wake(),
+            self.beats.next_wake(),
+        ];
         let rest = [self.follower.next_wake(), quay, urgent].into_iter().chain(asked).flatten();
         let all = [self.beacon.next_wake(), self.keeper.next_wake(), self.slow, self.reports];
         all.into_iter().chain(rest).chain(hub).min().unwrap_or(self.slow)
@@ -177,6 +182,11 @@
         {
             quay.woke(now);
         }
+        if self.beats.next_wake().is_some_and(|at| at <= now) {
+            for (keeper, id, beat) in self.beats.woke(now) {
+                self.say(now, keeper, Word::Beat { id, beat });
+            }
+        }
         if self.calls.next_wake().is_some_and(|at| at <= now) {
             let alive = self.keepers();
             let order = |key: &Key| calls::by_key(key, alive.clone());
@@ -192,7 +202,6 @@
         if now >= self.slow {
             self.slow = now + SLOW;
             self.links.woke(now, self.poll.registry());
-            self.beats.woke(now);
             self.look_at_settings(now);
             if let Some(hub) = &mut self.hub {
                 for (subject, bytes) in hub.take_due(now) {
@@ -210,7 +219,10 @@
     /// Whether this home can be followed; one that came back into contact with a majority reads there at once.
     fn see_whether_fit(&mut self, now: Duration) {
         let Some(hub) = &mut self.hub else { return };
-        hub.see_whether_fit(now, self.keeper.in_contact(now), self.keeper.read_since());
+        let contact = self.keeper.in_contact(now);
+        let others = || self.keeper.members().into_iter().filter(|member| *member != self.me).collect();
+        hub.see_contact(now, contact, others);
+        hub.see_whether_fit(now, contact, self.keeper.read_since());
         if hub.wants_read(now) {
             self.keeper.read_anew(now);
         }
--- a/crates/lantern/src/hub.rs
+++ b/crates/lantern/src/hub.rs
@@ -15,6 +15,9 @@
 const YOUNG: f64 = 2.0 / 3.0;
 /// What was not read at a majority since the last contact with one is asked for again this often.
 const READ_AGAIN: Duration = Duration::from_millis(150);
+/// Out of contact for less, others have not acknowledged a server's end without this keeper: they wait for it for 2.2 s
+/// (`unfollowed`), and it knows that it is out of contact after 1.6 s.
+const MISSED: Duration = Duration::from_millis(500);
 
 pub struct Hub {
     pub registry: Registry,
@@ -24,6 +27,9 @@
     fit: Fit,
     /// Whether the keeper was in contact with a majority when it was looked at last.
     contact: bool,
+    /// Since when it is out of contact, and whether it was in contact in this life.
+    out: Option<Duration>,
+    met: bool,
     /// When a read is asked for next, if it is still wanted then.
     read_at: Duration,
     /// The newest configuration that is committed: its edition and what the operator sent.
@@ -50,6 +56,8 @@
             fitness: Fitness::start(now + touch.mul_f64(YOUNG)),
             fit: Fit::No,
             contact: false,
+            out: None,
+            met: false,
             read_at: now,
             committed: None,
             operator: None,
@@ -114,11 +122,26 @@
         self.distribution.set_configuration(now, joined);
     }
 
+    /// Whether the keeper is in contact with a majority of the members. Out of it servers may close without this one.
+    pub fn see_contact(&mut self, now: Duration, contact: bool, others: impl FnOnce() -> Vec<Ipv4Addr>) {
+        if !contact {
+            if self.met && self.out.is_none() {
+                self.registry.alone();
+                self.out = Some(now);
+            }
+        } else if let Some(since) = self.out.take() {
+            self.registry.back(now, (now >= since + MISSED).then(others));
+        }
+        self.met |= contact;
+    }
+
     /// Whether it can be followed, and confirms what it tells. `read`: when the newest read of the configuration and the
     /// accounts at a majority began.
     pub fn see_whether_fit(&mut self, now: Duration, contact: bool, read: Option<Duration>) {
         let knows = self.distribution.has_configuration();
         self.contact = contact;
+        // Nor may it be followed while servers that it lists may have closed.
+        let contact = contact && !self.registry.doubts();
         self.fit = self.fitness.judge(now, Ground { contact, read, knows });
         self.distribution.stands(now, self.fit);
     }
--- a/crates/lantern/src/links/tests.rs
+++ b/crates/lantern/src/links/tests.rs
@@ -29,7 +29,7 @@
     let clock = Instant::now();
     let mut events = Events::with_capacity(16);
     let mut heard = Vec::new();
-    let word = Word::BeatTaken { id: 7 };
+    let word = Word::BeatTaken { id: 7, followed: Vec::new() };
     links.say(Duration::ZERO, &registry, PEER, &word);
     let mut turn = |links: &mut Links, most: Duration| {
         while clock.elapsed() < most {
@@ -53,7 +53,7 @@
     let count = stream.read(&mut bytes).unwrap();
     frames.push(&bytes[..count]);
     assert!(matches!(frames.next(), Ok(Some(Word::Hello(ME)))));
-    assert!(matches!(frames.next(), Ok(Some(Word::BeatTaken { id: 7 }))));
+    assert!(matches!(frames.next(), Ok(Some(Word::BeatTaken { id: 7, .. }))));
     assert!(matches!(frames.next(), Ok(None)));
 }
 
@@ -77,7 +77,7 @@
 fn tables_that_are_void_do_not_wait() {
     let poll = Poll::new().unwrap();
     let (mut links, _other, to) = opened(&poll, Terms::default());
-    links.say(NOW, poll.registry(), to, &Word::BeatTaken { id: 1 });
+    links.say(NOW, poll.registry(), to, &Word::BeatTaken { id: 1, followed: Vec::new() });
     for _ in 0..3 {
         links.say(NOW, poll.registry(), to, &told(100_000));
     }
--- a/crates/lantern/src/words.rs
+++ b/crates/lantern/src/words.rs
@@ -38,6 +38,8 @@
     },
     BeatTaken {
         id: u64,
+        /// Keepers that others may go by, as the sender has it: they have to know too.
+        followed: Vec<Ipv4Addr>,
     },
     /// An operator's question, and the answer. Their content is bytes, so that one of a later build that cannot be
     /// read ends no link.
--- a/crates/lantern/tests/once_only.rs
+++ b/crates/lantern/tests/once_only.rs
@@ -1,6 +1,7 @@
 //! Whom an answer between supervisors belongs to: answers that are late, doubled, out of order, or meant for a life
 //! that has ended.
 
+use fallgap_chart::Beat;
 use fallgap_keeper::Call;
 use fallgap_lantern::asks::Told;
 use fallgap_lantern::beats::Beats;
@@ -24,6 +25,20 @@
     matches!(told.try_recv(), Ok(Told::Taken))
 }
 
+fn beat() -> Beat {
+    Beat {
+        id: "i-1".into(),
+        address: SocketAddrV4::new(node(9), 8000),
+        service: "shop".into(),
+        edition: "v1".into(),
+        zone: "hall".into(),
+        slots: 4,
+        closing: true,
+        postmark: 1,
+        cold: Duration::ZERO,
+    }
+}
+
 /// One word of a keeper that it knows of a beat: in which life it was asked for, and by whom it is said.
 struct Taken(usize, u8);
 
@@ -44,10 +59,10 @@
         let keepers = [node(1), node(2), node(3)];
         let asked = lives.each_mut().map(|beats| {
             let (reply, told) = sync_channel(1);
-            (beats.closing(Duration::ZERO, reply, &keepers).unwrap(), told)
+            (beats.closing(Duration::ZERO, beat(), reply, &keepers).unwrap(), told)
         });
         for Taken(life, keeper) in words {
-            lives[1].taken(asked[*life].0, node(*keeper));
+            lives[1].taken(asked[*life].0, node(*keeper), &[]);
         }
         assert_eq!(acknowledged(&asked[1].1), wanted, "{name}");
     }
@@ -106,7 +121,7 @@
                 self.links.event(self.clock.elapsed(), self.poll.registry(), event, &mut words);
             }
             self.heard.extend(words.drain(..).map(|(from, word)| match word {
-                Word::BeatTaken { id } => (from, id),
+                Word::BeatTaken { id, .. } => (from, id),
                 other => panic!("{other:?}"),
             }));
         }
@@ -125,7 +140,7 @@
 }
 
 fn taken(id: u64) -> Word {
-    Word::BeatTaken { id }
+    Word::BeatTaken { id, followed: Vec::new() }
 }
 
 /// Whether the other side has ended it.
--- a/crates/roster/src/distribution.rs
+++ b/crates/roster/src/distribution.rs
@@ -222,7 +222,8 @@
         if self.withdrawals.sequence() != withdrawn {
             self.feed.withdrawn(now, &self.tables, &self.withdrawals);
         }
-        let warms = registry.warm(now) && !std::mem::replace(&mut self.warm, true);
+        let warm = registry.warm(now);
+        let warms = std::mem::replace(&mut self.warm, warm) != warm;
         let remembers = registry.remembers();
         let noted = warms || std::mem::replace(&mut self.remembers, remembers) != remembers;
         if noted {
--- a/crates/roster/src/evening.rs
+++ b/crates/roster/src/evening.rs
@@ -38,6 +38,9 @@
     pub(crate) fn next(&self) -> Duration {
         self.at
     }
+    pub(crate) fn say(&mut self, to: NodeId, word: RosterWord) {
+        self.out.push((to, word));
+    }
     pub(crate) fn take(&mut self) -> Vec<(NodeId, RosterWord)> {
         std::mem::take(&mut self.out)
     }
@@ -100,13 +103,18 @@
 
     pub(crate) fn compare(&mut self, now: Duration) {
         let Some(peer) = self.evening.due(now) else { return };
+        let word = self.comparison(now);
+        self.evening.out.push((peer, word));
+    }
+
+    /// With the servers that are quiet, the quietest first.
+    pub(crate) fn comparison(&self, now: Duration) -> RosterWord {
         let late = self.terms.beat.mul_f64(1.3);
         let quiet = self.lives.values().filter(|life| life.state == State::Open && now > life.heard + late);
         let mut quiet: Vec<(Duration, &Life)> = quiet.map(|life| (life.heard, life)).collect();
         quiet.sort_by_key(|(heard, _)| *heard);
         let quiet = quiet.iter().take(self.terms.quiet).map(|(_, l)| (l.beat.id.clone(), l.beat.postmark));
-        let word = RosterWord::Compare(Compare { digests: self.digests(now), quiet: quiet.collect() });
-        self.evening.out.push((peer, word));
+        RosterWord::Compare(Compare { digests: self.digests(now), quiet: quiet.collect() })
     }
 
     /// Over what keepers should agree on. Ends that will soon be forgotten are left out: keepers forget them at
@@ -163,6 +171,7 @@
             heard: now.saturating_sub(life.heard),
             since: now.saturating_sub(life.since),
             first: now.saturating_sub(life.rise.0),
+            doubted: self.is_doubted(life),
         }
     }
 
@@ -170,14 +179,15 @@
     fn send_records(
         &mut self, now: Duration, to: NodeId, records: Vec<Record>, wanted: Vec<u8>, answers: bool,
     ) {
-        let warm = self.warm(now);
+        let kept = self.warm(now);
+        let warm = kept && !self.is_unsure();
         let mut rest = records.into_iter().peekable();
         let mut wanted = Some(wanted);
         while answers || rest.peek().is_some() {
             let records: Vec<Record> = rest.by_ref().take(self.terms.page.max(1)).collect();
             let last = rest.peek().is_none();
             let wanted = if last { wanted.take().unwrap_or_default() } else { Vec::new() };
-            let word = Records { records, wanted, last: last && answers, warm };
+            let word = Records { records, wanted, last: last && answers, warm, kept };
             self.evening.out.push((to, RosterWord::Records(word)));
             if last {
                 break;
@@ -194,6 +204,7 @@
         if told.last {
             self.evening.answered = Some(now);
             self.evened |= told.warm;
+            self.doubt_told(now, from, told.kept);
             if told.warm {
                 self.let_go(now);
             }
@@ -205,7 +216,12 @@
     }
 
     fn merge(&mut self, now: Duration, record: Record) {
-        let Record { mut beat, state, heard, since, first } = record;
+        let Record { mut beat, state, heard, since, first, doubted } = record;
+        // It may have closed since, and nobody may know any more: no reason to take it up.
+        let held = || self.lives.get(&beat.id).is_some_and(|life| life.state == State::Open);
+        if doubted && (!held() || self.remembered.contains(&beat.id)) {
+            return;
+        }
         let known = self.lives.get(&beat.id).map(|life| life.state);
         // What is about to be forgotten is not learned again, nor is one that is silent for too long.
         let stale = match state {
--- a/crates/roster/src/follower.rs
+++ b/crates/roster/src/follower.rs
@@ -85,6 +85,8 @@
     /// Updates in a row that could not be applied.
     rejects: u32,
     confirmed: Option<Duration>,
+    /// The first word of a home after nothing was confirmed for so long that ends of servers may have been missed.
+    missed: Option<Duration>,
     say: Duration,
     retry: Option<Duration>,
     views: Views,
@@ -116,6 +118,7 @@
             before: None,
             rejects: 0,
             confirmed: None,
+            missed: None,
             say: now,
             retry: None,
             out: Vec::new(),
@@ -145,6 +148,9 @@
         }
         self.standing = self.standing.after(Event::Told);
         self.heard = now;
+        if self.confirmed.is_some_and(|at| now.saturating_sub(at) > self.terms.missed) {
+            self.missed.get_or_insert(now);
+        }
         match told {
             Told::Whole(whole) => {
                 let taken = self.receiver.take_whole(now, &whole).map(|_| true);
@@ -251,17 +257,20 @@
                 }
             }
         }
+        let view = self.views.without_earlier(now);
+        self.out.extend(view.map(FollowerOut::NewView));
         self.views.forget(now);
     }
 
     /// When to call [`woke`](Follower::woke) next.
     pub fn next_wake(&self) -> Option<Duration> {
         let silent = self.patience();
-        match self.standing {
+        let next = match self.standing {
             Standing::Homeless => self.retry,
             Standing::Joining(_) => Some(silent),
             Standing::Following(_) => Some(silent.min(self.say).min(self.came + self.terms.settle)),
-        }
+        };
+        next.into_iter().chain(self.views.next_wake()).min()
     }
 
     /// What is to be done, in order.
@@ -308,11 +317,18 @@
             Ok(notes) => {
                 self.rejects = 0;
                 self.arrived(home);
+                let unsure_until = self.missed.take().map(|since| since + self.terms.unsure);
                 self.confirm(now);
                 self.answer(now, home, false);
                 let before = self.views.edition();
                 let epoch = self.receiver.version().map_or(0, |version| version.epoch);
-                let view = self.views.built(epoch, self.receiver.content(), self.receiver.out(), notes);
+                let view = self.views.built(
+                    epoch,
+                    self.receiver.content(),
+                    self.receiver.out(),
+                    notes,
+                    unsure_until,
+                );
                 if let Some(edition) = self.views.edition().filter(|edition| before != Some(*edition)) {
                     self.out.push(FollowerOut::Note(format!("roster: edition {edition} is in force")));
                 }
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -2,7 +2,9 @@
 //! and a [`Distribution`] that builds a table for each supervisor that follows them; every supervisor has a
 //! [`Follower`] that holds on to one home and hands out the view to route by. No I/O, no clock, chance from seeds.
 
+mod closings;
 mod distribution;
+mod doubt;
 mod evening;
 mod fitness;
 mod follower;
@@ -16,6 +18,7 @@
 mod views;
 mod weights;
 
+pub use closings::{Closings, Due};
 pub use distribution::{Distribution, Out};
 pub use fitness::{Fit, Fitness, Ground};
 pub use follower::{Follower, FollowerOut};
--- a/crates/roster/src/messages.rs
+++ b/crates/roster/src/messages.rs
@@ -69,6 +69,8 @@
     pub last: bool,
     /// The sender knows the servers that there are.
     pub warm: bool,
+    /// It has not started anew for long, so it knows each end that it was told of; what it held as open it may doubt.
+    pub kept: bool,
 }
 
 /// All that is known of one life. Times are ages, since clocks differ.
@@ -83,6 +85,8 @@
     pub since: Duration,
     /// Since its first beat.
     pub first: Duration,
+    /// It was open, and may have closed while the sender was out of contact.
+    pub doubted: bool,
 }
 
 impl ServerReport {
--- a/crates/roster/src/registry.rs
+++ b/crates/roster/src/registry.rs
@@ -1,6 +1,7 @@
 //! Every life of a server that a keeper knows: by beats, ends, silence, and what other keepers know.
 
 use crate::NodeId;
+use crate::doubt::Doubt;
 use crate::evening::Evening;
 use crate::lives::{Event, Life, State, unknown};
 use crate::messages::{Record, RosterWord};
@@ -54,6 +55,8 @@
     pub(crate) evening: Evening,
     /// Open lives of which only this keeper's disk tells: of the time before its start.
     pub(crate) remembered: BTreeSet<Arc<str>>,
+    /// What was held while out of contact with the majority.
+    pub(crate) doubt: Doubt,
     /// Until then they are used.
     remember_until: Duration,
 }
@@ -75,6 +78,7 @@
             grace: now,
             look: now + terms.silent(),
             remembered: BTreeSet::new(),
+            doubt: Doubt::default(),
             remember_until: now,
         }
     }
@@ -86,6 +90,7 @@
         self.remember_until = until;
         let heard = self.started.saturating_sub(self.terms.beat);
         for record in records.into_iter().take(self.terms.servers) {
+            // Doubt ends with the life of who doubted: what is remembered is used for a while only.
             let open = record.state == State::Open && !record.beat.closing;
             if !open || self.lives.contains_key(&record.beat.id) {
                 continue;
@@ -154,6 +159,7 @@
             self.let_go(now);
             changed = true;
         }
+        changed |= self.doubt_woke(now);
         self.compare(now);
         changed
     }
@@ -163,6 +169,7 @@
         let warm = self.started + self.terms.warm_after();
         let next = self.look.min(self.evening.next());
         let next = if self.remembers() { next.min(self.remember_until) } else { next };
+        let next = next.min(self.doubt_wake().unwrap_or(next));
         if self.told_warm { next } else { next.min(warm) }
     }
 
@@ -176,6 +183,11 @@
         self.evened || now >= self.started + self.terms.warm_after()
     }
 
+    /// It knows no more than one that has just started.
+    pub(crate) fn cold(&mut self, now: Duration) {
+        (self.evened, self.told_warm, self.started) = (false, false, now);
+    }
+
     pub fn life(&self, id: &str) -> Option<&Life> {
         self.lives.get(id)
     }
@@ -205,6 +217,7 @@
     pub(crate) fn heard_of(&mut self, now: Duration, beat: Beat, heard: Duration, first: Duration) -> News {
         let id = beat.id.clone();
         self.remembered.remove(&id);
+        self.doubt.heard(&id, heard);
         let event = if beat.closing { Event::BeatClosing } else { Event::Beat };
         let Some(life) = self.lives.get_mut(&id) else {
             if !self.has_room() {
@@ -340,6 +353,8 @@
         let mut changed = false;
         for (id, state) in over {
             match state {
+                // Others are asked for what they heard of it.
+                State::Open if self.lives.get(&id).is_some_and(|life| self.is_doubted(life)) => {}
                 State::Open | State::Closing if trusted => changed |= self.turn(now, &id, Event::Silent),
                 State::Open | State::Closing => {}
                 State::Lost | State::Gone => _ = self.forget(&id),
--- a/crates/roster/src/terms.rs
+++ b/crates/roster/src/terms.rs
@@ -65,6 +65,10 @@
     /// Without a word for so long a follower leaves its home: four words, and the second that one may wait on a link
     /// that clients fill.
     pub silent_home: Duration,
+    /// A follower that no home confirmed anything to for so long may have missed that servers closed: what it knows of
+    /// servers is used at a home that knows no better for as long as `unsure` says, and no longer.
+    pub missed: Duration,
+    pub unsure: Duration,
     /// So long a home that was silent, or unfit, is not tried again.
     pub avoid: (Duration, Duration),
     /// Updates in a row that could not be applied, after which a follower leaves its home.
@@ -112,6 +116,8 @@
             rise: (s(3), s(30)),
             rise_look: s(1),
             silent_home: ms(1200),
+            missed: ms(2200),
+            unsure: ms(1800),
             avoid: (ms(1500), ms(700)),
             rejects: 5,
             say: s(1),
--- a/crates/roster/src/views.rs
+++ b/crates/roster/src/views.rs
@@ -18,6 +18,10 @@
     /// is. Never those of a table in which a disk's memory may stand: the next home's says itself what is
     /// remembered, and for how long.
     earlier: Vec<Berth>,
+    /// Until when they are used at most.
+    earlier_until: Option<Duration>,
+    /// Servers of the table that was built last.
+    own: BTreeSet<Arc<str>>,
     /// The table that was built last may hold such servers.
     remembers: bool,
     /// Lives that ended, by when they may be forgotten.
@@ -34,6 +38,8 @@
             configuration: None,
             epoch: 0,
             earlier: Vec::new(),
+            earlier_until: None,
+            own: BTreeSet::new(),
             remembers: false,
             ended: BTreeMap::new(),
             forget: Duration::ZERO,
@@ -81,12 +87,32 @@
         self.replace(berths)
     }
 
-    /// The view of a home's table; `None`: nothing has changed.
+    /// When servers of the home before are used no more, should that be so before this one knows all.
+    pub(crate) fn next_wake(&self) -> Option<Duration> {
+        self.earlier_until
+    }
+
+    /// The view without them, once that is due.
+    pub(crate) fn without_earlier(&mut self, now: Duration) -> Option<Arc<View>> {
+        self.earlier_until.take_if(|until| now >= *until)?;
+        let earlier: BTreeSet<_> =
+            std::mem::take(&mut self.earlier).into_iter().map(|berth| berth.id).collect();
+        let view = self.newest.as_ref()?;
+        let own = |berth: &&Berth| self.own.contains(&berth.id) || !earlier.contains(&berth.id);
+        let berths = view.berths.iter().filter(own).cloned().collect();
+        self.replace(berths)
+    }
+
+    /// The view of a home's table; `None`: nothing has changed. `unsure_until`: servers of the home before may have closed
+    /// unheard, and are used until then.
     pub(crate) fn built(
         &mut self, epoch: u64, content: &Content, out: &BTreeSet<Arc<str>>, notes: bool,
+        unsure_until: Option<Duration>,
     ) -> Option<Arc<View>> {
         if std::mem::replace(&mut self.epoch, epoch) != epoch && !self.remembers {
             self.earlier = self.newest.as_ref().map(|view| view.berths.clone()).unwrap_or_default();
+            // What was unsure stays so from home to home.
+            self.earlier_until = self.earlier_until.into_iter().chain(unsure_until).min();
         }
         if notes {
             self.configure(content);
@@ -102,8 +128,9 @@
         let says = |note: &str| content.get(&Key::Note(note.into())).is_some();
         self.remembers = says(REMEMBERS);
         if says(WARM) {
-            self.earlier = Vec::new();
+            (self.earlier, self.earlier_until) = (Vec::new(), None);
         }
+        self.own = berths.iter().map(|berth| berth.id.clone()).collect();
         self.add_earlier(&mut berths);
         self.replace(berths)
     }
--- a/crates/sextant/tests/alone.rs
+++ b/crates/sextant/tests/alone.rs
@@ -67,6 +67,7 @@
                 life: 2,
                 leaving: false,
                 hears_you: true,
+                contact: true,
             };
             let mut outs = self.hear(2, pulse);
             self.keeper.woke(self.now);
@@ -111,8 +112,15 @@
 #[test]
 fn what_was_sent_and_not_found_again_is_written_over_before_it_is_refused() {
     let mut alone = Alone::new();
-    let pulse =
-        Message::Pulse { epoch: 1, disk: Some(2), whole: None, life: 2, leaving: false, hears_you: true };
+    let pulse = Message::Pulse {
+        epoch: 1,
+        disk: Some(2),
+        whole: None,
+        life: 2,
+        leaving: false,
+        hears_you: true,
+        contact: true,
+    };
     alone.hear(2, pulse);
     let start = Call::LockStart { name: "l".into(), holder: "p".into(), hold: ms(9000) };
     alone.keeper.call(alone.now, 7, start);
--- a/crates/sextant/tests/cut_off.rs
+++ b/crates/sextant/tests/cut_off.rs
@@ -1,6 +1,7 @@
 //! A keeper is cut off for twenty seconds, each way, while orders come: before, during and right as it returns. It is a
 //! home, the lock's steward, and the first that each order is sent to.
 
+#[allow(dead_code)]
 mod halls;
 
 use fallgap_keeper::{Answer, Call, NodeId};
--- a/crates/sextant/tests/halls/mod.rs
+++ b/crates/sextant/tests/halls/mod.rs
@@ -1,15 +1,21 @@
 //! Whole supervisors in virtual time, as the program wires them: beacon, keeper, home and follower on each machine, over
 //! links that keep order and can be cut in one direction, by silence or by resets.
 
+mod content;
+mod servers;
 mod time;
 
+use content::configuration;
+pub use content::put;
 use fallgap_beacon as beacon;
-use fallgap_chart::{Configuration, Licences, Limits, Route, RouteClass, Service};
+use fallgap_chart::Beat;
 use fallgap_keeper::charter::{Charter, Member};
 use fallgap_keeper::messages::Record;
 use fallgap_keeper::{Answer, Call, Keeper, Kept, Key, Me, Message, NodeId, Out, Peer, subjects};
 use fallgap_pilot::Lease;
-use fallgap_roster::{Distribution, Fit, Fitness, Follower, FollowerOut, Ground, RosterWord};
+use fallgap_roster::{
+    Closings, Distribution, Fit, Fitness, Follower, FollowerOut, Ground, Registry, RosterWord,
+};
 use fallgap_sextant::history::History;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -29,6 +35,9 @@
     Keeper(Message),
     Roster(RosterWord),
     Beacon(beacon::Message),
+    Beat(u64, Beat),
+    /// It knows, and who it takes to be followed.
+    BeatTaken(u64, Vec<NodeId>),
     /// A connection is reset: what was said on it is lost.
     Reset,
 }
@@ -46,6 +55,10 @@
     pub edition: u64,
     pub revision: u64,
     read_at: Duration,
+    pub registry: Registry,
+    /// Since when it is out of contact, and whether it was in contact in this life.
+    out: Option<Duration>,
+    met: bool,
 }
 
 pub struct Machine {
@@ -59,6 +72,9 @@
     pub edition: u64,
     pub revision: u64,
     lease: Lease,
+    closings: Closings,
+    /// Servers that this life routes to.
+    pub routes: BTreeSet<Arc<str>>,
     loose: Vec<(u64, Vec<u8>)>,
     syncing: bool,
 }
@@ -78,6 +94,12 @@
     Read,
     /// A home that serves what it remembers does not say so.
     Unconfirmed,
+    /// A majority's word is enough for a server's end.
+    Followed,
+    /// What was held while out of contact is not doubted.
+    Doubt,
+    /// A follower that was without a home's word for long uses what it held without end.
+    Missed,
 }
 
 pub struct Halls {
@@ -102,30 +124,10 @@
     /// Revisions of accounts that were kept, and when.
     pub kept_revisions: Vec<(Duration, u64)>,
     pub words: usize,
-}
-
-fn configuration(edition: u64, revision: u64) -> Arc<Configuration> {
-    let route = Route {
-        name: "r".into(),
-        depot: "a.example".into(),
-        lane_prefix: "/a/".into(),
-        class: RouteClass::Safe,
-        timeout: 1000 * MS,
-        target: 300 * MS,
-        priority: 1,
-        sorting: vec![("shop".into(), 1.0)],
-        attempts: 2,
-    };
-    let service = Service { name: "shop".into(), health_path: "/health".into(), line_cap: 64 };
-    let limits = Limits { header_bytes: 16384, body_bytes: 1 << 20, header: 3000 * MS, idle: 15_000 * MS };
-    let licences = Licences { revision, accounts: Vec::new(), offices: Vec::new(), owners: vec![None] };
-    let licences = (revision > 0).then(|| Arc::new(licences));
-    Arc::new(Configuration { edition, routes: vec![route], services: vec![service], limits, licences })
-}
-
-/// A body begins with its edition.
-pub fn put(edition: u64) -> Call {
-    Call::ConfigPut { edition, body: edition.to_be_bytes().to_vec() }
+    /// Whom beats do not reach, and until when.
+    pub deaf: Option<(NodeId, Duration)>,
+    /// The end of a server was acknowledged.
+    pub acknowledged: bool,
 }
 
 impl Halls {
@@ -159,6 +161,8 @@
             acked: Vec::new(),
             kept_revisions: Vec::new(),
             words: 0,
+            deaf: None,
+            acknowledged: false,
         };
         for n in 1..=disks + plain {
             let at = halls.now + MS * halls.rng.u32(0..300);
@@ -205,9 +209,24 @@
                 distribution.set_configuration(now, configuration(edition, revision));
             }
             let fitness = Fitness::start(now + YOUNG);
-            Home { distribution, fitness, fit: Fit::No, edition, revision, read_at: now }
+            let registry = Registry::start(now, self.rng.u64(..), Default::default());
+            Home {
+                distribution,
+                fitness,
+                fit: Fit::No,
+                edition,
+                revision,
+                read_at: now,
+                registry,
+                out: None,
+                met: false,
+            }
         });
-        let follower = Follower::start(now, self.rng.u64(..), me, Default::default());
+        let mut terms = fallgap_roster::Terms::default();
+        if self.without == Some(Without::Missed) {
+            terms.missed = Duration::MAX;
+        }
+        let follower = Follower::start(now, self.rng.u64(..), me, terms);
         let machine = Machine {
             keeper,
             home,
@@ -218,6 +237,8 @@
             edition: 0,
             revision: 0,
             lease: Lease::default(),
+            closings: Closings::new(self.rng.u64(1..1 << 62)),
+            routes: BTreeSet::new(),
             loose: Vec::new(),
             syncing: false,
         };
@@ -294,6 +315,9 @@
         let peers: Vec<Peer> =
             with_disk.map(|p| Peer { node: p.card.node, disk: p.card.disk, here: here(&p) }).collect();
         machine.keeper.peers(now, &peers);
+        if let Some(home) = &mut machine.home {
+            home.registry.peers(now, peers.iter().filter(|p| p.here).map(|p| p.node).collect());
+        }
         let mut homes: Vec<NodeId> = peers.iter().filter(|p| p.here).map(|p| p.node).collect();
         homes.extend(machine.home.is_some().then_some(me));
         // Its own first, then each machine another one.
@@ -310,6 +334,9 @@
             if let Some(home) = &mut machine.home {
                 let (contact, read) = (machine.keeper.in_contact(now), machine.keeper.read_since());
                 let knows = home.distribution.has_configuration();
+                let others = || machine.keeper.members().into_iter().filter(|node| *node != me).collect();
+                home.contact(now, contact, others, self.without);
+                let contact = contact && !home.registry.doubts();
                 let read = if self.without == Some(Without::Read) { Some(now) } else { read };
                 home.fit = home.fitness.judge(now, Ground { contact, read, knows });
                 let says = match (home.fit, self.without) {
@@ -326,7 +353,13 @@
             let keepers = machine.keeper.take();
             let homes = machine.home.as_mut().map(|home| home.distribution.take()).unwrap_or_default();
             let follows = machine.follower.take();
-            if beacons.is_empty() && keepers.is_empty() && homes.is_empty() && follows.is_empty() {
+            let evens = machine.home.as_mut().map(|home| home.registry.take()).unwrap_or_default();
+            if beacons.is_empty()
+                && keepers.is_empty()
+                && homes.is_empty()
+                && follows.is_empty()
+                && evens.is_empty()
+            {
                 break;
             }
             for out in beacons {
@@ -347,6 +380,7 @@
                 self.send(me, to, Word::Roster(word));
             }
             follows.into_iter().for_each(|out| self.follower_says(me, out));
+            evens.into_iter().for_each(|(to, word)| self.send(me, to, Word::Roster(word)));
         }
         self.sync(me);
     }
@@ -404,6 +438,7 @@
                 );
                 (machine.edition, machine.revision) = (edition, revision);
                 machine.lease.holds(revision);
+                machine.routes = view.berths.iter().map(|berth| berth.id.clone()).collect();
             }
             FollowerOut::Note(_) => {}
         }
@@ -443,9 +478,11 @@
                         machine.keeper.heard(now, from, message);
                     }
                     Word::Beacon(message) => machine.beacon.heard(now, from, message),
+                    Word::Beat(id, beat) => return self.beaten(to, from, id, beat),
+                    Word::BeatTaken(id, followed) => return self.taken(to, from, id, &followed),
                     Word::Roster(word) => {
                         machine.beacon.met(now, from);
-                        roster(now, machine, from, word);
+                        servers::roster(now, machine, from, word);
                     }
                 }
                 self.carry(to);
@@ -453,25 +490,3 @@
         }
     }
 }
-
-fn roster(now: Duration, machine: &mut Machine, from: NodeId, word: RosterWord) {
-    let terms = fallgap_roster::Terms::default();
-    match (word, machine.home.as_mut()) {
-        (RosterWord::Told(line), _) => {
-            let told = RosterWord::read_told(&line, &terms).expect("what is told");
-            machine.follower.told(now, from, told);
-        }
-        (RosterWord::Unfit, _) => machine.follower.unfit(now, from),
-        (RosterWord::Fit, _) => machine.follower.fit(now, from),
-        (RosterWord::Join(line), Some(home)) => {
-            let said = RosterWord::read_said(&line, &terms).expect("what is said");
-            home.distribution.joined(now, from, said);
-        }
-        (RosterWord::Said(line), Some(home)) => {
-            let said = RosterWord::read_said(&line, &terms).expect("what is said");
-            home.distribution.said(now, from, said);
-        }
-        (RosterWord::Leave, Some(home)) => home.distribution.left(from),
-        _ => {}
-    }
-}
--- a/crates/sextant/tests/halls/time.rs
+++ b/crates/sextant/tests/halls/time.rs
@@ -1,6 +1,6 @@
 //! How time passes in the halls, and what is seen of them.
 
-use super::{Halls, Machine, node};
+use super::{Halls, Machine, Word, node};
 use fallgap_keeper::NodeId;
 use std::time::Duration;
 
@@ -8,8 +8,12 @@
     fn wakes(&self) -> Option<(Duration, NodeId)> {
         let of = |(id, m): (&NodeId, &Machine)| {
             let home = m.home.as_ref().map(|home| home.distribution.next_wake());
+            let registry = m.home.as_ref().map(|home| home.registry.next_wake());
             let wake = m.keeper.next_wake().min(m.beacon.next_wake());
-            let all = [home, m.follower.next_wake()].into_iter().flatten().fold(wake, Duration::min);
+            let all = [home, registry, m.follower.next_wake(), m.closings.next_wake()]
+                .into_iter()
+                .flatten()
+                .fold(wake, Duration::min);
             (all.max(self.now), *id)
         };
         self.machines.iter().map(of).min()
@@ -24,13 +28,22 @@
         if machine.keeper.next_wake() <= now {
             machine.keeper.woke(now);
         }
+        if let Some(home) = machine.home.as_mut().filter(|home| home.registry.next_wake() <= now)
+            && home.registry.woke(now)
+        {
+            home.distribution.registry_changed(now, &home.registry);
+        }
         if let Some(home) = machine.home.as_mut().filter(|home| home.distribution.next_wake() <= now) {
             home.distribution.woke(now);
         }
         if machine.follower.next_wake().is_some_and(|at| at <= now) {
             machine.follower.woke(now);
         }
+        let due = machine.closings.woke(now);
         self.carry(me);
+        for (keeper, id, beat) in due.again {
+            self.send(me, keeper, Word::Beat(id, beat));
+        }
     }
 
     /// Goes on until then.
