--- a/crates/keeper/src/contact.rs
+++ b/crates/keeper/src/contact.rs
@@ -32,9 +32,9 @@
         self.voting_epoch().is_some() && both.count() >= quorum
     }
 
-    /// Members that others may still go by as homes: those heard within a time after which who is not heard by a majority knows
-    /// that it is out of contact (`settled` and `pulse_whole`), and its followers have gone elsewhere; and of these not who has said for long enough itself that it is out of contact. A machine that has
-    /// just started, or slept, takes all for such.
+    /// Members that others may still go by as homes. Who was not heard for `unfollowed` has known for a while that it is out of
+    /// contact, and its followers have gone elsewhere; so have those of one that has said for `let_go` that it is. A machine
+    /// that has just started, or slept, counts silence from then.
     pub fn may_be_followed(&self, now: Duration) -> Vec<NodeId> {
         let members = self.charter.iter().flat_map(|charter| &charter.members).map(|member| member.node);
         let may = |node: &NodeId| {
@@ -50,6 +50,9 @@
     /// newest reads began. None: one of them has not been read since the start.
     pub fn read_since(&self) -> Option<Duration> {
         let of = |key| self.read_since.get(&key).copied();
+        if self.leaves_accounts() {
+            return of(Key::Config);
+        }
         Some(of(Key::Config)?.min(of(Key::Accounts)?))
     }
 
@@ -57,13 +60,18 @@
     pub fn read_anew(&mut self, now: Duration) {
         self.clock = now;
         for call in [Call::ConfigGet, Call::AccountsGet] {
-            if !self.active.contains(&call.key()) {
+            let left = call.key() == Key::Accounts && self.leaves_accounts();
+            if !left && !self.active.contains(&call.key()) {
                 self.admit(now, Entry { asker: Asker::Own, call, came: now, sent: false });
             }
         }
         self.drain(now);
     }
 
+    fn leaves_accounts(&self) -> bool {
+        fault::is(Fault::AccountsUnasked) && self.acceptor.get(&Key::Accounts).is_none()
+    }
+
     /// A call that came at that time has its answer from a majority.
     pub(crate) fn note_read(&mut self, key: &Key, came: Duration) {
         if matches!(key, Key::Config | Key::Accounts) {
--- a/crates/keeper/src/fault.rs
+++ b/crates/keeper/src/fault.rs
@@ -95,6 +95,8 @@
     ContactAlone,
     /// A read is answered by what this disk holds.
     ReadAlone,
+    /// Who holds no accounts does not ask for them (tests/first_account.rs).
+    AccountsUnasked,
 
     // once-only: found by `fallgap-sextant`'s tests/once.rs.
     /// A call that nobody waits for any more is carried out all the same.
@@ -113,7 +115,7 @@
 }
 
 impl Fault {
-    pub const ALL: [Fault; 48] = [
+    pub const ALL: [Fault; 49] = [
         Fault::MajorityLessOne,
         Fault::CoverLessOne,
         Fault::PromiseUnsynced,
@@ -156,6 +158,7 @@
         Fault::ContactOneWay,
         Fault::ContactAlone,
         Fault::ReadAlone,
+        Fault::AccountsUnasked,
         Fault::WithdrawalIgnored,
         Fault::LeaverDoesNotAsk,
         Fault::LeaverAccepts,
