--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -11,6 +11,7 @@
 mod homes;
 mod lives;
 mod messages;
+mod packing;
 mod registry;
 mod sending;
 mod servers;
@@ -20,10 +21,12 @@
 
 pub use closings::{Closings, Due};
 pub use distribution::{Distribution, Out};
+pub use fallgap_feed::wire::Told;
 pub use fitness::{Fit, Fitness, Ground};
 pub use follower::{Follower, FollowerOut};
 pub use lives::{Life, State};
 pub use messages::{Compare, Record, Records, RosterWord, ServerReport};
+pub use packing::Line;
 pub use registry::{News, Registry};
 pub use terms::Terms;
 
