--- a/crates/keeper/src/fault.rs
+++ b/crates/keeper/src/fault.rs
@@ -117,7 +117,7 @@
 }
 
 impl Fault {
-    pub const ALL: [Fault; 49] = [
+    pub const ALL: [Fault; 50] = [
         Fault::MajorityLessOne,
         Fault::CoverLessOne,
         Fault::PromiseUnsynced,
