--- a/crates/keeper/src/fault.rs
+++ b/crates/keeper/src/fault.rs
@@ -119,7 +119,7 @@
 }
 
 impl Fault {
-    pub const ALL: [Fault; 50] = [
+    pub const ALL: [Fault; 51] = [
         Fault::MajorityLessOne,
         Fault::CoverLessOne,
         Fault::PromiseUnsynced,
--- a/crates/sextant/src/view.rs
+++ b/crates/sextant/src/view.rs
@@ -82,7 +82,7 @@
     /// The same for what goes to the disks.
     pub(crate) fn compare_charter(&mut self, node: NodeId, record: &[u8]) {
         let record = Some(record).filter(|record| record.len() < LONGEST_CHARTER);
-        if let Some(Ok(Record::Epoch(charter))) = record.map(|bytes| Record::read(bytes)) {
+        if let Some(Ok(Record::Epoch(charter))) = record.map(Record::read) {
             let known = self.charters.entry(charter.number).or_insert_with(|| charter.clone());
             hold!(*known == charter, Check::Epochs, "{node} writes {charter:?}, there is {known:?}");
         }
