Control: calls that wait hold seven of 20 threads, not 24 of 40

Change: one bound for all that waits for a majority, seven, of which calls of offices four; watches ten; three are left for beats. An eighth at one supervisor is told 503, nothing done, and goes elsewhere.

--- a/crates/lantern/src/control.rs
+++ b/crates/lantern/src/control.rs
@@ -21,13 +21,11 @@
     pub threads: usize,
     /// Of these, watches at most: they hold a thread for seconds. One beyond is turned away.
     pub watches: usize,
-    /// Of these, calls of offices and on accounts at most: they ask several times. One beyond is turned away.
+    /// Of these, calls at most that wait for a majority, 0.9 s if it is slow: configurations, calls on registers, of
+    /// offices and on accounts. One beyond is turned away.
+    pub waiting: usize,
+    /// Of the latter, calls of offices and on accounts at most: they ask several times. One beyond is turned away.
     pub offices: usize,
-    /// Of these, configurations at most: eight may be under way at once, and wait for a majority, 0.9 s if it is slow.
-    /// One beyond is turned away.
-    pub orders: usize,
-    /// Of these, calls on other registers at most: they wait just so. One beyond is turned away.
-    pub registers: usize,
     /// Bytes of a body: of a configuration, as many as a register takes, and of any other call. Longer ones are
     /// refused, and it is said that asking again is of no use.
     pub configuration: usize,
@@ -39,18 +37,17 @@
 }
 
 /// Threads that no kind of call may hold.
-const FREE: usize = 6;
+const FREE: usize = 3;
 
 impl Default for Terms {
     fn default() -> Self {
         let s = Duration::from_secs;
-        let (watches, offices, orders, registers) = (10, 4, 8, 12);
+        let (watches, waiting) = (10, 7);
         Terms {
-            threads: watches + offices + orders + registers + FREE,
+            threads: watches + waiting + FREE,
             watches,
-            offices,
-            orders,
-            registers,
+            waiting,
+            offices: 4,
             configuration: fallgap_keeper::subjects::Limits::default().config_bytes,
             body: 64 << 10,
             answer: Duration::from_millis(930),
@@ -63,9 +60,8 @@
     desk: Desk,
     terms: Terms,
     watching: AtomicUsize,
+    waiting: AtomicUsize,
     at_counter: AtomicUsize,
-    ordering: AtomicUsize,
-    at_registers: AtomicUsize,
 }
 
 /// Why a call is not carried out.
@@ -109,8 +105,8 @@
     at: SocketAddrV4, desk: Desk, terms: Terms,
 ) -> Result<(), Box<dyn std::error::Error + Send + Sync>> {
     let none = || AtomicUsize::new(0);
-    let (watching, at_counter, ordering, at_registers) = (none(), none(), none(), none());
-    let control = Arc::new(Control { desk, terms, watching, at_counter, ordering, at_registers });
+    let (watching, waiting, at_counter) = (none(), none(), none());
+    let control = Arc::new(Control { desk, terms, watching, waiting, at_counter });
     let server = rouille::Server::new(at, move |request| control.answer(request))?.pool_size(terms.threads);
     thread::Builder::new().name("control".into()).stack_size(256 << 10).spawn(move || server.run())?;
     Ok(())
@@ -201,11 +197,11 @@
                     let edition = chart::read_configuration(&body)?.edition;
                     self.call(Call::ConfigPut { edition, body })
                 };
-                counted(&self.ordering, self.terms.orders, call)?
+                self.waits(call)?
             }
             (_, ["-", "config" | "locks" | "numbers" | "cells", ..]) => {
                 let call = || self.call(self.on_register(request, &segments)?);
-                counted(&self.at_registers, self.terms.registers, call)?
+                self.waits(call)?
             }
             ("GET", ["-", "accounts"]) => self.clerk(|clerk| clerk.accounts()),
             ("POST", ["-", "accounts", id, "put"]) => {
@@ -283,7 +279,12 @@
         &self, call: impl FnOnce(&Clerk<'_>) -> Result<Response, offices::Refused>,
     ) -> Result<Response, Refused> {
         let clerk = Clerk { desk: &self.desk, wait: self.terms.answer };
-        Ok(counted(&self.at_counter, self.terms.offices, || call(&clerk))??)
+        Ok(self.waits(|| counted(&self.at_counter, self.terms.offices, || call(&clerk)))???)
+    }
+
+    /// Carries out what waits for a majority.
+    fn waits<T>(&self, call: impl FnOnce() -> T) -> Result<T, Untold> {
+        counted(&self.waiting, self.terms.waiting, call)
     }
 
     /// What a call does not ask for is read all the same: the library takes what is left of a body in chunks for the
