--- a/crates/keeper/src/keeper.rs
+++ b/crates/keeper/src/keeper.rs
@@ -21,9 +21,8 @@
 use crate::succession::{Drive, Successor};
 use crate::terms::Terms;
 use crate::types::{Answer, Call, Key, NodeId};
-use crate::value::Value;
 use crate::watches::Watches;
-use crate::{Kept, KeptError, Me, Out, Peer};
+use crate::{Kept, KeptError, Me, Out, Peer, value::Value};
 
 #[derive(Clone)]
 pub struct Keeper {
