Sight: what a supervisor saw of clients that left, in counters, the log and traces

Change: counters for connections closed in order and for answers that came for nobody, beside those that broke; a log line at most each 5 s; traces say `unheard`. A stand-in server counts requests that were cut.

--- a/crates/desk/src/tales.rs
+++ b/crates/desk/src/tales.rs
@@ -126,6 +126,10 @@
             "its answer began with {got} and broke off after {}, so the connection to the client was closed",
             ms(tale.took_us)
         ),
+        Some(Why::Unheard) => format!(
+            "it ended with {got} after {}, for nobody: its client had closed the connection before",
+            ms(tale.took_us)
+        ),
         Some(Why::Abandoned) => format!("{got} after {}", ms(tale.took_us)),
         None => format!("{got}, for a reason that this build does not know: {}", tale.why),
     }
--- a/crates/desk/tests/printed.rs
+++ b/crates/desk/tests/printed.rs
@@ -313,6 +313,7 @@
         tale("time", 504, &["silent", "left"]),
         tale("broke-off", 200, &["broke-after"]),
         tale("abandoned", 0, &["left"]),
+        tale("unheard", 200, &["answered"]),
         tale("of-tomorrow", 503, &["broke-before", "of-tomorrow"]),
     ];
     insta::assert_snapshot!(why_text(&tales(all.to_vec())));
--- a/crates/lantern/src/engine.rs
+++ b/crates/lantern/src/engine.rs
@@ -7,6 +7,7 @@
 use crate::disk::{Disk, Done, Work};
 use crate::holdup::HoldUp;
 use crate::hub::Hub;
+use crate::leavers::Leavers;
 use crate::links::Links;
 use crate::signals::Heard;
 use crate::spread::Spread;
@@ -57,6 +58,7 @@
     /// What operators asked that others have to answer, and the editions that were in force here.
     pub surveys: Surveys<SyncSender<Told>>,
     pub history: History,
+    pub leavers: Leavers,
     pub spread: Spread,
     pub inbox: Receiver<Ask>,
     pub heard: Heard,
@@ -204,6 +206,8 @@
             self.slow = now + SLOW;
             self.links.woke(now, self.poll.registry());
             self.look_at_settings(now);
+            let counters = self.quay.as_ref().map(Quay::counters).unwrap_or_default();
+            self.leavers.line(now, &counters).into_iter().for_each(|line| tracing::info!("{line}"));
             if let Some(hub) = &mut self.hub {
                 for (subject, bytes) in hub.take_due(now) {
                     self.disk.iter().for_each(|d| _ = d.work.send(Work::Remember(subject, bytes.clone())));
--- /dev/null
+++ b/crates/lantern/src/leavers.rs
@@ -0,0 +1,40 @@
+//! A line of the log about clients that left before their answer, at most one each [`PERIOD`].
+
+use fallgap_quay::Counters;
+use std::time::Duration;
+
+/// How often a line may be written.
+const PERIOD: Duration = Duration::from_secs(5);
+
+/// What was last written of clients that left.
+#[derive(Debug, Default)]
+pub struct Leavers {
+    next: Duration,
+    told: Told,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Told {
+    closed: u64,
+    broken: u64,
+    unheard: u64,
+}
+
+impl Leavers {
+    /// The line that is due, if clients left since the last one.
+    pub fn line(&mut self, now: Duration, counters: &Counters) -> Option<String> {
+        let seen =
+            Told { closed: counters.closed_early, broken: counters.abandoned, unheard: counters.unheard };
+        if now < self.next || seen == self.told {
+            return None;
+        }
+        let told = std::mem::replace(&mut self.told, seen);
+        self.next = now + PERIOD;
+        Some(format!(
+            "quay: clients left before their answer: {} closed, {} broke; {} answers came for nobody",
+            seen.closed - told.closed,
+            seen.broken - told.broken,
+            seen.unheard - told.unheard,
+        ))
+    }
+}
--- a/crates/lantern/src/lib.rs
+++ b/crates/lantern/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod engine;
 pub mod holdup;
 pub mod hub;
+pub mod leavers;
 pub mod links;
 pub mod memory;
 pub mod offices;
--- a/crates/lantern/src/start.rs
+++ b/crates/lantern/src/start.rs
@@ -8,6 +8,7 @@
 use crate::engine::{DATAGRAMS, Engine, LINKS, QUAY, WAKE};
 use crate::holdup::HoldUp;
 use crate::hub::Hub;
+use crate::leavers::Leavers;
 use crate::links::{self, Links};
 use crate::memory::{Memory, Remembered};
 use crate::signals;
@@ -198,6 +199,7 @@
         beats: Beats::new(rng.u64(1..1 << 62)),
         surveys: Surveys::new(fallgap_desk::Terms::USUAL, rng.u64(1..1 << 62)),
         history: History::default(),
+        leavers: Leavers::default(),
         spread: Spread::new(rng.u64(1..1 << 62)),
         lives: BTreeMap::new(),
         inbox,
--- a/crates/pilot/src/why.rs
+++ b/crates/pilot/src/why.rs
@@ -33,10 +33,12 @@
     Broke,
     /// The client was gone.
     Abandoned,
+    /// It ended as it would have for a client that waits, but its client had closed the connection before.
+    Unheard,
 }
 
 impl Why {
-    const ALL: [Why; 14] = [
+    const ALL: [Why; 15] = [
         Why::Answered,
         Why::NoView,
         Why::NoRoute,
@@ -51,6 +53,7 @@
         Why::Time,
         Why::Broke,
         Why::Abandoned,
+        Why::Unheard,
     ];
 
     pub fn word(self) -> &'static str {
@@ -69,6 +72,7 @@
             Why::Time => "time",
             Why::Broke => "broke-off",
             Why::Abandoned => "abandoned",
+            Why::Unheard => "unheard",
         }
     }
 
--- a/crates/quay/src/client.rs
+++ b/crates/quay/src/client.rs
@@ -31,6 +31,8 @@
     pub watched: bool,
     /// When the request that comes began to come.
     pub since: Option<Duration>,
+    /// The client has closed its side: nothing more comes, and whoever closes both sides looks the same.
+    pub closed: bool,
     /// When it last did something.
     pub moved: Duration,
     /// When the time of its last op is over.
@@ -53,6 +55,7 @@
             more: true,
             watched: false,
             since: None,
+            closed: false,
             moved: now,
             until: now,
             due: now,
--- a/crates/quay/src/clients.rs
+++ b/crates/quay/src/clients.rs
@@ -71,6 +71,10 @@
                 u64::from(matches!(client.state, ClientState::Working(_) | ClientState::Passing { .. }));
             return self.close_client(now, key);
         }
+        if client.more && matches!(client.state, ClientState::Working(_) | ClientState::Passing { .. }) {
+            self.note_close(key);
+        }
+        let Some(client) = self.clients.get(key) else { return };
         match client.state {
             ClientState::Reading | ClientState::Lingering => self.ready.push_back(key),
             ClientState::Writing { .. } | ClientState::Passing { .. } if event.is_writable() => {
@@ -80,6 +84,13 @@
         }
     }
 
+    /// Notes whether a client has closed its side while its op is at work.
+    fn note_close(&mut self, key: ClientKey) {
+        let Some(client) = self.clients.get_mut(key).filter(|client| !client.closed) else { return };
+        client.closed = client.stream.peek(&mut [0]).is_ok_and(|count| count == 0);
+        self.counters.closed_early += u64::from(client.closed);
+    }
+
     /// Sees to clients until none has anything to be read or begun.
     pub(crate) fn see_to_clients(&mut self, now: Duration) {
         while let Some(key) = self.ready.pop_front() {
--- a/crates/quay/src/ops.rs
+++ b/crates/quay/src/ops.rs
@@ -179,6 +179,11 @@
             let how = if op.draft.why == Why::Broke { Ended::Failed } else { how };
             op.draft.ended(one.server, now.saturating_sub(op.core.plan.began), outcome, how);
         }
+        let closed = |client: ClientKey| self.clients.get(client).is_none_or(|client| client.closed);
+        if status > 0 && op.client.is_none_or(closed) {
+            self.counters.unheard += 1;
+            op.draft.why = Why::Unheard;
+        }
         let (came, id) = (op.core.plan.began, op.request.head.id());
         let (edition, service, draft) = (op.edition, Some(op.service), op.draft);
         let over = Over { id, status, came, edition, route: Some(op.route), service, draft };
--- a/crates/quay/src/quay.rs
+++ b/crates/quay/src/quay.rs
@@ -68,8 +68,11 @@
     pub doubted: u64,
     /// Sent elsewhere, as the own link is laden.
     pub laden: u64,
-    /// Clients that were gone before their answer.
+    /// Clients whose connection broke before their answer, and those that closed it in order.
     pub abandoned: u64,
+    pub closed_early: u64,
+    /// Answers that came for clients that had closed their connection.
+    pub unheard: u64,
 }
 
 pub struct Quay {
--- a/crates/standin/src/gateway/server.rs
+++ b/crates/standin/src/gateway/server.rs
@@ -3,6 +3,7 @@
 use super::client::head;
 use std::io::{BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
 use std::thread::spawn;
 
@@ -38,6 +39,8 @@
     SendsAndCloses(String),
     /// It says nothing for as long as the connection stands.
     Hangs,
+    /// It sends this, and nothing more for as long as the connection stands.
+    SendsAndHangs(String),
 }
 
 pub fn ok(got: &Got, body: &str) -> String {
@@ -58,6 +61,7 @@
     pub id: String,
     pub address: SocketAddrV4,
     got: Arc<Mutex<Vec<Got>>>,
+    cut: Arc<AtomicUsize>,
 }
 
 fn listen() -> (TcpListener, SocketAddrV4) {
@@ -70,30 +74,37 @@
     pub fn start(id: &str, script: impl Fn(&Got) -> Does + Send + Sync + 'static) -> Server {
         let (listener, address) = listen();
         let got = Arc::new(Mutex::new(Vec::new()));
-        let (all, script) = (got.clone(), Arc::new(script));
+        let cut = Arc::new(AtomicUsize::new(0));
+        let (all, cuts, script) = (got.clone(), cut.clone(), Arc::new(script));
         spawn(move || {
             for (connection, stream) in listener.incoming().flatten().enumerate() {
-                let (all, script) = (all.clone(), script.clone());
-                spawn(move || serve(stream, connection, &all, &*script));
+                let (all, cuts, script) = (all.clone(), cuts.clone(), script.clone());
+                spawn(move || serve(stream, connection, &all, &cuts, &*script));
             }
         });
-        Server { id: id.to_owned(), address, got }
+        Server { id: id.to_owned(), address, got, cut }
     }
 
     /// A server whose address nobody listens at.
     pub fn dead(id: &str) -> Server {
-        Server { id: id.to_owned(), address: listen().1, got: Arc::default() }
+        Server { id: id.to_owned(), address: listen().1, got: Arc::default(), cut: Arc::default() }
     }
 
     /// The first requests that came.
     pub fn got(&self) -> Vec<Got> {
         self.got.lock().unwrap().clone()
     }
+
+    /// Requests that it was silent about until their connection ended.
+    pub fn cut(&self) -> usize {
+        self.cut.load(Relaxed)
+    }
 }
 
 /// Until the connection ends.
 fn serve(
-    stream: TcpStream, connection: usize, all: &Mutex<Vec<Got>>, script: &dyn Fn(&Got) -> Does,
+    stream: TcpStream, connection: usize, all: &Mutex<Vec<Got>>, cut: &AtomicUsize,
+    script: &dyn Fn(&Got) -> Does,
 ) -> Option<()> {
     stream.set_nodelay(true).ok()?;
     let mut reader = BufReader::new(stream);
@@ -111,8 +122,19 @@
         match script(&got) {
             Does::Sends(bytes) => reader.get_mut().write_all(bytes.as_bytes()).ok()?,
             Does::SendsAndCloses(bytes) => return reader.get_mut().write_all(bytes.as_bytes()).ok(),
-            Does::Hangs => return reader.read_to_end(&mut Vec::new()).ok().map(|_| ()),
+            Does::Hangs => return hang(&mut reader, cut),
+            Does::SendsAndHangs(bytes) => {
+                reader.get_mut().write_all(bytes.as_bytes()).ok()?;
+                return hang(&mut reader, cut);
+            }
         }
     }
     None
 }
+
+/// Until the other side ends the connection, in order or not.
+fn hang(reader: &mut BufReader<TcpStream>, cut: &AtomicUsize) -> Option<()> {
+    let end = reader.read_to_end(&mut Vec::new());
+    cut.fetch_add(1, Relaxed);
+    end.ok().map(|_| ())
+}
