--- a/crates/pilot/src/op.rs
+++ b/crates/pilot/src/op.rs
@@ -91,12 +91,14 @@
     tries: Vec<TryState>,
     /// The try whose answer goes to the client as it comes: it is the only one from then on.
     passing: Option<usize>,
+    /// Its client has left: no other server is asked.
+    left: bool,
     over: bool,
 }
 
 impl Op {
     pub fn new(plan: Plan) -> Op {
-        Op { plan, tries: Vec::new(), passing: None, over: false }
+        Op { plan, tries: Vec::new(), passing: None, left: false, over: false }
     }
 
     /// A try begins. Gives its number.
@@ -169,11 +171,11 @@
     pub fn ended(&mut self, now: Duration, number: usize, outcome: TryOutcome, budget: bool) -> Next {
         self.turn(number, TryState::Ended(outcome));
         match outcome {
+            _ if self.over => Next::Wait,
             // What has left can not be taken back, and no other answer may follow it.
             _ if self.passing.is_some_and(|passing| passing != number) => Next::Wait,
             _ if self.is_passing() && outcome != TryOutcome::Answered => self.over(Next::Break),
             TryOutcome::Answered => self.over(Next::Pass),
-            _ if self.over => Next::Wait,
             // Another try that is under way may still answer.
             _ if self.is_live() => Next::Wait,
             _ if self.may_try(now, budget) => Next::Try,
@@ -195,6 +197,19 @@
         self.over(Next::Reply(if self.may_have_run() { Final::Late } else { Final::NotRun }))
     }
 
+    /// Its client has left. What may run once and was sent runs on where it is; all else ends now.
+    pub fn client_left(&mut self) -> Next {
+        self.left = true;
+        let runs_on = !self.plan.class.may_run_again() && self.any(|state| *state == TryState::Sent);
+        if self.over || runs_on {
+            return Next::Wait;
+        }
+        if self.is_passing() {
+            return self.over(Next::Break);
+        }
+        self.over(Next::Reply(if self.may_have_run() { Final::Unknown } else { Final::NotRun }))
+    }
+
     /// Whether a second server may be asked while the first is silent.
     pub fn may_hedge(&self, now: Duration, budget: bool) -> bool {
         self.plan.class.may_run_again()
@@ -214,6 +229,7 @@
         let connects = self.tries.len() as u32 - arrivals;
         let again = self.plan.class.may_run_again() || !self.may_have_run();
         let bars = [
+            (self.left, Why::Abandoned),
             (!again, Why::Once),
             (now >= self.plan.deadline, Why::Time),
             (arrivals >= self.plan.attempts, Why::Attempts),
--- a/crates/pilot/tests/ops.rs
+++ b/crates/pilot/tests/ops.rs
@@ -127,3 +127,40 @@
         assert_eq!(op.ended(ms(200), first, outcome, true), expected);
     }
 }
+
+/// What the one try of an op has come to as its client leaves.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Stage {
+    Connecting,
+    Sent,
+    Passing,
+}
+
+#[test]
+fn what_may_be_repeated_ends_with_its_client_and_what_may_run_once_goes_nowhere_else() {
+    use Final::{NotRun, Unknown};
+    use Stage::{Connecting, Passing, Sent};
+    let cases = [
+        (Fragile, Connecting, Next::Reply(NotRun)),
+        (Fragile, Sent, Next::Wait),
+        (Safe, Connecting, Next::Reply(NotRun)),
+        (Safe, Sent, Next::Reply(Unknown)),
+        (Outbound, Sent, Next::Reply(Unknown)),
+        (Outbound, Passing, Next::Break),
+    ];
+    for (class, stage, expected) in cases {
+        let mut op = op(class, 2);
+        let number = op.begin();
+        if stage != Connecting {
+            op.sends(number);
+        }
+        assert_eq!(stage == Passing && op.passes(number), stage == Passing);
+        assert_eq!(op.client_left(), expected, "{class:?} {stage:?}");
+        assert!(!op.may_hedge(ms(100), true), "{class:?} {stage:?}");
+        // It is over, or its server proves that it did not run: no other one is asked.
+        let after = op.ended(ms(100), 0, TryOutcome::NotRun, true);
+        let refused = Next::Reply(NotRun);
+        assert_eq!(after, if expected == Next::Wait { refused } else { Next::Wait }, "{class:?} {stage:?}");
+        assert_eq!(op.client_left(), Next::Wait);
+    }
+}
--- a/crates/quay/src/client.rs
+++ b/crates/quay/src/client.rs
@@ -70,6 +70,14 @@
         self.state = to;
     }
 
+    /// The op that is at work for it.
+    pub(crate) fn op(&self) -> Option<OpKey> {
+        match self.state {
+            ClientState::Working(op) | ClientState::Passing { op, .. } => Some(op),
+            ClientState::Reading | ClientState::Writing { .. } | ClientState::Lingering => None,
+        }
+    }
+
     pub(crate) fn is_at_rest(&self) -> bool {
         self.state == ClientState::Reading && self.inbox.is_empty()
     }
--- a/crates/quay/src/clients.rs
+++ b/crates/quay/src/clients.rs
@@ -2,7 +2,7 @@
 
 use crate::client::{Client, ClientState, Outgoing};
 use crate::quay::{Quay, note};
-use crate::timers::{ClientKey, Who};
+use crate::timers::{ClientKey, OpKey, Who};
 use fallgap_pilot::{Ends, Refusal, Step, own_answer};
 use mio::Interest;
 use mio::event::Event;
@@ -10,6 +10,16 @@
 use std::net::Shutdown;
 use std::time::Duration;
 
+/// How a client's connection stands behind what was read of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Ahead {
+    Open,
+    /// The client sends no more. Whether it still hears shows only when something is written.
+    Closed,
+    /// It broke, and is closed here as well.
+    Broken,
+}
+
 impl Quay {
     pub(crate) fn accept(&mut self, now: Duration) {
         loop {
@@ -67,12 +77,11 @@
         let Some(client) = self.clients.get_mut(key) else { return };
         client.more |= event.is_readable() || event.is_read_closed();
         if (event.is_error() || event.is_write_closed()) && is_broken(client) {
-            self.counters.abandoned +=
-                u64::from(matches!(client.state, ClientState::Working(_) | ClientState::Passing { .. }));
+            self.counters.abandoned += u64::from(client.op().is_some());
             return self.close_client(now, key);
         }
-        if client.more && matches!(client.state, ClientState::Working(_) | ClientState::Passing { .. }) {
-            self.note_close(key);
+        if client.more && client.op().is_some() {
+            self.see_close(now, key);
         }
         let Some(client) = self.clients.get(key) else { return };
         match client.state {
@@ -84,11 +93,51 @@
         }
     }
 
-    /// Notes whether a client has closed its side while its op is at work.
-    fn note_close(&mut self, key: ClientKey) {
-        let Some(client) = self.clients.get_mut(key).filter(|client| !client.closed) else { return };
-        client.closed = client.stream.peek(&mut [0]).is_ok_and(|count| count == 0);
-        self.counters.closed_early += u64::from(client.closed);
+    /// Sees whether a client whose op is at work has closed its side, and ends what it then needs no more.
+    fn see_close(&mut self, now: Duration, key: ClientKey) {
+        let known = self.clients.get(key).is_none_or(|client| client.closed);
+        if known || self.read_ahead(now, key) != Ahead::Closed {
+            return;
+        }
+        if let Some(op) = self.clients.get(key).and_then(Client::op) {
+            self.counters.closed_early += 1;
+            self.client_left(now, op);
+        }
+    }
+
+    /// Looks at an op's client before another server is asked. `false`: the op has ended with it.
+    pub(crate) fn is_waited_for(&mut self, now: Duration, op: OpKey) -> bool {
+        let client = self.ops.get(op).map(|op| op.client);
+        if let Some((key, client)) = client.and_then(|key| Some((key, self.clients.get_mut(key)?))) {
+            client.more = true;
+            self.see_close(now, key);
+        }
+        self.ops.contains_key(op)
+    }
+
+    /// Reads on behind a whole request, as a close shows only behind all that was sent. Up to a head's length is held
+    /// for the next request; a close behind more than that is seen when that has been taken.
+    pub(crate) fn read_ahead(&mut self, now: Duration, key: ClientKey) -> Ahead {
+        let room = self.terms.memory.saturating_sub(self.memory).min(self.limits.header_bytes);
+        let Some(client) = self.clients.get_mut(key) else { return Ahead::Broken };
+        while client.more && !client.closed {
+            let most = room.saturating_sub(client.inbox.held()).min(self.scratch.len());
+            let Some(piece) = self.scratch.get_mut(..most).filter(|piece| !piece.is_empty()) else { break };
+            match client.stream.read(piece) {
+                Ok(0) => client.closed = true,
+                Ok(count) => client.inbox.push(piece.get(..count).unwrap_or_default()),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => client.more = false,
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(_) => {
+                    self.counters.abandoned += 1;
+                    self.close_client(now, key);
+                    return Ahead::Broken;
+                }
+            }
+        }
+        let ahead = if client.closed { Ahead::Closed } else { Ahead::Open };
+        self.account(key);
+        ahead
     }
 
     /// Sees to clients until none has anything to be read or begun.
@@ -239,7 +288,7 @@
     pub(crate) fn client_due(&mut self, now: Duration, key: ClientKey) {
         let Some(client) = self.clients.get_mut(key) else { return };
         client.noted = None;
-        if matches!(client.state, ClientState::Working(_) | ClientState::Passing { .. }) {
+        if client.op().is_some() {
             return;
         }
         if now < client.due {
@@ -273,7 +322,7 @@
         self.memory = self.memory.saturating_sub(client.held);
         // The socket closes all the same.
         let _ = self.registry.deregister(&mut client.stream);
-        if let ClientState::Working(op) | ClientState::Passing { op, .. } = client.state {
+        if let Some(op) = client.op() {
             self.client_left(now, op);
         }
     }
--- a/crates/quay/src/lines.rs
+++ b/crates/quay/src/lines.rs
@@ -233,7 +233,7 @@
         let Some(op) = self.ops.get(at.op) else { return self.close_line(key) };
         // A stream takes no more room than its client's slowness is worth, and is not broken off for want of it.
         let passing = op.core.is_passing();
-        let out = op.client.filter(|_| passing).and_then(|client| self.clients.get(client));
+        let out = self.clients.get(op.client).filter(|_| passing);
         line.held_back = out.is_some_and(|client| client.out.len() >= self.terms.ahead);
         if line.held_back {
             return;
--- a/crates/quay/src/ops.rs
+++ b/crates/quay/src/ops.rs
@@ -1,6 +1,7 @@
 //! Ops: from a whole request to its answer.
 
 use crate::client::{ClientState, Outgoing};
+use crate::clients::Ahead;
 use crate::line::TryAt;
 use crate::logbook::{Draft, Over};
 use crate::quay::Quay;
@@ -17,8 +18,8 @@
 pub(crate) struct OpEntry {
     pub core: Op,
     pub request: Box<Request>,
-    /// Who waits for it; none any more if it has to run on all the same.
-    pub client: Option<ClientKey>,
+    /// Who asked. An op that has to run on outlasts its client.
+    pub client: ClientKey,
     pub service: ServiceKey,
     pub route: Arc<str>,
     pub cargo: f64,
@@ -47,6 +48,11 @@
 impl Quay {
     pub(crate) fn begin_op(&mut self, now: Duration, key: ClientKey, began: Duration, request: Box<Request>) {
         self.counters.requests += 1;
+        match self.read_ahead(now, key) {
+            Ahead::Open => {}
+            Ahead::Closed => return self.asked_for_nobody(now, key, began, &request),
+            Ahead::Broken => return,
+        }
         let head = &request.head;
         // Before the first view no route is known to be missing.
         let Some(routing) = &self.routing else {
@@ -98,7 +104,7 @@
         let entry = OpEntry {
             core,
             request,
-            client: Some(key),
+            client: key,
             service,
             route,
             cargo,
@@ -122,11 +128,8 @@
     pub(crate) fn act(&mut self, now: Duration, op: OpKey, next: Next, answer: Option<Answer>) {
         match next {
             Next::Wait => self.set_op_due(op),
-            // Nobody waits for it: what did not run need not.
-            Next::Try if self.ops.get(op).is_some_and(|op| op.client.is_none()) => {
-                self.finish(now, op, 0, |_, _, _| {});
-            }
-            Next::Try => self.start_try(now, op),
+            Next::Try if self.is_waited_for(now, op) => self.start_try(now, op),
+            Next::Try => {}
             Next::Pass => {
                 if let Some((op, answer)) = self.ops.get(op).zip(answer.as_ref()) {
                     self.draught.brought(&op.route, answer.told_length.unwrap_or(answer.body.len()));
@@ -179,8 +182,8 @@
             let how = if op.draft.why == Why::Broke { Ended::Failed } else { how };
             op.draft.ended(one.server, now.saturating_sub(op.core.plan.began), outcome, how);
         }
-        let closed = |client: ClientKey| self.clients.get(client).is_none_or(|client| client.closed);
-        if status > 0 && op.client.is_none_or(closed) {
+        let left = self.clients.get(op.client).is_none_or(|client| client.closed);
+        if left && op.draft.why == Why::Answered {
             self.counters.unheard += 1;
             op.draft.why = Why::Unheard;
         }
@@ -188,8 +191,8 @@
         let (edition, service, draft) = (op.edition, Some(op.service), op.draft);
         let over = Over { id, status, came, edition, route: Some(op.route), service, draft };
         self.logbook.over(now, over);
-        if let Some(client) = op.client.filter(|client| self.clients.contains_key(*client)) {
-            answer(self, client, &op.request);
+        if self.clients.contains_key(op.client) {
+            answer(self, op.client, &op.request);
         }
     }
 
@@ -220,7 +223,7 @@
     /// other, and leave in one heap before which small answers wait.
     pub(crate) fn pass_on(&mut self, now: Duration, key: LineKey, at: TryAt) {
         let Some((op, line)) = self.ops.get_mut(at.op).zip(self.lines.get_mut(key)) else { return };
-        let Some(client) = op.client else { return };
+        let client = op.client;
         if !op.core.is_passing() {
             let id = op.request.head.id();
             let long =
@@ -286,14 +289,30 @@
         self.reply(now, key, Outgoing::new(head, Vec::new()), ends != fallgap_pilot::Ends::Closed);
     }
 
-    /// The client of an op is gone. What may run once runs on; nothing else is of use.
+    /// A request whose client has closed its side before it was begun: it is not begun.
+    fn asked_for_nobody(&mut self, now: Duration, key: ClientKey, began: Duration, request: &Request) {
+        self.counters.closed_early += 1;
+        self.refused(now, began, request, 0, Why::Abandoned, None);
+        let again = self.again();
+        self.own_answer(now, key, request, 503, Some(again));
+    }
+
+    /// The client of an op has closed its side, or its connection is gone. Who still hears is told what became of it.
     pub(crate) fn client_left(&mut self, now: Duration, key: OpKey) {
         let Some(op) = self.ops.get_mut(key) else { return };
-        op.client = None;
-        if op.core.plan.class.may_run_again() || !op.core.was_sent() {
-            op.draft.why = Why::Abandoned;
-            self.finish(now, key, 0, |_, _, _| {});
+        let next = op.core.client_left();
+        if next == Next::Wait {
+            return;
         }
+        op.draft.why = Why::Abandoned;
+        self.finish(now, key, 0, |quay, client, request| match next {
+            Next::Reply(Final::NotRun) => {
+                let again = quay.again();
+                quay.own_answer(now, client, request, 503, Some(again));
+            }
+            Next::Reply(_) => quay.own_answer(now, client, request, 502, None),
+            _ => quay.close_client(now, client),
+        });
     }
 
     /// When an op is to be looked at next.
--- a/crates/quay/src/quay.rs
+++ b/crates/quay/src/quay.rs
@@ -327,6 +327,7 @@
         let rest = self.limits.idle.saturating_sub(Duration::from_secs(1));
         // What has been read gets its answer, too.
         let waits = || self.clients.get(client).is_some_and(|client| !client.inbox.is_empty());
+        let keep = keep && self.clients.get(client).is_some_and(|client| !client.closed);
         if keep && rest >= Duration::from_secs(1) && (self.leaving.is_none() || waits()) {
             Ends::Kept(rest)
         } else {
--- a/crates/quay/src/tries.rs
+++ b/crates/quay/src/tries.rs
@@ -110,7 +110,7 @@
     pub(crate) fn hedge(&mut self, now: Duration, key: OpKey) {
         let Some(op) = self.ops.get(key) else { return };
         let budget = self.fleet.budget_allows(now, op.service, HEDGES);
-        if op.core.may_hedge(now, budget) {
+        if op.core.may_hedge(now, budget) && self.is_waited_for(now, key) {
             self.counters.hedges += 1;
             self.start_try(now, key);
         }
--- a/crates/quay/tests/clients_that_leave.rs
+++ b/crates/quay/tests/clients_that_leave.rs
@@ -5,10 +5,11 @@
 
 use fallgap_chart::View;
 use fallgap_quay::{Quay, Terms};
+use fallgap_standin::gateway::Got;
 use socket2::SockRef;
 use std::net::Shutdown;
-use std::sync::Arc;
 use std::sync::mpsc::channel;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use world::*;
 
@@ -67,6 +68,12 @@
     get(path, id).replace("1500", "60000")
 }
 
+/// The head and a part of a stream long enough to go on as it comes.
+fn begun_stream(got: &Got) -> Does {
+    let whole = ok(got, &"z".repeat(1 << 20));
+    Does::SendsAndHangs(whole[..64 << 10].to_owned())
+}
+
 #[test]
 fn what_may_be_repeated_ends_with_its_client() {
     for how in [Closes, HalfCloses, Resets] {
@@ -94,6 +101,55 @@
     }
 }
 
+#[test]
+fn a_stream_ends_with_its_client() {
+    for how in [Closes, HalfCloses, Resets] {
+        let server = Server::start("i-1", begun_stream);
+        let world = patient(&[&server]);
+        let mut client = world.client();
+        client.send(&long("/outbound/", "1"));
+        let mut first = [0];
+        client.reader.get_ref().peek(&mut first).unwrap();
+        let left = leave(client, how);
+        until(|| server.cut() == 1);
+        until(|| world.ask(|quay, _| quay.at_work()) == 0);
+        // It must not look whole.
+        assert!(left.is_none_or(|mut client| client.reply().is_none()), "{how:?}");
+    }
+}
+
+#[test]
+fn what_may_run_once_runs_on_but_goes_nowhere_else() {
+    for how in [Closes, HalfCloses, Resets] {
+        for sheds in [false, true] {
+            let (release, held) = channel::<()>();
+            let held = Mutex::new(held);
+            let script = move |got: &Got| {
+                held.lock().unwrap().recv().unwrap();
+                let shed = fallgap_standin::gateway::status(got, 503, "X-Not-Run: 1\r\n");
+                Does::Sends(if sheds { shed } else { ok(got, "bytes") })
+            };
+            let first = Server::start("i-1", script);
+            let world = patient(&[&first]);
+            let mut client = world.client();
+            client.send(&long("/fragile/", "1"));
+            until(|| first.got().len() == 1);
+            let second = Server::start("i-2", |got| Does::Sends(ok(got, "second")));
+            view(&world, &[&first, &second]);
+            let left = leave(client, how);
+            let seen = |quay: &mut Quay, _| quay.counters().closed_early + quay.counters().abandoned;
+            until(|| world.ask(seen) == 1);
+            assert_eq!(first.cut(), 0);
+            release.send(()).unwrap();
+            until(|| world.ask(|quay, _| quay.at_work()) == 0);
+            assert_eq!((first.got().len(), second.got().len()), (1, 0), "{how:?} {sheds}");
+            let told = left.map(|mut client| client.reply().map(|reply| reply.status));
+            let expected = if sheds { 503 } else { 200 };
+            assert!(told.is_none_or(|told| told == Some(expected)), "{how:?} {sheds}: {told:?}");
+        }
+    }
+}
+
 /// The request and the close of its client are there at once, as after a wait in the kernel's queue.
 #[test]
 fn nothing_is_begun_for_a_client_that_has_closed() {
