Leave: a server's end is acknowledged when keepers know it, as closing is

Cause: `servers/ID/leave` was answered 200 at once, with a word to each keeper that may be lost, and by a supervisor that hears none. Ruled out: `closing` itself (acknowledged when all keepers that are followed know). Change: `leave` goes the way of `closing`, as a last beat that is older than all that the server said before; an id that is no name is refused. Its life is closing until it is silent, and then gone. Measured: cut_off.rs with a `leave` fails on the text before (200) and passes; roster's cases for lives known and not.

--- a/crates/lantern/src/asks.rs
+++ b/crates/lantern/src/asks.rs
@@ -15,7 +15,8 @@
 pub enum Asked {
     Call(Call),
     Beat(Beat),
-    Left(String),
+    /// A server leaves.
+    Left(Arc<str>),
     Status,
     Desk(desk::Question),
     Verdicts,
--- a/crates/lantern/src/carry.rs
+++ b/crates/lantern/src/carry.rs
@@ -52,12 +52,6 @@
         self.links.tell(now, self.poll.registry(), to, &line);
     }
 
-    pub fn tell_keepers(&mut self, now: Duration, word: impl Fn() -> Word) {
-        for keeper in self.keepers() {
-            self.say(now, keeper, word());
-        }
-    }
-
     fn carry_beacon(&mut self, now: Duration) -> bool {
         let outs = self.beacon.take();
         let any = !outs.is_empty();
--- a/crates/lantern/src/control.rs
+++ b/crates/lantern/src/control.rs
@@ -184,13 +184,14 @@
         let url = request.raw_url();
         let (path, query) = url.split_once('?').unwrap_or((url, ""));
         let segments: Vec<&str> = path.split('/').skip(1).collect();
-        let name = |id: &&str| (*id).to_owned();
         match (request.method(), segments.as_slice()) {
             ("POST", ["-", "servers", id, "beat"]) => {
                 let beat = chart::read_beat(id, &self.body(request, self.terms.body)?)?;
                 self.told(Asked::Beat(beat))
             }
-            ("POST", ["-", "servers", id, "leave"]) => self.told(Asked::Left(name(id))),
+            ("POST", ["-", "servers", id, "leave"]) if chart::is_name(id) => {
+                self.told(Asked::Left((*id).into()))
+            }
             ("POST", ["-", "config", "put"]) => {
                 let call = || {
                     let body = self.body(request, self.terms.configuration)?;
--- a/crates/lantern/src/engine.rs
+++ b/crates/lantern/src/engine.rs
@@ -17,7 +17,7 @@
 use fallgap_desk::{History, Surveys};
 use fallgap_keeper::{Answer, Keeper, Key, Peer as KeeperPeer};
 use fallgap_quay::Quay;
-use fallgap_roster::{Follower, RosterWord};
+use fallgap_roster::{Follower, last_beat};
 use mio::net::UdpSocket;
 use mio::{Events, Poll};
 use std::collections::{BTreeMap, VecDeque};
@@ -268,11 +268,8 @@
                     steps.into_iter().for_each(|step| self.step(now, step));
                 }
                 Asked::Beat(beat) => self.beat(now, beat, reply),
-                Asked::Left(server) => {
-                    let left = RosterWord::Left(server.as_str().into());
-                    self.tell_keepers(now, || Word::Roster(left.clone()));
-                    let _ = reply.try_send(Told::Taken);
-                }
+                // Some say nothing before: what is acknowledged holds as for one that closes.
+                Asked::Left(server) => self.beat(now, last_beat(server), reply),
                 Asked::Desk(question) => self.desk_asked(now, question, reply),
                 Asked::Spread(revision, places) => self.spread(now, reply, revision, &places),
                 Asked::Status => {
--- a/crates/lantern/tests/cut_off.rs
+++ b/crates/lantern/tests/cut_off.rs
@@ -27,6 +27,7 @@
     let calls = [
         ("/-/servers/i-9/beat", Some(open.as_str())),
         ("/-/servers/i-9/beat", Some(closing)),
+        ("/-/servers/i-8/leave", Some("{}")),
         ("/-/config/put", Some(newer.as_str())),
         ("/-/config/put", Some(older.as_str())),
         ("/-/config/get", None),
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -24,7 +24,7 @@
 pub use fallgap_feed::wire::Told;
 pub use fitness::{Fit, Fitness, Ground};
 pub use follower::{Follower, FollowerOut};
-pub use lives::{Life, State};
+pub use lives::{Life, State, last_beat};
 pub use messages::{Compare, Record, Records, RosterWord, ServerReport};
 pub use packing::Line;
 pub use registry::{News, Registry};
--- a/crates/roster/src/lives.rs
+++ b/crates/roster/src/lives.rs
@@ -77,12 +77,12 @@
     }
 }
 
-/// A life of which only the end is known.
-pub(crate) fn unknown(id: &Arc<str>) -> Beat {
+/// The last beat of a server that says only that it leaves: older than all that it said before, and it closes.
+pub fn last_beat(id: Arc<str>) -> Beat {
     let nowhere = std::net::SocketAddrV4::new(std::net::Ipv4Addr::UNSPECIFIED, 0);
     let none: Arc<str> = "".into();
     Beat {
-        id: id.clone(),
+        id,
         address: nowhere,
         service: none.clone(),
         edition: none.clone(),
--- a/crates/roster/src/registry.rs
+++ b/crates/roster/src/registry.rs
@@ -3,7 +3,7 @@
 use crate::NodeId;
 use crate::doubt::Doubt;
 use crate::evening::Evening;
-use crate::lives::{Event, Life, State, unknown};
+use crate::lives::{Event, Life, State, last_beat};
 use crate::messages::{Record, RosterWord};
 use crate::terms::Terms;
 use fallgap_chart::Beat;
@@ -139,7 +139,7 @@
             if !self.has_room() {
                 return News::Refused;
             }
-            self.add(now, unknown(&id), now, now, State::Closing);
+            self.add(now, last_beat(id.clone()), now, now, State::Closing);
         }
         if !self.turn(now, id, Event::Left) {
             return News::Late;
--- a/crates/roster/tests/cases.rs
+++ b/crates/roster/tests/cases.rs
@@ -452,3 +452,23 @@
     assert!(RosterWord::read_said(b"nonsense", &terms).is_err());
     assert!(RosterWord::read_told(&line, &terms).is_err());
 }
+
+/// A server that says nothing before it leaves: the last word counts whatever was said before, and whether it is known.
+#[test]
+fn a_last_beat_closes_a_life_that_is_known_or_not() {
+    use fallgap_roster::last_beat;
+    for known in [false, true] {
+        let mut registry = Registry::start(S, 1, Terms::default());
+        if known {
+            registry.beat(S, beat("a", 1, 7));
+        }
+        assert_eq!(registry.beat(2 * S, last_beat("a".into())), News::Changed, "{known}");
+        assert_eq!(states(&registry), "a Closing", "{known}");
+        // It serves on, and may beat on.
+        registry.beat(3 * S, beat("a", 1, 8));
+        assert_eq!(states(&registry), "a Closing", "{known}");
+        // Another server may live at its address.
+        registry.beat(3 * S, beat("b", 1, 1));
+        assert_eq!(states(&registry), "a Closing, b Open", "{known}");
+    }
+}
