Control address: a server of our own sees when callers leave, and leaves none unread

Cause: the library's server (rouille) hands connections to a few readers, each of which stays with one connection until it ends. Of eight calls that come at once some wait behind connections that rest, for as long as these last, and are carried out when they are read at last, seconds or minutes after their callers left. It hands no connection out, so nobody sees that a caller has closed. Also what a body that breaks off held a thread for. Ruled out: calls between supervisors (a call handed on is withdrawn before its caller is told; run for 0.9 s at most). Change: `lantern::http`: one thread holds the connections of the control and ready addresses, by mio and the strict reading of requests that clients' requests have (httparse); 20 workers carry calls out. Who has closed before a call is begun gets it dropped; a watch ends with its caller; what waited 0.9 s for a worker is answered 503.

--- a/crates/lantern/src/asks.rs
+++ b/crates/lantern/src/asks.rs
@@ -1,5 +1,6 @@
 //! What threads that hold a caller ask of the engine, and how they wait for it.
 
+use crate::http::Caller;
 use crate::spread::Spreading;
 use fallgap_chart::Beat;
 use fallgap_desk as desk;
@@ -31,6 +32,8 @@
     Status(String),
     Desk(desk::Answer),
     Spread(Spreading),
+    /// Whoever asked has closed its connection, and waits no more.
+    CallerLeft,
 }
 
 pub struct Ask {
@@ -66,6 +69,22 @@
     /// [`Untold`].
     pub fn ask(&self, asked: Asked, wait: Duration) -> Result<Told, Untold> {
         let (reply, told) = sync_channel(1);
+        self.send(asked, reply, &told, wait)
+    }
+
+    /// As [`Desk::ask`], but not for longer than the caller is there.
+    ///
+    /// # Errors
+    /// [`Untold`].
+    pub fn ask_for(&self, caller: &Caller, asked: Asked, wait: Duration) -> Result<Told, Untold> {
+        let (reply, told) = sync_channel(1);
+        caller.watch(&reply);
+        self.send(asked, reply, &told, wait)
+    }
+
+    fn send(
+        &self, asked: Asked, reply: SyncSender<Told>, told: &Receiver<Told>, wait: Duration,
+    ) -> Result<Told, Untold> {
         self.asks.try_send(Ask { asked, reply }).map_err(|e| match e {
             TrySendError::Full(_) | TrySendError::Disconnected(_) => Untold::Full,
         })?;
--- a/crates/lantern/src/control.rs
+++ b/crates/lantern/src/control.rs
@@ -1,16 +1,13 @@
 //! The control address: calls of servers, the operator and applications. One dispatch on method and segments.
 
 use crate::asks::{Asked, Desk, Told, Untold};
+use crate::http::{Caller, Request, Response, Service};
 use crate::offices::{self, Clerk, Verb};
 use fallgap_chart as chart;
 use fallgap_desk::Question;
 use fallgap_keeper::{Answer, Call};
-use rouille::{Request, Response, ResponseBody};
-use std::io::Read;
-use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
-use std::thread;
 use std::time::Duration;
 
 /// What binds the control address.
@@ -71,8 +68,6 @@
     Faults(chart::Faults),
     /// a body of more than {0} bytes
     Long(usize),
-    /// the body broke off
-    Broken,
     /// no such call
     Unknown,
     /// {0}
@@ -97,61 +92,31 @@
     }
 }
 
-/// Serves the control address with threads of its own.
-///
-/// # Errors
-/// The address cannot be bound.
-pub fn start(
-    at: SocketAddrV4, desk: Desk, terms: Terms,
-) -> Result<(), Box<dyn std::error::Error + Send + Sync>> {
+/// Answers calls at the control address.
+pub fn service(desk: Desk, terms: Terms) -> Service {
     let none = || AtomicUsize::new(0);
     let (watching, waiting, at_counter) = (none(), none(), none());
-    let control = Arc::new(Control { desk, terms, watching, waiting, at_counter });
-    let server = rouille::Server::new(at, move |request| control.answer(request))?.pool_size(terms.threads);
-    thread::Builder::new().name("control".into()).stack_size(256 << 10).spawn(move || server.run())?;
-    Ok(())
+    let control = Control { desk, terms, watching, waiting, at_counter };
+    Arc::new(move |request, caller| control.answer(request, caller))
 }
 
-/// Serves the address where the platform asks whether clients may come.
-///
-/// # Errors
-/// The address cannot be bound.
-pub fn start_ready(
-    at: SocketAddrV4, ready: Arc<AtomicBool>,
-) -> Result<(), Box<dyn std::error::Error + Send + Sync>> {
-    let answer = move |request: &Request| {
-        let known = request.method() == "GET" && request.raw_url() == "/-/ready";
-        status(if !known {
+/// Answers at the address where the platform asks whether clients may come.
+pub fn ready_service(ready: Arc<AtomicBool>) -> Service {
+    Arc::new(move |request, _| {
+        let known = request.method() == "GET" && request.path() == "/-/ready";
+        Response::empty(if !known {
             404
         } else if ready.load(Relaxed) {
             200
         } else {
             503
         })
-    };
-    let server = rouille::Server::new(at, answer)?.pool_size(1);
-    thread::Builder::new().name("ready".into()).stack_size(256 << 10).spawn(move || server.run())?;
-    Ok(())
-}
-
-fn status(code: u16) -> Response {
-    Response { status_code: code, headers: vec![], data: ResponseBody::empty(), upgrade: None }
-}
-
-pub fn json(code: u16, body: Vec<u8>) -> Response {
-    let headers = vec![("Content-Type".into(), "application/json".into())];
-    Response { status_code: code, headers, data: ResponseBody::from_data(body), upgrade: None }
-}
-
-pub fn text(code: u16, why: &dyn std::fmt::Display) -> Response {
-    let headers = vec![("Content-Type".into(), "text/plain; charset=utf-8".into())];
-    let data = ResponseBody::from_data(format!("{why}\n").into_bytes());
-    Response { status_code: code, headers, data, upgrade: None }
+    })
 }
 
 /// What an office shows that it is one.
 fn key(request: &Request) -> &str {
-    request.header("X-Office-Key").unwrap_or_default()
+    request.header("x-office-key").unwrap_or_default()
 }
 
 /// A string as JSON.
@@ -160,33 +125,27 @@
 }
 
 impl Control {
-    fn answer(&self, request: &Request) -> Response {
-        let done = self.dispatch(request);
-        if let Some(body) = request.data() {
-            self.drain(body);
-        }
-        let refused = match done {
+    fn answer(&self, request: &Request, caller: &Caller) -> Response {
+        let refused = match self.dispatch(request, caller) {
             Ok(response) => return response,
             Err(refused) => refused,
         };
         match &refused {
-            Refused::Faults(_) | Refused::Broken => text(400, &refused),
-            Refused::Long(_) => text(413, &refused),
-            Refused::Unknown => text(404, &refused),
+            Refused::Faults(_) => Response::text(400, &refused),
+            Refused::Long(_) => Response::text(413, &refused),
+            Refused::Unknown => Response::text(404, &refused),
             Refused::Office(refused) => refused.response(),
             // Nothing was done, and nothing will be.
-            Refused::Untold(Untold::Full) => text(503, &refused).with_additional_header("Retry-After", "0.2"),
-            Refused::Untold(Untold::Late) => text(500, &refused),
+            Refused::Untold(Untold::Full) => Response::text(503, &refused).retry_after("0.2"),
+            Refused::Untold(Untold::Late) => Response::text(500, &refused),
         }
     }
 
-    fn dispatch(&self, request: &Request) -> Result<Response, Refused> {
-        let url = request.raw_url();
-        let (path, query) = url.split_once('?').unwrap_or((url, ""));
-        let segments: Vec<&str> = path.split('/').skip(1).collect();
+    fn dispatch(&self, request: &Request, caller: &Caller) -> Result<Response, Refused> {
+        let segments: Vec<&str> = request.path().split('/').skip(1).collect();
         match (request.method(), segments.as_slice()) {
             ("POST", ["-", "servers", id, "beat"]) => {
-                let beat = chart::read_beat(id, &self.body(request, self.terms.body)?)?;
+                let beat = chart::read_beat(id, self.body(request, self.terms.body)?)?;
                 self.told(Asked::Beat(beat))
             }
             ("POST", ["-", "servers", id, "leave"]) if chart::is_name(id) => {
@@ -195,8 +154,8 @@
             ("POST", ["-", "config", "put"]) => {
                 let call = || {
                     let body = self.body(request, self.terms.configuration)?;
-                    let edition = chart::read_configuration(&body)?.edition;
-                    self.call(Call::ConfigPut { edition, body })
+                    let edition = chart::read_configuration(body)?.edition;
+                    self.call(Call::ConfigPut { edition, body: body.to_vec() })
                 };
                 self.waits(call)?
             }
@@ -207,7 +166,7 @@
             ("GET", ["-", "accounts"]) => self.clerk(|clerk| clerk.accounts()),
             ("POST", ["-", "accounts", id, "put"]) => {
                 let body = self.body(request, self.terms.configuration)?;
-                self.clerk(|clerk| clerk.order(id, &body))
+                self.clerk(|clerk| clerk.order(id, body))
             }
             ("GET", ["-", "offices", id, "routes"]) => self.clerk(|clerk| clerk.routes(id, key(request))),
             ("POST", ["-", "offices", id, "routes", verb]) => {
@@ -218,9 +177,9 @@
                     _ => return Err(Refused::Unknown),
                 };
                 let body = self.body(request, self.terms.configuration)?;
-                self.clerk(|clerk| clerk.change(id, key(request), verb, &body))
+                self.clerk(|clerk| clerk.change(id, key(request), verb, body))
             }
-            ("GET", ["-", "watch", id]) => self.watch(id, query),
+            ("GET", ["-", "watch", id]) => self.watch(id, request, caller),
             ("GET", ["-", "status"]) => self.told(Asked::Status),
             ("GET", ["-", "desk", what]) => self.desk(request, what),
             ("GET", ["-", "verdicts"]) => self.told(Asked::Verdicts),
@@ -234,21 +193,21 @@
         match (request.method(), segments) {
             ("GET", ["-", "config", "get"]) => Ok(Call::ConfigGet),
             ("POST", ["-", "locks", id, "start"]) => {
-                let asked = chart::read_lock_start(&self.body(request, self.terms.body)?)?;
+                let asked = chart::read_lock_start(self.body(request, self.terms.body)?)?;
                 Ok(Call::LockStart { name: name(id), holder: asked.holder, hold: asked.hold })
             }
             ("POST", ["-", "locks", id, "beat"]) => {
-                let asked = chart::read_lock_beat(&self.body(request, self.terms.body)?)?;
+                let asked = chart::read_lock_beat(self.body(request, self.terms.body)?)?;
                 let (holder, fence, hold) = (asked.holder, asked.fence, asked.hold);
                 Ok(Call::LockBeat { name: name(id), holder, fence, hold })
             }
             ("POST", ["-", "locks", id, "end"]) => {
-                let asked = chart::read_lock_end(&self.body(request, self.terms.body)?)?;
+                let asked = chart::read_lock_end(self.body(request, self.terms.body)?)?;
                 Ok(Call::LockEnd { name: name(id), holder: asked.holder, fence: asked.fence })
             }
             ("POST", ["-", "numbers", id]) => Ok(Call::Number { name: name(id) }),
             ("POST", ["-", "cells", id, "put"]) => {
-                let asked = chart::read_cell_put(&self.body(request, self.terms.body)?)?;
+                let asked = chart::read_cell_put(self.body(request, self.terms.body)?)?;
                 Ok(Call::CellPut { name: name(id), value: asked.value, on: asked.on })
             }
             ("GET", ["-", "cells", id, "get"]) => Ok(Call::CellGet { name: name(id) }),
@@ -259,7 +218,7 @@
     /// An operator looks. Nothing is changed by it.
     fn desk(&self, request: &Request, what: &str) -> Result<Response, Refused> {
         let param = |name: &str| {
-            let text = request.get_param(name).unwrap_or_default();
+            let text = request.parameter(name).unwrap_or_default();
             if text.len() <= fallgap_desk::Terms::USUAL.id { Ok(text) } else { Err(Refused::Unknown) }
         };
         let after = param("after")?;
@@ -288,35 +247,22 @@
         counted(&self.waiting, self.terms.waiting, call)
     }
 
-    /// What a call does not ask for is read all the same: the library takes what is left of a body in chunks for the
-    /// next request, and answers it.
-    fn drain(&self, body: impl Read) {
-        // Whether it breaks off is of no matter: it was not wanted.
-        let _ = std::io::copy(&mut body.take(2 * self.terms.configuration as u64), &mut std::io::sink());
-    }
-
-    fn body(&self, request: &Request, most: usize) -> Result<Vec<u8>, Refused> {
-        let mut body = Vec::new();
-        let mut data = request.data().ok_or(Refused::Broken)?;
-        data.by_ref().take(most as u64 + 1).read_to_end(&mut body).map_err(|_| Refused::Broken)?;
-        self.drain(data);
-        let declared = request.header("Content-Length").and_then(|n| n.parse::<usize>().ok());
-        if body.len() > most {
-            return Err(Refused::Long(most));
-        }
-        if declared.is_some_and(|n| n != body.len()) { Err(Refused::Broken) } else { Ok(body) }
+    /// The body, unless it is longer than this kind of call may have.
+    fn body<'a>(&self, request: &'a Request, most: usize) -> Result<&'a [u8], Refused> {
+        let body = request.body();
+        if body.len() > most { Err(Refused::Long(most)) } else { Ok(body) }
     }
 
     fn told(&self, asked: Asked) -> Result<Response, Refused> {
         Ok(match self.desk.ask(asked, self.terms.answer)? {
             Told::Answer(answer) => said(answer),
-            Told::Taken => json(200, b"{}".to_vec()),
-            Told::Status(status) => json(200, status.into_bytes()),
+            Told::Taken => Response::json(200, b"{}".to_vec()),
+            Told::Status(status) => Response::json(200, status.into_bytes()),
             Told::Desk(answer) => match sonic_rs::to_vec(&answer) {
-                Ok(body) => json(200, body),
-                Err(_) => status(500),
+                Ok(body) => Response::json(200, body),
+                Err(_) => Response::empty(500),
             },
-            Told::Spread(_) => return Err(Refused::Untold(Untold::Late)),
+            Told::Spread(_) | Told::CallerLeft => return Err(Refused::Untold(Untold::Late)),
         })
     }
 
@@ -324,20 +270,12 @@
         self.told(Asked::Call(call))
     }
 
-    fn watch(&self, group: &str, query: &str) -> Result<Response, Refused> {
-        let figure = |name: &str| {
-            query
-                .split('&')
-                .filter_map(|pair| pair.split_once('='))
-                .find(|(key, _)| *key == name)?
-                .1
-                .parse()
-                .ok()
-        };
+    fn watch(&self, group: &str, request: &Request, caller: &Caller) -> Result<Response, Refused> {
+        let figure = |name: &str| request.parameter(name).and_then(|text| text.parse().ok());
         let after: u64 = figure("after").unwrap_or(0);
         let wait = Duration::from_millis(figure("wait_ms").unwrap_or(0)).min(self.terms.watch);
         let call = Call::Watch { group: group.to_owned(), after, wait };
-        let watch = || self.desk.ask(Asked::Call(call), wait + self.terms.answer);
+        let watch = || self.desk.ask_for(caller, Asked::Call(call), wait + self.terms.answer);
         match counted(&self.watching, self.terms.watches, watch)?? {
             Told::Answer(answer) => Ok(said(answer)),
             _ => Err(Refused::Untold(Untold::Late)),
@@ -356,18 +294,23 @@
 /// An answer as it goes to the caller.
 fn said(answer: Answer) -> Response {
     match answer {
-        Answer::Done => json(200, b"{}".to_vec()),
-        Answer::Config(body) => json(200, body),
-        Answer::Fence(fence) => json(200, format!("{{\"fence\":{fence}}}").into_bytes()),
-        Answer::Held => json(409, b"{}".to_vec()),
-        Answer::Differs { edition } => json(409, format!("{{\"edition\":{edition}}}").into_bytes()),
-        Answer::Value(value) => json(200, format!("{{\"value\":{value}}}").into_bytes()),
-        Answer::Revision(revision) => json(200, format!("{{\"revision\":{revision}}}").into_bytes()),
-        Answer::Conflict { revision } => json(412, format!("{{\"revision\":{revision}}}").into_bytes()),
-        Answer::Cell { value, revision } => {
-            json(200, format!("{{\"value\":{},\"revision\":{revision}}}", quoted(&value)).into_bytes())
+        Answer::Done => Response::json(200, b"{}".to_vec()),
+        Answer::Config(body) => Response::json(200, body),
+        Answer::Fence(fence) => Response::json(200, format!("{{\"fence\":{fence}}}").into_bytes()),
+        Answer::Held => Response::json(409, b"{}".to_vec()),
+        Answer::Differs { edition } => Response::json(409, format!("{{\"edition\":{edition}}}").into_bytes()),
+        Answer::Value(value) => Response::json(200, format!("{{\"value\":{value}}}").into_bytes()),
+        Answer::Revision(revision) => {
+            Response::json(200, format!("{{\"revision\":{revision}}}").into_bytes())
+        }
+        Answer::Conflict { revision } => {
+            Response::json(412, format!("{{\"revision\":{revision}}}").into_bytes())
         }
-        Answer::Missing => json(404, b"{}".to_vec()),
+        Answer::Cell { value, revision } => Response::json(
+            200,
+            format!("{{\"value\":{},\"revision\":{revision}}}", quoted(&value)).into_bytes(),
+        ),
+        Answer::Missing => Response::json(404, b"{}".to_vec()),
         Answer::Events { events, revision } => {
             let events: Vec<String> = events
                 .iter()
@@ -376,11 +319,14 @@
                     format!("{{\"name\":{name},\"value\":{value},\"revision\":{}}}", e.revision)
                 })
                 .collect();
-            json(200, format!("{{\"events\":[{}],\"revision\":{revision}}}", events.join(",")).into_bytes())
+            Response::json(
+                200,
+                format!("{{\"events\":[{}],\"revision\":{revision}}}", events.join(",")).into_bytes(),
+            )
         }
-        Answer::Expired => json(410, b"{}".to_vec()),
-        Answer::Looked { .. } => json(200, b"{}".to_vec()),
-        Answer::Unknown => json(500, b"{}".to_vec()),
-        Answer::Busy => json(503, b"{}".to_vec()).with_additional_header("Retry-After", "0.2"),
+        Answer::Expired => Response::json(410, b"{}".to_vec()),
+        Answer::Looked { .. } => Response::json(200, b"{}".to_vec()),
+        Answer::Unknown => Response::json(500, b"{}".to_vec()),
+        Answer::Busy => Response::json(503, b"{}".to_vec()).retry_after("0.2"),
     }
 }
--- a/crates/lantern/src/lib.rs
+++ b/crates/lantern/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod disk;
 pub mod engine;
 pub mod holdup;
+pub mod http;
 pub mod hub;
 pub mod leavers;
 pub mod links;
--- a/crates/lantern/src/offices.rs
+++ b/crates/lantern/src/offices.rs
@@ -1,12 +1,11 @@
 //! Calls of offices on their own routes, and of the operator on accounts: reads and writes for the core's transactions.
 
 use crate::asks::{Asked, Desk, Told, Untold};
-use crate::control::{json, text};
+use crate::http::Response;
 use fallgap_chart::{Configuration, Faults, read_configuration};
 use fallgap_keeper::{Answer, Call};
 use fallgap_licence as licence;
 use fallgap_licence::{Done, KeyHash, Ledger, Maker, Step, Transaction, UnreadableLedger, Wanted, Wrote};
-use rouille::Response;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Until all supervisors have heard of a change, at the latest.
@@ -60,23 +59,24 @@
 
 impl Refused {
     pub fn response(&self) -> Response {
-        let again = |response: Response, after: String| response.with_additional_header("Retry-After", after);
         match self {
-            Refused::Key => text(403, self),
-            Refused::Faults(_) => text(400, self),
+            Refused::Key => Response::text(403, self),
+            Refused::Faults(_) => Response::text(400, self),
             Refused::Change(licence::Refused::Stale { edition, changed }) => {
-                json(409, licence::shown_stale(*edition, changed).into_bytes())
+                Response::json(409, licence::shown_stale(*edition, changed).into_bytes())
             }
             Refused::Change(licence::Refused::Often(after)) => {
-                again(text(429, self), after.as_secs().to_string())
+                Response::text(429, self).retry_after(after.as_secs().to_string())
             }
             Refused::Change(licence::Refused::Differs { edition }) => {
-                json(409, format!("{{\"edition\":{edition}}}").into_bytes())
+                Response::json(409, format!("{{\"edition\":{edition}}}").into_bytes())
+            }
+            Refused::Change(_) => Response::text(409, self),
+            Refused::Unreadable(_) | Refused::Unknown | Refused::Untold(Untold::Late) => {
+                Response::text(500, self)
             }
-            Refused::Change(_) => text(409, self),
-            Refused::Unreadable(_) | Refused::Unknown | Refused::Untold(Untold::Late) => text(500, self),
             Refused::NoConfiguration | Refused::Busy | Refused::Untold(Untold::Full) => {
-                again(text(503, self), "0.2".into())
+                Response::text(503, self).retry_after("0.2")
             }
         }
     }
@@ -138,14 +138,14 @@
         let ledger = self.ledger()?;
         let (_, account, of) = opened(&ledger, office, key)?;
         let joined = licence::join(&self.operator()?, &ledger);
-        Ok(json(200, licence::shown_office(office, account, of, &joined).into_bytes()))
+        Ok(Response::json(200, licence::shown_office(office, account, of, &joined).into_bytes()))
     }
 
     /// For the operator: all accounts.
     pub fn accounts(&self) -> Result<Response, Refused> {
         let ledger = self.ledger()?;
         let joined = licence::join(&self.operator()?, &ledger);
-        Ok(json(200, licence::shown_accounts(&ledger, &joined).into_bytes()))
+        Ok(Response::json(200, licence::shown_accounts(&ledger, &joined).into_bytes()))
     }
 
     /// An office changes its routes, or would.
@@ -160,7 +160,7 @@
                 let operator = self.operator()?;
                 let change = licence::read_change(body, &operator)?;
                 let plan = licence::plan(&ledger, &operator, &maker, &change)?;
-                return Ok(json(200, licence::shown_plan(&plan).into_bytes()));
+                return Ok(Response::json(200, licence::shown_plan(&plan).into_bytes()));
             }
             Verb::Put => Wanted::Put(maker),
             Verb::Undo => Wanted::Undo(maker),
@@ -191,7 +191,10 @@
                 Step::Read | Step::Write { .. } => {}
                 Step::Done(done) => return Ok(self.spread(done)),
                 Step::Nothing { edition } => {
-                    return Ok(json(200, format!("{{\"edition\":{edition},\"changed\":0}}").into_bytes()));
+                    return Ok(Response::json(
+                        200,
+                        format!("{{\"edition\":{edition},\"changed\":0}}").into_bytes(),
+                    ));
                 }
                 Step::GivenUp => return Err(Refused::Busy),
             }
@@ -234,7 +237,7 @@
             _ => ",\"in_force\":null".to_owned(),
         };
         let body = format!("{{\"edition\":{edition},\"changed\":{touched}{how}}}");
-        json(200, body.into_bytes())
+        Response::json(200, body.into_bytes())
     }
 }
 
--- a/crates/lantern/src/start.rs
+++ b/crates/lantern/src/start.rs
@@ -7,6 +7,7 @@
 use crate::disk;
 use crate::engine::{DATAGRAMS, Engine, LINKS, QUAY, WAKE};
 use crate::holdup::HoldUp;
+use crate::http::{self, ServerError};
 use crate::hub::Hub;
 use crate::leavers::Leavers;
 use crate::links::{self, Links};
@@ -68,6 +69,15 @@
     }
 }
 
+impl From<ServerError> for NoStart {
+    fn from(e: ServerError) -> NoStart {
+        match e {
+            ServerError::Listen(at, e) => NoStart::Address(at, Box::new(e)),
+            ServerError::System(e) => NoStart::System(e),
+        }
+    }
+}
+
 impl NoStart {
     /// Not a matter of how it was called or configured.
     pub fn is_defect(&self) -> bool {
@@ -170,13 +180,8 @@
         None => None,
     };
     let ready = Arc::new(AtomicBool::new(false));
-    if let Some(at) = settings.ready {
-        control::start_ready(at, ready.clone()).map_err(|e| NoStart::Address(at, e))?;
-    }
     let (desk, inbox) = Desk::new(wake);
-    if let Some(at) = settings.control {
-        control::start(at, desk, control::Terms::default()).map_err(|e| NoStart::Address(at, e))?;
-    }
+    serve_calls(&settings, desk, &ready)?;
     let kind = if disk.is_some() { "with a disk" } else { "without a disk" };
     tracing::info!("lantern: {} starts at {me}, {kind}", settings.node);
     let mut engine = Engine {
@@ -221,6 +226,23 @@
     Ok(())
 }
 
+/// Serves the control and ready addresses that the settings name, with threads of their own.
+fn serve_calls(settings: &Settings, desk: Desk, ready: &Arc<AtomicBool>) -> Result<(), NoStart> {
+    let terms = control::Terms::default();
+    let mut server = http::Server::new(http::Terms {
+        workers: terms.threads,
+        body_bytes: terms.configuration,
+        ..http::Terms::default()
+    })?;
+    if let Some(at) = settings.ready {
+        server.listen_at_once(at, control::ready_service(ready.clone()))?;
+    }
+    if let Some(at) = settings.control {
+        server.listen(at, control::service(desk, terms))?;
+    }
+    Ok(server.start()?)
+}
+
 /// What binds the carrying of requests, by the settings.
 fn quay_terms(settings: &Settings) -> fallgap_quay::Terms {
     let bounds = &settings.bounds;
--- a/crates/pilot/src/head.rs
+++ b/crates/pilot/src/head.rs
@@ -16,6 +16,13 @@
     Chunks,
 }
 
+/// Lines that a request must have.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Required {
+    HostAndId,
+    Nothing,
+}
+
 #[derive(Clone, Debug)]
 pub struct Head {
     raw: Vec<u8>,
@@ -53,7 +60,7 @@
 
 impl Head {
     /// `raw`: up to the empty line and with it.
-    pub fn read(raw: Vec<u8>) -> Result<Head, Refusal> {
+    pub(crate) fn read(raw: Vec<u8>, required: Required) -> Result<Head, Refusal> {
         let mut lines = [httparse::EMPTY_HEADER; LINES];
         let mut parsed = httparse::Request::new(&mut lines);
         match parsed.parse(&raw) {
@@ -75,9 +82,11 @@
         for line in parsed.headers.iter() {
             found.line(line, &raw)?;
         }
-        let (Some(host), Some(id)) = (found.host.take(), found.id.take()) else {
+        let (host, id) = (found.host.take(), found.id.take());
+        if required == Required::HostAndId && (host.is_none() || id.is_none()) {
             return Err(Refusal::Malformed);
-        };
+        }
+        let (host, id) = (host.unwrap_or_default(), id.unwrap_or_default());
         let old = version == 0;
         let framing = found.framing(old)?;
         let (method, target) = (place(method.as_bytes()), place(target.as_bytes()));
@@ -119,6 +128,12 @@
         self.text(&self.id)
     }
 
+    /// The value of a line that goes along, trimmed; the first of that name.
+    pub fn line(&self, name: &str) -> Option<&str> {
+        let lines = self.along().filter_map(|line| from_utf8(line).ok()?.split_once(':'));
+        lines.into_iter().find(|(key, _)| key.eq_ignore_ascii_case(name)).map(|(_, value)| value.trim())
+    }
+
     pub(crate) fn along(&self) -> impl Iterator<Item = &[u8]> {
         self.along.iter().filter_map(|line| self.raw.get(line.clone()))
     }
--- a/crates/pilot/src/request.rs
+++ b/crates/pilot/src/request.rs
@@ -1,7 +1,7 @@
 //! Requests of one connection, read one after the other.
 
 use crate::chunks::{ChunkFault, Chunks};
-use crate::head::{Framing, Head, head_end};
+use crate::head::{Framing, Head, Required, head_end};
 use fallgap_chart::Limits;
 use std::mem::take;
 
@@ -74,15 +74,25 @@
 pub struct Inbox {
     bytes: Vec<u8>,
     reading: Reading,
+    required: Required,
 }
 
 impl Default for Inbox {
     fn default() -> Self {
-        Inbox { bytes: Vec::new(), reading: Reading::Head { seen: 0 } }
+        Inbox::new(Required::HostAndId)
     }
 }
 
 impl Inbox {
+    fn new(required: Required) -> Inbox {
+        Inbox { bytes: Vec::new(), reading: Reading::Head { seen: 0 }, required }
+    }
+
+    /// For calls to the system itself, which need name neither a host nor an id.
+    pub fn of_calls() -> Inbox {
+        Inbox::new(Required::Nothing)
+    }
+
     pub fn push(&mut self, bytes: &[u8]) {
         if !matches!(self.reading, Reading::Over) {
             self.bytes.extend_from_slice(bytes);
@@ -111,12 +121,17 @@
         }
     }
 
+    /// The head of a request has come, and its body not yet.
+    pub fn has_head(&self) -> bool {
+        matches!(self.reading, Reading::Length { .. } | Reading::Chunks { .. })
+    }
+
     /// The next step with what has come. `room`: bytes of bodies that may still be held.
     pub fn step(&mut self, limits: &Limits, room: usize) -> Step {
         match self.advance(limits, room) {
             Ok(step) => step,
             Err(refusal) => {
-                *self = Inbox { bytes: Vec::new(), reading: Reading::Over };
+                (self.bytes, self.reading) = (Vec::new(), Reading::Over);
                 Step::Refused(refusal)
             }
         }
@@ -149,7 +164,7 @@
             return Ok(None);
         };
         let rest = self.bytes.split_off(end);
-        Head::read(std::mem::replace(&mut self.bytes, rest)).map(Some)
+        Head::read(std::mem::replace(&mut self.bytes, rest), self.required).map(Some)
     }
 
     fn body(&mut self, limits: &Limits, room: usize) -> Result<Step, Refusal> {
@@ -185,9 +200,8 @@
             }
             Reading::Head { .. } | Reading::Over => return Ok(Step::More),
         }
-        let bytes = take(&mut self.bytes);
-        let whole = std::mem::replace(self, Inbox { bytes, reading: Reading::Head { seen: 0 } });
-        Ok(match whole.reading {
+        let whole = std::mem::replace(&mut self.reading, Reading::Head { seen: 0 });
+        Ok(match whole {
             Reading::Length { head, body, .. } | Reading::Chunks { head, body, .. } => {
                 Step::Whole(Box::new(Request { head, body }))
             }
