Figures: each supervisor tells its own as text, where the deploy file says

Beside logs and traces this tells hypotheses of a kind apart by numbers. Change: GET /metrics at the last inner port, served by the workers of the control address; counters of requests, tries and clients that left, and how the supervisor stands. Nothing runs while nobody asks.

--- a/crates/lantern/src/asks.rs
+++ b/crates/lantern/src/asks.rs
@@ -19,6 +19,7 @@
     /// A server leaves.
     Left(Arc<str>),
     Status,
+    Figures,
     Desk(desk::Question),
     Verdicts,
     /// A revision of the accounts is kept, with what it touches: all supervisors are to route by it.
--- a/crates/lantern/src/control.rs
+++ b/crates/lantern/src/control.rs
@@ -100,6 +100,19 @@
     Arc::new(move |request, caller| control.answer(request, caller))
 }
 
+/// Answers whoever collects this supervisor's figures.
+pub fn figures_service(desk: Desk, terms: Terms) -> Service {
+    Arc::new(move |request, _| {
+        if (request.method(), request.path()) != ("GET", "/metrics") {
+            return Response::empty(404);
+        }
+        match desk.ask(Asked::Figures, terms.answer) {
+            Ok(Told::Status(figures)) => Response::plain(200, figures),
+            _ => Response::busy(),
+        }
+    })
+}
+
 /// Answers at the address where the platform asks whether clients may come.
 pub fn ready_service(ready: Arc<AtomicBool>) -> Service {
     Arc::new(move |request, _| {
--- a/crates/lantern/src/engine.rs
+++ b/crates/lantern/src/engine.rs
@@ -275,6 +275,9 @@
                 Asked::Status => {
                     let _ = reply.try_send(Told::Status(self.status(now)));
                 }
+                Asked::Figures => {
+                    let _ = reply.try_send(Told::Status(self.figures(now)));
+                }
                 Asked::Verdicts => {
                     let _ = reply.try_send(Told::Status(self.verdicts(now)));
                 }
--- a/crates/lantern/src/http/message.rs
+++ b/crates/lantern/src/http/message.rs
@@ -79,7 +79,12 @@
 
     /// One line of text.
     pub fn text(status: u16, line: &dyn Display) -> Response {
-        let body = format!("{line}\n").into_bytes();
+        Response::plain(status, format!("{line}\n"))
+    }
+
+    /// Text as it is.
+    pub fn plain(status: u16, text: String) -> Response {
+        let body = text.into_bytes();
         Response { status, content_type: Some("text/plain; charset=utf-8"), retry_after: None, body }
     }
 
--- a/crates/lantern/src/lib.rs
+++ b/crates/lantern/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod desk;
 pub mod disk;
 pub mod engine;
+pub mod figures;
 pub mod holdup;
 pub mod http;
 pub mod hub;
--- a/crates/lantern/src/start.rs
+++ b/crates/lantern/src/start.rs
@@ -237,6 +237,11 @@
     if let Some(at) = settings.ready {
         server.listen_at_once(at, control::ready_service(ready.clone()))?;
     }
+    // The last of the inner ports; the first is for words between supervisors.
+    if settings.inner_ports.1 > settings.inner_ports.0 {
+        let at = SocketAddrV4::new(settings.ip, settings.inner_ports.1);
+        server.listen(at, control::figures_service(desk.clone(), terms))?;
+    }
     if let Some(at) = settings.control {
         server.listen(at, control::service(desk, terms))?;
     }
--- a/crates/standin/src/gateway/landing.rs
+++ b/crates/standin/src/gateway/landing.rs
@@ -16,7 +16,8 @@
     front: u16,
     ready: u16,
     control: u16,
-    inner: u16,
+    /// The first and the last.
+    inner: [u16; 2],
 }
 
 /// One machine, and the process on it if one was started.
@@ -62,10 +63,12 @@
         let ip = |last: u8| Ipv4Addr::new(net[0], net[1], net[2], last);
         let ips: Vec<Ipv4Addr> = (1..).zip(disks).map(|(last, _)| ip(last)).collect();
         let mut taken = Vec::new();
-        for _ in 0..4 {
+        for _ in 0..5 {
             taken.push(free_port(&ips, &taken)?);
         }
-        let ports = Ports { front: taken[0], ready: taken[1], control: taken[2], inner: taken[3] };
+        let mut inner = [taken[3], taken[4]];
+        inner.sort_unstable();
+        let ports = Ports { front: taken[0], ready: taken[1], control: taken[2], inner };
         let zones = zones.iter().cycle();
         let machine = |((ip, disk), zone): ((Ipv4Addr, &bool), &&str)| {
             let folder = folder.join(ip.to_string());
@@ -131,6 +134,11 @@
         (self.ip, self.ports.control).into()
     }
 
+    /// Where its figures are.
+    pub fn metrics(&self) -> SocketAddr {
+        (self.ip, self.ports.inner[1]).into()
+    }
+
     pub fn settings(&self) -> PathBuf {
         self.folder.join("local.json")
     }
@@ -142,13 +150,13 @@
 
     fn settings_text(&self, seeds: &str, first_start: bool) -> String {
         let Supervisor { ip, zone, disk, ports, folder, .. } = self;
-        let Ports { front, ready, control, inner } = ports;
+        let Ports { front, ready, control, inner: [first, last] } = ports;
         let data =
             if *disk { format!(r#""data_dir":"{}","#, folder.join("data").display()) } else { String::new() };
         format!(
             r#"{{"node":"{ip}","serves":["counter","head_office"],"ip":"{ip}","zone":"{zone}",
 "counters_at":{{"front":"{ip}:{front}","ready":"{ip}:{ready}","control":"{ip}:{control}"}},
-"inner_ports":[{inner},{inner}],"seeds":[{seeds}],"first_start":{first_start},"counted":{disk},{data}
+"inner_ports":[{first},{last}],"seeds":[{seeds}],"first_start":{first_start},"counted":{disk},{data}
 "limits":{{"cpu_share":1.0,"memory_mb":260,"file_handles":1024,"link_mbps":1000.0,"disk_mb":64}},
 "beat_s":0.5,"tolerate":{{"machines":1}},"bounds":["grace_s=3"]}}"#
         )
