--- a/tools/aimed_days.py
+++ b/tools/aimed_days.py
@@ -170,8 +170,18 @@
         entry(at + r.uniform(2, 6), "herd_kill", "power hard", on="core", share=1.0, for_s=.5)])
 
 
+def clients_that_leave(r, site):
+    """Clients leave early, from slow servers, while supervisors are killed, stopped while busy and lose connections."""
+    return every(3, 14, 52, lambda at, n: [
+        entry(at, "give_up", share=round(r.uniform(.2, .6), 2), x=r.choice((40.0, 80.0, 150.0, 300.0)), for_s=12.0),
+        entry(at + .5, "srv_slow", share=round(r.uniform(.3, .8), 2), x=round(r.uniform(3, 12), 1), for_s=10.0),
+        entry(at + r.uniform(2, 4), *((("roll_term", r.choice(("busy", ""))), ("node_kill", "power"), ("reset_conns", ""))[n % 3]),
+              share=round(r.uniform(.2, .5), 2), x=1.0, gap_s=1.0, for_s=1.0),
+        entry(at + r.uniform(4, 8), "config_change", "idle", count=4, gap_s=.8)])
+
+
 AIMS = [dark_after_replacement, storm_over_restarts, three_cuts, wiped_after_planned, disks_during_replacement, clocks, seeds_and_herds,
-        frozen_leader, answers, orders_again, big_in_a_storm, leavers_in_the_dark, members_that_leave, full_disks]
+        frozen_leader, answers, orders_again, big_in_a_storm, leavers_in_the_dark, members_that_leave, full_disks, clients_that_leave]
 
 
 def day(site, aim, seed):
--- a/tools/draw_days.py
+++ b/tools/draw_days.py
@@ -3,7 +3,7 @@
 
     draw_days.py BENCH SITE.toml FIRST_SEED COUNT FOLDER [--length 60] [--dense] [--brisk]
 
-Writes FOLDER/<site>-v3-<seed>.toml for `BENCH run SITE FILE`. The same seed draws the same day. What a day leans on takes turns
+Writes FOLDER/<site>-v4-<seed>.toml for `BENCH run SITE FILE`. The same seed draws the same day. What a day leans on takes turns
 by seed modulo 8: a control machine cut off; orders on one version; second losses; hundreds of changes; wrong callers; members
 that are replaced and rolled; losses of the whole core; all kinds alike. Beside it, six entries are dealt in turn from all kinds with
 each of their variants, and the closing fault takes turns by seed modulo 11, so that days in a row leave none out.
@@ -30,7 +30,7 @@
      "disk_stall"],
     ["hundreds", "config_storm", "herd_kill", "node_kill", "core_cut", "after_ack_wipe", "replace_core", "bad_config"],
     ["garble", "answer_lost", "idle_race", "replace_with_reuse", "srv_grey", "srv_flap", "srv_crash", "node_kill", "roll_term",
-     "release", "reset_conns", "retry_abuse"],
+     "release", "reset_conns", "retry_abuse", "give_up", "give_up", "srv_slow"],
     ["replace_core", "roll_term", "roll_core", "node_kill", "hup", "scale_in", "core_cut", "disk_slow", "config_change",
      "seed_turnover"],
     ["herd_kill", "herd_kill", "after_ack_kill", "after_ack_wipe", "node_freeze", "many_orders", "core_cut", "big_config"],
@@ -40,7 +40,7 @@
 
 
 # The days that a seed draws change with this word, which is part of their names.
-VERSION = "v3"
+VERSION = "v4"
 # Dealt entries of a day, beside those that its lean draws.
 DEALT = 6
 # What a kind's `how` begins with: each is dealt to days in turn. Who is struck, and what meets it on its return, is drawn besides.
