--- a/crates/keeper/src/keeper.rs
+++ b/crates/keeper/src/keeper.rs
@@ -153,6 +153,11 @@
 
     /// One that is no member, or is cut off from the majority, answers `Busy`.
     pub fn call(&mut self, now: Duration, id: u64, call: Call) {
+        self.call_since(now, id, call, now);
+    }
+
+    /// As [`Keeper::call`], for one whose caller has waited since `came`: its time is over so much sooner.
+    pub fn call_since(&mut self, now: Duration, id: u64, call: Call, came: Duration) {
         self.clock = now;
         let key = call.key();
         let watch = matches!(call, Call::Watch { .. });
@@ -165,7 +170,7 @@
         if over || self.voting_epoch().is_none() || (!alone && !self.has_quorum(now)) {
             return self.pen.answer(id, Answer::Busy);
         }
-        self.admit(now, Entry { asker: Asker::Caller(id), call, came: now, sent: false });
+        self.admit(now, Entry { asker: Asker::Caller(id), call, came, sent: false });
         self.drain(now);
     }
 
--- a/crates/keeper/src/rounds.rs
+++ b/crates/keeper/src/rounds.rs
@@ -209,6 +209,12 @@
 
     /// A majority has promised: judges, and writes unless nothing depends on a write.
     fn decide(&mut self, now: Duration, key: &Key, desk: &mut Desk, ballot: Ballot, found: Found) {
+        // This process may have stood still since it asked: what is too old by now is not written.
+        self.expire(now, desk);
+        if desk.batch.is_empty() {
+            desk.ready = Some(Ready { next: ballot, base: found.base });
+            return self.begin_anew(now, key, desk);
+        }
         let mut judged = self.judge_all(now, &desk.batch, found.base.as_ref());
         // What was begun to make all hold the same is written anew: the majority that promised may be one that lacks
         // what another member holds half written.
--- a/crates/lantern/src/calls.rs
+++ b/crates/lantern/src/calls.rs
@@ -22,7 +22,8 @@
     /// A second keeper is asked after the usual time of an answer and four times its swing, but not before this:
     /// one round of a contested register is no reason.
     pub second: Duration,
-    /// The caller goes on elsewhere after a second: by then it has an answer.
+    /// The caller goes on elsewhere after a second: by then it has an answer. A call of another supervisor that is older
+    /// as it comes is not begun.
     pub whole: Duration,
     /// A keeper that said nothing is asked last for so long, each time in a row twice as long, up to the most.
     pub avoid: Duration,
@@ -136,8 +137,10 @@
 
 /// What is to be done for a call.
 pub enum Step {
-    Run(u64, Call),
-    Ask(Ipv4Addr, u64, Call),
+    /// It is run here; so long ago it came to whoever took it from its caller.
+    Run(u64, Call, Duration),
+    /// Another supervisor is asked; so long ago the call came here.
+    Ask(Ipv4Addr, u64, Call, Duration),
     Answer(Caller, Answer),
     /// Nobody waits for it any more: what of it was not begun here, or there, is not to be run.
     Stop(u64, Key),
@@ -165,6 +168,14 @@
     /// A call has come. `keepers`: those that may run it, the best first; `me` among them if it may run here.
     pub fn came(
         &mut self, now: Duration, me: Ipv4Addr, caller: Caller, call: Call, keepers: &[Ipv4Addr],
+    ) -> Vec<Step> {
+        self.came_aged(now, me, caller, call, keepers, Duration::ZERO)
+    }
+
+    /// As [`Calls::came`], for one that is so old: past `whole` it is not begun, and what is begun ends by then.
+    pub fn came_aged(
+        &mut self, now: Duration, me: Ipv4Addr, caller: Caller, call: Call, keepers: &[Ipv4Addr],
+        age: Duration,
     ) -> Vec<Step> {
         // Its caller has gone on: it is neither run nor answered.
         if let Caller::There(from, number) = caller
@@ -177,7 +188,8 @@
         }
         let wait = if let Call::Watch { wait, .. } = &call { *wait } else { Duration::ZERO };
         let asked = Vec::new();
-        let pending = Pending { caller, call, asked, doubt: false, since: now, wait, next: now };
+        let since = now.saturating_sub(age);
+        let pending = Pending { caller, call, asked, doubt: false, since, wait, next: now };
         let id = self.next;
         self.next += 1;
         let mut steps = self.place(now, me, id, pending, keepers);
@@ -232,9 +244,9 @@
         // A watch may wait: its silence says less than another call's.
         pending.next = (now + pending.wait + patience).min(last);
         pending.asked.push(Asked { keeper: next, at: now, stand: Stand::Open { missed: false } });
-        let call = pending.call.clone();
+        let (call, waited) = (pending.call.clone(), now.saturating_sub(pending.since));
         self.pending.insert(id, pending);
-        vec![if next == me { Step::Run(id, call) } else { Step::Ask(next, id, call) }]
+        vec![if next == me { Step::Run(id, call, waited) } else { Step::Ask(next, id, call, waited) }]
     }
 
     /// A keeper says what became of a call; `from`: which one.
--- a/crates/lantern/src/carry.rs
+++ b/crates/lantern/src/carry.rs
@@ -1,5 +1,6 @@
 //! Carries out what the cores hand back, and hands on what supervisors say to each other.
 
+use crate::ages::Stamp;
 use crate::asks::Told;
 use crate::calls::{self, Caller, Step};
 use crate::disk::Work;
@@ -204,13 +205,14 @@
             Word::Hello(_) => {}
             Word::Keeper(message) => self.keeper.heard(now, from, message),
             Word::Roster(word) => self.roster(now, from, word),
-            Word::Forward { id, call } if self.hold_up.turns_away(now, &call) => {
-                self.say(now, from, Word::Forwarded { id, answer: Answer::Busy });
-            }
-            Word::Forward { id, call } => {
+            Word::Forward { id, stamp, call } => {
+                let age = self.ages.age(now, from, &stamp);
+                if self.hold_up.turns_away(now, &call) {
+                    return self.say(now, from, Word::Forwarded { id, answer: Answer::Busy });
+                }
                 let caller = Caller::There(from, id);
                 let me = [self.me];
-                let steps = self.calls.came(now, self.me, caller, call, &me);
+                let steps = self.calls.came_aged(now, self.me, caller, call, &me, age);
                 steps.into_iter().for_each(|step| self.step(now, step));
             }
             Word::Forwarded { id, answer } => self.answered(now, from, id, answer),
@@ -305,8 +307,11 @@
 
     pub fn step(&mut self, now: Duration, step: Step) {
         match step {
-            Step::Run(id, call) => self.keeper.call(now, id, call),
-            Step::Ask(to, id, call) => self.say(now, to, Word::Forward { id, call }),
+            Step::Run(id, call, waited) => self.keeper.call_since(now, id, call, now.saturating_sub(waited)),
+            Step::Ask(to, id, call, waited) => {
+                let stamp = Stamp::new(self.life, now, waited);
+                self.say(now, to, Word::Forward { id, stamp, call });
+            }
             Step::Stop(id, key) => self.keeper.withdraw(now, id, &key),
             Step::Withdraw(to, id) => self.say(now, to, Word::Withdraw { id }),
             Step::Answer(Caller::Here(reply), answer) => {
--- a/crates/lantern/src/engine.rs
+++ b/crates/lantern/src/engine.rs
@@ -1,6 +1,7 @@
 //! The one thread that holds all cores: it waits for sockets, threads and times, and tells the cores what happened.
 //! Nothing here decides. What the cores hand back is carried out in `carry.rs`.
 
+use crate::ages::Ages;
 use crate::asks::{Ask, Asked, Told};
 use crate::beats::Beats;
 use crate::calls::{self, Caller, Calls};
@@ -53,6 +54,10 @@
     pub quay: Option<Quay>,
     pub calls: Calls,
     pub hold_up: HoldUp,
+    /// Of calls that other supervisors hand over.
+    pub ages: Ages,
+    /// This process, as others tell it from an earlier one at its address.
+    pub life: u64,
     /// The processes that were here when it was last looked.
     pub lives: BTreeMap<Ipv4Addr, u64>,
     pub beats: Beats,
--- a/crates/lantern/src/lib.rs
+++ b/crates/lantern/src/lib.rs
@@ -1,6 +1,7 @@
 //! The parts of `lantern`, fallgap's gateway. The cores that match answers to who waits for them are here for their
 //! tests as well: `beats`, `calls`, `spread`, `links`, `words`.
 
+pub mod ages;
 pub mod ask;
 pub mod asked;
 pub mod asks;
--- a/crates/lantern/src/start.rs
+++ b/crates/lantern/src/start.rs
@@ -1,5 +1,6 @@
 //! How a supervisor starts: settings, signals, disk, sockets, cores, in this order.
 
+use crate::ages::Ages;
 use crate::asks::Desk;
 use crate::beats::Beats;
 use crate::calls::{self, Calls};
@@ -201,6 +202,8 @@
         quay,
         calls: Calls::new(calls::Terms::default(), rng.u64(1..1 << 62)),
         hold_up: HoldUp::default(),
+        ages: Ages::default(),
+        life,
         beats: Beats::new(rng.u64(1..1 << 62)),
         surveys: Surveys::new(fallgap_desk::Terms::USUAL, rng.u64(1..1 << 62)),
         history: History::default(),
--- a/crates/lantern/src/words.rs
+++ b/crates/lantern/src/words.rs
@@ -2,6 +2,7 @@
 //! word is packed, and the length's highest bit says so: tables and configurations repeat themselves, and the links
 //! of small machines carry clients' answers as well.
 
+use crate::ages::Stamp;
 use fallgap_chart::Beat;
 use fallgap_keeper::{Answer, Call, Message};
 use fallgap_pilot::Place;
@@ -25,6 +26,7 @@
     /// A call that the other is to run, and what became of it.
     Forward {
         id: u64,
+        stamp: Stamp,
         call: Call,
     },
     Forwarded {
--- a/crates/lantern/tests/calls.rs
+++ b/crates/lantern/tests/calls.rs
@@ -55,7 +55,7 @@
         match step {
             Step::Run(..) => "here",
             Step::Stop(..) | Step::Withdraw(..) => "stop",
-            Step::Ask(to, id, _) => {
+            Step::Ask(to, id, ..) => {
                 self.ids.push((to, id));
                 ["1", "2", "3"][usize::from(to.octets()[3]) - 1]
             }
@@ -234,7 +234,7 @@
 fn a_call_is_withdrawn_by_its_asker_alone() {
     let mut calls = Calls::new(Terms::default(), 100);
     let steps = calls.came(Duration::ZERO, node(1), Caller::There(node(8), 5), call(), &[node(1)]);
-    assert!(matches!(steps[..], [Step::Run(100, _)]));
+    assert!(matches!(steps[..], [Step::Run(100, ..)]));
     for (from, number) in [(node(7), 5), (node(8), 6), (node(8), 100)] {
         assert!(calls.withdrawn(MS, node(1), from, number).is_empty());
     }
@@ -252,7 +252,7 @@
     let all = [node(1), node(2), node(3)];
     let came = |calls: &mut Calls| {
         let steps = calls.came(Duration::ZERO, node(1), Caller::There(node(8), 5), call(), &all);
-        assert!(matches!(steps[..], [Step::Run(7, _)]));
+        assert!(matches!(steps[..], [Step::Run(7, ..)]));
     };
     for answer in [Answer::Busy, Answer::Unknown, Answer::Value(1)] {
         let mut calls = Calls::new(Terms::default(), 7);
@@ -302,3 +302,19 @@
         |number| !calls.came(MS, node(1), Caller::There(node(8), number), call(), &[node(1)]).is_empty();
     assert_eq!([0, 1, most].map(&mut runs), [true, false, false]);
 }
+
+/// A call of another supervisor is begun while its caller still waits, and not past that.
+#[test]
+fn an_old_call_of_another_is_not_begun() {
+    const NOW: Duration = Duration::from_secs(60);
+    let whole = Terms::default().whole;
+    for (age, run) in [(Duration::ZERO, true), (whole - MS, true), (whole, false), (whole * 20, false)] {
+        let mut calls = Calls::new(Terms::default(), 7);
+        let steps = calls.came_aged(NOW, node(1), Caller::There(node(8), 5), call(), &[node(1)], age);
+        match &steps[..] {
+            [Step::Run(_, _, waited)] => assert!(run && *waited == age, "{age:?}"),
+            [Step::Answer(Caller::There(_, 5), Answer::Busy)] => assert!(!run, "{age:?}"),
+            _ => panic!("{age:?}"),
+        }
+    }
+}
--- a/crates/lantern/tests/calls_model.rs
+++ b/crates/lantern/tests/calls_model.rs
@@ -4,6 +4,7 @@
 
 use fallgap_keeper::charter::{Charter, Member};
 use fallgap_keeper::{Answer, Call, Keeper, Kept, Me, Message, Out};
+use fallgap_lantern::ages::{Ages, Stamp};
 use fallgap_lantern::asks::Told;
 use fallgap_lantern::calls::{Caller, Calls, Step, Terms, by_key};
 use fallgap_lantern::holdup::HoldUp;
@@ -45,7 +46,7 @@
 
 enum Word {
     Keeper(Message),
-    Forward(u64, Call),
+    Forward(u64, Stamp, Call),
     Forwarded(u64, Answer),
     Withdraw(u64),
 }
@@ -61,6 +62,8 @@
     calls: Calls,
     keeper: Option<Keeper>,
     hold_up: HoldUp,
+    ages: Ages,
+    life: u64,
     frozen: Duration,
     cut: Duration,
     /// With `HandedOn`: answers that go back to who handed a call over.
@@ -139,6 +142,8 @@
                 calls: Calls::new(Terms::default(), first(fault, &mut rng)),
                 keeper: (at < KEEPERS).then(|| keeper(at)),
                 hold_up: HoldUp::default(),
+                ages: Ages::default(),
+                life: 1,
                 frozen: START,
                 cut: START,
                 relayed: Vec::new(),
@@ -196,6 +201,7 @@
             // A new life; what was asked by the one before is still under way.
             30..34 if at >= KEEPERS => {
                 self.nodes[at].calls = Calls::new(Terms::default(), first(self.fault, &mut self.rng));
+                self.nodes[at].life += 1;
             }
             _ => {}
         }
@@ -268,16 +274,19 @@
                 here.keeper.iter_mut().for_each(|keeper| keeper.heard(now, node(from), message.clone()));
                 return;
             }
-            Word::Forward(id, call) if here.hold_up.turns_away(now, &call) => {
+            Word::Forward(id, _, call) if here.hold_up.turns_away(now, &call) => {
                 return self.say(to, from, Word::Forwarded(id, Answer::Busy));
             }
-            Word::Forward(id, call) if self.fault == Fault::HandedOn => {
+            Word::Forward(id, _, call) if self.fault == Fault::HandedOn => {
                 let (reply, told) = sync_channel(1);
                 here.relayed.push((told, from, id));
                 let order = keepers(&call);
                 here.calls.came(now, me, Caller::Here(reply), call, &order)
             }
-            Word::Forward(id, call) => here.calls.came(now, me, Caller::There(node(from), id), call, &[me]),
+            Word::Forward(id, stamp, call) => {
+                let age = here.ages.age(now, node(from), &stamp);
+                here.calls.came_aged(now, me, Caller::There(node(from), id), call, &[me], age)
+            }
             Word::Forwarded(id, answer) => {
                 here.calls.answered(now, me, node(from), id, answer, |key| by_key(key, all()))
             }
@@ -292,10 +301,15 @@
             let now = self.now;
             let keeper = self.nodes[at].keeper.as_mut();
             match step {
-                Step::Run(id, call) => keeper.expect("a keeper").call(now, id, call),
+                Step::Run(id, call, waited) => {
+                    keeper.expect("a keeper").call_since(now, id, call, now.saturating_sub(waited));
+                }
                 Step::Stop(..) if self.fault == Fault::WithdrawalsIgnored => {}
                 Step::Stop(id, key) => keeper.expect("a keeper").withdraw(now, id, &key),
-                Step::Ask(to, id, call) => self.say(at, place(to), Word::Forward(id, call)),
+                Step::Ask(to, id, call, waited) => {
+                    let stamp = Stamp::new(self.nodes[at].life, now, waited);
+                    self.say(at, place(to), Word::Forward(id, stamp, call));
+                }
                 Step::Withdraw(to, id) => {
                     self.seen[3] += 1;
                     self.say(at, place(to), Word::Withdraw(id));
--- a/crates/lantern/tests/once_only.rs
+++ b/crates/lantern/tests/once_only.rs
@@ -3,6 +3,7 @@
 
 use fallgap_chart::Beat;
 use fallgap_keeper::Call;
+use fallgap_lantern::ages::Stamp;
 use fallgap_lantern::asks::Told;
 use fallgap_lantern::beats::Beats;
 use fallgap_lantern::holdup::HoldUp;
@@ -16,6 +17,7 @@
 use std::time::{Duration, Instant};
 
 const MS: Duration = Duration::from_millis(1);
+const STAMP: Stamp = Stamp { life: 1, sent_ms: 0, waited_ms: 0 };
 
 fn node(last: u8) -> Ipv4Addr {
     Ipv4Addr::new(10, 0, 0, last)
@@ -323,7 +325,7 @@
     for _ in 0..100 {
         peer.say(&Word::Survey { id: 1, errand: errand.clone() });
     }
-    peer.say(&Word::Forward { id: 9, call: Call::ConfigGet });
+    peer.say(&Word::Forward { id: 9, stamp: STAMP, call: Call::ConfigGet });
     peer.settle();
     let mut stream = peer.accept();
     peer.settle();
@@ -349,7 +351,7 @@
     ];
     for (last, before, pause, late, wanted) in rows {
         let mut peer = Peer::new(last, terms());
-        peer.say(&Word::Forward { id: 1, call: Call::ConfigGet });
+        peer.say(&Word::Forward { id: 1, stamp: STAMP, call: Call::ConfigGet });
         before.iter().for_each(|id| said(&mut peer, *id));
         peer.settle();
         let stream = peer.accept();
--- a/crates/lantern/tests/words.rs
+++ b/crates/lantern/tests/words.rs
@@ -1,6 +1,7 @@
 //! How words stand in frames.
 
 use fallgap_keeper::{Answer, Call};
+use fallgap_lantern::ages::Stamp;
 use fallgap_lantern::words::{FRAME, Frames, OddStream, Word, told_frame};
 use fallgap_roster::{Distribution, RosterWord, Terms, Told};
 use fallgap_tables::{Entry, Key, Version, Whole};
@@ -88,11 +89,12 @@
     for length in [0_usize, 1, 127, 128, 300, 250_000] {
         let body: Vec<u8> = (0..length).map(|at| (at * 31 % 256) as u8).collect();
         let plain = postcard::to_stdvec(&body).unwrap();
-        let put = |call: Call| postcard::to_stdvec(&Word::Forward { id: 5, call }).unwrap();
+        let stamp = Stamp { life: 6, sent_ms: 7, waited_ms: 8 };
+        let put = |call: Call| postcard::to_stdvec(&Word::Forward { id: 5, stamp, call }).unwrap();
         let told = |answer: Answer| postcard::to_stdvec(&Word::Forwarded { id: 5, answer }).unwrap();
         let of = |before: &[u8]| [before, plain.as_slice()].concat();
-        assert_eq!(put(Call::ConfigPut { edition: 9, body: body.clone() }), of(&[3, 5, 0, 9]));
-        assert_eq!(put(Call::AccountsPut { base: 9, body: body.clone() }), of(&[3, 5, 10, 9]));
+        assert_eq!(put(Call::ConfigPut { edition: 9, body: body.clone() }), of(&[3, 5, 6, 7, 8, 0, 9]));
+        assert_eq!(put(Call::AccountsPut { base: 9, body: body.clone() }), of(&[3, 5, 6, 7, 8, 10, 9]));
         assert_eq!(told(Answer::Config(body.clone())), of(&[4, 5, 1]));
         assert_eq!(told(Answer::Looked { value: Some(body.clone()) }), of(&[4, 5, 13, 1]));
         assert_eq!(told(Answer::Looked { value: None }), [4, 5, 13, 0]);
@@ -100,7 +102,9 @@
         assert_eq!(postcard::to_stdvec(&asked).unwrap(), of(&[7, 5]));
         let answered = Word::Surveyed { id: 5, told: body.clone() };
         assert_eq!(postcard::to_stdvec(&answered).unwrap(), of(&[8, 5]));
-        for word in [asked, answered, Word::Forward { id: 5, call: Call::ConfigPut { edition: 9, body } }] {
+        for word in
+            [asked, answered, Word::Forward { id: 5, stamp, call: Call::ConfigPut { edition: 9, body } }]
+        {
             let bytes = postcard::to_stdvec(&word).unwrap();
             let read: Word = postcard::from_bytes(&bytes).unwrap();
             assert_eq!(format!("{read:?}"), format!("{word:?}"));
--- a/crates/sextant/tests/once.rs
+++ b/crates/sextant/tests/once.rs
@@ -187,3 +187,45 @@
     fault::set(None);
     assert_eq!(found, Answer::Held);
 }
+
+/// A keeper that stood still while others answered it: its caller has gone on, so what it then finds is not written.
+#[test]
+fn what_a_keeper_finds_when_it_has_stood_still_is_not_written() {
+    for (still, begun) in [(ms(300), true), (ms(1500), false)] {
+        let mut trio = Trio::new();
+        trio.keepers[0].call(trio.now, 1, start("a"));
+        let mut replies = Vec::new();
+        for out in trio.keepers[0].take() {
+            match out {
+                Out::Send(to, message) => {
+                    let at = (1..4).position(|n| node(n) == to).expect("a member");
+                    trio.keepers[at].heard(trio.now, node(1), message);
+                }
+                Out::Log { number, .. } => trio.keepers[0].synced(trio.now, number),
+                Out::Answer(..) | Out::Committed { .. } | Out::Note(_) => {}
+            }
+        }
+        for at in 1..3 {
+            for out in trio.keepers[at].take() {
+                match out {
+                    Out::Send(to, message) if to == node(1) => replies.push((at, message)),
+                    Out::Log { number, .. } => trio.keepers[at].synced(trio.now, number),
+                    _ => {}
+                }
+            }
+            let told = trio.keepers[at].take();
+            replies.extend(told.into_iter().filter_map(|out| match out {
+                Out::Send(to, message) if to == node(1) => Some((at, message)),
+                _ => None,
+            }));
+        }
+        trio.now += still;
+        for (from, message) in replies {
+            trio.keepers[0].heard(trio.now, node(from as u8 + 1), message);
+        }
+        let outs = trio.keepers[0].take();
+        let writes = outs.iter().any(|out| matches!(out, Out::Send(_, Message::Accept { .. })));
+        let refused = outs.iter().any(|out| matches!(out, Out::Answer(1, Answer::Busy)));
+        assert_eq!((writes, refused), (begun, !begun), "{still:?}");
+    }
+}
