Tries that are dropped have their connections reset: nothing is delivered behind a close

Cause: when an op ended (its client left, its time was over, another server answered) the connections of its tries were closed; the kernel goes on delivering what it holds. On loopback 3.9 MB of a request of 8 MB reached its server after its client had left. On a link that is full that is seconds late. Change: a connection with a request under way is reset when it is given up. Measured: the test fails on the text before (all is delivered) and passes; tests of the quay three times.

--- a/crates/quay/src/lines.rs
+++ b/crates/quay/src/lines.rs
@@ -110,6 +110,11 @@
         let Some(mut line) = self.lines.remove(key) else { return };
         self.timers.set(&mut line.noted, None, Who::Line(key));
         self.memory = self.memory.saturating_sub(line.held);
+        // What of a request still lies in the kernel, as on a link that is full, would be delivered behind the close and
+        // run for nobody: a reset drops it. Without one the server only learns of the end as of any other.
+        if matches!(line.state, LineState::Working(_)) {
+            let _ = SockRef::from(&line.stream).set_linger(Some(Duration::ZERO));
+        }
         // The socket closes all the same.
         let _ = self.registry.deregister(&mut line.stream);
         if let Some(pool) = self.pools.get_mut(line.server) {
--- a/crates/quay/tests/clients_that_leave.rs
+++ b/crates/quay/tests/clients_that_leave.rs
@@ -7,6 +7,7 @@
 use fallgap_quay::{Quay, Terms};
 use fallgap_standin::gateway::Got;
 use socket2::SockRef;
+use std::io::{ErrorKind, Read};
 use std::net::Shutdown;
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
@@ -214,3 +215,27 @@
         assert_eq!(arrived(), 1, "{how:?}");
     }
 }
+
+/// A request whose bytes still lie in the kernel, as on a link that is full, goes with its client: its connection is reset, so
+/// they are dropped there, not delivered and run later.
+#[test]
+fn what_has_not_left_the_machine_is_not_delivered() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let std::net::SocketAddr::V4(address) = listener.local_addr().unwrap() else { unreachable!() };
+    let mut server = Server::dead("i-1");
+    server.address = address;
+    for path in ["/safe/", "/outbound/"] {
+        let world = patient(&[&server]);
+        let mut client = world.client();
+        // More than the connection's windows take.
+        let body = "y".repeat(8 << 20);
+        let length = format!("\r\nContent-Length: {}\r\n\r\n", body.len());
+        client.send(&(long(path, "1").replace("GET", "POST").replace("\r\n\r\n", &length) + &body));
+        let (mut connection, _) = listener.accept().unwrap();
+        connection.peek(&mut [0]).unwrap();
+        drop(client);
+        until(|| world.ask(|quay, _| quay.at_work()) == 0);
+        let end = connection.read_to_end(&mut Vec::new());
+        assert_eq!(end.map_err(|error| error.kind()), Err(ErrorKind::ConnectionReset), "{path}");
+    }
+}
