Control address: connections that could not be accepted are taken later; a defect ends its call alone

Cause, by reading: with no descriptor left the listener returned, and the poll tells only once of those that wait; a panic in a call would have taken its worker along. Change: accepted again with the next look; a call that panics is answered 500.

--- a/crates/lantern/src/http/server.rs
+++ b/crates/lantern/src/http/server.rs
@@ -134,6 +134,7 @@
             limits,
             held: 0,
             look: Duration::ZERO,
+            accepts_again: false,
             scratch: vec![0; READ].into_boxed_slice(),
             terms,
         };
@@ -156,6 +157,8 @@
     held: usize,
     /// When connections are looked at next.
     look: Duration,
+    /// Connections that could not be accepted may wait.
+    accepts_again: bool,
     scratch: Box<[u8]>,
     terms: Terms,
 }
@@ -164,7 +167,8 @@
     fn run(mut self) {
         let mut events = Events::with_capacity(256);
         loop {
-            let wait = (!self.connections.is_empty()).then(|| self.look.saturating_sub(self.clock.elapsed()));
+            let looks = self.accepts_again || !self.connections.is_empty();
+            let wait = looks.then(|| self.look.saturating_sub(self.clock.elapsed()));
             match self.poll.poll(&mut events, wait) {
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(error) => return tracing::error!("control: ends, its poll fails: {error}"),
@@ -206,18 +210,20 @@
                 Err(error) => match error.kind() {
                     ErrorKind::Interrupted | ErrorKind::ConnectionAborted => {}
                     ErrorKind::WouldBlock => return,
-                    // No descriptor is left, or the like: the next one makes room.
-                    _ => return self.close_oldest(),
+                    // No descriptor is left, or the like. The poll does not tell again of those that wait.
+                    _ if self.close_oldest() => {}
+                    _ => {
+                        self.accepts_again = true;
+                        self.look = self.look.min(now + LOOK);
+                        return;
+                    }
                 },
             }
         }
     }
 
     fn accepted(&mut self, now: Duration, listener: usize, stream: mio::net::TcpStream) {
-        if self.connections.len() >= self.terms.connections {
-            self.close_oldest();
-        }
-        if self.connections.len() >= self.terms.connections {
+        if self.connections.len() >= self.terms.connections && !self.close_oldest() {
             return;
         }
         // Answers are written whole: only their delay is at stake.
@@ -239,11 +245,14 @@
         self.look = self.look.min(now + LOOK);
     }
 
-    /// Closes the connection at rest for longest, if there is one.
-    fn close_oldest(&mut self) {
+    /// Closes the connection at rest for longest. `false`: there is none.
+    fn close_oldest(&mut self) -> bool {
         let at_rest = self.connections.iter().filter(|(_, connection)| connection.is_at_rest());
         let oldest = at_rest.min_by_key(|(key, connection)| (connection.moved, *key)).map(|(key, _)| key);
-        oldest.into_iter().for_each(|key| self.close(key));
+        oldest.is_some_and(|key| {
+            self.close(key);
+            true
+        })
     }
 
     /// Goes on with a connection as far as it goes.
@@ -367,13 +376,17 @@
 
     /// Ends what is too slow.
     fn look_at_all(&mut self, now: Duration) {
+        if std::mem::take(&mut self.accepts_again) {
+            (0..self.listeners.len()).for_each(|at| self.accept(now, at));
+        }
         let due = |connection: &Connection| connection.due(&self.terms).is_some_and(|at| now >= at);
         let over: Vec<ConnectionKey> =
             self.connections.iter().filter(|(_, connection)| due(connection)).map(|(key, _)| key).collect();
         for key in over {
             self.too_slow(now, key);
         }
-        let moves = self.connections.values().any(|connection| !connection.is_at_rest());
+        let moves =
+            self.accepts_again || self.connections.values().any(|connection| !connection.is_at_rest());
         self.look = now + if moves { LOOK } else { LOOK_AT_REST };
     }
 
--- a/crates/lantern/src/http/workers.rs
+++ b/crates/lantern/src/http/workers.rs
@@ -4,6 +4,7 @@
 use super::message::{Request, Response};
 use super::server::{ConnectionKey, Service};
 use mio::Waker;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::mpsc::{Receiver, Sender, SyncSender, TrySendError, sync_channel};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
@@ -56,6 +57,12 @@
     }
 }
 
+/// What the service answers. A defect in it ends this call, not the worker.
+fn carried_out(job: &Job) -> Response {
+    let call = || (job.service)(&job.request, &job.caller);
+    catch_unwind(AssertUnwindSafe(call)).unwrap_or_else(|_| Response::empty(500))
+}
+
 /// Carries calls out until nobody can hand one in any more.
 fn work(taken: &Mutex<Receiver<Job>>, patience: Duration, done: &Sender<Done>, waker: &Waker) {
     loop {
@@ -66,7 +73,7 @@
         }
         let response = match job.came.elapsed() > patience {
             true => Response::busy(),
-            false => (job.service)(&job.request, &job.caller),
+            false => carried_out(&job),
         };
         if done.send(Done { connection: job.connection, response }).is_err() {
             return;
--- a/crates/lantern/tests/http_server.rs
+++ b/crates/lantern/tests/http_server.rs
@@ -144,6 +144,19 @@
     assert_eq!(first.reply().map(|reply| reply.status), Some(200));
 }
 
+#[test]
+fn a_defect_in_a_call_ends_that_call_alone() {
+    let service = |request: &Request, _: &Caller| {
+        assert!(request.path() != "/defect", "as it is meant");
+        Response::empty(200)
+    };
+    let at = serve(one_worker(), Arc::new(service));
+    let mut caller = client(at);
+    for (path, status) in [("/defect", 500), ("/a", 200), ("/defect", 500), ("/a", 200)] {
+        assert_eq!(caller.ask(&post(path, "")).status, status);
+    }
+}
+
 #[test]
 fn calls_of_one_connection_are_answered_in_their_order() {
     let at = serve(Terms::default(), Arc::new(|request, _| Response::json(200, request.body().to_vec())));
--- a/crates/sextant/src/waters.rs
+++ b/crates/sextant/src/waters.rs
@@ -5,7 +5,7 @@
 
 use fallgap_keeper::charter::{Charter, Member};
 use fallgap_keeper::messages::Record;
-use fallgap_keeper::{Answer, Call, Keeper, Kept, Me, NodeId, Out, Terms};
+use fallgap_keeper::{Answer, Call, Keeper, Kept, Me, Message, NodeId, Out, Terms};
 
 use crate::breach::{Check, hold};
 pub use crate::machine::Machine;
@@ -334,3 +334,26 @@
         }
     }
 }
+
+/// A keeper with an empty disk that is one of three members from the start: nodes 1 to 3, `n` is its own.
+///
+/// # Panics
+/// `n` is none of them.
+pub fn one_of_three(now: Duration, n: u8, seed: u64) -> Keeper {
+    assert!((1..4).contains(&n), "one of three");
+    let members: Vec<Member> =
+        (1..4).map(|n| Member { node: node(n), disk: u64::from(n), joined: 1 }).collect();
+    let me = Me {
+        node: node(n),
+        disk: Some(u64::from(n)),
+        life: u64::from(n),
+        first_start: true,
+        empty: true,
+        seeds: vec![node(1)],
+        tolerate: 1,
+    };
+    let kept = Kept::default();
+    let mut keeper = Keeper::start(now, seed, me, kept, Terms::default()).expect("an empty disk is in order");
+    keeper.heard(now, node(9), Message::Members(Charter { number: 1, members, grown: false }));
+    keeper
+}
--- a/crates/sextant/tests/bridge.rs
+++ b/crates/sextant/tests/bridge.rs
@@ -4,10 +4,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use fallgap_keeper::charter::{Charter, Member};
 use fallgap_keeper::subjects::config_edition;
-use fallgap_keeper::{Answer, Call, Keeper, Kept, Key, Me, Message, Out, Terms};
-use fallgap_sextant::waters::{ms, node};
+use fallgap_keeper::{Answer, Call, Keeper, Key, Message, Out};
+use fallgap_sextant::waters::{ms, node, one_of_three};
 
 /// One way between two keepers.
 const WAY: Duration = ms(3);
@@ -37,27 +36,9 @@
 
 impl Bridge {
     fn new(seed: u64, sync: Duration) -> Bridge {
-        let members: Vec<Member> =
-            (1..4).map(|n| Member { node: node(n), disk: u64::from(n), joined: 1 }).collect();
         let now = ms(5000);
-        let start = |n: u8| {
-            let me = Me {
-                node: node(n),
-                disk: Some(u64::from(n)),
-                life: u64::from(n),
-                first_start: true,
-                empty: true,
-                seeds: vec![node(1)],
-                tolerate: 1,
-            };
-            let seed = seed * 8 + u64::from(n);
-            let mut keeper = Keeper::start(now, seed, me, Kept::default(), Terms::default()).expect("empty");
-            let charter = Charter { number: 1, members: members.clone(), grown: false };
-            keeper.heard(now, node(9), Message::Members(charter));
-            keeper
-        };
         Bridge {
-            keepers: (1..4).map(start).collect(),
+            keepers: (1..4).map(|n| one_of_three(now, n, seed * 8 + u64::from(n))).collect(),
             now,
             coming: BTreeMap::new(),
             count: 0,
--- a/crates/sextant/tests/once.rs
+++ b/crates/sextant/tests/once.rs
@@ -4,9 +4,8 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use fallgap_keeper::charter::{Charter, Member};
-use fallgap_keeper::{Answer, Call, Keeper, Kept, Key, Me, Message, Out, Terms};
-use fallgap_sextant::waters::{ms, node};
+use fallgap_keeper::{Answer, Call, Keeper, Key, Message, Out};
+use fallgap_sextant::waters::{ms, node, one_of_three};
 
 const SLOW: usize = 0;
 const QUICK: usize = 1;
@@ -22,28 +21,8 @@
 
 impl Trio {
     fn new() -> Trio {
-        let members: Vec<Member> =
-            (1..4).map(|n| Member { node: node(n), disk: u64::from(n), joined: 1 }).collect();
         let now = ms(5000);
-        let start = |n: u8| {
-            let me = Me {
-                node: node(n),
-                disk: Some(u64::from(n)),
-                life: u64::from(n),
-                first_start: true,
-                empty: true,
-                seeds: vec![node(1)],
-                tolerate: 1,
-            };
-            let mut keeper = Keeper::start(now, 1, me, Kept::default(), Terms::default()).expect("empty");
-            keeper.heard(
-                now,
-                node(9),
-                Message::Members(Charter { number: 1, members: members.clone(), grown: false }),
-            );
-            keeper
-        };
-        let keepers = (1..4).map(start).collect();
+        let keepers = (1..4).map(|n| one_of_three(now, n, 1)).collect();
         let mut trio = Trio { keepers, now, under_way: VecDeque::new(), held: None, answers: Vec::new() };
         trio.passes(300);
         trio
