--- a/crates/quay/src/ops.rs
+++ b/crates/quay/src/ops.rs
@@ -276,6 +276,11 @@
 
     fn not_run(&mut self, now: Duration, key: ClientKey, request: &Request) {
         self.counters.not_run += 1;
+        self.come_again(now, key, request);
+    }
+
+    /// It has not run and will not: 503, with when to come back.
+    fn come_again(&mut self, now: Duration, key: ClientKey, request: &Request) {
         let again = self.again();
         self.own_answer(now, key, request, 503, Some(again));
     }
@@ -293,8 +298,7 @@
     fn asked_for_nobody(&mut self, now: Duration, key: ClientKey, began: Duration, request: &Request) {
         self.counters.closed_early += 1;
         self.refused(now, began, request, 0, Why::Abandoned, None);
-        let again = self.again();
-        self.own_answer(now, key, request, 503, Some(again));
+        self.come_again(now, key, request);
     }
 
     /// The client of an op has closed its side, or its connection is gone. Who still hears is told what became of it.
@@ -306,10 +310,7 @@
         }
         op.draft.why = Why::Abandoned;
         self.finish(now, key, 0, |quay, client, request| match next {
-            Next::Reply(Final::NotRun) => {
-                let again = quay.again();
-                quay.own_answer(now, client, request, 503, Some(again));
-            }
+            Next::Reply(Final::NotRun) => quay.come_again(now, client, request),
             Next::Reply(_) => quay.own_answer(now, client, request, 502, None),
             _ => quay.close_client(now, client),
         });
