CONFIG: an edition is acknowledged when all supervisors that are there route by it

Cause, by the three tests that were red: an operator's edition was acknowledged when a majority of disks had it, and its way home to home and link to link came out of the 2 s in which it has to be in force; and a supervisor whose view was old answered 404 for a route that it did not know, which is final for clients. Change: the supervisor that takes the order asks the homes which followers hold the edition (roster::Rollouts, Distribution::holders_wanted) and answers when all that are here do, or config_s (half of ack_s at most) after it is in force there itself; within the call else 500, and the order comes again. An unknown route is 503 with when to come back while no home has confirmed the view for a second. A keeper says that it knows of a server's end when its followers have heard of it, 0.6 s after it heard of it at the latest. The quay's test world now has a home that confirms, since without one it is no longer said that a route is not there.

--- a/crates/desk/src/tales.rs
+++ b/crates/desk/src/tales.rs
@@ -96,6 +96,10 @@
         Some(Why::NoRoute) => {
             format!("{got}, as edition {edition} has no route for its host and path: see fleet routes")
         }
+        Some(Why::Unconfirmed) => format!(
+            "{got}, as edition {edition} has no route for its host and path, and no home has confirmed for a second that it \
+             is the newest: see table_age_s in fleet"
+        ),
         Some(Why::NoServer) => {
             format!(
                 "{got}, as no open server of {service} was known: all are drained, lost or not started; see fleet servers"
--- a/crates/feed/src/feed.rs
+++ b/crates/feed/src/feed.rs
@@ -289,6 +289,11 @@
         [look, self.budget_at].into_iter().flatten().min()
     }
 
+    /// What a receiver said last that it holds.
+    pub fn holds(&self, id: ReceiverId) -> Option<Version> {
+        self.receivers.get(&id)?.holds
+    }
+
     /// Receivers there, and those that wait for lines.
     pub fn held(&self) -> (usize, usize) {
         (self.receivers.len(), self.marks.len())
--- a/crates/lantern/src/asks.rs
+++ b/crates/lantern/src/asks.rs
@@ -6,6 +6,7 @@
 use fallgap_desk as desk;
 use fallgap_keeper::{Answer, Call};
 use fallgap_pilot::Place;
+use fallgap_roster::Outcome;
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, TrySendError, sync_channel};
 use std::time::Duration;
@@ -22,6 +23,8 @@
     Figures,
     Desk(desk::Question),
     Verdicts,
+    /// An edition of the configuration that is being kept: it is to be in force everywhere, within that time.
+    RollOut(u64, Duration),
     /// A revision of the accounts is kept, with what it touches: all supervisors are to route by it.
     Spread(u64, Vec<Place>),
 }
@@ -33,6 +36,7 @@
     Status(String),
     Desk(desk::Answer),
     Spread(Spreading),
+    RolledOut(Outcome),
     /// Whoever asked has closed its connection, and waits no more.
     CallerLeft,
 }
@@ -51,6 +55,27 @@
     Late,
 }
 
+/// An answer that is under way.
+pub struct Answering {
+    told: Receiver<Told>,
+}
+
+impl Answering {
+    /// Waits for it for so long.
+    ///
+    /// # Errors
+    /// [`Untold::Late`].
+    pub fn wait(&self, wait: Duration) -> Result<Told, Untold> {
+        received(&self.told, wait)
+    }
+}
+
+fn received(told: &Receiver<Told>, wait: Duration) -> Result<Told, Untold> {
+    told.recv_timeout(wait).map_err(|e| match e {
+        RecvTimeoutError::Timeout | RecvTimeoutError::Disconnected => Untold::Late,
+    })
+}
+
 /// The threads' end.
 #[derive(Clone)]
 pub struct Desk {
@@ -73,6 +98,16 @@
         self.send(asked, reply, &told, wait)
     }
 
+    /// Asks, and goes on: the answer is waited for later.
+    ///
+    /// # Errors
+    /// [`Untold::Full`].
+    pub fn begin(&self, asked: Asked) -> Result<Answering, Untold> {
+        let (reply, told) = sync_channel(1);
+        self.pass_on(asked, reply)?;
+        Ok(Answering { told })
+    }
+
     /// As [`Desk::ask`], but not for longer than the caller is there.
     ///
     /// # Errors
@@ -86,12 +121,15 @@
     fn send(
         &self, asked: Asked, reply: SyncSender<Told>, told: &Receiver<Told>, wait: Duration,
     ) -> Result<Told, Untold> {
+        self.pass_on(asked, reply)?;
+        received(told, wait)
+    }
+
+    fn pass_on(&self, asked: Asked, reply: SyncSender<Told>) -> Result<(), Untold> {
         self.asks.try_send(Ask { asked, reply }).map_err(|e| match e {
             TrySendError::Full(_) | TrySendError::Disconnected(_) => Untold::Full,
         })?;
         let _ = self.wake.wake();
-        told.recv_timeout(wait).map_err(|e| match e {
-            RecvTimeoutError::Timeout | RecvTimeoutError::Disconnected => Untold::Late,
-        })
+        Ok(())
     }
 }
--- a/crates/lantern/src/carry.rs
+++ b/crates/lantern/src/carry.rs
@@ -12,7 +12,7 @@
 use fallgap_licence::Ledger;
 use fallgap_lightlist::{KINDS, LightWord, Out as LightOut, Verdict};
 use fallgap_pilot::Place;
-use fallgap_roster::{FollowerOut, Out as RosterOut, RosterWord, ServerReport, Told as TableTold};
+use fallgap_roster::{FollowerOut, Out as RosterOut, Outcome, RosterWord, ServerReport, Told as TableTold};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::sync::atomic::Ordering::Relaxed;
 use std::sync::mpsc::SyncSender;
@@ -144,6 +144,9 @@
             }
             for out in outs {
                 match out {
+                    RosterOut::Holders { to, id, holders } => {
+                        self.say(now, to, Word::Roster(RosterWord::Holders { id, holders }));
+                    }
                     RosterOut::Tell(to, told) => self.tell(now, to, &told),
                     RosterOut::Unfit(to) => self.say(now, to, Word::Roster(RosterWord::Unfit)),
                     RosterOut::Fit(to) => self.say(now, to, Word::Roster(RosterWord::Fit)),
@@ -151,7 +154,9 @@
                 }
             }
         }
+        any |= self.carry_ends(now);
         any |= self.carry_lights(now);
+        any |= self.carry_rollouts(now);
         let outs = self.follower.take();
         any |= !outs.is_empty();
         for out in outs {
@@ -164,6 +169,7 @@
                     for (to, id) in self.spread.holds(view.configuration.revision()) {
                         self.say(now, to, Word::Heeded { id, in_force: true });
                     }
+                    self.rollouts.in_force(now, view.configuration.edition);
                     self.view = Some(view.clone());
                     self.quay.iter_mut().for_each(|quay| quay.view(now, view.clone()));
                     let ready = self.leaving.is_none() && self.quay.as_ref().is_some_and(|q| q.is_ready());
@@ -175,6 +181,39 @@
         any
     }
 
+    /// Supervisors that wait for the word on a server's end are told. Who is cut off from the majority does not count among
+    /// those that know.
+    fn carry_ends(&mut self, now: Duration) -> bool {
+        let due = self.hub.as_mut().map(|hub| hub.ends_due(now)).unwrap_or_default();
+        let any = !due.is_empty();
+        if any && self.keeper.in_contact(now) {
+            let followed = self.keeper.may_be_followed(now);
+            for (to, id) in due {
+                self.say(now, to, Word::BeatTaken { id, followed: followed.clone() });
+            }
+        }
+        any
+    }
+
+    /// Questions to homes, and answers to operators.
+    fn carry_rollouts(&mut self, now: Duration) -> bool {
+        let words = self.rollouts.take();
+        let over = self.rollouts.take_over();
+        let any = !words.is_empty() || !over.is_empty();
+        for (to, word) in words {
+            self.say(now, to, Word::Roster(word));
+        }
+        for (reply, edition, outcome) in over {
+            if let Outcome::Waited { missing } = outcome {
+                tracing::info!(
+                    "rollout: edition {edition}, {missing} supervisors have not said that they hold it"
+                );
+            }
+            let _ = reply.try_send(Told::RolledOut(outcome));
+        }
+        any
+    }
+
     /// What the list of lights has for others.
     fn carry_lights(&mut self, now: Duration) -> bool {
         let Some(hub) = &mut self.hub else { return false };
@@ -221,11 +260,10 @@
                 steps.into_iter().for_each(|step| self.step(now, step));
             }
             Word::Beat { id, beat } => {
+                let server = beat.id.clone();
                 self.roster(now, from, RosterWord::Beat(beat));
-                // Who is cut off from the majority does not count among those that know.
-                if id > 0 && self.hub.is_some() && self.keeper.in_contact(now) {
-                    let followed = self.keeper.may_be_followed(now);
-                    self.say(now, from, Word::BeatTaken { id, followed });
+                if id > 0 {
+                    self.hub.iter_mut().for_each(|hub| hub.owe_end(now, from, id, server.clone()));
                 }
             }
             Word::BeatTaken { id, followed } => self.beats.taken(id, from, &followed),
@@ -254,6 +292,7 @@
             }
             RosterWord::Unfit => return self.follower.unfit(now, from),
             RosterWord::Fit => return self.follower.fit(now, from),
+            RosterWord::Holders { id, holders } => return self.rollouts.holders(now, id, &holders),
             // Verdicts and what they rest on come from keepers only.
             RosterWord::Lights(_) if !self.keepers().contains(&from) => return,
             RosterWord::Lights(LightWord::Told(verdicts)) => {
@@ -279,6 +318,10 @@
                 said.into_iter().for_each(|said| hub.distribution.said(now, from, said));
                 false
             }
+            RosterWord::HoldersWanted { id, edition } => {
+                hub.distribution.holders_wanted(now, from, id, edition);
+                false
+            }
             RosterWord::Leave => {
                 self.links.drop_tables(from);
                 hub.distribution.left(from);
--- a/crates/lantern/src/control.rs
+++ b/crates/lantern/src/control.rs
@@ -8,7 +8,7 @@
 use fallgap_keeper::{Answer, Call};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// What binds the control address.
 #[derive(Clone, Copy, Debug)]
@@ -72,6 +72,8 @@
     Unknown,
     /// {0}
     Untold(Untold),
+    /// it is kept, and not in force everywhere yet: to be sent again
+    NotInForce,
     /// {0}
     Office(offices::Refused),
 }
@@ -150,7 +152,7 @@
             Refused::Office(refused) => refused.response(),
             // Nothing was done, and nothing will be.
             Refused::Untold(Untold::Full) => Response::text(503, &refused).retry_after("0.2"),
-            Refused::Untold(Untold::Late) => Response::text(500, &refused),
+            Refused::Untold(Untold::Late) | Refused::NotInForce => Response::text(500, &refused),
         }
     }
 
@@ -165,12 +167,9 @@
                 self.told(Asked::Left((*id).into()))
             }
             ("POST", ["-", "config", "put"]) => {
-                let call = || {
-                    let body = self.body(request, self.terms.configuration)?;
-                    let edition = chart::read_configuration(body)?.edition;
-                    self.call(Call::ConfigPut { edition, body: body.to_vec() })
-                };
-                self.waits(call)?
+                let body = self.body(request, self.terms.configuration)?;
+                let edition = chart::read_configuration(body)?.edition;
+                self.waits(|| self.put_configuration(edition, body))?
             }
             (_, ["-", "config" | "locks" | "numbers" | "cells", ..]) => {
                 let call = || self.call(self.on_register(request, &segments)?);
@@ -200,6 +199,22 @@
         }
     }
 
+    /// The operator's configuration: acknowledged when it is kept, and in force wherever a supervisor is.
+    fn put_configuration(&self, edition: u64, body: &[u8]) -> Result<Response, Refused> {
+        let since = Instant::now();
+        let rollout = self.desk.begin(Asked::RollOut(edition, self.terms.answer))?;
+        let put = Asked::Call(Call::ConfigPut { edition, body: body.to_vec() });
+        match self.desk.ask(put, self.terms.answer)? {
+            Told::Answer(Answer::Done) => {}
+            Told::Answer(answer) => return Ok(said(answer)),
+            _ => return Err(Refused::Untold(Untold::Late)),
+        }
+        match rollout.wait(self.terms.answer.saturating_sub(since.elapsed()))? {
+            Told::RolledOut(outcome) if outcome.is_acknowledged() => Ok(said(Answer::Done)),
+            _ => Err(Refused::NotInForce),
+        }
+    }
+
     /// A call on a register.
     fn on_register(&self, request: &Request, segments: &[&str]) -> Result<Call, Refused> {
         let name = |id: &&str| (*id).to_owned();
@@ -275,7 +290,9 @@
                 Ok(body) => Response::json(200, body),
                 Err(_) => Response::empty(500),
             },
-            Told::Spread(_) | Told::CallerLeft => return Err(Refused::Untold(Untold::Late)),
+            Told::Spread(_) | Told::RolledOut(_) | Told::CallerLeft => {
+                return Err(Refused::Untold(Untold::Late));
+            }
         })
     }
 
--- a/crates/lantern/src/engine.rs
+++ b/crates/lantern/src/engine.rs
@@ -15,11 +15,11 @@
 use crate::spread::Spread;
 use crate::words::{Word, withdrawals_first};
 use fallgap_beacon::{Beacon, State};
-use fallgap_chart::{Settings, View};
+use fallgap_chart::{Bounds, Settings, View};
 use fallgap_desk::{History, Surveys};
 use fallgap_keeper::{Answer, Keeper, Key, Peer as KeeperPeer};
 use fallgap_quay::Quay;
-use fallgap_roster::{Follower, last_beat};
+use fallgap_roster::{Follower, Rollouts, last_beat};
 use mio::net::UdpSocket;
 use mio::{Events, Poll};
 use std::collections::{BTreeMap, VecDeque};
@@ -66,6 +66,7 @@
     pub history: History,
     pub leavers: Leavers,
     pub spread: Spread,
+    pub rollouts: Rollouts<SyncSender<Told>>,
     pub inbox: Receiver<Ask>,
     pub heard: Heard,
     pub ready: Arc<AtomicBool>,
@@ -93,9 +94,17 @@
 const LINGER: Duration = Duration::from_millis(2600);
 /// Before the platform ends the process.
 const MARGIN: Duration = Duration::from_millis(500);
+/// So long before its time is over a call that waits is told how far it has come.
+const MARGIN_OF_CALL: Duration = Duration::from_millis(30);
 /// So long before it may end the keeper takes nothing more, and asks those that stay what they hold.
 const PARTING: Duration = Duration::from_millis(600);
 
+/// How long supervisors that do not hold an edition are waited for, from when it is in force where it was handed in: as long
+/// as a change may take by the rules, and no longer than leaves its acknowledgement in time.
+pub fn rollout_patience(bounds: &Bounds) -> Duration {
+    bounds.config.min(bounds.ack / 2)
+}
+
 impl Engine {
     pub fn now(&self) -> Duration {
         self.clock.elapsed()
@@ -152,12 +161,14 @@
     fn next_wake(&self) -> Duration {
         let hub = self.hub.iter().flat_map(|h| [h.registry.next_wake(), h.distribution.next_wake()]);
         let hub = hub.chain(self.hub.iter().filter_map(|h| h.lights.next_wake()));
+        let hub = hub.chain(self.hub.iter().filter_map(|h| h.ends.next_wake()));
         let urgent = self.quay.as_ref().and_then(|quay| quay.fleet().failure()).map(|at| at + URGENT);
         let quay = self.quay.as_ref().and_then(Quay::next_wake);
         let asked = [
             self.calls.next_wake(),
             self.surveys.next_wake(),
             self.spread.next_wake(),
+            self.rollouts.next_wake(),
             self.beats.next_wake(),
         ];
         let rest = [self.follower.next_wake(), quay, urgent].into_iter().chain(asked).flatten();
@@ -208,6 +219,9 @@
         if self.spread.next_wake().is_some_and(|at| at <= now) {
             self.spread.woke(now);
         }
+        if self.rollouts.next_wake().is_some_and(|at| at <= now) {
+            self.rollouts.woke(now);
+        }
         if now >= self.slow {
             self.slow = now + SLOW;
             self.links.woke(now, self.poll.registry());
@@ -278,6 +292,9 @@
                 Asked::Left(server) => self.beat(now, last_beat(server), reply),
                 Asked::Desk(question) => self.desk_asked(now, question, reply),
                 Asked::Spread(revision, places) => self.spread(now, reply, revision, &places),
+                Asked::RollOut(edition, within) => {
+                    self.rollouts.begin(now, edition, now + within.saturating_sub(MARGIN_OF_CALL), reply);
+                }
                 Asked::Status => {
                     let _ = reply.try_send(Told::Status(self.status(now)));
                 }
@@ -359,6 +376,7 @@
                 let seeds = settings.seeds.iter().map(|seed| *seed.ip()).collect();
                 self.beacon.seeds(now, seeds);
                 self.settings.bounds = settings.bounds;
+                self.rollouts.set_patience(rollout_patience(&settings.bounds));
             }
             Err(why) => tracing::info!("lantern: the settings stay, the file cannot be used: {why}"),
         }
@@ -380,6 +398,8 @@
         }
         self.lives = lives;
         let keepers = self.keepers();
+        let supervisors = self.lives.keys().copied().chain([self.me]).collect();
+        self.rollouts.members(now, supervisors, keepers.clone());
         let zones = self.beacon.peers().map(|peer| (peer.card.node, peer.card.zone.clone()));
         let own = (self.me, self.settings.zone.clone());
         let zones: BTreeMap<Ipv4Addr, Arc<str>> = zones.chain([own.clone()]).collect();
--- a/crates/lantern/src/hub.rs
+++ b/crates/lantern/src/hub.rs
@@ -1,6 +1,7 @@
 //! What a keeper holds beside the registers: all servers, and the tables of those that follow it; and when it can be
 //! followed.
 
+use crate::ends::{Ends, FOR_FOLLOWERS};
 use crate::memory::{Notebook, Remembered, Subject};
 use fallgap_chart::Configuration;
 use fallgap_licence::Ledger;
@@ -23,6 +24,8 @@
     pub registry: Registry,
     pub distribution: Distribution,
     pub lights: Lightlist,
+    /// Ends of servers of which other supervisors are to be told.
+    pub ends: Ends,
     fitness: Fitness,
     fit: Fit,
     /// Whether the keeper was in contact with a majority when it was looked at last.
@@ -53,6 +56,7 @@
             registry: Registry::start(now, rng.u64(..), terms),
             distribution: Distribution::start(now, rng.u64(..), terms),
             lights: Lightlist::new(now, me, fallgap_lightlist::Terms::default()),
+            ends: Ends::default(),
             fitness: Fitness::start(now + touch.mul_f64(YOUNG)),
             fit: Fit::No,
             contact: false,
@@ -165,6 +169,23 @@
         self.contact || self.fitness.is_young(now)
     }
 
+    /// A supervisor waits for the word that this keeper knows of a server's end.
+    pub fn owe_end(&mut self, now: Duration, to: Ipv4Addr, id: u64, server: Arc<str>) {
+        let since = self.distribution.told_out(&server);
+        let until = since.map_or(now, |since| since + FOR_FOLLOWERS);
+        self.ends.owe(to, id, server, until);
+    }
+
+    /// Who is to be told now that this keeper knows of an end, by which number.
+    pub fn ends_due(&mut self, now: Duration) -> Vec<(Ipv4Addr, u64)> {
+        let Hub { ends, distribution, .. } = self;
+        if ends.next_wake().is_none() {
+            return Vec::new();
+        }
+        let heard = distribution.ends_heard();
+        ends.due(now, |server| distribution.is_heard(server, heard))
+    }
+
     /// What is to be written to the disk now, to be remembered over a start.
     pub fn take_due(&mut self, now: Duration) -> Vec<(Subject, Vec<u8>)> {
         let mut due = Vec::new();
--- a/crates/lantern/src/lib.rs
+++ b/crates/lantern/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod counter;
 pub mod desk;
 pub mod disk;
+pub mod ends;
 pub mod engine;
 pub mod figures;
 pub mod holdup;
--- a/crates/lantern/src/start.rs
+++ b/crates/lantern/src/start.rs
@@ -6,7 +6,7 @@
 use crate::calls::{self, Calls};
 use crate::control;
 use crate::disk;
-use crate::engine::{DATAGRAMS, Engine, LINKS, QUAY, WAKE};
+use crate::engine::{DATAGRAMS, Engine, LINKS, QUAY, WAKE, rollout_patience};
 use crate::holdup::HoldUp;
 use crate::http::{self, ServerError};
 use crate::hub::Hub;
@@ -21,7 +21,7 @@
 use fallgap_keeper::store::{Store, StoreError};
 use fallgap_keeper::{Keeper, Kept, KeptError, Me};
 use fallgap_quay::Quay;
-use fallgap_roster::Follower;
+use fallgap_roster::{Follower, Rollouts};
 use mio::net::UdpSocket;
 use mio::{Interest, Poll, Token, Waker};
 use std::collections::{BTreeMap, VecDeque};
@@ -181,6 +181,7 @@
         None => None,
     };
     let ready = Arc::new(AtomicBool::new(false));
+    let patience = rollout_patience(&settings.bounds);
     let (desk, inbox) = Desk::new(wake);
     serve_calls(&settings, desk, &ready)?;
     let kind = if disk.is_some() { "with a disk" } else { "without a disk" };
@@ -209,6 +210,7 @@
         history: History::default(),
         leavers: Leavers::default(),
         spread: Spread::new(rng.u64(1..1 << 62)),
+        rollouts: Rollouts::new(me, rng.u64(1..1 << 62), patience),
         lives: BTreeMap::new(),
         inbox,
         heard,
--- a/crates/pilot/src/lease.rs
+++ b/crates/pilot/src/lease.rs
@@ -2,7 +2,8 @@
 //! what was before, so whoever may have missed one does not answer for them until it knows.
 //!
 //! Two things make for doubt: a word that a revision is kept that is not held here yet, for the places that it
-//! touches; and a home that has not confirmed for too long what is held, for all routes of offices.
+//! touches; and a home that has not confirmed for too long what is held, for all routes of offices. Nor is it known then that
+//! a route is not there: it may have been added since.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -73,14 +74,18 @@
         false
     }
 
+    /// Whether what is held may be old: no home has confirmed it for too long.
+    pub fn is_unsure(&self, now: Duration) -> bool {
+        self.confirmed.is_none_or(|at| now > at + self.terms.confirmed)
+    }
+
     /// Whether a request may not be routed by what is held. `owned`: its route is an office's.
     pub fn doubts(&self, now: Duration, host: &str, path: &str, owned: bool) -> bool {
-        let unsure = || self.confirmed.is_none_or(|at| now > at + self.terms.confirmed);
         let told = |word: &Word| match &word.places {
             None => owned,
             Some(places) => places.iter().any(|(h, prefix)| **h == *host && path.starts_with(&**prefix)),
         };
-        (owned && unsure()) || self.words.iter().any(|word| now < word.until && told(word))
+        (owned && self.is_unsure(now)) || self.words.iter().any(|word| now < word.until && told(word))
     }
 
     /// Whether it can be in doubt at all.
--- a/crates/pilot/src/why.rs
+++ b/crates/pilot/src/why.rs
@@ -11,6 +11,8 @@
     /// There was no view to route by yet.
     NoView,
     NoRoute,
+    /// No route is known, and what is known may be old.
+    Unconfirmed,
     /// No open server of the service is known.
     NoServer,
     /// Each server that may be asked works on all that it takes, or was asked already.
@@ -38,10 +40,11 @@
 }
 
 impl Why {
-    const ALL: [Why; 15] = [
+    const ALL: [Why; 16] = [
         Why::Answered,
         Why::NoView,
         Why::NoRoute,
+        Why::Unconfirmed,
         Why::NoServer,
         Why::NoRoom,
         Why::Gate,
@@ -61,6 +64,7 @@
             Why::Answered => "answered",
             Why::NoView => "no-view",
             Why::NoRoute => "no-route",
+            Why::Unconfirmed => "unconfirmed",
             Why::NoServer => "no-server",
             Why::NoRoom => "no-room",
             Why::Gate => "gate",
--- a/crates/quay/src/ops.rs
+++ b/crates/quay/src/ops.rs
@@ -70,6 +70,11 @@
             return self.not_run(now, key, &request);
         }
         let Some(route) = found.and_then(|at| configuration.routes.get(at)) else {
+            if self.lease.is_unsure(now) {
+                self.counters.doubted += 1;
+                self.refused(now, began, &request, 503, Why::Unconfirmed, None);
+                return self.not_run(now, key, &request);
+            }
             self.counters.no_route += 1;
             self.refused(now, began, &request, 404, Why::NoRoute, None);
             return self.own_answer(now, key, &request, 404, None);
--- a/crates/quay/tests/world/mod.rs
+++ b/crates/quay/tests/world/mod.rs
@@ -12,6 +12,8 @@
 use std::time::{Duration, Instant};
 
 const LOOPBACK: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
+/// Longer than any test here.
+const LONG: Duration = Duration::from_secs(3600);
 const WAKER: Token = Token(0);
 
 pub fn ms(ms: u64) -> Duration {
@@ -74,12 +76,16 @@
         world
     }
 
+    /// A view that a home goes on confirming.
     pub fn view(&self, servers: &[&Server]) {
         let view = Arc::new(View {
             configuration: Arc::new(configuration()),
             berths: servers.iter().map(|server| berth(server)).collect(),
         });
-        self.ask(move |quay, now| quay.view(now, view));
+        self.ask(move |quay, now| {
+            quay.confirmed(Some(now + LONG));
+            quay.view(now, view);
+        });
     }
 
     pub fn ask<T: Send + 'static>(&self, order: impl FnOnce(&mut Quay, Duration) -> T + Send + 'static) -> T {
--- a/crates/roster/src/distribution.rs
+++ b/crates/roster/src/distribution.rs
@@ -3,7 +3,9 @@
 //! and the withdrawals are the feed's and the tables', too; here it is said when the table is built, and of what.
 
 use crate::NodeId;
+use crate::differences::differences;
 use crate::fitness::Fit;
+use crate::holders::Holders;
 use crate::lives::State;
 use crate::messages::ServerReport;
 use crate::packing::Line;
@@ -34,6 +36,12 @@
     Unfit(NodeId),
     /// It can be followed again: to those that it sent away of late.
     Fit(NodeId),
+    /// Followers of this home that hold an edition, to whoever asked.
+    Holders {
+        to: NodeId,
+        id: u64,
+        holders: Vec<NodeId>,
+    },
     /// For the log.
     Note(String),
 }
@@ -53,8 +61,8 @@
 
 pub struct Distribution {
     terms: Terms,
-    tables: Tables,
-    feed: Feed<Sending>,
+    pub(crate) tables: Tables,
+    pub(crate) feed: Feed<Sending>,
     withdrawals: Withdrawals,
     /// Servers withdrawn, since when and with which sequence.
     closed: BTreeMap<Arc<str>, (Duration, u64)>,
@@ -83,7 +91,8 @@
     sent_away: BTreeMap<NodeId, Duration>,
     /// Supervisors that prefer this home, and whether they have heard from it since it is fit.
     preferred_by: BTreeMap<NodeId, bool>,
-    out: Vec<Out>,
+    pub(crate) holders: Holders,
+    pub(crate) out: Vec<Out>,
     rng: fastrand::Rng,
 }
 
@@ -133,6 +142,7 @@
             confirms: true,
             sent_away: BTreeMap::new(),
             preferred_by: BTreeMap::new(),
+            holders: Holders::default(),
             out: Vec::new(),
             rng,
         }
@@ -197,6 +207,7 @@
         } else {
             self.feed.answered(now, id, said.holds, said.heard, &self.tables);
         }
+        self.answer_questions(now);
     }
 
     /// A follower is gone, or follows another home.
@@ -320,12 +331,21 @@
         self.configuration.is_some()
     }
 
-    /// Whether all that follow this home have heard that a server is out.
-    pub fn all_heard(&self, server: &str) -> bool {
-        let heard = self.feed.heard_by_all(self.tables.epoch());
+    /// Up to which withdrawal all that follow this home have heard of ends of servers.
+    pub fn ends_heard(&self) -> u64 {
+        self.feed.heard_by_all(self.tables.epoch())
+    }
+
+    /// Whether a server's end is among those that were heard of up to that withdrawal.
+    pub fn is_heard(&self, server: &str, heard: u64) -> bool {
         self.closed.get(server).is_some_and(|(_, sequence)| *sequence <= heard)
     }
 
+    /// Since when followers are told that a server is out; `None`: they are not.
+    pub fn told_out(&self, server: &str) -> Option<Duration> {
+        self.closed.get(server).map(|(since, _)| *since)
+    }
+
     pub fn followers(&self) -> impl Iterator<Item = NodeId> {
         self.followers.keys().copied()
     }
@@ -352,6 +372,7 @@
         }
         self.feed.woke(now, &self.tables, &self.withdrawals);
         self.build_due(now);
+        self.answer_questions(now);
     }
 
     /// When to call [`woke`](Distribution::woke) next.
@@ -435,13 +456,22 @@
         self.refresh(now);
         self.build = None;
         let before = self.tables.version(SHARED);
-        match self.build_table(now) {
+        let built = self.build_table(now);
+        self.note_edition();
+        match built {
             _ if self.tables.version(SHARED) == before => {}
             Built::Configuration => self.feed.hastened(now, SHARED, &self.tables),
             Built::Lines => self.feed.sealed(now, SHARED, &self.tables),
         }
     }
 
+    /// The table holds the configuration that is held.
+    fn note_edition(&mut self) {
+        if let Some((configuration, version)) = self.configuration.as_ref().zip(self.tables.version(SHARED)) {
+            self.holders.brought(configuration.edition, version.number);
+        }
+    }
+
     /// The table from the present state: only what differs is set.
     fn build_table(&mut self, now: Duration) -> Built {
         let is_note = |key: &Key| matches!(key, Key::Note(_));
@@ -471,27 +501,3 @@
         self.closed.retain(|_, (at, sequence)| !over(*at, *sequence));
     }
 }
-
-/// What leads from held entries to wanted ones; both in the order of keys.
-fn differences<'a>(
-    held: impl Iterator<Item = (&'a Key, &'a Entry)>, wanted: impl Iterator<Item = (&'a Key, &'a Entry)>,
-    changes: &mut Vec<(Key, Option<Entry>)>,
-) {
-    let (mut held, mut wanted) = (held.peekable(), wanted.peekable());
-    loop {
-        let order = match (held.peek(), wanted.peek()) {
-            (None, None) => return,
-            (Some((held, _)), Some((wanted, _))) => held.cmp(wanted),
-            (Some(_), None) => std::cmp::Ordering::Less,
-            (None, Some(_)) => std::cmp::Ordering::Greater,
-        };
-        let old = if order.is_le() { held.next() } else { None };
-        let new = if order.is_ge() { wanted.next() } else { None };
-        match (old, new) {
-            (Some((_, old)), Some((_, new))) if old == new => {}
-            (_, Some((key, new))) => changes.push((key.clone(), Some(new.clone()))),
-            (Some((key, _)), None) => changes.push((key.clone(), None)),
-            (None, None) => {}
-        }
-    }
-}
--- /dev/null
+++ b/crates/roster/src/holders.rs
@@ -0,0 +1,99 @@
+//! Which followers of a home hold an edition of the configuration, and who has asked to know. The feed knows which version
+//! of the table each follower has acknowledged; here it is known which version brought which edition.
+
+use crate::NodeId;
+use crate::distribution::{Distribution, Out};
+use crate::sending::receiver_of;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Editions of which the version is remembered. For an older one the version of the oldest of these is asked for.
+const EDITIONS: usize = 256;
+/// Questions that wait; one beyond is answered at once by what is known then.
+const QUESTIONS: usize = 256;
+/// So long a question waits. Whoever still wants to know has asked again by then.
+const WAITS: Duration = Duration::from_millis(1000);
+
+struct Question {
+    from: NodeId,
+    id: u64,
+    edition: u64,
+    until: Duration,
+}
+
+#[derive(Default)]
+pub(crate) struct Holders {
+    /// Editions, each with the number of the table's version that brought it. Both rise.
+    brought: VecDeque<(u64, u64)>,
+    questions: Vec<Question>,
+}
+
+impl Holders {
+    /// A version of the table has brought an edition, unless an earlier version did.
+    pub(crate) fn brought(&mut self, edition: u64, version: u64) {
+        if self.brought.back().is_some_and(|(newest, _)| *newest >= edition) {
+            return;
+        }
+        if self.brought.len() >= EDITIONS {
+            self.brought.pop_front();
+        }
+        self.brought.push_back((edition, version));
+    }
+
+    /// The version from which on an edition, or a later one, is held. `None`: this home does not have it.
+    fn version_of(&self, edition: u64) -> Option<u64> {
+        self.brought.iter().find(|(brought, _)| *brought >= edition).map(|(_, version)| *version)
+    }
+}
+
+impl Distribution {
+    /// A supervisor asks which followers hold an edition. It is answered when all do, and whenever it asks again.
+    pub fn holders_wanted(&mut self, now: Duration, from: NodeId, id: u64, edition: u64) {
+        let questions = &mut self.holders.questions;
+        let known = questions.iter_mut().find(|question| (question.from, question.id) == (from, id));
+        let asks_again = known.is_some();
+        if let Some(question) = known {
+            question.until = now + WAITS;
+        } else if questions.len() < QUESTIONS {
+            questions.push(Question { from, id, edition, until: now + WAITS });
+        }
+        if asks_again || self.holders.questions.len() >= QUESTIONS {
+            let holders = self.holders_of(edition);
+            self.out.push(Out::Holders { to: from, id, holders });
+        }
+        self.answer_questions(now);
+    }
+
+    /// Followers that have acknowledged a table with that edition, or a later one.
+    fn holders_of(&self, edition: u64) -> Vec<NodeId> {
+        let Some(version) = self.holders.version_of(edition) else { return Vec::new() };
+        let epoch = self.tables.epoch();
+        let holds = |follower: &NodeId| {
+            let held = self.feed.holds(receiver_of(*follower));
+            held.is_some_and(|held| held.epoch == epoch && held.number >= version)
+        };
+        self.followers().filter(holds).collect()
+    }
+
+    /// Answers those that all followers hold by now, and lets go of those that nobody waits for any more.
+    pub(crate) fn answer_questions(&mut self, now: Duration) {
+        if self.holders.questions.is_empty() {
+            return;
+        }
+        let followers = self.followers().count();
+        let mut questions = std::mem::take(&mut self.holders.questions);
+        questions.retain(|question| now < question.until);
+        questions.retain(|question| {
+            if self.holders.version_of(question.edition).is_none() {
+                return true;
+            }
+            let holders = self.holders_of(question.edition);
+            let all = holders.len() == followers;
+            if all {
+                self.out.push(Out::Holders { to: question.from, id: question.id, holders });
+            }
+            !all
+        });
+        self.holders.questions = questions;
+    }
+}
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -3,16 +3,19 @@
 //! [`Follower`] that holds on to one home and hands out the view to route by. No I/O, no clock, chance from seeds.
 
 mod closings;
+mod differences;
 mod distribution;
 mod doubt;
 mod evening;
 mod fitness;
 mod follower;
+mod holders;
 mod homes;
 mod lives;
 mod messages;
 mod packing;
 mod registry;
+mod rollout;
 mod sending;
 mod servers;
 mod terms;
@@ -28,6 +31,7 @@
 pub use messages::{Compare, Record, Records, RosterWord, ServerReport};
 pub use packing::Line;
 pub use registry::{News, Registry};
+pub use rollout::{Outcome, Rollouts};
 pub use terms::Terms;
 
 /// A machine, by its address.
--- a/crates/roster/src/messages.rs
+++ b/crates/roster/src/messages.rs
@@ -1,5 +1,6 @@
 //! What keepers and followers say to each other about servers and tables.
 
+use crate::NodeId;
 use crate::lives::State;
 use crate::terms::Terms;
 use fallgap_chart::Beat;
@@ -37,6 +38,16 @@
     Report(Vec<ServerReport>),
     /// Verdicts on servers, and what they rest on.
     Lights(LightWord),
+    /// To a home: which of its followers hold that edition, or a later one?
+    HoldersWanted {
+        id: u64,
+        edition: u64,
+    },
+    /// From a home: these do.
+    Holders {
+        id: u64,
+        holders: Vec<NodeId>,
+    },
 }
 
 /// What a follower saw of one server.
--- a/crates/roster/tests/cases.rs
+++ b/crates/roster/tests/cases.rs
@@ -367,13 +367,15 @@
     closing.closing = true;
     pair.registry.beat(pair.now, closing);
     pair.home.registry_changed(pair.now, &pair.registry);
-    assert!(!pair.home.all_heard("a"));
+    assert!(!pair.home.is_heard("a", pair.home.ends_heard()));
     pair.settle();
-    assert!(pair.home.all_heard("a") && !pair.home.all_heard("b"));
+    assert!(
+        pair.home.is_heard("a", pair.home.ends_heard()) && !pair.home.is_heard("b", pair.home.ends_heard())
+    );
     assert_eq!((pair.weight("a"), pair.weight("b")), (0.0, 1.0), "no time has passed");
     // Ends that all have heard are forgotten in the end, and a follower that is silent is, too.
     (0..200).for_each(|_| pair.pass(1, &servers[1..]));
-    assert!(!pair.home.all_heard("a"));
+    assert!(!pair.home.is_heard("a", pair.home.ends_heard()));
     pair.follower = Follower::start(pair.now, 4, node(5), Terms::default());
     pair.pass(12, &[]);
     assert_eq!(pair.home.followers().count(), 0);
--- a/crates/roster/tests/world/mod.rs
+++ b/crates/roster/tests/world/mod.rs
@@ -1,5 +1,7 @@
 //! Keepers, followers and servers in virtual time, over links that keep order, are slow, lose messages and are cut.
 
+mod rollouts;
+
 use fallgap_chart::{Beat, Configuration, Limits, Route, RouteClass, Service, View};
 use fallgap_feed::wire::{Said, Told};
 use fallgap_roster::{Distribution, Follower, FollowerOut, NodeId, Out, Record, Registry, RosterWord, Terms};
@@ -92,6 +94,7 @@
     pub told: BTreeMap<&'static str, usize>,
     /// Processor time of all homes, and of all followers.
     pub spent: [Duration; 2],
+    pub operator: rollouts::Operator,
     /// Words that left a machine and their bytes, if wanted.
     pub heard: Option<Vec<(RosterWord, usize)>>,
 }
@@ -196,6 +199,7 @@
             sent: 0,
             told: BTreeMap::new(),
             spent: [Duration::ZERO; 2],
+            operator: rollouts::Operator::default(),
             heard: None,
             rng: rng.fork(),
         };
@@ -240,6 +244,8 @@
             disks.insert(id, core.registry.to_remember(self.now));
         }
         self.followers.remove(&id);
+        self.operator.rollouts.remove(&id);
+        self.meet();
         self.net.retain(|_, (from, to, _)| *from != id && *to != id);
         self.streams.iter_mut().for_each(|open| open.retain(|(from, to)| *from != id && *to != id));
     }
@@ -339,6 +345,9 @@
                     Out::Tell(to, told) => out.push((*id, to, RosterWord::told(&told))),
                     Out::Unfit(to) => out.push((*id, to, RosterWord::Unfit)),
                     Out::Fit(to) => out.push((*id, to, RosterWord::Fit)),
+                    Out::Holders { to, id: question, holders } => {
+                        out.push((*id, to, RosterWord::Holders { id: question, holders }));
+                    }
                     Out::Note(_) => {}
                 }
             }
@@ -359,6 +368,9 @@
                     FollowerOut::NewView(view) => {
                         let back = view.configuration.edition < seen.edition();
                         assert!(!back, "{id} goes back at {now:?}");
+                        if let Some(rollouts) = self.operator.rollouts.get_mut(id) {
+                            rollouts.in_force(now, view.configuration.edition);
+                        }
                         seen.view = Some(view);
                         seen.views += 1;
                     }
@@ -368,6 +380,7 @@
             let clean = quiet || seen.ids().is_disjoint(&seen.out);
             assert!(clean, "{id} has a server again at {now:?}");
         }
+        out.extend(self.take_rollouts());
         out.into_iter().for_each(|(from, to, word)| self.send(from, to, word));
     }
 
@@ -393,6 +406,7 @@
             }
             RosterWord::Unfit => self.followers.get_mut(&to).into_iter().for_each(|f| f.unfit(now, from)),
             RosterWord::Fit => self.followers.get_mut(&to).into_iter().for_each(|f| f.fit(now, from)),
+            word @ RosterWord::Holders { .. } => self.holders_told(to, &word),
             word => {
                 let Some(core) = self.cores.get_mut(&to) else { return };
                 let changed = match word {
@@ -412,6 +426,10 @@
                         core.distribution.left(from);
                         false
                     }
+                    RosterWord::HoldersWanted { id, edition } => {
+                        core.distribution.holders_wanted(now, from, id, edition);
+                        false
+                    }
                     RosterWord::Report(reports) => {
                         core.distribution.reported(now, from, &reports);
                         false
@@ -430,7 +448,7 @@
         let cores = self.cores.values().map(|c| c.registry.next_wake().min(c.distribution.next_wake())).min();
         let followers = self.followers.values().filter_map(Follower::next_wake).min();
         let servers = self.servers.iter().filter(|server| server.alive).map(|server| server.next).min();
-        [net, cores, followers, servers].into_iter().flatten().min().unwrap_or(self.now)
+        [net, cores, followers, servers, self.operator_wake()].into_iter().flatten().min().unwrap_or(self.now)
     }
 
     fn step(&mut self) {
@@ -469,6 +487,7 @@
                 follower.woke(now);
             }
         }
+        self.operator_woke();
         self.settle();
     }
 
