--- a/crates/roster/tests/world/mod.rs
+++ b/crates/roster/tests/world/mod.rs
@@ -1,4 +1,5 @@
 //! Keepers, followers and servers in virtual time, over links that keep order, are slow, lose messages and are cut.
+#![allow(dead_code)]
 
 mod rollouts;
 
