--- a/crates/roster/examples/growth.rs
+++ b/crates/roster/examples/growth.rs
@@ -5,7 +5,6 @@
 //! have taken.
 
 #[path = "../tests/world/mod.rs"]
-#[allow(dead_code)]
 mod world;
 
 use fallgap_feed::wire::Told;
--- a/crates/roster/examples/tell_cost.rs
+++ b/crates/roster/examples/tell_cost.rs
@@ -3,7 +3,6 @@
 //! were sent, and what whole tables would have taken in their place.
 
 #[path = "../tests/world/mod.rs"]
-#[allow(dead_code)]
 mod world;
 
 use fallgap_feed::wire::Told;
--- a/crates/roster/tests/cases.rs
+++ b/crates/roster/tests/cases.rs
@@ -1,7 +1,6 @@
 //! Tables of cases: lives of servers, evening out between keepers, weights, and what a follower makes of a home that
 //! sends nonsense.
 
-#[allow(dead_code)]
 mod world;
 
 use fallgap_feed::wire::{Said, Told};
--- a/crates/roster/tests/many.rs
+++ b/crates/roster/tests/many.rs
@@ -1,7 +1,6 @@
 //! After many changes: a home that lags, and followers that are more changes behind than are kept for them. Each has the
 //! newest within a stated time, and nobody goes back meanwhile (`world` fails where one does).
 
-#[allow(dead_code)]
 mod world;
 
 use fallgap_tables::{Change, Content, Delta, Entry, Kept, Key, Receiver, Sent, Tables, Terms, Version};
--- a/crates/roster/tests/packing.rs
+++ b/crates/roster/tests/packing.rs
@@ -1,6 +1,5 @@
 //! What homes tell as bytes: the same as ever to whoever reads it, and made once for all that get the same.
 
-#[allow(dead_code)]
 mod world;
 
 use fallgap_feed::wire::{Said, Told};
--- a/crates/roster/tests/remembered.rs
+++ b/crates/roster/tests/remembered.rs
@@ -1,7 +1,6 @@
 //! What keepers' disks remember as open may have closed: the word and its acknowledgement can be lost with all power.
 //! It is used for the first part of the time after which a process is in touch, and no longer, whoever it went to.
 
-#[allow(dead_code)]
 mod world;
 
 use std::collections::BTreeMap;
--- a/crates/roster/tests/shared.rs
+++ b/crates/roster/tests/shared.rs
@@ -1,6 +1,5 @@
 //! One table for all that follow a home: each is led on from what it acknowledged itself, and under its own number.
 
-#[allow(dead_code)]
 mod world;
 
 use fallgap_feed::wire::{Said, Told};
