--- a/crates/lantern/tests/whole.rs
+++ b/crates/lantern/tests/whole.rs
@@ -120,6 +120,30 @@
     }
 }
 
+/// As many machines as may be lost lose their disks, and all others die with them, also those that do not count.
+#[test]
+fn what_was_acknowledged_outlives_a_lost_disk_and_the_death_of_all_others() {
+    let mut fleet = fleet();
+    for (edition, wiped) in (7..).zip([0, 2]) {
+        let text = configuration(edition, PREFIXES);
+        configure(&fleet.machines[3], &text);
+        fleet.machines.iter_mut().for_each(|machine| machine.signal("KILL"));
+        for machine in &mut fleet.machines {
+            assert_eq!(machine.wait(LONG).map(|status| status.code()), Some(None));
+        }
+        std::fs::remove_dir_all(fleet.machines[wiped].data()).unwrap();
+        fleet.start_all(false).unwrap();
+        for machine in &fleet.machines {
+            assert_eq!(read(machine, "/-/config/get"), (200, text.clone()));
+            until("the edition is in force", || machine.figure("edition").filter(|now| *now == edition));
+        }
+        // The disk has caught up: another one may be lost.
+        until("all disks hold it", || {
+            fleet.machines[wiped].get("/-/status").filter(|reply| reply.text().contains("\"settled\":true"))
+        });
+    }
+}
+
 #[test]
 fn a_hangup_reads_the_settings_and_an_end_is_in_order() {
     let mut fleet = fleet();
--- a/crates/standin/src/gateway/landing.rs
+++ b/crates/standin/src/gateway/landing.rs
@@ -143,16 +143,20 @@
         self.folder.join("local.json")
     }
 
+    /// Its disk, where it has one.
+    pub fn data(&self) -> PathBuf {
+        self.folder.join("data")
+    }
+
     /// What its processes have logged.
     pub fn log(&self) -> PathBuf {
         self.folder.join("log")
     }
 
     fn settings_text(&self, seeds: &str, first_start: bool) -> String {
-        let Supervisor { ip, zone, disk, ports, folder, .. } = self;
+        let Supervisor { ip, zone, disk, ports, .. } = self;
         let Ports { front, ready, control, inner: [first, last] } = ports;
-        let data =
-            if *disk { format!(r#""data_dir":"{}","#, folder.join("data").display()) } else { String::new() };
+        let data = if *disk { format!(r#""data_dir":"{}","#, self.data().display()) } else { String::new() };
         format!(
             r#"{{"node":"{ip}","serves":["counter","head_office"],"ip":"{ip}","zone":"{zone}",
 "counters_at":{{"front":"{ip}:{front}","ready":"{ip}:{ready}","control":"{ip}:{control}"}},
