Rollouts: half of config_s for those that do not say that they hold it; who is not there is not awaited

Followers that died stayed awaited at homes until they were missed, 5 s; now until the beacon doubts them. Questions go out again every 0.25 s instead of 0.15.

--- a/crates/feed/src/feed.rs
+++ b/crates/feed/src/feed.rs
@@ -91,6 +91,11 @@
 }
 
 impl Receiver {
+    /// The last withdrawal of an epoch that it said it has heard.
+    fn heard_of(&self, epoch: u64) -> u64 {
+        if self.heard.0 == epoch { self.heard.1 } else { 0 }
+    }
+
     /// Whether something urgent has waited for an answer long enough.
     fn overtakes(&self, now: Duration) -> bool {
         self.urgent && self.in_flight.is_some_and(|under_way| now >= under_way.urgent)
@@ -294,6 +299,11 @@
         self.receivers.get(&id)?.holds
     }
 
+    /// The last withdrawal of an epoch that a receiver has heard.
+    pub fn heard(&self, id: ReceiverId, epoch: u64) -> u64 {
+        self.receivers.get(&id).map_or(0, |receiver| receiver.heard_of(epoch))
+    }
+
     /// Receivers there, and those that wait for lines.
     pub fn held(&self) -> (usize, usize) {
         (self.receivers.len(), self.marks.len())
@@ -301,8 +311,7 @@
 
     /// The last withdrawal that all have heard, of an epoch: those up to it may be forgotten.
     pub fn heard_by_all(&self, epoch: u64) -> u64 {
-        let heard = self.receivers.values().map(|r| if r.heard.0 == epoch { r.heard.1 } else { 0 });
-        heard.min().unwrap_or(u64::MAX)
+        self.receivers.values().map(|receiver| receiver.heard_of(epoch)).min().unwrap_or(u64::MAX)
     }
 
     fn drawn(&mut self) -> Duration {
--- a/crates/lantern/src/engine.rs
+++ b/crates/lantern/src/engine.rs
@@ -99,10 +99,11 @@
 /// So long before it may end the keeper takes nothing more, and asks those that stay what they hold.
 const PARTING: Duration = Duration::from_millis(600);
 
-/// How long supervisors that do not hold an edition are waited for, from when it is in force where it was handed in: as long
-/// as a change may take by the rules, and no longer than leaves its acknowledgement in time.
+/// How long supervisors that do not hold an edition are waited for, from when it is in force where it was handed in: half of
+/// what a change may take after its acknowledgement, and no more than a quarter of what that may take, as the calls that ask for
+/// it come one after the other.
 pub fn rollout_patience(bounds: &Bounds) -> Duration {
-    bounds.config.min(bounds.ack / 2)
+    (bounds.config / 2).min(bounds.ack / 4)
 }
 
 impl Engine {
@@ -411,6 +412,8 @@
                 |peer: &preference::Place| preference::first_home_of(peer, &places) == Some(self.me);
             let here = self.lives.keys().filter_map(place).filter(prefers);
             hub.distribution.preferred_by(here.map(|(node, _)| node).collect());
+            let present = self.lives.keys().copied().chain([self.me]).collect();
+            hub.distribution.present(now, present);
         }
         if let Some(hub) = &mut self.hub {
             hub.lights.keepers(keepers);
--- a/crates/roster/src/distribution.rs
+++ b/crates/roster/src/distribution.rs
@@ -331,11 +331,6 @@
         self.configuration.is_some()
     }
 
-    /// Up to which withdrawal all that follow this home have heard of ends of servers.
-    pub fn ends_heard(&self) -> u64 {
-        self.feed.heard_by_all(self.tables.epoch())
-    }
-
     /// Whether a server's end is among those that were heard of up to that withdrawal.
     pub fn is_heard(&self, server: &str, heard: u64) -> bool {
         self.closed.get(server).is_some_and(|(_, sequence)| *sequence <= heard)
--- a/crates/roster/src/holders.rs
+++ b/crates/roster/src/holders.rs
@@ -4,7 +4,7 @@
 use crate::NodeId;
 use crate::distribution::{Distribution, Out};
 use crate::sending::receiver_of;
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
 
 /// Editions of which the version is remembered. For an older one the version of the oldest of these is asked for.
@@ -26,6 +26,8 @@
     /// Editions, each with the number of the table's version that brought it. Both rise.
     brought: VecDeque<(u64, u64)>,
     questions: Vec<Question>,
+    /// Supervisors that are there, if that is known: one that has died stays among the followers until it is missed.
+    present: Option<BTreeSet<NodeId>>,
 }
 
 impl Holders {
@@ -40,6 +42,10 @@
         self.brought.push_back((edition, version));
     }
 
+    fn is_present(&self, node: &NodeId) -> bool {
+        self.present.as_ref().is_none_or(|present| present.contains(node))
+    }
+
     /// The version from which on an edition, or a later one, is held. `None`: this home does not have it.
     fn version_of(&self, edition: u64) -> Option<u64> {
         self.brought.iter().find(|(brought, _)| *brought >= edition).map(|(_, version)| *version)
@@ -64,6 +70,20 @@
         self.answer_questions(now);
     }
 
+    /// Supervisors that are there: of the others nothing is awaited.
+    pub fn present(&mut self, now: Duration, nodes: BTreeSet<NodeId>) {
+        self.holders.present = Some(nodes);
+        self.answer_questions(now);
+    }
+
+    /// Up to which withdrawal all that follow this home, and are there, have heard of ends of servers.
+    pub fn ends_heard(&self) -> u64 {
+        let epoch = self.tables.epoch();
+        let present = self.followers().filter(|follower| self.holders.is_present(follower));
+        let heard = present.map(|follower| self.feed.heard(receiver_of(follower), epoch));
+        heard.min().unwrap_or(u64::MAX)
+    }
+
     /// Followers that have acknowledged a table with that edition, or a later one.
     fn holders_of(&self, edition: u64) -> Vec<NodeId> {
         let Some(version) = self.holders.version_of(edition) else { return Vec::new() };
@@ -80,7 +100,6 @@
         if self.holders.questions.is_empty() {
             return;
         }
-        let followers = self.followers().count();
         let mut questions = std::mem::take(&mut self.holders.questions);
         questions.retain(|question| now < question.until);
         questions.retain(|question| {
@@ -88,7 +107,8 @@
                 return true;
             }
             let holders = self.holders_of(question.edition);
-            let all = holders.len() == followers;
+            let awaited = self.followers().filter(|follower| self.holders.is_present(follower));
+            let all = awaited.into_iter().all(|follower| holders.contains(&follower));
             if all {
                 self.out.push(Out::Holders { to: question.from, id: question.id, holders });
             }
--- a/crates/roster/src/rollout.rs
+++ b/crates/roster/src/rollout.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 /// Homes are asked again this often: words may be lost, and followers may have gone from one to another.
-const AGAIN: Duration = Duration::from_millis(150);
+const AGAIN: Duration = Duration::from_millis(250);
 /// Under way at once.
 const MOST: usize = 64;
 /// Editions of which it is known since when they are in force here.
--- a/crates/roster/tests/world/rollouts.rs
+++ b/crates/roster/tests/world/rollouts.rs
@@ -4,7 +4,7 @@
 
 use super::{MS, World, node};
 use fallgap_roster::{NodeId, Outcome, Rollouts, RosterWord};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// A call is answered within that time.
@@ -42,6 +42,8 @@
         let here: Vec<NodeId> = self.followers.keys().copied().collect();
         let homes: Vec<NodeId> = self.cores.keys().copied().collect();
         let now = self.now;
+        let present: BTreeSet<NodeId> = here.iter().copied().collect();
+        self.cores.values_mut().for_each(|core| core.distribution.present(now, present.clone()));
         self.operator
             .rollouts
             .values_mut()
