--- a/crates/lantern/src/control.rs
+++ b/crates/lantern/src/control.rs
@@ -167,9 +167,13 @@
                 self.told(Asked::Left((*id).into()))
             }
             ("POST", ["-", "config", "put"]) => {
-                let body = self.body(request, self.terms.configuration)?;
-                let edition = chart::read_configuration(body)?.edition;
-                self.waits(|| self.put_configuration(edition, body))?
+                // Read only when there is room for it: reading a large one takes a while.
+                let call = || {
+                    let body = self.body(request, self.terms.configuration)?;
+                    let edition = chart::read_configuration(body)?.edition;
+                    self.put_configuration(edition, body)
+                };
+                self.waits(call)?
             }
             (_, ["-", "config" | "locks" | "numbers" | "cells", ..]) => {
                 let call = || self.call(self.on_register(request, &segments)?);
