--- a/tools/aimed_days.py
+++ b/tools/aimed_days.py
@@ -180,8 +180,36 @@
         entry(at + r.uniform(4, 8), "config_change", "idle", count=4, gap_s=.8)])
 
 
+def laden_changes(r, site):
+    """A change each second on a fleet of which half and more has been taken out, under bursts, while servers leave and homes are cut off."""
+    cuts = ["near", "behind", "relieve", "split", "lure", "all", "both seeds", "one_way"]
+    r.shuffle(cuts)
+    return [entry(1, "roll_term", "remove", share=round(r.uniform(.4, .7), 2), x=4.0, gap_s=1.0),
+            entry(2, "config_storm", r.choice(("route", "weights")), count=52, gap_s=1.0),
+            entry(r.uniform(4, 20), "release", service=site.service, share=round(r.uniform(.15, .4), 2), x=2.0, gap_s=1.0)] + every(
+        8, 11, 50, lambda at, n: [
+            entry(at, "burst", x=round(r.uniform(1.3, 2.2), 2), for_s=round(r.uniform(3, 7), 2)),
+            entry(at + r.uniform(0, 3), "core_cut", " ".join((cuts[n // 4 % len(cuts)], RETURNS)), count=max(site.tolerate, 1),
+                  for_s=round(r.uniform(2, 6), 2)),
+            entry(at + 1, "scale_in", r.choice(("", "spot")), share=round(r.uniform(.1, .2), 2)),
+            entry(at + 2, "bad_config", r.choice(("cut_short", "unknown_service", "no_weight", "no_timeout", "same_place")), count=3, gap_s=.7)])
+
+
+def cuts_under_changes(r, site):
+    """Each way of cutting homes off in turn, with a change each second, lost acknowledgements and races at the return."""
+    cuts = ["split", "behind", "relieve", "lure", "near", "all", "oldest", "both", "seeds", "one_way", "reset"]
+    r.shuffle(cuts)
+    return [entry(2, "config_storm", r.choice(("route", "weights", "timeout")), count=54, gap_s=1.0),
+            entry(3, "ack_lost", x=.5, for_s=50)] + every(4, 9, 54, lambda at, n: [
+                entry(at, "core_cut", " ".join((cuts[n // 3 % len(cuts)], r.choice(("leader", "reader", "")), RETURNS)).replace("  ", " "),
+                      count=max(site.tolerate, 1), for_s=round(r.uniform(1.5, 6), 2)),
+                entry(at + 1, "config_race", count=3, gap_s=.8),
+                entry(at + r.uniform(1, 4), "node_kill", r.choice(("power", "")), on="front", share=.15, for_s=1.0)])
+
+
 AIMS = [dark_after_replacement, storm_over_restarts, three_cuts, wiped_after_planned, disks_during_replacement, clocks, seeds_and_herds,
-        frozen_leader, answers, orders_again, big_in_a_storm, leavers_in_the_dark, members_that_leave, full_disks, clients_that_leave]
+        frozen_leader, answers, orders_again, big_in_a_storm, leavers_in_the_dark, members_that_leave, full_disks, clients_that_leave,
+        laden_changes, cuts_under_changes]
 
 
 def day(site, aim, seed):
