Rollouts: the time of those that do not answer is counted from where it is known

Change: a quarter of config_s from there, and three quarters from when homes have had the edition, which they say with their answers.

--- a/crates/lantern/src/carry.rs
+++ b/crates/lantern/src/carry.rs
@@ -144,8 +144,8 @@
             }
             for out in outs {
                 match out {
-                    RosterOut::Holders { to, id, holders } => {
-                        self.say(now, to, Word::Roster(RosterWord::Holders { id, holders }));
+                    RosterOut::Holders { to, id, holders, age } => {
+                        self.say(now, to, Word::Roster(RosterWord::Holders { id, holders, age }));
                     }
                     RosterOut::Tell(to, told) => self.tell(now, to, &told),
                     RosterOut::Unfit(to) => self.say(now, to, Word::Roster(RosterWord::Unfit)),
@@ -292,7 +292,9 @@
             }
             RosterWord::Unfit => return self.follower.unfit(now, from),
             RosterWord::Fit => return self.follower.fit(now, from),
-            RosterWord::Holders { id, holders } => return self.rollouts.holders(now, id, &holders),
+            RosterWord::Holders { id, holders, age } => {
+                return self.rollouts.holders(now, id, &holders, age);
+            }
             // Verdicts and what they rest on come from keepers only.
             RosterWord::Lights(_) if !self.keepers().contains(&from) => return,
             RosterWord::Lights(LightWord::Told(verdicts)) => {
--- a/crates/lantern/src/engine.rs
+++ b/crates/lantern/src/engine.rs
@@ -15,11 +15,11 @@
 use crate::spread::Spread;
 use crate::words::{Word, withdrawals_first};
 use fallgap_beacon::{Beacon, State};
-use fallgap_chart::{Bounds, Settings, View};
+use fallgap_chart::{Settings, View};
 use fallgap_desk::{History, Surveys};
 use fallgap_keeper::{Answer, Keeper, Key, Peer as KeeperPeer};
 use fallgap_quay::Quay;
-use fallgap_roster::{Follower, Rollouts, last_beat};
+use fallgap_roster::{Follower, Patience, Rollouts, last_beat};
 use mio::net::UdpSocket;
 use mio::{Events, Poll};
 use std::collections::{BTreeMap, VecDeque};
@@ -99,13 +99,6 @@
 /// So long before it may end the keeper takes nothing more, and asks those that stay what they hold.
 const PARTING: Duration = Duration::from_millis(600);
 
-/// How long supervisors that do not hold an edition are waited for, from when it is in force where it was handed in: half of
-/// what a change may take after its acknowledgement, and no more than a quarter of what that may take, as the calls that ask for
-/// it come one after the other.
-pub fn rollout_patience(bounds: &Bounds) -> Duration {
-    (bounds.config / 2).min(bounds.ack / 4)
-}
-
 impl Engine {
     pub fn now(&self) -> Duration {
         self.clock.elapsed()
@@ -377,7 +370,7 @@
                 let seeds = settings.seeds.iter().map(|seed| *seed.ip()).collect();
                 self.beacon.seeds(now, seeds);
                 self.settings.bounds = settings.bounds;
-                self.rollouts.set_patience(rollout_patience(&settings.bounds));
+                self.rollouts.set_patience(Patience::within(settings.bounds.config));
             }
             Err(why) => tracing::info!("lantern: the settings stay, the file cannot be used: {why}"),
         }
--- a/crates/lantern/src/start.rs
+++ b/crates/lantern/src/start.rs
@@ -6,7 +6,7 @@
 use crate::calls::{self, Calls};
 use crate::control;
 use crate::disk;
-use crate::engine::{DATAGRAMS, Engine, LINKS, QUAY, WAKE, rollout_patience};
+use crate::engine::{DATAGRAMS, Engine, LINKS, QUAY, WAKE};
 use crate::holdup::HoldUp;
 use crate::http::{self, ServerError};
 use crate::hub::Hub;
@@ -21,7 +21,7 @@
 use fallgap_keeper::store::{Store, StoreError};
 use fallgap_keeper::{Keeper, Kept, KeptError, Me};
 use fallgap_quay::Quay;
-use fallgap_roster::{Follower, Rollouts};
+use fallgap_roster::{Follower, Patience, Rollouts};
 use mio::net::UdpSocket;
 use mio::{Interest, Poll, Token, Waker};
 use std::collections::{BTreeMap, VecDeque};
@@ -181,7 +181,7 @@
         None => None,
     };
     let ready = Arc::new(AtomicBool::new(false));
-    let patience = rollout_patience(&settings.bounds);
+    let patience = Patience::within(settings.bounds.config);
     let (desk, inbox) = Desk::new(wake);
     serve_calls(&settings, desk, &ready)?;
     let kind = if disk.is_some() { "with a disk" } else { "without a disk" };
--- a/crates/roster/src/distribution.rs
+++ b/crates/roster/src/distribution.rs
@@ -41,6 +41,7 @@
         to: NodeId,
         id: u64,
         holders: Vec<NodeId>,
+        age: Option<Duration>,
     },
     /// For the log.
     Note(String),
@@ -452,7 +453,7 @@
         self.build = None;
         let before = self.tables.version(SHARED);
         let built = self.build_table(now);
-        self.note_edition();
+        self.note_edition(now);
         match built {
             _ if self.tables.version(SHARED) == before => {}
             Built::Configuration => self.feed.hastened(now, SHARED, &self.tables),
@@ -461,9 +462,9 @@
     }
 
     /// The table holds the configuration that is held.
-    fn note_edition(&mut self) {
+    fn note_edition(&mut self, now: Duration) {
         if let Some((configuration, version)) = self.configuration.as_ref().zip(self.tables.version(SHARED)) {
-            self.holders.brought(configuration.edition, version.number);
+            self.holders.brought(now, configuration.edition, version.number);
         }
     }
 
--- a/crates/roster/src/holders.rs
+++ b/crates/roster/src/holders.rs
@@ -14,6 +14,13 @@
 /// So long a question waits. Whoever still wants to know has asked again by then.
 const WAITS: Duration = Duration::from_millis(1000);
 
+/// A version of the table that was the first with an edition.
+struct Brought {
+    edition: u64,
+    version: u64,
+    at: Duration,
+}
+
 struct Question {
     from: NodeId,
     id: u64,
@@ -23,8 +30,8 @@
 
 #[derive(Default)]
 pub(crate) struct Holders {
-    /// Editions, each with the number of the table's version that brought it. Both rise.
-    brought: VecDeque<(u64, u64)>,
+    /// Editions, versions and times rise.
+    brought: VecDeque<Brought>,
     questions: Vec<Question>,
     /// Supervisors that are there, if that is known: one that has died stays among the followers until it is missed.
     present: Option<BTreeSet<NodeId>>,
@@ -32,23 +39,23 @@
 
 impl Holders {
     /// A version of the table has brought an edition, unless an earlier version did.
-    pub(crate) fn brought(&mut self, edition: u64, version: u64) {
-        if self.brought.back().is_some_and(|(newest, _)| *newest >= edition) {
+    pub(crate) fn brought(&mut self, now: Duration, edition: u64, version: u64) {
+        if self.brought.back().is_some_and(|newest| newest.edition >= edition) {
             return;
         }
         if self.brought.len() >= EDITIONS {
             self.brought.pop_front();
         }
-        self.brought.push_back((edition, version));
+        self.brought.push_back(Brought { edition, version, at: now });
     }
 
     fn is_present(&self, node: &NodeId) -> bool {
         self.present.as_ref().is_none_or(|present| present.contains(node))
     }
 
-    /// The version from which on an edition, or a later one, is held. `None`: this home does not have it.
-    fn version_of(&self, edition: u64) -> Option<u64> {
-        self.brought.iter().find(|(brought, _)| *brought >= edition).map(|(_, version)| *version)
+    /// What brought an edition, or one that has overtaken it. `None`: this home does not have it.
+    fn first_with(&self, edition: u64) -> Option<&Brought> {
+        self.brought.iter().find(|brought| brought.edition >= edition)
     }
 }
 
@@ -65,7 +72,7 @@
         }
         if asks_again || self.holders.questions.len() >= QUESTIONS {
             let holders = self.holders_of(edition);
-            self.out.push(Out::Holders { to: from, id, holders });
+            self.tell_holders(now, from, id, edition, holders);
         }
         self.answer_questions(now);
     }
@@ -86,15 +93,20 @@
 
     /// Followers that have acknowledged a table with that edition, or a later one.
     fn holders_of(&self, edition: u64) -> Vec<NodeId> {
-        let Some(version) = self.holders.version_of(edition) else { return Vec::new() };
+        let Some(brought) = self.holders.first_with(edition) else { return Vec::new() };
         let epoch = self.tables.epoch();
         let holds = |follower: &NodeId| {
             let held = self.feed.holds(receiver_of(*follower));
-            held.is_some_and(|held| held.epoch == epoch && held.number >= version)
+            held.is_some_and(|held| held.epoch == epoch && held.number >= brought.version)
         };
         self.followers().filter(holds).collect()
     }
 
+    fn tell_holders(&mut self, now: Duration, to: NodeId, id: u64, edition: u64, holders: Vec<NodeId>) {
+        let age = self.holders.first_with(edition).map(|brought| now.saturating_sub(brought.at));
+        self.out.push(Out::Holders { to, id, holders, age });
+    }
+
     /// Answers those that all followers hold by now, and lets go of those that nobody waits for any more.
     pub(crate) fn answer_questions(&mut self, now: Duration) {
         if self.holders.questions.is_empty() {
@@ -103,14 +115,14 @@
         let mut questions = std::mem::take(&mut self.holders.questions);
         questions.retain(|question| now < question.until);
         questions.retain(|question| {
-            if self.holders.version_of(question.edition).is_none() {
+            if self.holders.first_with(question.edition).is_none() {
                 return true;
             }
             let holders = self.holders_of(question.edition);
             let awaited = self.followers().filter(|follower| self.holders.is_present(follower));
             let all = awaited.into_iter().all(|follower| holders.contains(&follower));
             if all {
-                self.out.push(Out::Holders { to: question.from, id: question.id, holders });
+                self.tell_holders(now, question.from, question.id, question.edition, holders);
             }
             !all
         });
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -31,7 +31,7 @@
 pub use messages::{Compare, Record, Records, RosterWord, ServerReport};
 pub use packing::Line;
 pub use registry::{News, Registry};
-pub use rollout::{Outcome, Rollouts};
+pub use rollout::{Outcome, Patience, Rollouts};
 pub use terms::Terms;
 
 /// A machine, by its address.
--- a/crates/roster/src/messages.rs
+++ b/crates/roster/src/messages.rs
@@ -43,10 +43,11 @@
         id: u64,
         edition: u64,
     },
-    /// From a home: these do.
+    /// From a home: these do. `age`: for how long it has had it itself, if it has.
     Holders {
         id: u64,
         holders: Vec<NodeId>,
+        age: Option<Duration>,
     },
 }
 
--- a/crates/roster/src/rollout.rs
+++ b/crates/roster/src/rollout.rs
@@ -1,6 +1,7 @@
 //! When an edition that is kept may be acknowledged: when every supervisor that is there routes by it. Homes know what their
 //! followers have acknowledged, so they are asked, not each supervisor. Who has not got it by the deployment's own time is not
-//! waited for any longer: it is cut off, or its link takes longer than the rules reckon with.
+//! waited for any longer: it is cut off, or its link takes longer than the rules reckon with. Whoever asks waits for less than a
+//! second and asks again elsewhere; so that time is counted from what each supervisor knows by itself.
 
 use crate::NodeId;
 use crate::messages::RosterWord;
@@ -39,13 +40,30 @@
     again: Duration,
     /// Supervisors that hold it, by the word of their homes.
     holding: BTreeSet<NodeId>,
+    /// Since when the first home that has answered has had it.
+    kept: Option<Duration>,
+}
+
+/// How long supervisors that do not hold an edition are waited for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Patience {
+    /// From when it is in force at the supervisor that was asked, whose own link may be slow.
+    pub in_force: Duration,
+    /// Not for less than that from when homes have had it, if any has said so.
+    pub kept: Duration,
+}
+
+impl Patience {
+    /// For a deployment in which an edition has to be in force so long after its acknowledgement.
+    pub fn within(in_force: Duration) -> Patience {
+        Patience { in_force: in_force / 4, kept: in_force / 4 * 3 }
+    }
 }
 
 /// Rollouts that this supervisor was asked to see to. `R`: whom the outcome is for.
 pub struct Rollouts<R> {
     me: NodeId,
-    /// From when an edition is in force here, others have so long.
-    patience: Duration,
+    patience: Patience,
     pending: BTreeMap<u64, Pending<R>>,
     next: u64,
     /// Supervisors that are there, this one among them, and those of them that may be homes.
@@ -59,7 +77,7 @@
 
 impl<R> Rollouts<R> {
     /// `first`: drawn anew in each life, so that no answer to an earlier one counts for what is asked in this.
-    pub fn new(me: NodeId, first: u64, patience: Duration) -> Rollouts<R> {
+    pub fn new(me: NodeId, first: u64, patience: Patience) -> Rollouts<R> {
         Rollouts {
             me,
             patience,
@@ -73,8 +91,7 @@
         }
     }
 
-    /// How long others have from when an edition is in force here.
-    pub fn set_patience(&mut self, patience: Duration) {
+    pub fn set_patience(&mut self, patience: Patience) {
         self.patience = patience;
     }
 
@@ -86,15 +103,17 @@
             return;
         }
         self.next += 1;
-        let holding = BTreeSet::new();
-        self.pending.insert(self.next, Pending { reply, edition, until, again: now + AGAIN, holding });
+        let (holding, kept, again) = (BTreeSet::new(), None, now + AGAIN);
+        self.pending.insert(self.next, Pending { reply, edition, until, again, holding, kept });
         self.ask_homes(self.next, edition);
         self.settle(now);
     }
 
-    /// A home names followers that hold the edition.
-    pub fn holders(&mut self, now: Duration, id: u64, holders: &[NodeId]) {
+    /// A home names followers that hold the edition, and for how long it has had it itself.
+    pub fn holders(&mut self, now: Duration, id: u64, holders: &[NodeId], age: Option<Duration>) {
         if let Some(pending) = self.pending.get_mut(&id) {
+            let kept = age.map(|age| now.saturating_sub(age));
+            pending.kept = pending.kept.into_iter().chain(kept).min();
             pending.holding.extend(holders.iter().filter(|node| self.supervisors.contains(node)));
             self.settle(now);
         }
@@ -134,7 +153,7 @@
     /// When to call [`woke`](Rollouts::woke) next.
     pub fn next_wake(&self) -> Option<Duration> {
         let wake = |pending: &Pending<R>| {
-            let given_up = self.given_up(pending.edition).unwrap_or(Duration::MAX);
+            let given_up = self.given_up(pending).unwrap_or(Duration::MAX);
             pending.again.min(pending.until).min(given_up)
         };
         self.pending.values().map(wake).min()
@@ -155,14 +174,20 @@
         self.out.extend(self.homes.iter().map(word));
     }
 
+    /// Since when the edition, or one that has overtaken it, is in force here.
+    fn in_force_since(&self, edition: u64) -> Option<Duration> {
+        self.in_force.iter().find(|(held, _)| *held >= edition).map(|(_, since)| *since)
+    }
+
     /// When those that do not hold it are not waited for any longer. `None`: it is not in force here.
-    fn given_up(&self, edition: u64) -> Option<Duration> {
-        let since = self.in_force.iter().find(|(held, _)| *held >= edition);
-        since.map(|(_, since)| *since + self.patience)
+    fn given_up(&self, pending: &Pending<R>) -> Option<Duration> {
+        let by_itself = self.in_force_since(pending.edition)? + self.patience.in_force;
+        let by_homes = pending.kept.map(|since| since + self.patience.kept);
+        Some(by_itself.max(by_homes.unwrap_or_default()))
     }
 
     fn outcome(&self, now: Duration, pending: &Pending<R>) -> Option<Outcome> {
-        let given_up = self.given_up(pending.edition);
+        let given_up = self.given_up(pending);
         let holds = |node: &&NodeId| match **node == self.me {
             true => given_up.is_some(),
             false => pending.holding.contains(node),
