--- a/crates/lantern/src/ask.rs
+++ b/crates/lantern/src/ask.rs
@@ -107,18 +107,41 @@
     said(at, agent().get(format!("http://{at}{path}")).call())
 }
 
-/// Hands a configuration in, at the first address that takes or refuses it.
+/// Between two rounds of calls without a clear answer: an edition that is kept is in force everywhere soon.
+const PAUSES: [Duration; 6] = [
+    Duration::ZERO,
+    Duration::from_millis(100),
+    Duration::from_millis(200),
+    Duration::from_millis(400),
+    Duration::from_millis(800),
+    Duration::from_millis(1600),
+];
+
+/// Hands a configuration in, at the first address that takes or refuses it. What has no clear answer is sent again.
 pub fn put(at: &[SocketAddrV4], file: &Path) -> Result<String, Failed> {
     let body = read(file)?;
     let faults = |faults| Failed::Faults(file.to_owned(), faults);
     let edition = fallgap_chart::read_configuration(&body).map_err(faults)?.edition;
     let mut last = Failed::Nowhere;
+    for pause in PAUSES {
+        std::thread::sleep(pause);
+        match put_once(at, &body, last) {
+            Ok(()) => return Ok(format!("edition {edition} is in force everywhere, or a newer one is")),
+            Err(failed @ Failed::Unsure(_)) => last = failed,
+            Err(failed) => return Err(failed),
+        }
+    }
+    Err(last)
+}
+
+/// Asks one address after the other. What may have been done stays so, whoever refuses after it.
+fn put_once(at: &[SocketAddrV4], body: &[u8], before: Failed) -> Result<(), Failed> {
+    let mut last = before;
     for at in at {
         let call = agent().post(format!("http://{at}/-/config/put")).content_type("application/json");
-        match said(*at, call.send(&body[..])) {
-            Ok(_) => return Ok(format!("edition {edition} is kept, or a newer one is")),
-            Err(Failed::Refused(at, code, why)) => return Err(Failed::Refused(at, code, why)),
-            // What may have been done stays so, whoever refuses after it.
+        match said(*at, call.send(body)) {
+            Ok(_) => return Ok(()),
+            Err(refused @ Failed::Refused(..)) => return Err(refused),
             Err(_) if matches!(last, Failed::Unsure(_)) => {}
             Err(failed) => last = failed,
         }
