--- a/crates/lantern/tests/prompt.rs
+++ b/crates/lantern/tests/prompt.rs
@@ -49,7 +49,7 @@
     // Nothing is held yet, and no server beats.
     let planned = becomes(0, &["config", "plan", "--at", here, first]);
     has(&planned, &["edition 0 -> 7: routes +2 -0 ~0", "requests would get 503", "it would be taken"]);
-    has(&becomes(0, &["config", "put", "--at", here, first]), &["edition 7 is kept"]);
+    has(&becomes(0, &["config", "put", "--at", here, first]), &["edition 7 is in force everywhere"]);
     assert_eq!(
         becomes(0, &["config", "get", "--at", here]).trim_end(),
         configuration(7, PREFIXES).trim_end()
