Rollouts: who leaves is not awaited; followers are looked at once for each question

A supervisor that was told to end may have ended, and the beacon misses it after 1.1 s only: orders in a rolling restart would wait for that. It is told as long as it runs. At homes a look at a question went over all followers for each of them.

--- a/crates/lantern/src/engine.rs
+++ b/crates/lantern/src/engine.rs
@@ -22,7 +22,7 @@
 use fallgap_roster::{Follower, Patience, Rollouts, last_beat};
 use mio::net::UdpSocket;
 use mio::{Events, Poll};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -258,6 +258,13 @@
         keepers
     }
 
+    /// Supervisors that are to know what is acknowledged: this one, and those that are here and do not leave. One that
+    /// leaves may have ended, and is told for as long as it has not.
+    fn awaited(&self) -> BTreeSet<Ipv4Addr> {
+        let here = self.beacon.peers().filter(|peer| peer.state == State::Here && !peer.card.leaving);
+        here.map(|peer| peer.card.node).chain([self.me]).collect()
+    }
+
     fn hear_datagrams(&mut self, now: Duration) {
         while let Ok((n, from)) = self.datagrams.recv_from(&mut self.buffer) {
             let SocketAddr::V4(from) = from else { continue };
@@ -392,8 +399,8 @@
         }
         self.lives = lives;
         let keepers = self.keepers();
-        let supervisors = self.lives.keys().copied().chain([self.me]).collect();
-        self.rollouts.members(now, supervisors, keepers.clone());
+        let awaited = self.awaited();
+        self.rollouts.members(now, awaited.clone(), keepers.clone());
         let zones = self.beacon.peers().map(|peer| (peer.card.node, peer.card.zone.clone()));
         let own = (self.me, self.settings.zone.clone());
         let zones: BTreeMap<Ipv4Addr, Arc<str>> = zones.chain([own.clone()]).collect();
@@ -405,8 +412,7 @@
                 |peer: &preference::Place| preference::first_home_of(peer, &places) == Some(self.me);
             let here = self.lives.keys().filter_map(place).filter(prefers);
             hub.distribution.preferred_by(here.map(|(node, _)| node).collect());
-            let present = self.lives.keys().copied().chain([self.me]).collect();
-            hub.distribution.present(now, present);
+            hub.distribution.present(now, awaited);
         }
         if let Some(hub) = &mut self.hub {
             hub.lights.keepers(keepers);
--- a/crates/roster/src/holders.rs
+++ b/crates/roster/src/holders.rs
@@ -93,13 +93,19 @@
 
     /// Followers that have acknowledged a table with that edition, or a later one.
     fn holders_of(&self, edition: u64) -> Vec<NodeId> {
-        let Some(brought) = self.holders.first_with(edition) else { return Vec::new() };
-        let epoch = self.tables.epoch();
-        let holds = |follower: &NodeId| {
-            let held = self.feed.holds(receiver_of(*follower));
-            held.is_some_and(|held| held.epoch == epoch && held.number >= brought.version)
-        };
-        self.followers().filter(holds).collect()
+        self.followers().filter(|follower| self.holds(follower, edition)).collect()
+    }
+
+    fn holds(&self, follower: &NodeId, edition: u64) -> bool {
+        let Some(brought) = self.holders.first_with(edition) else { return false };
+        let held = self.feed.holds(receiver_of(*follower));
+        held.is_some_and(|held| held.epoch == self.tables.epoch() && held.number >= brought.version)
+    }
+
+    /// Whether this home has an edition, and all that follow it and are there do.
+    fn all_hold(&self, edition: u64) -> bool {
+        let mut awaited = self.followers().filter(|follower| self.holders.is_present(follower));
+        self.holders.first_with(edition).is_some() && awaited.all(|follower| self.holds(&follower, edition))
     }
 
     fn tell_holders(&mut self, now: Duration, to: NodeId, id: u64, edition: u64, holders: Vec<NodeId>) {
@@ -115,13 +121,9 @@
         let mut questions = std::mem::take(&mut self.holders.questions);
         questions.retain(|question| now < question.until);
         questions.retain(|question| {
-            if self.holders.first_with(question.edition).is_none() {
-                return true;
-            }
-            let holders = self.holders_of(question.edition);
-            let awaited = self.followers().filter(|follower| self.holders.is_present(follower));
-            let all = awaited.into_iter().all(|follower| holders.contains(&follower));
+            let all = self.all_hold(question.edition);
             if all {
+                let holders = self.holders_of(question.edition);
                 self.tell_holders(now, question.from, question.id, question.edition, holders);
             }
             !all
--- a/crates/roster/src/rollout.rs
+++ b/crates/roster/src/rollout.rs
@@ -67,7 +67,7 @@
     pending: BTreeMap<u64, Pending<R>>,
     next: u64,
     /// Supervisors that are there, this one among them, and those of them that may be homes.
-    supervisors: Vec<NodeId>,
+    supervisors: BTreeSet<NodeId>,
     homes: Vec<NodeId>,
     /// Editions that were in force here, each with since when. Both rise.
     in_force: VecDeque<(u64, Duration)>,
@@ -83,7 +83,7 @@
             patience,
             pending: BTreeMap::new(),
             next: first,
-            supervisors: vec![me],
+            supervisors: BTreeSet::from([me]),
             homes: Vec::new(),
             in_force: VecDeque::new(),
             out: Vec::new(),
@@ -120,7 +120,7 @@
     }
 
     /// Who is there has changed.
-    pub fn members(&mut self, now: Duration, supervisors: Vec<NodeId>, homes: Vec<NodeId>) {
+    pub fn members(&mut self, now: Duration, supervisors: BTreeSet<NodeId>, homes: Vec<NodeId>) {
         (self.supervisors, self.homes) = (supervisors, homes);
         self.settle(now);
     }
