--- a/crates/daemon/tests/large.rs
+++ b/crates/daemon/tests/large.rs
@@ -3,8 +3,8 @@
 #[allow(dead_code)] // each test uses its part of it
 mod world;
 
-use fallgap_standin::collector::{Collector, ping};
-use fallgap_standin::relay::Fate;
+use fallgap_test_support::collector::{Collector, ping};
+use fallgap_test_support::relay::Fate;
 use serde_json::{Value, json};
 use std::process::Command;
 use std::time::{Duration, Instant};
--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -3,9 +3,9 @@
 #[allow(dead_code)] // each test uses its part of it
 mod world;
 
-use fallgap_standin::Listener;
-use fallgap_standin::collector::{Collector, ping, resp};
-use fallgap_standin::relay::{Fate, Relay};
+use fallgap_test_support::Listener;
+use fallgap_test_support::collector::{Collector, ping, resp};
+use fallgap_test_support::relay::{Fate, Relay};
 use serde_json::json;
 use std::process::Command;
 use std::rc::Rc;
--- a/crates/daemon/tests/sources.rs
+++ b/crates/daemon/tests/sources.rs
@@ -3,8 +3,8 @@
 #[allow(dead_code)] // each test uses its part of it
 mod world;
 
-use fallgap_standin::collector::Collector;
-use fallgap_standin::dns::{Data, Trouble};
+use fallgap_test_support::collector::Collector;
+use fallgap_test_support::dns::{Data, Trouble};
 use serde_json::json;
 use std::process::Command;
 use std::time::Duration;
--- a/crates/daemon/tests/world/mod.rs
+++ b/crates/daemon/tests/world/mod.rs
@@ -1,9 +1,9 @@
 //! A supervisor as a process, and the stand-ins around it.
 
-use fallgap_standin::Listener;
-use fallgap_standin::discovery::Discovery;
-use fallgap_standin::dns::NameServer;
-use fallgap_standin::relay::Relay;
+use fallgap_test_support::Listener;
+use fallgap_test_support::discovery::Discovery;
+use fallgap_test_support::dns::NameServer;
+use fallgap_test_support::relay::Relay;
 use serde_json::{Value, json};
 use std::future::Future;
 use std::io::{BufRead, BufReader};
--- a/crates/dns/examples/records_over_tcp.rs
+++ b/crates/dns/examples/records_over_tcp.rs
@@ -3,7 +3,7 @@
 
 use fallgap_dns::shell::{Hears, Shell};
 use fallgap_dns::{Answer, Asking, Failure, Followed, Lifetimes};
-use fallgap_standin::dns::{Data, NameServer};
+use fallgap_test_support::dns::{Data, NameServer};
 use std::io::{BufRead, BufReader, Read};
 use std::net::SocketAddr;
 use std::process::{Command, Stdio};
--- a/crates/dns/tests/sockets.rs
+++ b/crates/dns/tests/sockets.rs
@@ -2,7 +2,7 @@
 
 use fallgap_dns::shell::{Hears, Shell};
 use fallgap_dns::{Answer, Asking, Counts, Failure, Followed, Lifetimes, Over};
-use fallgap_standin::dns::{Data, NameServer, Trouble};
+use fallgap_test_support::dns::{Data, NameServer, Trouble};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/crates/lab/src/emulated/shell.rs
+++ b/crates/lab/src/emulated/shell.rs
@@ -7,7 +7,7 @@
 use crate::targets::http;
 use actix_http::body::BoxBody;
 use actix_http::{HttpMessage, Response, StatusCode};
-use fallgap_standin::Listener;
+use fallgap_test_support::Listener;
 use std::cell::RefCell;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
--- a/crates/lab/src/experiment/proxies.rs
+++ b/crates/lab/src/experiment/proxies.rs
@@ -10,7 +10,7 @@
 use crate::frames::{Request, Tried};
 use crate::targets::Inbox;
 use crate::targets::framed::Line;
-use fallgap_standin::relay::Relay;
+use fallgap_test_support::relay::Relay;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
--- a/crates/lantern/examples/harbour/callers.rs
+++ b/crates/lantern/examples/harbour/callers.rs
@@ -1,6 +1,6 @@
 //! Four clients with a modest rate, which go on to another supervisor after a failure.
 
-use fallgap_standin::gateway::{Client, get};
+use fallgap_test_support::gateway::{Client, get};
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::mpsc::{RecvTimeoutError, Sender, channel};
--- a/crates/lantern/examples/harbour/main.rs
+++ b/crates/lantern/examples/harbour/main.rs
@@ -9,7 +9,7 @@
 use beside::beside;
 use callers::{Callers, Sums};
 use clap::Parser;
-use fallgap_standin::gateway::{Beating, Does, Landing, Notice, Server, Supervisor, configuration, ok};
+use fallgap_test_support::gateway::{Beating, Does, Landing, Notice, Server, Supervisor, configuration, ok};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use std::error::Error;
 use std::path::PathBuf;
--- a/crates/lantern/examples/office_cost.rs
+++ b/crates/lantern/examples/office_cost.rs
@@ -5,7 +5,7 @@
 use fallgap_chart::{Allowance, Configuration, Licence, Licences, Routing, read_configuration};
 use fallgap_licence::{Carried, Ledger, Maker, plan, read_change, read_order};
 use fallgap_pilot::Lease;
-use fallgap_standin::gateway::{Client, Landing, Supervisor};
+use fallgap_test_support::gateway::{Client, Landing, Supervisor};
 use std::error::Error;
 use std::hint::black_box;
 use std::path::PathBuf;
--- a/crates/lantern/tests/closing_acknowledged.rs
+++ b/crates/lantern/tests/closing_acknowledged.rs
@@ -17,7 +17,7 @@
 #[test]
 fn an_end_is_acknowledged_when_all_that_are_there_have_heard_of_it() {
     let mut fleet = fleet();
-    configure(&fleet.machines[0], &fallgap_standin::gateway::configuration(7, PREFIXES));
+    configure(&fleet.machines[0], &fallgap_test_support::gateway::configuration(7, PREFIXES));
     let servers: Vec<_> = ["i-1", "i-2", "i-3"].into_iter().map(|id| serve(&fleet, id)).collect();
     for machine in &fleet.machines {
         until("all servers are known", || machine.figure("servers").filter(|known| *known == 3));
--- a/crates/lantern/tests/configuration_in_force.rs
+++ b/crates/lantern/tests/configuration_in_force.rs
@@ -4,7 +4,7 @@
 #[allow(dead_code)]
 mod landing;
 
-use fallgap_standin::gateway::{Landing, Supervisor, configuration};
+use fallgap_test_support::gateway::{Landing, Supervisor, configuration};
 use landing::*;
 use std::time::{Duration, Instant};
 
--- a/crates/lantern/tests/control_bodies.rs
+++ b/crates/lantern/tests/control_bodies.rs
@@ -3,7 +3,7 @@
 #[allow(dead_code)]
 mod landing;
 
-use fallgap_standin::gateway::Client;
+use fallgap_test_support::gateway::Client;
 use landing::*;
 
 /// Each call gets one answer, and the one behind it on the same connection its own.
--- a/crates/lantern/tests/cut_off.rs
+++ b/crates/lantern/tests/cut_off.rs
@@ -3,7 +3,7 @@
 #[allow(dead_code)]
 mod landing;
 
-use fallgap_standin::gateway::configuration;
+use fallgap_test_support::gateway::configuration;
 use landing::*;
 
 #[test]
--- a/crates/lantern/tests/held_up.rs
+++ b/crates/lantern/tests/held_up.rs
@@ -3,7 +3,7 @@
 #[allow(dead_code)]
 mod landing;
 
-use fallgap_standin::gateway::Client;
+use fallgap_test_support::gateway::Client;
 use landing::*;
 
 /// A caller turns to a supervisor that is frozen, goes on to another after a second, takes the lock there and gives it
--- a/crates/lantern/tests/http_server.rs
+++ b/crates/lantern/tests/http_server.rs
@@ -2,7 +2,7 @@
 
 use fallgap_lantern::asks::Told;
 use fallgap_lantern::http::{Caller, Request, Response, Server, Service, Terms};
-use fallgap_standin::gateway::Client;
+use fallgap_test_support::gateway::Client;
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, SocketAddrV4};
 use std::sync::mpsc::{Receiver, Sender, channel, sync_channel};
 use std::sync::{Arc, Mutex};
--- a/crates/lantern/tests/invalid_configurations.rs
+++ b/crates/lantern/tests/invalid_configurations.rs
@@ -4,7 +4,7 @@
 #[allow(dead_code)]
 mod landing;
 
-use fallgap_standin::gateway::{Landing, call, configuration};
+use fallgap_test_support::gateway::{Landing, call, configuration};
 use landing::*;
 
 const HELD: u64 = 7;
--- a/crates/lantern/tests/landing/mod.rs
+++ b/crates/lantern/tests/landing/mod.rs
@@ -1,6 +1,8 @@
 //! Fleets of real processes, as the tests here share them.
 
-use fallgap_standin::gateway::{Beating, Client, Does, Landing, Notice, Reply, Server, Supervisor, get, ok};
+use fallgap_test_support::gateway::{
+    Beating, Client, Does, Landing, Notice, Reply, Server, Supervisor, get, ok,
+};
 use std::path::Path;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
--- a/crates/lantern/tests/late_calls.rs
+++ b/crates/lantern/tests/late_calls.rs
@@ -3,7 +3,7 @@
 #[allow(dead_code)]
 mod landing;
 
-use fallgap_standin::gateway::{Client, Landing, Supervisor};
+use fallgap_test_support::gateway::{Client, Landing, Supervisor};
 use landing::*;
 
 fn put(key: &str, value: &str) -> String {
--- a/crates/lantern/tests/many_orders.rs
+++ b/crates/lantern/tests/many_orders.rs
@@ -4,7 +4,7 @@
 #[allow(dead_code)]
 mod landing;
 
-use fallgap_standin::gateway::{Client, Landing, Reply, configuration};
+use fallgap_test_support::gateway::{Client, Landing, Reply, configuration};
 use landing::*;
 use std::net::SocketAddr;
 use std::thread;
--- a/crates/lantern/tests/offices.rs
+++ b/crates/lantern/tests/offices.rs
@@ -3,7 +3,7 @@
 #[allow(dead_code)]
 mod landing;
 
-use fallgap_standin::gateway::{Beating, Client, Does, Landing, Notice, Reply, Server, Supervisor, ok};
+use fallgap_test_support::gateway::{Beating, Client, Does, Landing, Notice, Reply, Server, Supervisor, ok};
 use landing::*;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
--- a/crates/lantern/tests/prompt.rs
+++ b/crates/lantern/tests/prompt.rs
@@ -3,7 +3,7 @@
 #[allow(dead_code)]
 mod landing;
 
-use fallgap_standin::gateway::{Client, Landing, Supervisor, configuration, get};
+use fallgap_test_support::gateway::{Client, Landing, Supervisor, configuration, get};
 use landing::{LONG, PREFIXES, all_ready, configure, fleet, serve, until};
 use std::path::PathBuf;
 use std::process::Command;
--- a/crates/lantern/tests/whole.rs
+++ b/crates/lantern/tests/whole.rs
@@ -3,7 +3,7 @@
 #[allow(dead_code)]
 mod landing;
 
-use fallgap_standin::gateway::{Client, Supervisor, call, configuration, get};
+use fallgap_test_support::gateway::{Client, Supervisor, call, configuration, get};
 use landing::*;
 use std::time::{Duration, Instant};
 
--- a/crates/quay/tests/clients_that_leave.rs
+++ b/crates/quay/tests/clients_that_leave.rs
@@ -5,7 +5,7 @@
 
 use fallgap_chart::View;
 use fallgap_quay::{Quay, Terms};
-use fallgap_standin::gateway::Got;
+use fallgap_test_support::gateway::Got;
 use socket2::SockRef;
 use std::io::{ErrorKind, Read};
 use std::net::Shutdown;
@@ -127,7 +127,7 @@
             let held = Mutex::new(held);
             let script = move |got: &Got| {
                 held.lock().unwrap().recv().unwrap();
-                let shed = fallgap_standin::gateway::status(got, 503, "X-Not-Run: 1\r\n");
+                let shed = fallgap_test_support::gateway::status(got, 503, "X-Not-Run: 1\r\n");
                 Does::Sends(if sheds { shed } else { ok(got, "bytes") })
             };
             let first = Server::start("i-1", script);
--- a/crates/quay/tests/once_only.rs
+++ b/crates/quay/tests/once_only.rs
@@ -4,7 +4,7 @@
 mod world;
 
 use fallgap_quay::Terms;
-use fallgap_standin::gateway::status;
+use fallgap_test_support::gateway::status;
 use socket2::SockRef;
 use std::io::Read;
 use std::sync::mpsc::channel;
@@ -38,7 +38,7 @@
 fn nobody_asks_again_for_a_client_that_is_gone() {
     let (release, held) = channel::<()>();
     let held = Mutex::new(held);
-    let shed = move |got: &fallgap_standin::gateway::Got| {
+    let shed = move |got: &fallgap_test_support::gateway::Got| {
         held.lock().unwrap().recv().unwrap();
         Does::Sends(status(got, 503, "X-Not-Run: 1\r\n"))
     };
--- a/crates/quay/tests/sockets.rs
+++ b/crates/quay/tests/sockets.rs
@@ -2,7 +2,7 @@
 
 mod world;
 
-use fallgap_standin::gateway::{Got, status};
+use fallgap_test_support::gateway::{Got, status};
 use world::*;
 
 #[test]
--- a/crates/quay/tests/world/mod.rs
+++ b/crates/quay/tests/world/mod.rs
@@ -3,7 +3,7 @@
 
 use fallgap_chart::{Berth, Configuration, Limits, Route, RouteClass, Service, View};
 use fallgap_quay::{Quay, Terms};
-pub use fallgap_standin::gateway::{Client, Does, Reply, Server, get, ok};
+pub use fallgap_test_support::gateway::{Client, Does, Reply, Server, get, ok};
 use mio::{Events, Poll, Token, Waker};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::sync::Arc;
--- a/crates/standin/examples/drain.rs
+++ b/crates/test-support/examples/drain.rs
@@ -2,12 +2,12 @@
 //! the last proxy's table without it, and the ops that reach it past the grace. Takes the path of the
 //! supervisor's program, and how many tries.
 
-use fallgap_standin::Listener;
-use fallgap_standin::collector::{Collector, ping};
-use fallgap_standin::discovery::Discovery;
-use fallgap_standin::dns::{Data, NameServer};
-use fallgap_standin::fleet::{Fleet, Proxy, Server};
-use fallgap_standin::relay::Relay;
+use fallgap_test_support::Listener;
+use fallgap_test_support::collector::{Collector, ping};
+use fallgap_test_support::discovery::Discovery;
+use fallgap_test_support::dns::{Data, NameServer};
+use fallgap_test_support::fleet::{Fleet, Proxy, Server};
+use fallgap_test_support::relay::Relay;
 use serde_json::{Value, json};
 use std::net::SocketAddr;
 use std::path::PathBuf;
--- a/examples/dns.rs
+++ b/examples/dns.rs
@@ -2,7 +2,7 @@
 //! `_toy._tcp.example.org`. Start it beside the toy (see the README). After sixty seconds it fails for half a
 //! minute; it goes on naming the server that drains.
 
-use fallgap_standin::dns::{Data, NameServer, Trouble};
+use fallgap_test_support::dns::{Data, NameServer, Trouble};
 use hickory_proto::op::ResponseCode;
 use std::rc::Rc;
 use std::time::Duration;
--- a/examples/toy.rs
+++ b/examples/toy.rs
@@ -2,11 +2,11 @@
 //! addresses of `configuration.json`. Start it, then the supervisor beside it (see the README): after ten
 //! seconds one server aborts all it gets, after thirty it is well again, after fifty another drains.
 
-use fallgap_standin::Listener;
-use fallgap_standin::collector::{self, Collector};
-use fallgap_standin::discovery::Discovery;
-use fallgap_standin::fleet::{Fleet, Proxy, Server};
-use fallgap_standin::relay::Relay;
+use fallgap_test_support::Listener;
+use fallgap_test_support::collector::{self, Collector};
+use fallgap_test_support::discovery::Discovery;
+use fallgap_test_support::fleet::{Fleet, Proxy, Server};
+use fallgap_test_support::relay::Relay;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
