--- a/crates/keeper/src/fault.rs
+++ b/crates/keeper/src/fault.rs
@@ -1,4 +1,4 @@
-//! Deliberate faults, so that it can be shown that the checks of `fallgap-sextant` find them.
+//! Deliberate faults, so that it can be shown that the checks of `fallgap-simulation` find them.
 //!
 //! Without the feature `faults`, which no program asks for, each question below is the constant `false`, and nothing
 //! of this is in what is built.
@@ -100,7 +100,7 @@
     /// Who holds no accounts does not ask for them (tests/first_account.rs).
     AccountsUnasked,
 
-    // once-only: found by `fallgap-sextant`'s tests/once.rs.
+    // once-only: found by `fallgap-simulation`'s tests/once.rs.
     /// A call that nobody waits for any more is carried out all the same.
     WithdrawalIgnored,
     // Members that leave, and changes one after the other.
--- a/crates/sextant/examples/explore.rs
+++ b/crates/simulation/examples/explore.rs
@@ -10,10 +10,10 @@
 use std::time::{Duration, Instant};
 
 use fallgap_keeper::Call;
-use fallgap_sextant::schedule::Schedule;
-use fallgap_sextant::shrink::shrink;
-use fallgap_sextant::tides::{Script, walk};
-use fallgap_sextant::voyage::sail;
+use fallgap_simulation::schedule::Schedule;
+use fallgap_simulation::shrink::shrink;
+use fallgap_simulation::tides::{Script, walk};
+use fallgap_simulation::voyage::sail;
 
 fn main() -> ExitCode {
     let words: Vec<String> = std::env::args().skip(1).collect();
--- a/crates/sextant/examples/quorum_cost.rs
+++ b/crates/simulation/examples/quorum_cost.rs
@@ -2,7 +2,7 @@
 //! and a write at a quorum, beside a look at this disk only and the check of contact itself.
 
 use fallgap_keeper::{Answer, Call, Keeper};
-use fallgap_sextant::waters::{Sea, ms, node};
+use fallgap_simulation::waters::{Sea, ms, node};
 use std::hint::black_box;
 use std::time::{Duration, Instant};
 
--- a/crates/sextant/examples/slow_disk.rs
+++ b/crates/simulation/examples/slow_disk.rs
@@ -2,7 +2,7 @@
 //! 8 ms, in virtual time: from the call at a keeper to its answer, by whom was asked.
 
 use fallgap_keeper::{Answer, Call};
-use fallgap_sextant::waters::{Sea, ms, node};
+use fallgap_simulation::waters::{Sea, ms, node};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
--- a/crates/sextant/examples/time_to_catch_up.rs
+++ b/crates/simulation/examples/time_to_catch_up.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant};
 
 use fallgap_keeper::Call;
-use fallgap_sextant::voyage::uneven;
-use fallgap_sextant::waters::{Sea, ms, node};
+use fallgap_simulation::voyage::uneven;
+use fallgap_simulation::waters::{Sea, ms, node};
 
 /// Calls under way while registers are filled.
 const LOT: u64 = 200;
--- a/crates/sextant/tests/alone.rs
+++ b/crates/simulation/tests/alone.rs
@@ -6,7 +6,7 @@
 use fallgap_keeper::charter::{Charter, Member};
 use fallgap_keeper::{Answer, Call, Keeper, Kept, Me, Message, Out, Peer, Terms};
 
-use fallgap_sextant::waters::{ms, node};
+use fallgap_simulation::waters::{ms, node};
 
 struct Alone {
     keeper: Keeper,
--- a/crates/sextant/tests/bridge.rs
+++ b/crates/simulation/tests/bridge.rs
@@ -6,7 +6,7 @@
 
 use fallgap_keeper::subjects::config_edition;
 use fallgap_keeper::{Answer, Call, Keeper, Key, Message, Out};
-use fallgap_sextant::waters::{ms, node, one_of_three};
+use fallgap_simulation::waters::{ms, node, one_of_three};
 
 /// One way between two keepers.
 const WAY: Duration = ms(3);
--- a/crates/sextant/tests/calm.rs
+++ b/crates/simulation/tests/calm.rs
@@ -1,7 +1,7 @@
 //! The good path, on a calm sea.
 
 use fallgap_keeper::{Answer, Call, Key};
-use fallgap_sextant::waters::{Sea, ms, node};
+use fallgap_simulation::waters::{Sea, ms, node};
 
 fn ask(sea: &mut Sea, at: u8, id: u64, call: Call) -> (Answer, u64) {
     let sent = sea.now;
--- a/crates/sextant/tests/cut_off.rs
+++ b/crates/simulation/tests/cut_off.rs
@@ -256,7 +256,7 @@
             self.look();
         }
         if self.wrong.is_empty() {
-            let history = fallgap_sextant::voyage::guarded(|| self.halls.history.check());
+            let history = fallgap_simulation::voyage::guarded(|| self.halls.history.check());
             self.wrong.extend(history.err().map(|breach| breach.to_string()));
         }
         let [a, b, c, ..] = callers;
--- a/crates/sextant/tests/drawn.rs
+++ b/crates/simulation/tests/drawn.rs
@@ -2,8 +2,8 @@
 
 use std::path::Path;
 
-use fallgap_sextant::schedule::Schedule;
-use fallgap_sextant::voyage::sail;
+use fallgap_simulation::schedule::Schedule;
+use fallgap_simulation::voyage::sail;
 
 /// One thread for each kind of waters.
 fn drawn(kind: u64) {
--- a/crates/sextant/tests/drift.rs
+++ b/crates/simulation/tests/drift.rs
@@ -1,7 +1,7 @@
 //! Steady clocks whose rates differ from machine to machine. Callers go by the sea's own.
 
-use fallgap_sextant::schedule::Schedule;
-use fallgap_sextant::voyage::sail;
+use fallgap_simulation::schedule::Schedule;
+use fallgap_simulation::voyage::sail;
 
 /// Crystals are apart by 200 ppm; 5 in 100 is far beyond what a machine's clock does.
 const RATES: [u32; 2] = [200, 50_000];
@@ -19,7 +19,7 @@
 #[test]
 fn a_hold_without_a_margin_has_two_holders() {
     use fallgap_keeper::fault::{self, Fault};
-    use fallgap_sextant::Check;
+    use fallgap_simulation::Check;
 
     let drifts = |seed| Schedule { drift_ppm: 50_000, ..Schedule::short(seed) };
     let found = (0..60).find_map(|seed| {
--- a/crates/sextant/tests/founding/main.rs
+++ b/crates/simulation/tests/founding/main.rs
@@ -8,10 +8,10 @@
 use std::time::Duration;
 
 use fallgap_keeper::NodeId;
-use fallgap_sextant::Check;
-use fallgap_sextant::schedule::Schedule;
-use fallgap_sextant::voyage::{guarded, sail};
-use fallgap_sextant::waters::{Event, Sea, Weather, ms, node};
+use fallgap_simulation::Check;
+use fallgap_simulation::schedule::Schedule;
+use fallgap_simulation::voyage::{guarded, sail};
+use fallgap_simulation::waters::{Event, Sea, Weather, ms, node};
 use world::*;
 
 /// Seeds, by the number of disks and of machines without: all of them at the machines with a disk, some, none.
--- a/crates/sextant/tests/founding/world.rs
+++ b/crates/simulation/tests/founding/world.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use fallgap_keeper::{Answer, Call, NodeId};
-use fallgap_sextant::waters::{Sea, Weather, ms, node};
+use fallgap_simulation::waters::{Sea, Weather, ms, node};
 
 /// With enough disks in sight, without loss, all are founded by then.
 pub const FOUNDED: Duration = ms(2300);
--- a/crates/sextant/tests/halls/mod.rs
+++ b/crates/simulation/tests/halls/mod.rs
@@ -16,7 +16,7 @@
 use fallgap_roster::{
     Closings, Distribution, Fit, Fitness, Follower, FollowerOut, Ground, Registry, RosterWord,
 };
-use fallgap_sextant::history::History;
+use fallgap_simulation::history::History;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/sextant/tests/herd.rs
+++ b/crates/simulation/tests/herd.rs
@@ -3,8 +3,8 @@
 //! majority of the seeds remembers. Over the real cores, in virtual time.
 
 use fallgap_keeper::NodeId;
-use fallgap_sextant::voyage::guarded;
-use fallgap_sextant::waters::{Sea, ms, node};
+use fallgap_simulation::voyage::guarded;
+use fallgap_simulation::waters::{Sea, ms, node};
 
 /// Whether a system began, and whether a majority of the seeds remembered.
 fn play(seeds: &[u8], after: u64, power: bool, all: bool) -> (bool, bool) {
--- a/crates/sextant/tests/losses.rs
+++ b/crates/simulation/tests/losses.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use fallgap_keeper::NodeId;
-use fallgap_sextant::schedule::{Act, Schedule, Step};
-use fallgap_sextant::storm::Storm;
-use fallgap_sextant::voyage::{guarded, settle};
-use fallgap_sextant::waters::{Weather, ms, node};
+use fallgap_simulation::schedule::{Act, Schedule, Step};
+use fallgap_simulation::storm::Storm;
+use fallgap_simulation::voyage::{guarded, settle};
+use fallgap_simulation::waters::{Weather, ms, node};
 
 /// One that leaves has so long.
 const GRACE: Duration = ms(5500);
--- a/crates/sextant/tests/many.rs
+++ b/crates/simulation/tests/many.rs
@@ -6,9 +6,9 @@
 
 use fallgap_keeper::subjects::config_edition;
 use fallgap_keeper::{Answer, Call, Key, NodeId};
-use fallgap_sextant::history::History;
-use fallgap_sextant::voyage::{guarded, uneven};
-use fallgap_sextant::waters::{Sea, Weather, ms, node};
+use fallgap_simulation::history::History;
+use fallgap_simulation::voyage::{guarded, uneven};
+use fallgap_simulation::waters::{Sea, Weather, ms, node};
 
 const CHANGES: u64 = 1000;
 /// A member that hears a majority shows a configuration within this after it was acknowledged, or after it began to
--- a/crates/sextant/tests/members.rs
+++ b/crates/simulation/tests/members.rs
@@ -2,7 +2,7 @@
 
 mod scripts;
 
-use fallgap_sextant::voyage::guarded;
+use fallgap_simulation::voyage::guarded;
 
 const SCRIPTS: [(&str, scripts::Script); 11] = [
     ("a rotten log and a loss", scripts::rot::a_rotten_log_and_a_loss),
--- a/crates/sextant/tests/mutants.rs
+++ b/crates/simulation/tests/mutants.rs
@@ -5,9 +5,9 @@
 mod scripts;
 
 use fallgap_keeper::fault::{self, Fault};
-use fallgap_sextant::Check;
-use fallgap_sextant::schedule::Schedule;
-use fallgap_sextant::voyage::{guarded, sail};
+use fallgap_simulation::Check;
+use fallgap_simulation::schedule::Schedule;
+use fallgap_simulation::voyage::{guarded, sail};
 
 /// Faults, the seeds of schedules that find them, and the checks.
 const FOUND: &[(Fault, u64, Check)] = &[
--- a/crates/sextant/tests/once.rs
+++ b/crates/simulation/tests/once.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use fallgap_keeper::{Answer, Call, Keeper, Key, Message, Out};
-use fallgap_sextant::waters::{ms, node, one_of_three};
+use fallgap_simulation::waters::{ms, node, one_of_three};
 
 const SLOW: usize = 0;
 const QUICK: usize = 1;
--- a/crates/sextant/tests/orders.rs
+++ b/crates/simulation/tests/orders.rs
@@ -7,8 +7,8 @@
 
 use fallgap_keeper::messages::Record;
 use fallgap_keeper::{Answer, Call, Key};
-use fallgap_sextant::tides::{Script, walk};
-use fallgap_sextant::waters::{Sea, ms};
+use fallgap_simulation::tides::{Script, walk};
+use fallgap_simulation::waters::{Sea, ms};
 
 type Body = Vec<u8>;
 
@@ -280,7 +280,7 @@
 #[test]
 fn every_fault_of_numbers_is_found() {
     use fallgap_keeper::fault::{self, Fault};
-    use fallgap_sextant::voyage::guarded;
+    use fallgap_simulation::voyage::guarded;
     for fault in [Fault::ContentNotAsked, Fault::TakenForgotten, Fault::EditionFalls] {
         fault::set(Some(fault));
         let found = (0..40).find_map(|seed| match guarded(|| play(seed, 8)) {
@@ -332,7 +332,7 @@
 #[test]
 fn the_walk_finds_a_content_that_is_not_asked_for() {
     use fallgap_keeper::fault::{self, Fault};
-    use fallgap_sextant::Check;
+    use fallgap_simulation::Check;
     for (fault, script) in [(Fault::ContentNotAsked, 0), (Fault::TakenForgotten, 1)] {
         let (script, most) = scripts()[script].clone();
         fault::set(Some(fault));
--- a/crates/sextant/tests/reuse.rs
+++ b/crates/simulation/tests/reuse.rs
@@ -10,10 +10,10 @@
 use fallgap_keeper::messages::{Given, Record};
 use fallgap_keeper::value::Value;
 use fallgap_keeper::{Answer, Call, Keeper, Kept, Key, Me, Message, NodeId, Out, Terms};
-use fallgap_sextant::Breach;
-use fallgap_sextant::history::History;
-use fallgap_sextant::voyage::guarded;
-use fallgap_sextant::waters::{Sea, Weather, ms, node};
+use fallgap_simulation::Breach;
+use fallgap_simulation::history::History;
+use fallgap_simulation::voyage::guarded;
+use fallgap_simulation::waters::{Sea, Weather, ms, node};
 
 const ROOM: usize = 24;
 /// Names that are in use at a time; the next ones come soon.
--- a/crates/sextant/tests/schedules.rs
+++ b/crates/simulation/tests/schedules.rs
@@ -1,6 +1,6 @@
 //! Schedules as files.
 
-use fallgap_sextant::schedule::{Act, NoSchedule, Schedule, Waters};
+use fallgap_simulation::schedule::{Act, NoSchedule, Schedule, Waters};
 
 #[test]
 fn a_schedule_is_read_back_as_it_was_printed() {
--- a/crates/sextant/tests/scripts/epochs.rs
+++ b/crates/simulation/tests/scripts/epochs.rs
@@ -1,9 +1,9 @@
 //! Changes of members in which machines fail between two messages.
 
 use fallgap_keeper::{Answer, Call, Message, NodeId};
-use fallgap_sextant::Check;
-use fallgap_sextant::hand::Kept;
-use fallgap_sextant::waters::{Sea, ms, node};
+use fallgap_simulation::Check;
+use fallgap_simulation::hand::Kept;
+use fallgap_simulation::waters::{Sea, ms, node};
 
 use super::{ask, hold, number};
 
--- a/crates/sextant/tests/scripts/mod.rs
+++ b/crates/simulation/tests/scripts/mod.rs
@@ -8,9 +8,9 @@
 use fallgap_keeper::ballot::Ballot;
 use fallgap_keeper::messages::Record;
 use fallgap_keeper::{Answer, Call, Message, NodeId};
-use fallgap_sextant::hand::Left;
-use fallgap_sextant::waters::{Sea, ms, node};
-use fallgap_sextant::{Breach, Check};
+use fallgap_simulation::hand::Left;
+use fallgap_simulation::waters::{Sea, ms, node};
+use fallgap_simulation::{Breach, Check};
 
 /// A run of its own delays, drawn from a seed.
 pub type Script = fn(u64);
--- a/crates/sextant/tests/scripts/rot.rs
+++ b/crates/simulation/tests/scripts/rot.rs
@@ -1,9 +1,9 @@
 //! Runs in which a disk loses what was synced.
 
 use fallgap_keeper::{Answer, Message, NodeId};
-use fallgap_sextant::Check;
-use fallgap_sextant::history::History;
-use fallgap_sextant::waters::{Sea, ms, node};
+use fallgap_simulation::Check;
+use fallgap_simulation::history::History;
+use fallgap_simulation::waters::{Sea, ms, node};
 
 use super::{hold, number};
 
--- a/crates/sextant/tests/silence.rs
+++ b/crates/simulation/tests/silence.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use fallgap_keeper::{Answer, Call, Key, NodeId};
-use fallgap_sextant::waters::{Sea, ms, node};
+use fallgap_simulation::waters::{Sea, ms, node};
 
 fn body(edition: u64) -> Vec<u8> {
     let mut body = edition.to_be_bytes().to_vec();
--- a/crates/sextant/tests/slow_disks.rs
+++ b/crates/simulation/tests/slow_disks.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use fallgap_keeper::{Answer, Call, NodeId};
-use fallgap_sextant::voyage::guarded;
-use fallgap_sextant::waters::{Sea, Weather, ms, node};
+use fallgap_simulation::voyage::guarded;
+use fallgap_simulation::waters::{Sea, Weather, ms, node};
 
 /// How the first member is lost.
 #[derive(Clone, Copy, Debug)]
--- a/crates/sextant/tests/storms.rs
+++ b/crates/simulation/tests/storms.rs
@@ -1,8 +1,8 @@
 //! Long storms, drawn from seeds: `SEA_SEED` plays one, `SEA_MORE` so many times as many.
 
-use fallgap_sextant::schedule::Act::*;
-use fallgap_sextant::schedule::{Act, Schedule, Waters};
-use fallgap_sextant::voyage::sail;
+use fallgap_simulation::schedule::Act::*;
+use fallgap_simulation::schedule::{Act, Schedule, Waters};
+use fallgap_simulation::voyage::sail;
 
 fn storms(count: u64, disks: &[u8], tolerate: u32, troubles: &[Act]) {
     let given = |name| std::env::var(name).ok().and_then(|value| value.parse::<u64>().ok());
--- a/crates/sextant/tests/walked.rs
+++ b/crates/simulation/tests/walked.rs
@@ -1,7 +1,7 @@
 //! All orders of small scripts, three nodes.
 
 use fallgap_keeper::Call;
-use fallgap_sextant::tides::{Script, walk};
+use fallgap_simulation::tides::{Script, walk};
 
 fn number() -> Call {
     Call::Number { name: "n".into() }
