--- a/crates/desk/tests/printed.rs
+++ b/crates/admin/tests/printed.rs
@@ -1,7 +1,7 @@
 //! What is printed, case by case.
 
+use fallgap_admin::*;
 use fallgap_chart::{Configuration, Limits, Route, RouteClass, Service};
-use fallgap_desk::*;
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use std::time::Duration;
@@ -177,7 +177,7 @@
     };
     insta::assert_snapshot!(servers_table(&servers));
     let target = |service: &str, share, open| Target { service: service.into(), share, open };
-    let route = fallgap_desk::Route {
+    let route = fallgap_admin::Route {
         name: "r".into(),
         host: "h.example".into(),
         prefix: "/a/".into(),
--- a/crates/desk/tests/surveys.rs
+++ b/crates/admin/tests/surveys.rs
@@ -1,4 +1,4 @@
-use fallgap_desk::{Part, Question, Surveys, Terms};
+use fallgap_admin::{Part, Question, Surveys, Terms};
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
--- a/crates/lantern/src/asked/config.rs
+++ b/crates/lantern/src/asked/config.rs
@@ -3,8 +3,8 @@
 use super::pages::one;
 use super::{Asked, judged, servers, shown};
 use crate::ask::{self, Failed};
+use fallgap_admin as desk;
 use fallgap_chart::{Configuration, read_configuration};
-use fallgap_desk as desk;
 use std::collections::BTreeMap;
 use std::path::Path;
 
--- a/crates/lantern/src/asked/mod.rs
+++ b/crates/lantern/src/asked/mod.rs
@@ -1,11 +1,11 @@
-//! The desk's commands: each asks one node, and prints what `fallgap-desk` makes of the answer. None changes anything.
+//! The desk's commands: each asks one node, and prints what `fallgap-admin` makes of the answer. None changes anything.
 
 mod config;
 mod pages;
 
 use crate::ask::Failed;
 use clap::{Args, Subcommand};
-use fallgap_desk as desk;
+use fallgap_admin as desk;
 use pages::{all, one};
 use serde::Serialize;
 use std::net::SocketAddrV4;
--- a/crates/lantern/src/asked/pages.rs
+++ b/crates/lantern/src/asked/pages.rs
@@ -2,7 +2,7 @@
 
 use super::Asked;
 use crate::ask::{self, Failed};
-use fallgap_desk as desk;
+use fallgap_admin as desk;
 use serde::de::DeserializeOwned;
 use std::fmt::Write;
 use std::net::SocketAddrV4;
--- a/crates/lantern/src/asks.rs
+++ b/crates/lantern/src/asks.rs
@@ -2,8 +2,8 @@
 
 use crate::http::Caller;
 use crate::spread::Spreading;
+use fallgap_admin as desk;
 use fallgap_chart::Beat;
-use fallgap_desk as desk;
 use fallgap_keeper::{Answer, Call};
 use fallgap_pilot::Place;
 use fallgap_roster::Outcome;
--- a/crates/lantern/src/control.rs
+++ b/crates/lantern/src/control.rs
@@ -3,8 +3,8 @@
 use crate::asks::{Asked, Desk, Told, Untold};
 use crate::http::{Caller, Request, Response, Service};
 use crate::offices::{self, Clerk, Verb};
+use fallgap_admin::Question;
 use fallgap_chart as chart;
-use fallgap_desk::Question;
 use fallgap_keeper::{Answer, Call};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
@@ -251,7 +251,7 @@
     fn desk(&self, request: &Request, what: &str) -> Result<Response, Refused> {
         let param = |name: &str| {
             let text = request.parameter(name).unwrap_or_default();
-            if text.len() <= fallgap_desk::Terms::USUAL.id { Ok(text) } else { Err(Refused::Unknown) }
+            if text.len() <= fallgap_admin::Terms::USUAL.id { Ok(text) } else { Err(Refused::Unknown) }
         };
         let after = param("after")?;
         let question = match what {
--- a/crates/lantern/src/desk.rs
+++ b/crates/lantern/src/desk.rs
@@ -4,9 +4,9 @@
 use crate::asks::Told;
 use crate::engine::Engine;
 use crate::words::Word;
+use fallgap_admin::{self as desk, Answer, Errand, Node, Part, Question, Surveyed, Terms};
 use fallgap_beacon::{Peer, State};
 use fallgap_chart::View;
-use fallgap_desk::{self as desk, Answer, Errand, Node, Part, Question, Surveyed, Terms};
 use fallgap_keeper::Answer as Called;
 use fallgap_pilot::HealthState;
 use fallgap_roster::State as Life;
--- a/crates/lantern/src/start.rs
+++ b/crates/lantern/src/start.rs
@@ -15,9 +15,9 @@
 use crate::memory::{Memory, Remembered};
 use crate::signals;
 use crate::spread::Spread;
+use fallgap_admin::{History, Surveys};
 use fallgap_beacon::{Beacon, Card};
 use fallgap_chart::Settings;
-use fallgap_desk::{History, Surveys};
 use fallgap_keeper::store::{Store, StoreError};
 use fallgap_keeper::{Keeper, Kept, KeptError, Me};
 use fallgap_quay::Quay;
@@ -206,7 +206,7 @@
         ages: Ages::default(),
         life,
         beats: Beats::new(rng.u64(1..1 << 62)),
-        surveys: Surveys::new(fallgap_desk::Terms::USUAL, rng.u64(1..1 << 62)),
+        surveys: Surveys::new(fallgap_admin::Terms::USUAL, rng.u64(1..1 << 62)),
         history: History::default(),
         leavers: Leavers::default(),
         spread: Spread::new(rng.u64(1..1 << 62)),
