--- a/crates/lantern/examples/office_cost.rs
+++ b/crates/lantern/examples/office_cost.rs
@@ -3,8 +3,8 @@
 //! supervisors as processes, three with a disk, one change after the other.
 
 use fallgap_chart::{Allowance, Configuration, Licence, Licences, Routing, read_configuration};
-use fallgap_licence::{Carried, Ledger, Maker, plan, read_change, read_order};
 use fallgap_pilot::Lease;
+use fallgap_tenants::{Carried, Ledger, Maker, plan, read_change, read_order};
 use fallgap_test_support::gateway::{Client, Landing, Supervisor};
 use std::error::Error;
 use std::hint::black_box;
@@ -68,7 +68,7 @@
     fleet.start_all(true)?;
     let [first, .., last] = &fleet.machines[..] else { return Err("four machines".into()) };
     taken(first, "/-/config/put", &configuration(1))?;
-    let hash = fallgap_licence::KeyHash::of("key");
+    let hash = fallgap_tenants::KeyHash::of("key");
     let account = format!(
         r#"{{"edition":1,"areas":[{{"depot":"h.example","lane_prefix":"/o/"}}],"classes":["safe"],"priority":0,
 "services":[{{"service":"s"}}],"offices":[{{"id":"north","keys":["{hash}"]}}]}}"#
--- a/crates/lantern/src/counter.rs
+++ b/crates/lantern/src/counter.rs
@@ -2,7 +2,7 @@
 
 use crate::ask::{Failed, agent, read, said};
 use clap::{Args, Subcommand};
-use fallgap_licence::KeyHash;
+use fallgap_tenants::KeyHash;
 use sonic_rs::{JsonContainerTrait, JsonValueTrait, Value, pointer};
 use std::io::Read;
 use std::net::SocketAddrV4;
--- a/crates/lantern/src/hub.rs
+++ b/crates/lantern/src/hub.rs
@@ -4,9 +4,9 @@
 use crate::ends::{Ends, FOR_FOLLOWERS};
 use crate::memory::{Notebook, Remembered, Subject};
 use fallgap_chart::Configuration;
-use fallgap_licence::Ledger;
 use fallgap_lightlist::Lightlist;
 use fallgap_roster::{Distribution, Fit, Fitness, Ground, Registry, Terms};
+use fallgap_tenants::Ledger;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -115,7 +115,7 @@
         let joined = match self.ledger.revision {
             0 => operator.clone(),
             _ => {
-                let joined = fallgap_licence::join(operator, &self.ledger);
+                let joined = fallgap_tenants::join(operator, &self.ledger);
                 let unfit = joined.unfit.len();
                 if unfit > 0 {
                     tracing::info!("licence: {unfit} routes of offices do not fit, and are not in force");
--- a/crates/lantern/src/offices.rs
+++ b/crates/lantern/src/offices.rs
@@ -4,8 +4,8 @@
 use crate::http::Response;
 use fallgap_chart::{Configuration, Faults, read_configuration};
 use fallgap_keeper::{Answer, Call};
-use fallgap_licence as licence;
-use fallgap_licence::{Done, KeyHash, Ledger, Maker, Step, Transaction, UnreadableLedger, Wanted, Wrote};
+use fallgap_tenants as licence;
+use fallgap_tenants::{Done, KeyHash, Ledger, Maker, Step, Transaction, UnreadableLedger, Wanted, Wrote};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Until all supervisors have heard of a change, at the latest.
--- a/crates/lantern/tests/offices.rs
+++ b/crates/lantern/tests/offices.rs
@@ -17,7 +17,7 @@
     );
     configure(&fleet.machines[0], &text);
     let office = |name: &str| {
-        let hash = fallgap_licence::KeyHash::of(&format!("key-{name}"));
+        let hash = fallgap_tenants::KeyHash::of(&format!("key-{name}"));
         let area = format!(r#"{{"depot":"h.example","lane_prefix":"/o/{name}/"}}"#);
         format!(r#"{{"id":"{name}","keys":["{hash}"],"areas":[{area}]}}"#)
     };
--- a/crates/licence/examples/ledger_slopes.rs
+++ b/crates/tenants/examples/ledger_slopes.rs
@@ -8,7 +8,7 @@
 mod gauge;
 
 use fallgap_chart::{Allowance, Configuration, Limits, Route, RouteClass, Service};
-use fallgap_licence::{Account, Area, Grant, KeyHash, Ledger, Office, Slice, TERMS, join};
+use fallgap_tenants::{Account, Area, Grant, KeyHash, Ledger, Office, Slice, TERMS, join};
 use gauge::{ran, resident_kb};
 use std::process::Command;
 use std::time::Duration;
--- a/crates/licence/tests/orders.rs
+++ b/crates/tenants/tests/orders.rs
@@ -4,8 +4,8 @@
 
 use fallgap_chart::{Configuration, read_configuration};
 use fallgap_keeper::{Answer, Call};
-use fallgap_licence::{Ledger, Maker, Refused, Step, Transaction, Wanted, Wrote, idempotency_key};
 use fallgap_simulation::waters::{Sea, ms};
+use fallgap_tenants::{Ledger, Maker, Refused, Step, Transaction, Wanted, Wrote, idempotency_key};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
--- a/crates/licence/tests/sea.rs
+++ b/crates/tenants/tests/sea.rs
@@ -3,8 +3,8 @@
 
 use fallgap_chart::{Configuration, read_configuration};
 use fallgap_keeper::{Answer, Call};
-use fallgap_licence::{Carried, Ledger, Maker, Refused, plan, read_change, read_order};
 use fallgap_simulation::waters::{Sea, ms};
+use fallgap_tenants::{Carried, Ledger, Maker, Refused, plan, read_change, read_order};
 use std::time::Duration;
 
 /// How far a clerk is with what it wants.
--- a/crates/licence/tests/transaction.rs
+++ b/crates/tenants/tests/transaction.rs
@@ -1,7 +1,7 @@
 //! An order as a transaction: tables of what is read and what became of its writes.
 
 use fallgap_chart::{Configuration, read_configuration};
-use fallgap_licence::{Carried, Ledger, Maker, Refused, Step, Transaction, Wanted, Wrote, read_order};
+use fallgap_tenants::{Carried, Ledger, Maker, Refused, Step, Transaction, Wanted, Wrote, read_order};
 
 fn operator() -> Configuration {
     let text = br#"{"edition":1,"routes":{"fields":[],"entries":[]},"services":{"fields":["name"],"entries":[["s"]]}}"#;
