--- a/crates/admin/src/diff.rs
+++ b/crates/admin/src/diff.rs
@@ -1,7 +1,7 @@
 //! What tells two configurations apart: routes by host and prefix, services by name, limits.
 
 use crate::told::Changed;
-use fallgap_chart::{Configuration, Limits, Route, Service};
+use fallgap_config::{Configuration, Limits, Route, Service};
 use std::cmp::Ordering;
 use std::fmt::{self, Display, Write};
 use std::time::Duration;
--- a/crates/admin/src/history.rs
+++ b/crates/admin/src/history.rs
@@ -3,7 +3,7 @@
 use crate::diff::diff;
 use crate::terms::Terms;
 use crate::told::Edition;
-use fallgap_chart::Configuration;
+use fallgap_config::Configuration;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/admin/src/plan.rs
+++ b/crates/admin/src/plan.rs
@@ -2,7 +2,7 @@
 
 use crate::diff::{Diff, diff, same_but_edition};
 use crate::told::Changed;
-use fallgap_chart::Configuration;
+use fallgap_config::Configuration;
 use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::{self, Display};
--- a/crates/admin/tests/printed.rs
+++ b/crates/admin/tests/printed.rs
@@ -1,7 +1,7 @@
 //! What is printed, case by case.
 
 use fallgap_admin::*;
-use fallgap_chart::{Configuration, Limits, Route, RouteClass, Service};
+use fallgap_config::{Configuration, Limits, Route, RouteClass, Service};
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use std::time::Duration;
--- a/crates/chart/tests/calls.rs
+++ b/crates/config/tests/calls.rs
@@ -1,6 +1,6 @@
 //! Bodies of calls, and berths as lines.
 
-use fallgap_chart::{Berth, read_beat, read_cell_put, read_lock_beat, read_lock_end, read_lock_start};
+use fallgap_config::{Berth, read_beat, read_cell_put, read_lock_beat, read_lock_end, read_lock_start};
 use std::time::Duration;
 
 const BEAT: &str = r#"{"address":"10.128.0.9:8080","notice":{"service":"huvo11a","edition":"v1","zone":"semarang","slots":4},
--- a/crates/chart/tests/configurations.rs
+++ b/crates/config/tests/configurations.rs
@@ -1,6 +1,6 @@
 //! Configurations: what is read, what is refused, and that notes say all of one.
 
-use fallgap_chart::{Configuration, Limits, RouteClass, TERMS, read_configuration};
+use fallgap_config::{Configuration, Limits, RouteClass, TERMS, read_configuration};
 use std::time::Duration;
 
 const BODY: &str = include_str!("configuration.json");
--- a/crates/chart/tests/damaged_configurations.rs
+++ b/crates/config/tests/damaged_configurations.rs
@@ -1,7 +1,7 @@
 //! Bodies that are cut, doubled, or have values of other types in them: what is taken is a configuration that can be routed
 //! by, whatever was done to the body.
 
-use fallgap_chart::{Configuration, read_configuration};
+use fallgap_config::{Configuration, read_configuration};
 use proptest::prelude::*;
 use std::collections::BTreeSet;
 
--- a/crates/chart/tests/routing.rs
+++ b/crates/config/tests/routing.rs
@@ -1,6 +1,6 @@
 //! The longest prefix that begins a path, against a plain search.
 
-use fallgap_chart::{Configuration, Limits, Route, RouteClass, Routing};
+use fallgap_config::{Configuration, Limits, Route, RouteClass, Routing};
 use std::sync::Arc;
 use std::time::Duration;
 
--- a/crates/chart/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -1,6 +1,6 @@
 //! Settings files, whole and faulty.
 
-use fallgap_chart::{Bounds, read_settings};
+use fallgap_config::{Bounds, read_settings};
 use std::path::PathBuf;
 use std::time::Duration;
 
--- a/crates/lantern/examples/hollow/node.rs
+++ b/crates/lantern/examples/hollow/node.rs
@@ -4,7 +4,7 @@
 
 use crate::echo::Echo;
 use fallgap_beacon::{Beacon, Card, Out as BeaconOut, State};
-use fallgap_chart::Beat;
+use fallgap_config::Beat;
 use fallgap_feed::wire::Told;
 use fallgap_keeper::Key;
 use fallgap_lantern::links::{Links, Terms as LinkTerms};
@@ -335,7 +335,7 @@
         self.keepers = keepers.iter().map(|(node, _)| *node).collect();
         let Key::Number(name) = Key::Number(self.me.to_string()) else { return };
         let hash = |node: &Ipv4Addr| {
-            fallgap_chart::spread([2u8].into_iter().chain(name.bytes()).chain(node.octets()))
+            fallgap_config::spread([2u8].into_iter().chain(name.bytes()).chain(node.octets()))
         };
         let mut homes = keepers;
         homes.sort_by_key(|(node, near)| (!near, std::cmp::Reverse(hash(node))));
--- a/crates/lantern/examples/office_cost.rs
+++ b/crates/lantern/examples/office_cost.rs
@@ -2,7 +2,7 @@
 //! to a whole configuration of the operator in the same run; and what a request's look at licences and lease costs. Four
 //! supervisors as processes, three with a disk, one change after the other.
 
-use fallgap_chart::{Allowance, Configuration, Licence, Licences, Routing, read_configuration};
+use fallgap_config::{Allowance, Configuration, Licence, Licences, Routing, read_configuration};
 use fallgap_pilot::Lease;
 use fallgap_tenants::{Carried, Ledger, Maker, plan, read_change, read_order};
 use fallgap_test_support::gateway::{Client, Landing, Supervisor};
--- a/crates/lantern/src/ask.rs
+++ b/crates/lantern/src/ask.rs
@@ -13,7 +13,7 @@
     /// {0}: cannot be read: {1}
     File(PathBuf, std::io::Error),
     /// {0}: {1}
-    Faults(PathBuf, fallgap_chart::Faults),
+    Faults(PathBuf, fallgap_config::Faults),
     /// {0} gives no answer: {1}
     Silent(SocketAddrV4, Box<ureq::Error>),
     /// {0} answers {1}: {2}
@@ -69,13 +69,13 @@
 }
 
 pub fn check_settings(file: &Path) -> Result<String, Failed> {
-    let settings = fallgap_chart::read_settings(&read(file)?)
+    let settings = fallgap_config::read_settings(&read(file)?)
         .map_err(|faults| Failed::Faults(file.to_owned(), faults))?;
     Ok(format!("{}: settings of {}, in order", file.display(), settings.node))
 }
 
 pub fn check_configuration(file: &Path) -> Result<String, Failed> {
-    let read = fallgap_chart::read_configuration(&read(file)?);
+    let read = fallgap_config::read_configuration(&read(file)?);
     let configuration = read.map_err(|faults| Failed::Faults(file.to_owned(), faults))?;
     let (routes, services) = (configuration.routes.len(), configuration.services.len());
     let edition = configuration.edition;
@@ -121,7 +121,7 @@
 pub fn put(at: &[SocketAddrV4], file: &Path) -> Result<String, Failed> {
     let body = read(file)?;
     let faults = |faults| Failed::Faults(file.to_owned(), faults);
-    let edition = fallgap_chart::read_configuration(&body).map_err(faults)?.edition;
+    let edition = fallgap_config::read_configuration(&body).map_err(faults)?.edition;
     let mut last = Failed::Nowhere;
     for pause in PAUSES {
         std::thread::sleep(pause);
--- a/crates/lantern/src/asked/config.rs
+++ b/crates/lantern/src/asked/config.rs
@@ -4,7 +4,7 @@
 use super::{Asked, judged, servers, shown};
 use crate::ask::{self, Failed};
 use fallgap_admin as desk;
-use fallgap_chart::{Configuration, read_configuration};
+use fallgap_config::{Configuration, read_configuration};
 use std::collections::BTreeMap;
 use std::path::Path;
 
--- a/crates/lantern/src/asks.rs
+++ b/crates/lantern/src/asks.rs
@@ -3,7 +3,7 @@
 use crate::http::Caller;
 use crate::spread::Spreading;
 use fallgap_admin as desk;
-use fallgap_chart::Beat;
+use fallgap_config::Beat;
 use fallgap_keeper::{Answer, Call};
 use fallgap_pilot::Place;
 use fallgap_roster::Outcome;
--- a/crates/lantern/src/beats.rs
+++ b/crates/lantern/src/beats.rs
@@ -1,7 +1,7 @@
 //! Beats that say `closing`, and who waits for the acknowledgement: when it may be given is [`Closings`]' matter.
 
 use crate::asks::Told;
-use fallgap_chart::Beat;
+use fallgap_config::Beat;
 use fallgap_roster::Closings;
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
--- a/crates/lantern/src/calls.rs
+++ b/crates/lantern/src/calls.rs
@@ -374,5 +374,5 @@
         Key::Group(name) => (3, name.as_str()),
         Key::Accounts => (4, ""),
     };
-    fallgap_chart::spread([kind].into_iter().chain(name.bytes()).chain(node.octets()))
+    fallgap_config::spread([kind].into_iter().chain(name.bytes()).chain(node.octets()))
 }
--- a/crates/lantern/src/carry.rs
+++ b/crates/lantern/src/carry.rs
@@ -7,7 +7,7 @@
 use crate::engine::Engine;
 use crate::words::Word;
 use fallgap_beacon::{Out as BeaconOut, State};
-use fallgap_chart::Beat;
+use fallgap_config::Beat;
 use fallgap_keeper::{Answer, Key, Out as KeeperOut, subjects};
 use fallgap_lightlist::{KINDS, LightWord, Out as LightOut, Verdict};
 use fallgap_pilot::Place;
@@ -102,7 +102,7 @@
         if edition <= self.configured {
             return;
         }
-        match fallgap_chart::read_configuration(body) {
+        match fallgap_config::read_configuration(body) {
             Ok(configuration) => {
                 self.configured = edition;
                 if let Some(hub) = &mut self.hub {
--- a/crates/lantern/src/control.rs
+++ b/crates/lantern/src/control.rs
@@ -4,7 +4,7 @@
 use crate::http::{Caller, Request, Response, Service};
 use crate::offices::{self, Clerk, Verb};
 use fallgap_admin::Question;
-use fallgap_chart as chart;
+use fallgap_config as chart;
 use fallgap_keeper::{Answer, Call};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
--- a/crates/lantern/src/desk.rs
+++ b/crates/lantern/src/desk.rs
@@ -6,7 +6,7 @@
 use crate::words::Word;
 use fallgap_admin::{self as desk, Answer, Errand, Node, Part, Question, Surveyed, Terms};
 use fallgap_beacon::{Peer, State};
-use fallgap_chart::View;
+use fallgap_config::View;
 use fallgap_keeper::Answer as Called;
 use fallgap_pilot::HealthState;
 use fallgap_roster::State as Life;
@@ -259,7 +259,7 @@
         }
     }
 
-    fn server(&self, now: Duration, berth: &fallgap_chart::Berth) -> desk::Server {
+    fn server(&self, now: Duration, berth: &fallgap_config::Berth) -> desk::Server {
         let seen = self.quay.as_ref().and_then(|quay| quay.fleet().named(&berth.id, berth.address));
         let word = |state: HealthState| match state {
             HealthState::Well { .. } => "well",
@@ -289,9 +289,9 @@
         let open = open(view);
         let after = after.split_at(after.find('/').unwrap_or(after.len()));
         let configuration = &view.configuration;
-        let behind = |r: &&fallgap_chart::Route| (&*r.depot, &*r.lane_prefix) > after;
+        let behind = |r: &&fallgap_config::Route| (&*r.depot, &*r.lane_prefix) > after;
         let mut rest = configuration.routes.iter().filter(behind);
-        let page: Vec<&fallgap_chart::Route> = rest.by_ref().take(TERMS.rows).collect();
+        let page: Vec<&fallgap_config::Route> = rest.by_ref().take(TERMS.rows).collect();
         let more = rest.next().is_some();
         let next = page.last().filter(|_| more).map(|route| format!("{}{}", route.depot, route.lane_prefix));
         let target = |(service, share): &(Arc<str>, f64)| desk::Target {
@@ -299,7 +299,7 @@
             share: *share,
             open: open.get(&**service).copied().unwrap_or(0),
         };
-        let row = |route: &fallgap_chart::Route| desk::Route {
+        let row = |route: &fallgap_config::Route| desk::Route {
             name: route.name.to_string(),
             host: route.depot.to_string(),
             prefix: route.lane_prefix.to_string(),
--- a/crates/lantern/src/engine.rs
+++ b/crates/lantern/src/engine.rs
@@ -16,7 +16,7 @@
 use crate::words::{Word, withdrawals_first};
 use fallgap_admin::{History, Surveys};
 use fallgap_beacon::{Beacon, State};
-use fallgap_chart::{Settings, View};
+use fallgap_config::{Settings, View};
 use fallgap_keeper::{Answer, Keeper, Key, Peer as KeeperPeer};
 use fallgap_quay::Quay;
 use fallgap_roster::{Follower, Patience, Rollouts, last_beat};
@@ -371,7 +371,7 @@
         self.settings_seen = changed;
         match std::fs::read(&self.settings_path)
             .map_err(|e| e.to_string())
-            .and_then(|text| fallgap_chart::read_settings(&text).map_err(|faults| faults.to_string()))
+            .and_then(|text| fallgap_config::read_settings(&text).map_err(|faults| faults.to_string()))
         {
             Ok(settings) => {
                 let seeds = settings.seeds.iter().map(|seed| *seed.ip()).collect();
--- a/crates/lantern/src/http/connection.rs
+++ b/crates/lantern/src/http/connection.rs
@@ -1,7 +1,7 @@
 //! One connection of a caller: what was read of it, the call that it waits for, and what is still to be written.
 
 use super::caller::Caller;
-use fallgap_chart::Limits;
+use fallgap_config::Limits;
 use fallgap_pilot::{Inbox, Refusal, Request, Step};
 use mio::net::TcpStream;
 use std::io::{ErrorKind, Read, Write};
--- a/crates/lantern/src/http/server.rs
+++ b/crates/lantern/src/http/server.rs
@@ -5,7 +5,7 @@
 use super::connection::{Came, Connection, State};
 use super::message::{Request, Response};
 use super::workers::{Done, Job, Workers};
-use fallgap_chart::Limits;
+use fallgap_config::Limits;
 use fallgap_pilot::Refusal;
 use mio::event::Event;
 use mio::net::TcpListener;
--- a/crates/lantern/src/hub.rs
+++ b/crates/lantern/src/hub.rs
@@ -3,7 +3,7 @@
 
 use crate::ends::{Ends, FOR_FOLLOWERS};
 use crate::memory::{Notebook, Remembered, Subject};
-use fallgap_chart::Configuration;
+use fallgap_config::Configuration;
 use fallgap_lightlist::Lightlist;
 use fallgap_roster::{Distribution, Fit, Fitness, Ground, Registry, Terms};
 use fallgap_tenants::Ledger;
@@ -76,7 +76,7 @@
         hub.distribution.registry_changed(now, &hub.registry);
         let accounts = remembered.accounts.as_deref().and_then(|bytes| Ledger::decode(bytes).ok());
         hub.ledger = accounts.unwrap_or_default();
-        let body = remembered.configuration.as_deref().map(fallgap_chart::read_configuration);
+        let body = remembered.configuration.as_deref().map(fallgap_config::read_configuration);
         if let Some(Ok(configuration)) = body {
             let edition = configuration.edition;
             tracing::info!("roster: edition {edition} and {count} servers are remembered");
--- a/crates/lantern/src/start.rs
+++ b/crates/lantern/src/start.rs
@@ -17,7 +17,7 @@
 use crate::spread::Spread;
 use fallgap_admin::{History, Surveys};
 use fallgap_beacon::{Beacon, Card};
-use fallgap_chart::Settings;
+use fallgap_config::Settings;
 use fallgap_keeper::store::{Store, StoreError};
 use fallgap_keeper::{Keeper, Kept, KeptError, Me};
 use fallgap_quay::Quay;
@@ -41,7 +41,7 @@
     /// the settings file {0} cannot be read: {1}
     File(PathBuf, io::Error),
     /// the settings file {0} is not in order: {1}
-    Faults(PathBuf, fallgap_chart::Faults),
+    Faults(PathBuf, fallgap_config::Faults),
     /// {0} cannot be listened at: {1}
     Address(SocketAddrV4, Box<dyn std::error::Error + Send + Sync>),
     /// the disk folder {0} cannot be used: {1}
@@ -101,7 +101,7 @@
 
 fn read_settings(path: &Path) -> Result<Settings, NoStart> {
     let text = fs::read(path).map_err(|e| NoStart::File(path.to_owned(), e))?;
-    fallgap_chart::read_settings(&text).map_err(|faults| NoStart::Faults(path.to_owned(), faults))
+    fallgap_config::read_settings(&text).map_err(|faults| NoStart::Faults(path.to_owned(), faults))
 }
 
 /// Runs a supervisor until it is told to end.
--- a/crates/lantern/src/words.rs
+++ b/crates/lantern/src/words.rs
@@ -3,7 +3,7 @@
 //! of small machines carry clients' answers as well.
 
 use crate::ages::Stamp;
-use fallgap_chart::Beat;
+use fallgap_config::Beat;
 use fallgap_keeper::{Answer, Call, Message};
 use fallgap_pilot::Place;
 use fallgap_roster::{Line, RosterWord};
--- a/crates/lantern/tests/inner/hub.rs
+++ b/crates/lantern/tests/inner/hub.rs
@@ -18,7 +18,7 @@
 
 #[test]
 fn a_hub_is_fit_as_soon_as_it_has_something_to_tell() {
-    let configuration = || fallgap_chart::read_configuration(BODY).unwrap();
+    let configuration = || fallgap_config::read_configuration(BODY).unwrap();
     // Remembered; when it is settled, when the configuration is committed; times and what is to be.
     type Row = (Option<&'static [u8]>, u64, u64, &'static [(u64, bool)]);
     let never = u64::MAX;
@@ -51,7 +51,7 @@
 fn only_what_is_committed_is_remembered() {
     let mut hub = hub(Some(BODY));
     assert!(hub.take_due(at(10)).is_empty());
-    let configuration = fallgap_chart::read_configuration(BODY).unwrap();
+    let configuration = fallgap_config::read_configuration(BODY).unwrap();
     hub.committed(at(20), configuration, BODY);
     assert_eq!(hub.take_due(at(20)), [(Subject::Configuration, BODY.to_vec())]);
     assert!(hub.take_due(at(5000)).is_empty());
--- a/crates/lantern/tests/invalid_configurations.rs
+++ b/crates/lantern/tests/invalid_configurations.rs
@@ -19,7 +19,7 @@
     let part = r#"[{"service":"s","share":1}]"#;
     let weighed = with("\"service\"]", "\"sorting\"]").replace(r#",2,"s"]"#, &format!(",2,{part}]"));
     let weighed = weighed.replace(r#",1,"s"]"#, &format!(",1,{part}]"));
-    assert!(fallgap_chart::read_configuration(weighed.as_bytes()).is_ok());
+    assert!(fallgap_config::read_configuration(weighed.as_bytes()).is_ok());
     vec![
         ("cut short", whole[..whole.len() / 2].to_owned()),
         ("cut by its last byte", whole[..whole.len() - 1].to_owned()),
--- a/crates/lantern/tests/once_only.rs
+++ b/crates/lantern/tests/once_only.rs
@@ -1,7 +1,7 @@
 //! Whom an answer between supervisors belongs to: answers that are late, doubled, out of order, or meant for a life
 //! that has ended.
 
-use fallgap_chart::Beat;
+use fallgap_config::Beat;
 use fallgap_keeper::Call;
 use fallgap_lantern::ages::Stamp;
 use fallgap_lantern::asks::Told;
--- a/crates/lightlist/src/words.rs
+++ b/crates/lightlist/src/words.rs
@@ -1,7 +1,7 @@
 //! What is said of servers between supervisors.
 
 use crate::terms::Terms;
-use fallgap_chart::RouteClass;
+use fallgap_config::RouteClass;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
--- a/crates/lightlist/tests/world/mod.rs
+++ b/crates/lightlist/tests/world/mod.rs
@@ -1,7 +1,7 @@
 //! Supervisors with their real choice of servers, some of them keepers, in virtual time; servers that fail as a test
 //! says; a network that is slow, loses and is cut.
 
-use fallgap_chart::{Berth, Configuration, Limits, RouteClass, Service, View};
+use fallgap_config::{Berth, Configuration, Limits, RouteClass, Service, View};
 use fallgap_lightlist::{Count, KINDS, Kind, LightWord, Lightlist, NodeId, Out, Roll, Stand, Terms};
 use fallgap_pilot::{Ended, Fleet, HealthState, Report, ServerKey, ServiceKey};
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/pilot/src/draught.rs
+++ b/crates/pilot/src/draught.rs
@@ -2,7 +2,7 @@
 //! come late here does better at another supervisor, and is told so at once.
 
 use crate::server::moved;
-use fallgap_chart::RouteClass;
+use fallgap_config::RouteClass;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/pilot/src/fleet.rs
+++ b/crates/pilot/src/fleet.rs
@@ -6,7 +6,7 @@
 use crate::server::{Ended, Report, Server, moved};
 use crate::terms::Terms;
 use crate::why::Why;
-use fallgap_chart::{Berth, RouteClass, View, spread};
+use fallgap_config::{Berth, RouteClass, View, spread};
 use fallgap_lightlist::{Book, Kind, Verdict};
 use slotmap::{SlotMap, new_key_type};
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/pilot/src/op.rs
+++ b/crates/pilot/src/op.rs
@@ -1,7 +1,7 @@
 //! One op: its tries, what each proves, and what is to be done next.
 
 use crate::why::Why;
-use fallgap_chart::{Route, RouteClass};
+use fallgap_config::{Route, RouteClass};
 use std::time::Duration;
 
 /// What the route and the client set for an op.
--- a/crates/pilot/src/request.rs
+++ b/crates/pilot/src/request.rs
@@ -2,7 +2,7 @@
 
 use crate::chunks::{ChunkFault, Chunks};
 use crate::head::{Framing, Head, Required, head_end};
-use fallgap_chart::Limits;
+use fallgap_config::Limits;
 use std::mem::take;
 
 /// Why a request goes no further.
--- a/crates/pilot/tests/draught.rs
+++ b/crates/pilot/tests/draught.rs
@@ -1,4 +1,4 @@
-use fallgap_chart::RouteClass;
+use fallgap_config::RouteClass;
 use fallgap_pilot::Draught;
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/pilot/tests/fleet.rs
+++ b/crates/pilot/tests/fleet.rs
@@ -1,6 +1,6 @@
 //! Picks, records and the budget of further tries.
 
-use fallgap_chart::{Berth, Configuration, Limits, RouteClass, Service, View};
+use fallgap_config::{Berth, Configuration, Limits, RouteClass, Service, View};
 use fallgap_pilot::{Budget, Ended, Fleet, ServerKey, ServiceKey, Terms};
 use std::collections::BTreeMap;
 use std::sync::Arc;
--- a/crates/pilot/tests/ops.rs
+++ b/crates/pilot/tests/ops.rs
@@ -1,6 +1,6 @@
 //! What an op's tries prove, and what may follow.
 
-use fallgap_chart::RouteClass::{self, Fragile, Outbound, Safe};
+use fallgap_config::RouteClass::{self, Fragile, Outbound, Safe};
 use fallgap_pilot::{Final, Next, Op, Plan, TryOutcome};
 
 mod common;
--- a/crates/pilot/tests/requests.rs
+++ b/crates/pilot/tests/requests.rs
@@ -1,6 +1,6 @@
 //! Requests are read in one way only, however they arrive.
 
-use fallgap_chart::Limits;
+use fallgap_config::Limits;
 use fallgap_pilot::{Inbox, Refusal, Request, Step, forwarded_head};
 use std::time::Duration;
 
--- a/crates/quay/examples/carry_cost.rs
+++ b/crates/quay/examples/carry_cost.rs
@@ -5,7 +5,7 @@
 #[path = "../tests/world/mod.rs"]
 mod world;
 
-use fallgap_chart::{Berth, View};
+use fallgap_config::{Berth, View};
 use std::alloc::{GlobalAlloc, Layout, System};
 use std::cell::Cell;
 use std::fs::read_to_string;
--- a/crates/quay/examples/path_at_size/sized.rs
+++ b/crates/quay/examples/path_at_size/sized.rs
@@ -1,8 +1,8 @@
 //! A view of a size, and what routing, admission and the pick take of the processor over it.
 
 use crate::gauge::{ran, resident_kb};
-use fallgap_chart::{Allowance, Berth, Configuration, Licence, Licences, Limits, Route, RouteClass};
-use fallgap_chart::{Routing, Service, View};
+use fallgap_config::{Allowance, Berth, Configuration, Licence, Licences, Limits, Route, RouteClass};
+use fallgap_config::{Routing, Service, View};
 use fallgap_lightlist::{Reason, Stand, Verdict};
 use fallgap_pilot::{Draught, Ended, Fleet, Terms};
 use std::net::{Ipv4Addr, SocketAddrV4};
--- a/crates/quay/src/lines.rs
+++ b/crates/quay/src/lines.rs
@@ -4,7 +4,7 @@
 use crate::ops::OpEntry;
 use crate::quay::{Quay, note};
 use crate::timers::{LineKey, OpKey, Who};
-use fallgap_chart::RouteClass;
+use fallgap_config::RouteClass;
 use fallgap_pilot::{AnswerReader, Ended, Progress, ServerKey, TryOutcome};
 use mio::Interest;
 use mio::event::Event;
--- a/crates/quay/src/ops.rs
+++ b/crates/quay/src/ops.rs
@@ -6,7 +6,7 @@
 use crate::logbook::{Draft, Over};
 use crate::quay::Quay;
 use crate::timers::{ClientKey, LineKey, OpKey, Who};
-use fallgap_chart::{RouteClass, plain_host};
+use fallgap_config::{RouteClass, plain_host};
 use fallgap_pilot::{
     Answer, Ended, Final, Next, Op, Plan, Request, ServerKey, ServiceKey, TryOutcome, Why, answer_head,
     own_answer,
--- a/crates/quay/src/quay.rs
+++ b/crates/quay/src/quay.rs
@@ -7,7 +7,7 @@
 use crate::ops::OpEntry;
 use crate::terms::Terms;
 use crate::timers::{ClientKey, LineKey, OpKey, Timers, Who};
-use fallgap_chart::{Limits, Routing, View};
+use fallgap_config::{Limits, Routing, View};
 use fallgap_lightlist::Verdict;
 use fallgap_pilot::{Draught, Ends, Fleet, Lease, Place, Report, ServerKey, ServiceKey};
 use mio::event::Event;
--- a/crates/quay/src/tries.rs
+++ b/crates/quay/src/tries.rs
@@ -6,7 +6,7 @@
 use crate::ops::Try;
 use crate::quay::Quay;
 use crate::timers::{LineKey, OpKey};
-use fallgap_chart::RouteClass;
+use fallgap_config::RouteClass;
 use fallgap_pilot::{Answer, Ended, Judgement, Next, ServerKey, TryOutcome, Why, forwarded_head};
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/quay/tests/clients_that_leave.rs
+++ b/crates/quay/tests/clients_that_leave.rs
@@ -3,7 +3,7 @@
 
 mod world;
 
-use fallgap_chart::View;
+use fallgap_config::View;
 use fallgap_quay::{Quay, Terms};
 use fallgap_test_support::gateway::Got;
 use socket2::SockRef;
--- a/crates/quay/tests/once_only.rs
+++ b/crates/quay/tests/once_only.rs
@@ -194,7 +194,7 @@
             let mut configuration = configuration();
             configuration.limits.idle = ms(seconds * 1000);
             let view =
-                fallgap_chart::View { configuration: Arc::new(configuration), berths: vec![berth(&server)] };
+                fallgap_config::View { configuration: Arc::new(configuration), berths: vec![berth(&server)] };
             world.ask(move |quay, now| quay.view(now, Arc::new(view)));
         };
         idle(before);
--- a/crates/quay/tests/world/mod.rs
+++ b/crates/quay/tests/world/mod.rs
@@ -1,7 +1,7 @@
 //! A quay on loopback sockets, with scripted servers behind it.
 #![allow(dead_code)]
 
-use fallgap_chart::{Berth, Configuration, Limits, Route, RouteClass, Service, View};
+use fallgap_config::{Berth, Configuration, Limits, Route, RouteClass, Service, View};
 use fallgap_quay::{Quay, Terms};
 pub use fallgap_test_support::gateway::{Client, Does, Reply, Server, get, ok};
 use mio::{Events, Poll, Token, Waker};
--- a/crates/roster/examples/home_slopes.rs
+++ b/crates/roster/examples/home_slopes.rs
@@ -7,7 +7,7 @@
 #[path = "../../beacon/examples/gauge/mod.rs"]
 mod gauge;
 
-use fallgap_chart::{Beat, Configuration, Limits, Route, RouteClass, Service};
+use fallgap_config::{Beat, Configuration, Limits, Route, RouteClass, Service};
 use fallgap_feed::wire::{Said, Told};
 use fallgap_lightlist::{Count, Lightlist};
 use fallgap_roster::{Distribution, Follower, FollowerOut, NodeId, Out, Registry, RosterWord};
--- a/crates/roster/src/closings.rs
+++ b/crates/roster/src/closings.rs
@@ -4,7 +4,7 @@
 //! these have to know as well.
 
 use crate::NodeId;
-use fallgap_chart::Beat;
+use fallgap_config::Beat;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
--- a/crates/roster/src/distribution.rs
+++ b/crates/roster/src/distribution.rs
@@ -13,7 +13,7 @@
 use crate::sending::{SHARED, Sending, receiver_of, table_of};
 use crate::servers::Servers;
 use crate::terms::Terms;
-use fallgap_chart::Configuration;
+use fallgap_config::Configuration;
 use fallgap_feed::wire::{Said, Told};
 use fallgap_feed::{Feed, Limits};
 use fallgap_tables::{Entry, Kept, Key, Tables, Withdrawals};
--- a/crates/roster/src/follower.rs
+++ b/crates/roster/src/follower.rs
@@ -8,7 +8,7 @@
 use crate::sending::table_of;
 use crate::terms::Terms;
 use crate::views::Views;
-use fallgap_chart::View;
+use fallgap_config::View;
 use fallgap_feed::wire::{Said, Told};
 use fallgap_tables::{Key, Receiver, Reject};
 use std::sync::Arc;
--- a/crates/roster/src/lives.rs
+++ b/crates/roster/src/lives.rs
@@ -1,6 +1,6 @@
 //! One life of a server, and the states that it goes through.
 
-use fallgap_chart::{Beat, Berth};
+use fallgap_config::{Beat, Berth};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/roster/src/messages.rs
+++ b/crates/roster/src/messages.rs
@@ -3,7 +3,7 @@
 use crate::NodeId;
 use crate::lives::State;
 use crate::terms::Terms;
-use fallgap_chart::Beat;
+use fallgap_config::Beat;
 use fallgap_feed::wire::{Said, Told, Unreadable};
 use fallgap_lightlist::{Count, LightWord};
 use serde::{Deserialize, Serialize};
--- a/crates/roster/src/registry.rs
+++ b/crates/roster/src/registry.rs
@@ -6,7 +6,7 @@
 use crate::lives::{Event, Life, State, last_beat};
 use crate::messages::{Record, RosterWord};
 use crate::terms::Terms;
-use fallgap_chart::Beat;
+use fallgap_config::Beat;
 use fallgap_lightlist::Roll;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
--- a/crates/roster/src/views.rs
+++ b/crates/roster/src/views.rs
@@ -1,7 +1,7 @@
 //! The view that a supervisor routes by, from what its homes sent over time.
 
 use crate::distribution::{REMEMBERS, UNCONFIRMED, WARM};
-use fallgap_chart::{Berth, Configuration, View};
+use fallgap_config::{Berth, Configuration, View};
 use fallgap_tables::{Content, Entry, Key};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
--- a/crates/roster/tests/world/mod.rs
+++ b/crates/roster/tests/world/mod.rs
@@ -3,7 +3,7 @@
 
 mod rollouts;
 
-use fallgap_chart::{Beat, Configuration, Limits, Route, RouteClass, Service, View};
+use fallgap_config::{Beat, Configuration, Limits, Route, RouteClass, Service, View};
 use fallgap_feed::wire::{Said, Told};
 use fallgap_roster::{Distribution, Follower, FollowerOut, NodeId, Out, Record, Registry, RosterWord, Terms};
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/simulation/tests/closings.rs
+++ b/crates/simulation/tests/closings.rs
@@ -4,7 +4,7 @@
 #[allow(dead_code)]
 mod halls;
 
-use fallgap_chart::Beat;
+use fallgap_config::Beat;
 use fallgap_keeper::NodeId;
 use halls::{Halls, How, MS, Without, node, put};
 use std::time::Duration;
--- a/crates/simulation/tests/halls/content.rs
+++ b/crates/simulation/tests/halls/content.rs
@@ -1,7 +1,7 @@
 //! What is put into force in the halls.
 
 use super::{Call, MS};
-use fallgap_chart::{Configuration, Licences, Limits, Route, RouteClass, Service};
+use fallgap_config::{Configuration, Licences, Limits, Route, RouteClass, Service};
 use std::sync::Arc;
 
 pub(super) fn configuration(edition: u64, revision: u64) -> Arc<Configuration> {
--- a/crates/simulation/tests/halls/mod.rs
+++ b/crates/simulation/tests/halls/mod.rs
@@ -8,7 +8,7 @@
 use content::configuration;
 pub use content::put;
 use fallgap_beacon as beacon;
-use fallgap_chart::Beat;
+use fallgap_config::Beat;
 use fallgap_keeper::charter::{Charter, Member};
 use fallgap_keeper::messages::Record;
 use fallgap_keeper::{Answer, Call, Keeper, Kept, Key, Me, Message, NodeId, Out, Peer, subjects};
--- a/crates/simulation/tests/halls/servers.rs
+++ b/crates/simulation/tests/halls/servers.rs
@@ -1,7 +1,7 @@
 //! Servers in the halls: what they say, and what homes and keepers make of it.
 
 use super::{Fit, Halls, Home, MS, Machine, NodeId, Without, Word};
-use fallgap_chart::Beat;
+use fallgap_config::Beat;
 use fallgap_roster::RosterWord;
 use std::time::Duration;
 
--- a/crates/tenants/examples/ledger_slopes.rs
+++ b/crates/tenants/examples/ledger_slopes.rs
@@ -7,7 +7,7 @@
 #[path = "../../beacon/examples/gauge/mod.rs"]
 mod gauge;
 
-use fallgap_chart::{Allowance, Configuration, Limits, Route, RouteClass, Service};
+use fallgap_config::{Allowance, Configuration, Limits, Route, RouteClass, Service};
 use fallgap_tenants::{Account, Area, Grant, KeyHash, Ledger, Office, Slice, TERMS, join};
 use gauge::{ran, resident_kb};
 use std::process::Command;
--- a/crates/tenants/src/accounts.rs
+++ b/crates/tenants/src/accounts.rs
@@ -4,8 +4,8 @@
 use crate::ledger::{Account, Area, Grant, Ledger, Office, Slice};
 use crate::repeats::{Carried, Digest, Taken};
 use crate::terms::TERMS;
-use fallgap_chart::document::{Field, Spot, WHOLE, count, document, number, whole};
-use fallgap_chart::{Allowance, Faults, RouteClass, What, class, host, prefix};
+use fallgap_config::document::{Field, Spot, WHOLE, count, document, number, whole};
+use fallgap_config::{Allowance, Faults, RouteClass, What, class, host, prefix};
 use serde::Serialize;
 use sonic_rs::{JsonValueTrait, Value};
 use std::collections::{BTreeMap, BTreeSet};
@@ -23,14 +23,14 @@
 /// It stands in paths and in notes.
 fn id(value: &Value) -> Option<String> {
     let stands = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'.' | b'-' | b'_');
-    let text = value.as_str().filter(|text| text.bytes().all(stands) && fallgap_chart::is_name(text))?;
+    let text = value.as_str().filter(|text| text.bytes().all(stands) && fallgap_config::is_name(text))?;
     Some(text.to_owned())
 }
 
 /// Reads the body of an order for the account `account`, and checks it against all other accounts if it is to be
 /// carried out.
 pub fn read_order(account: &str, body: &[u8], ledger: &Ledger) -> Result<Order, Faults> {
-    let document = document(body, fallgap_chart::TERMS.configuration_bytes)?;
+    let document = document(body, fallgap_config::TERMS.configuration_bytes)?;
     let top = Field::top(&document);
     let mut faults = Faults::default();
     let path: Value = Value::from(account);
--- a/crates/tenants/src/changes.rs
+++ b/crates/tenants/src/changes.rs
@@ -4,8 +4,8 @@
 use crate::ledger::{Account, Entry, Ledger, Office, Place};
 use crate::repeats::Made;
 use crate::terms::TERMS;
-use fallgap_chart::document::{Field, Spot, WHOLE, document, whole};
-use fallgap_chart::{Configuration, Faults, Route, What, host, place, prefix, read_route_rows};
+use fallgap_config::document::{Field, Spot, WHOLE, document, whole};
+use fallgap_config::{Configuration, Faults, Route, What, host, place, prefix, read_route_rows};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -78,7 +78,7 @@
 
 /// Reads the body of a change; routes stand as in a configuration.
 pub fn read_change(body: &[u8], operator: &Configuration) -> Result<Change, Faults> {
-    let document = document(body, fallgap_chart::TERMS.settings_bytes)?;
+    let document = document(body, fallgap_config::TERMS.settings_bytes)?;
     let top = Field::top(&document);
     let mut faults = Faults::default();
     let base = top.field("base").must(&mut faults, WHOLE, whole).unwrap_or_default();
@@ -102,7 +102,7 @@
 
 /// Reads the body of a call that names nothing but the edition that it starts from.
 pub fn read_base(body: &[u8]) -> Result<u64, Faults> {
-    let document = document(body, fallgap_chart::TERMS.call_bytes)?;
+    let document = document(body, fallgap_config::TERMS.call_bytes)?;
     let mut faults = Faults::default();
     let base = Field::top(&document).field("base").must(&mut faults, WHOLE, whole);
     faults.or(base.unwrap_or_default())
--- a/crates/tenants/src/fitting.rs
+++ b/crates/tenants/src/fitting.rs
@@ -1,7 +1,7 @@
 //! Whether a route of an office may be in force: one rule, asked of each change and of each new configuration.
 
 use crate::ledger::{Account, Area, Ledger, Office, Place};
-use fallgap_chart::{Configuration, Route, place};
+use fallgap_config::{Configuration, Route, place};
 use std::collections::BTreeMap;
 
 /// Why a route of an office cannot be in force.
--- a/crates/tenants/src/joining.rs
+++ b/crates/tenants/src/joining.rs
@@ -2,7 +2,7 @@
 
 use crate::fitting::{Ground, Unfit, place_of};
 use crate::ledger::{Account, Ledger, Place};
-use fallgap_chart::{Configuration, Licence, Licences, Route, place};
+use fallgap_config::{Configuration, Licence, Licences, Route, place};
 use std::sync::Arc;
 
 #[derive(Clone, Debug, PartialEq)]
@@ -32,7 +32,7 @@
                 let mut why = ground.unfit(of_account, name, office, route);
                 if why.is_empty() {
                     why.extend(full(of_account, office.slice.allowance.routes, in_office, in_account));
-                    why.extend((routes.len() >= fallgap_chart::TERMS.routes).then_some(Unfit::Full));
+                    why.extend((routes.len() >= fallgap_config::TERMS.routes).then_some(Unfit::Full));
                 }
                 if why.is_empty() {
                     routes.push((route.clone(), Some(owner)));
--- a/crates/tenants/src/ledger.rs
+++ b/crates/tenants/src/ledger.rs
@@ -3,7 +3,7 @@
 use crate::keys::KeyHash;
 use crate::repeats::{Again, Made, Taken};
 use crate::terms::TERMS;
-use fallgap_chart::{Allowance, Route, RouteClass};
+use fallgap_config::{Allowance, Route, RouteClass};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
--- a/crates/tenants/src/shown.rs
+++ b/crates/tenants/src/shown.rs
@@ -3,7 +3,7 @@
 use crate::changes::{Plan, Step};
 use crate::joining::Joined;
 use crate::ledger::{Account, Area, Ledger, Office, Place};
-use fallgap_chart::{Allowance, Route, RouteClass};
+use fallgap_config::{Allowance, Route, RouteClass};
 use std::fmt::Display;
 
 const FIELDS: &str =
--- a/crates/tenants/src/transaction.rs
+++ b/crates/tenants/src/transaction.rs
@@ -7,7 +7,7 @@
 use crate::fitting::place_of;
 use crate::ledger::{Account, Ledger, Place};
 use crate::repeats::{Again, Carried, idempotency_key};
-use fallgap_chart::Configuration;
+use fallgap_config::Configuration;
 
 /// Others that come first are made good for so often.
 const TRIES: usize = 5;
--- a/crates/tenants/tests/cases.rs
+++ b/crates/tenants/tests/cases.rs
@@ -1,6 +1,6 @@
 //! Tables of orders and changes, each on what the one before it left.
 
-use fallgap_chart::{Configuration, Faults, read_configuration};
+use fallgap_config::{Configuration, Faults, read_configuration};
 use fallgap_tenants::{
     Carried, Change, KeyHash, Ledger, Maker, Order, Plan, Refused, join, plan, read_change, read_order,
     shown_accounts, shown_office, shown_plan, shown_stale, undo,
--- a/crates/tenants/tests/orders.rs
+++ b/crates/tenants/tests/orders.rs
@@ -2,7 +2,7 @@
 //! over keepers in virtual time; answers are lost, and whoever had none sends the same body to another supervisor. Keepers
 //! die before and after they took one, and all lose power.
 
-use fallgap_chart::{Configuration, read_configuration};
+use fallgap_config::{Configuration, read_configuration};
 use fallgap_keeper::{Answer, Call};
 use fallgap_simulation::waters::{Sea, ms};
 use fallgap_tenants::{Ledger, Maker, Refused, Step, Transaction, Wanted, Wrote, idempotency_key};
--- a/crates/tenants/tests/repeats.rs
+++ b/crates/tenants/tests/repeats.rs
@@ -1,6 +1,6 @@
 //! Orders of the operator that come again, and ledgers of the text before: tables of cases.
 
-use fallgap_chart::{Configuration, read_configuration};
+use fallgap_config::{Configuration, read_configuration};
 use fallgap_tenants::{
     Account, Carried, Ledger, Maker, TERMS, idempotency_key, plan, read_change, read_order,
 };
--- a/crates/tenants/tests/sea.rs
+++ b/crates/tenants/tests/sea.rs
@@ -1,7 +1,7 @@
 //! Two offices and the operator, each at a keeper of its own choice, over keepers in virtual time: messages are lost and
 //! late, keepers are cut off and killed, just after an acknowledgement too, and all lose power.
 
-use fallgap_chart::{Configuration, read_configuration};
+use fallgap_config::{Configuration, read_configuration};
 use fallgap_keeper::{Answer, Call};
 use fallgap_simulation::waters::{Sea, ms};
 use fallgap_tenants::{Carried, Ledger, Maker, Refused, plan, read_change, read_order};
--- a/crates/tenants/tests/transaction.rs
+++ b/crates/tenants/tests/transaction.rs
@@ -1,6 +1,6 @@
 //! An order as a transaction: tables of what is read and what became of its writes.
 
-use fallgap_chart::{Configuration, read_configuration};
+use fallgap_config::{Configuration, read_configuration};
 use fallgap_tenants::{Carried, Ledger, Maker, Refused, Step, Transaction, Wanted, Wrote, read_order};
 
 fn operator() -> Configuration {
