--- a/crates/lantern/src/carry.rs
+++ b/crates/lantern/src/carry.rs
@@ -403,7 +403,7 @@
     pub fn report(&mut self, now: Duration) {
         let Some(quay) = &mut self.quay else { return };
         let report =
-            |r: fallgap_quay::Report| ServerReport { server: r.server, kinds: r.kinds, good_ms: r.good_ms };
+            |r: fallgap_proxy::Report| ServerReport { server: r.server, kinds: r.kinds, good_ms: r.good_ms };
         let reports: Vec<ServerReport> = quay.reports(now).into_iter().map(report).collect();
         if let Some(home) = self.follower.home()
             && !reports.is_empty()
--- a/crates/lantern/src/desk.rs
+++ b/crates/lantern/src/desk.rs
@@ -337,13 +337,13 @@
     fn tales(&self, now: Duration, id: Option<&str>) -> Vec<desk::Tale> {
         let tales = self.quay.iter().flat_map(|quay| quay.tales(now, id, TERMS.tales));
         let us = |time: Duration| u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
-        let one = |one: fallgap_quay::TryTale| desk::Try {
+        let one = |one: fallgap_proxy::TryTale| desk::Try {
             server: one.server.map(|server| server.to_string()),
             began_us: us(one.began),
             took_us: us(one.took),
             end: one.end.into(),
         };
-        let tale = |tale: fallgap_quay::Tale| desk::Tale {
+        let tale = |tale: fallgap_proxy::Tale| desk::Tale {
             node: self.me,
             id: tale.id,
             status: tale.status,
--- a/crates/lantern/src/engine.rs
+++ b/crates/lantern/src/engine.rs
@@ -18,7 +18,7 @@
 use fallgap_beacon::{Beacon, State};
 use fallgap_config::{Settings, View};
 use fallgap_keeper::{Answer, Keeper, Key, Peer as KeeperPeer};
-use fallgap_quay::Quay;
+use fallgap_proxy::Quay;
 use fallgap_roster::{Follower, Patience, Rollouts, last_beat};
 use mio::net::UdpSocket;
 use mio::{Events, Poll};
--- a/crates/lantern/src/figures.rs
+++ b/crates/lantern/src/figures.rs
@@ -2,7 +2,7 @@
 //! collectors read.
 
 use crate::engine::Engine;
-use fallgap_quay::Counters;
+use fallgap_proxy::Counters;
 use std::fmt::Write;
 use std::time::Duration;
 
--- a/crates/lantern/src/leavers.rs
+++ b/crates/lantern/src/leavers.rs
@@ -1,6 +1,6 @@
 //! A line of the log about clients that left before their answer, at most one each [`PERIOD`].
 
-use fallgap_quay::Counters;
+use fallgap_proxy::Counters;
 use std::time::Duration;
 
 /// How often a line may be written.
--- a/crates/lantern/src/start.rs
+++ b/crates/lantern/src/start.rs
@@ -20,7 +20,7 @@
 use fallgap_config::Settings;
 use fallgap_keeper::store::{Store, StoreError};
 use fallgap_keeper::{Keeper, Kept, KeptError, Me};
-use fallgap_quay::Quay;
+use fallgap_proxy::Quay;
 use fallgap_roster::{Follower, Patience, Rollouts};
 use mio::net::UdpSocket;
 use mio::{Interest, Poll, Token, Waker};
@@ -254,9 +254,9 @@
 }
 
 /// What binds the carrying of requests, by the settings.
-fn quay_terms(settings: &Settings) -> fallgap_quay::Terms {
+fn quay_terms(settings: &Settings) -> fallgap_proxy::Terms {
     let bounds = &settings.bounds;
-    let mut terms = fallgap_quay::Terms::default();
+    let mut terms = fallgap_proxy::Terms::default();
     terms.pilot.retry_ratio = bounds.retry_ratio;
     terms.pilot.retry_slack = bounds.retry_slack;
     terms.pilot.retry_window = bounds.retry_window;
--- a/crates/lantern/tests/leavers.rs
+++ b/crates/lantern/tests/leavers.rs
@@ -1,7 +1,7 @@
 //! The log's line about clients that left.
 
 use fallgap_lantern::leavers::Leavers;
-use fallgap_quay::Counters;
+use fallgap_proxy::Counters;
 use std::time::Duration;
 
 #[test]
--- a/crates/quay/examples/carry_cost.rs
+++ b/crates/proxy/examples/carry_cost.rs
@@ -128,9 +128,9 @@
 fn main() {
     let body = "x".repeat(1024);
     let server = Server::start("i-1", move |got| Does::Sends(ok(got, &body)));
-    let world = World::new(fallgap_quay::Terms::default());
-    let forgets = fallgap_quay::Pages { smooth: 0, rough: 0, gone: 0 };
-    let forgetful = World::new(fallgap_quay::Terms { pages: forgets, ..Default::default() });
+    let world = World::new(fallgap_proxy::Terms::default());
+    let forgets = fallgap_proxy::Pages { smooth: 0, rough: 0, gone: 0 };
+    let forgetful = World::new(fallgap_proxy::Terms { pages: forgets, ..Default::default() });
     // A server that takes as many at once as there are clients.
     let mut configuration = configuration();
     configuration.services.iter_mut().for_each(|service| service.line_cap = 256);
--- a/crates/quay/examples/path_at_size/main.rs
+++ b/crates/proxy/examples/path_at_size/main.rs
@@ -155,7 +155,7 @@
     let port = port.trim().parse().expect("a port");
     // The smallest beside the largest, in the same run.
     for (size, rate) in [(Size::ALL[0], 86.0), (Size::ALL[2], 86.0), (Size::ALL[2], 860.0)] {
-        let world = World::new(fallgap_quay::Terms::default());
+        let world = World::new(fallgap_proxy::Terms::default());
         let (view, verdicts) = (Arc::new(size.view(port)), size.verdicts(1));
         world.ask(move |quay, now| {
             quay.supervisors(17, SUPERVISORS);
--- a/crates/quay/tests/clients_that_leave.rs
+++ b/crates/proxy/tests/clients_that_leave.rs
@@ -4,7 +4,7 @@
 mod world;
 
 use fallgap_config::View;
-use fallgap_quay::{Quay, Terms};
+use fallgap_proxy::{Quay, Terms};
 use fallgap_test_support::gateway::Got;
 use socket2::SockRef;
 use std::io::{ErrorKind, Read};
--- a/crates/quay/tests/lines.rs
+++ b/crates/proxy/tests/lines.rs
@@ -2,7 +2,7 @@
 
 mod world;
 
-use fallgap_quay::Terms;
+use fallgap_proxy::Terms;
 use world::*;
 
 /// Fails where connections at rest hold the room: then all goes to the server that was met first, and a service whose
--- a/crates/quay/tests/once_only.rs
+++ b/crates/proxy/tests/once_only.rs
@@ -3,7 +3,7 @@
 
 mod world;
 
-use fallgap_quay::Terms;
+use fallgap_proxy::Terms;
 use fallgap_test_support::gateway::status;
 use socket2::SockRef;
 use std::io::Read;
--- a/crates/quay/tests/sockets.rs
+++ b/crates/proxy/tests/sockets.rs
@@ -181,7 +181,7 @@
 #[test]
 fn before_the_first_view_all_are_told_to_come_back() {
     let server = Server::start("i-1", |got| Does::Sends(ok(got, "bytes")));
-    let world = World::new(fallgap_quay::Terms::default());
+    let world = World::new(fallgap_proxy::Terms::default());
     let early = world.get("/safe/", "1");
     assert_eq!((early.status, early.line("retry-after").is_some()), (503, true));
     world.view(&[&server]);
@@ -326,7 +326,7 @@
     client.send(&get("/outbound/x", "r1").replace("1500", "400"));
     assert!(client.reply().is_none());
     let tales = world.ask(|quay, now| quay.tales(now, Some("r1"), 9));
-    let of = |tale: &fallgap_quay::Tale| (tale.status, tale.why.word(), tale.tries.first().map(|t| t.end));
+    let of = |tale: &fallgap_proxy::Tale| (tale.status, tale.why.word(), tale.tries.first().map(|t| t.end));
     assert_eq!(tales.iter().map(of).collect::<Vec<_>>(), [(200, "broke-off", Some("broke-after"))]);
     // Its server is drained: the next op finds none, and the name of the old one is known still.
     let server = Server::start("i-1", fails);
@@ -335,6 +335,7 @@
     world.view(&[]);
     assert_eq!(world.get("/safe/x", "r2").status, 503);
     let tales = world.ask(|quay, now| quay.tales(now, None, 9));
-    let of = |tale: &fallgap_quay::Tale| (tale.why.word(), tale.tries.first().and_then(|t| t.server.clone()));
+    let of =
+        |tale: &fallgap_proxy::Tale| (tale.why.word(), tale.tries.first().and_then(|t| t.server.clone()));
     assert_eq!(tales.iter().map(of).collect::<Vec<_>>(), [("once", Some("i-1".into())), ("no-server", None)]);
 }
--- a/crates/quay/tests/world/mod.rs
+++ b/crates/proxy/tests/world/mod.rs
@@ -2,7 +2,7 @@
 #![allow(dead_code)]
 
 use fallgap_config::{Berth, Configuration, Limits, Route, RouteClass, Service, View};
-use fallgap_quay::{Quay, Terms};
+use fallgap_proxy::{Quay, Terms};
 pub use fallgap_test_support::gateway::{Client, Does, Reply, Server, get, ok};
 use mio::{Events, Poll, Token, Waker};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
