--- a/crates/admin/src/tales.rs
+++ b/crates/admin/src/tales.rs
@@ -2,7 +2,7 @@
 
 use crate::status::{STALE_MS, age, asked};
 use crate::told::{Tale, Tales};
-use fallgap_pilot::Why;
+use fallgap_routing::Why;
 
 fn ms(us: u64) -> String {
     format!("{:.1} ms", us as f64 / 1e3)
--- a/crates/lantern/examples/office_cost.rs
+++ b/crates/lantern/examples/office_cost.rs
@@ -3,7 +3,7 @@
 //! supervisors as processes, three with a disk, one change after the other.
 
 use fallgap_config::{Allowance, Configuration, Licence, Licences, Routing, read_configuration};
-use fallgap_pilot::Lease;
+use fallgap_routing::Lease;
 use fallgap_tenants::{Carried, Ledger, Maker, plan, read_change, read_order};
 use fallgap_test_support::gateway::{Client, Landing, Supervisor};
 use std::error::Error;
--- a/crates/lantern/src/http/connection.rs
+++ b/crates/lantern/src/http/connection.rs
@@ -2,7 +2,7 @@
 
 use super::caller::Caller;
 use fallgap_config::Limits;
-use fallgap_pilot::{Inbox, Refusal, Request, Step};
+use fallgap_routing::{Inbox, Refusal, Request, Step};
 use mio::net::TcpStream;
 use std::io::{ErrorKind, Read, Write};
 use std::net::Shutdown;
--- a/crates/lantern/src/http/message.rs
+++ b/crates/lantern/src/http/message.rs
@@ -6,11 +6,11 @@
 /// A whole call.
 #[derive(Debug)]
 pub struct Request {
-    inner: Box<fallgap_pilot::Request>,
+    inner: Box<fallgap_routing::Request>,
 }
 
 impl Request {
-    pub fn new(inner: Box<fallgap_pilot::Request>) -> Request {
+    pub fn new(inner: Box<fallgap_routing::Request>) -> Request {
         Request { inner }
     }
 
--- a/crates/lantern/src/http/server.rs
+++ b/crates/lantern/src/http/server.rs
@@ -6,7 +6,7 @@
 use super::message::{Request, Response};
 use super::workers::{Done, Job, Workers};
 use fallgap_config::Limits;
-use fallgap_pilot::Refusal;
+use fallgap_routing::Refusal;
 use mio::event::Event;
 use mio::net::TcpListener;
 use mio::{Events, Interest, Poll, Token, Waker};
@@ -302,7 +302,7 @@
     }
 
     /// A call is whole.
-    fn call(&mut self, now: Duration, key: ConnectionKey, request: Box<fallgap_pilot::Request>) {
+    fn call(&mut self, now: Duration, key: ConnectionKey, request: Box<fallgap_routing::Request>) {
         let Some(connection) = self.connections.get_mut(key) else { return };
         let (keep, head_only) = (request.head.keep, request.head.is_head());
         let request = Request::new(request);
--- a/crates/lightlist/tests/world/mod.rs
+++ b/crates/lightlist/tests/world/mod.rs
@@ -3,7 +3,7 @@
 
 use fallgap_config::{Berth, Configuration, Limits, RouteClass, Service, View};
 use fallgap_lightlist::{Count, KINDS, Kind, LightWord, Lightlist, NodeId, Out, Roll, Stand, Terms};
-use fallgap_pilot::{Ended, Fleet, HealthState, Report, ServerKey, ServiceKey};
+use fallgap_routing::{Ended, Fleet, HealthState, Report, ServerKey, ServiceKey};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -101,7 +101,7 @@
         let mut nodes = Vec::new();
         for i in 0..plan.nodes {
             let zone: Arc<str> = format!("z{}", i % plan.zones).into();
-            let mut fleet = Fleet::new(zone.clone(), fallgap_pilot::Terms::default(), rng.u64(..));
+            let mut fleet = Fleet::new(zone.clone(), fallgap_routing::Terms::default(), rng.u64(..));
             fleet.supervisors(i, plan.nodes);
             fleet.view(&view(&lives, plan.zones));
             let service = fleet.sorted(&[("s".into(), 1.0)]).unwrap();
--- a/crates/proxy/src/client.rs
+++ b/crates/proxy/src/client.rs
@@ -1,7 +1,7 @@
 //! A connection of a client.
 
 use crate::timers::OpKey;
-use fallgap_pilot::Inbox;
+use fallgap_routing::Inbox;
 use mio::net::TcpStream;
 use std::io::{ErrorKind, IoSlice, Result, Write};
 use std::time::Duration;
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -3,7 +3,7 @@
 use crate::client::{Client, ClientState, Outgoing};
 use crate::quay::{Quay, note};
 use crate::timers::{ClientKey, OpKey, Who};
-use fallgap_pilot::{Ends, Refusal, Step, own_answer};
+use fallgap_routing::{Ends, Refusal, Step, own_answer};
 use mio::Interest;
 use mio::event::Event;
 use std::io::{ErrorKind, Read, Write};
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -12,7 +12,7 @@
 mod timers;
 mod tries;
 
-pub use fallgap_pilot::Report;
+pub use fallgap_routing::Report;
 pub use logbook::{Pages, Tale, TryTale};
 pub use quay::{Counters, Quay, QuayError};
 pub use terms::Terms;
--- a/crates/proxy/src/line.rs
+++ b/crates/proxy/src/line.rs
@@ -1,7 +1,7 @@
 //! A connection to a server.
 
 use crate::timers::OpKey;
-use fallgap_pilot::{AnswerReader, ServerKey};
+use fallgap_routing::{AnswerReader, ServerKey};
 use mio::net::TcpStream;
 use std::io::{ErrorKind, Read};
 use std::time::Duration;
--- a/crates/proxy/src/lines.rs
+++ b/crates/proxy/src/lines.rs
@@ -5,7 +5,7 @@
 use crate::quay::{Quay, note};
 use crate::timers::{LineKey, OpKey, Who};
 use fallgap_config::RouteClass;
-use fallgap_pilot::{AnswerReader, Ended, Progress, ServerKey, TryOutcome};
+use fallgap_routing::{AnswerReader, Ended, Progress, ServerKey, TryOutcome};
 use mio::Interest;
 use mio::event::Event;
 use mio::net::TcpStream;
@@ -305,7 +305,7 @@
 /// Reads until an answer is whole or nothing more is there. `closed`: the end is to be looked for, too. `most`: bytes
 /// after which the line is held back.
 fn hear_line(
-    line: &mut Line, scratch: &mut [u8], terms: &fallgap_pilot::Terms, closed: bool,
+    line: &mut Line, scratch: &mut [u8], terms: &fallgap_routing::Terms, closed: bool,
     (room, most): (usize, usize), id: &str,
 ) -> Heard {
     let mut foreign = false;
--- a/crates/proxy/src/logbook.rs
+++ b/crates/proxy/src/logbook.rs
@@ -1,7 +1,7 @@
 //! The last ops, for whoever asks what became of one. Records are of one size and their number is bounded; what is
 //! written while an op is under way lies in the op itself, so nothing is allocated for it.
 
-use fallgap_pilot::{Ended, ServerKey, ServiceKey, TryOutcome, Why, try_word};
+use fallgap_routing::{Ended, ServerKey, ServiceKey, TryOutcome, Why, try_word};
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/proxy/src/ops.rs
+++ b/crates/proxy/src/ops.rs
@@ -7,7 +7,7 @@
 use crate::quay::Quay;
 use crate::timers::{ClientKey, LineKey, OpKey, Who};
 use fallgap_config::{RouteClass, plain_host};
-use fallgap_pilot::{
+use fallgap_routing::{
     Answer, Ended, Final, Next, Op, Plan, Request, ServerKey, ServiceKey, TryOutcome, Why, answer_head,
     own_answer,
 };
@@ -253,7 +253,7 @@
             answer_head(line.reader.answer(), op.request.head.id(), ends, &mut head);
             let Some(held) = self.clients.get_mut(client) else { return };
             held.out = Outgoing::new(head, Vec::new());
-            held.turn(now, ClientState::Passing { op: at.op, keep: ends != fallgap_pilot::Ends::Closed });
+            held.turn(now, ClientState::Passing { op: at.op, keep: ends != fallgap_routing::Ends::Closed });
         }
         let Some((line, held)) = self.lines.get_mut(key).zip(self.clients.get_mut(client)) else { return };
         held.out.push(&line.reader.take_body());
@@ -276,7 +276,7 @@
         let mut head = Vec::with_capacity(512);
         answer_head(&answer, request.head.id(), ends, &mut head);
         let body = std::mem::take(&mut answer.body);
-        self.reply(now, key, Outgoing::new(head, body), ends != fallgap_pilot::Ends::Closed);
+        self.reply(now, key, Outgoing::new(head, body), ends != fallgap_routing::Ends::Closed);
     }
 
     fn not_run(&mut self, now: Duration, key: ClientKey, request: &Request) {
@@ -296,7 +296,7 @@
         let ends = self.ends(key, request.head.keep);
         let mut head = Vec::with_capacity(160);
         own_answer(status, Some(request.head.id()), again, ends, &mut head);
-        self.reply(now, key, Outgoing::new(head, Vec::new()), ends != fallgap_pilot::Ends::Closed);
+        self.reply(now, key, Outgoing::new(head, Vec::new()), ends != fallgap_routing::Ends::Closed);
     }
 
     /// A request whose client has closed its side before it was begun: it is not begun.
@@ -352,7 +352,7 @@
             // It may still come up: the next request is glad of it, and how long it took is worth knowing.
             let line = std::mem::take(&mut hung.line);
             self.leave_coming(now, line);
-            self.try_ended(now, at, fallgap_pilot::TryOutcome::NotSent, Ended::Hung, None);
+            self.try_ended(now, at, fallgap_routing::TryOutcome::NotSent, Ended::Hung, None);
         } else if op.hedge_at.take_if(|at| now >= *at).is_some() {
             self.hedge(now, key);
         }
--- a/crates/proxy/src/quay.rs
+++ b/crates/proxy/src/quay.rs
@@ -9,7 +9,7 @@
 use crate::timers::{ClientKey, LineKey, OpKey, Timers, Who};
 use fallgap_config::{Limits, Routing, View};
 use fallgap_lightlist::Verdict;
-use fallgap_pilot::{Draught, Ends, Fleet, Lease, Place, Report, ServerKey, ServiceKey};
+use fallgap_routing::{Draught, Ends, Fleet, Lease, Place, Report, ServerKey, ServiceKey};
 use mio::event::Event;
 use mio::net::TcpListener;
 use mio::{Interest, Registry, Token};
--- a/crates/proxy/src/terms.rs
+++ b/crates/proxy/src/terms.rs
@@ -6,7 +6,7 @@
 /// All bounds of the sockets, and what happens at each.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Terms {
-    pub pilot: fallgap_pilot::Terms,
+    pub pilot: fallgap_routing::Terms,
     /// Connections of clients. Over it the one at rest for longest is closed for a new one; with none at rest, new
     /// ones wait in the kernel's queue.
     pub connections: usize,
@@ -52,7 +52,7 @@
     fn default() -> Self {
         let ms = Duration::from_millis;
         Terms {
-            pilot: fallgap_pilot::Terms::default(),
+            pilot: fallgap_routing::Terms::default(),
             connections: 2500,
             lines: 1000,
             memory: 48 << 20,
--- a/crates/proxy/src/tries.rs
+++ b/crates/proxy/src/tries.rs
@@ -7,7 +7,7 @@
 use crate::quay::Quay;
 use crate::timers::{LineKey, OpKey};
 use fallgap_config::RouteClass;
-use fallgap_pilot::{Answer, Ended, Judgement, Next, ServerKey, TryOutcome, Why, forwarded_head};
+use fallgap_routing::{Answer, Ended, Judgement, Next, ServerKey, TryOutcome, Why, forwarded_head};
 use std::net::SocketAddr;
 use std::time::Duration;
 
--- a/crates/pilot/tests/answers.rs
+++ b/crates/routing/tests/answers.rs
@@ -1,6 +1,6 @@
 //! Nothing of a server's answer is believed that is not whole and its own.
 
-use fallgap_pilot::{Answer, AnswerReader, Ends, Judgement, Progress, Terms, answer_head, own_answer};
+use fallgap_routing::{Answer, AnswerReader, Ends, Judgement, Progress, Terms, answer_head, own_answer};
 use std::time::Duration;
 
 /// What became of an answer given in pieces: what it proves and whether bytes came behind it. `None`: it is none.
--- a/crates/pilot/tests/draught.rs
+++ b/crates/routing/tests/draught.rs
@@ -1,5 +1,5 @@
 use fallgap_config::RouteClass;
-use fallgap_pilot::Draught;
+use fallgap_routing::Draught;
 use std::sync::Arc;
 use std::time::Duration;
 
--- a/crates/pilot/tests/fleet.rs
+++ b/crates/routing/tests/fleet.rs
@@ -1,7 +1,7 @@
 //! Picks, records and the budget of further tries.
 
 use fallgap_config::{Berth, Configuration, Limits, RouteClass, Service, View};
-use fallgap_pilot::{Budget, Ended, Fleet, ServerKey, ServiceKey, Terms};
+use fallgap_routing::{Budget, Ended, Fleet, ServerKey, ServiceKey, Terms};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
--- a/crates/pilot/tests/lease.rs
+++ b/crates/routing/tests/lease.rs
@@ -1,4 +1,4 @@
-use fallgap_pilot::Lease;
+use fallgap_routing::Lease;
 use std::sync::Arc;
 use std::time::Duration;
 
--- a/crates/pilot/tests/ops.rs
+++ b/crates/routing/tests/ops.rs
@@ -1,7 +1,7 @@
 //! What an op's tries prove, and what may follow.
 
 use fallgap_config::RouteClass::{self, Fragile, Outbound, Safe};
-use fallgap_pilot::{Final, Next, Op, Plan, TryOutcome};
+use fallgap_routing::{Final, Next, Op, Plan, TryOutcome};
 
 mod common;
 use common::ms;
--- a/crates/pilot/tests/requests.rs
+++ b/crates/routing/tests/requests.rs
@@ -1,7 +1,7 @@
 //! Requests are read in one way only, however they arrive.
 
 use fallgap_config::Limits;
-use fallgap_pilot::{Inbox, Refusal, Request, Step, forwarded_head};
+use fallgap_routing::{Inbox, Refusal, Request, Step, forwarded_head};
 use std::time::Duration;
 
 fn limits() -> Limits {
--- a/crates/simulation/tests/halls/mod.rs
+++ b/crates/simulation/tests/halls/mod.rs
@@ -12,10 +12,10 @@
 use fallgap_keeper::charter::{Charter, Member};
 use fallgap_keeper::messages::Record;
 use fallgap_keeper::{Answer, Call, Keeper, Kept, Key, Me, Message, NodeId, Out, Peer, subjects};
-use fallgap_pilot::Lease;
 use fallgap_roster::{
     Closings, Distribution, Fit, Fitness, Follower, FollowerOut, Ground, Registry, RosterWord,
 };
+use fallgap_routing::Lease;
 use fallgap_simulation::history::History;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
