--- a/crates/lightlist/examples/verdicts.rs
+++ b/crates/health/examples/verdicts.rs
@@ -5,7 +5,7 @@
 #[allow(dead_code)]
 mod world;
 
-use fallgap_lightlist::{KINDS, Kind, Stand};
+use fallgap_health::{KINDS, Kind, Stand};
 use world::{Fault, Plan, Tally, World};
 
 const FROM: u64 = 10_000;
--- a/crates/lightlist/tests/cases.rs
+++ b/crates/health/tests/cases.rs
@@ -1,6 +1,6 @@
 //! Tables of cases for the states of a verdict, and for what a supervisor makes of what it is told.
 
-use fallgap_lightlist::{Book, Case, Event, Kind, Reason, Stand, Terms, Verdict};
+use fallgap_health::{Book, Case, Event, Kind, Reason, Stand, Terms, Verdict};
 use std::time::Duration;
 
 fn ms(ms: u64) -> Duration {
--- a/crates/lightlist/tests/fleet.rs
+++ b/crates/health/tests/fleet.rs
@@ -3,7 +3,7 @@
 #[allow(dead_code)]
 mod world;
 
-use fallgap_lightlist::{KINDS, Kind, Stand};
+use fallgap_health::{KINDS, Kind, Stand};
 use world::{Fault, Lie, Plan, World};
 
 const NODES: usize = 12;
--- a/crates/lightlist/tests/world/mod.rs
+++ b/crates/health/tests/world/mod.rs
@@ -2,7 +2,7 @@
 //! says; a network that is slow, loses and is cut.
 
 use fallgap_config::{Berth, Configuration, Limits, RouteClass, Service, View};
-use fallgap_lightlist::{Count, KINDS, Kind, LightWord, Lightlist, NodeId, Out, Roll, Stand, Terms};
+use fallgap_health::{Count, KINDS, Kind, LightWord, Lightlist, NodeId, Out, Roll, Stand, Terms};
 use fallgap_routing::{Ended, Fleet, HealthState, Report, ServerKey, ServiceKey};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
--- a/crates/lantern/src/hub.rs
+++ b/crates/lantern/src/hub.rs
@@ -4,7 +4,7 @@
 use crate::ends::{Ends, FOR_FOLLOWERS};
 use crate::memory::{Notebook, Remembered, Subject};
 use fallgap_config::Configuration;
-use fallgap_lightlist::Lightlist;
+use fallgap_health::Lightlist;
 use fallgap_roster::{Distribution, Fit, Fitness, Ground, Registry, Terms};
 use fallgap_tenants::Ledger;
 use std::net::Ipv4Addr;
@@ -55,7 +55,7 @@
         let mut hub = Hub {
             registry: Registry::start(now, rng.u64(..), terms),
             distribution: Distribution::start(now, rng.u64(..), terms),
-            lights: Lightlist::new(now, me, fallgap_lightlist::Terms::default()),
+            lights: Lightlist::new(now, me, fallgap_health::Terms::default()),
             ends: Ends::default(),
             fitness: Fitness::start(now + touch.mul_f64(YOUNG)),
             fit: Fit::No,
--- a/crates/proxy/examples/path_at_size/sized.rs
+++ b/crates/proxy/examples/path_at_size/sized.rs
@@ -3,7 +3,7 @@
 use crate::gauge::{ran, resident_kb};
 use fallgap_config::{Allowance, Berth, Configuration, Licence, Licences, Limits, Route, RouteClass};
 use fallgap_config::{Routing, Service, View};
-use fallgap_lightlist::{Reason, Stand, Verdict};
+use fallgap_health::{Reason, Stand, Verdict};
 use fallgap_routing::{Draught, Ended, Fleet, Terms};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::Arc;
--- a/crates/proxy/src/quay.rs
+++ b/crates/proxy/src/quay.rs
@@ -8,7 +8,7 @@
 use crate::terms::Terms;
 use crate::timers::{ClientKey, LineKey, OpKey, Timers, Who};
 use fallgap_config::{Limits, Routing, View};
-use fallgap_lightlist::Verdict;
+use fallgap_health::Verdict;
 use fallgap_routing::{Draught, Ends, Fleet, Lease, Place, Report, ServerKey, ServiceKey};
 use mio::event::Event;
 use mio::net::TcpListener;
--- a/crates/roster/examples/home_slopes.rs
+++ b/crates/roster/examples/home_slopes.rs
@@ -9,7 +9,7 @@
 
 use fallgap_config::{Beat, Configuration, Limits, Route, RouteClass, Service};
 use fallgap_feed::wire::{Said, Told};
-use fallgap_lightlist::{Count, Lightlist};
+use fallgap_health::{Count, Lightlist};
 use fallgap_roster::{Distribution, Follower, FollowerOut, NodeId, Out, Registry, RosterWord};
 use fallgap_roster::{ServerReport, Terms};
 use fallgap_tables::Version;
@@ -386,7 +386,7 @@
 
     // Every follower tells of 86 servers a second. How long answers take differs by a fifth up and down each time; in
     // the first span by the server as well, so that weights move one way, in the second by nothing else.
-    let mut lights = Lightlist::new(world.now, NodeId::new(10, 0, 0, 1), fallgap_lightlist::Terms::default());
+    let mut lights = Lightlist::new(world.now, NodeId::new(10, 0, 0, 1), fallgap_health::Terms::default());
     let mut rng = fastrand::Rng::with_seed(11);
     for (what, spread) in [("weights_apart", 0.8), ("weights_alike", 0.0)] {
         let usual: Vec<f32> = (0..servers).map(|_| 20.0 * (1.0 + spread * (rng.f32() - 0.5))).collect();
--- a/crates/roster/src/messages.rs
+++ b/crates/roster/src/messages.rs
@@ -5,7 +5,7 @@
 use crate::terms::Terms;
 use fallgap_config::Beat;
 use fallgap_feed::wire::{Said, Told, Unreadable};
-use fallgap_lightlist::{Count, LightWord};
+use fallgap_health::{Count, LightWord};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/roster/src/registry.rs
+++ b/crates/roster/src/registry.rs
@@ -7,7 +7,7 @@
 use crate::messages::{Record, RosterWord};
 use crate::terms::Terms;
 use fallgap_config::Beat;
-use fallgap_lightlist::Roll;
+use fallgap_health::Roll;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 use std::ops::Bound;
--- a/crates/roster/tests/cases.rs
+++ b/crates/roster/tests/cases.rs
@@ -4,7 +4,7 @@
 mod world;
 
 use fallgap_feed::wire::{Said, Told};
-use fallgap_lightlist::Count;
+use fallgap_health::Count;
 use fallgap_roster::{
     Distribution, Follower, FollowerOut, News, NodeId, Out, Registry, RosterWord, ServerReport, State, Terms,
 };
--- a/crates/routing/src/fleet.rs
+++ b/crates/routing/src/fleet.rs
@@ -7,7 +7,7 @@
 use crate::terms::Terms;
 use crate::why::Why;
 use fallgap_config::{Berth, RouteClass, View, spread};
-use fallgap_lightlist::{Book, Kind, Verdict};
+use fallgap_health::{Book, Kind, Verdict};
 use slotmap::{SlotMap, new_key_type};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -4,7 +4,7 @@
 use crate::health::Health;
 use crate::terms::Terms;
 use fallgap_config::RouteClass;
-use fallgap_lightlist::{Count, Kind, Stand};
+use fallgap_health::{Count, Kind, Stand};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/routing/src/terms.rs
+++ b/crates/routing/src/terms.rs
@@ -44,7 +44,7 @@
     /// left is for the spread of times around the usual one.
     pub own_zone_large: f64,
     /// What binds verdicts that all supervisors are told.
-    pub lights: fallgap_lightlist::Terms,
+    pub lights: fallgap_health::Terms,
     /// A large answer that would wait for others on the own link for more than this part of its target is sent for
     /// elsewhere: small answers wait behind it several times, once for each step of their way.
     pub laden_part: f64,
@@ -72,7 +72,7 @@
             pass_from: 16 << 10,
             own_zone: 1.5,
             own_zone_large: 0.5,
-            lights: fallgap_lightlist::Terms::default(),
+            lights: fallgap_health::Terms::default(),
             laden_part: 0.1,
         }
     }
