--- a/crates/lantern/examples/hollow/echo.rs
+++ b/crates/lantern/examples/hollow/echo.rs
@@ -3,7 +3,7 @@
 //! for each update at ten thousand entries, and hundreds of them share this machine.
 
 use fallgap_feed::wire::{Said, Told};
-use fallgap_roster::{RosterWord, Terms};
+use fallgap_registry::{RosterWord, Terms};
 use fallgap_tables::Version;
 use std::collections::{BTreeMap, VecDeque};
 use std::net::Ipv4Addr;
--- a/crates/lantern/examples/hollow/node.rs
+++ b/crates/lantern/examples/hollow/node.rs
@@ -10,7 +10,7 @@
 use fallgap_keeper::Key;
 use fallgap_lantern::links::{Links, Terms as LinkTerms};
 use fallgap_lantern::words::Word;
-use fallgap_roster::{Follower, FollowerOut, RosterWord, ServerReport, Terms};
+use fallgap_registry::{Follower, FollowerOut, RosterWord, ServerReport, Terms};
 use mio::event::Event;
 use mio::net::UdpSocket;
 use mio::{Interest, Registry, Token};
--- a/crates/lantern/src/asks.rs
+++ b/crates/lantern/src/asks.rs
@@ -5,7 +5,7 @@
 use fallgap_admin as desk;
 use fallgap_config::Beat;
 use fallgap_keeper::{Answer, Call};
-use fallgap_roster::Outcome;
+use fallgap_registry::Outcome;
 use fallgap_routing::Place;
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, TrySendError, sync_channel};
--- a/crates/lantern/src/beats.rs
+++ b/crates/lantern/src/beats.rs
@@ -2,7 +2,7 @@
 
 use crate::asks::Told;
 use fallgap_config::Beat;
-use fallgap_roster::Closings;
+use fallgap_registry::Closings;
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use std::sync::mpsc::SyncSender;
--- a/crates/lantern/src/carry.rs
+++ b/crates/lantern/src/carry.rs
@@ -10,7 +10,7 @@
 use fallgap_config::Beat;
 use fallgap_health::{KINDS, LightWord, Out as LightOut, Verdict};
 use fallgap_keeper::{Answer, Key, Out as KeeperOut, subjects};
-use fallgap_roster::{FollowerOut, Out as RosterOut, Outcome, RosterWord, ServerReport, Told as TableTold};
+use fallgap_registry::{FollowerOut, Out as RosterOut, Outcome, RosterWord, ServerReport, Told as TableTold};
 use fallgap_routing::Place;
 use fallgap_tenants::Ledger;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
--- a/crates/lantern/src/desk.rs
+++ b/crates/lantern/src/desk.rs
@@ -8,7 +8,7 @@
 use fallgap_beacon::{Peer, State};
 use fallgap_config::View;
 use fallgap_keeper::Answer as Called;
-use fallgap_roster::State as Life;
+use fallgap_registry::State as Life;
 use fallgap_routing::HealthState;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
--- a/crates/lantern/src/engine.rs
+++ b/crates/lantern/src/engine.rs
@@ -19,7 +19,7 @@
 use fallgap_config::{Settings, View};
 use fallgap_keeper::{Answer, Keeper, Key, Peer as KeeperPeer};
 use fallgap_proxy::Quay;
-use fallgap_roster::{Follower, Patience, Rollouts, last_beat};
+use fallgap_registry::{Follower, Patience, Rollouts, last_beat};
 use mio::net::UdpSocket;
 use mio::{Events, Poll};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -49,7 +49,7 @@
     /// The highest edition that was committed and read here.
     pub configured: Option<u64>,
     pub follower: Follower,
-    pub roster_terms: fallgap_roster::Terms,
+    pub roster_terms: fallgap_registry::Terms,
     pub view: Option<Arc<View>>,
     pub quay: Option<Quay>,
     pub calls: Calls,
--- a/crates/lantern/src/hub.rs
+++ b/crates/lantern/src/hub.rs
@@ -5,7 +5,7 @@
 use crate::memory::{Notebook, Remembered, Subject};
 use fallgap_config::Configuration;
 use fallgap_health::Lightlist;
-use fallgap_roster::{Distribution, Fit, Fitness, Ground, Registry, Terms};
+use fallgap_registry::{Distribution, Fit, Fitness, Ground, Registry, Terms};
 use fallgap_tenants::Ledger;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
--- a/crates/lantern/src/links.rs
+++ b/crates/lantern/src/links.rs
@@ -3,7 +3,7 @@
 
 use crate::words::{Frames, Word, told_frame};
 use fallgap_keeper::Message;
-use fallgap_roster::{Line as Told, RosterWord};
+use fallgap_registry::{Line as Told, RosterWord};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Registry, Token};
 use outgoing::{Frame, Line, Outgoing, Turn};
--- a/crates/lantern/src/memory.rs
+++ b/crates/lantern/src/memory.rs
@@ -2,7 +2,7 @@
 //! newest committed configuration and accounts, in small files on its disk, written by the disk's thread. Nothing else rests on
 //! them: what cannot be read counts as nothing remembered.
 
-use fallgap_roster::Record;
+use fallgap_registry::Record;
 use std::fs::{File, OpenOptions};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
--- a/crates/lantern/src/start.rs
+++ b/crates/lantern/src/start.rs
@@ -21,7 +21,7 @@
 use fallgap_keeper::store::{Store, StoreError};
 use fallgap_keeper::{Keeper, Kept, KeptError, Me};
 use fallgap_proxy::Quay;
-use fallgap_roster::{Follower, Patience, Rollouts};
+use fallgap_registry::{Follower, Patience, Rollouts};
 use mio::net::UdpSocket;
 use mio::{Interest, Poll, Token, Waker};
 use std::collections::{BTreeMap, VecDeque};
@@ -165,7 +165,7 @@
         sequence: 0,
     };
     let beacon = Beacon::start(now, rng.u64(..), card, seeds, fallgap_beacon::Terms::default());
-    let roster = fallgap_roster::Terms::with_beat(settings.beat);
+    let roster = fallgap_registry::Terms::with_beat(settings.beat);
     let hub =
         disk.as_ref().map(|_| Hub::start(now, me, rng.u64(..), roster, settings.bounds.touch, remembered));
     let follower = Follower::start(now, rng.u64(..), me, roster);
--- a/crates/lantern/src/words.rs
+++ b/crates/lantern/src/words.rs
@@ -5,7 +5,7 @@
 use crate::ages::Stamp;
 use fallgap_config::Beat;
 use fallgap_keeper::{Answer, Call, Message};
-use fallgap_roster::{Line, RosterWord};
+use fallgap_registry::{Line, RosterWord};
 use fallgap_routing::Place;
 use lz4_flex::block::{compress_prepend_size, decompress, uncompressed_size};
 use serde::{Deserialize, Serialize};
--- a/crates/lantern/tests/words.rs
+++ b/crates/lantern/tests/words.rs
@@ -3,7 +3,7 @@
 use fallgap_keeper::{Answer, Call};
 use fallgap_lantern::ages::Stamp;
 use fallgap_lantern::words::{FRAME, Frames, OddStream, Word, told_frame};
-use fallgap_roster::{Distribution, RosterWord, Terms, Told};
+use fallgap_registry::{Distribution, RosterWord, Terms, Told};
 use fallgap_tables::{Entry, Key, Version, Whole};
 use std::time::Duration;
 
--- a/crates/roster/examples/growth.rs
+++ b/crates/registry/examples/growth.rs
@@ -8,7 +8,7 @@
 mod world;
 
 use fallgap_feed::wire::Told;
-use fallgap_roster::{RosterWord, Terms};
+use fallgap_registry::{RosterWord, Terms};
 use std::collections::BTreeMap;
 use std::time::Duration;
 use world::{Link, MS, Seen, World};
--- a/crates/roster/examples/tell_cost.rs
+++ b/crates/registry/examples/tell_cost.rs
@@ -6,7 +6,7 @@
 mod world;
 
 use fallgap_feed::wire::Told;
-use fallgap_roster::{RosterWord, Terms};
+use fallgap_registry::{RosterWord, Terms};
 use std::time::Duration;
 use world::{MS, World};
 
--- a/crates/roster/tests/cases.rs
+++ b/crates/registry/tests/cases.rs
@@ -5,7 +5,7 @@
 
 use fallgap_feed::wire::{Said, Told};
 use fallgap_health::Count;
-use fallgap_roster::{
+use fallgap_registry::{
     Distribution, Follower, FollowerOut, News, NodeId, Out, Registry, RosterWord, ServerReport, State, Terms,
 };
 use std::time::Duration;
@@ -457,7 +457,7 @@
 /// A server that says nothing before it leaves: the last word counts whatever was said before, and whether it is known.
 #[test]
 fn a_last_beat_closes_a_life_that_is_known_or_not() {
-    use fallgap_roster::last_beat;
+    use fallgap_registry::last_beat;
     for known in [false, true] {
         let mut registry = Registry::start(S, 1, Terms::default());
         if known {
--- a/crates/roster/tests/fitness.rs
+++ b/crates/registry/tests/fitness.rs
@@ -1,6 +1,6 @@
 //! When a home can be followed, and when its word confirms.
 
-use fallgap_roster::{Fit, Fitness, Ground};
+use fallgap_registry::{Fit, Fitness, Ground};
 use std::time::Duration;
 
 fn at(ms: u64) -> Duration {
--- a/crates/roster/tests/net.rs
+++ b/crates/registry/tests/net.rs
@@ -3,7 +3,7 @@
 
 mod world;
 
-use fallgap_roster::{RosterWord, Terms};
+use fallgap_registry::{RosterWord, Terms};
 use std::collections::BTreeMap;
 use std::time::Duration;
 use world::{Link, MS, World, bytes_of, node};
--- a/crates/roster/tests/packing.rs
+++ b/crates/registry/tests/packing.rs
@@ -3,7 +3,7 @@
 mod world;
 
 use fallgap_feed::wire::{Said, Told};
-use fallgap_roster::{Distribution, Line, NodeId, Out, RosterWord, Terms};
+use fallgap_registry::{Distribution, Line, NodeId, Out, RosterWord, Terms};
 use fallgap_tables::{Change, Delta, Entry, Key, Version, Whole};
 use std::time::Duration;
 use world::{MS, configuration, node};
--- a/crates/roster/tests/rollout.rs
+++ b/crates/registry/tests/rollout.rs
@@ -3,7 +3,7 @@
 
 mod world;
 
-use fallgap_roster::Patience;
+use fallgap_registry::Patience;
 use std::time::Duration;
 use world::{Link, MS, World, node};
 
--- a/crates/roster/tests/shared.rs
+++ b/crates/registry/tests/shared.rs
@@ -3,7 +3,7 @@
 mod world;
 
 use fallgap_feed::wire::{Said, Told};
-use fallgap_roster::{Distribution, NodeId, Out, Terms};
+use fallgap_registry::{Distribution, NodeId, Out, Terms};
 use fallgap_tables::Version;
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/crates/roster/tests/world/mod.rs
+++ b/crates/registry/tests/world/mod.rs
@@ -5,7 +5,9 @@
 
 use fallgap_config::{Beat, Configuration, Limits, Route, RouteClass, Service, View};
 use fallgap_feed::wire::{Said, Told};
-use fallgap_roster::{Distribution, Follower, FollowerOut, NodeId, Out, Record, Registry, RosterWord, Terms};
+use fallgap_registry::{
+    Distribution, Follower, FollowerOut, NodeId, Out, Record, Registry, RosterWord, Terms,
+};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
--- a/crates/roster/tests/world/rollouts.rs
+++ b/crates/registry/tests/world/rollouts.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code)]
 
 use super::{MS, World, node};
-use fallgap_roster::{NodeId, Outcome, Patience, Rollouts, RosterWord};
+use fallgap_registry::{NodeId, Outcome, Patience, Rollouts, RosterWord};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
--- a/crates/simulation/tests/cut_off.rs
+++ b/crates/simulation/tests/cut_off.rs
@@ -5,7 +5,7 @@
 mod halls;
 
 use fallgap_keeper::{Answer, Call, NodeId};
-use fallgap_roster::Fit;
+use fallgap_registry::Fit;
 use halls::{Halls, How, MS, Without, node, put};
 use std::time::Duration;
 
--- a/crates/simulation/tests/halls/mod.rs
+++ b/crates/simulation/tests/halls/mod.rs
@@ -12,7 +12,7 @@
 use fallgap_keeper::charter::{Charter, Member};
 use fallgap_keeper::messages::Record;
 use fallgap_keeper::{Answer, Call, Keeper, Kept, Key, Me, Message, NodeId, Out, Peer, subjects};
-use fallgap_roster::{
+use fallgap_registry::{
     Closings, Distribution, Fit, Fitness, Follower, FollowerOut, Ground, Registry, RosterWord,
 };
 use fallgap_routing::Lease;
@@ -222,7 +222,7 @@
                 met: false,
             }
         });
-        let mut terms = fallgap_roster::Terms::default();
+        let mut terms = fallgap_registry::Terms::default();
         if self.without == Some(Without::Missed) {
             terms.missed = Duration::MAX;
         }
@@ -372,13 +372,13 @@
             keepers.into_iter().for_each(|out| self.keeper_says(me, out));
             for out in homes {
                 let (to, word) = match out {
-                    fallgap_roster::Out::Tell(to, told) => (to, RosterWord::told(&told)),
-                    fallgap_roster::Out::Unfit(to) => (to, RosterWord::Unfit),
-                    fallgap_roster::Out::Fit(to) => (to, RosterWord::Fit),
-                    fallgap_roster::Out::Holders { to, id, holders, age } => {
+                    fallgap_registry::Out::Tell(to, told) => (to, RosterWord::told(&told)),
+                    fallgap_registry::Out::Unfit(to) => (to, RosterWord::Unfit),
+                    fallgap_registry::Out::Fit(to) => (to, RosterWord::Fit),
+                    fallgap_registry::Out::Holders { to, id, holders, age } => {
                         (to, RosterWord::Holders { id, holders, age })
                     }
-                    fallgap_roster::Out::Note(_) => continue,
+                    fallgap_registry::Out::Note(_) => continue,
                 };
                 self.send(me, to, Word::Roster(word));
             }
--- a/crates/simulation/tests/halls/servers.rs
+++ b/crates/simulation/tests/halls/servers.rs
@@ -2,7 +2,7 @@
 
 use super::{Fit, Halls, Home, MS, Machine, NodeId, Without, Word};
 use fallgap_config::Beat;
-use fallgap_roster::RosterWord;
+use fallgap_registry::RosterWord;
 use std::time::Duration;
 
 /// Out of contact for less, others have acknowledged no server's end without this keeper.
@@ -81,7 +81,7 @@
 }
 
 pub(super) fn roster(now: Duration, machine: &mut Machine, from: NodeId, word: RosterWord) {
-    let terms = fallgap_roster::Terms::default();
+    let terms = fallgap_registry::Terms::default();
     match (word, machine.home.as_mut()) {
         (RosterWord::Told(line), _) => {
             let told = RosterWord::read_told(&line, &terms).expect("what is told");
