--- a/crates/keeper/examples/register_slopes.rs
+++ b/crates/keeper/examples/register_slopes.rs
@@ -4,7 +4,7 @@
 //!
 //! Without arguments: all sizes. With a number: so many tenants.
 
-#[path = "../../beacon/examples/gauge/mod.rs"]
+#[path = "../../membership/examples/gauge/mod.rs"]
 mod gauge;
 
 use fallgap_keeper::{Answer, Call, Keeper, Kept, Me, NodeId, Out, Terms};
--- a/crates/lantern/examples/hollow/node.rs
+++ b/crates/lantern/examples/hollow/node.rs
@@ -3,13 +3,13 @@
 //! did.
 
 use crate::echo::Echo;
-use fallgap_beacon::{Beacon, Card, Out as BeaconOut, State};
 use fallgap_config::Beat;
 use fallgap_feed::wire::Told;
 use fallgap_health::Count;
 use fallgap_keeper::Key;
 use fallgap_lantern::links::{Links, Terms as LinkTerms};
 use fallgap_lantern::words::Word;
+use fallgap_membership::{Beacon, Card, Out as BeaconOut, State};
 use fallgap_registry::{Follower, FollowerOut, RosterWord, ServerReport, Terms};
 use mio::event::Event;
 use mio::net::UdpSocket;
@@ -146,7 +146,7 @@
         let zone: Arc<str> = format!("zone-{zone}").into();
         let life = rng.u64(1..);
         let card = Card { node: me, zone: zone.clone(), disk: None, life, leaving: false, sequence: 0 };
-        let terms = fallgap_beacon::Terms::default();
+        let terms = fallgap_membership::Terms::default();
         let beacon = Beacon::start(now, rng.u64(..), card, plan.seeds.clone(), terms);
         let terms = Terms::default();
         Ok(Node {
@@ -327,9 +327,10 @@
 
     /// Who is there has changed: keepers, and in which order they are homes, as the program puts them.
     fn look(&mut self, now: Duration) {
-        let here =
-            |p: &&fallgap_beacon::Peer| p.state == State::Here && p.card.disk.is_some() && !p.card.leaving;
-        let near = |p: &fallgap_beacon::Peer| p.card.zone == self.zone;
+        let here = |p: &&fallgap_membership::Peer| {
+            p.state == State::Here && p.card.disk.is_some() && !p.card.leaving
+        };
+        let near = |p: &fallgap_membership::Peer| p.card.zone == self.zone;
         let keepers: Vec<(Ipv4Addr, bool)> =
             self.beacon.peers().filter(here).map(|p| (p.card.node, near(p))).collect();
         self.keepers = keepers.iter().map(|(node, _)| *node).collect();
--- a/crates/lantern/src/engine.rs
+++ b/crates/lantern/src/engine.rs
@@ -15,9 +15,9 @@
 use crate::spread::Spread;
 use crate::words::{Word, withdrawals_first};
 use fallgap_admin::{History, Surveys};
-use fallgap_beacon::{Beacon, State};
 use fallgap_config::{Settings, View};
 use fallgap_keeper::{Answer, Keeper, Key, Peer as KeeperPeer};
+use fallgap_membership::{Beacon, State};
 use fallgap_proxy::Quay;
 use fallgap_registry::{Follower, Patience, Rollouts, last_beat};
 use mio::net::UdpSocket;
@@ -249,8 +249,9 @@
 
     /// Keepers that may run calls and know servers: those with a disk that are here.
     pub fn keepers(&self) -> Vec<Ipv4Addr> {
-        let here =
-            |p: &&fallgap_beacon::Peer| p.state == State::Here && p.card.disk.is_some() && !p.card.leaving;
+        let here = |p: &&fallgap_membership::Peer| {
+            p.state == State::Here && p.card.disk.is_some() && !p.card.leaving
+        };
         let mut keepers: Vec<Ipv4Addr> = self.beacon.peers().filter(here).map(|p| p.card.node).collect();
         if self.disk.is_some() {
             keepers.push(self.me);
--- a/crates/lantern/src/start.rs
+++ b/crates/lantern/src/start.rs
@@ -16,10 +16,10 @@
 use crate::signals;
 use crate::spread::Spread;
 use fallgap_admin::{History, Surveys};
-use fallgap_beacon::{Beacon, Card};
 use fallgap_config::Settings;
 use fallgap_keeper::store::{Store, StoreError};
 use fallgap_keeper::{Keeper, Kept, KeptError, Me};
+use fallgap_membership::{Beacon, Card};
 use fallgap_proxy::Quay;
 use fallgap_registry::{Follower, Patience, Rollouts};
 use mio::net::UdpSocket;
@@ -164,7 +164,7 @@
         leaving: false,
         sequence: 0,
     };
-    let beacon = Beacon::start(now, rng.u64(..), card, seeds, fallgap_beacon::Terms::default());
+    let beacon = Beacon::start(now, rng.u64(..), card, seeds, fallgap_membership::Terms::default());
     let roster = fallgap_registry::Terms::with_beat(settings.beat);
     let hub =
         disk.as_ref().map(|_| Hub::start(now, me, rng.u64(..), roster, settings.bounds.touch, remembered));
--- a/crates/beacon/examples/ring_cost.rs
+++ b/crates/membership/examples/ring_cost.rs
@@ -10,7 +10,7 @@
 #[allow(dead_code)]
 mod sim;
 
-use fallgap_beacon::State;
+use fallgap_membership::State;
 use gauge::{ran, resident_kb};
 use sim::{Net, ms, node};
 use std::process::Command;
--- a/crates/beacon/tests/bounds.rs
+++ b/crates/membership/tests/bounds.rs
@@ -1,6 +1,6 @@
 //! What a beacon does with too much, and with what does not fit.
 
-use fallgap_beacon::{Beacon, Card, Message, News, NodeId, Out, State, Terms, Word};
+use fallgap_membership::{Beacon, Card, Message, News, NodeId, Out, State, Terms, Word};
 use std::time::Duration;
 
 fn card(i: u32, zone: &str) -> Card {
--- a/crates/beacon/tests/network.rs
+++ b/crates/membership/tests/network.rs
@@ -2,7 +2,7 @@
 
 mod sim;
 
-use fallgap_beacon::State;
+use fallgap_membership::State;
 use sim::{Net, ms, node};
 
 #[test]
--- a/crates/beacon/tests/seeds.rs
+++ b/crates/membership/tests/seeds.rs
@@ -4,7 +4,7 @@
 #[allow(dead_code)]
 mod sim;
 
-use fallgap_beacon::{NodeId, State};
+use fallgap_membership::{NodeId, State};
 use sim::{Net, ms, node};
 
 #[test]
--- a/crates/beacon/tests/sim/mod.rs
+++ b/crates/membership/tests/sim/mod.rs
@@ -1,6 +1,6 @@
 //! A network of beacons in virtual time: drawn loss and delay, doubled datagrams, kills, freezes, cuts.
 
-use fallgap_beacon::{Beacon, Card, Message, NodeId, Out, State, Terms};
+use fallgap_membership::{Beacon, Card, Message, NodeId, Out, State, Terms};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
--- a/crates/proxy/examples/path_at_size/main.rs
+++ b/crates/proxy/examples/path_at_size/main.rs
@@ -3,7 +3,7 @@
 //! I/O); then one real quay on loopback before a stand-in process that is all servers: what it adds to a request next
 //! to the direct way, asked in turn in the same run. Two minutes at most; ends what it started.
 
-#[path = "../../../beacon/examples/gauge/mod.rs"]
+#[path = "../../../membership/examples/gauge/mod.rs"]
 mod gauge;
 mod sized;
 mod standin;
--- a/crates/registry/examples/home_slopes.rs
+++ b/crates/registry/examples/home_slopes.rs
@@ -4,7 +4,7 @@
 //!
 //! Without arguments: all sizes, each in a process of its own. With `FOLLOWERS SERVERS ROUTES`: one.
 
-#[path = "../../beacon/examples/gauge/mod.rs"]
+#[path = "../../membership/examples/gauge/mod.rs"]
 mod gauge;
 
 use fallgap_config::{Beat, Configuration, Limits, Route, RouteClass, Service};
--- a/crates/simulation/tests/halls/mod.rs
+++ b/crates/simulation/tests/halls/mod.rs
@@ -7,11 +7,11 @@
 
 use content::configuration;
 pub use content::put;
-use fallgap_beacon as beacon;
 use fallgap_config::Beat;
 use fallgap_keeper::charter::{Charter, Member};
 use fallgap_keeper::messages::Record;
 use fallgap_keeper::{Answer, Call, Keeper, Kept, Key, Me, Message, NodeId, Out, Peer, subjects};
+use fallgap_membership as beacon;
 use fallgap_registry::{
     Closings, Distribution, Fit, Fitness, Follower, FollowerOut, Ground, Registry, RosterWord,
 };
--- a/crates/simulation/tests/halls/servers.rs
+++ b/crates/simulation/tests/halls/servers.rs
@@ -31,8 +31,8 @@
     pub fn beat(&mut self, n: u8, beat: &Beat) {
         let (now, me) = (self.now, super::node(n));
         let Some(machine) = self.machines.get_mut(&me) else { return };
-        let here = |p: &&fallgap_beacon::Peer| {
-            p.state == fallgap_beacon::State::Here && p.card.disk.is_some() && !p.card.leaving
+        let here = |p: &&fallgap_membership::Peer| {
+            p.state == fallgap_membership::State::Here && p.card.disk.is_some() && !p.card.leaving
         };
         let mut keepers: Vec<NodeId> = machine.beacon.peers().filter(here).map(|p| p.card.node).collect();
         keepers.extend(machine.home.is_some().then_some(me));
--- a/crates/tenants/examples/ledger_slopes.rs
+++ b/crates/tenants/examples/ledger_slopes.rs
@@ -4,7 +4,7 @@
 //!
 //! Without arguments: all sizes. With a number: so many accounts.
 
-#[path = "../../beacon/examples/gauge/mod.rs"]
+#[path = "../../membership/examples/gauge/mod.rs"]
 mod gauge;
 
 use fallgap_config::{Allowance, Configuration, Limits, Route, RouteClass, Service};
