--- a/crates/keeper/examples/put_cost.rs
+++ b/crates/control-state/examples/put_cost.rs
@@ -2,8 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use fallgap_keeper::subjects::{Memory, TAKEN_MOST, Verdict, judge};
-use fallgap_keeper::{Answer, Call};
+use fallgap_control_state::subjects::{Memory, TAKEN_MOST, Verdict, judge};
+use fallgap_control_state::{Answer, Call};
 
 fn main() {
     let mut memory = Memory::default();
--- a/crates/keeper/examples/regions.rs
+++ b/crates/control-state/examples/regions.rs
@@ -3,7 +3,7 @@
 //! take by where the caller's keeper is; and what is answered while the region of three is cut off for two minutes, and
 //! when the members are seven again.
 
-use fallgap_keeper::{Answer, Call, Keeper, Kept, Me, Message, NodeId, Out, Peer, Terms};
+use fallgap_control_state::{Answer, Call, Keeper, Kept, Me, Message, NodeId, Out, Peer, Terms};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
--- a/crates/keeper/examples/register_slopes.rs
+++ b/crates/control-state/examples/register_slopes.rs
@@ -7,7 +7,7 @@
 #[path = "../../membership/examples/gauge/mod.rs"]
 mod gauge;
 
-use fallgap_keeper::{Answer, Call, Keeper, Kept, Me, NodeId, Out, Terms};
+use fallgap_control_state::{Answer, Call, Keeper, Kept, Me, NodeId, Out, Terms};
 use gauge::{ran, resident_kb};
 use std::process::Command;
 use std::time::Duration;
--- a/crates/keeper/examples/restart_cost.rs
+++ b/crates/control-state/examples/restart_cost.rs
@@ -1,8 +1,8 @@
 //! How long a keeper takes to start from what is on its disk, by how much that is: reading the folder and bringing
 //! the registers back. One keeper, the folder for temporary files, each register a group of one cell.
 
-use fallgap_keeper::store::Store;
-use fallgap_keeper::{Answer, Call, Keeper, Kept, Me, NodeId, Out, Terms};
+use fallgap_control_state::store::Store;
+use fallgap_control_state::{Answer, Call, Keeper, Kept, Me, NodeId, Out, Terms};
 use std::fs;
 use std::path::Path;
 use std::time::{Duration, Instant};
--- a/crates/keeper/tests/charter.rs
+++ b/crates/control-state/tests/charter.rs
@@ -1,7 +1,7 @@
-use fallgap_keeper::NodeId;
-use fallgap_keeper::ballot::Ballot;
-use fallgap_keeper::charter::{Charter, Member};
-use fallgap_keeper::messages::Record;
+use fallgap_control_state::NodeId;
+use fallgap_control_state::ballot::Ballot;
+use fallgap_control_state::charter::{Charter, Member};
+use fallgap_control_state::messages::Record;
 
 #[test]
 fn whoever_comes_in_meets_every_majority_before_it() {
@@ -40,7 +40,7 @@
         (successor(None), false),
         (Record::CaughtUp(300), false),
         (Record::Disk { number: 300, first: true }, false),
-        (Record::Promise { key: fallgap_keeper::Key::Config, ballot }, false),
+        (Record::Promise { key: fallgap_control_state::Key::Config, ballot }, false),
     ];
     for (record, is_read) in table {
         let bytes = postcard::to_stdvec(&record).unwrap();
--- a/crates/keeper/tests/editions.rs
+++ b/crates/control-state/tests/editions.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use fallgap_keeper::subjects::{Memory, TAKEN_MOST, Verdict, config_body, config_edition, judge};
-use fallgap_keeper::{Answer, Call};
+use fallgap_control_state::subjects::{Memory, TAKEN_MOST, Verdict, config_body, config_edition, judge};
+use fallgap_control_state::{Answer, Call};
 
 fn put(edition: u64, body: &str) -> Call {
     Call::ConfigPut { edition, body: body.as_bytes().to_vec() }
--- a/crates/keeper/tests/many_writes.rs
+++ b/crates/control-state/tests/many_writes.rs
@@ -5,8 +5,8 @@
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
-use fallgap_keeper::store::Store;
-use fallgap_keeper::{Answer, Call, Keeper, Kept, Me, NodeId, Out, Terms};
+use fallgap_control_state::store::Store;
+use fallgap_control_state::{Answer, Call, Keeper, Kept, Me, NodeId, Out, Terms};
 
 const DISK_MB: u64 = 64;
 const NAMES: u64 = 500;
--- a/crates/keeper/tests/power.rs
+++ b/crates/control-state/tests/power.rs
@@ -12,9 +12,9 @@
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU32, Ordering};
 
-use fallgap_keeper::fault::{self, Fault};
-use fallgap_keeper::store::steps::{self, Step};
-use fallgap_keeper::store::{Limits, Store, StoreError};
+use fallgap_control_state::fault::{self, Fault};
+use fallgap_control_state::store::steps::{self, Step};
+use fallgap_control_state::store::{Limits, Store, StoreError};
 
 type Records = Vec<Vec<u8>>;
 /// Names and what they hold.
--- a/crates/keeper/tests/rot.rs
+++ b/crates/control-state/tests/rot.rs
@@ -8,8 +8,8 @@
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU32, Ordering};
 
-use fallgap_keeper::fault::{self, Fault};
-use fallgap_keeper::store::{Limits, Store, StoreError};
+use fallgap_control_state::fault::{self, Fault};
+use fallgap_control_state::store::{Limits, Store, StoreError};
 
 type Records = Vec<Vec<u8>>;
 type Files = BTreeMap<String, Vec<u8>>;
--- a/crates/keeper/tests/store.rs
+++ b/crates/control-state/tests/store.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU32, Ordering};
 
-use fallgap_keeper::store::{Limits, Store, StoreError};
+use fallgap_control_state::store::{Limits, Store, StoreError};
 
 /// A folder of its own for each case.
 struct Folder(PathBuf);
--- a/crates/keeper/tests/subjects.rs
+++ b/crates/control-state/tests/subjects.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use fallgap_keeper::subjects::{
+use fallgap_control_state::subjects::{
     Limits, Memory, Verdict, config_body, config_edition, events_after, judge, revision,
 };
-use fallgap_keeper::{Answer, Call, Event};
+use fallgap_control_state::{Answer, Call, Event};
 
 /// A register of its own, and when its value was written.
 struct Register {
--- a/crates/keeper/tests/terms.rs
+++ b/crates/control-state/tests/terms.rs
@@ -1,6 +1,6 @@
 //! The bound of registers by what a machine has.
 
-use fallgap_keeper::Terms;
+use fallgap_control_state::Terms;
 
 #[test]
 fn the_bound_of_registers_follows_memory_and_disk() {
--- a/crates/lantern/examples/hollow/node.rs
+++ b/crates/lantern/examples/hollow/node.rs
@@ -4,9 +4,9 @@
 
 use crate::echo::Echo;
 use fallgap_config::Beat;
+use fallgap_control_state::Key;
 use fallgap_feed::wire::Told;
 use fallgap_health::Count;
-use fallgap_keeper::Key;
 use fallgap_lantern::links::{Links, Terms as LinkTerms};
 use fallgap_lantern::words::Word;
 use fallgap_membership::{Beacon, Card, Out as BeaconOut, State};
--- a/crates/lantern/src/asked/config.rs
+++ b/crates/lantern/src/asked/config.rs
@@ -44,7 +44,7 @@
     for server in servers(asked)?.servers.into_iter().filter(|server| server.state == "open") {
         *open.entry(server.service).or_default() += 1;
     }
-    let most = fallgap_keeper::subjects::Limits::default().config_bytes;
+    let most = fallgap_control_state::subjects::Limits::default().config_bytes;
     let plan = desk::plan(&held, &new, bytes, most, Some(&open));
     let good = plan.is_good();
     judged(shown(asked, &plan.planned(), || plan.to_string())?, good)
--- a/crates/lantern/src/asks.rs
+++ b/crates/lantern/src/asks.rs
@@ -4,7 +4,7 @@
 use crate::spread::Spreading;
 use fallgap_admin as desk;
 use fallgap_config::Beat;
-use fallgap_keeper::{Answer, Call};
+use fallgap_control_state::{Answer, Call};
 use fallgap_registry::Outcome;
 use fallgap_routing::Place;
 use std::sync::Arc;
--- a/crates/lantern/src/calls.rs
+++ b/crates/lantern/src/calls.rs
@@ -6,7 +6,7 @@
 use crate::asks::Told;
 use crate::usual::Usual;
 use crate::withdrawn::Withdrawn;
-use fallgap_keeper::{Answer, Call, Key};
+use fallgap_control_state::{Answer, Call, Key};
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use std::sync::mpsc::SyncSender;
--- a/crates/lantern/src/control.rs
+++ b/crates/lantern/src/control.rs
@@ -5,7 +5,7 @@
 use crate::offices::{self, Clerk, Verb};
 use fallgap_admin::Question;
 use fallgap_config as chart;
-use fallgap_keeper::{Answer, Call};
+use fallgap_control_state::{Answer, Call};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
 use std::time::{Duration, Instant};
@@ -45,7 +45,7 @@
             watches,
             waiting,
             offices: 4,
-            configuration: fallgap_keeper::subjects::Limits::default().config_bytes,
+            configuration: fallgap_control_state::subjects::Limits::default().config_bytes,
             body: 64 << 10,
             answer: Duration::from_millis(930),
             watch: s(30),
--- a/crates/lantern/src/desk.rs
+++ b/crates/lantern/src/desk.rs
@@ -6,7 +6,7 @@
 use crate::words::Word;
 use fallgap_admin::{self as desk, Answer, Errand, Node, Part, Question, Surveyed, Terms};
 use fallgap_config::View;
-use fallgap_keeper::Answer as Called;
+use fallgap_control_state::Answer as Called;
 use fallgap_membership::{Peer, State};
 use fallgap_registry::State as Life;
 use fallgap_routing::HealthState;
@@ -324,7 +324,7 @@
         let more = seen.len() > TERMS.rows;
         seen.truncate(TERMS.rows);
         let next = seen.last().filter(|_| more).map(|lock| lock.name.clone());
-        let lock = |lock: fallgap_keeper::LockSeen| desk::Lock {
+        let lock = |lock: fallgap_control_state::LockSeen| desk::Lock {
             name: lock.name,
             holder: lock.holder,
             fence: lock.fence,
--- a/crates/lantern/src/disk.rs
+++ b/crates/lantern/src/disk.rs
@@ -2,7 +2,7 @@
 //! written with one sync.
 
 use crate::memory::{Memory, Subject};
-use fallgap_keeper::store::{Store, StoreError};
+use fallgap_control_state::store::{Store, StoreError};
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
--- a/crates/lantern/src/engine.rs
+++ b/crates/lantern/src/engine.rs
@@ -16,7 +16,7 @@
 use crate::words::{Word, withdrawals_first};
 use fallgap_admin::{History, Surveys};
 use fallgap_config::{Settings, View};
-use fallgap_keeper::{Answer, Keeper, Key, Peer as KeeperPeer};
+use fallgap_control_state::{Answer, Keeper, Key, Peer as KeeperPeer};
 use fallgap_membership::{Beacon, State};
 use fallgap_proxy::Quay;
 use fallgap_registry::{Follower, Patience, Rollouts, last_beat};
--- a/crates/lantern/src/holdup.rs
+++ b/crates/lantern/src/holdup.rs
@@ -5,7 +5,7 @@
 //! here in its name would be held by one that knows nothing of it, and a put that was overwritten and forgotten would
 //! come again under a second revision. Such calls are turned away for a moment: nothing was done, and nothing will be.
 
-use fallgap_keeper::Call;
+use fallgap_control_state::Call;
 use std::time::Duration;
 
 /// Callers wait for a second: what waited for less than this is still waited for.
--- a/crates/lantern/src/links.rs
+++ b/crates/lantern/src/links.rs
@@ -2,7 +2,7 @@
 //! breaks or stalls. What a broken link held is lost; the cores cope with that.
 
 use crate::words::{Frames, Word, told_frame};
-use fallgap_keeper::Message;
+use fallgap_control_state::Message;
 use fallgap_registry::{Line as Told, RosterWord};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Registry, Token};
--- a/crates/lantern/src/offices.rs
+++ b/crates/lantern/src/offices.rs
@@ -3,7 +3,7 @@
 use crate::asks::{Asked, Desk, Told, Untold};
 use crate::http::Response;
 use fallgap_config::{Configuration, Faults, read_configuration};
-use fallgap_keeper::{Answer, Call};
+use fallgap_control_state::{Answer, Call};
 use fallgap_tenants as licence;
 use fallgap_tenants::{Done, KeyHash, Ledger, Maker, Step, Transaction, UnreadableLedger, Wanted, Wrote};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
--- a/crates/lantern/src/preference.rs
+++ b/crates/lantern/src/preference.rs
@@ -2,7 +2,7 @@
 //! own, so that homes share the work. All supervisors that know the same keepers come to the same order.
 
 use crate::calls::ordered_hash;
-use fallgap_keeper::Key;
+use fallgap_control_state::Key;
 use std::cmp::Reverse;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
--- a/crates/lantern/src/start.rs
+++ b/crates/lantern/src/start.rs
@@ -17,8 +17,8 @@
 use crate::spread::Spread;
 use fallgap_admin::{History, Surveys};
 use fallgap_config::Settings;
-use fallgap_keeper::store::{Store, StoreError};
-use fallgap_keeper::{Keeper, Kept, KeptError, Me};
+use fallgap_control_state::store::{Store, StoreError};
+use fallgap_control_state::{Keeper, Kept, KeptError, Me};
 use fallgap_membership::{Beacon, Card};
 use fallgap_proxy::Quay;
 use fallgap_registry::{Follower, Patience, Rollouts};
@@ -151,9 +151,9 @@
         seeds: seeds.clone(),
         tolerate: settings.tolerate_machines,
     };
-    let terms = fallgap_keeper::Terms {
+    let terms = fallgap_control_state::Terms {
         history: settings.bounds.history,
-        ..fallgap_keeper::Terms::for_machine(settings.resources.memory_mb, disk_mb)
+        ..fallgap_control_state::Terms::for_machine(settings.resources.memory_mb, disk_mb)
     };
     let keeper = Keeper::start(now, rng.u64(..), who, Kept { records: kept }, terms)?;
     let card = Card {
--- a/crates/lantern/src/words.rs
+++ b/crates/lantern/src/words.rs
@@ -4,7 +4,7 @@
 
 use crate::ages::Stamp;
 use fallgap_config::Beat;
-use fallgap_keeper::{Answer, Call, Message};
+use fallgap_control_state::{Answer, Call, Message};
 use fallgap_registry::{Line, RosterWord};
 use fallgap_routing::Place;
 use lz4_flex::block::{compress_prepend_size, decompress, uncompressed_size};
--- a/crates/lantern/tests/calls.rs
+++ b/crates/lantern/tests/calls.rs
@@ -1,6 +1,6 @@
 //! Where calls are run, and whose answer counts.
 
-use fallgap_keeper::{Answer, Call};
+use fallgap_control_state::{Answer, Call};
 use fallgap_lantern::calls::{Caller, Calls, Step, Terms};
 use std::net::Ipv4Addr;
 use std::sync::mpsc::sync_channel;
--- a/crates/lantern/tests/calls_model.rs
+++ b/crates/lantern/tests/calls_model.rs
@@ -2,8 +2,8 @@
 //! happens is drawn from seeds: words late, streams that break and deliver late, cuts, freezes, lives that end, callers
 //! that go on elsewhere after a second.
 
-use fallgap_keeper::charter::{Charter, Member};
-use fallgap_keeper::{Answer, Call, Keeper, Kept, Me, Message, Out};
+use fallgap_control_state::charter::{Charter, Member};
+use fallgap_control_state::{Answer, Call, Keeper, Kept, Me, Message, Out};
 use fallgap_lantern::ages::{Ages, Stamp};
 use fallgap_lantern::asks::Told;
 use fallgap_lantern::calls::{Caller, Calls, Step, Terms, by_key};
@@ -128,7 +128,7 @@
                 seeds: vec![node(0)],
                 tolerate: 1,
             };
-            let terms = fallgap_keeper::Terms::default();
+            let terms = fallgap_control_state::Terms::default();
             let mut keeper = Keeper::start(START, seed, me, Kept::default(), terms).expect("empty");
             keeper.heard(
                 START,
--- a/crates/lantern/tests/inner/disk.rs
+++ b/crates/lantern/tests/inner/disk.rs
@@ -1,5 +1,5 @@
 use super::*;
-use fallgap_keeper::store::Limits;
+use fallgap_control_state::store::Limits;
 
 const LONG: Duration = Duration::from_secs(20);
 
--- a/crates/lantern/tests/inner/links.rs
+++ b/crates/lantern/tests/inner/links.rs
@@ -114,7 +114,7 @@
     let accept = |number: u8| -> Message {
         let value: Vec<u8> = (0..50_000).map(|at| (at % 251) as u8 ^ number).collect();
         let ballot = (1_u64, u64::from(number), Ipv4Addr::new(127, 0, 0, 71), 1_u64);
-        let message = (8_u8, fallgap_keeper::Key::Config, ballot, ballot, NOW, value);
+        let message = (8_u8, fallgap_control_state::Key::Config, ballot, ballot, NOW, value);
         postcard::from_bytes(&postcard::to_stdvec(&message).unwrap()).unwrap()
     };
     assert!(matches!(accept(1), Message::Accept { .. }));
--- a/crates/lantern/tests/once_only.rs
+++ b/crates/lantern/tests/once_only.rs
@@ -2,7 +2,7 @@
 //! that has ended.
 
 use fallgap_config::Beat;
-use fallgap_keeper::Call;
+use fallgap_control_state::Call;
 use fallgap_lantern::ages::Stamp;
 use fallgap_lantern::asks::Told;
 use fallgap_lantern::beats::Beats;
--- a/crates/lantern/tests/words.rs
+++ b/crates/lantern/tests/words.rs
@@ -1,6 +1,6 @@
 //! How words stand in frames.
 
-use fallgap_keeper::{Answer, Call};
+use fallgap_control_state::{Answer, Call};
 use fallgap_lantern::ages::Stamp;
 use fallgap_lantern::words::{FRAME, Frames, OddStream, Word, told_frame};
 use fallgap_registry::{Distribution, RosterWord, Terms, Told};
--- a/crates/simulation/examples/explore.rs
+++ b/crates/simulation/examples/explore.rs
@@ -9,7 +9,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::Relaxed};
 use std::time::{Duration, Instant};
 
-use fallgap_keeper::Call;
+use fallgap_control_state::Call;
 use fallgap_simulation::schedule::Schedule;
 use fallgap_simulation::shrink::shrink;
 use fallgap_simulation::tides::{Script, walk};
--- a/crates/simulation/examples/quorum_cost.rs
+++ b/crates/simulation/examples/quorum_cost.rs
@@ -1,7 +1,7 @@
 //! What contact with a majority costs a call, in virtual time over the real cores: words, time and processor time of a read
 //! and a write at a quorum, beside a look at this disk only and the check of contact itself.
 
-use fallgap_keeper::{Answer, Call, Keeper};
+use fallgap_control_state::{Answer, Call, Keeper};
 use fallgap_simulation::waters::{Sea, ms, node};
 use std::hint::black_box;
 use std::time::{Duration, Instant};
--- a/crates/simulation/examples/slow_disk.rs
+++ b/crates/simulation/examples/slow_disk.rs
@@ -1,7 +1,7 @@
 //! How long a write to the control state takes while one of four disks needs 0.5 to 3 s for a sync instead of 4 to
 //! 8 ms, in virtual time: from the call at a keeper to its answer, by whom was asked.
 
-use fallgap_keeper::{Answer, Call};
+use fallgap_control_state::{Answer, Call};
 use fallgap_simulation::waters::{Sea, ms, node};
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/crates/simulation/examples/time_to_catch_up.rs
+++ b/crates/simulation/examples/time_to_catch_up.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use fallgap_keeper::Call;
+use fallgap_control_state::Call;
 use fallgap_simulation::voyage::uneven;
 use fallgap_simulation::waters::{Sea, ms, node};
 
--- a/crates/simulation/src/faults.rs
+++ b/crates/simulation/src/faults.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use fallgap_keeper::NodeId;
+use fallgap_control_state::NodeId;
 
 use crate::waters::{Event, Sea};
 
--- a/crates/simulation/src/hand.rs
+++ b/crates/simulation/src/hand.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use fallgap_keeper::fault::{self, Fault};
-use fallgap_keeper::{Message, NodeId};
+use fallgap_control_state::fault::{self, Fault};
+use fallgap_control_state::{Message, NodeId};
 
 use crate::waters::{Event, Sea, ms};
 
@@ -57,7 +57,7 @@
         left
     }
 
-    fn at_keeper(&mut self, node: NodeId, does: impl FnOnce(&mut fallgap_keeper::Keeper, Duration)) {
+    fn at_keeper(&mut self, node: NodeId, does: impl FnOnce(&mut fallgap_control_state::Keeper, Duration)) {
         let now = self.now;
         if let Some(machine) = self.machines.get_mut(&node) {
             let time = machine.time(now);
--- a/crates/simulation/src/history.rs
+++ b/crates/simulation/src/history.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use fallgap_keeper::{Answer, Call, Event, Key};
+use fallgap_control_state::{Answer, Call, Event, Key};
 
 use crate::breach::{Check, hold};
 use crate::ledger::{Ledger, Span};
@@ -211,7 +211,7 @@
         // Group -> revision -> (key, value), from everything shown.
         let mut shown: BTreeMap<String, BTreeMap<u64, (String, String)>> = BTreeMap::new();
         let mut show = |key: &String, value: &String, revision: u64| {
-            let group = fallgap_keeper::group_of(key).to_owned();
+            let group = fallgap_control_state::group_of(key).to_owned();
             let put = (key.clone(), value.clone());
             let before = shown.entry(group).or_default().insert(revision, put.clone());
             let one = before.as_ref().is_none_or(|before| *before == put);
@@ -262,7 +262,7 @@
     fn check_conditions(&self, shown: &BTreeMap<String, BTreeMap<u64, (String, String)>>) {
         for (call, _, _, answer) in self.done() {
             let Call::CellPut { name, on, .. } = call else { continue };
-            let Some(puts) = shown.get(fallgap_keeper::group_of(name)) else { continue };
+            let Some(puts) = shown.get(fallgap_control_state::group_of(name)) else { continue };
             match answer {
                 Answer::Revision(revision) => {
                     let Some(on) = on else { continue };
@@ -289,7 +289,7 @@
         let mut known: BTreeMap<&str, BTreeSet<u64>> = BTreeMap::new();
         for (call, _, _, answer) in self.done() {
             if let (Call::CellPut { name, .. }, Answer::Revision(revision)) = (call, answer) {
-                known.entry(fallgap_keeper::group_of(name)).or_default().insert(*revision);
+                known.entry(fallgap_control_state::group_of(name)).or_default().insert(*revision);
             }
         }
         let mut given: BTreeMap<&str, Vec<(Duration, Duration, u64)>> = BTreeMap::new();
@@ -322,7 +322,7 @@
         }
         for (call, sent, at, answer) in self.done() {
             if let (Call::CellPut { name, .. }, Answer::Revision(revision)) = (call, answer)
-                && let Some(given) = given.get_mut(fallgap_keeper::group_of(name))
+                && let Some(given) = given.get_mut(fallgap_control_state::group_of(name))
             {
                 // A put that came again has an old revision: it says nothing of the present.
                 let _ = sent;
--- a/crates/simulation/src/machine.rs
+++ b/crates/simulation/src/machine.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use fallgap_keeper::fault::{self, Fault};
-use fallgap_keeper::messages::Record;
-use fallgap_keeper::{Keeper, Key};
+use fallgap_control_state::fault::{self, Fault};
+use fallgap_control_state::messages::Record;
+use fallgap_control_state::{Keeper, Key};
 
 #[derive(Clone)]
 pub struct Machine {
--- a/crates/simulation/src/network.rs
+++ b/crates/simulation/src/network.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use fallgap_keeper::{Keeper, Message, NodeId, Peer};
+use fallgap_control_state::{Keeper, Message, NodeId, Peer};
 
 use crate::waters::{Event, Sea, ms};
 
--- a/crates/simulation/src/storm.rs
+++ b/crates/simulation/src/storm.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use fallgap_keeper::{Answer, Call, NodeId};
+use fallgap_control_state::{Answer, Call, NodeId};
 
 use crate::breach::{Check, hold};
 use crate::history::History;
--- a/crates/simulation/src/tides.rs
+++ b/crates/simulation/src/tides.rs
@@ -8,7 +8,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
-use fallgap_keeper::{Answer, Call, NodeId};
+use fallgap_control_state::{Answer, Call, NodeId};
 
 use crate::breach::{Breach, Check, hold};
 use crate::history::History;
--- a/crates/simulation/src/view.rs
+++ b/crates/simulation/src/view.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeSet;
 use std::hash::{Hash, Hasher};
 
-use fallgap_keeper::messages::Record;
-use fallgap_keeper::{Keeper, Key, NodeId};
+use fallgap_control_state::messages::Record;
+use fallgap_control_state::{Keeper, Key, NodeId};
 
 use crate::breach::{Check, hold};
 use crate::waters::{Event, Machine, Sea};
@@ -92,8 +92,10 @@
         let Some(machine) = self.machines.get_mut(&node) else { return };
         let before = machine.shown.insert(key.clone(), value.clone());
         let mark = |value: &[u8]| match key {
-            Key::Config | Key::Accounts => fallgap_keeper::subjects::config_edition(Some(value)).unwrap_or(0),
-            _ => fallgap_keeper::subjects::revision(Some(value)),
+            Key::Config | Key::Accounts => {
+                fallgap_control_state::subjects::config_edition(Some(value)).unwrap_or(0)
+            }
+            _ => fallgap_control_state::subjects::revision(Some(value)),
         };
         if let Some(before) = before {
             hold!(mark(&before) <= mark(&value), Check::Shown, "{node} went back at {key:?}");
--- a/crates/simulation/src/voyage.rs
+++ b/crates/simulation/src/voyage.rs
@@ -7,9 +7,9 @@
 use std::sync::Once;
 use std::time::Duration;
 
-use fallgap_keeper::ballot::Ballot;
-use fallgap_keeper::messages::Record;
-use fallgap_keeper::{Answer, Key};
+use fallgap_control_state::ballot::Ballot;
+use fallgap_control_state::messages::Record;
+use fallgap_control_state::{Answer, Key};
 
 use crate::breach::{Breach, Check, hold};
 use crate::schedule::Schedule;
--- a/crates/simulation/src/waters.rs
+++ b/crates/simulation/src/waters.rs
@@ -3,9 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use fallgap_keeper::charter::{Charter, Member};
-use fallgap_keeper::messages::Record;
-use fallgap_keeper::{Answer, Call, Keeper, Kept, Me, Message, NodeId, Out, Terms};
+use fallgap_control_state::charter::{Charter, Member};
+use fallgap_control_state::messages::Record;
+use fallgap_control_state::{Answer, Call, Keeper, Kept, Me, Message, NodeId, Out, Terms};
 
 use crate::breach::{Check, hold};
 pub use crate::machine::Machine;
--- a/crates/simulation/tests/alone.rs
+++ b/crates/simulation/tests/alone.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use fallgap_keeper::ballot::Ballot;
-use fallgap_keeper::charter::{Charter, Member};
-use fallgap_keeper::{Answer, Call, Keeper, Kept, Me, Message, Out, Peer, Terms};
+use fallgap_control_state::ballot::Ballot;
+use fallgap_control_state::charter::{Charter, Member};
+use fallgap_control_state::{Answer, Call, Keeper, Kept, Me, Message, Out, Peer, Terms};
 
 use fallgap_simulation::waters::{ms, node};
 
--- a/crates/simulation/tests/bridge.rs
+++ b/crates/simulation/tests/bridge.rs
@@ -4,8 +4,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use fallgap_keeper::subjects::config_edition;
-use fallgap_keeper::{Answer, Call, Keeper, Key, Message, Out};
+use fallgap_control_state::subjects::config_edition;
+use fallgap_control_state::{Answer, Call, Keeper, Key, Message, Out};
 use fallgap_simulation::waters::{ms, node, one_of_three};
 
 /// One way between two keepers.
--- a/crates/simulation/tests/calm.rs
+++ b/crates/simulation/tests/calm.rs
@@ -1,6 +1,6 @@
 //! The good path, on a calm sea.
 
-use fallgap_keeper::{Answer, Call, Key};
+use fallgap_control_state::{Answer, Call, Key};
 use fallgap_simulation::waters::{Sea, ms, node};
 
 fn ask(sea: &mut Sea, at: u8, id: u64, call: Call) -> (Answer, u64) {
--- a/crates/simulation/tests/closings.rs
+++ b/crates/simulation/tests/closings.rs
@@ -5,7 +5,7 @@
 mod halls;
 
 use fallgap_config::Beat;
-use fallgap_keeper::NodeId;
+use fallgap_control_state::NodeId;
 use halls::{Halls, How, MS, Without, node, put};
 use std::time::Duration;
 
--- a/crates/simulation/tests/cut_off.rs
+++ b/crates/simulation/tests/cut_off.rs
@@ -4,7 +4,7 @@
 #[allow(dead_code)]
 mod halls;
 
-use fallgap_keeper::{Answer, Call, NodeId};
+use fallgap_control_state::{Answer, Call, NodeId};
 use fallgap_registry::Fit;
 use halls::{Halls, How, MS, Without, node, put};
 use std::time::Duration;
@@ -334,7 +334,7 @@
 #[cfg(feature = "faults")]
 #[test]
 fn keepers_without_a_mechanism_are_found() {
-    use fallgap_keeper::fault::{self, Fault};
+    use fallgap_control_state::fault::{self, Fault};
     let rows = [
         (Fault::ContactOneWay, "cut off since"),
         (Fault::ContactAlone, "cut off since"),
@@ -386,7 +386,7 @@
 #[cfg(feature = "faults")]
 #[test]
 fn to_hear_a_majority_is_not_enough() {
-    use fallgap_keeper::fault::{self, Fault};
+    use fallgap_control_state::fault::{self, Fault};
     fault::set(Some(Fault::ContactOneWay));
     let wrong = missed_by_one_that_is_unheard();
     fault::set(None);
--- a/crates/simulation/tests/drift.rs
+++ b/crates/simulation/tests/drift.rs
@@ -18,7 +18,7 @@
 #[cfg(feature = "faults")]
 #[test]
 fn a_hold_without_a_margin_has_two_holders() {
-    use fallgap_keeper::fault::{self, Fault};
+    use fallgap_control_state::fault::{self, Fault};
     use fallgap_simulation::Check;
 
     let drifts = |seed| Schedule { drift_ppm: 50_000, ..Schedule::short(seed) };
--- a/crates/simulation/tests/first_account.rs
+++ b/crates/simulation/tests/first_account.rs
@@ -4,7 +4,7 @@
 #[allow(dead_code)]
 mod halls;
 
-use fallgap_keeper::{Answer, Call, NodeId};
+use fallgap_control_state::{Answer, Call, NodeId};
 use halls::{Halls, MS, node, put};
 use std::time::Duration;
 
@@ -70,7 +70,7 @@
 #[cfg(feature = "faults")]
 #[test]
 fn accounts_that_are_not_asked_for_are_found() {
-    use fallgap_keeper::fault::{self, Fault};
+    use fallgap_control_state::fault::{self, Fault};
     fault::set(Some(Fault::AccountsUnasked));
     let found = (0..12).find_map(|seed| passed(Away::Down, seed));
     fault::set(None);
--- a/crates/simulation/tests/founding/faults.rs
+++ b/crates/simulation/tests/founding/faults.rs
@@ -1,7 +1,7 @@
 //! Each deliberate fault of founding is found, and nothing is found without it.
 
 use crate::*;
-use fallgap_keeper::fault::{self, Fault};
+use fallgap_control_state::fault::{self, Fault};
 
 /// Plays it with the fault, for some seeds of chance, and without.
 fn found(fault: Fault, play: impl Fn(u64)) {
--- a/crates/simulation/tests/founding/main.rs
+++ b/crates/simulation/tests/founding/main.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use fallgap_keeper::NodeId;
+use fallgap_control_state::NodeId;
 use fallgap_simulation::Check;
 use fallgap_simulation::schedule::Schedule;
 use fallgap_simulation::voyage::{guarded, sail};
@@ -431,8 +431,8 @@
 /// What the checks above have to find: two beginnings, and writes that only one of them knows.
 #[test]
 fn the_checks_compare_beginnings() {
-    use fallgap_keeper::Message;
-    use fallgap_keeper::charter::{Charter, Member};
+    use fallgap_control_state::Message;
+    use fallgap_control_state::charter::{Charter, Member};
     let found = guarded(|| {
         let mut sea = begin(1, 2, 0, &[1]);
         for n in 1..=2 {
--- a/crates/simulation/tests/founding/world.rs
+++ b/crates/simulation/tests/founding/world.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use fallgap_keeper::{Answer, Call, NodeId};
+use fallgap_control_state::{Answer, Call, NodeId};
 use fallgap_simulation::waters::{Sea, Weather, ms, node};
 
 /// With enough disks in sight, without loss, all are founded by then.
--- a/crates/simulation/tests/halls/mod.rs
+++ b/crates/simulation/tests/halls/mod.rs
@@ -8,9 +8,9 @@
 use content::configuration;
 pub use content::put;
 use fallgap_config::Beat;
-use fallgap_keeper::charter::{Charter, Member};
-use fallgap_keeper::messages::Record;
-use fallgap_keeper::{Answer, Call, Keeper, Kept, Key, Me, Message, NodeId, Out, Peer, subjects};
+use fallgap_control_state::charter::{Charter, Member};
+use fallgap_control_state::messages::Record;
+use fallgap_control_state::{Answer, Call, Keeper, Kept, Key, Me, Message, NodeId, Out, Peer, subjects};
 use fallgap_membership as beacon;
 use fallgap_registry::{
     Closings, Distribution, Fit, Fitness, Follower, FollowerOut, Ground, Registry, RosterWord,
--- a/crates/simulation/tests/halls/time.rs
+++ b/crates/simulation/tests/halls/time.rs
@@ -1,7 +1,7 @@
 //! How time passes in the halls, and what is seen of them.
 
 use super::{Halls, Machine, Word, node};
-use fallgap_keeper::NodeId;
+use fallgap_control_state::NodeId;
 use std::time::Duration;
 
 impl Halls {
--- a/crates/simulation/tests/herd.rs
+++ b/crates/simulation/tests/herd.rs
@@ -2,7 +2,7 @@
 //! loss of power with none of what was not synced. There is never a second beginning, and there is one whenever a
 //! majority of the seeds remembers. Over the real cores, in virtual time.
 
-use fallgap_keeper::NodeId;
+use fallgap_control_state::NodeId;
 use fallgap_simulation::voyage::guarded;
 use fallgap_simulation::waters::{Sea, ms, node};
 
--- a/crates/simulation/tests/losses.rs
+++ b/crates/simulation/tests/losses.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use fallgap_keeper::NodeId;
+use fallgap_control_state::NodeId;
 use fallgap_simulation::schedule::{Act, Schedule, Step};
 use fallgap_simulation::storm::Storm;
 use fallgap_simulation::voyage::{guarded, settle};
@@ -291,7 +291,7 @@
 #[cfg(feature = "faults")]
 #[test]
 fn an_accept_that_does_not_promise_the_next_ballot_is_found_in_the_dark() {
-    use fallgap_keeper::fault::{self, Fault};
+    use fallgap_control_state::fault::{self, Fault};
     for first in [Loss::Planned, Loss::Gone, Loss::Wiped] {
         fault::set(Some(Fault::NextNotPromised));
         let run = |seed: &u64| dark_within_a_second(*seed, 3, 1, first, ms(seed % 10 * 100));
--- a/crates/simulation/tests/many.rs
+++ b/crates/simulation/tests/many.rs
@@ -4,8 +4,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use fallgap_keeper::subjects::config_edition;
-use fallgap_keeper::{Answer, Call, Key, NodeId};
+use fallgap_control_state::subjects::config_edition;
+use fallgap_control_state::{Answer, Call, Key, NodeId};
 use fallgap_simulation::history::History;
 use fallgap_simulation::voyage::{guarded, uneven};
 use fallgap_simulation::waters::{Sea, Weather, ms, node};
@@ -315,7 +315,7 @@
 #[cfg(feature = "faults")]
 #[test]
 fn the_faults_are_found() {
-    use fallgap_keeper::fault::{self, Fault};
+    use fallgap_control_state::fault::{self, Fault};
     let table = [
         (Fault::ReadBackIsCommitted, Loss::AllTornTails),
         (Fault::AcceptUnsynced, Loss::AllTornTails),
--- a/crates/simulation/tests/mutants.rs
+++ b/crates/simulation/tests/mutants.rs
@@ -4,7 +4,7 @@
 
 mod scripts;
 
-use fallgap_keeper::fault::{self, Fault};
+use fallgap_control_state::fault::{self, Fault};
 use fallgap_simulation::Check;
 use fallgap_simulation::schedule::Schedule;
 use fallgap_simulation::voyage::{guarded, sail};
--- a/crates/simulation/tests/once.rs
+++ b/crates/simulation/tests/once.rs
@@ -4,7 +4,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use fallgap_keeper::{Answer, Call, Keeper, Key, Message, Out};
+use fallgap_control_state::{Answer, Call, Keeper, Key, Message, Out};
 use fallgap_simulation::waters::{ms, node, one_of_three};
 
 const SLOW: usize = 0;
@@ -160,7 +160,7 @@
 #[cfg(feature = "faults")]
 #[test]
 fn the_fault_is_found() {
-    use fallgap_keeper::fault::{self, Fault};
+    use fallgap_control_state::fault::{self, Fault};
     fault::set(Some(Fault::WithdrawalIgnored));
     let found = next_holder(true);
     fault::set(None);
--- a/crates/simulation/tests/orders.rs
+++ b/crates/simulation/tests/orders.rs
@@ -5,8 +5,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use fallgap_keeper::messages::Record;
-use fallgap_keeper::{Answer, Call, Key};
+use fallgap_control_state::messages::Record;
+use fallgap_control_state::{Answer, Call, Key};
 use fallgap_simulation::tides::{Script, walk};
 use fallgap_simulation::waters::{Sea, ms};
 
@@ -279,7 +279,7 @@
 #[cfg(feature = "faults")]
 #[test]
 fn every_fault_of_numbers_is_found() {
-    use fallgap_keeper::fault::{self, Fault};
+    use fallgap_control_state::fault::{self, Fault};
     use fallgap_simulation::voyage::guarded;
     for fault in [Fault::ContentNotAsked, Fault::TakenForgotten, Fault::EditionFalls] {
         fault::set(Some(fault));
@@ -331,7 +331,7 @@
 #[cfg(feature = "faults")]
 #[test]
 fn the_walk_finds_a_content_that_is_not_asked_for() {
-    use fallgap_keeper::fault::{self, Fault};
+    use fallgap_control_state::fault::{self, Fault};
     use fallgap_simulation::Check;
     for (fault, script) in [(Fault::ContentNotAsked, 0), (Fault::TakenForgotten, 1)] {
         let (script, most) = scripts()[script].clone();
@@ -371,7 +371,7 @@
                 else {
                     continue;
                 };
-                let body = fallgap_keeper::subjects::config_body(Some(value.bytes())).unwrap();
+                let body = fallgap_control_state::subjects::config_body(Some(value.bytes())).unwrap();
                 let before = [&value.bytes()[..8], body].concat();
                 assert!(before.len() < value.bytes().len());
                 let record = Record::Accept { key: Key::Config, ballot, promised, value: before.into() };
--- a/crates/simulation/tests/reuse.rs
+++ b/crates/simulation/tests/reuse.rs
@@ -4,12 +4,12 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use fallgap_keeper::ballot::Ballot;
-use fallgap_keeper::charter::{Charter, Member};
-use fallgap_keeper::floor::Floor;
-use fallgap_keeper::messages::{Given, Record};
-use fallgap_keeper::value::Value;
-use fallgap_keeper::{Answer, Call, Keeper, Kept, Key, Me, Message, NodeId, Out, Terms};
+use fallgap_control_state::ballot::Ballot;
+use fallgap_control_state::charter::{Charter, Member};
+use fallgap_control_state::floor::Floor;
+use fallgap_control_state::messages::{Given, Record};
+use fallgap_control_state::value::Value;
+use fallgap_control_state::{Answer, Call, Keeper, Kept, Key, Me, Message, NodeId, Out, Terms};
 use fallgap_simulation::Breach;
 use fallgap_simulation::history::History;
 use fallgap_simulation::voyage::guarded;
@@ -240,7 +240,7 @@
 #[cfg(feature = "faults")]
 #[test]
 fn the_faults_are_found() {
-    use fallgap_keeper::fault::{self, Fault};
+    use fallgap_control_state::fault::{self, Fault};
     let given = std::env::var("REUSE_SEEDS").ok().and_then(|seeds| seeds.parse::<u64>().ok());
     for fault in [Fault::ForgottenWithoutFloor, Fault::ForgottenByMajority] {
         fault::set(Some(fault));
--- a/crates/simulation/tests/scripts/epochs.rs
+++ b/crates/simulation/tests/scripts/epochs.rs
@@ -1,6 +1,6 @@
 //! Changes of members in which machines fail between two messages.
 
-use fallgap_keeper::{Answer, Call, Message, NodeId};
+use fallgap_control_state::{Answer, Call, Message, NodeId};
 use fallgap_simulation::Check;
 use fallgap_simulation::hand::Kept;
 use fallgap_simulation::waters::{Sea, ms, node};
--- a/crates/simulation/tests/scripts/mod.rs
+++ b/crates/simulation/tests/scripts/mod.rs
@@ -5,9 +5,9 @@
 
 use std::panic::panic_any;
 
-use fallgap_keeper::ballot::Ballot;
-use fallgap_keeper::messages::Record;
-use fallgap_keeper::{Answer, Call, Message, NodeId};
+use fallgap_control_state::ballot::Ballot;
+use fallgap_control_state::messages::Record;
+use fallgap_control_state::{Answer, Call, Message, NodeId};
 use fallgap_simulation::hand::Left;
 use fallgap_simulation::waters::{Sea, ms, node};
 use fallgap_simulation::{Breach, Check};
--- a/crates/simulation/tests/scripts/rot.rs
+++ b/crates/simulation/tests/scripts/rot.rs
@@ -1,6 +1,6 @@
 //! Runs in which a disk loses what was synced.
 
-use fallgap_keeper::{Answer, Message, NodeId};
+use fallgap_control_state::{Answer, Message, NodeId};
 use fallgap_simulation::Check;
 use fallgap_simulation::history::History;
 use fallgap_simulation::waters::{Sea, ms, node};
--- a/crates/simulation/tests/second_losses.rs
+++ b/crates/simulation/tests/second_losses.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use fallgap_keeper::{Answer, Call, NodeId};
+use fallgap_control_state::{Answer, Call, NodeId};
 use fallgap_simulation::voyage::guarded;
 use fallgap_simulation::waters::{Sea, ms, node};
 
--- a/crates/simulation/tests/silence.rs
+++ b/crates/simulation/tests/silence.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use fallgap_keeper::{Answer, Call, Key, NodeId};
+use fallgap_control_state::{Answer, Call, Key, NodeId};
 use fallgap_simulation::waters::{Sea, ms, node};
 
 fn body(edition: u64) -> Vec<u8> {
--- a/crates/simulation/tests/slow_disks.rs
+++ b/crates/simulation/tests/slow_disks.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use fallgap_keeper::{Answer, Call, NodeId};
+use fallgap_control_state::{Answer, Call, NodeId};
 use fallgap_simulation::voyage::guarded;
 use fallgap_simulation::waters::{Sea, Weather, ms, node};
 
@@ -73,7 +73,7 @@
     if lossy {
         sea.weather = Weather { lost: 20, late: 20, doubled: 20 };
     }
-    let epoch = sea.keeper(node(2)).map_or(0, fallgap_keeper::Keeper::epoch);
+    let epoch = sea.keeper(node(2)).map_or(0, fallgap_control_state::Keeper::epoch);
     let from = sea.now;
     match loss {
         Loss::Wiped => {
@@ -136,7 +136,7 @@
 #[cfg(feature = "faults")]
 #[test]
 fn a_ballot_for_each_try_is_found() {
-    use fallgap_keeper::fault::{self, Fault};
+    use fallgap_control_state::fault::{self, Fault};
     fault::set(Some(Fault::BallotEachTry));
     let failed = (0..10).filter(|seed| guarded(|| play(*seed, 3, 1, Loss::Wiped, false)).is_err()).count();
     fault::set(None);
--- a/crates/simulation/tests/walked.rs
+++ b/crates/simulation/tests/walked.rs
@@ -1,6 +1,6 @@
 //! All orders of small scripts, three nodes.
 
-use fallgap_keeper::Call;
+use fallgap_control_state::Call;
 use fallgap_simulation::tides::{Script, walk};
 
 fn number() -> Call {
--- a/crates/tenants/tests/orders.rs
+++ b/crates/tenants/tests/orders.rs
@@ -3,7 +3,7 @@
 //! die before and after they took one, and all lose power.
 
 use fallgap_config::{Configuration, read_configuration};
-use fallgap_keeper::{Answer, Call};
+use fallgap_control_state::{Answer, Call};
 use fallgap_simulation::waters::{Sea, ms};
 use fallgap_tenants::{Ledger, Maker, Refused, Step, Transaction, Wanted, Wrote, idempotency_key};
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/tenants/tests/sea.rs
+++ b/crates/tenants/tests/sea.rs
@@ -2,7 +2,7 @@
 //! late, keepers are cut off and killed, just after an acknowledgement too, and all lose power.
 
 use fallgap_config::{Configuration, read_configuration};
-use fallgap_keeper::{Answer, Call};
+use fallgap_control_state::{Answer, Call};
 use fallgap_simulation::waters::{Sea, ms};
 use fallgap_tenants::{Carried, Ledger, Maker, Refused, plan, read_change, read_order};
 use std::time::Duration;
