--- a/crates/admin/src/doctor.rs
+++ b/crates/admin/src/doctor.rs
@@ -92,7 +92,7 @@
     add(
         "not-ready",
         those(&unready).map(|nodes| format!("not ready for clients: {nodes}")),
-        "ask `lantern why --at` for the reason",
+        "ask `gateway why --at` for the reason",
     );
     add(
         "clocks",
--- a/crates/lantern/examples/beside/mod.rs
+++ b/crates/gateway/examples/beside/mod.rs
@@ -7,8 +7,8 @@
 pub fn beside() -> Result<PathBuf, Box<dyn Error>> {
     let example = std::env::current_exe()?;
     let program =
-        example.parent().and_then(|examples| examples.parent()).map(|folder| folder.join("lantern"));
+        example.parent().and_then(|examples| examples.parent()).map(|folder| folder.join("gateway"));
     program
         .filter(|path| path.exists())
-        .ok_or_else(|| "build it first: cargo build --release -p fallgap-lantern".into())
+        .ok_or_else(|| "build it first: cargo build --release -p fallgap-gateway".into())
 }
--- a/crates/lantern/examples/harbour/main.rs
+++ b/crates/gateway/examples/harbour/main.rs
@@ -57,7 +57,7 @@
         Some(program) => program,
         None => beside()?,
     };
-    let folder = std::env::temp_dir().join(format!("lantern-harbour-{}", std::process::id()));
+    let folder = std::env::temp_dir().join(format!("gateway-harbour-{}", std::process::id()));
     let net = [127, 77, 1 + (std::process::id() % 250) as u8];
     let mut landing = Landing::open(&program, &folder, net, &ZONES, &[true, true, true, false])?;
     landing.start_all(true)?;
--- a/crates/lantern/examples/hollow/main.rs
+++ b/crates/gateway/examples/hollow/main.rs
@@ -92,7 +92,7 @@
         None => beside()?,
     };
     let id = std::process::id();
-    let folder = std::env::temp_dir().join(format!("lantern-hollow-{id}"));
+    let folder = std::env::temp_dir().join(format!("gateway-hollow-{id}"));
     let fleet = Fleet::open(&program, &folder, 90 + (id % 100) as u8, asked.keepers as usize)?;
     let mut run = Run { asked, fleet, ended, began: Instant::now(), edition: 0 };
     let played = run.play();
--- a/crates/lantern/examples/office_cost.rs
+++ b/crates/gateway/examples/office_cost.rs
@@ -59,10 +59,10 @@
 fn main() -> Outcome<()> {
     let program: PathBuf = match std::env::args_os().nth(1) {
         Some(program) => program.into(),
-        None => std::env::current_exe()?.with_file_name("../lantern"),
+        None => std::env::current_exe()?.with_file_name("../gateway"),
     };
     let id = std::process::id();
-    let folder = std::env::temp_dir().join(format!("lantern-offices-{id}"));
+    let folder = std::env::temp_dir().join(format!("gateway-offices-{id}"));
     let net = [127, 78, 1 + (id % 250) as u8];
     let mut fleet = Landing::open(&program, &folder, net, &["a", "b"], &[true, true, true, false])?;
     fleet.start_all(true)?;
--- a/crates/lantern/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -53,7 +53,7 @@
             ExitCode::from(NOT_IN_ORDER)
         }
         Err(failed) => {
-            eprintln!("lantern: {failed}");
+            eprintln!("gateway: {failed}");
             ExitCode::from(failed.code())
         }
     }
--- a/crates/lantern/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -109,7 +109,7 @@
                     hub.committed(now, configuration, body);
                 }
             }
-            Err(faults) => tracing::error!("lantern: a committed configuration cannot be read: {faults}"),
+            Err(faults) => tracing::error!("gateway: a committed configuration cannot be read: {faults}"),
         }
     }
 
@@ -118,7 +118,7 @@
         let Some(body) = subjects::accounts_body(Some(value)) else { return };
         match Ledger::decode(body) {
             Ok(ledger) => self.hub.iter_mut().for_each(|hub| hub.accounted(now, ledger.clone(), body)),
-            Err(unreadable) => tracing::error!("lantern: committed accounts: {unreadable}"),
+            Err(unreadable) => tracing::error!("gateway: committed accounts: {unreadable}"),
         }
     }
 
--- a/crates/lantern/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -318,13 +318,13 @@
             }
         }
         if self.heard.changed.swap(false, Relaxed) {
-            tracing::info!("lantern: told to read the settings again");
+            tracing::info!("gateway: told to read the settings again");
             self.settings_seen = None;
             self.look_at_settings(now);
         }
         if self.heard.end.load(Relaxed) && self.leaving.is_none() {
             tracing::info!(
-                "lantern: told to end, {} ops at work",
+                "gateway: told to end, {} ops at work",
                 self.quay.as_ref().map_or(0, Quay::at_work)
             );
             self.leaving = Some(now);
@@ -380,7 +380,7 @@
                 self.settings.bounds = settings.bounds;
                 self.rollouts.set_patience(Patience::within(settings.bounds.config));
             }
-            Err(why) => tracing::info!("lantern: the settings stay, the file cannot be used: {why}"),
+            Err(why) => tracing::info!("gateway: the settings stay, the file cannot be used: {why}"),
         }
     }
 
--- a/crates/lantern/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,4 +1,4 @@
-//! The parts of `lantern`, fallgap's gateway. The cores that match answers to who waits for them are here for their
+//! The parts of `gateway`, fallgap's gateway. The cores that match answers to who waits for them are here for their
 //! tests as well: `beats`, `calls`, `spread`, `links`, `words`.
 
 pub mod ages;
--- a/crates/lantern/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -1,14 +1,14 @@
-//! `lantern`: fallgap's gateway. `serve` runs one supervisor; the rest is for whoever operates it.
+//! `gateway`: fallgap's gateway. `serve` runs one supervisor; the rest is for whoever operates it.
 
 use clap::{Parser, Subcommand};
-use fallgap_lantern::{DEFECT, WRONG_CALL, ask, asked, counter, start};
+use fallgap_gateway::{DEFECT, WRONG_CALL, ask, asked, counter, start};
 use std::net::SocketAddrV4;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 #[derive(Parser)]
 #[command(
-    name = "lantern",
+    name = "gateway",
     version,
     about = "fallgap's gateway: supervisors that carry requests, and their control state"
 )]
@@ -139,7 +139,7 @@
         Verb::Serve { settings } => match start::serve(settings) {
             Ok(()) => ExitCode::SUCCESS,
             Err(e) => {
-                tracing::error!("lantern: does not start: {e}");
+                tracing::error!("gateway: does not start: {e}");
                 ExitCode::from(if e.is_defect() { DEFECT } else { WRONG_CALL })
             }
         },
@@ -158,7 +158,7 @@
         Verb::Doctor { asked } => ask::done(asked::doctor(&asked)),
         Verb::Completions { shell } => {
             let mut command = <Asked as clap::CommandFactory>::command();
-            clap_complete::generate(shell, &mut command, "lantern", &mut std::io::stdout());
+            clap_complete::generate(shell, &mut command, "gateway", &mut std::io::stdout());
             ExitCode::SUCCESS
         }
         Verb::Account { what } => ask::done(counter::account(what)),
--- a/crates/lantern/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -91,7 +91,7 @@
     fs::create_dir_all(folder).map_err(|e| NoStart::Folder(folder.to_owned(), e))?;
     match Store::open(folder, disk_mb) {
         Err(e @ StoreError::Damaged(..)) => {
-            tracing::error!("lantern: the disk is lost and begins anew: {e}");
+            tracing::error!("gateway: the disk is lost and begins anew: {e}");
             Store::wipe(folder)?;
             Ok(Store::open(folder, disk_mb)?)
         }
@@ -185,7 +185,7 @@
     let (desk, inbox) = Desk::new(wake);
     serve_calls(&settings, desk, &ready)?;
     let kind = if disk.is_some() { "with a disk" } else { "without a disk" };
-    tracing::info!("lantern: {} starts at {me}, {kind}", settings.node);
+    tracing::info!("gateway: {} starts at {me}, {kind}", settings.node);
     let mut engine = Engine {
         me,
         clock,
@@ -227,7 +227,7 @@
         settings_seen: None,
     };
     engine.run()?;
-    tracing::info!("lantern: ends");
+    tracing::info!("gateway: ends");
     Ok(())
 }
 
--- a/crates/lantern/tests/ages.rs
+++ b/crates/gateway/tests/ages.rs
@@ -1,6 +1,6 @@
 //! How old calls of other supervisors are, by steady clocks that begin anywhere and may run apart.
 
-use fallgap_lantern::ages::{Ages, Stamp};
+use fallgap_gateway::ages::{Ages, Stamp};
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
--- a/crates/lantern/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -1,7 +1,7 @@
 //! Where calls are run, and whose answer counts.
 
 use fallgap_control_state::{Answer, Call};
-use fallgap_lantern::calls::{Caller, Calls, Step, Terms};
+use fallgap_gateway::calls::{Caller, Calls, Step, Terms};
 use std::net::Ipv4Addr;
 use std::sync::mpsc::sync_channel;
 use std::time::Duration;
@@ -293,7 +293,7 @@
 /// What is remembered of withdrawals is bounded: the oldest are forgotten first.
 #[test]
 fn withdrawals_are_remembered_within_a_bound() {
-    let most = fallgap_lantern::withdrawn::Withdrawn::MOST as u64;
+    let most = fallgap_gateway::withdrawn::Withdrawn::MOST as u64;
     let mut calls = Calls::new(Terms::default(), 100);
     for number in 0..=most {
         calls.withdrawn(MS, node(1), node(8), number);
--- a/crates/lantern/tests/calls_model.rs
+++ b/crates/gateway/tests/calls_model.rs
@@ -4,11 +4,11 @@
 
 use fallgap_control_state::charter::{Charter, Member};
 use fallgap_control_state::{Answer, Call, Keeper, Kept, Me, Message, Out};
-use fallgap_lantern::ages::{Ages, Stamp};
-use fallgap_lantern::asks::Told;
-use fallgap_lantern::calls::{Caller, Calls, Step, Terms, by_key};
-use fallgap_lantern::holdup::HoldUp;
-use fallgap_lantern::words::withdrawals_first;
+use fallgap_gateway::ages::{Ages, Stamp};
+use fallgap_gateway::asks::Told;
+use fallgap_gateway::calls::{Caller, Calls, Step, Terms, by_key};
+use fallgap_gateway::holdup::HoldUp;
+use fallgap_gateway::words::withdrawals_first;
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use std::sync::mpsc::{Receiver, sync_channel};
--- a/crates/lantern/tests/ends.rs
+++ b/crates/gateway/tests/ends.rs
@@ -1,6 +1,6 @@
 //! When a keeper's word on a server's end is given.
 
-use fallgap_lantern::ends::Ends;
+use fallgap_gateway::ends::Ends;
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
--- a/crates/lantern/tests/http_server.rs
+++ b/crates/gateway/tests/http_server.rs
@@ -1,7 +1,7 @@
 //! The server of the control and ready addresses, on loopback: who leaves, who is slow, and what is too much.
 
-use fallgap_lantern::asks::Told;
-use fallgap_lantern::http::{Caller, Request, Response, Server, Service, Terms};
+use fallgap_gateway::asks::Told;
+use fallgap_gateway::http::{Caller, Request, Response, Server, Service, Terms};
 use fallgap_test_support::gateway::Client;
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, SocketAddrV4};
 use std::sync::mpsc::{Receiver, Sender, channel, sync_channel};
--- a/crates/lantern/tests/inner/disk.rs
+++ b/crates/gateway/tests/inner/disk.rs
@@ -6,7 +6,7 @@
 /// The checkpoint that was due has failed, and the logs have filled their room meanwhile.
 #[test]
 fn full_logs_take_records_again_once_there_is_a_checkpoint() {
-    let folder = std::env::temp_dir().join(format!("lantern-disk-{}", std::process::id()));
+    let folder = std::env::temp_dir().join(format!("gateway-disk-{}", std::process::id()));
     let (entry_bytes, ahead_bytes, checkpoint_bytes) = (4096, 4096, 1 << 20);
     let limits = Limits { entry_bytes, ahead_bytes, checkpoint_bytes, logs: 100, log_room: 128 << 10 };
     let (store, _) = Store::open_with(&folder, limits).unwrap();
--- a/crates/lantern/tests/inner/memory.rs
+++ b/crates/gateway/tests/inner/memory.rs
@@ -2,7 +2,7 @@
 
 #[test]
 fn the_newest_whole_file_counts() {
-    let folder = std::env::temp_dir().join(format!("lantern-memory-{}", std::process::id()));
+    let folder = std::env::temp_dir().join(format!("gateway-memory-{}", std::process::id()));
     std::fs::create_dir_all(&folder).unwrap();
     let open = || Kept::open(&folder, "servers");
     let held = || open().1.map(|bytes| String::from_utf8(bytes).unwrap());
--- a/crates/lantern/tests/landing/mod.rs
+++ b/crates/gateway/tests/landing/mod.rs
@@ -28,8 +28,8 @@
     static NETS: AtomicU8 = AtomicU8::new(1);
     let id = std::process::id();
     let net = [127, (1 + id % 250) as u8, NETS.fetch_add(1, Ordering::Relaxed)];
-    let folder = std::env::temp_dir().join(format!("lantern-whole-{id}-{}", net[2]));
-    let program = Path::new(env!("CARGO_BIN_EXE_lantern"));
+    let folder = std::env::temp_dir().join(format!("gateway-whole-{id}-{}", net[2]));
+    let program = Path::new(env!("CARGO_BIN_EXE_gateway"));
     let mut fleet = Landing::open(program, &folder, net, &["a", "b"], &[true, true, true, false]).unwrap();
     fleet.start_all(true).unwrap();
     fleet
--- a/crates/lantern/tests/leavers.rs
+++ b/crates/gateway/tests/leavers.rs
@@ -1,6 +1,6 @@
 //! The log's line about clients that left.
 
-use fallgap_lantern::leavers::Leavers;
+use fallgap_gateway::leavers::Leavers;
 use fallgap_proxy::Counters;
 use std::time::Duration;
 
--- a/crates/lantern/tests/once_only.rs
+++ b/crates/gateway/tests/once_only.rs
@@ -3,13 +3,13 @@
 
 use fallgap_config::Beat;
 use fallgap_control_state::Call;
-use fallgap_lantern::ages::Stamp;
-use fallgap_lantern::asks::Told;
-use fallgap_lantern::beats::Beats;
-use fallgap_lantern::holdup::HoldUp;
-use fallgap_lantern::links::{self, Links};
-use fallgap_lantern::spread::{Spread, Spreading};
-use fallgap_lantern::words::{Frames, Word};
+use fallgap_gateway::ages::Stamp;
+use fallgap_gateway::asks::Told;
+use fallgap_gateway::beats::Beats;
+use fallgap_gateway::holdup::HoldUp;
+use fallgap_gateway::links::{self, Links};
+use fallgap_gateway::spread::{Spread, Spreading};
+use fallgap_gateway::words::{Frames, Word};
 use mio::{Events, Poll};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, TcpStream};
--- a/crates/lantern/tests/preference.rs
+++ b/crates/gateway/tests/preference.rs
@@ -1,6 +1,6 @@
 //! Which homes supervisors prefer.
 
-use fallgap_lantern::preference::{Place, first_home_of, homes_of};
+use fallgap_gateway::preference::{Place, first_home_of, homes_of};
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 
--- a/crates/lantern/tests/prompt.rs
+++ b/crates/gateway/tests/prompt.rs
@@ -9,8 +9,8 @@
 use std::process::Command;
 
 /// Exit code, what was printed, what was complained of.
-fn lantern(args: &[&str]) -> (i32, String, String) {
-    let run = Command::new(env!("CARGO_BIN_EXE_lantern")).args(args).output().unwrap();
+fn gateway(args: &[&str]) -> (i32, String, String) {
+    let run = Command::new(env!("CARGO_BIN_EXE_gateway")).args(args).output().unwrap();
     let text = |bytes| String::from_utf8(bytes).unwrap();
     (run.status.code().unwrap(), text(run.stdout), text(run.stderr))
 }
@@ -29,7 +29,7 @@
 /// Asks until the exit code is the one wanted: on a busy machine a call may be late.
 fn becomes(code: i32, args: &[&str]) -> String {
     until(&format!("{args:?} ends with {code}"), || {
-        let (ended, printed, _) = lantern(args);
+        let (ended, printed, _) = gateway(args);
         (ended == code).then_some(printed)
     })
 }
@@ -75,7 +75,7 @@
     until("the lock is seen", || becomes(0, &["fleet", "locks", "--at", here]).contains("me").then_some(()));
     has(&becomes(0, &["doctor", "--at", here]), &["nothing is found wrong"]);
     has(&becomes(0, &["why", "--at", here]), &["is ready: edition 7 and 1 servers"]);
-    has(&lantern(&["completions", "bash"]).1, &["_lantern"]);
+    has(&gateway(&["completions", "bash"]).1, &["_lantern"]);
 
     // A route goes, one changes; the same edition would change nothing.
     let second = configuration(8, ["/safe/", "/other/"]);
@@ -118,10 +118,10 @@
         machine.signal("KILL");
         machine.wait(LONG);
     }
-    let put = || lantern(&["config", "put", "--at", &here, &next]);
+    let put = || gateway(&["config", "put", "--at", &here, &next]);
     let (_, _, complaint) = until("it is cut off", || Some(put()).filter(|(_, _, c)| c.contains("cut off")));
     assert!(complaint.contains("nothing was changed"), "{complaint}");
-    assert_eq!(lantern(&["config", "plan", "--at", &here, &next]).0, 3);
+    assert_eq!(gateway(&["config", "plan", "--at", &here, &next]).0, 3);
     // What it knows is told all the same, and how old that is.
     has(&becomes(1, &["doctor", "--at", &here]), &["no-majority: none of 3 keepers hears a majority"]);
     until("it is told to be old", || {
@@ -131,9 +131,9 @@
     assert_eq!(fleet.machines[3].figure("edition"), Some(7));
     // Nobody is there at all.
     let dead = at(&fleet.machines[0]);
-    let (code, _, complaint) = lantern(&["fleet", "nodes", "--at", &dead]);
+    let (code, _, complaint) = gateway(&["fleet", "nodes", "--at", &dead]);
     assert_eq!((code, complaint.contains("gives no answer")), (3, true));
-    assert_eq!(lantern(&["fleet", "nodes", "--at", &dead, "--at", &here]).0, 0);
+    assert_eq!(gateway(&["fleet", "nodes", "--at", &dead, "--at", &here]).0, 0);
     // As they come back, all is well again.
     fleet.start(0, false).unwrap();
     fleet.start(1, false).unwrap();
@@ -143,7 +143,7 @@
 
 #[test]
 fn wrong_calls_and_odd_files_have_codes_of_their_own() {
-    let folder = std::env::temp_dir().join(format!("lantern-prompt-{}", std::process::id()));
+    let folder = std::env::temp_dir().join(format!("gateway-prompt-{}", std::process::id()));
     std::fs::create_dir_all(&folder).unwrap();
     let odd = folder.join("odd.json");
     std::fs::write(&odd, "{").unwrap();
@@ -158,7 +158,7 @@
         (&["doctor", "--at", none], 3),
     ];
     for (args, code) in rows {
-        assert_eq!(lantern(args).0, code, "{args:?}");
+        assert_eq!(gateway(args).0, code, "{args:?}");
     }
     std::fs::remove_dir_all(&folder).unwrap();
 }
--- a/crates/lantern/tests/spread.rs
+++ b/crates/gateway/tests/spread.rs
@@ -1,7 +1,7 @@
 //! How far a change of an office has come, and when that is told.
 
-use fallgap_lantern::asks::Told;
-use fallgap_lantern::spread::{Spread, Spreading};
+use fallgap_gateway::asks::Told;
+use fallgap_gateway::spread::{Spread, Spreading};
 use std::net::Ipv4Addr;
 use std::sync::mpsc::sync_channel;
 use std::time::Duration;
--- a/crates/lantern/tests/whole.rs
+++ b/crates/gateway/tests/whole.rs
@@ -177,7 +177,7 @@
             assert_eq!((last.status, last.line("connection")), (200, Some("close")));
         }
         assert_eq!(one.wait(LONG).map(|status| status.code()), Some(Some(0)));
-        assert!(std::fs::read_to_string(one.log()).unwrap().trim_end().ends_with("lantern: ends"));
+        assert!(std::fs::read_to_string(one.log()).unwrap().trim_end().ends_with("gateway: ends"));
         if !in_time {
             ending += 1;
             assert!(ending < fleet.machines.len(), "held up with each of them");
@@ -190,10 +190,10 @@
 
 #[test]
 fn settings_that_cannot_serve_are_told_at_once() {
-    let file = std::env::temp_dir().join(format!("lantern-settings-{}.json", std::process::id()));
+    let file = std::env::temp_dir().join(format!("gateway-settings-{}.json", std::process::id()));
     std::fs::write(&file, r#"{"ip":"here","serves":["counter"],"inner_ports":[2,1]}"#).unwrap();
     let run = |args: &[&str]| {
-        let program = std::process::Command::new(env!("CARGO_BIN_EXE_lantern")).args(args).output().unwrap();
+        let program = std::process::Command::new(env!("CARGO_BIN_EXE_gateway")).args(args).output().unwrap();
         (program.status.code(), String::from_utf8(program.stderr).unwrap())
     };
     let path = file.to_str().unwrap();
--- a/crates/lantern/tests/words.rs
+++ b/crates/gateway/tests/words.rs
@@ -1,8 +1,8 @@
 //! How words stand in frames.
 
 use fallgap_control_state::{Answer, Call};
-use fallgap_lantern::ages::Stamp;
-use fallgap_lantern::words::{FRAME, Frames, OddStream, Word, told_frame};
+use fallgap_gateway::ages::Stamp;
+use fallgap_gateway::words::{FRAME, Frames, OddStream, Word, told_frame};
 use fallgap_registry::{Distribution, RosterWord, Terms, Told};
 use fallgap_tables::{Entry, Key, Version, Whole};
 use std::time::Duration;
--- a/crates/tenants/tests/orders.rs
+++ b/crates/tenants/tests/orders.rs
@@ -193,7 +193,7 @@
         self.sea.answers.iter().find(|(told, ..)| *told == id).map(|(.., answer)| answer.clone())
     }
 
-    /// Carries its transaction out, as `lantern` does.
+    /// Carries its transaction out, as `gateway` does.
     fn step(&mut self, order: &mut Order, troubled: bool) -> Result<(), String> {
         let late = self.sea.now > order.since + ms(1000);
         match order.at.clone() {
--- a/crates/tenants/tests/sea.rs
+++ b/crates/tenants/tests/sea.rs
@@ -15,7 +15,7 @@
     Writes,
 }
 
-/// Does one thing after the other as `lantern` does: reads, judges, writes over what it read, and reads again when it is
+/// Does one thing after the other as `gateway` does: reads, judges, writes over what it read, and reads again when it is
 /// not told clearly.
 struct Clerk {
     /// `None`: the operator.
