--- a/crates/gateway/tests/closing_acknowledged.rs
+++ b/crates/gateway/tests/closing_acknowledged.rs
@@ -25,11 +25,12 @@
     for (at, id) in ["i-1", "i-2"].into_iter().enumerate() {
         let (keepers, front) = fleet.machines.split_at_mut(FRONT);
         let front = &mut front[0];
+        let asked_meanwhile = keepers[at].control();
         front.signal("STOP");
         let asked = Instant::now();
         let (acknowledged, continued) = std::thread::scope(|scope| {
             let continues = scope.spawn(|| {
-                std::thread::park_timeout(STANDS_STILL);
+                meanwhile(asked_meanwhile, STANDS_STILL);
                 let now = Instant::now();
                 front.signal("CONT");
                 now
--- a/crates/gateway/tests/configuration_in_force.rs
+++ b/crates/gateway/tests/configuration_in_force.rs
@@ -33,10 +33,11 @@
     for edition in 8..12 {
         let (others, front) = fleet.machines.split_at_mut(FRONT);
         let front = &mut front[0];
+        let asked_meanwhile = others[0].control();
         front.signal("STOP");
         let (acknowledged, continued) = std::thread::scope(|scope| {
             let continues = scope.spawn(|| {
-                std::thread::park_timeout(STANDS_STILL);
+                meanwhile(asked_meanwhile, STANDS_STILL);
                 let at = Instant::now();
                 front.signal("CONT");
                 at
--- a/crates/gateway/tests/landing/mod.rs
+++ b/crates/gateway/tests/landing/mod.rs
@@ -1,8 +1,9 @@
 //! Fleets of real processes, as the tests here share them.
 
 use fallgap_test_support::gateway::{
-    Beating, Client, Does, Landing, Notice, Reply, Server, Supervisor, get, ok,
+    Beating, Client, Does, Landing, Notice, Reply, Server, Supervisor, call, get, ok,
 };
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
@@ -25,16 +26,29 @@
 
 /// Three machines with a disk and one without, all started.
 pub fn fleet() -> Landing {
+    fleet_of(&[true, true, true, false])
+}
+
+/// Machines with and without a disk, all started.
+pub fn fleet_of(disks: &[bool]) -> Landing {
     static NETS: AtomicU8 = AtomicU8::new(1);
     let id = std::process::id();
     let net = [127, (1 + id % 250) as u8, NETS.fetch_add(1, Ordering::Relaxed)];
     let folder = std::env::temp_dir().join(format!("gateway-whole-{id}-{}", net[2]));
     let program = Path::new(env!("CARGO_BIN_EXE_gateway"));
-    let mut fleet = Landing::open(program, &folder, net, &["a", "b"], &[true, true, true, false]).unwrap();
+    let mut fleet = Landing::open(program, &folder, net, &["a", "b"], disks).unwrap();
     fleet.start_all(true).unwrap();
     fleet
 }
 
+/// Asks a machine again and again for so long, whatever it says.
+pub fn meanwhile(at: SocketAddr, time: Duration) {
+    let end = Instant::now() + time;
+    while Instant::now() < end {
+        let _ = call(at, "GET", "/-/status", "");
+    }
+}
+
 /// Hands a configuration in at one machine until it is taken.
 pub fn configure(at: &Supervisor, text: &str) {
     until("a configuration is taken", || at.post("/-/config/put", text).filter(|reply| reply.status == 200));
