--- a/crates/gateway/tests/prompt.rs
+++ b/crates/gateway/tests/prompt.rs
@@ -75,7 +75,7 @@
     until("the lock is seen", || becomes(0, &["fleet", "locks", "--at", here]).contains("me").then_some(()));
     has(&becomes(0, &["doctor", "--at", here]), &["nothing is found wrong"]);
     has(&becomes(0, &["why", "--at", here]), &["is ready: edition 7 and 1 servers"]);
-    has(&gateway(&["completions", "bash"]).1, &["_lantern"]);
+    has(&gateway(&["completions", "bash"]).1, &["_gateway"]);
 
     // A route goes, one changes; the same edition would change nothing.
     let second = configuration(8, ["/safe/", "/other/"]);
