--- a/crates/registry/tests/world/mod.rs
+++ b/crates/registry/tests/world/mod.rs
@@ -1,6 +1,7 @@
 //! Keepers, followers and servers in virtual time, over links that keep order, are slow, lose messages and are cut.
 #![allow(dead_code)]
 
+mod links;
 mod rollouts;
 
 use fallgap_config::{Beat, Configuration, Limits, Route, RouteClass, Service, View};
@@ -8,6 +9,7 @@
 use fallgap_registry::{
     Distribution, Follower, FollowerOut, NodeId, Out, Record, Registry, RosterWord, Terms,
 };
+pub use links::Link;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -23,15 +25,6 @@
     usize::from(high) * 250 + usize::from(low) - 1
 }
 
-/// Links, the same in each direction: of machines that are no keepers, on which others' bytes stand before a word, and
-/// of keepers.
-#[derive(Clone, Copy)]
-pub struct Link {
-    pub bytes_a_second: f64,
-    pub ahead: (Duration, Duration),
-    pub keepers: f64,
-}
-
 pub struct Core {
     pub registry: Registry,
     pub distribution: Distribution,
@@ -158,13 +151,6 @@
     }
 }
 
-/// The length of a word as links pack it.
-fn packed(bytes: &[u8]) -> usize {
-    // Frames, and what TCP puts before each segment.
-    let length = if bytes.len() > 1500 { lz4_flex::block::compress(bytes).len() } else { bytes.len() };
-    length + 4 + 60 * length.div_ceil(1448)
-}
-
 impl World {
     pub fn new(seed: u64, keepers: usize, nodes: usize, servers: usize) -> World {
         World::with(Terms::default(), seed, keepers, nodes, servers)
@@ -296,7 +282,7 @@
         let bytes = postcard::to_stdvec(&word).expect("a word as bytes");
         let mut at = self.now + delay;
         if !local && let Some(link) = self.link {
-            let length = packed(&bytes);
+            let length = links::packed(&bytes);
             at += self.stream_waits(link, from, to, length);
             for (of, leaves) in [(from, true), (to, false)] {
                 at = self.carried(link, (of, leaves), at, length);
@@ -312,30 +298,6 @@
         self.net.insert((at, self.sent), (from, to, word));
     }
 
-    /// What a word waits for on its stream before its last bytes leave.
-    fn stream_waits(&mut self, link: Link, from: NodeId, to: NodeId, bytes: usize) -> Duration {
-        /// What a new stream may send at once.
-        const FIRST_WINDOW: f64 = 14_600.0;
-        let Some(open) = &mut self.streams else { return Duration::ZERO };
-        let thin = [from, to].into_iter().filter(|node| index(*node) >= self.keepers).count() as u32;
-        let new = open.insert((from, to));
-        let more = (bytes as f64 / FIRST_WINDOW + 1.0).log2().floor() as u32;
-        let way = link.ahead.0 + (link.ahead.1 - link.ahead.0).mul_f64(self.rng.f64());
-        way * 2 * thin * (u32::from(new) + more)
-    }
-
-    /// When a word is through one direction of a link.
-    fn carried(&mut self, link: Link, way: (NodeId, bool), from: Duration, bytes: usize) -> Duration {
-        let keeper = index(way.0) < self.keepers;
-        let rate = if keeper { link.keepers } else { link.bytes_a_second };
-        let drawn = (link.ahead.1 - link.ahead.0).mul_f64(self.rng.f64());
-        let ahead = if keeper { Duration::ZERO } else { link.ahead.0 + drawn };
-        let held = self.links.entry(way).or_default();
-        let length = Duration::from_secs_f64(bytes as f64 / rate);
-        *held = (held.0.max(from + ahead) + length, held.1 + bytes);
-        held.0
-    }
-
     /// Takes what all cores have to say.
     fn settle(&mut self) {
         let now = self.now;
