Gateway: figures and the log tell the longest turn of the loop, and what it was spent on

Cause: nothing told why a supervisor stood still. The longest wait behind one event could be guessed from clients' times alone, and whether clients, servers, peers or callers had kept the one thread busy could not be seen at all.

Change: each turn is measured by what it does (clients, servers, peers, datagrams, threads, timers). Seven figures give the longest times of the last one to two minutes; a turn of 0.25 s or more is logged with its parts.

--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -13,6 +13,7 @@
 use crate::preference;
 use crate::signals::Heard;
 use crate::spread::Spread;
+use crate::turns::{Activity, Turns};
 use crate::words::{Word, withdrawals_first};
 use fallgap_admin::{History, Surveys};
 use fallgap_config::{Settings, View};
@@ -54,6 +55,7 @@
     pub quay: Option<Quay>,
     pub calls: Calls,
     pub hold_up: HoldUp,
+    pub turns: Turns,
     /// Of calls that other supervisors hand over.
     pub ages: Ages,
     /// This process, as others tell it from an earlier one at its address.
@@ -120,19 +122,30 @@
                 other => other?,
             }
             let now = self.now();
+            self.turns.begin(now);
             self.hold_up.turns(now, wait);
             // Before anything is routed: this process may have been frozen.
             let confirmed = self.follower.age(now).map(|age| now.saturating_sub(age));
             self.quay.iter_mut().for_each(|quay| quay.confirmed(confirmed));
             for event in &events {
                 let token = event.token().0;
-                if token >= QUAY {
+                let activity = if token >= QUAY {
                     self.quay.iter_mut().for_each(|quay| quay.event(now, event));
+                    if fallgap_proxy::is_of_server(token - QUAY) {
+                        Activity::Servers
+                    } else {
+                        Activity::Clients
+                    }
                 } else if token == DATAGRAMS {
                     self.hear_datagrams(now);
+                    Activity::Datagrams
                 } else if self.links.owns(token) {
                     self.links.event(now, self.poll.registry(), event, &mut words);
-                }
+                    Activity::Peers
+                } else {
+                    Activity::Threads
+                };
+                self.spent(activity);
             }
             withdrawals_first(&mut words, |(_, word)| word.is_withdrawal());
             for (from, word) in words.drain(..) {
@@ -141,17 +154,28 @@
             for peer in self.links.take_broken() {
                 self.follower.unreached(now, peer);
             }
+            self.spent(Activity::Peers);
             self.hear_threads(now);
+            self.spent(Activity::Threads);
             self.woke(now);
             self.see_whether_fit(now);
             self.take_leave(now);
             self.carry(now);
+            self.spent(Activity::Timers);
+            if let Some(long) = self.turns.end(self.now()) {
+                tracing::warn!("gateway: a turn of the loop took {long}");
+            }
             if self.ended(now) {
                 return Ok(());
             }
         }
     }
 
+    /// What was done since this was last called was this.
+    fn spent(&mut self, activity: Activity) {
+        self.turns.spent(activity, self.clock.elapsed());
+    }
+
     fn next_wake(&self) -> Duration {
         let hub = self.hub.iter().flat_map(|h| [h.registry.next_wake(), h.distribution.next_wake()]);
         let hub = hub.chain(self.hub.iter().filter_map(|h| h.lights.next_wake()));
--- a/crates/gateway/src/figures.rs
+++ b/crates/gateway/src/figures.rs
@@ -2,6 +2,7 @@
 //! collectors read.
 
 use crate::engine::Engine;
+use crate::turns::{Activity, TurnTimes};
 use fallgap_proxy::Counters;
 use std::fmt::Write;
 use std::time::Duration;
@@ -81,6 +82,15 @@
         ];
         totals.into_iter().for_each(|(name, value)| self.total(name, value));
     }
+
+    /// The longest times of turns of the event loop.
+    pub fn turns(&mut self, longest: &TurnTimes) {
+        self.now("loop_turn_longest_seconds", longest.whole.as_secs_f64());
+        for activity in Activity::ALL {
+            let name = format!("loop_{}_longest_seconds", activity.name());
+            self.now(&name, longest.on(activity).as_secs_f64());
+        }
+    }
 }
 
 impl Engine {
@@ -110,6 +120,7 @@
             ("leaving", yes(self.leaving.is_some())),
         ];
         states.into_iter().for_each(|(name, value)| figures.now(name, value));
+        figures.turns(&self.turns.longest());
         figures.into_text()
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod signals;
 pub mod spread;
 pub mod start;
+pub mod turns;
 pub mod usual;
 pub mod withdrawn;
 pub mod words;
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -15,6 +15,7 @@
 use crate::memory::{Memory, Remembered};
 use crate::signals;
 use crate::spread::Spread;
+use crate::turns::Turns;
 use fallgap_admin::{History, Surveys};
 use fallgap_config::Settings;
 use fallgap_control_state::store::{Store, StoreError};
@@ -203,6 +204,7 @@
         quay,
         calls: Calls::new(calls::Terms::default(), rng.u64(1..1 << 62)),
         hold_up: HoldUp::default(),
+        turns: Turns::default(),
         ages: Ages::default(),
         life,
         beats: Beats::new(rng.u64(1..1 << 62)),
--- a/crates/gateway/tests/figures.rs
+++ b/crates/gateway/tests/figures.rs
@@ -46,5 +46,7 @@
     for (name, value) in wanted {
         assert_eq!(figures.get(&format!("fallgap_{name}")), Some(&value), "{name}");
     }
+    assert!(figures["fallgap_loop_turn_longest_seconds"] >= figures["fallgap_loop_clients_longest_seconds"]);
+    assert!(figures["fallgap_loop_clients_longest_seconds"] > 0.0);
     assert_eq!(asked(&fleet, "/").map(|reply| reply.status), Some(404));
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -14,5 +14,5 @@
 
 pub use fallgap_routing::Report;
 pub use logbook::{Pages, Tale, TryTale};
-pub use quay::{Counters, Quay, QuayError};
+pub use quay::{Counters, Quay, QuayError, is_of_server};
 pub use terms::Terms;
--- a/crates/proxy/src/quay.rs
+++ b/crates/proxy/src/quay.rs
@@ -349,6 +349,11 @@
     }
 }
 
+/// Whether a token, counted from the first of a quay's, is that of a connection to a server.
+pub fn is_of_server(token: usize) -> bool {
+    token > 0 && token % 2 == 0
+}
+
 /// Notes a key at its place.
 pub(crate) fn note<K: Key>(at: &mut Vec<K>, key: K) {
     let place = Quay::place(key);
