Routing: interim answers and empty lines are counted; parsing costs what is taken

Cause, of two the first: what may repeat without progress had no count. Interim heads before an answer, and empty lines before a request, were let fall one after the other for as long as they came. Each head or request that was taken also moved the rest of the buffer, so parsing 64 KiB of 25-byte heads moved some 80 MB: slower than any sender.

Change: 16 interim answers and 8 empty lines at most; one more is no answer, or 400. 'Unread' takes from the front at the cost of what is taken, and a head that comes in pieces is looked through once.

Evidence: the two new tests fail before (interim answers of any number were taken; 5,000 empty lines were passed over).

--- a/crates/routing/src/answer.rs
+++ b/crates/routing/src/answer.rs
@@ -3,6 +3,7 @@
 use crate::chunks::{ChunkFault, Chunks};
 use crate::head::{carriage_alone, concerns_connection, head_end, line_place, place_in, read_length};
 use crate::terms::Terms;
+use crate::unread::Unread;
 use std::mem::take;
 use std::ops::Range;
 use std::str::from_utf8;
@@ -16,6 +17,8 @@
     Malformed,
     /// the answer is over its bound
     TooLong,
+    /// more interim answers came than may come before an answer
+    TooManyInterim,
     /// the end of the answer can not be known
     Unframed,
     /// the chunks are broken: {0}
@@ -80,8 +83,10 @@
 
 /// Reads one answer.
 pub struct AnswerReader {
-    bytes: Vec<u8>,
+    unread: Unread,
     reading: Reading,
+    /// Interim answers that have come.
+    interim: u32,
     /// To a request for the head alone.
     bodiless: bool,
     answer: Answer,
@@ -90,8 +95,9 @@
 impl AnswerReader {
     pub fn new(bodiless: bool) -> Self {
         AnswerReader {
-            bytes: Vec::new(),
+            unread: Unread::default(),
             reading: Reading::Head { seen: 0 },
+            interim: 0,
             bodiless,
             answer: Answer::default(),
         }
@@ -99,12 +105,12 @@
 
     pub fn push(&mut self, bytes: &[u8], terms: &Terms) -> Result<Progress, AnswerFault> {
         if let Reading::Head { .. } = self.reading {
-            self.bytes.extend_from_slice(bytes);
+            self.unread.push(bytes);
             if !self.heads(terms)? {
                 return Ok(Progress::More);
             }
-            let held = take(&mut self.bytes);
-            return self.body(&held, terms);
+            let held = take(&mut self.unread);
+            return self.body(held.as_slice(), terms);
         }
         self.body(bytes, terms)
     }
@@ -118,7 +124,7 @@
 
     /// Nothing of an answer has come.
     pub fn is_empty(&self) -> bool {
-        self.bytes.is_empty() && matches!(self.reading, Reading::Head { .. })
+        self.unread.is_empty() && matches!(self.reading, Reading::Head { .. })
     }
 
     /// Whether the answer that is whole belongs to another request.
@@ -144,7 +150,7 @@
 
     /// Bytes held.
     pub fn held(&self) -> usize {
-        self.bytes.len() + self.answer.body.len()
+        self.unread.len() + self.answer.body.len()
     }
 
     pub fn take(&mut self) -> Answer {
@@ -155,17 +161,16 @@
     fn heads(&mut self, terms: &Terms) -> Result<bool, AnswerFault> {
         loop {
             let Reading::Head { seen } = self.reading else { return Ok(true) };
-            let end = head_end(&self.bytes, seen).map_err(|()| AnswerFault::Malformed)?;
-            if end.unwrap_or(self.bytes.len()) > terms.answer_head {
+            let unread = self.unread.as_slice();
+            let end = head_end(unread, seen).map_err(|()| AnswerFault::Malformed)?;
+            if end.unwrap_or(unread.len()) > terms.answer_head {
                 return Err(AnswerFault::TooLong);
             }
             let Some(end) = end else {
-                let last_line = self.bytes.iter().rposition(|byte| *byte == b'\n').map_or(0, |at| at + 1);
-                self.reading = Reading::Head { seen: last_line };
+                self.reading = Reading::Head { seen: unread.len() };
                 return Ok(false);
             };
-            let rest = self.bytes.split_off(end);
-            let raw = std::mem::replace(&mut self.bytes, rest);
+            let raw = self.unread.take(end);
             let (answer, reading) = read_head(raw, self.bodiless, terms)?;
             if answer.status == 101 {
                 return Err(AnswerFault::Malformed);
@@ -173,6 +178,10 @@
             if answer.status >= 200 {
                 (self.answer, self.reading) = (answer, reading);
             } else {
+                self.interim += 1;
+                if self.interim > terms.interim_answers {
+                    return Err(AnswerFault::TooManyInterim);
+                }
                 self.reading = Reading::Head { seen: 0 };
             }
         }
@@ -202,8 +211,8 @@
         };
         match self.reading {
             Reading::Whole => {
-                self.bytes.extend_from_slice(bytes.get(used..).unwrap_or_default());
-                Ok(Progress::Whole { surplus: !self.bytes.is_empty() })
+                self.unread.push(bytes.get(used..).unwrap_or_default());
+                Ok(Progress::Whole { surplus: !self.unread.is_empty() })
             }
             _ => Ok(Progress::More),
         }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -14,6 +14,7 @@
 mod request;
 mod server;
 mod terms;
+mod unread;
 mod why;
 mod wire;
 
--- a/crates/routing/src/request.rs
+++ b/crates/routing/src/request.rs
@@ -2,8 +2,8 @@
 
 use crate::chunks::{ChunkFault, Chunks};
 use crate::head::{Framing, Head, Required, head_end};
+use crate::unread::Unread;
 use fallgap_config::Limits;
-use std::mem::take;
 
 /// Why a request goes no further.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display, thiserror::Error)]
@@ -35,6 +35,10 @@
     }
 }
 
+/// Empty lines before a request that are passed over. One more is no request: they may come without end.
+const EMPTY_LINES: usize = 8;
+const LINE_END: &[u8] = b"\r\n";
+
 /// A whole request.
 #[derive(Debug)]
 pub struct Request {
@@ -72,8 +76,10 @@
 
 /// What a client has sent and is not yet an op.
 pub struct Inbox {
-    bytes: Vec<u8>,
+    unread: Unread,
     reading: Reading,
+    /// Empty lines before the request that comes.
+    empty_lines: usize,
     required: Required,
 }
 
@@ -85,7 +91,7 @@
 
 impl Inbox {
     fn new(required: Required) -> Inbox {
-        Inbox { bytes: Vec::new(), reading: Reading::Head { seen: 0 }, required }
+        Inbox { unread: Unread::default(), reading: Reading::Head { seen: 0 }, empty_lines: 0, required }
     }
 
     /// For calls to the system itself, which need name neither a host nor an id.
@@ -95,13 +101,13 @@
 
     pub fn push(&mut self, bytes: &[u8]) {
         if !matches!(self.reading, Reading::Over) {
-            self.bytes.extend_from_slice(bytes);
+            self.unread.push(bytes);
         }
     }
 
     /// Nothing of a next request has come.
     pub fn is_empty(&self) -> bool {
-        self.bytes.is_empty() && matches!(self.reading, Reading::Head { .. } | Reading::Over)
+        self.unread.is_empty() && matches!(self.reading, Reading::Head { .. } | Reading::Over)
     }
 
     /// Bytes held.
@@ -110,7 +116,7 @@
             Reading::Length { body, .. } | Reading::Chunks { body, .. } => body.len(),
             Reading::Head { .. } | Reading::Over => 0,
         };
-        self.bytes.len() + body
+        self.unread.len() + body
     }
 
     /// The id of a request whose head has come.
@@ -131,7 +137,8 @@
         match self.advance(limits, room) {
             Ok(step) => step,
             Err(refusal) => {
-                (self.bytes, self.reading) = (Vec::new(), Reading::Over);
+                self.unread.clear();
+                self.reading = Reading::Over;
                 Step::Refused(refusal)
             }
         }
@@ -140,7 +147,7 @@
     fn advance(&mut self, limits: &Limits, room: usize) -> Result<Step, Refusal> {
         if let Reading::Head { seen } = self.reading {
             let Some(head) = self.head(seen, limits)? else { return Ok(Step::More) };
-            let tells = head.expects && self.bytes.is_empty();
+            let tells = head.expects && self.unread.is_empty();
             self.reading = begin(head, limits, room)?;
             if tells {
                 return Ok(Step::Expects);
@@ -150,47 +157,57 @@
     }
 
     fn head(&mut self, seen: usize, limits: &Limits) -> Result<Option<Head>, Refusal> {
-        let empty = self.bytes.chunks_exact(2).take_while(|pair| *pair == b"\r\n").count() * 2;
-        if empty > 0 && seen == 0 {
-            self.bytes.drain(..empty);
+        if seen == 0 {
+            self.skip_empty_lines()?;
         }
-        let end = head_end(&self.bytes, seen).map_err(|()| Refusal::Malformed)?;
-        if end.unwrap_or(self.bytes.len()) > limits.header_bytes {
+        let unread = self.unread.as_slice();
+        let end = head_end(unread, seen).map_err(|()| Refusal::Malformed)?;
+        if end.unwrap_or(unread.len()) > limits.header_bytes {
             return Err(Refusal::HeadTooLong);
         }
         let Some(end) = end else {
-            let last_line = self.bytes.iter().rposition(|byte| *byte == b'\n').map_or(0, |at| at + 1);
-            self.reading = Reading::Head { seen: last_line };
+            // The first half of a line's end may begin one more empty line.
+            let seen = if unread == b"\r" { 0 } else { unread.len() };
+            self.reading = Reading::Head { seen };
             return Ok(None);
         };
-        let rest = self.bytes.split_off(end);
-        Head::read(std::mem::replace(&mut self.bytes, rest), self.required).map(Some)
+        self.empty_lines = 0;
+        Head::read(self.unread.take(end), self.required).map(Some)
+    }
+
+    fn skip_empty_lines(&mut self) -> Result<(), Refusal> {
+        while self.unread.as_slice().starts_with(LINE_END) {
+            self.empty_lines += 1;
+            if self.empty_lines > EMPTY_LINES {
+                return Err(Refusal::Malformed);
+            }
+            self.unread.skip(LINE_END.len());
+        }
+        Ok(())
     }
 
     fn body(&mut self, limits: &Limits, room: usize) -> Result<Step, Refusal> {
         match &mut self.reading {
             Reading::Length { rest, body, .. } => {
-                let now = self.bytes.len().min(*rest);
+                let now = self.unread.len().min(*rest);
                 if now > room {
                     return Err(Refusal::NoRoom);
                 }
                 *rest -= now;
-                if body.is_empty() && now == self.bytes.len() {
-                    *body = take(&mut self.bytes);
-                } else {
-                    body.extend(self.bytes.drain(..now));
-                }
+                self.unread.move_to(body, now);
                 if *rest > 0 {
                     return Ok(Step::More);
                 }
             }
             Reading::Chunks { chunks, body, .. } => {
                 let used =
-                    chunks.feed(&self.bytes, body, limits.body_bytes).map_err(|fault| match fault {
-                        ChunkFault::TooLong => Refusal::BodyTooLong,
-                        _ => Refusal::Malformed,
-                    })?;
-                self.bytes.drain(..used);
+                    chunks.feed(self.unread.as_slice(), body, limits.body_bytes).map_err(
+                        |fault| match fault {
+                            ChunkFault::TooLong => Refusal::BodyTooLong,
+                            _ => Refusal::Malformed,
+                        },
+                    )?;
+                self.unread.skip(used);
                 if body.len() > room {
                     return Err(Refusal::NoRoom);
                 }
--- a/crates/routing/src/terms.rs
+++ b/crates/routing/src/terms.rs
@@ -33,6 +33,8 @@
     pub held: usize,
     /// Bytes of an answer's head. More is no answer.
     pub answer_head: usize,
+    /// Interim answers before an answer. More is no answer: they may come without end, and the answer never.
+    pub interim_answers: u32,
     /// Bytes of an answer's body. More is no answer.
     pub answer_body: usize,
     /// A large answer of at least so many bytes goes to the client as it comes. A smaller one costs little time if it
@@ -68,6 +70,7 @@
             met_by: 8,
             held: 32,
             answer_head: 64 << 10,
+            interim_answers: 16,
             answer_body: 16 << 20,
             pass_from: 16 << 10,
             own_zone: 1.5,
--- a/crates/routing/tests/answers.rs
+++ b/crates/routing/tests/answers.rs
@@ -115,3 +115,15 @@
         Retry-After: 0.125\r\nKeep-Alive: timeout=14\r\n\r\n";
     assert_eq!(String::from_utf8(out).unwrap(), expected);
 }
+
+/// Guards against a server that sends interim answers without end and never an answer.
+#[test]
+fn more_interim_answers_than_may_come_are_no_answer() {
+    let most = Terms::default().interim_answers as usize;
+    let early = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+    let behind = |count| early.repeat(count) + &answer("200 OK", SEALED, "ab");
+    for piece in [1, 7, 64 << 10] {
+        assert!(read(behind(most).as_bytes(), piece, false).is_some());
+        assert!(read(behind(most + 1).as_bytes(), piece, false).is_none());
+    }
+}
--- a/crates/routing/tests/requests.rs
+++ b/crates/routing/tests/requests.rs
@@ -146,3 +146,15 @@
     // Behind a refusal nothing is a request.
     assert!(matches!(inbox.step(&limits(), 100), Step::More));
 }
+
+/// Guards against a client that sends empty lines without end and never a request.
+#[test]
+fn empty_lines_before_a_request_are_passed_over_up_to_a_bound() {
+    let get = request("GET /a HTTP/1.1", "", "");
+    for (lines, served) in [(0, 2), (1, 2), (8, 2), (9, 0), (5000, 0)] {
+        let one = "\r\n".repeat(lines) + &get;
+        all_pieces(one.repeat(2).as_bytes(), |requests, refusal| {
+            assert_eq!((requests.len(), refusal.is_some()), (served, served == 0), "{lines} lines");
+        });
+    }
+}
