Proxy: each connection gets a turn of bounded bytes; no client or server keeps the thread

Cause: reading went on until nothing was left. 'hear_line' read while each read filled its buffer, 'read_client' and 'linger' likewise, 'see_to_clients' until no client had anything more, and answers given at once put their client into that queue again. Whoever sends as fast as it is read held all others, timers and the words of other supervisors up.

Change: a connection reads or writes 256 KiB in a turn, and goes to the end of a queue if there may be more; 64 turns and 64 accepted connections, then events, timers and words of others are looked at. Clients get their turn behind what other supervisors have said.

--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -19,7 +19,7 @@
 use fallgap_config::{Settings, View};
 use fallgap_control_state::{Answer, Keeper, Key, Peer as KeeperPeer};
 use fallgap_membership::{Beacon, State};
-use fallgap_proxy::Quay;
+use fallgap_proxy::{Peer, Quay};
 use fallgap_registry::{Follower, Patience, Rollouts, last_beat};
 use mio::net::UdpSocket;
 use mio::{Events, Poll};
@@ -130,12 +130,8 @@
             for event in &events {
                 let token = event.token().0;
                 let activity = if token >= QUAY {
-                    self.quay.iter_mut().for_each(|quay| quay.event(now, event));
-                    if fallgap_proxy::is_of_server(token - QUAY) {
-                        Activity::Servers
-                    } else {
-                        Activity::Clients
-                    }
+                    let peer = self.quay.as_mut().map(|quay| quay.event(now, event));
+                    peer.map_or(Activity::Clients, activity_of)
                 } else if token == DATAGRAMS {
                     self.hear_datagrams(now);
                     Activity::Datagrams
@@ -162,6 +158,7 @@
             self.take_leave(now);
             self.carry(now);
             self.spent(Activity::Timers);
+            self.see_to_connections(now);
             if let Some(long) = self.turns.end(self.now()) {
                 tracing::warn!("gateway: a turn of the loop took {long}");
             }
@@ -171,6 +168,13 @@
         }
     }
 
+    /// Connections of clients and servers get their turn, behind what others have said meanwhile.
+    fn see_to_connections(&mut self, now: Duration) {
+        let Some(quay) = &mut self.quay else { return };
+        let (turns, clock) = (&mut self.turns, &self.clock);
+        quay.work(now, |peer| turns.spent(activity_of(peer), clock.elapsed()));
+    }
+
     /// What was done since this was last called was this.
     fn spent(&mut self, activity: Activity) {
         self.turns.spent(activity, self.clock.elapsed());
@@ -451,3 +455,10 @@
         self.quay.iter_mut().for_each(|quay| quay.supervisors(place, count));
     }
 }
+
+fn activity_of(peer: Peer) -> Activity {
+    match peer {
+        Peer::Client => Activity::Clients,
+        Peer::Server => Activity::Servers,
+    }
+}
--- a/crates/proxy/src/client.rs
+++ b/crates/proxy/src/client.rs
@@ -1,5 +1,6 @@
 //! A connection of a client.
 
+use crate::quay::TURN_BYTES;
 use crate::timers::OpKey;
 use fallgap_routing::Inbox;
 use mio::net::TcpStream;
@@ -110,19 +111,41 @@
         self.head.len() + self.body.len()
     }
 
-    /// Writes what the socket takes. `true`: all has left.
-    pub(crate) fn write(&mut self, stream: &mut TcpStream) -> Result<bool> {
-        let done = write_from(stream, &mut self.sent, &self.head, &self.body)?;
-        if done {
+    /// Nothing is to leave.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Writes what the socket takes in one turn.
+    pub(crate) fn write(&mut self, stream: &mut TcpStream) -> Result<Written> {
+        let written = write_from(stream, &mut self.sent, &self.head, &self.body)?;
+        if written == Written::All {
             *self = Outgoing::default();
         }
-        Ok(done)
+        Ok(written)
     }
 }
 
-/// Writes a head and a body from `sent` on. `true`: all has left.
-pub(crate) fn write_from(stream: &mut TcpStream, sent: &mut usize, head: &[u8], body: &[u8]) -> Result<bool> {
+/// How far writing went.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Written {
+    /// All has left.
+    All,
+    /// The socket takes no more for now; an event tells when it does.
+    Blocked,
+    /// The connection's turn is over. No event comes: the socket may take more.
+    Spent,
+}
+
+/// Writes a head and a body from `sent` on, for one turn at most.
+pub(crate) fn write_from(
+    stream: &mut TcpStream, sent: &mut usize, head: &[u8], body: &[u8],
+) -> Result<Written> {
+    let turn_ends = *sent + TURN_BYTES;
     while *sent < head.len() + body.len() {
+        if *sent >= turn_ends {
+            return Ok(Written::Spent);
+        }
         let head_rest = head.get(*sent..).unwrap_or_default();
         let body_rest = body.get(sent.saturating_sub(head.len())..).unwrap_or_default();
         let written = if body_rest.is_empty() {
@@ -135,10 +158,10 @@
         match written {
             Ok(0) => return Err(ErrorKind::WriteZero.into()),
             Ok(more) => *sent += more,
-            Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(false),
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(Written::Blocked),
             Err(error) if error.kind() == ErrorKind::Interrupted => {}
             Err(error) => return Err(error),
         }
     }
-    Ok(true)
+    Ok(Written::All)
 }
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -1,7 +1,7 @@
 //! Connections of clients: accepted, read, answered, closed.
 
-use crate::client::{Client, ClientState, Outgoing};
-use crate::quay::{Quay, note};
+use crate::client::{Client, ClientState, Outgoing, Written};
+use crate::quay::{Quay, TURN_BYTES, note};
 use crate::timers::{ClientKey, OpKey, Who};
 use fallgap_routing::{Ends, Refusal, Step, own_answer};
 use mio::Interest;
@@ -20,9 +20,12 @@
     Broken,
 }
 
+/// Connections that are accepted before others get their turn.
+const TURN_ACCEPTS: usize = 64;
+
 impl Quay {
     pub(crate) fn accept(&mut self, now: Duration) {
-        loop {
+        for _ in 0..TURN_ACCEPTS {
             if self.clients.len() >= self.terms.connections && !self.close_oldest(now) {
                 return self.pause_accepting(now);
             }
@@ -39,6 +42,7 @@
                 },
             }
         }
+        self.ready.add(Who::Listener);
     }
 
     fn pause_accepting(&mut self, now: Duration) {
@@ -85,9 +89,9 @@
         }
         let Some(client) = self.clients.get(key) else { return };
         match client.state {
-            ClientState::Reading | ClientState::Lingering => self.ready.push_back(key),
+            ClientState::Reading | ClientState::Lingering => self.ready.add(Who::Client(key)),
             ClientState::Writing { .. } | ClientState::Passing { .. } if event.is_writable() => {
-                self.write_client(now, key);
+                self.ready.add(Who::Client(key));
             }
             ClientState::Writing { .. } | ClientState::Passing { .. } | ClientState::Working(_) => {}
         }
@@ -140,19 +144,20 @@
         ahead
     }
 
-    /// Sees to clients until none has anything to be read or begun.
-    pub(crate) fn see_to_clients(&mut self, now: Duration) {
-        while let Some(key) = self.ready.pop_front() {
-            match self.clients.get(key).map(|client| client.state) {
-                Some(ClientState::Reading) => self.read_client(now, key),
-                Some(ClientState::Lingering) => self.linger(now, key),
-                Some(ClientState::Passing { op, .. }) => self.hear_on(now, op),
-                Some(_) | None => {}
-            }
+    /// A client's turn: it is read from or written to, as far as a turn goes.
+    pub(crate) fn client_turn(&mut self, now: Duration, key: ClientKey) {
+        let Some(client) = self.clients.get(key) else { return };
+        match client.state {
+            ClientState::Reading => self.read_client(now, key),
+            ClientState::Lingering => self.linger(now, key),
+            ClientState::Passing { op, .. } if client.out.is_empty() => self.hear_on(now, op),
+            ClientState::Passing { .. } | ClientState::Writing { .. } => self.write_client(now, key),
+            ClientState::Working(_) => {}
         }
     }
 
     fn read_client(&mut self, now: Duration, key: ClientKey) {
+        let mut read = 0;
         loop {
             let room = self.terms.memory.saturating_sub(self.memory);
             let Some(client) = self.clients.get_mut(key) else { return };
@@ -167,9 +172,14 @@
                     // If it can not be written at once the client waits a little, and sends the body all the same.
                     let _ = client.stream.write(b"HTTP/1.1 100 Continue\r\n\r\n");
                 }
+                Step::More if client.more && read >= TURN_BYTES => {
+                    self.ready.add(Who::Client(key));
+                    break;
+                }
                 Step::More if client.more => match client.stream.read(&mut self.scratch) {
                     Ok(0) => return self.close_client(now, key),
                     Ok(count) => {
+                        read += count;
                         client.moved = now;
                         client.since.get_or_insert(now);
                         client.inbox.push(self.scratch.get(..count).unwrap_or_default());
@@ -215,26 +225,30 @@
             _ => return,
         };
         match client.out.write(&mut client.stream) {
-            Ok(true) if !whole => {
+            Ok(Written::All) if !whole => {
                 client.moved = now;
-                self.ready.push_back(key);
+                self.ready.add(Who::Client(key));
             }
-            Ok(true) if keep => {
+            Ok(Written::All) if keep => {
                 client.turn(now, ClientState::Reading);
                 client.since = (!client.inbox.is_empty()).then_some(now);
                 if client.more || !client.inbox.is_empty() {
-                    self.ready.push_back(key);
+                    self.ready.add(Who::Client(key));
                 }
             }
-            Ok(true) => {
+            Ok(Written::All) => {
                 client.turn(now, ClientState::Lingering);
                 // Fails if the client is gone, which the next reading shows.
                 let _ = client.stream.shutdown(Shutdown::Write);
                 if client.more {
-                    self.ready.push_back(key);
+                    self.ready.add(Who::Client(key));
                 }
             }
-            Ok(false) => {
+            Ok(Written::Spent) => {
+                client.moved = now;
+                self.ready.add(Who::Client(key));
+            }
+            Ok(Written::Blocked) => {
                 client.moved = now;
                 let both = Interest::READABLE | Interest::WRITABLE;
                 if !client.watched && self.registry.reregister(&mut client.stream, token, both).is_err() {
@@ -252,10 +266,14 @@
     /// along.
     fn linger(&mut self, now: Duration, key: ClientKey) {
         let Some(client) = self.clients.get_mut(key) else { return };
+        let mut read = 0;
         loop {
+            if read >= TURN_BYTES {
+                return self.ready.add(Who::Client(key));
+            }
             match client.stream.read(&mut self.scratch) {
                 Ok(0) => break,
-                Ok(_) => {}
+                Ok(count) => read += count,
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
                     client.more = false;
                     return;
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -8,11 +8,13 @@
 mod logbook;
 mod ops;
 mod quay;
+mod ready;
 mod terms;
 mod timers;
 mod tries;
 
 pub use fallgap_routing::Report;
 pub use logbook::{Pages, Tale, TryTale};
-pub use quay::{Counters, Quay, QuayError, is_of_server};
+pub use quay::{Counters, Peer, Quay, QuayError};
+pub use ready::ReadyQueue;
 pub use terms::Terms;
--- a/crates/proxy/src/lines.rs
+++ b/crates/proxy/src/lines.rs
@@ -1,10 +1,8 @@
 //! Connections to servers: opened, kept at rest, closed.
 
 use crate::line::{Line, LineState, TryAt};
-use crate::ops::OpEntry;
-use crate::quay::{Quay, note};
+use crate::quay::{Quay, TURN_BYTES, note};
 use crate::timers::{LineKey, OpKey, Who};
-use fallgap_config::RouteClass;
 use fallgap_routing::{AnswerReader, Ended, Progress, ServerKey, TryOutcome};
 use mio::Interest;
 use mio::event::Event;
@@ -27,12 +25,11 @@
 
 /// What reading from a line gave.
 enum Heard {
-    /// Nothing more now.
-    Nothing,
+    /// The answer is not whole yet. `foreign`: an answer of another request came, and was let fall. `spent`: the line's
+    /// turn is over, and there may be more to be read.
+    More { foreign: bool, spent: bool },
     /// A whole answer. `fit`: the line may serve on.
     Answer { fit: bool },
-    /// An answer of another request, and no more: one's own may still come.
-    Foreign,
     /// It broke, or what came is no answer.
     Broken,
 }
@@ -175,6 +172,8 @@
                 }
                 Err(_) => self.close_line(key),
             },
+            // Its turn is to come, and then all is seen.
+            LineState::Working(_) if self.ready.contains(Who::Line(key)) => {}
             LineState::Working(at) => {
                 if event.is_readable() || event.is_read_closed() || event.is_error() {
                     self.hear(now, key, at, event.is_read_closed() || event.is_error());
@@ -187,6 +186,18 @@
         }
     }
 
+    /// A line's turn: it is written to and read from, as far as a turn goes.
+    pub(crate) fn line_turn(&mut self, now: Duration, key: LineKey) {
+        let Some(line) = self.lines.get(key) else { return };
+        let LineState::Working(at) = line.state else { return };
+        if !line.wrote_all {
+            self.send(now, key, at);
+        }
+        if self.lines.get(key).is_some_and(|line| line.state == LineState::Working(at)) {
+            self.hear(now, key, at, true);
+        }
+    }
+
     /// Looks what has become of a try, whatever was told of it.
     pub(crate) fn look(&mut self, now: Duration, key: LineKey, at: TryAt) {
         let Some(line) = self.lines.get_mut(key) else { return };
@@ -244,24 +255,21 @@
             return;
         }
         let room = if passing { usize::MAX } else { room };
-        let most = if op.core.plan.class == RouteClass::Outbound { self.terms.ahead } else { usize::MAX };
         let id = op.request.head.id();
-        let heard = hear_line(line, &mut self.scratch, &self.terms.pilot, closed, (room, most), id);
+        let heard = hear_line(line, &mut self.scratch, &self.terms.pilot, closed, room, id);
         let held = line.reader.held();
         self.memory = (self.memory + held).saturating_sub(std::mem::replace(&mut line.held, held));
         match heard {
-            Heard::Nothing => {
-                self.pass_on(now, key, at);
-                let goes_on = |op: &OpEntry| op.core.is_passing();
-                let waits = self.lines.get(key).is_some_and(|line| line.held_back);
-                // What does not go on as it comes is read whole.
-                if waits && !self.ops.get(at.op).is_some_and(goes_on) {
-                    self.hear(now, key, at, closed);
+            Heard::More { foreign, spent } => {
+                if spent {
+                    self.ready.add(Who::Line(key));
+                }
+                if foreign {
+                    self.counters.void += 1;
+                    self.help(now, at.op);
+                } else {
+                    self.pass_on(now, key, at);
                 }
-            }
-            Heard::Foreign => {
-                self.counters.void += 1;
-                self.help(now, at.op);
             }
             Heard::Answer { fit } => {
                 let answer = line.reader.take();
@@ -302,11 +310,10 @@
     }
 }
 
-/// Reads until an answer is whole or nothing more is there. `closed`: the end is to be looked for, too. `most`: bytes
-/// after which the line is held back.
+/// Reads until an answer is whole, nothing more is there, or the line's turn is over. `closed`: the end is to be looked
+/// for, too. `room`: bytes that may be held of it.
 fn hear_line(
-    line: &mut Line, scratch: &mut [u8], terms: &fallgap_routing::Terms, closed: bool,
-    (room, most): (usize, usize), id: &str,
+    line: &mut Line, scratch: &mut [u8], terms: &fallgap_routing::Terms, closed: bool, room: usize, id: &str,
 ) -> Heard {
     let mut foreign = false;
     let mut read = 0;
@@ -316,7 +323,7 @@
             Ok(0) => return Heard::Broken,
             Ok(count) => count,
             Err(error) if error.kind() == ErrorKind::WouldBlock => {
-                return if foreign { Heard::Foreign } else { Heard::Nothing };
+                return Heard::More { foreign, spent: false };
             }
             Err(error) if error.kind() == ErrorKind::Interrupted => continue,
             Err(_) => return Heard::Broken,
@@ -341,13 +348,9 @@
                 return Heard::Answer { fit };
             }
             Ok(Progress::More) if line.reader.held().saturating_sub(before) > room => return Heard::Broken,
-            Ok(Progress::More) if read >= most => {
-                line.held_back = true;
-                return Heard::Nothing;
-            }
-            Ok(Progress::More) if full || closed => {}
-            Ok(Progress::More) if foreign => return Heard::Foreign,
-            Ok(Progress::More) => return Heard::Nothing,
+            Ok(Progress::More) if !full && !closed => return Heard::More { foreign, spent: false },
+            Ok(Progress::More) if read >= TURN_BYTES => return Heard::More { foreign, spent: true },
+            Ok(Progress::More) => {}
             Err(_) => return Heard::Broken,
         }
     }
--- a/crates/proxy/src/quay.rs
+++ b/crates/proxy/src/quay.rs
@@ -5,6 +5,7 @@
 use crate::lines::Pool;
 use crate::logbook::{Logbook, Tale};
 use crate::ops::OpEntry;
+use crate::ready::ReadyQueue;
 use crate::terms::Terms;
 use crate::timers::{ClientKey, LineKey, OpKey, Timers, Who};
 use fallgap_config::{Limits, Routing, View};
@@ -14,7 +15,7 @@
 use mio::net::TcpListener;
 use mio::{Interest, Registry, Token};
 use slotmap::{Key, SecondaryMap, SlotMap};
-use std::collections::{HashSet, VecDeque};
+use std::collections::HashSet;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::ops::Range;
 use std::sync::Arc;
@@ -97,8 +98,8 @@
     /// The lowest rank of all routes.
     pub(crate) last_priority: u8,
     pub(crate) timers: Timers,
-    /// Clients to be seen to.
-    pub(crate) ready: VecDeque<ClientKey>,
+    /// Connections that have something to be read or written and wait for their turn.
+    pub(crate) ready: ReadyQueue<Who>,
     pub(crate) scratch: Box<[u8]>,
     pub(crate) memory: usize,
     /// How long a connection to a server takes to come up, in seconds.
@@ -112,6 +113,17 @@
 
 /// Bytes read at once.
 const READ: usize = 64 << 10;
+/// Bytes that are read from one connection, or written to it, before others get their turn.
+pub(crate) const TURN_BYTES: usize = 256 << 10;
+/// Connections that get a turn before timers and words of other supervisors are looked at again.
+const TURNS: usize = 64;
+
+/// Who is at the other end of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Peer {
+    Client,
+    Server,
+}
 
 impl Quay {
     /// Listens at `front`. The poll must give back events with tokens of the range to [`Quay::event`].
@@ -150,7 +162,7 @@
             limits,
             last_priority: 0,
             timers: Timers::default(),
-            ready: VecDeque::new(),
+            ready: ReadyQueue::default(),
             scratch: vec![0; READ].into_boxed_slice(),
             memory: 0,
             connect_typical: 0.0,
@@ -167,22 +179,44 @@
         self.listener.local_addr()
     }
 
-    pub fn event(&mut self, now: Duration, event: &Event) {
-        let Some(place) = event.token().0.checked_sub(self.tokens.start) else { return };
+    /// Something has happened at one of its sockets. What there is to do is done here or in [`Quay::work`]. Tells whose
+    /// socket it is.
+    pub fn event(&mut self, now: Duration, event: &Event) -> Peer {
+        let Some(place) = event.token().0.checked_sub(self.tokens.start) else { return Peer::Client };
         match place.checked_sub(1) {
-            None => self.accept(now),
+            None => {
+                self.ready.add(Who::Listener);
+                Peer::Client
+            }
             Some(at) if at % 2 == 0 => {
                 if let Some(key) = self.client_at.get(at / 2).copied() {
                     self.client_event(now, key, event);
                 }
+                Peer::Client
             }
             Some(at) => {
                 if let Some(key) = self.line_at.get(at / 2).copied() {
                     self.line_event(now, key, event);
                 }
+                Peer::Server
             }
         }
-        self.see_to_clients(now);
+    }
+
+    /// Gives connections that wait for it their turn, the one that has waited for longest first, and none of them two.
+    /// To be called once between two waitings for events; what is left then is due at once by [`Quay::next_wake`].
+    /// `after` is told whose turn it was, behind each.
+    pub fn work(&mut self, now: Duration, mut after: impl FnMut(Peer)) {
+        for _ in 0..self.ready.len().min(TURNS) {
+            let Some(who) = self.ready.take() else { return };
+            match who {
+                Who::Listener => self.accept(now),
+                Who::Client(key) => self.client_turn(now, key),
+                Who::Line(key) => self.line_turn(now, key),
+                Who::Op(_) => {}
+            }
+            after(if matches!(who, Who::Line(_)) { Peer::Server } else { Peer::Client });
+        }
     }
 
     /// The time that [`Quay::next_wake`] gave has come.
@@ -198,11 +232,10 @@
                 Who::Op(key) => self.op_due(now, key),
             }
         }
-        self.see_to_clients(now);
     }
 
     pub fn next_wake(&self) -> Option<Duration> {
-        self.timers.next()
+        if self.ready.is_empty() { self.timers.next() } else { Some(Duration::ZERO) }
     }
 
     /// New routes and servers. What is not in it gets nothing any more.
@@ -221,7 +254,6 @@
             self.server_gone(now, server);
             self.logbook.server_gone(server, id);
         }
-        self.see_to_clients(now);
     }
 
     /// When a home last confirmed the table that is routed by.
@@ -349,11 +381,6 @@
     }
 }
 
-/// Whether a token, counted from the first of a quay's, is that of a connection to a server.
-pub fn is_of_server(token: usize) -> bool {
-    token > 0 && token % 2 == 0
-}
-
 /// Notes a key at its place.
 pub(crate) fn note<K: Key>(at: &mut Vec<K>, key: K) {
     let place = Quay::place(key);
--- a/crates/proxy/src/timers.rs
+++ b/crates/proxy/src/timers.rs
@@ -10,7 +10,7 @@
     pub(crate) struct OpKey;
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) enum Who {
     Listener,
     Client(ClientKey),
--- a/crates/proxy/src/tries.rs
+++ b/crates/proxy/src/tries.rs
@@ -1,11 +1,11 @@
 //! Tries: one op at one server.
 
-use crate::client::write_from;
+use crate::client::{Written, write_from};
 use crate::line::{LineState, TryAt};
 use crate::lines::prepare;
 use crate::ops::Try;
 use crate::quay::Quay;
-use crate::timers::{LineKey, OpKey};
+use crate::timers::{LineKey, OpKey, Who};
 use fallgap_config::RouteClass;
 use fallgap_routing::{Answer, Ended, Judgement, Next, ServerKey, TryOutcome, Why, forwarded_head};
 use std::net::SocketAddr;
@@ -87,7 +87,12 @@
             self.fleet.sends(now, op.service, extra);
         }
         match written {
-            Ok(done) => line.wrote_all = done,
+            Ok(written) => {
+                line.wrote_all = written == Written::All;
+                if written == Written::Spent {
+                    self.ready.add(Who::Line(key));
+                }
+            }
             Err(_) if line.sent == 0 => self.try_ended(now, at, TryOutcome::NotSent, Ended::Failed, None),
             // An answer may stand there already, sent before the break.
             Err(_) => {
--- a/crates/proxy/tests/world/mod.rs
+++ b/crates/proxy/tests/world/mod.rs
@@ -52,11 +52,13 @@
             let mut events = Events::with_capacity(64);
             loop {
                 let wait = quay.next_wake().map(|at| at.saturating_sub(start.elapsed()));
-                poll.poll(&mut events, wait.map(|wait| wait + Duration::from_millis(1))).unwrap();
+                let wait = wait.map(|wait| if wait.is_zero() { wait } else { wait + ms(1) });
+                poll.poll(&mut events, wait).unwrap();
                 for event in events.iter().filter(|event| event.token() != WAKER) {
                     quay.event(start.elapsed(), event);
                 }
                 quay.woke(start.elapsed());
+                quay.work(start.elapsed(), |_| ());
                 loop {
                     match taken.try_recv() {
                         Ok(order) => order(&mut quay, start.elapsed()),
@@ -109,6 +111,10 @@
 impl Drop for World {
     fn drop(&mut self) {
         drop(self.orders.take());
+        // A thread that is held up would not end.
+        if std::thread::panicking() {
+            return;
+        }
         self.waker.wake().unwrap();
         self.thread.take().unwrap().join().unwrap();
     }
--- a/crates/test-support/src/gateway/mod.rs
+++ b/crates/test-support/src/gateway/mod.rs
@@ -3,11 +3,13 @@
 
 mod beating;
 mod client;
+mod flood;
 mod landing;
 mod server;
 
 pub use beating::{Beating, Notice};
 pub use client::{Client, Reply, call, get};
+pub use flood::Flood;
 pub use landing::{Landing, Supervisor};
 pub use server::{Does, Got, Server, ok, status};
 
--- a/crates/test-support/src/gateway/server.rs
+++ b/crates/test-support/src/gateway/server.rs
@@ -10,6 +10,8 @@
 const LOOPBACK: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
 /// Requests that are remembered; later ones are only answered.
 const REMEMBERED: usize = 1000;
+/// Bytes that are written at once of what is sent again and again.
+const REPEATED: usize = 64 << 10;
 
 /// A request as a server got it.
 #[derive(Clone, Debug)]
@@ -41,6 +43,8 @@
     Hangs,
     /// It sends this, and nothing more for as long as the connection stands.
     SendsAndHangs(String),
+    /// It sends the first, and then the second again and again until the connection ends.
+    Repeats(String, String),
 }
 
 pub fn ok(got: &Got, body: &str) -> String {
@@ -127,6 +131,12 @@
                 reader.get_mut().write_all(bytes.as_bytes()).ok()?;
                 return hang(&mut reader, cut);
             }
+            Does::Repeats(first, piece) => {
+                reader.get_mut().write_all(first.as_bytes()).ok()?;
+                let pieces = piece.repeat(REPEATED.div_ceil(piece.len().max(1)));
+                while reader.get_mut().write_all(pieces.as_bytes()).is_ok() {}
+                return None;
+            }
         }
     }
     None
