Control address: each connection, listener and worker's answer gets a bounded turn

What callers saw: one caller that sends calls to the ready address as fast as they are answered, or large bodies one after the other, kept the one thread that holds all control connections. No other call to this supervisor was answered meanwhile: no beat, no order, no readiness.

A connection went on while it could; bytes behind a last answer, connections and answers of workers were taken until none was left.

Change: 256 KiB read and 16 calls begun in a turn, 64 accepted connections, 256 answers of workers; what has more goes to the end of one queue.

--- a/crates/gateway/src/http/connection.rs
+++ b/crates/gateway/src/http/connection.rs
@@ -26,12 +26,28 @@
 pub enum Came {
     /// Nothing more for now.
     Nothing,
+    /// The connection's turn is over, and there may be more.
+    Spent,
     Call(Box<Request>),
     Refused(Refusal),
     /// The caller has closed or the connection is broken: nothing waits here.
     Ended,
 }
 
+/// What letting bytes fall behind the last answer came to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lingers {
+    /// Nothing more for now.
+    On,
+    /// The connection's turn is over, and there may be more.
+    Spent,
+    /// The caller has closed, too.
+    Ended,
+}
+
+/// Bytes that are read from one connection before others get their turn.
+const TURN_BYTES: usize = 256 << 10;
+
 pub struct Connection {
     pub stream: TcpStream,
     pub state: State,
@@ -82,6 +98,7 @@
 
     /// Reads until a call is whole or nothing more is there. `room`: bytes of bodies that may still be held.
     pub fn read(&mut self, now: Duration, limits: &Limits, room: usize, scratch: &mut [u8]) -> Came {
+        let mut read = 0;
         loop {
             match self.inbox.step(limits, room) {
                 Step::Whole(request) => {
@@ -94,9 +111,11 @@
                     let _ = self.stream.write(b"HTTP/1.1 100 Continue\r\n\r\n");
                 }
                 Step::More if self.closed => return Came::Ended,
+                Step::More if self.more && read >= TURN_BYTES => return Came::Spent,
                 Step::More if self.more => match self.take_in(scratch) {
                     Ok(0) => {}
-                    Ok(_) => {
+                    Ok(count) => {
+                        read += count;
                         self.moved = now;
                         self.since.get_or_insert(now);
                     }
@@ -169,19 +188,19 @@
         }
     }
 
-    /// Lets fall what comes behind the last answer: a close with unread bytes could take the answer along. `true`: the
-    /// caller has closed, too.
-    pub fn linger(&mut self, scratch: &mut [u8]) -> bool {
-        while !self.closed {
+    /// Lets fall what comes behind the last answer, for one turn: a close with unread bytes could take the answer along.
+    pub fn linger(&mut self, scratch: &mut [u8]) -> Lingers {
+        let mut read = 0;
+        while !self.closed && read < TURN_BYTES {
             match self.stream.read(scratch) {
                 Ok(0) => self.closed = true,
-                Ok(_) => {}
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return false,
+                Ok(count) => read += count,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Lingers::On,
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(_) => return true,
+                Err(_) => return Lingers::Ended,
             }
         }
-        true
+        if self.closed { Lingers::Ended } else { Lingers::Spent }
     }
 
     /// When it is too late for what it waits for, if it waits for its caller.
--- a/crates/gateway/src/http/server.rs
+++ b/crates/gateway/src/http/server.rs
@@ -2,10 +2,11 @@
 
 use super::Terms;
 use super::caller::Caller;
-use super::connection::{Came, Connection, State};
+use super::connection::{Came, Connection, Lingers, State};
 use super::message::{Request, Response};
 use super::workers::{Done, Job, Workers};
 use fallgap_config::Limits;
+use fallgap_proxy::ReadyQueue;
 use fallgap_routing::Refusal;
 use mio::event::Event;
 use mio::net::TcpListener;
@@ -59,6 +60,13 @@
 const CONNECTIONS: usize = 16;
 /// Bytes read at once.
 const READ: usize = 16 << 10;
+/// Connections that are accepted, calls that are begun on one connection, and answers of workers that are taken, before
+/// others get their turn.
+const TURN_ACCEPTS: usize = 64;
+const TURN_CALLS: usize = 16;
+const TURN_ANSWERS: usize = 256;
+/// Sources that get a turn before events and slow callers are looked at again.
+const TURNS: usize = 64;
 /// How often connections are looked at whose caller is slow.
 const LOOK: Duration = Duration::from_millis(500);
 /// How often, if all are at rest.
@@ -131,6 +139,7 @@
             places: Vec::new(),
             workers,
             done,
+            ready: ReadyQueue::default(),
             limits,
             held: 0,
             look: Duration::ZERO,
@@ -143,6 +152,15 @@
     }
 }
 
+/// Something that waits for its turn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Source {
+    Listener(usize),
+    Connection(ConnectionKey),
+    /// Answers of workers.
+    Workers,
+}
+
 struct Running {
     poll: Poll,
     clock: Instant,
@@ -152,6 +170,7 @@
     places: Vec<ConnectionKey>,
     workers: Workers,
     done: Receiver<Done>,
+    ready: ReadyQueue<Source>,
     limits: Limits,
     /// Bytes held by all connections.
     held: usize,
@@ -169,6 +188,7 @@
         loop {
             let looks = self.accepts_again || !self.connections.is_empty();
             let wait = looks.then(|| self.look.saturating_sub(self.clock.elapsed()));
+            let wait = if self.ready.is_empty() { wait } else { Some(Duration::ZERO) };
             match self.poll.poll(&mut events, wait) {
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(error) => return tracing::error!("control: ends, its poll fails: {error}"),
@@ -176,34 +196,54 @@
             }
             let now = self.clock.elapsed();
             for event in &events {
-                self.event(now, event);
-            }
-            while let Ok(done) = self.done.try_recv() {
-                self.done(now, done);
+                self.event(event);
             }
+            self.work(now);
             if now >= self.look {
                 self.look_at_all(now);
             }
         }
     }
 
-    fn event(&mut self, now: Duration, event: &Event) {
+    fn event(&mut self, event: &Event) {
         let token = event.token();
         if token == WAKE {
-            return;
+            return self.ready.add(Source::Workers);
         }
         if let Some(place) = token.0.checked_sub(CONNECTIONS) {
             let Some(key) = self.places.get(place).copied() else { return };
             let Some(connection) = self.connections.get_mut(key) else { return };
             // A hint: the event may be meant for one that had the place before.
             connection.more |= event.is_readable() || event.is_read_closed() || event.is_error();
-            return self.see_to(now, key);
+            return self.ready.add(Source::Connection(key));
+        }
+        self.ready.add(Source::Listener(token.0 - LISTENERS));
+    }
+
+    /// Gives sources that wait for it their turn, and none of them two.
+    fn work(&mut self, now: Duration) {
+        for _ in 0..self.ready.len().min(TURNS) {
+            match self.ready.take() {
+                Some(Source::Listener(at)) => self.accept(now, at),
+                Some(Source::Connection(key)) => self.see_to(now, key),
+                Some(Source::Workers) => self.take_answers(now),
+                None => return,
+            }
+        }
+    }
+
+    fn take_answers(&mut self, now: Duration) {
+        for _ in 0..TURN_ANSWERS {
+            match self.done.try_recv() {
+                Ok(done) => self.done(now, done),
+                Err(_) => return,
+            }
         }
-        self.accept(now, token.0 - LISTENERS);
+        self.ready.add(Source::Workers);
     }
 
     fn accept(&mut self, now: Duration, at: usize) {
-        loop {
+        for _ in 0..TURN_ACCEPTS {
             let Some(listener) = self.listeners.get(at) else { return };
             match listener.socket.accept() {
                 Ok((stream, _)) => self.accepted(now, at, stream),
@@ -220,6 +260,7 @@
                 },
             }
         }
+        self.ready.add(Source::Listener(at));
     }
 
     fn accepted(&mut self, now: Duration, listener: usize, stream: mio::net::TcpStream) {
@@ -255,17 +296,23 @@
         })
     }
 
-    /// Goes on with a connection as far as it goes.
+    /// A connection's turn: it goes on as far as it goes in one.
     fn see_to(&mut self, now: Duration, key: ConnectionKey) {
+        let mut calls = 0;
         while let Some(connection) = self.connections.get_mut(key) {
             let goes_on = match connection.state {
-                State::Reading => self.read(now, key),
+                State::Reading if calls == TURN_CALLS => {
+                    self.ready.add(Source::Connection(key));
+                    false
+                }
+                State::Reading => {
+                    calls += 1;
+                    self.read(now, key)
+                }
                 State::Waiting { .. } => self.see_close(now, key),
                 State::Writing { keep } => self.write(now, key, keep),
                 State::Lingering => {
-                    if connection.linger(&mut self.scratch) {
-                        self.close(key);
-                    }
+                    self.linger(key);
                     false
                 }
             };
@@ -276,6 +323,15 @@
         }
     }
 
+    fn linger(&mut self, key: ConnectionKey) {
+        let Some(connection) = self.connections.get_mut(key) else { return };
+        match connection.linger(&mut self.scratch) {
+            Lingers::On => {}
+            Lingers::Spent => self.ready.add(Source::Connection(key)),
+            Lingers::Ended => self.close(key),
+        }
+    }
+
     /// Reads on. Tells whether its state has changed.
     fn read(&mut self, now: Duration, key: ConnectionKey) -> bool {
         let room = self.terms.held_bytes.saturating_sub(self.held);
@@ -285,6 +341,11 @@
                 self.look_soon(now, key);
                 return false;
             }
+            Came::Spent => {
+                self.look_soon(now, key);
+                self.ready.add(Source::Connection(key));
+                return false;
+            }
             Came::Ended => {
                 self.close(key);
                 return false;
