Gateway: streams, datagrams and callers get a bounded turn; nameless streams end

What callers saw: whoever sends words or datagrams to a supervisor's inner port without end held it up whole: requests and calls got no answer, and others took it for gone.

A stream was read until a read came short, holding all that came; datagrams until none was left, and an error told by the socket ended that too, with datagrams unread; asks of callers until none waited. Streams that never greet also held their places for good: 1,200 of them and no supervisor is heard any more.

Change: 256 KiB and 128 words of a stream in a turn, 64 streams, 64 accepted ones, 256 datagrams, 64 asks; the rest waits for its next turn, and the loop doesn't sleep until then. A stream on which nobody greets within 3 s is closed.

--- a/crates/gateway/examples/hollow/node.rs
+++ b/crates/gateway/examples/hollow/node.rs
@@ -219,7 +219,10 @@
             }
         } else if self.links.owns(event.token().0) {
             let mut heard = std::mem::take(&mut self.heard);
-            self.links.event(now, registry, event, &mut heard);
+            self.links.event(now, registry, event);
+            while self.links.has_work() {
+                self.links.work(now, registry, &mut heard);
+            }
             heard.drain(..).for_each(|(from, word)| self.hears(now, from, word));
             self.heard = heard;
             for peer in self.links.take_broken() {
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -24,6 +24,7 @@
 use mio::net::UdpSocket;
 use mio::{Events, Poll};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::io::ErrorKind;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -77,6 +78,9 @@
     /// Words from this supervisor to itself.
     pub own: VecDeque<Word>,
     pub buffer: Vec<u8>,
+    /// There may be datagrams that were not read, and asks of callers that were not heard.
+    pub datagrams_wait: bool,
+    pub callers_wait: bool,
     /// When the slow things are done next: links that stall, reports, the settings file.
     pub slow: Duration,
     pub reports: Duration,
@@ -87,6 +91,9 @@
     pub settings_seen: Option<std::time::SystemTime>,
 }
 
+/// Datagrams that are read, and asks of callers that are heard, before others get their turn.
+const TURN_DATAGRAMS: usize = 256;
+const TURN_ASKS: usize = 64;
 /// How often stalled links and the settings file are looked at, and what servers did is told to the home.
 const SLOW: Duration = Duration::from_millis(500);
 const REPORTS: Duration = Duration::from_millis(1000);
@@ -133,16 +140,19 @@
                     let peer = self.quay.as_mut().map(|quay| quay.event(now, event));
                     peer.map_or(Activity::Clients, activity_of)
                 } else if token == DATAGRAMS {
-                    self.hear_datagrams(now);
+                    self.datagrams_wait = true;
                     Activity::Datagrams
                 } else if self.links.owns(token) {
-                    self.links.event(now, self.poll.registry(), event, &mut words);
+                    self.links.event(now, self.poll.registry(), event);
                     Activity::Peers
                 } else {
                     Activity::Threads
                 };
                 self.spent(activity);
             }
+            self.hear_datagrams(now);
+            self.spent(Activity::Datagrams);
+            self.links.work(now, self.poll.registry(), &mut words);
             withdrawals_first(&mut words, |(_, word)| word.is_withdrawal());
             for (from, word) in words.drain(..) {
                 self.heard(now, from, word);
@@ -180,7 +190,15 @@
         self.turns.spent(activity, self.clock.elapsed());
     }
 
+    /// Something waits that no event tells of again.
+    fn has_work(&self) -> bool {
+        self.datagrams_wait || self.callers_wait || self.links.has_work()
+    }
+
     fn next_wake(&self) -> Duration {
+        if self.has_work() {
+            return Duration::ZERO;
+        }
         let hub = self.hub.iter().flat_map(|h| [h.registry.next_wake(), h.distribution.next_wake()]);
         let hub = hub.chain(self.hub.iter().filter_map(|h| h.lights.next_wake()));
         let hub = hub.chain(self.hub.iter().filter_map(|h| h.ends.next_wake()));
@@ -294,20 +312,48 @@
         here.map(|peer| peer.card.node).chain([self.me]).collect()
     }
 
+    /// Hears what the socket holds, up to a bound: more may come as fast as it is read.
     fn hear_datagrams(&mut self, now: Duration) {
-        while let Ok((n, from)) = self.datagrams.recv_from(&mut self.buffer) {
-            let SocketAddr::V4(from) = from else { continue };
-            let Some(bytes) = self.buffer.get(..n) else { continue };
+        if !std::mem::take(&mut self.datagrams_wait) {
+            return;
+        }
+        for _ in 0..TURN_DATAGRAMS {
+            let (length, from) = match self.datagrams.recv_from(&mut self.buffer) {
+                Ok((length, SocketAddr::V4(from))) => (length, from),
+                // Told of one that was sent: its receiver is gone. Others may wait.
+                Err(error) if error.kind() != ErrorKind::WouldBlock => continue,
+                Ok(_) => continue,
+                Err(_) => return,
+            };
+            let Some(bytes) = self.buffer.get(..length) else { continue };
             if let Ok(message) = postcard::from_bytes(bytes) {
                 self.links.met(now, self.poll.registry(), *from.ip());
                 self.beacon.heard(now, *from.ip(), message);
             }
         }
+        self.datagrams_wait = true;
     }
 
     /// What threads have sent: callers, the disk, signals.
     fn hear_threads(&mut self, now: Duration) {
-        while let Ok(Ask { asked, reply }) = self.inbox.try_recv() {
+        self.hear_callers(now);
+        while let Some(done) = self.disk.as_ref().and_then(|d| d.done.try_recv().ok()) {
+            match done {
+                Done::Synced(number) => self.keeper.synced(now, number),
+                Done::WantsCheckpoint => {
+                    let snapshot = self.keeper.snapshot();
+                    self.disk.iter().for_each(|d| _ = d.work.send(Work::Checkpoint(snapshot.clone())));
+                }
+            }
+        }
+        self.hear_signals(now);
+    }
+
+    /// Callers ask, up to a bound: more may come as fast as they are answered.
+    fn hear_callers(&mut self, now: Duration) {
+        self.callers_wait = false;
+        for _ in 0..TURN_ASKS {
+            let Ok(Ask { asked, reply }) = self.inbox.try_recv() else { return };
             match asked {
                 Asked::Call(call) if self.hold_up.turns_away(now, &call) => {
                     let _ = reply.try_send(Told::Answer(Answer::Busy));
@@ -336,15 +382,10 @@
                 }
             }
         }
-        while let Some(done) = self.disk.as_ref().and_then(|d| d.done.try_recv().ok()) {
-            match done {
-                Done::Synced(number) => self.keeper.synced(now, number),
-                Done::WantsCheckpoint => {
-                    let snapshot = self.keeper.snapshot();
-                    self.disk.iter().for_each(|d| _ = d.work.send(Work::Checkpoint(snapshot.clone())));
-                }
-            }
-        }
+        self.callers_wait = true;
+    }
+
+    fn hear_signals(&mut self, now: Duration) {
         if self.heard.changed.swap(false, Relaxed) {
             tracing::info!("gateway: told to read the settings again");
             self.settings_seen = None;
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -1,15 +1,17 @@
 //! Streams between supervisors: one for each direction, opened when there is something to say, closed when it
 //! breaks or stalls. What a broken link held is lost; the cores cope with that.
 
-use crate::words::{Frames, Word, told_frame};
+use crate::words::{Word, told_frame};
 use fallgap_control_state::Message;
+use fallgap_proxy::ReadyQueue;
 use fallgap_registry::{Line as Told, RosterWord};
+use incoming::{Incoming, Next};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Registry, Token};
 use outgoing::{Frame, Line, Outgoing, Turn};
 use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use std::collections::BTreeMap;
-use std::io::{self, ErrorKind, Read, Write};
+use std::io::{self, ErrorKind, Write};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,6 +23,8 @@
     pub waiting_all: usize,
     /// Streams that others have opened; more are closed at once.
     pub incoming: usize,
+    /// A stream that others have opened and on which nobody says who it is for so long is closed.
+    pub greeting: Duration,
     /// A stream that does not open, or takes nothing, for so long is given up.
     pub stall: Duration,
     /// After a failure so long passes before the next try.
@@ -37,6 +41,7 @@
             waiting: 4 << 20,
             waiting_all: 24 << 20,
             incoming: 1200,
+            greeting: ms(3000),
             stall: ms(1200),
             pause: ms(150),
             anew: ms(60),
@@ -44,11 +49,10 @@
     }
 }
 
-struct Incoming {
-    stream: TcpStream,
-    peer: Option<Ipv4Addr>,
-    frames: Frames,
-}
+/// Streams that are accepted before others get their turn.
+const TURN_ACCEPTS: usize = 64;
+/// Streams that get a turn before timers and other sources are looked at again.
+const TURNS: usize = 64;
 
 pub struct Links {
     me: Ipv4Addr,
@@ -69,7 +73,9 @@
     /// Frames that were made.
     made: u64,
     /// Peers with frames to be written.
-    ready: Vec<Ipv4Addr>,
+    writing: Vec<Ipv4Addr>,
+    /// Tokens of streams to be read, and of the listener, that wait for their turn.
+    ready: ReadyQueue<usize>,
     /// Peers that could not be connected with, or whose stream broke, since this was last asked.
     broken: Vec<Ipv4Addr>,
 }
@@ -99,7 +105,8 @@
             held: 0,
             last: None,
             made: 0,
-            ready: Vec::new(),
+            writing: Vec::new(),
+            ready: ReadyQueue::default(),
             broken: Vec::new(),
         })
     }
@@ -157,8 +164,8 @@
         out.queue.push_back(frame);
         if matches!(out.line, Line::Rest | Line::Failed { .. }) {
             self.connect(now, registry, to);
-        } else if !self.ready.contains(&to) {
-            self.ready.push(to);
+        } else if !self.writing.contains(&to) {
+            self.writing.push(to);
         }
     }
 
@@ -189,7 +196,7 @@
     /// Writes what is to be written, several words with one call.
     pub fn flush(&mut self, now: Duration, registry: &Registry) {
         self.last = None;
-        for to in std::mem::take(&mut self.ready) {
+        for to in std::mem::take(&mut self.writing) {
             self.write(now, registry, to);
         }
     }
@@ -219,18 +226,11 @@
         token >= self.first && token < self.next
     }
 
-    /// Something has happened at a token; whole words are added to `heard`.
-    pub fn event(
-        &mut self, now: Duration, registry: &Registry, event: &mio::event::Event,
-        heard: &mut Vec<(Ipv4Addr, Word)>,
-    ) {
+    /// Something has happened at a token. What others say is heard by [`Links::work`].
+    pub fn event(&mut self, now: Duration, registry: &Registry, event: &mio::event::Event) {
         let token = event.token().0;
-        if token == self.first {
-            self.accept(registry);
-        } else if self.incoming.contains_key(&token) {
-            if let Some(peer) = self.read(registry, token, heard) {
-                self.met(now, registry, peer);
-            }
+        if token == self.first || self.incoming.contains_key(&token) {
+            self.ready.add(token);
         } else if let Some(to) = self.by_token.get(&token).copied() {
             let opening = matches!(self.out.get(&to).map(|o| &o.line), Some(Line::Opening(_)));
             let broken = event.is_error() || event.is_read_closed() || event.is_write_closed();
@@ -250,6 +250,7 @@
 
     /// Gives up what has stalled.
     pub fn woke(&mut self, now: Duration, registry: &Registry) {
+        self.drop_nameless(now, registry);
         let stalled = |out: &Outgoing| match out.line {
             Line::Opening(_) => now >= out.moved + self.terms.stall,
             Line::Open(_) => !out.queue.is_empty() && now >= out.moved + self.terms.stall,
@@ -398,69 +399,73 @@
         }
     }
 
-    fn accept(&mut self, registry: &Registry) {
-        while let Ok((mut stream, _)) = self.listener.accept() {
-            if self.incoming.len() >= self.terms.incoming {
-                continue;
-            }
-            let token = self.next;
-            self.next += 1;
-            if registry.register(&mut stream, Token(token), Interest::READABLE).is_ok() {
-                self.incoming.insert(token, Incoming { stream, peer: None, frames: Frames::default() });
+    fn accept(&mut self, now: Duration, registry: &Registry) {
+        for _ in 0..TURN_ACCEPTS {
+            match self.listener.accept() {
+                Ok((stream, _)) => self.accepted(now, registry, stream),
+                Err(error)
+                    if matches!(error.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
+                Err(_) => return,
             }
         }
+        self.ready.add(self.first);
     }
 
-    /// Tells who has greeted.
-    fn read(
-        &mut self, registry: &Registry, token: usize, heard: &mut Vec<(Ipv4Addr, Word)>,
-    ) -> Option<Ipv4Addr> {
-        let incoming = self.incoming.get_mut(&token)?;
-        let mut greeted = None;
-        let mut ended = false;
-        loop {
-            match incoming.stream.read(&mut self.buffer) {
-                Ok(0) => ended = true,
-                Ok(n) => {
-                    incoming.frames.push(self.buffer.get(..n).unwrap_or_default());
-                    if n == self.buffer.len() {
-                        continue;
-                    }
-                }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
-                Err(e) if e.kind() == ErrorKind::Interrupted => continue,
-                Err(_) => ended = true,
-            }
-            break;
+    fn accepted(&mut self, now: Duration, registry: &Registry, mut stream: TcpStream) {
+        if self.incoming.len() >= self.terms.incoming {
+            return;
         }
-        loop {
-            match (incoming.frames.next(), incoming.peer) {
-                (Ok(Some(Word::Hello(node))), None) => {
-                    incoming.peer = Some(node);
-                    greeted = Some(node);
-                }
-                // Whose words these are is not known, or two call this stream theirs.
-                (Ok(Some(_)), None) | (Ok(Some(Word::Hello(_))), Some(_)) => {
-                    tracing::info!("links: a stream ends, it does not begin with one greeting");
-                    ended = true;
-                    break;
-                }
-                (Ok(Some(word)), Some(peer)) => heard.push((peer, word)),
-                (Ok(None), _) => break,
-                (Err(odd), _) => {
-                    tracing::info!("links: a stream ends, {odd}");
-                    ended = true;
-                    break;
-                }
+        let token = self.next;
+        self.next += 1;
+        if registry.register(&mut stream, Token(token), Interest::READABLE).is_ok() {
+            self.incoming.insert(token, Incoming::new(now, stream));
+        }
+    }
+
+    /// Gives streams that wait for it their turn, and none of them two; whole words are added to `heard`.
+    pub fn work(&mut self, now: Duration, registry: &Registry, heard: &mut Vec<(Ipv4Addr, Word)>) {
+        for _ in 0..self.ready.len().min(TURNS) {
+            match self.ready.take() {
+                Some(token) if token == self.first => self.accept(now, registry),
+                Some(token) => self.read(now, registry, token, heard),
+                None => return,
             }
         }
-        if ended && let Some(mut incoming) = self.incoming.remove(&token) {
-            let _ = registry.deregister(&mut incoming.stream);
+    }
+
+    /// Streams wait for their turn.
+    pub fn has_work(&self) -> bool {
+        !self.ready.is_empty()
+    }
+
+    fn read(&mut self, now: Duration, registry: &Registry, token: usize, heard: &mut Vec<(Ipv4Addr, Word)>) {
+        let Some(incoming) = self.incoming.get_mut(&token) else { return };
+        let (greeted, next) = incoming.turn(&mut self.buffer, heard);
+        match next {
+            Next::Waits => {}
+            Next::GoesOn => self.ready.add(token),
+            Next::Ends => self.drop_incoming(registry, token),
         }
         if let Some(peer) = greeted {
             self.overtaken(registry, token, peer);
+            self.met(now, registry, peer);
         }
-        greeted
+    }
+
+    fn drop_incoming(&mut self, registry: &Registry, token: usize) {
+        if let Some(mut incoming) = self.incoming.remove(&token) {
+            // The socket closes all the same.
+            let _ = registry.deregister(&mut incoming.stream);
+        }
+    }
+
+    /// Streams whose opener does not say who it is hold no place.
+    fn drop_nameless(&mut self, now: Duration, registry: &Registry) {
+        let nameless =
+            |incoming: &Incoming| incoming.peer.is_none() && now >= incoming.opened + self.terms.greeting;
+        let over: Vec<usize> =
+            self.incoming.iter().filter(|(_, held)| nameless(held)).map(|(token, _)| *token).collect();
+        over.into_iter().for_each(|token| self.drop_incoming(registry, token));
     }
 
     /// A peer has greeted on a new stream: the one before broke, or was of a life that has ended. The peer counts as
@@ -473,6 +478,7 @@
     }
 }
 
+mod incoming;
 mod outgoing;
 mod owed;
 #[cfg(test)]
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -221,6 +221,8 @@
         settings_path: path,
         own: VecDeque::new(),
         buffer: vec![0; 4096],
+        datagrams_wait: true,
+        callers_wait: false,
         slow: Duration::ZERO,
         reports: Duration::ZERO,
         leaving: None,
--- a/crates/gateway/src/words.rs
+++ b/crates/gateway/src/words.rs
@@ -167,6 +167,14 @@
         Ok(Some(word))
     }
 
+    /// A whole word waits, or what is no word.
+    pub fn has_whole(&self) -> bool {
+        let rest = self.held.get(self.read..).unwrap_or_default();
+        let Some((head, body)) = rest.split_first_chunk::<4>() else { return false };
+        let length = (u32::from_le_bytes(*head) & !PACKED) as usize;
+        length > FRAME || body.len() >= length
+    }
+
     /// More has to come: what was read is let go of.
     fn wait(&mut self) -> Option<Word> {
         self.held.drain(..self.read);
--- a/crates/gateway/tests/inner/links.rs
+++ b/crates/gateway/tests/inner/links.rs
@@ -1,5 +1,7 @@
 use super::*;
+use crate::words::Frames;
 use mio::{Events, Poll};
+use std::io::Read;
 use std::time::Instant;
 
 const FIRST: usize = 16;
@@ -35,8 +37,9 @@
         while clock.elapsed() < most {
             poll.poll(&mut events, Some(most.saturating_sub(clock.elapsed()))).unwrap();
             for event in &events {
-                links.event(clock.elapsed(), &registry, event, &mut heard);
+                links.event(clock.elapsed(), &registry, event);
             }
+            links.work(clock.elapsed(), &registry, &mut heard);
             links.flush(clock.elapsed(), &registry);
         }
     };
@@ -137,3 +140,41 @@
     links.flush(NOW, poll.registry());
     assert!(links.last.is_none());
 }
+
+/// Guards against streams without end that name nobody: they would take the places of those that do.
+#[test]
+fn streams_that_name_nobody_hold_no_place() {
+    let mut poll = Poll::new().unwrap();
+    let registry = poll.registry().try_clone().unwrap();
+    let terms = Terms { incoming: 3, ..Terms::default() };
+    let greeting = terms.greeting;
+    let mut links = Links::open(&registry, Ipv4Addr::new(127, 0, 0, 73), 0, 16, terms).unwrap();
+    let at = links.listener.local_addr().unwrap();
+    let mut events = Events::with_capacity(16);
+    let mut hears = |links: &mut Links, now: Duration| {
+        let mut heard = Vec::new();
+        poll.poll(&mut events, Some(Duration::from_millis(100))).unwrap();
+        events.iter().for_each(|event| links.event(now, &registry, event));
+        while links.has_work() {
+            links.work(now, &registry, &mut heard);
+        }
+        links.woke(now, &registry);
+        heard
+    };
+    let nameless: Vec<_> = (0..3).map(|_| std::net::TcpStream::connect(at).unwrap()).collect();
+    hears(&mut links, NOW);
+    assert_eq!(links.incoming.len(), nameless.len());
+    hears(&mut links, greeting);
+    assert_eq!(links.incoming.len(), 0);
+    let mut peer = std::net::TcpStream::connect(at).unwrap();
+    for word in [Word::Hello(PEER), Word::BeatTaken { id: 7, followed: Vec::new() }] {
+        peer.write_all(&word.frame().unwrap()).unwrap();
+    }
+    let mut heard = Vec::new();
+    for _ in 0..10 {
+        heard.extend(hears(&mut links, greeting));
+    }
+    assert!(matches!(heard.as_slice(), [(PEER, Word::BeatTaken { id: 7, .. })]), "{heard:?}");
+    hears(&mut links, 10 * greeting);
+    assert_eq!(links.incoming.len(), 1, "a stream that has a name may rest");
+}
--- a/crates/gateway/tests/once_only.rs
+++ b/crates/gateway/tests/once_only.rs
@@ -120,8 +120,9 @@
             assert!(self.clock.elapsed() < Duration::from_secs(10), "it does not come about");
             self.poll.poll(&mut events, Some(5 * MS)).unwrap();
             for event in &events {
-                self.links.event(self.clock.elapsed(), self.poll.registry(), event, &mut words);
+                self.links.event(self.clock.elapsed(), self.poll.registry(), event);
             }
+            self.links.work(self.clock.elapsed(), self.poll.registry(), &mut words);
             self.heard.extend(words.drain(..).map(|(from, word)| match word {
                 Word::BeatTaken { id, .. } => (from, id),
                 other => panic!("{other:?}"),
@@ -266,8 +267,9 @@
                 return;
             }
             for event in &events {
-                self.wire.links.event(now, self.wire.poll.registry(), event, &mut Vec::new());
+                self.wire.links.event(now, self.wire.poll.registry(), event);
             }
+            self.wire.links.work(now, self.wire.poll.registry(), &mut Vec::new());
         }
     }
 
--- a/crates/test-support/src/gateway/landing.rs
+++ b/crates/test-support/src/gateway/landing.rs
@@ -134,6 +134,11 @@
         (self.ip, self.ports.control).into()
     }
 
+    /// Where other supervisors speak to it, by streams and datagrams.
+    pub fn inner(&self) -> SocketAddr {
+        (self.ip, self.ports.inner[0]).into()
+    }
+
     /// Where its figures are.
     pub fn metrics(&self) -> SocketAddr {
         (self.ip, self.ports.inner[1]).into()
