Proxy: so many timers are looked at in a turn of the loop, and no more

An op or a client whose time is over is read from once more before it ends, up to 256 KiB, and all that were due were looked at in one go: a thousand requests at servers that don't stop sending, due together, are 256 MB.

Change: 256 timers, then words of others and connections have their turn; the rest is due still.

Measured: the tests of the proxy pass. Not shown by a test that fails before.

--- a/crates/proxy/src/quay.rs
+++ b/crates/proxy/src/quay.rs
@@ -117,6 +117,8 @@
 pub(crate) const TURN_BYTES: usize = 256 << 10;
 /// Connections that get a turn before timers and words of other supervisors are looked at again.
 const TURNS: usize = 64;
+/// Timers that are looked at before words of other supervisors are: a connection may be read for each.
+const TIMERS: usize = 256;
 
 /// Who is at the other end of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -219,9 +221,10 @@
         }
     }
 
-    /// The time that [`Quay::next_wake`] gave has come.
+    /// The time that [`Quay::next_wake`] gave has come. Where very many are due at once, some are due still.
     pub fn woke(&mut self, now: Duration) {
-        while let Some(who) = self.timers.pop(now) {
+        for _ in 0..TIMERS {
+            let Some(who) = self.timers.pop(now) else { return };
             match who {
                 Who::Listener => {
                     self.accept_noted = None;
