Control state: a put is known again whatever the size of the values put since

Cause: the overwritten puts by which a repeat is known were forgotten over 128 KiB of values, or 2,000 of them, however young: after 0.8 s at 80 puts a second of 2 KiB.

Change: of the oldest values over 128 KiB a digest is kept, which is enough to know a repeat; only age forgets a put. Over 8,192 overwritten puts in that time a put is told 503. Groups of the build before are read.

Open: a watch still gets 410 for a young revision over that bound.

--- a/crates/control-state/src/subjects/cells.rs
+++ b/crates/control-state/src/subjects/cells.rs
@@ -1,14 +1,18 @@
 //! Groups of small keys with one rising count of revisions, and their puts in order.
 //!
 //! A group's value holds each key as it is, whatever its age, and besides the puts that were overwritten not long
-//! ago. A put is never in both, so all puts above `floor` are there, and each once.
+//! ago. A put is never in both, so all puts above `floor` are there, and each once. Of those at or below `floor` that are
+//! still young only a digest of the value is there: enough to know a put that comes again.
 
+use std::borrow::Cow;
+use std::fmt::Write;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
 
 use crate::fault::{self, Fault};
-use crate::subjects::memory::{Limits, Memory};
+use crate::subjects::memory::Memory;
 use crate::subjects::{Verdict, encoded};
 use crate::types::{Answer, Event, group_of};
 
@@ -16,7 +20,7 @@
 struct Group<'a> {
     /// The last one given.
     revision: u64,
-    /// The highest revision among the puts that are forgotten.
+    /// The highest revision among the puts whose values are forgotten.
     floor: u64,
     /// With its dot.
     name: &'a str,
@@ -38,12 +42,18 @@
 
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
 struct Past<'a> {
-    /// The key's place among the cells.
+    /// The key's place among the cells. With [`REDUCED`] added the value is a digest of what was put.
     cell: u32,
-    value: &'a str,
+    #[serde(borrow)]
+    value: Cow<'a, str>,
     revision: u64,
 }
 
+/// Above all places of cells, so that a build without digests takes such a put for one of no key.
+const REDUCED: u32 = 1 << 31;
+/// Bytes of a digest: that two of a group's values share one is out of question.
+const DIGEST_BYTES: usize = 16;
+
 /// The revision of a group without a put. The count is at 1 from the start: one who watches an empty group is given
 /// that, and asks for what is above it; with 0 he would ask for the present again, past the first put.
 const EMPTY: u64 = 1;
@@ -116,7 +126,11 @@
     let Some(revision) = group.take(place, Cell { name: tail, value, revision: 0 }) else {
         return Verdict::busy();
     };
-    group.forget(old, &limits);
+    group.forget(old);
+    group.reduce(limits.event_bytes);
+    if group.past.len() > limits.events {
+        return Verdict::busy();
+    }
     match encoded(&group) {
         Some(bytes) if bytes.len() <= limits.group_bytes => {
             Verdict::Write { value: bytes, answer: Answer::Revision(revision) }
@@ -145,8 +159,13 @@
         if cell.value == value {
             return Some(cell.revision);
         }
-        let mut of_key = self.past.iter().filter(|past| past.cell as usize == place);
-        of_key.find(|past| past.value == value).map(|past| past.revision)
+        let digest = self.past.iter().any(Past::is_reduced).then(|| digest_of(value));
+        let is_value = |past: &&Past| match &digest {
+            Some(digest) if past.is_reduced() => past.value == *digest,
+            _ => !past.is_reduced() && past.value == value,
+        };
+        let mut of_key = self.past.iter().filter(|past| past.place() == place);
+        of_key.find(is_value).map(|past| past.revision)
     }
 
     /// Takes a put in under the next revision. None: there is none.
@@ -158,28 +177,34 @@
             Some((cell, present)) => {
                 let before = std::mem::replace(present, new);
                 let at = self.past.partition_point(|past| past.revision < before.revision);
-                self.past.insert(at, Past { cell, value: before.value, revision: before.revision });
+                self.past.insert(at, Past { cell, value: before.value.into(), revision: before.revision });
             }
         }
         Some(self.revision)
     }
 
-    /// Forgets overwritten puts: those up to the revision `old`, and the oldest over the bounds.
-    fn forget(&mut self, old: u64, limits: &Limits) {
-        let by_age = self.past.partition_point(|past| past.revision <= old);
-        let by_count = self.past.len().saturating_sub(limits.events);
-        let mut bytes = 0;
-        let fits = self.past.iter().rev().take_while(|past| {
-            bytes += past.value.len();
-            bytes <= limits.event_bytes
-        });
-        let by_bytes = self.past.len() - fits.count();
-        let gone = by_age.max(by_count).max(by_bytes);
+    /// Forgets overwritten puts up to the revision `old`, and no other: a younger one may come again, and would be
+    /// written twice.
+    fn forget(&mut self, old: u64) {
+        let gone = self.past.partition_point(|past| past.revision <= old);
         if let Some(last) = self.past.drain(..gone).next_back() {
             self.floor = self.floor.max(last.revision);
         }
     }
 
+    /// Of the oldest overwritten puts whose values do not fit into `most` bytes a digest is kept instead.
+    fn reduce(&mut self, most: usize) {
+        let mut bytes = 0;
+        for past in self.past.iter_mut().rev().filter(|past| !past.is_reduced()) {
+            bytes += past.value.len();
+            if bytes > most {
+                self.floor = self.floor.max(past.revision);
+                past.value = digest_of(&past.value).into();
+                past.cell |= REDUCED;
+            }
+        }
+    }
+
     /// All puts above a revision that is not below the floor.
     fn events(&self, after: u64) -> Vec<Event> {
         let event = |cell: &Cell, value: &str, revision| Event {
@@ -190,7 +215,8 @@
         let first = self.past.partition_point(|past| past.revision <= after);
         let past = self.past.iter().skip(first);
         let mut events: Vec<Event> = past
-            .filter_map(|past| Some(event(self.cells.get(past.cell as usize)?, past.value, past.revision)))
+            .filter(|past| !past.is_reduced())
+            .filter_map(|past| Some(event(self.cells.get(past.place())?, &past.value, past.revision)))
             .collect();
         let present = self.cells.iter().filter(|cell| cell.revision > after);
         events.extend(present.map(|cell| event(cell, cell.value, cell.revision)));
@@ -198,3 +224,24 @@
         events
     }
 }
+
+impl Past<'_> {
+    /// The key's place among the cells.
+    fn place(&self) -> usize {
+        (self.cell & !REDUCED) as usize
+    }
+
+    fn is_reduced(&self) -> bool {
+        self.cell & REDUCED != 0
+    }
+}
+
+/// What is kept of a value that is not kept itself, as hexadecimal text.
+fn digest_of(value: &str) -> String {
+    let mut text = String::with_capacity(2 * DIGEST_BYTES);
+    for byte in Sha256::digest(value).iter().take(DIGEST_BYTES) {
+        // Writing to memory does not fail.
+        let _ = write!(text, "{byte:02x}");
+    }
+    text
+}
--- a/crates/control-state/src/subjects/memory.rs
+++ b/crates/control-state/src/subjects/memory.rs
@@ -9,9 +9,10 @@
     /// Overwritten puts of a group stay at least so long after this process saw them: half as much again as
     /// watchers may reach back.
     pub keep: Duration,
-    /// Overwritten puts that a group keeps at most; over it the oldest go, and a watch from before them expires.
+    /// Overwritten puts that a group keeps at most; a put that would overwrite one more is `Busy` until the oldest has
+    /// been kept long enough.
     pub events: usize,
-    /// The same for the bytes of their values.
+    /// Bytes of their values; of the oldest over it a digest is kept, and a watch from before them expires.
     pub event_bytes: usize,
     /// Keys of a group; a put of one more is `Busy`.
     pub cells: usize,
@@ -31,7 +32,7 @@
     fn default() -> Self {
         Limits {
             keep: Duration::from_secs(30),
-            events: 2000,
+            events: 8192,
             event_bytes: 128 << 10,
             cells: 4096,
             group_bytes: 512 << 10,
