Tests: sources that do not stop sending are played one at a time

Cause: tests of one file run side by side, each with four threads that send without end, and each wants its answers within a second: beside other load that is chance.

Change: a lock that all of a file share. What each wants is the same.

--- a/crates/gateway/tests/endless_callers.rs
+++ b/crates/gateway/tests/endless_callers.rs
@@ -3,7 +3,7 @@
 //! Each of these guards against one source keeping the one thread that holds all connections.
 
 use fallgap_gateway::http::{Caller, Request, Response, Server, Service, Terms};
-use fallgap_test_support::gateway::{Client, Flood, call};
+use fallgap_test_support::gateway::{Client, Flood, alone, call};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpStream};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -49,6 +49,7 @@
 
 #[track_caller]
 fn caller_case(first: &str, piece: &str) {
+    let _alone = alone();
     let addresses = serve();
     let mut standing = standing(&addresses);
     let _flood = Flood::of_streams(SOURCES, addresses.at_once, first.as_bytes(), piece.as_bytes());
@@ -84,6 +85,7 @@
 
 #[test]
 fn connections_without_end() {
+    let _alone = alone();
     let addresses = serve();
     let mut standing = standing(&addresses);
     let at = addresses.at_once;
@@ -94,6 +96,7 @@
 /// Calls that workers carry out: they may be turned away as too many, but the thread that holds the connections goes on.
 #[test]
 fn calls_by_workers_without_end() {
+    let _alone = alone();
     let addresses = serve();
     let mut standing = Client::connect(addresses.at_once, 5 * WITHIN).unwrap();
     let calls = "GET / HTTP/1.1\r\n\r\n".repeat(1000);
--- a/crates/gateway/tests/endless_peers.rs
+++ b/crates/gateway/tests/endless_peers.rs
@@ -7,7 +7,7 @@
 mod landing;
 
 use fallgap_gateway::words::Word;
-use fallgap_test_support::gateway::{Flood, Landing, configuration};
+use fallgap_test_support::gateway::{Flood, Landing, alone, configuration};
 use landing::*;
 use std::net::{Ipv4Addr, TcpStream, UdpSocket};
 use std::time::Instant;
@@ -22,6 +22,7 @@
 /// A fleet that serves; it is left to `case` to trouble its first machine for as long as what it gives lives.
 #[track_caller]
 fn case<T>(trouble: impl FnOnce(&Landing) -> T) {
+    let _alone = alone();
     let fleet = fleet();
     configure(&fleet.machines[0], &configuration(7, PREFIXES));
     let _server = serve(&fleet, "i-1");
--- a/crates/proxy/tests/endless_sources.rs
+++ b/crates/proxy/tests/endless_sources.rs
@@ -4,7 +4,7 @@
 
 mod world;
 
-use fallgap_test_support::gateway::{Flood, Got};
+use fallgap_test_support::gateway::{Flood, Got, alone};
 use std::time::Instant;
 use world::*;
 
@@ -37,6 +37,7 @@
 /// A server sends what `endless` gives, and its second part without end, to some requests; their clients get `status`.
 #[track_caller]
 fn server_case(endless: fn(&Got) -> (String, String), status: u16) {
+    let _alone = alone();
     let server = Server::start("i-1", move |got| {
         let (first, piece) = endless(got);
         if got.id().starts_with("endless") {
@@ -110,6 +111,7 @@
 /// Clients send `first`, and then `piece` without end.
 #[track_caller]
 fn client_case(first: &str, piece: &str) {
+    let _alone = alone();
     let server = Server::start("i-1", |got| Does::Sends(ok(got, "bytes")));
     let world = World::with(&[&server]);
     let mut standing = world.client();
@@ -154,6 +156,7 @@
 
 #[test]
 fn connections_without_end() {
+    let _alone = alone();
     let server = Server::start("i-1", |got| Does::Sends(ok(got, "bytes")));
     let world = World::with(&[&server]);
     let mut standing = world.client();
@@ -164,6 +167,7 @@
 
 #[test]
 fn large_answers_without_end() {
+    let _alone = alone();
     let large = "x".repeat(8 << 20);
     let server = Server::start("i-1", move |got| {
         Does::Sends(ok(got, if got.id().starts_with("large") { &large } else { "bytes" }))
--- a/crates/test-support/src/gateway/flood.rs
+++ b/crates/test-support/src/gateway/flood.rs
@@ -2,14 +2,20 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::{JoinHandle, spawn};
 use std::time::Duration;
 
 /// A sender looks at least so often whether it is to end.
 const LOOK: Duration = Duration::from_millis(100);
 
+/// Whoever has this floods alone in its process: each flood keeps processors busy, and tests of one file run side by side.
+pub fn alone() -> MutexGuard<'static, ()> {
+    static ALONE: Mutex<()> = Mutex::new(());
+    ALONE.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Threads that go on until this is dropped.
 pub struct Flood {
     ends: Arc<AtomicBool>,
--- a/crates/test-support/src/gateway/mod.rs
+++ b/crates/test-support/src/gateway/mod.rs
@@ -9,7 +9,7 @@
 
 pub use beating::{Beating, Notice};
 pub use client::{Client, Reply, call, get};
-pub use flood::Flood;
+pub use flood::{Flood, alone};
 pub use landing::{Landing, Supervisor};
 pub use server::{Does, Got, Server, ok, status};
 
