Calls: a withdrawal is forgotten by age alone; over the bound calls of others wait

Withdrawals of calls were remembered for 3 s, but for 2,048 at most: the oldest was forgotten for one more, however young, and its call, coming behind it, was run for a caller that had gone (a lock held for nobody).

Change: none is forgotten for another. What does not fit is noted by its time: for 3 s from then calls of other supervisors are told «busy» (nothing was done), since any of them may be the one. The supervisor's own callers are not concerned.

Test: no_withdrawal_is_forgotten_for_others takes the place of withdrawals_are_remembered_within_a_bound, which wanted the oldest forgotten; it failed before. The bound is the same.

--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -185,7 +185,8 @@
         {
             return Vec::new();
         }
-        if self.pending.len() >= self.terms.calls {
+        let may_be_withdrawn = matches!(caller, Caller::There(..)) && self.withdrawn.is_over(now);
+        if may_be_withdrawn || self.pending.len() >= self.terms.calls {
             return vec![Step::Answer(caller, Answer::Busy)];
         }
         let wait = if let Call::Watch { wait, .. } = &call { *wait } else { Duration::ZERO };
--- a/crates/gateway/src/withdrawn.rs
+++ b/crates/gateway/src/withdrawn.rs
@@ -13,17 +13,28 @@
 pub struct Withdrawn {
     /// The oldest first.
     kept: VecDeque<(Duration, Ipv4Addr, u64)>,
+    /// When the newest came for which there was no room.
+    over: Option<Duration>,
 }
 
 impl Withdrawn {
-    /// So many are remembered; the oldest is forgotten for one more.
+    /// So many are remembered. None is forgotten for one more: see [`Withdrawn::is_over`].
     pub const MOST: usize = 2048;
 
     pub fn add(&mut self, now: Duration, from: Ipv4Addr, number: u64) {
-        while self.kept.len() >= Self::MOST || self.kept.front().is_some_and(|(at, ..)| now >= *at + KEPT) {
+        while self.kept.front().is_some_and(|(at, ..)| now >= *at + KEPT) {
             self.kept.pop_front();
         }
-        self.kept.push_back((now, from, number));
+        if self.kept.len() < Self::MOST {
+            self.kept.push_back((now, from, number));
+        } else {
+            self.over = Some(now);
+        }
+    }
+
+    /// More were heard a while ago than are remembered: any call that comes may be one of them.
+    pub fn is_over(&self, now: Duration) -> bool {
+        self.over.is_some_and(|at| now < at + KEPT)
     }
 
     pub fn holds(&self, now: Duration, from: Ipv4Addr, number: u64) -> bool {
--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -290,17 +290,36 @@
     }
 }
 
-/// What is remembered of withdrawals is bounded: the oldest are forgotten first.
+/// Guards against a call that is run for a caller that has gone, since its withdrawal was forgotten for others: time alone ends what is
+/// remembered. Over the bound calls of other supervisors are turned away until all that were withdrawn then are too old to come.
 #[test]
-fn withdrawals_are_remembered_within_a_bound() {
+fn no_withdrawal_is_forgotten_for_others() {
+    const LATER: Duration = Duration::from_secs(1);
+    const OVER: Duration = Duration::from_millis(4001);
     let most = fallgap_gateway::withdrawn::Withdrawn::MOST as u64;
     let mut calls = Calls::new(Terms::default(), 100);
-    for number in 0..=most {
-        calls.withdrawn(MS, node(1), node(8), number);
-    }
-    let mut runs =
-        |number| !calls.came(MS, node(1), Caller::There(node(8), number), call(), &[node(1)]).is_empty();
-    assert_eq!([0, 1, most].map(&mut runs), [true, false, false]);
+    (0..most).for_each(|number| _ = calls.withdrawn(MS, node(1), node(8), number));
+    let comes = |calls: &mut Calls, at: Duration, number: u64| {
+        let steps = calls.came(at, node(1), Caller::There(node(8), number), call(), &[node(1)]);
+        match &steps[..] {
+            [] => "withdrawn",
+            [Step::Run(..)] => "run",
+            [Step::Answer(Caller::There(..), Answer::Busy)] => "busy",
+            _ => "else",
+        }
+    };
+    let all = [0, 1, most - 1, most].map(|number| comes(&mut calls, LATER, number));
+    assert_eq!(all, ["withdrawn", "withdrawn", "withdrawn", "run"]);
+    // One more than fit: none of the others is forgotten for it, and it is not run either.
+    calls.withdrawn(LATER, node(1), node(9), 7);
+    let steps = calls.came(LATER, node(1), Caller::There(node(9), 7), call(), &[node(1)]);
+    assert!(matches!(&steps[..], [Step::Answer(Caller::There(..), Answer::Busy)]));
+    let all = [0, most - 1, most + 1].map(|number| comes(&mut calls, LATER, number));
+    assert_eq!(all, ["withdrawn", "withdrawn", "busy"]);
+    // The supervisor's own callers are not concerned.
+    let steps = calls.came(LATER, node(1), here(), call(), &[node(1)]);
+    assert!(matches!(&steps[..], [Step::Run(..)]));
+    assert_eq!([0, most + 2].map(|number| comes(&mut calls, OVER, number)), ["run", "run"]);
 }
 
 /// A call of another supervisor is begun while its caller still waits, and not past that.
