--- a/crates/test-support/src/gateway/landing.rs
+++ b/crates/test-support/src/gateway/landing.rs
@@ -171,6 +171,11 @@
         )
     }
 
+    /// The id of the process that runs.
+    pub fn process(&self) -> Option<u32> {
+        self.running.as_ref().map(|(id, _)| *id)
+    }
+
     /// Sends a signal to the process, by its name without `SIG`.
     pub fn signal(&mut self, name: &str) {
         if let Some((id, _)) = &self.running {
