Control state: a watch gets its events however large the values of the puts since are

Cause: a group's value holds 128 KiB of overwritten values; what went beyond was forgotten by size, however young.

Change: a member that takes a group's next value keeps beside it the values that the next one has digests of alone; a watch takes them from there, and asks other members for what its own has missed. Known by their digests, so nothing depends on who gives them. No message, round or sync more for a put. Age alone ends them; a group has 8 MiB at most, and a put over it is told 503.

Why it works: who accepted a value with its group has it on disk until the group forgets the put, and a majority accepted it. Whether a put is missing is counted: each revision was given to one.

--- a/crates/control-state/src/acceptor.rs
+++ b/crates/control-state/src/acceptor.rs
@@ -10,10 +10,12 @@
 use crate::floor::{Floor, NEVER};
 use crate::messages::{Given, Record, Sight};
 use crate::pen::Pen;
-use crate::subjects::lock_seen;
+use crate::subjects::{PastValues, lock_seen};
 use crate::types::Key;
 use crate::value::Value;
 
+/// Bytes of past values in one record.
+const PAST_PAGE: usize = 64 << 10;
 /// Parts by which two members compare what they hold.
 pub(crate) const PARTS: usize = 64;
 
@@ -64,6 +66,8 @@
     sums: Vec<u64>,
     /// Of all values.
     bytes: usize,
+    /// Values of which groups have digests alone.
+    past: PastValues,
     /// Stands for registers that are not there, and the newest record of it.
     floor: Floor,
     floor_logged: u64,
@@ -78,9 +82,54 @@
         self.registers.len()
     }
 
-    /// What all values hold together.
+    /// What all values hold together, past ones among them.
     pub fn bytes(&self) -> usize {
-        self.bytes
+        self.bytes + self.past.bytes()
+    }
+
+    pub fn past(&self) -> &PastValues {
+        &self.past
+    }
+
+    /// Values of past puts that another member has, known by the group's value on this disk or by the one that is `shown`. Tells
+    /// whether any was new.
+    pub fn add_past(
+        &mut self, key: &Key, shown: Option<&Value>, values: Vec<(u64, String)>, pen: &mut Pen,
+    ) -> bool {
+        let Key::Group(group) = key else { return false };
+        let own = self.registers.get(key).and_then(|register| register.accepted.as_ref());
+        let mut new = Vec::new();
+        for held in own.map(|accepted| &accepted.value).into_iter().chain(shown) {
+            new.extend(self.past.add(group, held.bytes(), values.clone()));
+        }
+        let is_new = !new.is_empty();
+        if is_new {
+            pen.log(&Record::PastValues { key: key.clone(), values: new });
+        }
+        is_new
+    }
+
+    /// Of these puts the values that are here.
+    pub fn give_past(&self, key: &Key, wanted: &[u64], most: usize) -> Vec<(u64, String)> {
+        let Key::Group(group) = key else { return Vec::new() };
+        let held = self.registers.get(key).and_then(|register| register.accepted.as_ref());
+        self.past.give(group, held.map(|accepted| accepted.value.bytes()), wanted, most)
+    }
+
+    /// Values of past puts read back, behind the group's own value.
+    pub fn replay_past(&mut self, key: &Key, values: Vec<(u64, String)>) {
+        let Key::Group(group) = key else { return };
+        let accepted = self.registers.get(key).and_then(|register| register.accepted.as_ref());
+        if let Some(accepted) = accepted {
+            self.past.add(group, accepted.value.bytes(), values);
+        }
+    }
+
+    /// A group's next value stands for the one before, which may be all that has some of its puts' values.
+    fn keep_past(&mut self, key: &Key, next: &Value) {
+        let Key::Group(group) = key else { return };
+        let before = self.registers.get(key).and_then(|register| register.accepted.as_ref());
+        self.past.replaced(group, before.map(|before| before.value.bytes()), next.bytes());
     }
 
     pub fn get(&self, key: &Key) -> Option<&Register> {
@@ -196,6 +245,8 @@
         register.promised = register.promised.max(Some(promised));
         let Some((ballot, value)) = accepted else { return };
         if register.ballot() < Some(ballot) {
+            self.keep_past(&key, &value);
+            let register = self.registers.entry(key.clone()).or_default();
             let before = register.ballot();
             let held = register.bytes();
             self.bytes = (self.bytes + value.bytes().len()).saturating_sub(held);
@@ -222,7 +273,11 @@
                 (accepted, _) => accepted,
             }
         });
-        registers.chain(floor)
+        let past = self
+            .past
+            .pages(PAST_PAGE)
+            .map(|(group, values)| Record::PastValues { key: Key::Group(group.to_owned()), values });
+        registers.chain(past).chain(floor)
     }
 
     /// Registers with a value in these parts, after a key.
@@ -348,6 +403,7 @@
     ) -> u64 {
         let record = Record::Accept { key: key.clone(), ballot, promised, value: value.clone() };
         let logged = pen.log(&record);
+        self.keep_past(key, &value);
         let bytes = value.bytes().len();
         let register = self.entry(key);
         let before = register.ballot();
--- a/crates/control-state/src/fingerprint.rs
+++ b/crates/control-state/src/fingerprint.rs
@@ -30,6 +30,7 @@
             active,
             calls,
             watches,
+            past_fetch,
             shown,
             // Told, and nothing of its own rests on it.
             read_since: _,
@@ -63,6 +64,7 @@
         active.hash(state);
         calls.hash(state);
         watches.hash(state);
+        past_fetch.hash(state);
         shown.hash(state);
         count.hash(state);
         mark.hash(state);
--- a/crates/control-state/src/keeper.rs
+++ b/crates/control-state/src/keeper.rs
@@ -14,6 +14,7 @@
 use crate::founding::Founding;
 use crate::handover::{Page, Repair};
 use crate::messages::{Message, Record};
+use crate::past_fetch::PastFetch;
 use crate::pen::Pen;
 use crate::recovery::CatchUp;
 use crate::reuse::Reuse;
@@ -54,6 +55,7 @@
     /// Calls of callers at the desks.
     pub(crate) calls: usize,
     pub(crate) watches: Watches,
+    pub(crate) past_fetch: PastFetch,
     /// The newest committed values that this node heard of; they never go back.
     pub(crate) shown: BTreeMap<Key, (Ballot, Value)>,
     pub(crate) read_since: ReadSince,
@@ -96,7 +98,8 @@
             desks: BTreeMap::new(),
             active: BTreeSet::new(),
             calls: 0,
-            watches: Watches::default(),
+            watches: Watches::new(terms.past_wait),
+            past_fetch: PastFetch::new(now),
             shown: BTreeMap::new(),
             read_since: ReadSince::new(),
             count: 0,
@@ -165,6 +168,7 @@
             || (watch && self.watches.len() >= self.terms.watches)
             || key.name().len() > self.terms.name
             || (call.adds() && self.acceptor.bytes() + call.bytes() > self.terms.bytes)
+            || self.is_past_full(&call)
             || (self.acceptor.len() >= self.terms.registers && self.acceptor.get(&key).is_none());
         let alone = fault::is(Fault::ReadAlone);
         if over || self.voting_epoch().is_none() || (!alone && !self.has_quorum(now)) {
@@ -193,6 +197,7 @@
             self.catch_up_woke(now);
             self.repair_woke(now);
             self.reuse_woke(now);
+            self.past_woke(now);
             self.poll(now);
         }
         self.departure_woke(now);
@@ -203,6 +208,7 @@
         let mut wake = self.founding.at;
         if self.member_epoch().is_some() {
             let repair = self.repair.hand_over_at.min(self.repair.compare_at);
+            wake = wake.min(self.past_wake().unwrap_or(Duration::MAX));
             wake = wake.min(self.pulse_at).min(repair).min(self.poll_at);
             wake = wake.min(if self.is_short() { self.reuse.at } else { Duration::MAX });
             wake = wake.min(self.drive.wake().unwrap_or(Duration::MAX));
@@ -481,6 +487,8 @@
             Message::Farewell { epoch, life, sums } => self.farewell(from, epoch, life, &sums),
             Message::Differing { epoch, life, parts } => self.differing(now, from, epoch, life, parts),
             Message::Held { epoch, life, after, entries } => self.held(from, epoch, life, after, &entries),
+            Message::PastWanted { key, revisions } => self.past_wanted(from, key, &revisions),
+            Message::PastGiven { key, values } => self.past_given(now, from, key, values),
             Message::Lacking { epoch, life, after, keys } => {
                 self.lacking(now, from, epoch, life, after, &keys);
             }
--- a/crates/control-state/src/kept.rs
+++ b/crates/control-state/src/kept.rs
@@ -27,6 +27,7 @@
                     self.acceptor.replay(now, key, promised, Some((ballot, value)));
                 }
                 Record::Forget { floor, entries } => self.acceptor.replay_forget(floor, &entries),
+                Record::PastValues { key, values } => self.acceptor.replay_past(&key, values),
                 Record::Successor { epoch, promised, accepted } => {
                     successors.push((epoch, Successor { promised, accepted, ..Successor::default() }));
                 }
--- a/crates/control-state/src/messages.rs
+++ b/crates/control-state/src/messages.rs
@@ -198,6 +198,16 @@
         after: Option<Key>,
         keys: Vec<Key>,
     },
+
+    /// Which values of these overwritten puts of a group do you have?
+    PastWanted {
+        key: Key,
+        revisions: Vec<u64>,
+    },
+    PastGiven {
+        key: Key,
+        values: Vec<(u64, String)>,
+    },
 }
 
 /// On disk. Read back in their order, lots of them repeated, they give the same state.
@@ -232,6 +242,12 @@
         floor: Floor,
         entries: Vec<(Key, Ballot)>,
     },
+    /// Values of overwritten puts, by revision, of which the group's value has digests alone. What a member reduces itself is
+    /// not written again: the group's values in their order give it.
+    PastValues {
+        key: Key,
+        values: Vec<(u64, String)>,
+    },
 }
 
 impl Record {
--- a/crates/control-state/src/news.rs
+++ b/crates/control-state/src/news.rs
@@ -40,7 +40,6 @@
 
     /// A majority is known to have accepted this value.
     pub(crate) fn learn(&mut self, now: Duration, key: &Key, ballot: Ballot, value: &Value) {
-        let _ = now;
         self.acceptor.commit(key, ballot);
         if !is_shown(key) {
             return;
@@ -54,7 +53,8 @@
             _ => {}
         }
         self.shown.insert(key.clone(), (ballot, value.clone()));
-        self.watches.news(key, value.bytes(), &mut self.pen);
+        self.watches.news(now, key, value.bytes(), self.acceptor.past(), &mut self.pen);
+        self.want_past(now, key);
         self.pen.committed(key.clone(), value);
     }
 
--- a/crates/control-state/src/rounds.rs
+++ b/crates/control-state/src/rounds.rs
@@ -14,6 +14,7 @@
 use crate::keeper::Keeper;
 use crate::messages::{Message, Sight};
 use crate::types::{Answer, Call, Key, NodeId};
+use crate::watches::Watch;
 use crate::weighing::{Found, Judged, found};
 
 impl Keeper {
@@ -321,7 +322,9 @@
                         self.calls = self.calls.saturating_sub(1);
                         let until = entry.came + (*wait).min(self.terms.watch);
                         let held = base.map(|known| known.value.bytes());
-                        self.watches.admit(now, id, group, *after, until, held, &mut self.pen);
+                        let watch = Watch { id, group, after: *after, until };
+                        self.watches.admit(now, watch, held, self.acceptor.past(), &mut self.pen);
+                        self.want_past(now, key);
                     }
                 }
                 _ => {}
--- a/crates/control-state/src/subjects/cells.rs
+++ b/crates/control-state/src/subjects/cells.rs
@@ -1,8 +1,8 @@
 //! Groups of small keys with one rising count of revisions, and their puts in order.
 //!
 //! A group's value holds each key as it is, whatever its age, and besides the puts that were overwritten not long
-//! ago. A put is never in both, so all puts above `floor` are there, and each once. Of those at or below `floor` that are
-//! still young only a digest of the value is there: enough to know a put that comes again.
+//! ago. A put is never in both, and each is there once until it is old. Of the larger ones only a digest of the value is
+//! there: enough to know a put that comes again, and to know its value beside the group's ([`PastValues`]).
 
 use std::borrow::Cow;
 use std::fmt::Write;
@@ -13,14 +13,15 @@
 
 use crate::fault::{self, Fault};
 use crate::subjects::memory::Memory;
+use crate::subjects::past::PastValues;
 use crate::subjects::{Verdict, encoded};
 use crate::types::{Answer, Event, group_of};
 
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
-struct Group<'a> {
+pub(super) struct Group<'a> {
     /// The last one given.
     revision: u64,
-    /// The highest revision among the puts whose values are forgotten.
+    /// The highest revision among the puts whose values are not here. For builds that know of none beside the group's.
     floor: u64,
     /// With its dot.
     name: &'a str,
@@ -65,30 +66,44 @@
         .map_or(EMPTY, |(revision, _)| revision)
 }
 
+/// What there is for a watch.
+#[derive(Clone, Debug, PartialEq)]
+pub enum News {
+    /// Nothing yet.
+    Nothing,
+    /// All puts, or that they are forgotten.
+    Told(Answer),
+    /// Values of these revisions are with other members.
+    Lacking(Vec<u64>),
+}
+
 /// What a watch is told of a group, if there is news for it: all puts above `after`, or that they are forgotten.
 /// An `after` of 0 asks only for the present revision. All puts go into one answer: a revision that is given out
 /// has to be the present one, since it may be asked from for as long as puts are kept.
-pub fn events_after(held: Option<&[u8]>, after: u64) -> Option<Answer> {
+pub fn events_after(held: Option<&[u8]>, after: u64, past: &PastValues) -> News {
     let present = revision(held);
     if after == 0 {
-        return Some(Answer::Events { events: Vec::new(), revision: present });
+        return News::Told(Answer::Events { events: Vec::new(), revision: present });
     }
-    if after >= present {
-        return None;
+    let Some(group) = held.filter(|_| after < present).and_then(Group::decode) else { return News::Nothing };
+    if !group.knows_all_after(after) {
+        return News::Told(Answer::Expired);
     }
-    let group: Group = postcard::from_bytes(held?).ok()?;
-    if after < group.floor {
-        return Some(Answer::Expired);
+    match group.events(after, past) {
+        Ok(events) => News::Told(Answer::Events { events, revision: present }),
+        Err(lacking) => News::Lacking(lacking),
     }
-    Some(Answer::Events { events: group.events(after), revision: present })
 }
 
 pub(super) fn watch(
     name: &str, after: u64, held: Option<&[u8]>, memory: &mut Memory, now: Duration,
 ) -> Verdict {
     memory.saw(name, revision(held), now);
-    let nothing = || Answer::Events { events: Vec::new(), revision: after };
-    Verdict::Answer(events_after(held, after).unwrap_or_else(nothing))
+    match events_after(held, after, &PastValues::default()) {
+        News::Told(answer) => Verdict::Answer(answer),
+        News::Nothing => Verdict::Answer(Answer::Events { events: Vec::new(), revision: after }),
+        News::Lacking(_) => Verdict::busy(),
+    }
 }
 
 pub(super) fn get(name: &str, held: Option<&[u8]>, memory: &mut Memory, now: Duration) -> Verdict {
@@ -146,9 +161,14 @@
 
 impl<'a> Group<'a> {
     /// None: the value cannot be read.
+    pub(super) fn decode(held: &'a [u8]) -> Option<Group<'a>> {
+        postcard::from_bytes(held).ok()
+    }
+
+    /// The same, of a group that may not be there.
     fn read(held: Option<&'a [u8]>, name: &'a str) -> Option<Group<'a>> {
         match held {
-            Some(bytes) => postcard::from_bytes(bytes).ok(),
+            Some(bytes) => Group::decode(bytes),
             None => Some(Group { revision: EMPTY, floor: 0, name, cells: Vec::new(), past: Vec::new() }),
         }
     }
@@ -205,23 +225,60 @@
         }
     }
 
-    /// All puts above a revision that is not below the floor.
-    fn events(&self, after: u64) -> Vec<Event> {
+    /// Overwritten puts above a revision.
+    fn past_after(&self, after: u64) -> &[Past<'a>] {
+        let first = self.past.partition_point(|past| past.revision <= after);
+        self.past.get(first..).unwrap_or_default()
+    }
+
+    /// Whether no put above a revision is forgotten: each revision was given to one put.
+    fn knows_all_after(&self, after: u64) -> bool {
+        let present = self.cells.iter().filter(|cell| cell.revision > after).count();
+        (self.past_after(after).len() + present) as u64 == self.revision.saturating_sub(after)
+    }
+
+    /// All puts above a revision; or the revisions of those whose values are neither here nor among the past ones.
+    fn events(&self, after: u64, values: &PastValues) -> Result<Vec<Event>, Vec<u64>> {
         let event = |cell: &Cell, value: &str, revision| Event {
             name: [self.name, cell.name].concat(),
             value: value.to_owned(),
             revision,
         };
-        let first = self.past.partition_point(|past| past.revision <= after);
-        let past = self.past.iter().skip(first);
-        let mut events: Vec<Event> = past
-            .filter(|past| !past.is_reduced())
-            .filter_map(|past| Some(event(self.cells.get(past.place())?, &past.value, past.revision)))
-            .collect();
+        let (mut events, mut lacking) = (Vec::new(), Vec::new());
+        for past in self.past_after(after) {
+            let reduced = past.is_reduced();
+            let kept =
+                if reduced { values.get(self.name, past.revision, &past.value) } else { Some(&*past.value) };
+            match (self.cells.get(past.place()), kept) {
+                (Some(cell), Some(value)) => events.push(event(cell, value, past.revision)),
+                _ => lacking.push(past.revision),
+            }
+        }
+        if !lacking.is_empty() {
+            return Err(lacking);
+        }
         let present = self.cells.iter().filter(|cell| cell.revision > after);
         events.extend(present.map(|cell| event(cell, cell.value, cell.revision)));
         events.sort_unstable_by_key(|event| event.revision);
-        events
+        Ok(events)
+    }
+
+    /// The oldest overwritten put that is known.
+    pub(super) fn first_past(&self) -> Option<u64> {
+        self.past.first().map(|past| past.revision)
+    }
+
+    /// Overwritten puts of which a digest is here.
+    pub(super) fn reduced(&self) -> impl Iterator<Item = (u64, &str)> {
+        self.past.iter().filter(|past| past.is_reduced()).map(|past| (past.revision, &*past.value))
+    }
+
+    /// The value of a put, if it is here.
+    pub(super) fn value_at(&self, revision: u64) -> Option<&str> {
+        let at = self.past.binary_search_by_key(&revision, |past| past.revision);
+        let past = at.ok().and_then(|at| self.past.get(at)).filter(|past| !past.is_reduced());
+        let present = || self.cells.iter().find(|cell| cell.revision == revision).map(|cell| cell.value);
+        past.map(|past| &*past.value).or_else(present)
     }
 }
 
@@ -237,7 +294,7 @@
 }
 
 /// What is kept of a value that is not kept itself, as hexadecimal text.
-fn digest_of(value: &str) -> String {
+pub(super) fn digest_of(value: &str) -> String {
     let mut text = String::with_capacity(2 * DIGEST_BYTES);
     for byte in Sha256::digest(value).iter().take(DIGEST_BYTES) {
         // Writing to memory does not fail.
--- a/crates/control-state/src/subjects/memory.rs
+++ b/crates/control-state/src/subjects/memory.rs
@@ -12,7 +12,7 @@
     /// Overwritten puts that a group keeps at most; a put that would overwrite one more is `Busy` until the oldest has
     /// been kept long enough.
     pub events: usize,
-    /// Bytes of their values; of the oldest over it a digest is kept, and a watch from before them expires.
+    /// Bytes of their values within the group's; of the oldest over it a digest is kept there, and the value beside it.
     pub event_bytes: usize,
     /// Keys of a group; a put of one more is `Busy`.
     pub cells: usize,
--- a/crates/control-state/src/subjects/mod.rs
+++ b/crates/control-state/src/subjects/mod.rs
@@ -10,19 +10,21 @@
 mod locks;
 mod memory;
 mod numbers;
+mod past;
 mod taken;
 
 use std::time::Duration;
 
 use crate::types::{Answer, Call};
 
-pub use cells::{events_after, revision};
+pub use cells::{News, events_after, revision};
 pub use config::{accounts_body, config_body, config_edition};
 pub use ends::{ServerEnds, server_ends_after};
 pub use locks::lock_seen;
 pub(crate) use locks::{fence_seen, free_lock};
 pub use memory::{Limits, Memory};
 pub(crate) use numbers::{number, number_seen};
+pub use past::PastValues;
 pub use taken::TAKEN_MOST;
 
 /// What becomes of a call.
--- a/crates/control-state/src/terms.rs
+++ b/crates/control-state/src/terms.rs
@@ -98,6 +98,14 @@
     /// Bytes of all values together: two snapshots and the logs between them have to fit on the disk. Calls that
     /// would write are `Busy` at once over it.
     pub bytes: usize,
+    /// Bytes of a group's past values, as far as the group has digests alone; a put is `Busy` over it.
+    pub past: usize,
+    /// Bytes of past values that are given at one request; the rest is asked for again.
+    pub past_given: usize,
+    /// Past values that are asked for at once.
+    pub past_wanted: usize,
+    /// A watch whose puts' values are with others waits so long for them; then it is `Busy`.
+    pub past_wait: Duration,
     /// A register's name in bytes; calls for longer ones are `Busy` at once.
     pub name: usize,
     /// Remembered ballots of registers that nobody calls; over it they are forgotten and prepared anew.
@@ -162,6 +170,10 @@
             watches: 256,
             registers: 20_000,
             bytes: 16 << 20,
+            past: 8 << 20,
+            past_given: 2 << 20,
+            past_wanted: 2048,
+            past_wait: ms(800),
             name: 256,
             remembered: 2048,
             missed: 4096,
--- a/crates/control-state/tests/subjects.rs
+++ b/crates/control-state/tests/subjects.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use fallgap_control_state::subjects::{
-    Limits, Memory, Verdict, config_body, config_edition, events_after, judge, revision, server_ends_after,
+    Limits, Memory, News, PastValues, Verdict, config_body, config_edition, events_after, judge, revision,
+    server_ends_after,
 };
 use fallgap_control_state::{Answer, Call, Event};
 
@@ -37,6 +38,15 @@
     }
 }
 
+/// What a watch is told of a group that has all values itself.
+fn told_after(held: Option<&[u8]>, after: u64) -> Option<Answer> {
+    match events_after(held, after, &PastValues::default()) {
+        News::Told(answer) => Some(answer),
+        News::Nothing => None,
+        News::Lacking(revisions) => panic!("values are lacking: {revisions:?}"),
+    }
+}
+
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
@@ -220,11 +230,11 @@
     assert_eq!(revision(held), 5);
     for after in 1..5u64 {
         let events = all[after as usize - 1..].to_vec();
-        assert_eq!(events_after(held, after), Some(Events { events, revision: 5 }));
+        assert_eq!(told_after(held, after), Some(Events { events, revision: 5 }));
     }
-    assert_eq!(events_after(held, 5), None);
+    assert_eq!(told_after(held, 5), None);
     // Who watched while there was nothing hears of the first put, and is let wait for it until then.
-    assert_eq!(events_after(None, 1), None);
+    assert_eq!(told_after(None, 1), None);
 }
 
 #[test]
@@ -234,7 +244,7 @@
     check(&mut register, &[(0, get("plain"), Answer::Cell { value: "v".into(), revision: 2 }, false)]);
     let news = Answer::Events { events: vec![event("plain", "w", 3)], revision: 3 };
     register.call(ms(0), &put("plain", "w", None));
-    assert_eq!(events_after(register.held.as_deref(), 2), Some(news));
+    assert_eq!(told_after(register.held.as_deref(), 2), Some(news));
 }
 
 #[test]
@@ -248,9 +258,9 @@
     register.call(ms(60_000), &put("g.c", "v11", None));
     let held = register.held.as_deref();
     for after in 1..7 {
-        assert_eq!(events_after(held, after), Some(Answer::Expired), "after {after}");
+        assert_eq!(told_after(held, after), Some(Answer::Expired), "after {after}");
     }
-    let from = |after| match events_after(held, after) {
+    let from = |after| match told_after(held, after) {
         Some(Answer::Events { events, revision: 11 }) => {
             events.iter().map(|e| e.revision).collect::<Vec<u64>>()
         }
@@ -295,18 +305,19 @@
         assert_eq!(register.call(ms(0), &put("g.0", &format!("{n}"), None)).0, Answer::Revision(n));
     }
     assert_eq!(register.call(ms(29_999), &put("g.0", "10", None)), (Answer::Busy, false));
-    assert!(matches!(events_after(register.held.as_deref(), 1), Some(Answer::Events { .. })));
+    assert!(matches!(told_after(register.held.as_deref(), 1), Some(Answer::Events { .. })));
     assert_eq!(register.call(ms(29_999), &put("g.0", "5", None)).0, Answer::Revision(5), "it comes again");
     // They are old.
     assert_eq!(register.call(ms(60_000), &put("g.0", "10", None)).0, Answer::Revision(10));
-    assert_eq!(events_after(register.held.as_deref(), 7), Some(Answer::Expired));
-    // Two long ones fit besides the present one; the others are still known.
+    assert_eq!(told_after(register.held.as_deref(), 7), Some(Answer::Expired));
+    // Two long ones fit besides the present one; the others are still known, and their values are beside the group's.
     let mut register = Register::with(limits);
     for n in 2..=6u64 {
         assert_eq!(register.call(ms(0), &put("g.0", &format!("{n:40}"), None)).0, Answer::Revision(n));
     }
-    assert_eq!(events_after(register.held.as_deref(), 2), Some(Answer::Expired));
-    assert!(matches!(events_after(register.held.as_deref(), 3), Some(Answer::Events { .. })));
+    let beside = events_after(register.held.as_deref(), 2, &PastValues::default());
+    assert_eq!(beside, News::Lacking(vec![3]));
+    assert!(matches!(told_after(register.held.as_deref(), 3), Some(Answer::Events { .. })));
     for n in 2..=6u64 {
         let again = put("g.0", &format!("{n:40}"), None);
         assert_eq!(register.call(ms(29_999), &again), (Answer::Revision(n), false));
@@ -343,7 +354,7 @@
             let number = matches!(call, Call::Number { .. }) && held.first() == Some(&1);
             assert!(number || verdict == Verdict::Answer(Answer::Busy), "{call:?} on {held:?}: {verdict:?}");
         }
-        events_after(Some(held), 1);
+        events_after(Some(held), 1, &PastValues::default());
         assert_eq!(server_ends_after(held, 0), None, "{held:?}");
     }
 }
@@ -371,28 +382,38 @@
     }
 }
 
-/// 80 puts a second on five keys of one group, of all sizes that are taken. After each put `see` gets the group's
-/// value, one of the puts of the last 20 s, and the memory and the time to judge by.
-fn drawn_puts(seed: u64, mut see: impl FnMut(&[u8], &Event, &mut Memory, Duration)) {
+/// What there is after a put: the group's value, what a member keeps beside it, all puts, and the place of one of the last 20 s.
+struct Seen<'a> {
+    held: &'a [u8],
+    past: &'a PastValues,
+    puts: &'a [Event],
+    earlier: usize,
+    now: Duration,
+}
+
+/// 80 puts a second on five keys of one group, of all sizes that are taken. `see` looks after each put, with the memory to judge by.
+fn drawn_puts(seed: u64, mut see: impl FnMut(&Seen, &mut Memory)) {
     let history = ms(20_000);
     let mut rng = fastrand::Rng::with_seed(seed);
     let (mut held, mut memory) = (None::<Vec<u8>>, Memory::new(history));
-    let mut puts: Vec<(Duration, Event)> = Vec::new();
+    let (mut times, mut puts, mut past) =
+        (Vec::<Duration>::new(), Vec::<Event>::new(), PastValues::default());
     for step in 0..2000u64 {
         let now = ms(step * 1000 / 80);
         let name = format!("g.{}", rng.u8(..5));
         let value = format!("{step:0>length$}", length = rng.usize(16..=memory.limits.value_bytes));
         match judge(&put(&name, &value, None), held.as_deref(), ms(0), &mut memory, now) {
             Verdict::Write { value: group, answer: Answer::Revision(given) } => {
-                puts.push((now, event(&name, &value, given)));
+                times.push(now);
+                puts.push(event(&name, &value, given));
+                past.replaced("g.", held.as_deref(), &group);
                 held = Some(group);
             }
             _ => panic!("seed {seed}: a put is not taken"),
         }
-        let recent: Vec<&Event> =
-            puts.iter().filter(|(at, _)| *at + history > now).map(|(_, put)| put).collect();
-        if let (Some(held), Some(one)) = (&held, rng.choice(recent)) {
-            see(held, one, &mut memory, now);
+        let recent = times.partition_point(|at| *at + history <= now)..times.len();
+        if let (Some(held), Some(earlier)) = (&held, rng.choice(recent)) {
+            see(&Seen { held, past: &past, puts: &puts, earlier, now }, &mut memory);
         }
     }
 }
@@ -402,7 +423,8 @@
 #[test]
 fn a_put_is_known_again_whatever_the_size_of_those_behind_it() {
     for seed in 0..10 {
-        drawn_puts(seed, |held, earlier, memory, now| {
+        drawn_puts(seed, |seen, memory| {
+            let (held, earlier, now) = (seen.held, &seen.puts[seen.earlier], seen.now);
             assert!(held.len() <= memory.limits.group_bytes, "seed {seed}: {} bytes", held.len());
             let again = put(&earlier.name, &earlier.value, None);
             let told = match judge(&again, Some(held), ms(0), memory, now) {
@@ -415,13 +437,22 @@
 }
 
 /// Guards against a watch that is told too early that puts are forgotten: from a revision of the last 20 s it gets its
-/// events.
+/// events, all of them. What is kept for that stays below the bound of a group at which puts are refused.
 #[test]
 fn a_watch_gets_its_events_whatever_the_size_of_the_puts() {
     for seed in 0..10 {
-        drawn_puts(seed, |held, earlier, _, now| {
-            let watched = events_after(Some(held), earlier.revision);
-            assert!(watched != Some(Answer::Expired), "seed {seed}: expired at {now:?}");
+        drawn_puts(seed, |seen, _| {
+            let earlier = seen.puts[seen.earlier].revision;
+            let later = &seen.puts[seen.earlier + 1..];
+            match events_after(Some(seen.held), earlier, seen.past) {
+                News::Told(Answer::Events { events, .. }) => {
+                    assert!(events == later, "seed {seed}: other events at {:?}", seen.now);
+                }
+                News::Nothing => assert!(later.is_empty(), "seed {seed}: no events at {:?}", seen.now),
+                News::Told(_) => panic!("seed {seed}: expired at {:?}", seen.now),
+                News::Lacking(_) => panic!("seed {seed}: values are lacking at {:?}", seen.now),
+            }
+            assert!(seen.past.bytes() < fallgap_control_state::Terms::default().past);
         });
     }
 }
@@ -487,7 +518,7 @@
             if now - watcher.1 >= history {
                 *watcher = (0, now);
             }
-            match events_after(held.as_deref(), watcher.0) {
+            match told_after(held.as_deref(), watcher.0) {
                 Some(Answer::Events { events, revision }) => {
                     let from = if watcher.0 == 0 { revision } else { watcher.0 };
                     assert_eq!(events, puts[from as usize - 1..revision as usize - 1], "seed {seed}");
