Proxy: a leaving supervisor serves whoever comes, and closes no connection unread

Cause: one that has just come counted as at rest for long. Change: a connection of which no request was begun has a second for that. The test leaving_serves_whoever_comes_after_connections_at_rest_were_closed failed before.

--- a/crates/proxy/src/client.rs
+++ b/crates/proxy/src/client.rs
@@ -34,6 +34,8 @@
     pub since: Option<Duration>,
     /// The client has closed its side: nothing more comes, and whoever closes both sides looks the same.
     pub closed: bool,
+    /// No request of it was begun yet.
+    pub fresh: bool,
     /// When it last did something.
     pub moved: Duration,
     /// When the time of its last op is over.
@@ -57,6 +59,7 @@
             watched: false,
             since: None,
             closed: false,
+            fresh: true,
             moved: now,
             until: now,
             due: now,
@@ -68,6 +71,7 @@
     /// The one change of state.
     pub(crate) fn turn(&mut self, now: Duration, to: ClientState) {
         self.moved = now;
+        self.fresh = false;
         self.state = to;
     }
 
--- a/crates/proxy/src/terms.rs
+++ b/crates/proxy/src/terms.rs
@@ -24,6 +24,8 @@
     pub linger: Duration,
     /// How long after the order to leave connections at rest are closed.
     pub leave: Duration,
+    /// How long one that comes later may take until its first request begins.
+    pub first: Duration,
     /// How long a connection to a server is kept at rest if the server says nothing.
     pub rest: Duration,
     /// The longest that one is kept at rest, whatever the server says.
@@ -60,6 +62,7 @@
             slow_reader: ms(5000),
             linger: ms(1000),
             leave: ms(1500),
+            first: ms(1000),
             rest: ms(3000),
             rest_most: ms(30_000),
             rest_margin: ms(250),
--- a/crates/proxy/tests/sockets.rs
+++ b/crates/proxy/tests/sockets.rs
@@ -178,6 +178,24 @@
     assert_eq!(world.ask(|quay, _| quay.at_work()), 0);
 }
 
+/// Guards against connections that a leaving supervisor accepts and closes unread: while the platform still sends clients here, each
+/// new one is served, however long after the order to leave. One that says nothing is closed.
+#[test]
+fn leaving_serves_whoever_comes_after_connections_at_rest_were_closed() {
+    let server = Server::start("i-1", |got| Does::Sends(ok(got, "bytes")));
+    let world = World::new(fallgap_proxy::Terms { leave: ms(0), first: ms(400), ..Default::default() });
+    world.view(&[&server]);
+    let mut at_rest = world.client();
+    assert_eq!(at_rest.ask(&get("/safe/", "0")).status, 200);
+    world.ask(|quay, now| quay.leave(now));
+    assert_eq!(at_rest.reply(), None);
+    let (mut speaks, mut silent) = (world.client(), world.client());
+    until(|| world.ask(|quay, _| quay.connections().0) == 2);
+    let reply = speaks.ask(&get("/safe/", "1"));
+    assert_eq!((reply.status, reply.line("connection")), (200, Some("close")));
+    assert_eq!((speaks.reply(), silent.reply()), (None, None));
+}
+
 #[test]
 fn before_the_first_view_all_are_told_to_come_back() {
     let server = Server::start("i-1", |got| Does::Sends(ok(got, "bytes")));
