Gateway: a log that nobody reads any more ends no supervisor

What was seen: a process whose standard error has lost its reader ends with 101 at its next line. Cause: the log's complaint of that could not be written either, and panicked. Change: no such complaint, as in the daemon. a_supervisor_serves_on_when_its_log_has_lost_its_reader failed before.

--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -130,6 +130,8 @@
 fn main() -> ExitCode {
     tracing_subscriber::fmt()
         .with_writer(std::io::stderr)
+        // Where nobody reads the log any more there is nobody to complain to either.
+        .log_internal_errors(false)
         .with_ansi(false)
         .with_target(false)
         .with_level(false)
