Registry: not warm while servers wait for the ends of before the start

Found by reading the change again: a keeper that stands by, or hears no majority, holds the servers that it hears of back until it has read which ended, and told others after three beats all the same that it knows all servers; one that had just started would have let go of what its disk remembers. It says so only once none waits.

--- a/crates/registry/src/kept_ends.rs
+++ b/crates/registry/src/kept_ends.rs
@@ -23,6 +23,10 @@
         self.numbers.contains_key(server)
     }
 
+    pub(crate) fn is_awaited(&self) -> bool {
+        self.awaited.is_some()
+    }
+
     fn add(&mut self, number: u64, server: Arc<str>) {
         self.newest = self.newest.max(number);
         if let Some(before) = self.numbers.insert(server.clone(), number) {
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -177,7 +177,7 @@
         let next = self.look.min(self.evening.next());
         let next = if self.remembers() { next.min(self.remember_until) } else { next };
         let next = next.min(self.doubt_wake().unwrap_or(next));
-        if self.told_warm { next } else { next.min(warm) }
+        if self.told_warm || self.kept_ends.is_awaited() { next } else { next.min(warm) }
     }
 
     /// What is to be sent to other keepers.
@@ -185,9 +185,9 @@
         self.evening.take()
     }
 
-    /// Whether the servers that there are can be known: beats came for long enough, or another keeper told.
+    /// Whether the servers that there are can be known: beats came for long enough, or another keeper told; and none of them waits.
     pub fn warm(&self, now: Duration) -> bool {
-        self.evened || now >= self.started + self.terms.warm_after()
+        !self.kept_ends.is_awaited() && (self.evened || now >= self.started + self.terms.warm_after())
     }
 
     /// It knows no more than one that has just started.
--- a/crates/registry/tests/cases.rs
+++ b/crates/registry/tests/cases.rs
@@ -534,6 +534,13 @@
     registry.ended(5 * S, [(1, "c".into())], 1);
     assert!(registry.ends_are_told(5 * S));
     assert_eq!(states(&registry), "a Open, b Closing, c Closing");
+    // It knows no more than one that has just started until then, and does not ask to be woken for it.
+    let mut waits = Registry::start(S, 1, Terms::default());
+    waits.await_ends();
+    waits.woke(60 * S);
+    assert!(!waits.warm(60 * S) && waits.next_wake() > 60 * S);
+    waits.ends_are_told(61 * S);
+    assert!(waits.warm(61 * S) && waits.woke(61 * S));
     assert_eq!(registry.life("a").map(|life| life.beat.postmark), Some(6));
     // From now on they are taken up as they come; one that was silent for too long meanwhile is not.
     assert!(!registry.ends_are_told(6 * S));
