Control state: past values are compared in one pass over a group's digests

A look-up for each digest at each put was most of what keeping past values took. Both lists are in order, so one pass tells what is missing.

--- a/crates/control-state/src/subjects/past.rs
+++ b/crates/control-state/src/subjects/past.rs
@@ -46,18 +46,26 @@
         while let Some(first) = self.values.first_entry().filter(|first| *first.key() < revision) {
             self.bytes -= first.remove().value.len();
         }
-        self.lacking.retain(|lacking| *lacking >= revision);
+        self.lacking = self.lacking.split_off(&revision);
+    }
+
+    /// Of what a group's value has digests of, what is neither here nor known to be lacking. Both are in order, and most is here.
+    fn missing<'a>(&self, group: &'a Group) -> Vec<(u64, &'a str)> {
+        let mut kept = self.values.iter().peekable();
+        let is_missing = |(revision, digest): &(u64, &str)| {
+            while kept.next_if(|(before, _)| **before < *revision).is_some() {}
+            let holds = kept.peek().is_some_and(|(at, kept)| **at == *revision && kept.digest == *digest);
+            !holds && !self.lacking.contains(revision)
+        };
+        group.reduced().filter(is_missing).collect()
     }
 
     /// After a group's value took the place of another.
     fn replaced(&mut self, before: Option<&[u8]>, after: &Group) {
         self.forget_before(after.first_past().unwrap_or(u64::MAX));
-        let mut read = None;
-        for (revision, digest) in after.reduced() {
-            if self.holds(revision, digest) || self.lacking.contains(&revision) {
-                continue;
-            }
-            let before = read.get_or_insert_with(|| before.and_then(Group::decode));
+        let missing = self.missing(after);
+        let before = before.filter(|_| !missing.is_empty()).and_then(Group::decode);
+        for (revision, digest) in missing {
             let value = before.as_ref().and_then(|before| before.value_at(revision));
             match value.filter(|value| digest_of(value) == digest) {
                 Some(value) => self.keep(revision, Kept { digest: digest.into(), value: value.into() }),
