--- a/crates/control-state/src/news.rs
+++ b/crates/control-state/src/news.rs
@@ -54,7 +54,7 @@
         }
         self.shown.insert(key.clone(), (ballot, value.clone()));
         self.watches.news(now, key, value.bytes(), self.acceptor.past(), &mut self.pen);
-        self.want_past(now, key);
+        self.want_past_soon(now, key);
         self.pen.committed(key.clone(), value);
     }
 
--- a/crates/control-state/src/past_fetch.rs
+++ b/crates/control-state/src/past_fetch.rs
@@ -29,9 +29,16 @@
         self.acceptor.past().bytes_of(group_of(name)) + value.len() > self.terms.past
     }
 
-    /// Asks for the values that watches of a group wait for: this disk, which may have them in a group's value of its own, and one
-    /// other member, each time the next.
-    pub(crate) fn want_past(&mut self, now: Duration, key: &Key) {
+    /// Asks for the values that watches of a group wait for, unless others were asked a moment ago: values are committed more often
+    /// than answers come.
+    pub(crate) fn want_past_soon(&mut self, now: Duration, key: &Key) {
+        if now >= self.past_fetch.again {
+            self.want_past(now, key);
+        }
+    }
+
+    /// Asks this disk, which may have them in a group's value of its own, and one other member, each time the next.
+    fn want_past(&mut self, now: Duration, key: &Key) {
         let Some((_, shown)) = self.shown.get(key) else { return };
         let revisions = self.watches.lacking(key, shown.bytes(), self.acceptor.past());
         if revisions.is_empty() {
--- a/crates/control-state/src/rounds.rs
+++ b/crates/control-state/src/rounds.rs
@@ -324,7 +324,7 @@
                         let held = base.map(|known| known.value.bytes());
                         let watch = Watch { id, group, after: *after, until };
                         self.watches.admit(now, watch, held, self.acceptor.past(), &mut self.pen);
-                        self.want_past(now, key);
+                        self.want_past_soon(now, key);
                     }
                 }
                 _ => {}
