--- a/crates/control-state/src/acceptor.rs
+++ b/crates/control-state/src/acceptor.rs
@@ -10,7 +10,7 @@
 use crate::floor::{Floor, NEVER};
 use crate::messages::{Given, Record, Sight};
 use crate::pen::Pen;
-use crate::subjects::{PastValues, lock_seen};
+use crate::subjects::{PastValues, lock_seen, paged};
 use crate::types::Key;
 use crate::value::Value;
 
@@ -103,8 +103,8 @@
             new.extend(self.past.add(group, held.bytes(), values.clone()));
         }
         let is_new = !new.is_empty();
-        if is_new {
-            pen.log(&Record::PastValues { key: key.clone(), values: new });
+        for values in paged(new.into_iter(), PAST_PAGE) {
+            pen.log(&Record::PastValues { key: key.clone(), values });
         }
         is_new
     }
@@ -273,10 +273,10 @@
                 (accepted, _) => accepted,
             }
         });
-        let past = self
-            .past
-            .pages(PAST_PAGE)
-            .map(|(group, values)| Record::PastValues { key: Key::Group(group.to_owned()), values });
+        let past = self.past.all().flat_map(|(group, values)| {
+            let key = Key::Group(group.to_owned());
+            paged(values, PAST_PAGE).map(move |values| Record::PastValues { key: key.clone(), values })
+        });
         registers.chain(past).chain(floor)
     }
 
--- a/crates/control-state/src/subjects/mod.rs
+++ b/crates/control-state/src/subjects/mod.rs
@@ -25,6 +25,7 @@
 pub use memory::{Limits, Memory};
 pub(crate) use numbers::{number, number_seen};
 pub use past::PastValues;
+pub(crate) use past::paged;
 pub use taken::TAKEN_MOST;
 
 /// What becomes of a call.
--- a/crates/control-state/src/subjects/past.rs
+++ b/crates/control-state/src/subjects/past.rs
@@ -148,22 +148,27 @@
         short.map(|(group, past)| (group.as_str(), past.lacking.iter().copied()))
     }
 
-    /// All values of all groups, in pages of some bytes.
-    pub fn pages(&self, bytes: usize) -> impl Iterator<Item = (&str, Vec<(u64, String)>)> {
-        self.groups.iter().flat_map(move |(group, past)| {
-            let mut rest = past.values.iter().peekable();
-            let page = move || {
-                let mut page = Vec::new();
-                let mut room = bytes;
-                while let Some((revision, kept)) =
-                    rest.next_if(|(_, kept)| page.is_empty() || kept.value.len() <= room)
-                {
-                    room = room.saturating_sub(kept.value.len());
-                    page.push((*revision, kept.value.clone()));
-                }
-                (!page.is_empty()).then_some(page)
-            };
-            std::iter::from_fn(page).map(move |page| (group.as_str(), page))
+    /// All values of all groups.
+    pub fn all(&self) -> impl Iterator<Item = (&str, impl Iterator<Item = (u64, String)>)> {
+        self.groups.iter().map(|(group, past)| {
+            let values = past.values.iter().map(|(revision, kept)| (*revision, kept.value.clone()));
+            (group.as_str(), values)
         })
     }
 }
+
+/// Values in pages of so many bytes; a page has one value at least.
+pub(crate) fn paged(
+    values: impl Iterator<Item = (u64, String)>, bytes: usize,
+) -> impl Iterator<Item = Vec<(u64, String)>> {
+    let mut values = values.peekable();
+    std::iter::from_fn(move || {
+        let mut room = bytes;
+        let mut page = Vec::new();
+        while let Some(next) = values.next_if(|(_, value)| page.is_empty() || value.len() <= room) {
+            room = room.saturating_sub(next.1.len());
+            page.push(next);
+        }
+        (!page.is_empty()).then_some(page)
+    })
+}
--- a/crates/gateway/tests/large_watches.rs
+++ b/crates/gateway/tests/large_watches.rs
@@ -3,16 +3,18 @@
 #[allow(dead_code)]
 mod landing;
 
+use fallgap_test_support::gateway::Supervisor;
 use landing::*;
 
-const PUTS: u64 = 150;
+/// Their values are over what one record of a disk takes.
+const PUTS: u64 = 400;
 const BYTES: usize = 4000;
 
 fn value(put: u64) -> String {
     format!("{put:0>BYTES$}")
 }
 
-fn put(at: &fallgap_test_support::gateway::Supervisor, number: u64) -> u64 {
+fn put(at: &Supervisor, number: u64) -> u64 {
     let body = format!(r#"{{"value":"{}"}}"#, value(number));
     let (status, text) = post(at, &format!("/-/cells/g.{}/put", number % 3), &body);
     assert_eq!(status, 200, "put {number}");
@@ -20,7 +22,7 @@
 }
 
 /// Every put behind the first, whole and in order.
-fn has_all(at: &fallgap_test_support::gateway::Supervisor, first: u64) {
+fn has_all(at: &Supervisor, first: u64) {
     let (status, text) = read(at, &format!("/-/watch/g.?after={first}&wait_ms=0"));
     assert_eq!(status, 200, "{}: a watch from a revision of a moment ago", at.ip);
     let mut rest = text.as_str();
@@ -49,3 +51,30 @@
     fleet.start_all(false).unwrap();
     fleet.machines.iter().for_each(|machine| has_all(machine, first));
 }
+
+/// Bytes of a machine's disk.
+fn on_disk(machine: &Supervisor) -> u64 {
+    let files = std::fs::read_dir(machine.data()).unwrap();
+    files.filter_map(|file| file.ok()?.metadata().ok()).map(|file| file.len()).sum()
+}
+
+/// A keeper that was down meanwhile gets the values from the others onto its disk, which goes on: they are over what one record may have.
+#[test]
+fn a_keeper_that_was_down_meanwhile_gets_the_values_of_large_puts() {
+    const DOWN: usize = 2;
+    let mut fleet = fleet();
+    configure(&fleet.machines[0], &fallgap_test_support::gateway::configuration(7, PREFIXES));
+    let first = put(&fleet.machines[0], 0);
+    fleet.machines[DOWN].signal("KILL");
+    assert!(fleet.machines[DOWN].wait(LONG).is_some());
+    for number in 1..PUTS {
+        put(&fleet.machines[number as usize % 2], number);
+    }
+    fleet.start(DOWN, false).unwrap();
+    until("its disk has the values", || (on_disk(&fleet.machines[DOWN]) > PUTS * BYTES as u64).then_some(()));
+    // With one of the others gone nothing is kept without its disk.
+    fleet.machines[0].signal("KILL");
+    assert!(fleet.machines[0].wait(LONG).is_some());
+    put(&fleet.machines[DOWN], PUTS);
+    has_all(&fleet.machines[DOWN], first);
+}
--- a/crates/simulation/src/waters.rs
+++ b/crates/simulation/src/waters.rs
@@ -15,6 +15,9 @@
     Duration::from_millis(millis)
 }
 
+/// Bytes of one record that a store takes.
+const RECORD: usize = 1 << 20;
+
 pub fn node(n: u8) -> NodeId {
     NodeId::new(10, n % 3 + 1, 0, n)
 }
@@ -199,6 +202,12 @@
                 Out::Send(to, message) => self.send(from, to, &message),
                 Out::Log { number, record } => {
                     self.records += 1;
+                    hold!(
+                        record.len() <= RECORD,
+                        Check::Rest,
+                        "{from} writes a record of {} bytes",
+                        record.len()
+                    );
                     self.compare_charter(from, &record);
                     if let Some(machine) = self.machines.get_mut(&from) {
                         machine.loose.push((number, record));
