Proxy: a leaving supervisor takes nothing new that its end might cut off

Cause: mine; new ones were served without a bound. Change: for 2.6 s after the order, then closed unread as before.

--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -291,9 +291,13 @@
         client.due = match client.state {
             ClientState::Reading if client.is_at_rest() => {
                 let idle = client.moved + self.limits.idle;
-                // Clients are sent here for a while yet: whoever comes is served once.
-                let first = if client.fresh { client.moved + self.terms.first } else { now };
-                self.leaving.map_or(idle, |leaving| leaving.max(first).min(idle))
+                let over = |order: Duration| {
+                    // Clients are sent here for a while yet: whoever comes then is served once.
+                    let first = (client.moved + self.terms.first).min(order + self.terms.serves);
+                    let first = if client.fresh { first } else { order };
+                    (order + self.terms.leave).max(first).max(now)
+                };
+                self.leaving.map_or(idle, |order| over(order).min(idle))
             }
             ClientState::Reading if client.inbox.id().is_some() => client.moved + self.limits.idle,
             ClientState::Reading => client.since.unwrap_or(client.moved) + self.limits.header,
--- a/crates/proxy/src/quay.rs
+++ b/crates/proxy/src/quay.rs
@@ -281,7 +281,7 @@
         if self.leaving.is_some() {
             return;
         }
-        self.leaving = Some(now + self.terms.leave);
+        self.leaving = Some(now);
         let keys: Vec<ClientKey> = self.clients.keys().collect();
         keys.into_iter().for_each(|key| self.set_due(now, key));
     }
--- a/crates/proxy/src/terms.rs
+++ b/crates/proxy/src/terms.rs
@@ -26,6 +26,8 @@
     pub leave: Duration,
     /// How long one that comes later may take until its first request begins.
     pub first: Duration,
+    /// How long after the order to leave such ones are served: what begins later might be cut off by the process's end.
+    pub serves: Duration,
     /// How long a connection to a server is kept at rest if the server says nothing.
     pub rest: Duration,
     /// The longest that one is kept at rest, whatever the server says.
@@ -63,6 +65,7 @@
             linger: ms(1000),
             leave: ms(1500),
             first: ms(1000),
+            serves: ms(2600),
             rest: ms(3000),
             rest_most: ms(30_000),
             rest_margin: ms(250),
--- a/crates/proxy/tests/sockets.rs
+++ b/crates/proxy/tests/sockets.rs
@@ -179,11 +179,17 @@
 }
 
 /// Guards against connections that a leaving supervisor accepts and closes unread: while the platform still sends clients here, each
-/// new one is served, however long after the order to leave. One that says nothing is closed.
+/// new one is served, also after those at rest were closed. One that says nothing is closed, and so is one that comes when the process
+/// might end before its answer.
 #[test]
 fn leaving_serves_whoever_comes_after_connections_at_rest_were_closed() {
     let server = Server::start("i-1", |got| Does::Sends(ok(got, "bytes")));
-    let world = World::new(fallgap_proxy::Terms { leave: ms(0), first: ms(400), ..Default::default() });
+    let world = World::new(fallgap_proxy::Terms {
+        leave: ms(0),
+        first: ms(400),
+        serves: ms(60_000),
+        ..Default::default()
+    });
     world.view(&[&server]);
     let mut at_rest = world.client();
     assert_eq!(at_rest.ask(&get("/safe/", "0")).status, 200);
@@ -194,6 +200,10 @@
     let reply = speaks.ask(&get("/safe/", "1"));
     assert_eq!((reply.status, reply.line("connection")), (200, Some("close")));
     assert_eq!((speaks.reply(), silent.reply()), (None, None));
+    let late = World::new(fallgap_proxy::Terms { leave: ms(0), serves: ms(0), ..Default::default() });
+    late.view(&[&server]);
+    late.ask(|quay, now| quay.leave(now));
+    assert_eq!(late.client().reply(), None);
 }
 
 #[test]
