--- a/crates/gateway/src/http/connection.rs
+++ b/crates/gateway/src/http/connection.rs
@@ -46,7 +46,7 @@
 }
 
 /// Bytes that are read from one connection before others get their turn.
-const TURN_BYTES: usize = 256 << 10;
+const TURN_BYTES: usize = 64 << 10;
 
 pub struct Connection {
     pub stream: TcpStream,
