Control state: what was begun goes on without its caller, and is joined when it comes again

Cause: when its caller went, the keeper dropped the attempt and the promises behind it; a second keeper's ballot undid the first one's; reads dropped promises as well. Change: an attempt goes on without callers for 10 s at most; ends and editions are carried out and the same call joins them; promises are kept over reads; keepers tell each other how long their disks take, and leave another node's attempt that time.

--- a/crates/control-state/src/acceptor.rs
+++ b/crates/control-state/src/acceptor.rs
@@ -37,6 +37,8 @@
     pub committed: Option<Ballot>,
     /// The newest record about this register.
     pub logged: u64,
+    /// When it promised or accepted last, in this process.
+    pub touched: Option<Duration>,
 }
 
 impl Register {
@@ -63,6 +65,16 @@
     }
 }
 
+/// Somebody's attempt at a register, as a member hears of it.
+pub(crate) struct Attempt {
+    /// The ballot that was promised last.
+    pub ballot: Ballot,
+    /// When it was heard of last.
+    pub since: Duration,
+    /// Its value was accepted here.
+    pub is_accepted: bool,
+}
+
 /// All registers of this disk.
 #[derive(Clone, Hash, Default)]
 pub(crate) struct Acceptor {
@@ -173,6 +185,15 @@
         self.registers.get(key).map_or(self.floor.ballot, |register| register.promised)
     }
 
+    /// An attempt that this disk has heard of and that is not known to be over.
+    pub fn attempt(&self, key: &Key) -> Option<Attempt> {
+        let register = self.registers.get(key)?;
+        let (ballot, since) = (register.promised?, register.touched?);
+        let is_accepted = register.ballot().is_some_and(|accepted| accepted.following() == ballot);
+        let is_over = is_accepted && register.committed == register.ballot();
+        (!is_over).then_some(Attempt { ballot, since, is_accepted })
+    }
+
     /// Promises, or names the higher promise that forbids it.
     pub fn promise(
         &mut self, now: Duration, key: &Key, ballot: Ballot, known: Option<Ballot>, pen: &mut Pen,
@@ -189,6 +210,7 @@
             Some(promised) if promised == ballot => {}
             _ => {
                 register.promised = Some(ballot);
+                register.touched = Some(now);
                 if !fault::is(Fault::PromiseNotWritten) {
                     register.logged = pen.log(&Record::Promise { key: key.clone(), ballot });
                 }
@@ -417,6 +439,7 @@
         let held = register.bytes();
         register.promised = Some(promised);
         register.accepted = Some(Accepted { ballot, value, at: now, age });
+        register.touched = Some(now);
         register.logged = logged;
         self.bytes = (self.bytes + bytes).saturating_sub(held);
         self.sum(key, before, ballot);
--- a/crates/control-state/src/contact.rs
+++ b/crates/control-state/src/contact.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 
 use crate::charter::Charter;
-use crate::desk::{Asker, Entry};
 use crate::fault::{self, Fault};
 use crate::keeper::Keeper;
 use crate::types::{Call, Key, NodeId};
@@ -71,7 +70,7 @@
         for call in [Call::ConfigGet, Call::AccountsGet, Call::ServerEndsGet] {
             let left = call.key() == Key::Accounts && self.leaves_accounts();
             if !left && !self.active.contains(&call.key()) {
-                self.admit(now, Entry { asker: Asker::Own, call, came: now, sent: false });
+                self.admit(now, self.own_entry(now, call));
             }
         }
         self.drain(now);
--- a/crates/control-state/src/crew.rs
+++ b/crates/control-state/src/crew.rs
@@ -18,6 +18,8 @@
     leaving: Option<(Duration, u64)>,
     /// It has said that it hears this node.
     hears_us: bool,
+    /// How long records wait for its disk of late, as it says.
+    sync: Duration,
     /// Since when it says that it is out of contact with a majority.
     out: Option<Duration>,
     /// As the beacon has it: its disk, whether it is here, and since when that has been so.
@@ -77,6 +79,18 @@
         }
     }
 
+    /// It says how long records wait for its disk of late.
+    pub fn syncs(&mut self, now: Duration, node: NodeId, sync: Duration) {
+        if let Some(view) = self.view(now, node) {
+            view.sync = sync;
+        }
+    }
+
+    /// As it said last.
+    pub fn sync_of(&self, node: NodeId) -> Duration {
+        self.views.get(&node).map_or(Duration::ZERO, |view| view.sync)
+    }
+
     /// The beacon's view, whole. Machines without a disk are left out; those that it no longer names are not here.
     pub fn peers(&mut self, now: Duration, peers: &[Peer]) {
         for (node, view) in &mut self.views {
--- a/crates/control-state/src/desk.rs
+++ b/crates/control-state/src/desk.rs
@@ -12,6 +12,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(crate) enum Asker {
     Caller(u64),
+    /// Its caller waits no more, and it is carried out all the same.
+    Gone,
     /// A read by the keeper itself, to learn what was committed.
     Own,
 }
@@ -21,11 +23,17 @@
     pub asker: Asker,
     pub call: Call,
     pub came: Duration,
+    /// It is answered by then.
+    pub until: Duration,
     /// Its effect was sent out: from here on it may happen.
     pub sent: bool,
 }
 
 impl Entry {
+    pub fn is_gone(&self) -> bool {
+        self.asker == Asker::Gone
+    }
+
     pub fn reads(&self) -> bool {
         use Call::{AccountsGet, CellGet, ConfigGet, Look, ServerEndsGet, Watch};
         matches!(
@@ -65,6 +73,8 @@
 pub(crate) struct Ready {
     pub next: Ballot,
     pub base: Option<Known>,
+    /// What is highest was accepted by a majority; else nothing may rest on it before it is written anew.
+    pub is_committed: bool,
 }
 
 /// Who said what so far.
@@ -124,6 +134,10 @@
     pub losses: u32,
     /// Since when reads of the keeper itself find no agreement here.
     pub contested: Option<Duration>,
+    /// When the present attempt began.
+    pub begun: Duration,
+    /// How often in a row this desk has left the attempt of another node its time.
+    pub deferrals: u32,
 }
 
 impl Desk {
@@ -136,9 +150,28 @@
             top: 0,
             losses: 0,
             contested: None,
+            begun: Duration::ZERO,
+            deferrals: 0,
         }
     }
 
+    /// All calls at this desk.
+    pub fn entries_mut(&mut self) -> impl Iterator<Item = &mut Entry> {
+        self.batch.iter_mut().chain(&mut self.waiting)
+    }
+
+    /// Bytes of the calls that are carried out though nobody waits for them.
+    pub fn gone_bytes(&self) -> usize {
+        let gone = self.batch.iter().chain(&self.waiting).filter(|entry| entry.is_gone());
+        gone.map(|entry| entry.call.bytes()).sum()
+    }
+
+    /// The attempt has work of disks behind it, which the next call for this register builds on: it goes on though
+    /// nobody waits for it, for so long at most.
+    pub fn goes_on(&self, now: Duration, most: Duration) -> bool {
+        matches!(self.stage, Stage::Preparing { .. } | Stage::Accepting(_)) && now < self.begun + most
+    }
+
     /// Every change of stage.
     pub fn enter(&mut self, stage: Stage) {
         self.stage = stage;
@@ -158,7 +191,7 @@
     }
 
     /// When the desk has to be looked at again.
-    pub fn wake(&self, call: Duration, patience: Duration, contest: Duration) -> Option<Duration> {
+    pub fn wake(&self, patience: Duration, contest: Duration) -> Option<Duration> {
         let stage = match &self.stage {
             Stage::Idle => None,
             Stage::Reading { survey, .. } => {
@@ -170,8 +203,7 @@
             Stage::Accepting(push) => Some(soonest(push.resend, push.troubled.map(|at| at + contest))),
             Stage::Pausing { until } => Some(*until),
         };
-        let entries = self.batch.iter().chain(self.waiting.front());
-        let calls = entries.map(|entry| entry.came + call).min();
+        let calls = self.batch.iter().chain(&self.waiting).map(|entry| entry.until).min();
         match (stage, calls) {
             (Some(stage), Some(calls)) => Some(stage.min(calls)),
             (stage, calls) => stage.or(calls),
--- a/crates/control-state/src/fault.rs
+++ b/crates/control-state/src/fault.rs
@@ -116,6 +116,13 @@
     ChangeBeforeCaughtUp,
     /// Each try to decide on a change has a ballot of its own.
     BallotEachTry,
+    // Slow disks (tests/slow_decisions.rs).
+    /// An attempt ends with its last caller, and what disks have done for it is thrown away.
+    AttemptThrownAway,
+    /// A call has the answer of any other one on its register whose caller has gone.
+    JoinsOther,
+    /// Who leaves another node's attempt its time never goes on itself.
+    DefersWithoutEnd,
 }
 
 impl Fault {
--- a/crates/control-state/src/fingerprint.rs
+++ b/crates/control-state/src/fingerprint.rs
@@ -31,6 +31,7 @@
             calls,
             watches,
             past_fetch,
+            pace,
             shown,
             // Told, and nothing of its own rests on it.
             read_since: _,
@@ -65,6 +66,7 @@
         calls.hash(state);
         watches.hash(state);
         past_fetch.hash(state);
+        pace.hash(state);
         shown.hash(state);
         count.hash(state);
         mark.hash(state);
--- a/crates/control-state/src/handover.rs
+++ b/crates/control-state/src/handover.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::ballot::Ballot;
-use crate::desk::{Asker, Entry, Known};
+use crate::desk::Known;
 use crate::fault::{self, Fault};
 use crate::floor::{Floor, NEVER};
 use crate::keeper::Keeper;
@@ -257,7 +257,7 @@
         let ours = |key: &Key| !self.active.contains(key) && self.steward(key) == Some(self.me.node);
         let keys: Vec<Key> = keys.into_iter().filter(ours).take(self.terms.looks).collect();
         for key in keys {
-            self.admit(now, Entry { asker: Asker::Own, call: Call::Look { key }, came: now, sent: false });
+            self.admit(now, self.own_entry(now, Call::Look { key }));
         }
     }
 
--- a/crates/control-state/src/keeper.rs
+++ b/crates/control-state/src/keeper.rs
@@ -14,6 +14,7 @@
 use crate::founding::Founding;
 use crate::handover::{Page, Repair};
 use crate::messages::{Message, Record};
+use crate::pace::Pace;
 use crate::past_fetch::PastFetch;
 use crate::pen::Pen;
 use crate::recovery::CatchUp;
@@ -56,6 +57,7 @@
     pub(crate) calls: usize,
     pub(crate) watches: Watches,
     pub(crate) past_fetch: PastFetch,
+    pub(crate) pace: Pace,
     /// The newest committed values that this node heard of; they never go back.
     pub(crate) shown: BTreeMap<Key, (Ballot, Value)>,
     pub(crate) read_since: ReadSince,
@@ -100,6 +102,7 @@
             calls: 0,
             watches: Watches::new(terms.past_wait),
             past_fetch: PastFetch::new(now),
+            pace: Pace::default(),
             shown: BTreeMap::new(),
             read_since: ReadSince::new(),
             count: 0,
@@ -141,6 +144,7 @@
     /// All records up to this number are durable.
     pub fn synced(&mut self, now: Duration, number: u64) {
         self.clock = now;
+        self.pace.synced(now, number);
         self.pen.synced(number);
         self.catch_up_synced(now);
         self.drain(now);
@@ -174,7 +178,8 @@
         if over || self.voting_epoch().is_none() || (!alone && !self.has_quorum(now)) {
             return self.pen.answer(id, Answer::Busy);
         }
-        self.admit(now, Entry { asker: Asker::Caller(id), call, came, sent: false });
+        let until = came + self.terms.call;
+        self.admit(now, Entry { asker: Asker::Caller(id), call, came, until, sent: false });
         self.drain(now);
     }
 
@@ -221,6 +226,7 @@
     }
 
     pub fn take(&mut self) -> Vec<Out> {
+        self.pace.handed_out(self.clock, self.pen.written());
         self.pen.take()
     }
 
@@ -400,11 +406,12 @@
             leaving: self.leaving,
             hears_you: self.crew.is_heard(now, to, self.terms.settled),
             contact: self.in_contact(now),
+            sync_ms: u32::try_from(self.pace.slowest(now).as_millis()).unwrap_or(u32::MAX),
         }
     }
 
     fn desk_wake(&self, key: &Key) -> Option<Duration> {
-        self.desks.get(key)?.wake(self.terms.call, self.terms.patience, self.terms.contest)
+        self.desks.get(key)?.wake(self.terms.patience, self.contest(self.clock))
     }
 
     fn due(&self, now: Duration) -> Vec<Key> {
@@ -419,9 +426,10 @@
 
     fn handle(&mut self, now: Duration, from: NodeId, message: Message) {
         match message {
-            Message::Pulse { epoch, disk, caught_up, life, leaving, hears_you, contact } => {
+            Message::Pulse { epoch, disk, caught_up, life, leaving, hears_you, contact, sync_ms } => {
                 self.crew.pulse(now, from, disk, caught_up, life, leaving);
                 self.crew.hears(now, from, hears_you, contact);
+                self.crew.syncs(now, from, Duration::from_millis(sync_ms.into()));
                 if epoch > self.epoch() {
                     self.pen.send(from, Message::Ask { epoch: self.epoch() });
                 } else if epoch < self.epoch() {
--- a/crates/control-state/src/lib.rs
+++ b/crates/control-state/src/lib.rs
@@ -20,6 +20,7 @@
 mod kept;
 pub mod messages;
 mod news;
+mod pace;
 mod past_fetch;
 mod pen;
 mod recovery;
--- a/crates/control-state/src/messages.rs
+++ b/crates/control-state/src/messages.rs
@@ -45,6 +45,8 @@
         leaving: bool,
         hears_you: bool,
         contact: bool,
+        /// How long records wait for its disk of late, in milliseconds.
+        sync_ms: u32,
     },
     /// Asks for the newest epoch, if it is above this one (0: knows none).
     Ask {
--- a/crates/control-state/src/news.rs
+++ b/crates/control-state/src/news.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::ballot::Ballot;
-use crate::desk::{Asker, Entry};
+
 use crate::keeper::Keeper;
 use crate::messages::Message;
 use crate::types::{Call, Key, NodeId};
@@ -33,7 +33,7 @@
         calls.extend(groups.into_iter().map(|group| Call::Watch { group, after: 0, wait: Duration::ZERO }));
         for call in calls {
             if !self.active.contains(&call.key()) {
-                self.admit(now, Entry { asker: Asker::Own, call, came: now, sent: false });
+                self.admit(now, self.own_entry(now, call));
             }
         }
     }
--- a/crates/control-state/src/rounds.rs
+++ b/crates/control-state/src/rounds.rs
@@ -7,27 +7,43 @@
 
 use std::time::Duration;
 
+use crate::acceptor::Attempt;
 use crate::ballot::Ballot;
 use crate::charter::Charter;
 use crate::desk::{Asker, Desk, Entry, Known, Push, Ready, Stage, Survey};
 use crate::fault::{self, Fault};
 use crate::keeper::Keeper;
 use crate::messages::{Message, Sight};
+use crate::pace::of_majority;
 use crate::types::{Answer, Call, Key, NodeId};
 use crate::watches::Watch;
 use crate::weighing::{Found, Judged, found};
 
+/// What an attempt needs once it was heard of, in syncs of a majority: the promises and the accepts, and some for links.
+const ATTEMPT_SYNCS: f64 = 2.5;
+/// What it needs once its value was heard of.
+const ACCEPT_SYNCS: f64 = 1.5;
+/// A node that goes on without end on a register is left its time so often in a row.
+const MOST_DEFERRALS: u32 = 3;
+
 impl Keeper {
+    /// A read of the keeper itself.
+    pub(crate) fn own_entry(&self, now: Duration, call: Call) -> Entry {
+        Entry { asker: Asker::Own, call, came: now, until: now + self.terms.call, sent: false }
+    }
+
     pub(crate) fn admit(&mut self, now: Duration, entry: Entry) {
         let key = entry.call.key();
         let mut desk = self.take_desk(&key);
         if let Asker::Caller(_) = entry.asker {
             self.calls += 1;
         }
-        if desk.waiting.len() >= self.terms.waiting {
-            self.tell(&entry, Answer::Busy);
-        } else {
-            desk.waiting.push_back(entry);
+        if !Keeper::join(&mut desk, &entry) {
+            if self.has_room(&mut desk) {
+                desk.waiting.push_back(entry);
+            } else {
+                self.tell(&entry, Answer::Busy);
+            }
         }
         // A caller does not wait for the keeper's own next try.
         if desk.is_idle() || (desk.rests() && desk.waiting.iter().any(|entry| !entry.is_own())) {
@@ -55,19 +71,62 @@
         if desk.batch.iter().any(|entry| entry.sent) {
             return self.prepare(now, key, desk, epoch);
         }
-        let reads = desk.batch.iter().all(Entry::reads);
+        // Another node's attempt, which was left its time, may have done all that is wanted here.
+        let reads = desk.batch.iter().all(Entry::reads) || desk.deferrals > 0;
         let ready = desk.ready.take().filter(|ready| ready.next.epoch == epoch);
-        let Some(ready) = ready.filter(|_| !reads) else {
-            return if reads { self.read(now, key, desk) } else { self.prepare(now, key, desk, epoch) };
-        };
+        if reads {
+            // The promises that a majority gave hold on, unless somebody went above them.
+            desk.ready = ready;
+            return self.read(now, key, desk);
+        }
+        let Some(ready) = ready else { return self.prepare(now, key, desk, epoch) };
         let judged = self.judge_all(now, &desk.batch, ready.base.as_ref());
-        if judged.written.is_some() {
+        if judged.written.is_some() || !ready.is_committed {
             return self.push(now, key, desk, ready.next, judged, ready.base);
         }
         desk.ready = Some(ready);
         self.read(now, key, desk);
     }
 
+    /// Another node is at work on this register, as far as this disk has heard, and disks are slow: a ballot above its own
+    /// would undo that work. Until when it is left alone.
+    fn others_attempt(&self, now: Duration, key: &Key) -> Option<Duration> {
+        let sync = self.majority_sync(now);
+        let attempt = self.acceptor.attempt(key).filter(|_| sync > self.terms.pause_most)?;
+        let Attempt { ballot, since, is_accepted } = attempt;
+        let is_there = self.crew.is_heard(now, ballot.node, self.terms.alive);
+        let others = ballot.node != self.me.node && Some(ballot.epoch) == self.member_epoch();
+        let needs = if is_accepted { sync.mul_f64(ACCEPT_SYNCS) } else { sync.mul_f64(ATTEMPT_SYNCS) };
+        let since = if fault::is(Fault::DefersWithoutEnd) { now } else { since };
+        let until = since + needs.min(self.terms.defer);
+        (is_there && others && now < until).then_some(until)
+    }
+
+    /// When to ask those again that have not answered: who has a slow disk cannot yet.
+    fn resend_at(&self, now: Duration) -> Duration {
+        now + self.terms.resend.max(self.majority_sync(now))
+    }
+
+    /// How long an attempt goes on after its first refusal.
+    pub(crate) fn contest(&self, now: Duration) -> Duration {
+        self.terms.contest.max(self.majority_sync(now))
+    }
+
+    /// How long a record waits of late for this disk.
+    pub fn disk_wait(&self, now: Duration) -> Duration {
+        self.pace.slowest(now)
+    }
+
+    /// How long a record waits of late until it is on a majority of disks, as far as members have told.
+    pub fn majority_sync(&self, now: Duration) -> Duration {
+        let Some(charter) = &self.charter else { return self.pace.slowest(now) };
+        let of = |node: NodeId| match node == self.me.node {
+            true => self.pace.slowest(now),
+            false => self.crew.sync_of(node),
+        };
+        of_majority(charter.members.iter().map(|member| of(member.node)).collect(), charter.quorum())
+    }
+
     fn survey(&self, now: Duration, key: &Key) -> Survey {
         let accepted = self.acceptor.get(key).and_then(|register| register.accepted.as_ref());
         let known = accepted.map(|accepted| Known {
@@ -76,7 +135,7 @@
             age: accepted.age,
             at: accepted.at,
         });
-        let resend = now + self.terms.resend;
+        let resend = self.resend_at(now);
         let floor = self.acceptor.floor().ballot;
         Survey { known, floor, replies: Vec::new(), refused: Vec::new(), troubled: None, resend }
     }
@@ -90,6 +149,12 @@
 
     fn prepare(&mut self, now: Duration, key: &Key, desk: &mut Desk, epoch: u64) {
         desk.ready = None;
+        let may_defer = desk.deferrals < MOST_DEFERRALS || fault::is(Fault::DefersWithoutEnd);
+        if let Some(until) = self.others_attempt(now, key).filter(|_| may_defer) {
+            desk.deferrals += 1;
+            return desk.enter(Stage::Pausing { until });
+        }
+        desk.begun = now;
         if let Some(promised) = self.acceptor.promised(key) {
             desk.met(promised);
         }
@@ -167,6 +232,9 @@
             if judged.written.is_none() {
                 return self.finish(now, key, desk, judged.answers, found.base.as_ref());
             }
+            if let Some(ready) = self.still_ready(desk, found.base.as_ref()).filter(|_| !mends) {
+                return self.push(now, key, desk, ready.next, judged, ready.base);
+            }
         } else {
             let since = *survey.troubled.get_or_insert(now);
             let all = survey.replies.len() >= self.alive_members(now).count();
@@ -190,6 +258,14 @@
         }
     }
 
+    /// The promises of a majority that this node holds, if nothing was written since as far as was read.
+    fn still_ready(&self, desk: &mut Desk, found: Option<&Known>) -> Option<Ready> {
+        let is_sent = desk.batch.iter().any(|entry| entry.sent);
+        let ready = desk.ready.take().filter(|ready| Some(ready.next.epoch) == self.voting_epoch())?;
+        let ballot = |known: Option<&Known>| known.map(|known| known.ballot);
+        (!is_sent && ballot(ready.base.as_ref()) == ballot(found)).then_some(ready)
+    }
+
     pub(crate) fn promised(
         &mut self, now: Duration, from: NodeId, key: Key, ballot: Ballot, held: Option<Sight>,
     ) {
@@ -213,7 +289,7 @@
         // This process may have stood still since it asked: what is too old by now is not written.
         self.expire(now, desk);
         if desk.batch.is_empty() {
-            desk.ready = Some(Ready { next: ballot, base: found.base });
+            desk.ready = Some(found.ready(ballot));
             return self.begin_anew(now, key, desk);
         }
         let mut judged = self.judge_all(now, &desk.batch, found.base.as_ref());
@@ -223,12 +299,12 @@
         let tainted = mends || desk.batch.iter().any(|entry| entry.sent);
         if judged.written.is_none() && found.committed && !tainted {
             self.learn_known(now, key, found.base.as_ref());
-            desk.ready = Some(Ready { next: ballot, base: found.base.clone() });
+            desk.ready = Some(Ready { next: ballot, base: found.base.clone(), is_committed: true });
             return self.finish(now, key, desk, judged.answers, found.base.as_ref());
         }
         self.tell_held(desk, &mut judged);
         if desk.batch.is_empty() {
-            desk.ready = Some(Ready { next: ballot, base: found.base });
+            desk.ready = Some(found.ready(ballot));
             return self.begin_anew(now, key, desk);
         }
         if judged.written.is_none() && found.base.is_none() {
@@ -259,6 +335,9 @@
         }
         let next = ballot.following();
         self.count = self.count.max(next.count);
+        if !matches!(desk.stage, Stage::Preparing { .. }) {
+            desk.begun = now;
+        }
         desk.enter(Stage::Accepting(Push {
             ballot,
             next,
@@ -268,7 +347,7 @@
             accepted: Vec::new(),
             refused: Vec::new(),
             troubled: None,
-            resend: now + self.terms.resend,
+            resend: self.resend_at(now),
         }));
         self.ask(key, desk);
     }
@@ -304,7 +383,7 @@
                 self.repair.missed(now, node, key, push.ballot, self.terms.missed);
             }
         }
-        desk.ready = Some(Ready { next: push.next, base: Some(known.clone()) });
+        desk.ready = Some(Ready { next: push.next, base: Some(known.clone()), is_committed: true });
         let answers = push.answers.into_iter().map(|answer| (answer, false)).collect();
         self.finish(now, key, desk, answers, Some(&known));
     }
@@ -334,7 +413,7 @@
     }
 
     pub(crate) fn begin_anew(&mut self, now: Duration, key: &Key, desk: &mut Desk) {
-        (desk.losses, desk.contested) = (0, None);
+        (desk.losses, desk.contested, desk.deferrals) = (0, None, 0);
         desk.enter(Stage::Idle);
         self.begin(now, key, desk);
     }
@@ -371,6 +450,7 @@
         let pause = Duration::from_micros(drawn << desk.losses.min(self.terms.pause_doublings));
         desk.losses += 1;
         desk.ready = None;
+        Keeper::drop_gone(desk);
         desk.enter(Stage::Pausing { until: now + pause });
     }
 
@@ -378,12 +458,12 @@
     pub(crate) fn look_at(&mut self, now: Duration, key: Key) {
         let mut desk = self.take_desk(&key);
         self.expire(now, &mut desk);
-        if desk.batch.is_empty() && !desk.is_idle() {
+        if self.is_left(now, &desk) {
             desk.ready = None;
             self.begin_anew(now, &key, &mut desk);
             return self.put_desk(key, desk);
         }
-        let again = now + self.terms.resend;
+        let (again, contest) = (self.resend_at(now), self.contest(now));
         match &mut desk.stage {
             Stage::Idle => {}
             Stage::Pausing { until } if now < *until => {}
@@ -402,7 +482,7 @@
             }
             Stage::Preparing { survey: Survey { troubled, resend, .. }, .. }
             | Stage::Accepting(Push { troubled, resend, .. }) => {
-                if troubled.is_some_and(|since| now >= since + self.terms.contest) {
+                if troubled.is_some_and(|since| now >= since + contest) {
                     self.lose(now, &mut desk);
                 } else if now >= *resend {
                     *resend = again;
--- a/crates/control-state/src/terms.rs
+++ b/crates/control-state/src/terms.rs
@@ -11,6 +11,12 @@
 pub struct Terms {
     /// A call is answered within this: `Unknown` if its effect was sent out, else `Busy`.
     pub call: Duration,
+    /// What was begun goes on for so long after its callers have gone: what disks have done for it is not thrown away.
+    pub decision: Duration,
+    /// Bytes of the calls of one register that are carried out though nobody waits for them; those beyond are given up.
+    pub gone_bytes: usize,
+    /// Another node's attempt on a register is left alone for so long at most, however slow disks are.
+    pub defer: Duration,
     /// Requests that nobody answered go out again after this.
     pub resend: Duration,
     /// How long a read waits for the rest, once a majority has answered without agreeing.
@@ -128,6 +134,9 @@
     fn default() -> Self {
         Terms {
             call: ms(900),
+            decision: ms(10_000),
+            gone_bytes: 4 << 20,
+            defer: ms(6000),
             resend: ms(150),
             patience: ms(40),
             contest: ms(60),
--- a/crates/control-state/src/types.rs
+++ b/crates/control-state/src/types.rs
@@ -130,6 +130,21 @@
         }
     }
 
+    /// Whether it is carried out though its caller waits no more: said again it changes nothing further, and whoever said
+    /// it once means it still.
+    pub(crate) fn outlives_caller(&self) -> bool {
+        matches!(self, Call::ServerEnd { .. } | Call::ConfigPut { .. })
+    }
+
+    /// Whether the same call of somebody else may have the answer of one that was sent out and whose caller has gone. A hold
+    /// is counted from when its call was sent, so from before it was written: that of a lock is not for one that came later.
+    pub(crate) fn may_be_joined(&self) -> bool {
+        matches!(
+            self,
+            Call::Number { .. } | Call::CellPut { .. } | Call::LockEnd { .. } | Call::AccountsPut { .. }
+        )
+    }
+
     /// How many bytes the call's words hold, for bounds.
     pub fn bytes(&self) -> usize {
         match self {
--- a/crates/control-state/src/weighing.rs
+++ b/crates/control-state/src/weighing.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
+use crate::ballot::Ballot;
 use crate::charter::Charter;
-use crate::desk::{Desk, Entry, Known, Survey};
+use crate::desk::{Desk, Entry, Known, Ready, Survey};
 use crate::fault::{self, Fault};
 use crate::keeper::Keeper;
 use crate::messages::Sight;
@@ -26,6 +27,13 @@
     pub committed: bool,
 }
 
+impl Found {
+    /// A majority has promised this ballot, and nothing is to be written now.
+    pub fn ready(self, next: Ballot) -> Ready {
+        Ready { next, base: self.base, is_committed: self.committed }
+    }
+}
+
 impl Keeper {
     /// `Held` promises nothing, so it needs no write: a lock's age is not to begin anew with each one who asks.
     pub(crate) fn tell_held(&mut self, desk: &mut Desk, judged: &mut Judged) {
--- a/crates/simulation/src/machine.rs
+++ b/crates/simulation/src/machine.rs
@@ -28,6 +28,8 @@
     pub frozen: bool,
     pub(crate) syncing: bool,
     pub slow_until: Duration,
+    /// How long each sync of its disk takes at least and at most, in milliseconds, in place of the usual time.
+    pub sync_ms: Option<(u64, u64)>,
     pub(crate) since: Duration,
     pub(crate) down_since: Duration,
     pub(crate) side: u8,
--- a/crates/simulation/src/waters.rs
+++ b/crates/simulation/src/waters.rs
@@ -5,7 +5,7 @@
 
 use fallgap_control_state::charter::{Charter, Member};
 use fallgap_control_state::messages::Record;
-use fallgap_control_state::{Answer, Call, Keeper, Kept, Me, Message, NodeId, Out, Terms};
+use fallgap_control_state::{Answer, Call, Keeper, Kept, Key, Me, Message, NodeId, Out, Terms};
 
 use crate::breach::{Check, hold};
 pub use crate::machine::Machine;
@@ -132,6 +132,7 @@
                 frozen: false,
                 syncing: false,
                 slow_until: Duration::ZERO,
+                sync_ms: None,
                 since: Duration::ZERO,
                 down_since: self.now,
                 side: 0,
@@ -192,6 +193,17 @@
         self.collect(node);
     }
 
+    /// Nobody waits for a call any more.
+    pub fn withdraw(&mut self, node: NodeId, id: u64, key: &Key) {
+        let now = self.now;
+        let Some(machine) = self.machines.get_mut(&node) else { return };
+        let time = machine.time(now);
+        if let Some(keeper) = machine.keeper.as_mut().filter(|_| self.asked.contains_key(&id)) {
+            keeper.withdraw(time, id, key);
+        }
+        self.collect(node);
+    }
+
     pub(crate) fn collect(&mut self, from: NodeId) {
         let now = self.now;
         let Some(machine) = self.machines.get_mut(&from) else { return };
@@ -230,7 +242,12 @@
         if !machine.syncing && !machine.loose.is_empty() {
             machine.syncing = true;
             let (life, slow) = (machine.life, machine.slow_until);
-            let time = if now < slow { ms(self.rng.u64(500..3000)) } else { ms(self.rng.u64(4..9)) };
+            let time = match machine.sync_ms {
+                Some((least, most)) => self.rng.u64(least..=most),
+                None if now < slow => self.rng.u64(500..3000),
+                None => self.rng.u64(4..9),
+            };
+            let time = ms(time);
             self.event(now + time, Event::Synced { node: from, life });
         }
     }
--- a/crates/simulation/tests/alone.rs
+++ b/crates/simulation/tests/alone.rs
@@ -68,6 +68,7 @@
                 leaving: false,
                 hears_you: true,
                 contact: true,
+                sync_ms: 0,
             };
             let mut outs = self.hear(2, pulse);
             self.keeper.woke(self.now);
@@ -121,6 +122,7 @@
         leaving: false,
         hears_you: true,
         contact: true,
+        sync_ms: 0,
     };
     alone.hear(2, pulse);
     let start = Call::LockStart { name: "l".into(), holder: "p".into(), hold: ms(9000) };
