Gateway: logs and figures tell what becomes of beats that come after their servers' ends

Now a line tells how many ended servers a starting home read from disks, one when ends are committed, and one (each five seconds at most) for a beat that comes late; /metrics tells servers_ended, late_beats_total, and what disks take.

--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -311,7 +311,14 @@
         };
         let Some(hub) = &mut self.hub else { return };
         let changed = match word {
-            RosterWord::Beat(beat) => hub.registry.beat(now, beat).is_change(),
+            RosterWord::Beat(beat) => {
+                let (server, late) = (beat.id.clone(), hub.registry.late_beats());
+                let changed = hub.registry.beat(now, beat).is_change();
+                if hub.registry.late_beats() > late && self.late_beats.may_tell(now) {
+                    tracing::info!("roster: a beat of {server} comes after its end, and brings it not back");
+                }
+                changed
+            }
             RosterWord::Left(server) => hub.registry.left(now, &server).is_change(),
             RosterWord::Join(line) => {
                 self.links.drop_tables(from);
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -9,6 +9,7 @@
 use crate::holdup::HoldUp;
 use crate::hub::Hub;
 use crate::leavers::Leavers;
+use crate::line_pace::LinePace;
 use crate::links::Links;
 use crate::preference;
 use crate::signals::Heard;
@@ -68,6 +69,8 @@
     pub surveys: Surveys<SyncSender<Told>>,
     pub history: History,
     pub leavers: Leavers,
+    /// Of beats that come after their servers' ends.
+    pub late_beats: LinePace,
     pub spread: Spread,
     pub rollouts: Rollouts<SyncSender<Told>>,
     pub inbox: Receiver<Ask>,
--- a/crates/gateway/src/figures.rs
+++ b/crates/gateway/src/figures.rs
@@ -120,6 +120,12 @@
             ("leaving", yes(self.leaving.is_some())),
         ];
         states.into_iter().for_each(|(name, value)| figures.now(name, value));
+        if let Some(hub) = &self.hub {
+            figures.now("servers_ended", hub.registry.ends_known() as f64);
+            figures.total("late_beats", hub.registry.late_beats());
+        }
+        figures.now("disk_wait_seconds", self.keeper.disk_wait(now).as_secs_f64());
+        figures.now("majority_wait_seconds", self.keeper.majority_sync(now).as_secs_f64());
         figures.turns(&self.turns.longest());
         figures.into_text()
     }
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -117,14 +117,25 @@
         let Some(ends) = subjects::server_ends_after(value, self.registry.newest_end()) else {
             return tracing::error!("gateway: committed ends of servers cannot be read");
         };
+        let (count, at_first) = (ends.ended.len(), self.registry.awaits_ends());
         let ended = ends.ended.into_iter().map(|(number, server)| (number, server.into()));
-        if self.registry.ended(now, ended, ends.least) {
+        let changed = self.registry.ended(now, ended, ends.least);
+        if count > 0 && !at_first {
+            let newest = self.registry.newest_end();
+            tracing::info!(
+                "roster: {count} servers have ended, up to number {newest}, on a majority of disks"
+            );
+        }
+        if changed {
             self.distribution.registry_changed(now, &self.registry);
         }
     }
 
     /// The ends of servers were read at a majority, and all that were read have been handed in.
     pub fn ends_are_read(&mut self, now: Duration) {
+        if self.registry.awaits_ends() {
+            tracing::info!("roster: {} servers that ended are known from disks", self.registry.ends_known());
+        }
         if self.registry.ends_are_told(now) {
             self.distribution.registry_changed(now, &self.registry);
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod http;
 pub mod hub;
 pub mod leavers;
+pub mod line_pace;
 pub mod links;
 pub mod memory;
 pub mod offices;
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -11,6 +11,7 @@
 use crate::http::{self, ServerError};
 use crate::hub::Hub;
 use crate::leavers::Leavers;
+use crate::line_pace::LinePace;
 use crate::links::{self, Links};
 use crate::memory::{Memory, Remembered};
 use crate::signals;
@@ -211,6 +212,7 @@
         surveys: Surveys::new(fallgap_admin::Terms::USUAL, rng.u64(1..1 << 62)),
         history: History::default(),
         leavers: Leavers::default(),
+        late_beats: LinePace::default(),
         spread: Spread::new(rng.u64(1..1 << 62)),
         rollouts: Rollouts::new(me, rng.u64(1..1 << 62), patience),
         lives: BTreeMap::new(),
--- a/crates/gateway/tests/figures.rs
+++ b/crates/gateway/tests/figures.rs
@@ -42,6 +42,8 @@
         ("servers", 1.0),
         ("keeper", 1.0),
         ("leaving", 0.0),
+        ("servers_ended", 0.0),
+        ("late_beats_total", 0.0),
     ];
     for (name, value) in wanted {
         assert_eq!(figures.get(&format!("fallgap_{name}")), Some(&value), "{name}");
--- a/crates/registry/src/kept_ends.rs
+++ b/crates/registry/src/kept_ends.rs
@@ -14,12 +14,14 @@
     numbers: BTreeMap<Arc<str>, u64>,
     /// The newest number that was told.
     newest: u64,
+    /// Beats that came after the ends of their servers.
+    late_beats: u64,
     /// It has not been told yet: beats of servers that are not known, with the time at which each was heard.
     awaited: Option<BTreeMap<Arc<str>, (Duration, Beat)>>,
 }
 
 impl KeptEnds {
-    pub(crate) fn contains(&self, server: &str) -> bool {
+    fn contains(&self, server: &str) -> bool {
         self.numbers.contains_key(server)
     }
 
@@ -49,6 +51,28 @@
         self.kept_ends.awaited = Some(BTreeMap::new());
     }
 
+    /// Whether it waits to be told which servers ended before this process started.
+    pub fn awaits_ends(&self) -> bool {
+        self.kept_ends.is_awaited()
+    }
+
+    /// How many ended servers it knows from disks.
+    pub fn ends_known(&self) -> usize {
+        self.kept_ends.by_number.len()
+    }
+
+    /// Beats that came after the ends of their servers, and brought none back.
+    pub fn late_beats(&self) -> u64 {
+        self.kept_ends.late_beats
+    }
+
+    /// Whether a beat comes after the end of its server.
+    pub(crate) fn comes_late(&mut self, beat: &Beat) -> bool {
+        let late = self.kept_ends.contains(&beat.id);
+        self.kept_ends.late_beats += u64::from(late && !beat.closing);
+        late
+    }
+
     /// The highest number of an end that it was told.
     pub fn newest_end(&self) -> u64 {
         self.kept_ends.newest
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -225,7 +225,7 @@
         &mut self, now: Duration, mut beat: Beat, heard: Duration, first: Duration,
     ) -> News {
         let id = beat.id.clone();
-        beat.closing |= self.kept_ends.contains(&id);
+        beat.closing |= self.comes_late(&beat);
         self.remembered.remove(&id);
         self.doubt.heard(&id, heard);
         let event = if beat.closing { Event::BeatClosing } else { Event::Beat };
--- a/crates/registry/tests/cases.rs
+++ b/crates/registry/tests/cases.rs
@@ -494,6 +494,7 @@
         known.beat(2 * S, beat("c", 3, postmark));
     }
     assert_eq!(states(&known), "a Closing, b Open, c Closing");
+    assert_eq!((known.ends_known(), known.late_beats()), (2, 4));
     let remembered = known.to_remember(2 * S);
     let mut again = registry();
     again.ended(S, ended(3, "b"), 1);
