Control state: a further decision takes one record at each member, reads or not

Each keeper reads the configuration and the ends once a second, and each read dropped the promises that a majority had given: the next decision took two syncs. Times by which proposers wait for each other and for disks stand in a file of their own; how long a majority takes is worked out only where an attempt was refused.

--- a/crates/control-state/src/desk.rs
+++ b/crates/control-state/src/desk.rs
@@ -190,6 +190,15 @@
         self.top = self.top.max(ballot.count);
     }
 
+    /// Somebody has refused the attempt under way.
+    pub fn is_refused(&self) -> bool {
+        match &self.stage {
+            Stage::Preparing { survey, .. } => survey.troubled.is_some(),
+            Stage::Accepting(push) => push.troubled.is_some(),
+            Stage::Idle | Stage::Reading { .. } | Stage::Pausing { .. } => false,
+        }
+    }
+
     /// When the desk has to be looked at again.
     pub fn wake(&self, patience: Duration, contest: Duration) -> Option<Duration> {
         let stage = match &self.stage {
--- a/crates/control-state/src/keeper.rs
+++ b/crates/control-state/src/keeper.rs
@@ -411,7 +411,9 @@
     }
 
     fn desk_wake(&self, key: &Key) -> Option<Duration> {
-        self.desks.get(key)?.wake(self.terms.patience, self.contest(self.clock))
+        let desk = self.desks.get(key)?;
+        let contest = if desk.is_refused() { self.contest(self.clock) } else { self.terms.contest };
+        desk.wake(self.terms.patience, contest)
     }
 
     fn due(&self, now: Duration) -> Vec<Key> {
--- a/crates/control-state/src/lib.rs
+++ b/crates/control-state/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod charter;
 mod contact;
 mod crew;
+mod deferral;
 mod departure;
 mod desk;
 mod desks;
--- a/crates/simulation/tests/calm.rs
+++ b/crates/simulation/tests/calm.rs
@@ -159,3 +159,26 @@
     sea.run(sea.now + ms(3000));
     assert_eq!(ask(&mut sea, 3, 101, put(20)).0, Answer::Busy);
 }
+
+/// Guards against promises that are dropped by reads: each keeper reads the ends and the configuration once a second, and each
+/// decision behind such a read took two syncs.
+#[test]
+fn a_further_decision_takes_one_record_at_each_member() {
+    let mut sea = Sea::new(3, 3, 0);
+    sea.run(ms(3000));
+    let end = |n: u64| Call::ServerEnd { server: format!("i-{n}") };
+    let edition = |n: u64| Call::ConfigPut { edition: n, body: vec![1; 100] };
+    for kind in [&end as &dyn Fn(u64) -> Call, &edition] {
+        let key = kind(1).key();
+        let steward = sea.keeper(node(1)).and_then(|keeper| keeper.steward(&key)).expect("a steward");
+        let at = (1..=3).find(|n| node(*n) == steward).expect("a member");
+        let first = sea.answers.len() as u64 + 1;
+        assert_eq!(ask(&mut sea, at, first, kind(100)).0, Answer::Done);
+        for n in 1..8 {
+            sea.run(sea.now + ms(1300));
+            let before = sea.records;
+            assert_eq!(ask(&mut sea, at, first + n, kind(100 + n)).0, Answer::Done);
+            assert_eq!(sea.records - before, 3, "{key:?}, decision {n}");
+        }
+    }
+}
