Control state: a write that waits for another node looks again, and numbers are not joined

Now it reads each 0.15 s, answers the reads, and waits for two phases in all, 4 s at most; an attempt that nobody waits for goes on for four times what disks take. Numbers and accounts are not joined any more; what is joined has an answer that stays the same.

--- a/crates/control-state/src/acceptor.rs
+++ b/crates/control-state/src/acceptor.rs
@@ -71,8 +71,6 @@
     pub ballot: Ballot,
     /// When it was heard of last.
     pub since: Duration,
-    /// Its value was accepted here.
-    pub is_accepted: bool,
 }
 
 /// All registers of this disk.
@@ -191,7 +189,7 @@
         let (ballot, since) = (register.promised?, register.touched?);
         let is_accepted = register.ballot().is_some_and(|accepted| accepted.following() == ballot);
         let is_over = is_accepted && register.committed == register.ballot();
-        (!is_over).then_some(Attempt { ballot, since, is_accepted })
+        (!is_over).then_some(Attempt { ballot, since })
     }
 
     /// Promises, or names the higher promise that forbids it.
--- a/crates/control-state/src/deferral.rs
+++ b/crates/control-state/src/deferral.rs
@@ -9,26 +9,32 @@
 use crate::pace::of_majority;
 use crate::types::{Key, NodeId};
 
-/// What an attempt needs once it was heard of, in syncs of a majority: the promises and the accepts, and some for links.
-const ATTEMPT_SYNCS: f64 = 2.5;
-/// What it needs once its value was heard of.
-const ACCEPT_SYNCS: f64 = 1.5;
-/// A node that goes on without end on a register is left its time so often in a row.
-pub(crate) const MOST_DEFERRALS: u32 = 3;
+/// What one phase of an attempt needs, in waits of a record for a majority of disks, and some for links.
+const PHASE: f64 = 1.25;
+/// What an attempt needs: the promises and the accepts.
+const ATTEMPT: f64 = 2.0 * PHASE;
+/// What was begun for callers that have gone may need so many times that, and goes on no longer.
+const GOES_ON: u32 = 4;
 
 impl Keeper {
     /// Another node is at work on this register, as far as this disk has heard, and disks are slow: a ballot above its own
-    /// would undo that work. Until when it is left alone.
-    pub(crate) fn others_attempt(&self, now: Duration, key: &Key) -> Option<Duration> {
+    /// would undo that work. Until when it is left alone; `defers`: since when it has been already.
+    pub(crate) fn others_attempt(
+        &self, now: Duration, key: &Key, defers: Option<Duration>,
+    ) -> Option<Duration> {
         let sync = self.majority_sync(now);
         let attempt = self.acceptor.attempt(key).filter(|_| sync > self.terms.pause_most)?;
-        let Attempt { ballot, since, is_accepted } = attempt;
+        let Attempt { ballot, since } = attempt;
         let is_there = self.crew.is_heard(now, ballot.node, self.terms.alive);
         let others = ballot.node != self.me.node && Some(ballot.epoch) == self.member_epoch();
-        let needs = if is_accepted { sync.mul_f64(ACCEPT_SYNCS) } else { sync.mul_f64(ATTEMPT_SYNCS) };
-        let since = if fault::is(Fault::DefersWithoutEnd) { now } else { since };
-        let until = since + needs.min(self.terms.defer);
-        (is_there && others && now < until).then_some(until)
+        let most = sync.mul_f64(ATTEMPT).min(self.terms.defer);
+        let is_over = defers.is_some_and(|since| now >= since + most);
+        let until = since + sync.mul_f64(PHASE).min(self.terms.defer);
+        if fault::is(Fault::DefersWithoutEnd) {
+            return (is_there && others).then_some(now + self.terms.resend);
+        }
+        // It is looked at again meanwhile: the attempt may be over, and reads are answered.
+        (is_there && others && !is_over && now < until).then(|| until.min(now + self.terms.resend))
     }
 
     /// When to ask those again that have not answered: who has a slow disk cannot yet.
@@ -41,6 +47,11 @@
         self.terms.contest.max(self.majority_sync(now))
     }
 
+    /// How long an attempt goes on that nobody waits for.
+    pub(crate) fn goes_on_for(&self, now: Duration) -> Duration {
+        (self.terms.resend + self.majority_sync(now) * GOES_ON).min(self.terms.decision)
+    }
+
     /// How long a record waits of late for this disk.
     pub fn disk_wait(&self, now: Duration) -> Duration {
         self.pace.slowest(now)
--- a/crates/control-state/src/desk.rs
+++ b/crates/control-state/src/desk.rs
@@ -136,8 +136,8 @@
     pub contested: Option<Duration>,
     /// When the present attempt began.
     pub begun: Duration,
-    /// How often in a row this desk has left the attempt of another node its time.
-    pub deferrals: u32,
+    /// Since when this desk leaves the attempt of another node its time.
+    pub defers: Option<Duration>,
 }
 
 impl Desk {
@@ -151,7 +151,7 @@
             losses: 0,
             contested: None,
             begun: Duration::ZERO,
-            deferrals: 0,
+            defers: None,
         }
     }
 
--- a/crates/control-state/src/desks.rs
+++ b/crates/control-state/src/desks.rs
@@ -46,7 +46,7 @@
 
     /// Nobody waits for what goes on at this desk, and nothing of it is worth keeping.
     pub(crate) fn is_left(&self, now: Duration, desk: &Desk) -> bool {
-        let goes_on = desk.goes_on(now, self.terms.decision) && !fault::is(Fault::AttemptThrownAway);
+        let goes_on = desk.goes_on(now, self.goes_on_for(now)) && !fault::is(Fault::AttemptThrownAway);
         desk.batch.is_empty() && !desk.is_idle() && !goes_on
     }
 
--- a/crates/control-state/src/rounds.rs
+++ b/crates/control-state/src/rounds.rs
@@ -9,7 +9,6 @@
 
 use crate::ballot::Ballot;
 use crate::charter::Charter;
-use crate::deferral::MOST_DEFERRALS;
 use crate::desk::{Asker, Desk, Entry, Known, Push, Ready, Stage, Survey};
 use crate::fault::{self, Fault};
 use crate::keeper::Keeper;
@@ -64,7 +63,7 @@
             return self.prepare(now, key, desk, epoch);
         }
         // Another node's attempt, which was left its time, may have done all that is wanted here.
-        let reads = desk.batch.iter().all(Entry::reads) || desk.deferrals > 0;
+        let reads = desk.batch.iter().all(Entry::reads) || desk.defers.is_some();
         let ready = desk.ready.take().filter(|ready| ready.next.epoch == epoch);
         if reads {
             // The promises that a majority gave hold on, unless somebody went above them.
@@ -102,9 +101,8 @@
 
     fn prepare(&mut self, now: Duration, key: &Key, desk: &mut Desk, epoch: u64) {
         desk.ready = None;
-        let may_defer = desk.deferrals < MOST_DEFERRALS || fault::is(Fault::DefersWithoutEnd);
-        if let Some(until) = self.others_attempt(now, key).filter(|_| may_defer) {
-            desk.deferrals += 1;
+        if let Some(until) = self.others_attempt(now, key, desk.defers) {
+            desk.defers.get_or_insert(now);
             return desk.enter(Stage::Pausing { until });
         }
         desk.begun = now;
@@ -188,6 +186,9 @@
             if let Some(ready) = self.still_ready(desk, found.base.as_ref()).filter(|_| !mends) {
                 return self.push(now, key, desk, ready.next, judged, ready.base);
             }
+            if desk.defers.is_some() {
+                self.answer_reads(now, key, desk, found.base.as_ref());
+            }
         } else {
             let since = *survey.troubled.get_or_insert(now);
             let all = survey.replies.len() >= self.alive_members(now).count();
@@ -345,7 +346,26 @@
         &mut self, now: Duration, key: &Key, desk: &mut Desk, answers: Vec<(Option<Answer>, bool)>,
         base: Option<&Known>,
     ) {
-        for (entry, (answer, _)) in std::mem::take(&mut desk.batch).into_iter().zip(answers) {
+        let entries = std::mem::take(&mut desk.batch);
+        self.conclude(now, key, entries, answers, base);
+        self.begin_anew(now, key, desk);
+    }
+
+    /// What was read at a majority answers the reads, though the writes beside them wait for another node.
+    fn answer_reads(&mut self, now: Duration, key: &Key, desk: &mut Desk, base: Option<&Known>) {
+        let (reads, rest) = std::mem::take(&mut desk.batch).into_iter().partition(Entry::reads);
+        desk.batch = rest;
+        let reads: Vec<Entry> = reads;
+        let answers = self.judge_all(now, &reads, base).answers;
+        self.conclude(now, key, reads, answers, base);
+    }
+
+    /// These calls have their answers.
+    fn conclude(
+        &mut self, now: Duration, key: &Key, entries: Vec<Entry>, answers: Vec<(Option<Answer>, bool)>,
+        base: Option<&Known>,
+    ) {
+        for (entry, (answer, _)) in entries.into_iter().zip(answers) {
             self.note_read(key, entry.came);
             match (answer, &entry.call) {
                 (Some(answer), _) => self.tell(&entry, answer),
@@ -362,11 +382,10 @@
                 _ => {}
             }
         }
-        self.begin_anew(now, key, desk);
     }
 
     pub(crate) fn begin_anew(&mut self, now: Duration, key: &Key, desk: &mut Desk) {
-        (desk.losses, desk.contested, desk.deferrals) = (0, None, 0);
+        (desk.losses, desk.contested, desk.defers) = (0, None, None);
         desk.enter(Stage::Idle);
         self.begin(now, key, desk);
     }
--- a/crates/control-state/src/terms.rs
+++ b/crates/control-state/src/terms.rs
@@ -136,7 +136,7 @@
             call: ms(900),
             decision: ms(10_000),
             gone_bytes: 4 << 20,
-            defer: ms(6000),
+            defer: ms(4000),
             resend: ms(150),
             patience: ms(40),
             contest: ms(60),
--- a/crates/control-state/src/types.rs
+++ b/crates/control-state/src/types.rs
@@ -136,13 +136,11 @@
         matches!(self, Call::ServerEnd { .. } | Call::ConfigPut { .. })
     }
 
-    /// Whether the same call of somebody else may have the answer of one that was sent out and whose caller has gone. A hold
-    /// is counted from when its call was sent, so from before it was written: that of a lock is not for one that came later.
+    /// Whether the same call of somebody else may have the answer of one that was sent out and whose caller has gone. It may
+    /// have been at a majority before the other one came, with others written since: only an answer that is the same then is
+    /// for both. A number would be out of order, and a hold is counted from when its own call was sent.
     pub(crate) fn may_be_joined(&self) -> bool {
-        matches!(
-            self,
-            Call::Number { .. } | Call::CellPut { .. } | Call::LockEnd { .. } | Call::AccountsPut { .. }
-        )
+        matches!(self, Call::CellPut { .. } | Call::LockEnd { .. })
     }
 
     /// How many bytes the call's words hold, for bounds.
