--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,11 @@
 pub mod withdrawn;
 pub mod words;
 
+/// A checksum over the sources that this program is built from: the same text has the same one on every machine.
+pub const SOURCES: &str = env!("FALLGAP_SOURCES");
+/// What the program says of itself.
+pub const VERSION: &str = concat!(env!("CARGO_PKG_VERSION"), " (sources ", env!("FALLGAP_SOURCES"), ")");
+
 /// The thing asked about is not in order; called or configured wrongly; no answer; a defect.
 pub const NOT_IN_ORDER: u8 = 1;
 pub const WRONG_CALL: u8 = 2;
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -1,7 +1,7 @@
 //! `gateway`: fallgap's gateway. `serve` runs one supervisor; the rest is for whoever operates it.
 
 use clap::{Parser, Subcommand};
-use fallgap_gateway::{DEFECT, WRONG_CALL, ask, asked, counter, start};
+use fallgap_gateway::{DEFECT, VERSION, WRONG_CALL, ask, asked, counter, start};
 use std::net::SocketAddrV4;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -9,7 +9,7 @@
 #[derive(Parser)]
 #[command(
     name = "gateway",
-    version,
+    version = VERSION,
     about = "fallgap's gateway: supervisors that carry requests, and their control state"
 )]
 struct Asked {
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -187,7 +187,7 @@
     let (desk, inbox) = Desk::new(wake);
     serve_calls(&settings, desk, &ready)?;
     let kind = if disk.is_some() { "with a disk" } else { "without a disk" };
-    tracing::info!("gateway: {} starts at {me}, {kind}", settings.node);
+    tracing::info!("gateway: {} starts at {me}, {kind}, version {}", settings.node, crate::VERSION);
     let mut engine = Engine {
         me,
         clock,
--- a/crates/gateway/tests/prompt.rs
+++ b/crates/gateway/tests/prompt.rs
@@ -15,6 +15,23 @@
     (run.status.code().unwrap(), text(run.stdout), text(run.stderr))
 }
 
+/// Guards against an older program that is run in place of the one that was just built: both say which sources they are of.
+#[test]
+fn a_process_logs_the_sources_that_its_program_names() {
+    let (code, version, _) = gateway(&["--version"]);
+    assert_eq!(code, 0);
+    let version = version.trim().strip_prefix("gateway ").expect("its own name");
+    let sources = version.split_once("(sources ").and_then(|(_, rest)| rest.strip_suffix(')'));
+    let digits = |text: &str| text.len() == 16 && text.chars().all(|c| c.is_ascii_hexdigit());
+    assert!(sources.is_some_and(digits), "{version}");
+    let fleet = fleet();
+    for machine in &fleet.machines {
+        until("it logs its version", || {
+            std::fs::read_to_string(machine.log()).ok().filter(|log| log.contains(version))
+        });
+    }
+}
+
 fn at(machine: &Supervisor) -> String {
     machine.control().to_string()
 }
