--- a/crates/control-state/tests/subjects.rs
+++ b/crates/control-state/tests/subjects.rs
@@ -1,55 +1,14 @@
-//! Tables of calls, each judged on what the one before it left; drawn callers and watchers of a group.
+//! Tables of calls, each judged on what the one before it left.
 
-use std::collections::BTreeMap;
-use std::time::Duration;
+#[allow(dead_code)]
+mod register;
 
 use fallgap_control_state::subjects::{
     Limits, Memory, News, PastValues, Verdict, config_body, config_edition, events_after, judge, revision,
     server_ends_after,
 };
-use fallgap_control_state::{Answer, Call, Event};
-
-/// A register of its own, and when its value was written.
-struct Register {
-    held: Option<Vec<u8>>,
-    written: Duration,
-    memory: Memory,
-}
-
-impl Register {
-    fn with(limits: Limits) -> Register {
-        Register { held: None, written: Duration::ZERO, memory: Memory::with(limits) }
-    }
-
-    fn new() -> Register {
-        Register::with(Limits::default())
-    }
-
-    /// The answer, and whether a value was written.
-    fn call(&mut self, now: Duration, call: &Call) -> (Answer, bool) {
-        match judge(call, self.held.as_deref(), now - self.written, &mut self.memory, now) {
-            Verdict::Answer(answer) => (answer, false),
-            Verdict::Write { value, answer } => {
-                self.held = Some(value);
-                self.written = now;
-                (answer, true)
-            }
-        }
-    }
-}
-
-/// What a watch is told of a group that has all values itself.
-fn told_after(held: Option<&[u8]>, after: u64) -> Option<Answer> {
-    match events_after(held, after, &PastValues::default()) {
-        News::Told(answer) => Some(answer),
-        News::Nothing => None,
-        News::Lacking(revisions) => panic!("values are lacking: {revisions:?}"),
-    }
-}
-
-fn ms(ms: u64) -> Duration {
-    Duration::from_millis(ms)
-}
+use fallgap_control_state::{Answer, Call};
+use register::{Register, event, get, ms, put, told_after};
 
 fn start(holder: &str, hold: u64) -> Call {
     Call::LockStart { name: "l".into(), holder: holder.into(), hold: ms(hold) }
@@ -63,14 +22,6 @@
     Call::LockEnd { name: "l".into(), holder: holder.into(), fence }
 }
 
-fn put(name: &str, value: &str, on: Option<u64>) -> Call {
-    Call::CellPut { name: name.into(), value: value.into(), on }
-}
-
-fn get(name: &str) -> Call {
-    Call::CellGet { name: name.into() }
-}
-
 fn watch(after: u64) -> Call {
     Call::Watch { group: "g.".into(), after, wait: ms(1000) }
 }
@@ -193,10 +144,6 @@
     );
 }
 
-fn event(name: &str, value: &str, revision: u64) -> Event {
-    Event { name: name.into(), value: value.into(), revision }
-}
-
 #[test]
 fn cells_and_their_watch() {
     use Answer::{Cell, Conflict, Events, Missing, Revision};
@@ -381,211 +328,3 @@
         }
     }
 }
-
-/// What there is after a put: the group's value, what a member keeps beside it, all puts, and the place of one of the last 20 s.
-struct Seen<'a> {
-    held: &'a [u8],
-    past: &'a PastValues,
-    puts: &'a [Event],
-    earlier: usize,
-    now: Duration,
-}
-
-/// 80 puts a second on five keys of one group, of all sizes that are taken. `see` looks after each put, with the memory to judge by.
-fn drawn_puts(seed: u64, mut see: impl FnMut(&Seen, &mut Memory)) {
-    let history = ms(20_000);
-    let mut rng = fastrand::Rng::with_seed(seed);
-    let (mut held, mut memory) = (None::<Vec<u8>>, Memory::new(history));
-    let (mut times, mut puts, mut past) =
-        (Vec::<Duration>::new(), Vec::<Event>::new(), PastValues::default());
-    for step in 0..2000u64 {
-        let now = ms(step * 1000 / 80);
-        let name = format!("g.{}", rng.u8(..5));
-        let value = format!("{step:0>length$}", length = rng.usize(16..=memory.limits.value_bytes));
-        match judge(&put(&name, &value, None), held.as_deref(), ms(0), &mut memory, now) {
-            Verdict::Write { value: group, answer: Answer::Revision(given) } => {
-                times.push(now);
-                puts.push(event(&name, &value, given));
-                past.replaced("g.", held.as_deref(), &group);
-                held = Some(group);
-            }
-            _ => panic!("seed {seed}: a put is not taken"),
-        }
-        let recent = times.partition_point(|at| *at + history <= now)..times.len();
-        if let (Some(held), Some(earlier)) = (&held, rng.choice(recent)) {
-            see(&Seen { held, past: &past, puts: &puts, earlier, now }, &mut memory);
-        }
-    }
-}
-
-/// Guards against a put that is written twice: whatever was written meanwhile, and of whatever size, a put that comes
-/// again within the time gets its first revision.
-#[test]
-fn a_put_is_known_again_whatever_the_size_of_those_behind_it() {
-    for seed in 0..10 {
-        drawn_puts(seed, |seen, memory| {
-            let (held, earlier, now) = (seen.held, &seen.puts[seen.earlier], seen.now);
-            assert!(held.len() <= memory.limits.group_bytes, "seed {seed}: {} bytes", held.len());
-            let again = put(&earlier.name, &earlier.value, None);
-            let told = match judge(&again, Some(held), ms(0), memory, now) {
-                Verdict::Answer(Answer::Revision(told)) => told,
-                _ => panic!("seed {seed}: a put that comes again is not known"),
-            };
-            assert_eq!(told, earlier.revision, "seed {seed}");
-        });
-    }
-}
-
-/// Guards against a watch that is told too early that puts are forgotten: from a revision of the last 20 s it gets its
-/// events, all of them. What is kept for that stays below the bound of a group at which puts are refused.
-#[test]
-fn a_watch_gets_its_events_whatever_the_size_of_the_puts() {
-    for seed in 0..10 {
-        drawn_puts(seed, |seen, _| {
-            let earlier = seen.puts[seen.earlier].revision;
-            let later = &seen.puts[seen.earlier + 1..];
-            match events_after(Some(seen.held), earlier, seen.past) {
-                News::Told(Answer::Events { events, .. }) => {
-                    assert!(events == later, "seed {seed}: other events at {:?}", seen.now);
-                }
-                News::Nothing => assert!(later.is_empty(), "seed {seed}: no events at {:?}", seen.now),
-                News::Told(_) => panic!("seed {seed}: expired at {:?}", seen.now),
-                News::Lacking(_) => panic!("seed {seed}: values are lacking at {:?}", seen.now),
-            }
-            assert!(seen.past.bytes() < fallgap_control_state::Terms::default().past);
-        });
-    }
-}
-
-/// Callers put, again and again, at stewards that change and forget; watchers come back within the history. No
-/// revision is given twice, none is skipped, nobody is told too early that puts are forgotten.
-#[test]
-fn drawn_puts_and_watchers() {
-    let history = 20_000;
-    for seed in 0..30 {
-        let mut rng = fastrand::Rng::with_seed(seed);
-        let fresh = || Memory::new(ms(history));
-        let mut stewards = [fresh(), fresh(), fresh()];
-        let mut held: Option<Vec<u8>> = None;
-        let mut first: BTreeMap<(String, String), u64> = BTreeMap::new();
-        let mut puts: Vec<Event> = Vec::new();
-        let mut times: Vec<u64> = Vec::new();
-        // (revision, when it was given)
-        let mut watchers = [(0, 0); 4];
-        let mut now = 0;
-        let mut most = 0;
-        for step in 0..700u64 {
-            now += rng.u64(..if seed % 4 == 0 { 2000 } else { 150 });
-            let steward = rng.usize(..3);
-            if rng.u8(..) == 0 {
-                stewards[steward] = fresh();
-            }
-            let memory = &mut stewards[steward];
-            let name = format!("g.{}", rng.u8(..6));
-            let call = match rng.u8(..4) {
-                0 => {
-                    // Callers repeat a put for some seconds.
-                    let recent = puts.iter().zip(&times).rev().take(rng.usize(1..20));
-                    let recent = recent.take_while(|(_, at)| **at + history > now).last().map(|(e, _)| e);
-                    recent.map_or(get(&name), |e| put(&e.name, &e.value, rng.bool().then_some(3)))
-                }
-                1 => get(&name),
-                _ => put(&name, &format!("v{step}"), None),
-            };
-            let before = revision(held.as_deref());
-            match judge(&call, held.as_deref(), ms(0), memory, ms(now)) {
-                Verdict::Write { value, answer } => {
-                    let Call::CellPut { name, value: put, .. } = call else { panic!("{call:?} writes") };
-                    assert_eq!(answer, Answer::Revision(before + 1));
-                    most = most.max(value.len());
-                    held = Some(value);
-                    puts.push(event(&name, &put, before + 1));
-                    times.push(now);
-                    let known = first.insert((name, put), before + 1);
-                    assert_eq!(known, None, "seed {seed}: a value under two revisions");
-                }
-                Verdict::Answer(Answer::Revision(again)) => {
-                    let Call::CellPut { name, value, .. } = call else { panic!("{call:?}") };
-                    assert_eq!(first.get(&(name, value)), Some(&again));
-                }
-                Verdict::Answer(Answer::Cell { value, revision }) => {
-                    let last = puts.iter().rev().find(|e| e.name == name);
-                    assert_eq!(last, Some(&event(&name, &value, revision)));
-                }
-                Verdict::Answer(answer) => assert_eq!(answer, Answer::Missing),
-            }
-            let watcher = rng.choice(&mut watchers).unwrap();
-            if now - watcher.1 >= history {
-                *watcher = (0, now);
-            }
-            match told_after(held.as_deref(), watcher.0) {
-                Some(Answer::Events { events, revision }) => {
-                    let from = if watcher.0 == 0 { revision } else { watcher.0 };
-                    assert_eq!(events, puts[from as usize - 1..revision as usize - 1], "seed {seed}");
-                    *watcher = (revision, now);
-                }
-                Some(answer) => panic!("seed {seed}: {answer:?} for {} of {} at {now}", watcher.0, watcher.1),
-                None => assert_eq!(watcher.0, revision(held.as_deref())),
-            }
-        }
-        assert!(most < 20_000, "seed {seed}: a group grew to {most} bytes");
-    }
-}
-
-fn ends(server: &str) -> Call {
-    Call::ServerEnd { server: server.into() }
-}
-
-fn ended(register: &Register, known: u64) -> Vec<String> {
-    let held = register.held.as_deref().unwrap_or_default();
-    let ends = server_ends_after(held, known).expect("ends");
-    ends.ended.into_iter().map(|(_, server)| server).collect()
-}
-
-/// Guards against an end that is forgotten while a beat of before may still come: age alone ends it, by what the process that
-/// judges has seen, and what does not fit is refused.
-#[test]
-fn an_end_is_kept_until_it_is_old_and_none_is_forgotten_early() {
-    let limits = Limits { ends: 3, ..Limits::default() };
-    let keep = 60_000;
-    let mut register = Register::with(limits);
-    // When a server ends, what is said, whether it is written, and which ends are kept then.
-    type Row<'a> = (u64, &'a str, (Answer, bool), &'a [&'a str]);
-    let rows: [Row; 8] = [
-        (0, "a", (Answer::Done, true), &["a"]),
-        (1_000, "b", (Answer::Done, true), &["a", "b"]),
-        // Known already, so nothing is written.
-        (2_000, "a", (Answer::Done, false), &["a", "b"]),
-        (3_000, "c", (Answer::Done, true), &["a", "b", "c"]),
-        (4_000, "d", (Answer::Busy, false), &["a", "b", "c"]),
-        // First seen by a call that came a second later, so it is kept for a second more.
-        (keep + 999, "d", (Answer::Busy, false), &["a", "b", "c"]),
-        (keep + 1_000, "d", (Answer::Done, true), &["b", "c", "d"]),
-        (2 * keep + 10_000, "a", (Answer::Done, true), &["d", "a"]),
-    ];
-    for (at, server, said, kept) in rows {
-        assert_eq!(register.call(ms(at), &ends(server)), said, "{server} at {at} ms");
-        assert_eq!(ended(&register, 0), kept, "{server} at {at} ms");
-    }
-    // A process that has just started has seen nothing: it forgets nothing.
-    register.memory = Memory::with(limits);
-    assert_eq!(register.call(ms(9 * keep), &ends("e")), (Answer::Done, true));
-    assert_eq!(ended(&register, 0), ["d", "a", "e"]);
-    // Who knows some is told of the others, and below which number none is left.
-    let all = server_ends_after(register.held.as_deref().unwrap(), 0).unwrap();
-    assert_eq!(ended(&register, all.ended[1].0), ["e"]);
-    assert_eq!(all.least, all.ended[0].0);
-    assert_eq!(register.call(ms(9 * keep), &Call::ServerEndsGet), (Answer::Done, false));
-}
-
-/// As many ends as a fleet of 8,000 servers that starts anew twice within the time has room in its register.
-#[test]
-fn the_ends_of_a_whole_fleet_fit_twice() {
-    let mut register = Register::new();
-    for server in 0..16_000u32 {
-        // Ids as the users' servers have them.
-        let server = format!("i-{:08x}", server.wrapping_mul(0x9e37_79b9));
-        assert_eq!(register.call(ms(1), &ends(&server)), (Answer::Done, true));
-    }
-    assert!(register.held.is_some_and(|held| held.len() <= Limits::default().ends_bytes));
-}
--- a/crates/registry/tests/world/mod.rs
+++ b/crates/registry/tests/world/mod.rs
@@ -16,6 +16,12 @@
 
 pub const MS: Duration = Duration::from_millis(1);
 
+/// The lives of a few servers, as a registry knows them.
+pub fn states(registry: &Registry) -> String {
+    let state = |id: &&str| registry.life(id).map(|life| format!("{id} {:?}", life.state));
+    ["a", "b", "c"].iter().filter_map(state).collect::<Vec<_>>().join(", ")
+}
+
 pub fn node(i: usize) -> NodeId {
     NodeId::new(10, 0, (i / 250) as u8, (i % 250) as u8 + 1)
 }
