Proxy: an answer that is longer than may be passed on has an error of its own

Operators could not tell large contents from garbled ones. Now such an answer is counted by itself (fallgap_answers_too_long_total), and the trace says «answered with more than may be passed on; it ran». What is done about it is as before: a repeatable request goes to another server, as the length may be garbled.

Test: sockets.rs, what_became_of_an_op_is_told_afterwards, two rows (by Content-Length, by chunks): failed before with «broke-after».

--- a/crates/admin/src/tales.rs
+++ b/crates/admin/src/tales.rs
@@ -150,6 +150,7 @@
             "silent" => format!("{server} said nothing for {}", ms(one.took_us)),
             "failed" => format!("{server} answered with a failure of its own"),
             "broke-before" => format!("the connection to {server} broke before a byte had left"),
+            "answer-too-long" => format!("{server} answered with more than may be passed on; it ran"),
             "broke-after" => format!("{server} broke off or sent what is no answer; it may have run"),
             _ => format!("{server} was not waited for any longer"),
         }
--- a/crates/admin/tests/printed.rs
+++ b/crates/admin/tests/printed.rs
@@ -311,6 +311,7 @@
         tale("connects", 503, &["unreached", "unreached", "unreached"]),
         tale("once", 502, &["broke-after"]),
         tale("time", 504, &["silent", "left"]),
+        tale("once", 502, &["answer-too-long"]),
         tale("broke-off", 200, &["broke-after"]),
         tale("abandoned", 0, &["left"]),
         tale("unheard", 200, &["answered"]),
--- a/crates/gateway/tests/figures.rs
+++ b/crates/gateway/tests/figures.rs
@@ -36,6 +36,7 @@
     let wanted = [
         ("requests_total", 2.0),
         ("answers_passed_total", 1.0),
+        ("answers_too_long_total", 0.0),
         ("requests_no_route_total", 1.0),
         ("clients_closed_early_total", 0.0),
         ("edition", 7.0),
--- a/crates/proxy/src/lines.rs
+++ b/crates/proxy/src/lines.rs
@@ -32,6 +32,8 @@
     Answer { fit: bool },
     /// It broke, or what came is no answer.
     Broken,
+    /// It is longer than may be passed on.
+    TooLong,
 }
 
 impl Quay {
@@ -275,6 +277,10 @@
                 let answer = line.reader.take();
                 self.answered(now, key, at, answer, fit);
             }
+            Heard::TooLong => {
+                self.counters.too_long += 1;
+                self.try_ended(now, at, TryOutcome::Unknown, Ended::TooLong, None);
+            }
             Heard::Broken => {
                 self.counters.void += 1;
                 // What ended before a byte had left has not run.
@@ -351,6 +357,7 @@
             Ok(Progress::More) if !full && !closed => return Heard::More { foreign, spent: false },
             Ok(Progress::More) if read >= TURN_BYTES => return Heard::More { foreign, spent: true },
             Ok(Progress::More) => {}
+            Err(fault) if fault.is_length() => return Heard::TooLong,
             Err(_) => return Heard::Broken,
         }
     }
--- a/crates/proxy/src/quay.rs
+++ b/crates/proxy/src/quay.rs
@@ -60,6 +60,8 @@
     /// Refusals by servers that say so, and answers that proved nothing.
     pub sheds: u64,
     pub void: u64,
+    /// Answers of servers that were longer than may be passed on.
+    pub too_long: u64,
     /// Connections to servers that were opened, and those that never came up.
     pub lines: u64,
     pub unreached: u64,
--- a/crates/proxy/tests/sockets.rs
+++ b/crates/proxy/tests/sockets.rs
@@ -325,8 +325,16 @@
     let sheds = |got: &Got| Does::Sends(status(got, 503, "X-Not-Run: 1\r\n"));
     let fails = |got: &Got| Does::Sends(status(got, 500, ""));
     let hangs = |_: &Got| Does::Hangs;
+    // Its content is as long as it says, or its chunks go on beyond the bound.
+    let tells_long = |got: &Got| Does::Sends(ok(got, "").replace("Length: 0", "Length: 16777217"));
+    let sends_long = |got: &Got| {
+        let head = ok(got, "").replace("Content-Length: 0", "Transfer-Encoding: chunked");
+        Does::Sends(head + &format!("100000\r\n{}\r\n", "z".repeat(1 << 20)).repeat(17))
+    };
     type Row = (&'static str, fn(&Got) -> Does, u16, &'static str, &'static [&'static str]);
-    let rows: [Row; 5] = [
+    let rows: [Row; 7] = [
+        ("/safe/x", tells_long, 502, "attempts", &["answer-too-long", "answer-too-long"]),
+        ("/fragile/x", sends_long, 502, "once", &["answer-too-long"]),
         ("/safe/x", sheds, 503, "attempts", &["turned-away", "turned-away"]),
         ("/safe/x", fails, 500, "attempts", &["failed", "failed"]),
         ("/fragile/x", fails, 500, "once", &["failed"]),
--- a/crates/routing/src/answer.rs
+++ b/crates/routing/src/answer.rs
@@ -25,6 +25,13 @@
     Chunks(#[from] ChunkFault),
 }
 
+impl AnswerFault {
+    /// The answer may be sound, and is longer than may be held of one.
+    pub fn is_length(&self) -> bool {
+        matches!(self, AnswerFault::TooLong | AnswerFault::Chunks(ChunkFault::TooLong))
+    }
+}
+
 /// A whole answer.
 #[derive(Debug, Default)]
 pub struct Answer {
--- a/crates/routing/src/fleet.rs
+++ b/crates/routing/src/fleet.rs
@@ -316,7 +316,7 @@
         server.at_work = server.at_work.saturating_sub(1);
         let event = match how {
             Ended::Good(_) | Ended::Shed => HealthEvent::Answered,
-            Ended::Failed | Ended::Silent(_) => HealthEvent::Failed,
+            Ended::Failed | Ended::TooLong | Ended::Silent(_) => HealthEvent::Failed,
             Ended::Unreached | Ended::Hung => HealthEvent::Unreached,
             Ended::Other => HealthEvent::Other,
             Ended::Void => HealthEvent::Void,
@@ -338,7 +338,8 @@
             Ended::Silent(_) | Ended::Hung if own => (false, false),
             // A slow answer that was not waited for speaks against nobody.
             Ended::Silent(waited) if usual == 0.0 || waited.as_secs_f64() < usual * SILENT => (false, false),
-            Ended::Failed | Ended::Silent(_) | Ended::Unreached | Ended::Hung | Ended::Other => (true, true),
+            Ended::Failed | Ended::TooLong | Ended::Silent(_) => (true, true),
+            Ended::Unreached | Ended::Hung | Ended::Other => (true, true),
         };
         if counts {
             server.kinds[Kind::from(class) as usize].run(failed);
@@ -362,8 +363,8 @@
                     service.gate.shed();
                 }
             }
-            Ended::Failed | Ended::Silent(_) | Ended::Unreached | Ended::Hung => {}
-            Ended::Other | Ended::Void => {}
+            Ended::Failed | Ended::TooLong | Ended::Silent(_) => {}
+            Ended::Unreached | Ended::Hung | Ended::Other | Ended::Void => {}
         }
     }
 
--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -30,6 +30,8 @@
     Shed,
     /// A failure of its own, a break, bytes that are no answer.
     Failed,
+    /// Its answer is longer than may be passed on.
+    TooLong,
     /// It was silent up to the end, for so long.
     Silent(Duration),
     /// It takes no connections.
--- a/crates/routing/src/why.rs
+++ b/crates/routing/src/why.rs
@@ -91,6 +91,7 @@
         (_, Ended::Silent(_)) => "silent",
         (_, Ended::Unreached | Ended::Hung) => "unreached",
         (_, Ended::Other) => "other-server",
+        (_, Ended::TooLong) => "answer-too-long",
         (TryOutcome::Answered, _) => "answered",
         (TryOutcome::NotRun, _) => "turned-away",
         (TryOutcome::Failed, _) => "failed",
