Logic that stood twice: the pace of a log line, the calls at a desk, promises found by a majority

Leavers kept a time and a period of its own beside LinePace; all calls at a desk were chained by hand in three places beside entries_mut; decide wrote out what Found::ready does.

--- a/crates/control-state/src/desk.rs
+++ b/crates/control-state/src/desk.rs
@@ -156,13 +156,18 @@
     }
 
     /// All calls at this desk.
+    pub fn entries(&self) -> impl Iterator<Item = &Entry> {
+        self.batch.iter().chain(&self.waiting)
+    }
+
+    /// The same, to be changed.
     pub fn entries_mut(&mut self) -> impl Iterator<Item = &mut Entry> {
         self.batch.iter_mut().chain(&mut self.waiting)
     }
 
     /// Bytes of the calls that are carried out though nobody waits for them.
     pub fn gone_bytes(&self) -> usize {
-        let gone = self.batch.iter().chain(&self.waiting).filter(|entry| entry.is_gone());
+        let gone = self.entries().filter(|entry| entry.is_gone());
         gone.map(|entry| entry.call.bytes()).sum()
     }
 
@@ -212,7 +217,7 @@
             Stage::Accepting(push) => Some(soonest(push.resend, push.troubled.map(|at| at + contest))),
             Stage::Pausing { until } => Some(*until),
         };
-        let calls = self.batch.iter().chain(&self.waiting).map(|entry| entry.until).min();
+        let calls = self.entries().map(|entry| entry.until).min();
         match (stage, calls) {
             (Some(stage), Some(calls)) => Some(stage.min(calls)),
             (stage, calls) => stage.or(calls),
--- a/crates/control-state/src/desks.rs
+++ b/crates/control-state/src/desks.rs
@@ -65,7 +65,7 @@
 
     /// Nobody waits for these calls any more. Those that may be carried out all the same go on; the others are given up.
     fn end(&mut self, now: Duration, desk: &mut Desk, over: impl Fn(&Entry) -> bool) {
-        if !desk.batch.iter().chain(&desk.waiting).any(&over) {
+        if !desk.entries().any(&over) {
             return;
         }
         let mut room = self.terms.gone_bytes.saturating_sub(desk.gone_bytes());
--- a/crates/control-state/src/rounds.rs
+++ b/crates/control-state/src/rounds.rs
@@ -258,9 +258,10 @@
         let mends = desk.batch.iter().any(Entry::mends);
         let tainted = mends || desk.batch.iter().any(|entry| entry.sent);
         if judged.written.is_none() && found.committed && !tainted {
-            self.learn_known(now, key, found.base.as_ref());
-            desk.ready = Some(Ready { next: ballot, base: found.base.clone(), is_committed: true });
-            return self.finish(now, key, desk, judged.answers, found.base.as_ref());
+            let base = found.base.clone();
+            self.learn_known(now, key, base.as_ref());
+            desk.ready = Some(found.ready(ballot));
+            return self.finish(now, key, desk, judged.answers, base.as_ref());
         }
         self.tell_held(desk, &mut judged);
         if desk.batch.is_empty() {
--- a/crates/gateway/src/leavers.rs
+++ b/crates/gateway/src/leavers.rs
@@ -1,15 +1,13 @@
-//! A line of the log about clients that left before their answer, at most one each [`PERIOD`].
+//! A line of the log about clients that left before their answer.
 
+use crate::line_pace::LinePace;
 use fallgap_proxy::Counters;
 use std::time::Duration;
 
-/// How often a line may be written.
-const PERIOD: Duration = Duration::from_secs(5);
-
 /// What was last written of clients that left.
 #[derive(Debug, Default)]
 pub struct Leavers {
-    next: Duration,
+    pace: LinePace,
     told: Told,
 }
 
@@ -25,11 +23,10 @@
     pub fn line(&mut self, now: Duration, counters: &Counters) -> Option<String> {
         let seen =
             Told { closed: counters.closed_early, broken: counters.abandoned, unheard: counters.unheard };
-        if now < self.next || seen == self.told {
+        if seen == self.told || !self.pace.may_tell(now) {
             return None;
         }
         let told = std::mem::replace(&mut self.told, seen);
-        self.next = now + PERIOD;
         Some(format!(
             "quay: clients left before their answer: {} closed, {} broke; {} answers came for nobody",
             seen.closed - told.closed,
