Gateway: figures and log tell who is behind, and by what it was counted as there

A follower asks its home every 0.4 s what the home knows (a lease on its view): the answer names the question, so that freshness is counted from when the follower asked, by its own clock, and not from when a word arrived. A view's age is a figure (view_age_seconds), as are requests that came while it was overdue (requests_behind), editions acknowledged without a follower's word (editions_acknowledged_early) and ends of servers told to nobody (ends_told_unheard); the line of a rollout names the supervisors that it did not wait for.

The registry's test world has links whose words take their place on the receiver's link as they come, nodes with slower links, and signs of life.

--- a/crates/gateway/examples/hollow/node.rs
+++ b/crates/gateway/examples/hollow/node.rs
@@ -376,6 +376,7 @@
                     let (to, word) = match out {
                         FollowerOut::Join(to, said) => (to, RosterWord::join(&said)),
                         FollowerOut::Say(to, said) => (to, RosterWord::said(&said)),
+                        FollowerOut::WantLease(home, question) => (home, RosterWord::LeaseWanted(question)),
                         FollowerOut::Leave(home) => (home, RosterWord::Leave),
                         FollowerOut::NewView(view) => {
                             self.edition = view.configuration.edition;
--- a/crates/gateway/examples/office_cost.rs
+++ b/crates/gateway/examples/office_cost.rs
@@ -3,7 +3,7 @@
 //! supervisors as processes, three with a disk, one change after the other.
 
 use fallgap_config::{Allowance, Configuration, Licence, Licences, Routing, read_configuration};
-use fallgap_routing::Lease;
+use fallgap_routing::{Lease, ViewTimes};
 use fallgap_tenants::{Carried, Ledger, Maker, plan, read_change, read_order};
 use fallgap_test_support::gateway::{Client, Landing, Supervisor};
 use std::error::Error;
@@ -164,7 +164,7 @@
     let licences = (offices > 0).then(|| Arc::new(licences));
     let routing = Routing::new(Arc::new(Configuration { licences, ..read }));
     let mut lease = Lease::default();
-    lease.confirmed(Some(Duration::ZERO));
+    lease.view_times(ViewTimes { confirmed: Some(Duration::ZERO), ..ViewTimes::default() });
     let paths: Vec<String> = (0..1000).map(|at| format!("/o/{at}/records")).collect();
     let since = Instant::now();
     for at in 0..LOOKS {
--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -10,7 +10,9 @@
 use fallgap_control_state::{Answer, Call, Key, Out as KeeperOut, subjects};
 use fallgap_health::{KINDS, LightWord, Out as LightOut, Verdict};
 use fallgap_membership::{Out as BeaconOut, State};
-use fallgap_registry::{FollowerOut, Out as RosterOut, Outcome, RosterWord, ServerReport, Told as TableTold};
+use fallgap_registry::{
+    FollowerOut, Knows, LeaseQuestion, Out as RosterOut, Outcome, RosterWord, ServerReport, Told as TableTold,
+};
 use fallgap_routing::Place;
 use fallgap_tenants::Ledger;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
@@ -153,6 +155,7 @@
                     RosterOut::Holders { to, id, holders, age } => {
                         self.say(now, to, Word::Roster(RosterWord::Holders { id, holders, age }));
                     }
+                    RosterOut::Lease { to, question, knows } => self.answer_lease(now, to, question, knows),
                     RosterOut::Tell(to, told) => self.tell(now, to, &told),
                     RosterOut::Unfit(to) => self.say(now, to, Word::Roster(RosterWord::Unfit)),
                     RosterOut::Fit(to) => self.say(now, to, Word::Roster(RosterWord::Fit)),
@@ -169,6 +172,9 @@
             match out {
                 FollowerOut::Join(to, said) => self.say(now, to, Word::Roster(RosterWord::join(&said))),
                 FollowerOut::Say(to, said) => self.say(now, to, Word::Roster(RosterWord::said(&said))),
+                FollowerOut::WantLease(home, question) => {
+                    self.say(now, home, Word::Roster(RosterWord::LeaseWanted(question)));
+                }
                 FollowerOut::Leave(home) => self.say(now, home, Word::Roster(RosterWord::Leave)),
                 FollowerOut::NewView(view) => {
                     self.history.took(now, &view.configuration, crate::desk::wall_ms);
@@ -201,6 +207,14 @@
         any
     }
 
+    /// A follower is told what this home knows, and how old that knowledge is.
+    fn answer_lease(&mut self, now: Duration, to: Ipv4Addr, question: LeaseQuestion, knows: Knows) {
+        if let Some(since) = self.keeper.read_since() {
+            let read_age = now.saturating_sub(since);
+            self.say(now, to, Word::Roster(RosterWord::Lease { question, knows, read_age }));
+        }
+    }
+
     /// Questions to homes, and answers to operators.
     fn carry_rollouts(&mut self, now: Duration) -> bool {
         let words = self.rollouts.take();
@@ -210,9 +224,11 @@
             self.say(now, to, Word::Roster(word));
         }
         for (reply, edition, outcome) in over {
-            if let Outcome::Waited { missing } = outcome {
+            if let Outcome::Waited { missing } = &outcome {
+                self.acknowledged_early += 1;
                 tracing::info!(
-                    "rollout: edition {edition}, {missing} supervisors have not said that they hold it"
+                    "rollout: edition {edition} is acknowledged, {} have not said that they hold it",
+                    named(missing)
                 );
             }
             let _ = reply.try_send(Told::RolledOut(outcome));
@@ -244,6 +260,7 @@
     /// A supervisor, perhaps this one, has said something.
     pub fn heard(&mut self, now: Duration, from: Ipv4Addr, word: Word) {
         if from != self.me {
+            self.follower.met(now);
             self.beacon.met(now, from);
         }
         match word {
@@ -298,6 +315,9 @@
             }
             RosterWord::Unfit => return self.follower.unfit(now, from),
             RosterWord::Fit => return self.follower.fit(now, from),
+            RosterWord::Lease { question, knows, read_age } => {
+                return self.follower.lease_answered(now, from, question, knows, read_age);
+            }
             RosterWord::Holders { id, holders, age } => {
                 return self.rollouts.holders(now, id, &holders, age);
             }
@@ -337,6 +357,10 @@
                 hub.distribution.holders_wanted(now, from, id, edition);
                 false
             }
+            RosterWord::LeaseWanted(question) => {
+                hub.distribution.lease_wanted(from, question);
+                false
+            }
             RosterWord::Leave => {
                 self.links.drop_tables(from);
                 hub.distribution.left(from);
@@ -472,3 +496,13 @@
         )
     }
 }
+
+/// A few supervisors by name, and how many more there are.
+fn named(nodes: &[Ipv4Addr]) -> String {
+    const MOST: usize = 8;
+    let names: Vec<String> = nodes.iter().take(MOST).map(Ipv4Addr::to_string).collect();
+    match nodes.len().saturating_sub(MOST) {
+        0 => names.join(", "),
+        more => format!("{} and {more} more", names.join(", ")),
+    }
+}
--- a/crates/gateway/src/ends.rs
+++ b/crates/gateway/src/ends.rs
@@ -21,6 +21,7 @@
 #[derive(Default)]
 pub struct Ends {
     owed: Vec<Owed>,
+    told_unheard: u64,
 }
 
 impl Ends {
@@ -38,9 +39,15 @@
         let (due, later) = self.owed.drain(..).partition(is_due);
         self.owed = later;
         let due: Vec<Owed> = due;
+        self.told_unheard += due.iter().filter(|owed| !heard(&owed.server)).count() as u64;
         due.into_iter().map(|owed| (owed.to, owed.id)).collect()
     }
 
+    /// Words that were given though not all that follow had heard of the end.
+    pub fn told_unheard(&self) -> u64 {
+        self.told_unheard
+    }
+
     /// When to look again, whatever is heard.
     pub fn next_wake(&self) -> Option<Duration> {
         self.owed.iter().map(|owed| owed.until).min()
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -21,7 +21,7 @@
 use fallgap_control_state::{Answer, Keeper, Key, Peer as KeeperPeer};
 use fallgap_membership::{Beacon, State};
 use fallgap_proxy::{Peer, Quay};
-use fallgap_registry::{Follower, Patience, Rollouts, last_beat};
+use fallgap_registry::{Follower, Patience, Rollouts, ViewTimes, last_beat};
 use mio::net::UdpSocket;
 use mio::{Events, Poll};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -73,6 +73,8 @@
     pub late_beats: LinePace,
     pub spread: Spread,
     pub rollouts: Rollouts<SyncSender<Told>>,
+    /// Editions that were acknowledged though not all supervisors had said that they hold them.
+    pub acknowledged_early: u64,
     pub inbox: Receiver<Ask>,
     pub heard: Heard,
     pub ready: Arc<AtomicBool>,
@@ -135,8 +137,7 @@
             self.turns.begin(now);
             self.hold_up.turns(now, wait);
             // Before anything is routed: this process may have been frozen.
-            let confirmed = self.follower.age(now).map(|age| now.saturating_sub(age));
-            self.quay.iter_mut().for_each(|quay| quay.confirmed(confirmed));
+            self.see_to_view(now);
             for event in &events {
                 let token = event.token().0;
                 let activity = if token >= QUAY {
@@ -181,6 +182,14 @@
         }
     }
 
+    /// The proxy is told up to when its view is known to be complete.
+    fn see_to_view(&mut self, now: Duration) {
+        let ViewTimes { known, committed, is_reached } = self.follower.view_times(now);
+        let confirmed = self.follower.age(now).map(|age| now.saturating_sub(age));
+        let times = fallgap_routing::ViewTimes { confirmed, known, committed, is_reached };
+        self.quay.iter_mut().for_each(|quay| quay.view_times(times));
+    }
+
     /// Connections of clients and servers get their turn, behind what others have said meanwhile.
     fn see_to_connections(&mut self, now: Duration) {
         let Some(quay) = &mut self.quay else { return };
@@ -331,6 +340,7 @@
             let Some(bytes) = self.buffer.get(..length) else { continue };
             if let Ok(message) = postcard::from_bytes(bytes) {
                 self.links.met(now, self.poll.registry(), *from.ip());
+                self.follower.met(now);
                 self.beacon.heard(now, *from.ip(), message);
             }
         }
--- a/crates/gateway/src/figures.rs
+++ b/crates/gateway/src/figures.rs
@@ -53,6 +53,7 @@
             unreached,
             pressed,
             doubted,
+            behind,
             laden,
             abandoned,
             closed_early,
@@ -77,6 +78,7 @@
             ("server_connections_failed", unreached),
             ("requests_pressed", pressed),
             ("requests_doubted", doubted),
+            ("requests_behind", behind),
             ("requests_link_laden", laden),
             ("clients_broke_early", abandoned),
             ("clients_closed_early", closed_early),
@@ -114,6 +116,7 @@
             ("servers", view.map_or(0, |view| view.berths.len()) as f64),
             ("supervisors", self.beacon.here() as f64),
             ("table_age_seconds", self.follower.age(now).map_or(-1.0, |age| age.as_secs_f64())),
+            ("view_age_seconds", now.saturating_sub(self.follower.view_times(now).known).as_secs_f64()),
             ("has_home", yes(self.follower.home().is_some())),
             ("epoch", self.keeper.epoch() as f64),
             ("keeper", yes(self.keeper.is_member())),
@@ -125,7 +128,9 @@
         if let Some(hub) = &self.hub {
             figures.now("servers_ended", hub.registry.ends_known() as f64);
             figures.total("late_beats", hub.registry.late_beats());
+            figures.total("ends_told_unheard", hub.ends.told_unheard());
         }
+        figures.total("editions_acknowledged_early", self.acknowledged_early);
         figures.now("disk_wait_seconds", self.keeper.disk_wait(now).as_secs_f64());
         figures.now("majority_wait_seconds", self.keeper.majority_sync(now).as_secs_f64());
         figures.turns(&self.turns.longest());
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -215,6 +215,7 @@
         late_beats: LinePace::default(),
         spread: Spread::new(rng.u64(1..1 << 62)),
         rollouts: Rollouts::new(me, rng.u64(1..1 << 62), patience),
+        acknowledged_early: 0,
         lives: BTreeMap::new(),
         inbox,
         heard,
@@ -267,5 +268,17 @@
     terms.pilot.retry_slack = bounds.retry_slack;
     terms.pilot.retry_window = bounds.retry_window;
     terms.link_mbps = settings.resources.link_mbps;
+    terms.lease.behind = view_lease(bounds);
     terms
 }
+
+/// How long a view may be routed by that its home has not confirmed. What the home learned right behind the last confirmation
+/// may have been acknowledged at that moment, and binds after the shorter of the two times.
+fn view_lease(bounds: &fallgap_config::Bounds) -> Duration {
+    /// Clocks of two machines differ in rate by less than one in 16.
+    const RATE_MARGIN: u32 = 16;
+    /// From the decision on a request to its arrival at a server.
+    const ON_ITS_WAY: Duration = Duration::from_millis(50);
+    let shorter = bounds.config.min(bounds.drain);
+    (shorter - shorter / RATE_MARGIN).saturating_sub(ON_ITS_WAY)
+}
--- a/crates/proxy/examples/path_at_size/main.rs
+++ b/crates/proxy/examples/path_at_size/main.rs
@@ -11,6 +11,7 @@
 #[allow(unused_imports)]
 mod world;
 
+use fallgap_routing::ViewTimes;
 use sized::{SUPERVISORS, Size};
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader};
@@ -162,7 +163,10 @@
             quay.view(now, view);
             quay.verdicts(now, &verdicts);
             // Its homes confirm for as long as this is played.
-            quay.confirmed(Some(now + Duration::from_secs(600)));
+            quay.view_times(ViewTimes {
+                confirmed: Some(now + Duration::from_secs(600)),
+                ..ViewTimes::default()
+            });
         });
         play(&world, port, rate, size);
     }
--- a/crates/proxy/src/ops.rs
+++ b/crates/proxy/src/ops.rs
@@ -53,6 +53,7 @@
             Ahead::Closed => return self.asked_for_nobody(now, key, began, &request),
             Ahead::Broken => return,
         }
+        self.counters.behind += u64::from(self.lease.is_behind(now));
         let head = &request.head;
         // Before the first view no route is known to be missing.
         let Some(routing) = &self.routing else {
--- a/crates/proxy/src/quay.rs
+++ b/crates/proxy/src/quay.rs
@@ -10,7 +10,7 @@
 use crate::timers::{ClientKey, LineKey, OpKey, Timers, Who};
 use fallgap_config::{Limits, Routing, View};
 use fallgap_health::Verdict;
-use fallgap_routing::{Draught, Ends, Fleet, Lease, Place, Report, ServerKey, ServiceKey};
+use fallgap_routing::{Draught, Ends, Fleet, Lease, Place, Report, ServerKey, ServiceKey, ViewTimes};
 use mio::event::Event;
 use mio::net::TcpListener;
 use mio::{Interest, Registry, Token};
@@ -69,6 +69,8 @@
     pub pressed: u64,
     /// Refused as their route may have changed meanwhile.
     pub doubted: u64,
+    /// Came while the view lacked for too long what its home knows.
+    pub behind: u64,
     /// Sent elsewhere, as the own link is laden.
     pub laden: u64,
     /// Clients whose connection broke before their answer, and those that closed it in order.
@@ -162,7 +164,7 @@
             draught: Draught::new(terms.link_mbps, terms.pilot.laden_part),
             fleet: Fleet::new(zone, terms.pilot, rng.u64(..)),
             routing: None,
-            lease: Lease::default(),
+            lease: Lease::new(terms.lease),
             limits,
             last_priority: 0,
             timers: Timers::default(),
@@ -261,10 +263,10 @@
         }
     }
 
-    /// When a home last confirmed the table that is routed by.
-    pub fn confirmed(&mut self, at: Option<Duration>) {
-        self.lease.confirmed(at);
-        self.logbook.confirmed(at);
+    /// Up to when the view that is routed by is known to be complete.
+    pub fn view_times(&mut self, times: ViewTimes) {
+        self.lease.view_times(times);
+        self.logbook.confirmed(times.confirmed);
     }
 
     /// A revision of the accounts is kept that touches these places. Tells whether it is routed by here.
--- a/crates/proxy/src/terms.rs
+++ b/crates/proxy/src/terms.rs
@@ -7,6 +7,8 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Terms {
     pub pilot: fallgap_routing::Terms,
+    /// How long a view may be routed by that its home has not confirmed.
+    pub lease: fallgap_routing::LeaseTerms,
     /// Connections of clients. Over it the one at rest for longest is closed for a new one; with none at rest, new
     /// ones wait in the kernel's queue.
     pub connections: usize,
@@ -57,6 +59,7 @@
         let ms = Duration::from_millis;
         Terms {
             pilot: fallgap_routing::Terms::default(),
+            lease: fallgap_routing::LeaseTerms::default(),
             connections: 2500,
             lines: 1000,
             memory: 48 << 20,
--- a/crates/proxy/tests/sockets.rs
+++ b/crates/proxy/tests/sockets.rs
@@ -2,6 +2,7 @@
 
 mod world;
 
+use fallgap_routing::ViewTimes;
 use fallgap_test_support::gateway::{Got, status};
 use world::*;
 
@@ -222,13 +223,14 @@
 fn with_an_unconfirmed_view_it_is_not_said_that_a_route_is_not_there() {
     let server = Server::start("i-1", |got| Does::Sends(ok(got, "bytes")));
     let world = World::with(&[&server]);
-    world.ask(|quay, _| quay.confirmed(None));
+    let confirmed = |at| ViewTimes { confirmed: at, ..ViewTimes::default() };
+    world.ask(move |quay, _| quay.view_times(confirmed(None)));
     let unknown = world.get("/nowhere/", "1");
     assert_eq!((unknown.status, unknown.line("retry-after").is_some()), (503, true));
     assert_eq!(world.get("/safe/", "2").status, 200);
     let tales = world.ask(|quay, now| quay.tales(now, Some("1"), 9));
     assert_eq!(tales.iter().map(|tale| tale.why.word()).collect::<Vec<_>>(), ["unconfirmed"]);
-    world.ask(|quay, now| quay.confirmed(Some(now)));
+    world.ask(move |quay, now| quay.view_times(confirmed(Some(now))));
     assert_eq!(world.get("/nowhere/", "3").status, 404);
 }
 
--- a/crates/proxy/tests/world/mod.rs
+++ b/crates/proxy/tests/world/mod.rs
@@ -3,6 +3,7 @@
 
 use fallgap_config::{Berth, Configuration, Limits, Route, RouteClass, Service, View};
 use fallgap_proxy::{Quay, Terms};
+use fallgap_routing::ViewTimes;
 pub use fallgap_test_support::gateway::{Client, Does, Reply, Server, get, ok};
 use mio::{Events, Poll, Token, Waker};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
@@ -85,7 +86,7 @@
             berths: servers.iter().map(|server| berth(server)).collect(),
         });
         self.ask(move |quay, now| {
-            quay.confirmed(Some(now + LONG));
+            quay.view_times(ViewTimes { confirmed: Some(now + LONG), ..ViewTimes::default() });
             quay.view(now, view);
         });
     }
--- a/crates/registry/src/distribution.rs
+++ b/crates/registry/src/distribution.rs
@@ -7,7 +7,7 @@
 use crate::fitness::Fit;
 use crate::holders::Holders;
 use crate::lives::State;
-use crate::messages::ServerReport;
+use crate::messages::{Knows, LeaseQuestion, ServerReport};
 use crate::packing::Line;
 use crate::registry::Registry;
 use crate::sending::{SHARED, Sending, receiver_of, table_of};
@@ -43,6 +43,12 @@
         holders: Vec<NodeId>,
         age: Option<Duration>,
     },
+    /// What this home knows, to a follower that asked.
+    Lease {
+        to: NodeId,
+        question: LeaseQuestion,
+        knows: Knows,
+    },
     /// For the log.
     Note(String),
 }
@@ -93,6 +99,8 @@
     /// Supervisors that prefer this home, and whether they have heard from it since it is fit.
     preferred_by: BTreeMap<NodeId, bool>,
     pub(crate) holders: Holders,
+    /// The version of the table that brought the newest notes.
+    notes_version: u64,
     pub(crate) out: Vec<Out>,
     rng: fastrand::Rng,
 }
@@ -144,6 +152,7 @@
             sent_away: BTreeMap::new(),
             preferred_by: BTreeMap::new(),
             holders: Holders::default(),
+            notes_version: 0,
             out: Vec::new(),
             rng,
         }
@@ -327,6 +336,21 @@
         self.fit
     }
 
+    /// Whether what it tells was at a majority since it last came into contact with one.
+    pub(crate) fn confirms(&self) -> bool {
+        self.fit && self.confirms
+    }
+
+    pub(crate) fn is_followed_by(&self, node: NodeId) -> bool {
+        self.followers.contains_key(&node)
+    }
+
+    /// What a follower has to hold so that nothing is missing.
+    pub(crate) fn knows(&self) -> Knows {
+        let ends = self.withdrawals.sequence();
+        Knows { epoch: self.tables.epoch(), version: self.notes_version, ends }
+    }
+
     /// Whether there is anything to build tables of.
     pub fn has_configuration(&self) -> bool {
         self.configuration.is_some()
@@ -456,7 +480,10 @@
         self.note_edition(now);
         match built {
             _ if self.tables.version(SHARED) == before => {}
-            Built::Configuration => self.feed.hastened(now, SHARED, &self.tables),
+            Built::Configuration => {
+                self.notes_version = self.tables.version(SHARED).map_or(0, |version| version.number);
+                self.feed.hastened(now, SHARED, &self.tables);
+            }
             Built::Lines => self.feed.sealed(now, SHARED, &self.tables),
         }
     }
--- a/crates/registry/src/follower.rs
+++ b/crates/registry/src/follower.rs
@@ -5,6 +5,8 @@
 use crate::NodeId;
 use crate::distribution::UNCONFIRMED;
 use crate::homes::{Choice, Homes};
+use crate::leases::{ViewLease, ViewTimes};
+use crate::messages::{Knows, LeaseQuestion};
 use crate::sending::table_of;
 use crate::terms::Terms;
 use crate::views::Views;
@@ -18,6 +20,8 @@
 pub enum FollowerOut {
     Join(NodeId, Said),
     Say(NodeId, Said),
+    /// A home is asked how current the view is.
+    WantLease(NodeId, LeaseQuestion),
     /// To a home that is followed no more.
     Leave(NodeId),
     NewView(Arc<View>),
@@ -88,6 +92,11 @@
     /// The first word of a home after nothing was confirmed for so long that ends of servers may have been missed.
     missed: Option<Duration>,
     say: Duration,
+    lease: ViewLease,
+    /// A home has had a word, and none since that it cannot be followed.
+    spoken: bool,
+    /// The last word of anybody.
+    met: Duration,
     retry: Option<Duration>,
     views: Views,
     out: Vec<FollowerOut>,
@@ -104,6 +113,7 @@
 impl Follower {
     /// `seed`: for when it goes back to the home that it prefers.
     pub fn start(now: Duration, seed: u64, me: NodeId, terms: Terms) -> Follower {
+        let mut rng = fastrand::Rng::with_seed(seed);
         Follower {
             me,
             receiver: receiver(me, &terms),
@@ -120,9 +130,12 @@
             confirmed: None,
             missed: None,
             say: now,
+            lease: ViewLease::start(now, rng.u64(..), terms.lease),
+            spoken: false,
+            met: now,
             retry: None,
             out: Vec::new(),
-            rng: fastrand::Rng::with_seed(seed),
+            rng,
         }
     }
 
@@ -139,6 +152,7 @@
     /// A word from a home. From another one than is followed only ends of servers are heard.
     pub fn told(&mut self, now: Duration, from: NodeId, told: Told) {
         self.hear_ends(now, &told);
+        self.spoken = true;
         if self.standing.home() != Some(from) && !self.comes_back(now, from) {
             // It goes on telling: the word that it was left has not come through.
             if matches!(told, Told::Whole(_) | Told::Delta(_)) {
@@ -194,6 +208,7 @@
             Some((_, held)) => held,
             None => receiver(self.me, &self.terms),
         };
+        self.lease.moves();
         self.of = Some(from);
         self.homes.welcome(from);
         self.standing = self.standing.after(Event::Back(from));
@@ -211,6 +226,7 @@
 
     /// A home says that it cannot be followed.
     pub fn unfit(&mut self, now: Duration, from: NodeId) {
+        self.spoken = false;
         self.silent.retain(|home| *home != from);
         if self.standing.home() == Some(from) {
             self.lose(now, "is unfit", self.terms.avoid.1);
@@ -258,6 +274,9 @@
                 if now >= self.say {
                     self.answer(now, home, false);
                 }
+                if now >= self.lease.next_ask() {
+                    self.ask_for_lease(now, home);
+                }
                 if now >= self.came + self.terms.settle {
                     self.settle(now, home);
                 }
@@ -274,7 +293,10 @@
         let next = match self.standing {
             Standing::Homeless => self.retry,
             Standing::Joining(_) => Some(silent),
-            Standing::Following(_) => Some(silent.min(self.say).min(self.came + self.terms.settle)),
+            Standing::Following(_) => {
+                let words = self.say.min(self.lease.next_ask());
+                Some(silent.min(words).min(self.came + self.terms.settle))
+            }
         };
         next.into_iter().chain(self.views.next_wake()).min()
     }
@@ -294,6 +316,37 @@
         self.confirmed.map(|at| now.saturating_sub(at))
     }
 
+    /// Another supervisor has said something, whatever it was.
+    pub fn met(&mut self, now: Duration) {
+        self.met = now;
+    }
+
+    /// A home has answered what it knows.
+    pub fn lease_answered(
+        &mut self, now: Duration, from: NodeId, question: LeaseQuestion, knows: Knows, read_age: Duration,
+    ) {
+        if self.standing.home() == Some(from) {
+            self.lease.answered(now, question, knows, read_age);
+            self.see_lease();
+        }
+    }
+
+    /// What is held may be all that the home knew by some moment.
+    fn see_lease(&mut self) {
+        if let Some(version) = self.receiver.version() {
+            let (epoch, ends) = self.receiver.heard();
+            let ends = if epoch == version.epoch { ends } else { 0 };
+            self.lease.holds(version.epoch, version.number, ends);
+        }
+    }
+
+    /// Up to when the view is known to be complete.
+    pub fn view_times(&self, now: Duration) -> ViewTimes {
+        let met = now <= self.met + self.terms.silent_home;
+        let homes_speak = self.spoken && !self.homes.is_empty() && self.is_confirming();
+        self.lease.times(met && homes_speak)
+    }
+
     pub fn view(&self) -> Option<&Arc<View>> {
         self.views.newest()
     }
@@ -358,12 +411,23 @@
 
     /// The home has said what is held, or that it is what is held; unless it says with it that it may be old itself.
     fn confirm(&mut self, now: Duration) {
-        if self.receiver.content().get(&Key::Note(UNCONFIRMED.into())).is_none() {
+        if self.is_confirming() {
             self.confirmed = Some(now);
         }
     }
 
+    /// The home's table does not say that it may be old.
+    fn is_confirming(&self) -> bool {
+        self.receiver.content().get(&Key::Note(UNCONFIRMED.into())).is_none()
+    }
+
+    fn ask_for_lease(&mut self, now: Duration, home: NodeId) {
+        let question = self.lease.asks(now);
+        self.out.push(FollowerOut::WantLease(home, question));
+    }
+
     fn answer(&mut self, now: Duration, home: NodeId, rejected: bool) {
+        self.see_lease();
         self.say = now + self.terms.say;
         let said = self.holds(rejected);
         self.out.push(FollowerOut::Say(home, said));
@@ -401,11 +465,13 @@
             };
             self.of = Some(home);
         }
+        self.lease.moves();
         self.standing = self.standing.after(Event::Asked(home));
         self.silent.retain(|silent| *silent != home);
         self.settles(now);
         let said = self.holds(false);
         self.out.push(FollowerOut::Join(home, said));
+        self.ask_for_lease(now, home);
     }
 
     fn settles(&mut self, now: Duration) {
--- a/crates/registry/src/homes.rs
+++ b/crates/registry/src/homes.rs
@@ -25,6 +25,9 @@
         self.avoided.retain(|home, _| list.contains(home));
         self.list = list;
     }
+    pub(crate) fn is_empty(&self) -> bool {
+        self.list.is_empty()
+    }
     pub(crate) fn has(&self, home: NodeId) -> bool {
         self.list.contains(&home)
     }
--- a/crates/registry/src/messages.rs
+++ b/crates/registry/src/messages.rs
@@ -49,6 +49,35 @@
         holders: Vec<NodeId>,
         age: Option<Duration>,
     },
+    /// To a home: how current is what this follower holds?
+    LeaseWanted(LeaseQuestion),
+    /// From a home: what it knew when it was asked. `read_age`: how long before its answer it began to read that at a
+    /// majority.
+    Lease {
+        question: LeaseQuestion,
+        knows: Knows,
+        read_age: Duration,
+    },
+}
+
+/// A follower's question how current its view is. Both are the follower's own, and come back with the answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseQuestion {
+    /// The follower's process.
+    pub life: u64,
+    /// When it asked, by its own clock.
+    pub asked: Duration,
+}
+
+/// What a follower has to hold so that nothing is missing that its home knows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Knows {
+    /// Of the home's tables.
+    pub epoch: u64,
+    /// The version that brought the newest configuration.
+    pub version: u64,
+    /// The newest end of a server, by its place in the epoch.
+    pub ends: u64,
 }
 
 /// What a follower saw of one server.
--- a/crates/registry/src/rollout.rs
+++ b/crates/registry/src/rollout.rs
@@ -16,19 +16,19 @@
 const EDITIONS: usize = 256;
 
 /// What became of one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Outcome {
     /// All supervisors that are there route by it.
     Everywhere,
-    /// So many of them have not said that they do, and have had their time.
-    Waited { missing: usize },
+    /// These have not said that they do, and have had their time.
+    Waited { missing: Vec<NodeId> },
     /// Whoever asked cannot wait any longer: it is to be asked again.
-    NotYet { missing: usize },
+    NotYet { missing: Vec<NodeId> },
 }
 
 impl Outcome {
     /// Whether the edition is acknowledged.
-    pub fn is_acknowledged(self) -> bool {
+    pub fn is_acknowledged(&self) -> bool {
         !matches!(self, Outcome::NotYet { .. })
     }
 }
@@ -98,7 +98,7 @@
     /// An edition is to be in force everywhere; it may not be kept yet. Whoever asks waits until `until`.
     pub fn begin(&mut self, now: Duration, edition: u64, until: Duration, reply: R) {
         if self.pending.len() >= MOST {
-            let missing = self.supervisors.len();
+            let missing = self.supervisors.iter().copied().collect();
             self.over.push((reply, edition, Outcome::NotYet { missing }));
             return;
         }
@@ -192,8 +192,8 @@
             true => given_up.is_some(),
             false => pending.holding.contains(node),
         };
-        let missing = self.supervisors.iter().filter(|node| !holds(node)).count();
-        if missing == 0 {
+        let missing: Vec<NodeId> = self.supervisors.iter().filter(|node| !holds(node)).copied().collect();
+        if missing.is_empty() {
             Some(Outcome::Everywhere)
         } else if given_up.is_some_and(|at| now >= at) {
             Some(Outcome::Waited { missing })
--- a/crates/registry/src/terms.rs
+++ b/crates/registry/src/terms.rs
@@ -73,6 +73,8 @@
     pub unsure: Duration,
     /// So long a home that was silent, or unfit, is not tried again.
     pub avoid: (Duration, Duration),
+    /// A follower asks its home so often how current its view is.
+    pub lease: Duration,
     /// Updates in a row that could not be applied, after which a follower leaves its home.
     pub rejects: u32,
     /// A follower says so often what it holds.
@@ -122,6 +124,7 @@
             missed: ms(2200),
             unsure: ms(1800),
             avoid: (ms(1500), ms(700)),
+            lease: ms(400),
             rejects: 5,
             say: s(1),
             settle: s(5),
--- a/crates/registry/tests/world/links.rs
+++ b/crates/registry/tests/world/links.rs
@@ -39,8 +39,9 @@
     ) -> Duration {
         let keeper = index(way.0) < self.keepers;
         let rate = if keeper { link.keepers } else { link.bytes_a_second };
-        let drawn = (link.ahead.1 - link.ahead.0).mul_f64(self.rng.f64());
-        let ahead = if keeper { Duration::ZERO } else { link.ahead.0 + drawn };
+        let (least, most) = self.slow.get(&way.0).copied().unwrap_or(link.ahead);
+        let drawn = (most - least).mul_f64(self.rng.f64());
+        let ahead = if keeper { Duration::ZERO } else { least + drawn };
         let held = self.links.entry(way).or_default();
         let length = Duration::from_secs_f64(bytes as f64 / rate);
         *held = (held.0.max(from + ahead) + length, held.1 + bytes);
--- a/crates/registry/tests/world/mod.rs
+++ b/crates/registry/tests/world/mod.rs
@@ -6,8 +6,9 @@
 
 use fallgap_config::{Beat, Configuration, Limits, Route, RouteClass, Service, View};
 use fallgap_feed::wire::{Said, Told};
+pub use fallgap_registry::NodeId;
 use fallgap_registry::{
-    Distribution, Follower, FollowerOut, NodeId, Out, Record, Registry, RosterWord, Terms,
+    Distribution, Follower, FollowerOut, Knows, LeaseQuestion, Out, Record, Registry, RosterWord, Terms,
 };
 pub use links::Link;
 use std::collections::{BTreeMap, BTreeSet};
@@ -82,7 +83,11 @@
     pub cut: BTreeSet<NodeId>,
     /// Without one words take some milliseconds, however long they are.
     pub link: Option<Link>,
+    /// Nodes on whose links more stands before a word.
+    pub slow: BTreeMap<NodeId, (Duration, Duration)>,
     nodes: usize,
+    /// When each node has a sign of life for its neighbour next, if they have any.
+    pub heartbeats: Option<Duration>,
     /// Whether homes speak first to those that prefer them.
     pub greets: bool,
     /// Streams between nodes that are open, if it counts: a word on a new one waits for a way there and back, and a long
@@ -90,6 +95,8 @@
     pub streams: Option<BTreeSet<(NodeId, NodeId)>>,
     /// When a direction of a node's link, `true` out, is free again, and the bytes that it has carried.
     pub links: BTreeMap<(NodeId, bool), (Duration, usize)>,
+    /// Words on their senders' links, with their lengths, and words behind those of their receivers.
+    left: BTreeMap<(Duration, u64), (NodeId, NodeId, RosterWord, usize)>,
     net: BTreeMap<(Duration, u64), (NodeId, NodeId, RosterWord)>,
     last: BTreeMap<(NodeId, NodeId), Duration>,
     sent: u64,
@@ -185,10 +192,13 @@
             loss: 0.0,
             cut: BTreeSet::new(),
             link: None,
+            slow: BTreeMap::new(),
             nodes,
+            heartbeats: None,
             greets: true,
             streams: None,
             links: BTreeMap::new(),
+            left: BTreeMap::new(),
             net: BTreeMap::new(),
             last: BTreeMap::new(),
             sent: 0,
@@ -241,6 +251,7 @@
         self.followers.remove(&id);
         self.operator.rollouts.remove(&id);
         self.meet();
+        self.left.retain(|_, (from, to, ..)| *from != id && *to != id);
         self.net.retain(|_, (from, to, _)| *from != id && *to != id);
         self.streams.iter_mut().for_each(|open| open.retain(|(from, to)| *from != id && *to != id));
     }
@@ -287,23 +298,38 @@
         // As it would travel.
         let bytes = postcard::to_stdvec(&word).expect("a word as bytes");
         let mut at = self.now + delay;
+        let word: RosterWord = postcard::from_bytes(&bytes).expect("a word again");
+        if let Some(heard) = self.heard.as_mut().filter(|_| !local) {
+            heard.push((word.clone(), bytes.len()));
+        }
+        self.sent += 1;
         if !local && let Some(link) = self.link {
             let length = links::packed(&bytes);
             at += self.stream_waits(link, from, to, length);
-            for (of, leaves) in [(from, true), (to, false)] {
-                at = self.carried(link, (of, leaves), at, length);
-            }
+            at = self.carried(link, (from, true), at, length);
+            self.left.insert((at, self.sent), (from, to, word, length));
+        } else {
+            self.arrives(at, from, to, word);
         }
-        at = at.max(self.last.get(&(from, to)).copied().unwrap_or_default());
+    }
+
+    /// A word is through all links at that time, or when those that were sent before it are.
+    fn arrives(&mut self, at: Duration, from: NodeId, to: NodeId, word: RosterWord) {
+        let at = at.max(self.last.get(&(from, to)).copied().unwrap_or_default());
         self.last.insert((from, to), at);
         self.sent += 1;
-        let word = postcard::from_bytes(&bytes).expect("a word again");
-        if let Some(heard) = self.heard.as_mut().filter(|_| !local) {
-            heard.push((RosterWord::clone(&word), bytes.len()));
-        }
         self.net.insert((at, self.sent), (from, to, word));
     }
 
+    /// Words that have left their senders' links come to those of their receivers, in that order.
+    fn come_in(&mut self) {
+        while let Some(first) = self.left.first_entry().filter(|first| first.key().0 <= self.now) {
+            let ((at, _), (from, to, word, length)) = first.remove_entry();
+            let at = self.link.map_or(at, |link| self.carried(link, (to, false), at, length));
+            self.arrives(at, from, to, word);
+        }
+    }
+
     /// Takes what all cores have to say.
     fn settle(&mut self) {
         let now = self.now;
@@ -319,6 +345,10 @@
                     Out::Holders { to, id: question, holders, age } => {
                         out.push((*id, to, RosterWord::Holders { id: question, holders, age }));
                     }
+                    Out::Lease { to, question, knows } => {
+                        let read_age = Duration::ZERO;
+                        out.push((*id, to, RosterWord::Lease { question, knows, read_age }));
+                    }
                     Out::Note(_) => {}
                 }
             }
@@ -335,6 +365,9 @@
                         out.push((*id, to, RosterWord::join(&said)));
                     }
                     FollowerOut::Say(to, said) => out.push((*id, to, RosterWord::said(&said))),
+                    FollowerOut::WantLease(home, question) => {
+                        out.push((*id, home, RosterWord::LeaseWanted(question)));
+                    }
                     FollowerOut::Leave(home) => out.push((*id, home, RosterWord::Leave)),
                     FollowerOut::NewView(view) => {
                         let back = view.configuration.edition < seen.edition();
@@ -356,6 +389,9 @@
     }
 
     fn deliver(&mut self, from: NodeId, to: NodeId, word: RosterWord) {
+        if from != to {
+            self.followers.get_mut(&to).into_iter().for_each(|follower| follower.met(self.now));
+        }
         let (began, of) = (Instant::now(), usize::from(matches!(word, RosterWord::Told(_))));
         self.hand_on(from, to, word);
         self.spent[of] += began.elapsed();
@@ -377,6 +413,10 @@
             }
             RosterWord::Unfit => self.followers.get_mut(&to).into_iter().for_each(|f| f.unfit(now, from)),
             RosterWord::Fit => self.followers.get_mut(&to).into_iter().for_each(|f| f.fit(now, from)),
+            RosterWord::Lease { question, knows, read_age } => {
+                let follower = self.followers.get_mut(&to);
+                follower.into_iter().for_each(|f| f.lease_answered(now, from, question, knows, read_age));
+            }
             word @ RosterWord::Holders { .. } => self.holders_told(to, &word),
             word => {
                 let Some(core) = self.cores.get_mut(&to) else { return };
@@ -397,6 +437,10 @@
                         core.distribution.left(from);
                         false
                     }
+                    RosterWord::LeaseWanted(question) => {
+                        core.distribution.lease_wanted(from, question);
+                        false
+                    }
                     RosterWord::HoldersWanted { id, edition } => {
                         core.distribution.holders_wanted(now, from, id, edition);
                         false
@@ -414,16 +458,35 @@
         }
     }
 
+    /// Each node has a sign of life for its neighbour: a word that means nothing to it.
+    fn beat_hearts(&mut self) {
+        if self.heartbeats.is_none_or(|at| self.now < at) {
+            return;
+        }
+        self.heartbeats = Some(self.now + 300 * MS);
+        let question = LeaseQuestion { life: 0, asked: Duration::ZERO };
+        let sign = RosterWord::Lease { question, knows: Knows::default(), read_age: Duration::ZERO };
+        for i in 0..self.nodes {
+            self.send(node(i), node((i + 1) % self.nodes), sign.clone());
+        }
+    }
+
     fn next(&self) -> Duration {
-        let net = self.net.keys().next().map(|(at, _)| *at);
+        let left = self.left.keys().next().map(|(at, _)| *at);
+        let net = self.net.keys().next().map(|(at, _)| *at).into_iter().chain(left).min();
         let cores = self.cores.values().map(|c| c.registry.next_wake().min(c.distribution.next_wake())).min();
         let followers = self.followers.values().filter_map(Follower::next_wake).min();
         let servers = self.servers.iter().filter(|server| server.alive).map(|server| server.next).min();
-        [net, cores, followers, servers, self.operator_wake()].into_iter().flatten().min().unwrap_or(self.now)
+        [net, cores, followers, servers, self.heartbeats, self.operator_wake()]
+            .into_iter()
+            .flatten()
+            .min()
+            .unwrap_or(self.now)
     }
 
     fn step(&mut self) {
         let now = self.now;
+        self.come_in();
         while let Some(((at, sent), _)) = self.net.first_key_value().filter(|((at, _), _)| *at <= now) {
             let key = (*at, *sent);
             if let Some((from, to, word)) = self.net.remove(&key) {
@@ -443,6 +506,7 @@
                 }
             }
         }
+        self.beat_hearts();
         let began = Instant::now();
         for core in self.cores.values_mut() {
             if core.registry.next_wake() <= now && core.registry.woke(now) {
--- a/crates/routing/src/lease.rs
+++ b/crates/routing/src/lease.rs
@@ -1,4 +1,9 @@
-//! Whether routes of offices may still be gone by. A change of them is acknowledged when nobody in touch can route by
+//! Whether what is routed by may still be gone by.
+//!
+//! A change of configuration, or a server's end, binds all supervisors a while after its acknowledgement, heard or not. So a
+//! view is good up to the moment for which a home has said that nothing is missing from it, and for a while longer.
+//!
+//! A change of offices' routes is acknowledged when nobody in touch can route by
 //! what was before, so whoever may have missed one does not answer for them until it knows.
 //!
 //! Two things make for doubt: a word that a revision is kept that is not held here yet, for the places that it
@@ -12,7 +17,7 @@
 pub type Place = (Arc<str>, Arc<str>);
 
 /// How long a home's word holds, and how long a word on a kept revision is waited upon.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LeaseTerms {
     /// Homes confirm every 0.2 to 0.3 s.
     pub confirmed: Duration,
@@ -20,12 +25,27 @@
     pub heeded: Duration,
     /// Words at a time; over it the oldest gives way to doubt of all routes of offices.
     pub words: usize,
+    /// So long a view may be routed by while its home has news that has not come.
+    pub behind: Duration,
+}
+
+/// Up to when the view that is routed by is known to be complete.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ViewTimes {
+    /// The last word of a home by which it is the newest, however long that word was on its way.
+    pub confirmed: Option<Duration>,
+    /// All that the home knew by then is in it.
+    pub known: Duration,
+    /// All that was committed by then is in it.
+    pub committed: Option<Duration>,
+    /// Others have had words lately, and no home that it cannot be followed: what is missing can be expected.
+    pub is_reached: bool,
 }
 
 impl Default for LeaseTerms {
     fn default() -> Self {
         let ms = Duration::from_millis;
-        LeaseTerms { confirmed: ms(1000), heeded: ms(5000), words: 64 }
+        LeaseTerms { confirmed: ms(1000), heeded: ms(5000), words: 64, behind: ms(2250) }
     }
 }
 
@@ -39,15 +59,25 @@
 #[derive(Default)]
 pub struct Lease {
     terms: LeaseTerms,
-    confirmed: Option<Duration>,
+    times: ViewTimes,
     revision: u64,
     words: Vec<Word>,
 }
 
 impl Lease {
-    /// When the home last confirmed what is held.
-    pub fn confirmed(&mut self, at: Option<Duration>) {
-        self.confirmed = at;
+    pub fn new(terms: LeaseTerms) -> Lease {
+        Lease { terms, ..Lease::default() }
+    }
+
+    /// Up to when the view is known to be complete.
+    pub fn view_times(&mut self, times: ViewTimes) {
+        self.times = times;
+    }
+
+    /// Whether others have had words lately, and a home none for too long that nothing is missing. A supervisor that hears
+    /// nobody is cut off, and goes on by what it has.
+    pub fn is_behind(&self, now: Duration) -> bool {
+        self.times.is_reached && now > self.times.known + self.terms.behind
     }
 
     /// Routes by a revision from here on.
@@ -76,7 +106,7 @@
 
     /// Whether what is held may be old: no home has confirmed it for too long.
     pub fn is_unsure(&self, now: Duration) -> bool {
-        self.confirmed.is_none_or(|at| now > at + self.terms.confirmed)
+        self.times.confirmed.is_none_or(|at| now > at + self.terms.confirmed)
     }
 
     /// Whether a request may not be routed by what is held. `owned`: its route is an office's.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -26,7 +26,7 @@
 pub use gate::Gate;
 pub use head::{Framing, Head};
 pub use health::{Health, HealthState};
-pub use lease::{Lease, LeaseTerms, Place};
+pub use lease::{Lease, LeaseTerms, Place, ViewTimes};
 pub use op::{Final, Next, Op, Plan, TryOutcome, TryState};
 pub use request::{Inbox, Refusal, Request, Step};
 pub use server::{Ended, Report, Server};
--- a/crates/routing/tests/lease.rs
+++ b/crates/routing/tests/lease.rs
@@ -1,4 +1,4 @@
-use fallgap_routing::Lease;
+use fallgap_routing::{Lease, ViewTimes};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,7 +9,7 @@
     let mut lease = Lease::default();
     assert!(lease.doubts(ms(0), "h", "/a/", true) && !lease.doubts(ms(0), "h", "/a/", false));
     lease.holds(3);
-    lease.confirmed(Some(ms(1000)));
+    lease.view_times(ViewTimes { confirmed: Some(ms(1000)), ..ViewTimes::default() });
     assert!(lease.heed(ms(1000), 3, place("/a/")) && !lease.is_told());
     assert!(!lease.heed(ms(1000), 5, place("/a/")) && !lease.heed(ms(1000), 4, place("/b/")));
     // When, the path, whether its route is an office's, whether it is in doubt.
--- a/crates/simulation/tests/halls/mod.rs
+++ b/crates/simulation/tests/halls/mod.rs
@@ -397,6 +397,11 @@
                     fallgap_registry::Out::Holders { to, id, holders, age } => {
                         (to, RosterWord::Holders { id, holders, age })
                     }
+                    fallgap_registry::Out::Lease { to, question, knows } => {
+                        let read = self.machines.get(&me).and_then(|machine| machine.keeper.read_since());
+                        let Some(read) = read else { continue };
+                        (to, RosterWord::Lease { question, knows, read_age: now.saturating_sub(read) })
+                    }
                     fallgap_registry::Out::Note(_) => continue,
                 };
                 self.send(me, to, Word::Roster(word));
@@ -449,6 +454,9 @@
         match out {
             FollowerOut::Join(to, said) => self.send(me, to, Word::Roster(RosterWord::join(&said))),
             FollowerOut::Say(to, said) => self.send(me, to, Word::Roster(RosterWord::said(&said))),
+            FollowerOut::WantLease(to, question) => {
+                self.send(me, to, Word::Roster(RosterWord::LeaseWanted(question)));
+            }
             FollowerOut::Leave(to) => self.send(me, to, Word::Roster(RosterWord::Leave)),
             FollowerOut::NewView(view) => {
                 let machine = self.machines.get_mut(&me).expect("a machine that runs");
--- a/crates/simulation/tests/halls/servers.rs
+++ b/crates/simulation/tests/halls/servers.rs
@@ -169,6 +169,10 @@
             let said = RosterWord::read_said(&line, &terms).expect("what is said");
             home.distribution.said(now, from, said);
         }
+        (RosterWord::Lease { question, knows, read_age }, _) => {
+            machine.follower.lease_answered(now, from, question, knows, read_age);
+        }
+        (RosterWord::LeaseWanted(question), Some(home)) => home.distribution.lease_wanted(from, question),
         (RosterWord::Leave, Some(home)) => home.distribution.left(from),
         (word @ (RosterWord::Compare(_) | RosterWord::Records(_)), Some(home)) => {
             let changed = home.registry.heard(now, from, word);
--- a/crates/simulation/tests/halls/time.rs
+++ b/crates/simulation/tests/halls/time.rs
@@ -2,6 +2,7 @@
 
 use super::{Halls, Machine, Word, node};
 use fallgap_control_state::NodeId;
+use fallgap_routing::ViewTimes;
 use std::time::Duration;
 
 impl Halls {
@@ -82,7 +83,8 @@
     pub fn answers_for_offices(&mut self, me: NodeId) -> bool {
         let now = self.now;
         let Some(machine) = self.machines.get_mut(&me) else { return false };
-        machine.lease.confirmed(machine.follower.age(now).map(|age| now - age));
+        let confirmed = machine.follower.age(now).map(|age| now - age);
+        machine.lease.view_times(ViewTimes { confirmed, ..ViewTimes::default() });
         machine.edition > 0 && !machine.lease.doubts(now, "a.example", "/a/x", true)
     }
 
