Configuration: customers, keys, registered and open routes are read, checked and told on

Customers (name, keys, priority, rate, burst), routes of class registered and open ones, services that keep their own record of keys, and the bounds of revocation, stamps and quotas are read and refused with their places; two customers with one key or name are a fault.

--- a/crates/admin/src/told.rs
+++ b/crates/admin/src/told.rs
@@ -200,6 +200,8 @@
     pub routes_removed: u64,
     pub routes_changed: u64,
     pub services: u64,
+    #[serde(default)]
+    pub customers: u64,
     pub limits: bool,
 }
 
--- a/crates/admin/tests/printed.rs
+++ b/crates/admin/tests/printed.rs
@@ -235,10 +235,23 @@
         priority: 1,
         sorting: vec![("s".into(), 1.0)],
         attempts: 2,
+        is_open: false,
+    };
+    let service = |name: &str| Service {
+        name: name.into(),
+        health_path: "/health".into(),
+        line_cap: 64,
+        dedupes: false,
     };
-    let service = |name: &str| Service { name: name.into(), health_path: "/health".into(), line_cap: 64 };
     let routes = prefixes.iter().map(route).collect();
-    Configuration { edition, routes, services: vec![service("s")], limits: Limits::default(), licences: None }
+    Configuration {
+        edition,
+        routes,
+        services: vec![service("s")],
+        limits: Limits::default(),
+        customers: None,
+        licences: None,
+    }
 }
 
 #[test]
@@ -248,7 +261,12 @@
     new.routes[1].class = RouteClass::Fragile;
     new.routes[1].timeout = Duration::from_millis(1500);
     new.routes[2].sorting = vec![("t".into(), 2.0), ("s".into(), 1.0)];
-    let service = |name: &str, line_cap| Service { name: name.into(), health_path: "/h".into(), line_cap };
+    let service = |name: &str, line_cap| Service {
+        name: name.into(),
+        health_path: "/h".into(),
+        line_cap,
+        dedupes: false,
+    };
     new.services = vec![service("s", 32), service("t", 8), service("u", 8)];
     new.limits.idle = Duration::from_secs(30);
     insta::assert_snapshot!(diff(&held, &new));
--- a/crates/config/src/bounds.rs
+++ b/crates/config/src/bounds.rs
@@ -24,8 +24,19 @@
     pub recover: Duration,
     pub history: Duration,
     pub release: Duration,
+    /// A key that was taken away is in force nowhere after that.
+    pub revoke: Duration,
+    /// Requests with the same idempotency key count as one operation for so long.
+    pub stamp_window: Duration,
+    /// Over any span of that length a customer's requests stay inside its quota.
+    pub quota_window: Duration,
     pub retry_ratio: f64,
     pub retry_slack: f64,
+    /// The part of a quota by which it may be overrun, and requests besides.
+    pub quota_excess: f64,
+    pub quota_slack: f64,
+    /// Whether `revoke` binds.
+    pub revoked: bool,
 }
 
 impl Default for Bounds {
@@ -47,8 +58,14 @@
             recover: ms(15_000),
             history: ms(20_000),
             release: ms(1500),
+            revoke: ms(5000),
+            stamp_window: ms(60_000),
+            quota_window: ms(5000),
             retry_ratio: 0.2,
             retry_slack: 64.0,
+            quota_excess: 0.1,
+            quota_slack: 20.0,
+            revoked: false,
         }
     }
 }
@@ -57,6 +74,7 @@
 enum Slot<'b> {
     Time(&'b mut Duration),
     Figure(&'b mut f64),
+    Flag(&'b mut bool),
 }
 
 impl Bounds {
@@ -77,24 +95,31 @@
             "recover_s" => Slot::Time(&mut self.recover),
             "history_s" => Slot::Time(&mut self.history),
             "release_s" => Slot::Time(&mut self.release),
+            "revoke_s" => Slot::Time(&mut self.revoke),
+            "stamp_window_s" => Slot::Time(&mut self.stamp_window),
+            "quota_window_s" => Slot::Time(&mut self.quota_window),
+            "quota_excess" => Slot::Figure(&mut self.quota_excess),
+            "quota_slack" => Slot::Figure(&mut self.quota_slack),
+            "revoked" => Slot::Flag(&mut self.revoked),
             "retry_ratio" => Slot::Figure(&mut self.retry_ratio),
             "retry_slack" => Slot::Figure(&mut self.retry_slack),
             _ => return None,
         })
     }
 
-    /// One `name=value`. A name that is not known is passed over, whatever its value; `false`: the value is not fit.
-    fn take(&mut self, text: &str) -> bool {
+    /// One `name=value`. A name that is not known is passed over, whatever its value. What was expected, if the value is not fit.
+    fn take(&mut self, text: &str) -> Result<(), &'static str> {
         let (name, value) = text.split_once('=').unwrap_or((text, ""));
-        let Some(slot) = self.slot(name.trim()) else { return true };
-        let Some(number) = value.trim().parse::<f64>().ok().filter(|n| n.is_finite() && *n >= 0.0) else {
-            return false;
-        };
-        match slot {
-            Slot::Time(time) => *time = duration(number).unwrap_or(TERMS.longest),
-            Slot::Figure(figure) => *figure = number,
+        let Some(slot) = self.slot(name.trim()) else { return Ok(()) };
+        let value = value.trim();
+        let number = value.parse::<f64>().ok().filter(|n| n.is_finite() && *n >= 0.0);
+        match (slot, number) {
+            (Slot::Time(time), Some(number)) => *time = duration(number).unwrap_or(TERMS.longest),
+            (Slot::Figure(figure), Some(number)) => *figure = number,
+            (Slot::Flag(flag), _) => *flag = value.parse().map_err(|_| "a name with true or false")?,
+            (_, None) => return Err("a name with a number from 0 on"),
         }
-        true
+        Ok(())
     }
 }
 
@@ -112,9 +137,9 @@
 fn read_texts(field: &Field<'_, '_>, bounds: &mut Bounds, faults: &mut Faults) {
     let Some(texts) = field.must(faults, "name=value", |v| v.as_str().map(str::to_owned)) else { return };
     for text in texts.split(',').filter(|text| !text.trim().is_empty()) {
-        if !bounds.take(text) {
+        if let Err(expected) = bounds.take(text) {
             let found = text.trim().chars().take(80).collect();
-            faults.add(&field.spot, What::Unexpected { expected: "a name with a number from 0 on", found });
+            faults.add(&field.spot, What::Unexpected { expected, found });
         }
     }
 }
--- a/crates/config/src/configuration.rs
+++ b/crates/config/src/configuration.rs
@@ -4,17 +4,19 @@
 //! pages call invalid is refused, and what could never be routed; elsewhere a value out of its range is drawn into
 //! it, and one that is left out has a usual figure.
 
+use crate::customers::{Customer, Customers};
 use crate::document::{
-    Field, NUMBER, SECONDS, WHOLE, count, document, duration, name, number, seconds, whole,
+    Field, NUMBER, SECONDS, WHOLE, count, document, duration, flag, name, number, seconds, whole,
 };
 use crate::fault::{Faults, What};
 use crate::terms::TERMS;
 use crate::types::{Configuration, Limits, Route, RouteClass, Service};
 use sonic_rs::{JsonContainerTrait, JsonValueTrait, Value};
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
+const FLAG: &str = "true or false";
 const TIMEOUT: Duration = Duration::from_secs(30);
 const TARGET: Duration = Duration::from_millis(300);
 const PRIORITY: u32 = 1;
@@ -47,7 +49,8 @@
     let names = services.iter().map(|s| s.name.clone()).collect();
     let routes = read_routes(&top.field("routes"), &names, &mut faults);
     let limits = read_limits(&top.field("limits"), &mut faults);
-    faults.or(Configuration { edition, routes, services, limits, licences: None })
+    let customers = read_customers(&top.field("customers"), &mut faults);
+    faults.or(Configuration { edition, routes, services, limits, customers, licences: None })
 }
 
 /// What a route is found by; routes stand in this order.
@@ -120,13 +123,14 @@
 
 fn read_services(table: &Field<'_, '_>, faults: &mut Faults) -> Vec<Service> {
     let mut services = Vec::new();
-    rows(table, ["name", "health_path", "line_cap"], TERMS.services, faults, |faults, row| {
+    rows(table, ["name", "health_path", "line_cap", "dedupes"], TERMS.services, faults, |faults, row| {
         let health = row.field("health_path").may(faults, "a path from a slash on", path);
         let line_cap = row.field("line_cap").may(faults, NUMBER, |v| count(v, 1, u32::MAX));
         let service = Service {
             name: row.field("name").name(faults).into(),
             health_path: health.unwrap_or_else(|| HEALTH_PATH.to_owned()).into(),
             line_cap: line_cap.unwrap_or(LINE_CAP),
+            dedupes: row.field("dedupes").may(faults, FLAG, flag).unwrap_or(false),
         };
         services.push((service, row.number));
     });
@@ -147,7 +151,7 @@
     }
 }
 
-const ROUTE: [&str; 10] = [
+const ROUTE: [&str; 11] = [
     "name",
     "depot",
     "lane_prefix",
@@ -158,6 +162,7 @@
     "sorting",
     "attempts",
     "service",
+    "unstamped",
 ];
 
 fn read_routes(table: &Field<'_, '_>, names: &Names, faults: &mut Faults) -> Vec<Route> {
@@ -178,11 +183,11 @@
     routes
 }
 
-fn read_route(row: &Row<'_, '_, 10>, names: &Names, faults: &mut Faults) -> Route {
+fn read_route(row: &Row<'_, '_, 11>, names: &Names, faults: &mut Faults) -> Route {
     let depot = row.field("depot").must(faults, "a host", host).unwrap_or_default();
     let prefix =
         row.field("lane_prefix").must(faults, "a prefix between slashes", prefix).unwrap_or_default();
-    let class = row.field("route_class").must(faults, "safe, fragile or outbound", class);
+    let class = row.field("route_class").must(faults, "safe, fragile, outbound or registered", class);
     let timeout =
         row.field("timeout_s").may(faults, "seconds above 0", |v| seconds(v).filter(|time| !time.is_zero()));
     let target = row.field("target_s").may(faults, SECONDS, |v| duration(number(v)?.max(0.0)));
@@ -199,11 +204,12 @@
         priority: u8::try_from(priority).unwrap_or(u8::MAX),
         sorting: read_sorting(row, names, faults),
         attempts,
+        is_open: row.field("unstamped").may(faults, FLAG, flag).unwrap_or(false),
     }
 }
 
 /// The services of a route: those of `sorting`, else the one of `service` with all of it.
-fn read_sorting(row: &Row<'_, '_, 10>, names: &Names, faults: &mut Faults) -> Vec<(Arc<str>, f64)> {
+fn read_sorting(row: &Row<'_, '_, 11>, names: &Names, faults: &mut Faults) -> Vec<(Arc<str>, f64)> {
     let known = |field: &Field<'_, '_>, faults: &mut Faults| {
         let text = field.name(faults);
         let found = names.get(text.as_str()).cloned();
@@ -251,6 +257,68 @@
     sum > 0.0 && sum.is_finite() && sorting.iter().all(|(_, share)| *share >= 0.0)
 }
 
+/// The customers, if there is a table of them at all: an empty one lets nobody in.
+fn read_customers(table: &Field<'_, '_>, faults: &mut Faults) -> Option<Arc<Customers>> {
+    table.value.as_ref()?;
+    let mut customers: Vec<(Customer, usize)> = Vec::new();
+    rows(
+        table,
+        ["name", "stamps", "priority", "rate_per_s", "burst"],
+        TERMS.customers,
+        faults,
+        |faults, row| {
+            customers.push((read_customer(&row, faults), row.number));
+        },
+    );
+    customers.sort_unstable_by(|(a, i), (b, j)| (&a.name, i).cmp(&(&b.name, j)));
+    tell_again(table, &customers, |a, b| a.name == b.name && !a.name.is_empty(), faults);
+    tell_shared_keys(table, &customers, faults);
+    Customers::new(customers.into_iter().map(|(customer, _)| customer).collect()).map(Arc::new)
+}
+
+fn read_customer(row: &Row<'_, '_, 5>, faults: &mut Faults) -> Customer {
+    let priority = row.field("priority").may(faults, NUMBER, |v| count(v, 0, 255)).unwrap_or(PRIORITY);
+    let mut figure = |key| row.field(key).may(faults, "a number from 0 on", amount).unwrap_or(0.0);
+    let (rate_per_second, burst) = (figure("rate_per_s"), figure("burst"));
+    let mut keys: Vec<Arc<str>> = Vec::new();
+    row.field("stamps").elements(faults, TERMS.customer_keys, |faults, element| {
+        keys.extend(element.must(faults, "a key", key).map(Arc::from));
+    });
+    Customer {
+        name: row.field("name").name(faults).into(),
+        keys,
+        priority: u8::try_from(priority).unwrap_or(u8::MAX),
+        rate_per_second,
+        burst,
+    }
+}
+
+/// Tells each entry that has a key of one before it.
+fn tell_shared_keys(table: &Field<'_, '_>, customers: &[(Customer, usize)], faults: &mut Faults) {
+    let list = table.spot.key("entries");
+    let mut owners: HashMap<&str, usize> = HashMap::new();
+    for (customer, number) in customers {
+        for key in &customer.keys {
+            let first = *owners.entry(key).or_insert(*number);
+            if first != *number {
+                faults.add(&list.at(*number), What::KeyOfAnother(first));
+            }
+        }
+    }
+}
+
+/// A key as it may stand in a request's line.
+fn key(value: &Value) -> Option<&str> {
+    let text = value.as_str()?;
+    let fit =
+        !text.is_empty() && text.len() <= TERMS.name_bytes && text.bytes().all(|b| b.is_ascii_graphic());
+    fit.then_some(text)
+}
+
+fn amount(value: &Value) -> Option<f64> {
+    number(value).filter(|amount| *amount >= 0.0)
+}
+
 fn read_limits(field: &Field<'_, '_>, faults: &mut Faults) -> Limits {
     field.object(faults);
     let mut bytes = |key: &str, usual: usize| {
@@ -301,6 +369,7 @@
             RouteClass::Safe => "safe",
             RouteClass::Fragile => "fragile",
             RouteClass::Outbound => "outbound",
+            RouteClass::Registered => "registered",
         }
     }
 
@@ -309,6 +378,7 @@
             "safe" => RouteClass::Safe,
             "fragile" => RouteClass::Fragile,
             "outbound" => RouteClass::Outbound,
+            "registered" => RouteClass::Registered,
             _ => return None,
         })
     }
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -239,3 +239,7 @@
     }
     Duration::try_from_secs_f64(seconds.min(TERMS.longest.as_secs_f64())).ok()
 }
+
+pub fn flag(value: &Value) -> Option<bool> {
+    value.as_bool()
+}
--- a/crates/config/src/fault.rs
+++ b/crates/config/src/fault.rs
@@ -27,6 +27,8 @@
     NoShare,
     /// stands there already, at entry {0}
     Again(usize),
+    /// has a key of entry {0}
+    KeyOfAnother(usize),
     /// {0}
     Against(String),
 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -7,6 +7,7 @@
 mod bounds;
 mod calls;
 mod configuration;
+mod customers;
 pub mod document;
 mod fault;
 mod licences;
@@ -23,6 +24,7 @@
     read_lock_end, read_lock_start,
 };
 pub use configuration::{class, host, place, prefix, read_configuration, read_route_rows};
+pub use customers::{Customer, Customers};
 pub use fault::{Fault, Faults, What};
 pub use routing::{Routing, plain_host};
 pub use settings::{Resources, Settings, read_settings};
--- a/crates/config/src/licences.rs
+++ b/crates/config/src/licences.rs
@@ -26,13 +26,16 @@
 }
 
 impl RouteClass {
-    pub const ALL: [RouteClass; 3] = [RouteClass::Safe, RouteClass::Fragile, RouteClass::Outbound];
+    pub const ALL: [RouteClass; 4] =
+        [RouteClass::Safe, RouteClass::Fragile, RouteClass::Outbound, RouteClass::Registered];
+    /// Those whose rates are told apart; registered requests count as fragile ones.
+    pub const RATED: [RouteClass; 3] = [RouteClass::Safe, RouteClass::Fragile, RouteClass::Outbound];
 
-    /// Its place among all.
+    /// Its place among those whose rates are told apart.
     pub fn index(self) -> usize {
         match self {
             RouteClass::Safe => 0,
-            RouteClass::Fragile => 1,
+            RouteClass::Fragile | RouteClass::Registered => 1,
             RouteClass::Outbound => 2,
         }
     }
@@ -55,7 +58,7 @@
         };
         rate(&field.field("download_bytes_s"), &mut read.download_bytes);
         let requests = field.field("requests_s");
-        for (class, to) in RouteClass::ALL.into_iter().zip(&mut read.rates) {
+        for (class, to) in RouteClass::RATED.into_iter().zip(&mut read.rates) {
             rate(&requests.field(class.word()), to);
         }
         requests.object(faults);
--- a/crates/config/src/notes.rs
+++ b/crates/config/src/notes.rs
@@ -3,6 +3,7 @@
 //! The parts of a text stand behind one another with tabs between; no name holds one. Times are in nanoseconds.
 
 use crate::configuration::{place, shares_fit};
+use crate::customers::{Customer, Customers};
 use crate::licences::Gathered;
 use crate::types::{Configuration, Limits, Route, RouteClass, Service};
 use std::collections::BTreeSet;
@@ -14,6 +15,12 @@
 const LIMITS: &str = "limits";
 const ROUTE: &str = "route/";
 const SERVICE: &str = "service/";
+/// The route or the service of that name has it. Readers of before pass these over.
+const OPEN_ROUTE: &str = "open-route/";
+const DEDUPES: &str = "dedupes/";
+/// There are customers, as many as it says.
+const CUSTOMERS: &str = "customers";
+const CUSTOMER: &str = "customer/";
 
 impl Configuration {
     /// All that it says. The keys are unique and stay the same from one edition to the next.
@@ -22,11 +29,24 @@
         notes.push((EDITION.to_owned(), self.edition.to_string()));
         notes.push((LIMITS.to_owned(), limits_text(&self.limits)));
         for route in &self.routes {
-            notes.push((format!("{ROUTE}{}{}", route.depot, route.lane_prefix), route_text(route)));
+            let place = format!("{}{}", route.depot, route.lane_prefix);
+            if route.is_open {
+                notes.push((format!("{OPEN_ROUTE}{place}"), String::new()));
+            }
+            notes.push((format!("{ROUTE}{place}"), route_text(route)));
         }
         for service in &self.services {
             let text = format!("{}\t{}", service.line_cap, service.health_path);
             notes.push((format!("{SERVICE}{}", service.name), text));
+            if service.dedupes {
+                notes.push((format!("{DEDUPES}{}", service.name), String::new()));
+            }
+        }
+        if let Some(customers) = &self.customers {
+            notes.push((CUSTOMERS.to_owned(), customers.all().len().to_string()));
+            for customer in customers.all() {
+                notes.push((format!("{CUSTOMER}{}", customer.name), customer_text(customer)));
+            }
         }
         if let Some(licences) = &self.licences {
             licences.notes(&self.routes, &mut notes);
@@ -40,12 +60,22 @@
         let (mut edition, mut limits) = (None, None);
         let (mut routes, mut services) = (Vec::new(), Vec::new());
         let mut names: BTreeSet<Arc<str>> = BTreeSet::new();
+        let (mut customers, mut customer_count) = (Vec::new(), None);
+        let (mut open_routes, mut deduping) = (BTreeSet::new(), BTreeSet::new());
         let mut licences = Gathered::default();
         for (key, text) in notes {
             if let Some(place) = key.strip_prefix(ROUTE) {
                 routes.push(route_of(place, text, &mut names)?);
             } else if let Some(name) = key.strip_prefix(SERVICE) {
                 services.push(service_of(name, text, &mut names)?);
+            } else if let Some(place) = key.strip_prefix(OPEN_ROUTE) {
+                open_routes.insert(place);
+            } else if let Some(name) = key.strip_prefix(DEDUPES) {
+                deduping.insert(name);
+            } else if let Some(name) = key.strip_prefix(CUSTOMER) {
+                customers.push(customer_of(name, text)?);
+            } else if key == CUSTOMERS {
+                customer_count = Some(text.parse::<usize>().ok()?);
             } else if key == EDITION {
                 edition = Some(text.parse().ok()?);
             } else if key == LIMITS {
@@ -57,7 +87,22 @@
         routes.sort_unstable_by(|a, b| place(a).cmp(&place(b)));
         services.sort_unstable_by(|a, b| a.name.cmp(&b.name));
         let licences = licences.whole(&routes)?;
-        let whole = Configuration { edition: edition?, routes, services, limits: limits?, licences };
+        for route in &mut routes {
+            route.is_open = !open_routes.is_empty()
+                && open_routes.contains(&*format!("{}{}", route.depot, route.lane_prefix));
+        }
+        for service in &mut services {
+            service.dedupes = deduping.contains(&*service.name);
+        }
+        if customers.len() != customer_count.unwrap_or(0) {
+            return None;
+        }
+        let customers = match customer_count {
+            Some(_) => Some(Arc::new(Customers::new(customers)?)),
+            None => None,
+        };
+        let whole =
+            Configuration { edition: edition?, routes, services, limits: limits?, customers, licences };
         is_whole(&whole, &names).then_some(whole)
     }
 }
@@ -103,6 +148,15 @@
     text
 }
 
+fn customer_text(customer: &Customer) -> String {
+    let mut text = format!("{}\t{}\t{}", customer.priority, customer.rate_per_second, customer.burst);
+    for key in &customer.keys {
+        text.push('\t');
+        text.push_str(key);
+    }
+    text
+}
+
 /// The parts of a text, one after the other.
 pub(crate) struct Parts<'a>(std::str::Split<'a, char>);
 
@@ -139,7 +193,18 @@
     let mut parts = Parts::of(text);
     let line_cap = parts.read()?;
     let health_path: Arc<str> = Arc::from(parts.0.next()?);
-    parts.end().map(|()| Service { name: shared(names, name), health_path, line_cap })
+    parts.end().map(|()| Service { name: shared(names, name), health_path, line_cap, dedupes: false })
+}
+
+fn customer_of(name: &str, text: &str) -> Option<Customer> {
+    let mut parts = Parts::of(text);
+    Some(Customer {
+        name: Arc::from(name),
+        priority: parts.read()?,
+        rate_per_second: parts.read()?,
+        burst: parts.read()?,
+        keys: parts.0.map(Arc::from).collect(),
+    })
 }
 
 fn route_of(place: &str, text: &str, names: &mut BTreeSet<Arc<str>>) -> Option<Route> {
@@ -154,6 +219,7 @@
         target: parts.time()?,
         priority: parts.read()?,
         attempts: parts.read()?,
+        is_open: false,
         sorting: Vec::new(),
     };
     while let Some(service) = parts.0.next() {
--- a/crates/config/src/terms.rs
+++ b/crates/config/src/terms.rs
@@ -17,6 +17,9 @@
     pub values: usize,
     pub routes: usize,
     pub services: usize,
+    pub customers: usize,
+    /// Keys of one customer.
+    pub customer_keys: usize,
     /// Columns that a table of the configuration may have.
     pub columns: usize,
     /// Services among which one route may be shared out.
@@ -46,6 +49,8 @@
     values: 1_000_000,
     routes: 20_000,
     services: 1000,
+    customers: 50_000,
+    customer_keys: 64,
     columns: 64,
     sorting: 64,
     name_bytes: 256,
--- a/crates/config/src/types.rs
+++ b/crates/config/src/types.rs
@@ -1,6 +1,7 @@
 //! What the parts of the gateway share: the configuration as the operator gave it, checked, and the view that a
 //! supervisor routes by.
 
+use crate::customers::Customers;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
@@ -15,11 +16,13 @@
     Fragile,
     /// Large answers; may run more than once.
     Outbound,
+    /// At most once for each idempotency key of a customer, whichever tries carry it.
+    Registered,
 }
 
 impl RouteClass {
     pub fn may_run_again(self) -> bool {
-        self != RouteClass::Fragile
+        matches!(self, RouteClass::Safe | RouteClass::Outbound)
     }
 }
 
@@ -41,6 +44,8 @@
     pub sorting: Vec<(Arc<str>, f64)>,
     /// The most servers that one try may be sent to.
     pub attempts: u32,
+    /// Requests need no key of a customer.
+    pub is_open: bool,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -49,6 +54,8 @@
     pub health_path: Arc<str>,
     /// Connections that one server takes from all callers together.
     pub line_cap: u32,
+    /// Its servers keep a record of idempotency keys of their own.
+    pub dedupes: bool,
 }
 
 /// What a client may send, and how long it may take.
@@ -66,6 +73,8 @@
     pub routes: Vec<Route>,
     pub services: Vec<Service>,
     pub limits: Limits,
+    /// Who may send requests, by which keys; none: everybody.
+    pub customers: Option<Arc<Customers>>,
     /// What offices have of it; none in a system without accounts.
     pub licences: Option<Arc<Licences>>,
 }
--- a/crates/config/tests/configurations.rs
+++ b/crates/config/tests/configurations.rs
@@ -146,7 +146,7 @@
     /routes/entries/1/service: unknown service huvo
     /routes/entries/2/depot: missing; expected a host
     /routes/entries/2/lane_prefix: expected a prefix between slashes, found "/lohu930"
-    /routes/entries/2/route_class: expected safe, fragile or outbound, found "new"
+    /routes/entries/2/route_class: expected safe, fragile, outbound or registered, found "new"
     /limits/header_s: expected seconds, found "three\n"
     "#);
     let many = large(400).replace("\"safe\"", "\"save\"");
--- a/crates/config/tests/routing.rs
+++ b/crates/config/tests/routing.rs
@@ -15,12 +15,20 @@
         priority: 1,
         sorting: vec![("s".into(), 1.0)],
         attempts: 1,
+        is_open: false,
     }
 }
 
 fn routing(routes: Vec<Route>) -> Routing {
     let limits = Limits::default();
-    Routing::new(Arc::new(Configuration { edition: 1, routes, services: vec![], limits, licences: None }))
+    Routing::new(Arc::new(Configuration {
+        edition: 1,
+        routes,
+        services: vec![],
+        limits,
+        customers: None,
+        licences: None,
+    }))
 }
 
 #[test]
--- a/crates/health/src/words.rs
+++ b/crates/health/src/words.rs
@@ -19,7 +19,7 @@
     fn from(class: RouteClass) -> Kind {
         match class {
             RouteClass::Safe => Kind::Lookup,
-            RouteClass::Fragile => Kind::Order,
+            RouteClass::Fragile | RouteClass::Registered => Kind::Order,
             RouteClass::Outbound => Kind::Download,
         }
     }
--- a/crates/health/tests/world/mod.rs
+++ b/crates/health/tests/world/mod.rs
@@ -317,9 +317,15 @@
         slots: 3,
         weight: 1.0,
     };
-    let services = vec![Service { name: "s".into(), health_path: "/".into(), line_cap: 130 }];
+    let services = vec![Service { name: "s".into(), health_path: "/".into(), line_cap: 130, dedupes: false }];
     let limits = Limits { header_bytes: 1, body_bytes: 1, header: MS, idle: MS };
-    let configuration =
-        Arc::new(Configuration { edition: 1, routes: vec![], services, limits, licences: None });
+    let configuration = Arc::new(Configuration {
+        edition: 1,
+        routes: vec![],
+        services,
+        limits,
+        customers: None,
+        licences: None,
+    });
     View { configuration, berths: lives.iter().enumerate().map(berth).collect() }
 }
--- a/crates/proxy/examples/path_at_size/sized.rs
+++ b/crates/proxy/examples/path_at_size/sized.rs
@@ -53,11 +53,13 @@
             priority: 1,
             sorting: vec![(format!("service-{:03}", i % self.services).into(), 1.0)],
             attempts: 2,
+            is_open: false,
         };
         let service = |i: usize| Service {
             name: format!("service-{i:03}").into(),
             health_path: "/health".into(),
             line_cap: 64,
+            dedupes: false,
         };
         let limits =
             Limits { header_bytes: 16384, body_bytes: 1 << 20, header: MS * 3000, idle: MS * 15_000 };
@@ -76,7 +78,14 @@
                 .collect(),
         };
         let services = (0..self.services).map(service).collect();
-        Configuration { edition: 1, routes, services, limits, licences: Some(licences.into()) }
+        Configuration {
+            edition: 1,
+            routes,
+            services,
+            limits,
+            customers: None,
+            licences: Some(licences.into()),
+        }
     }
 
     pub fn server(i: usize) -> Arc<str> {
--- a/crates/proxy/tests/world/mod.rs
+++ b/crates/proxy/tests/world/mod.rs
@@ -132,15 +132,17 @@
         priority: 1,
         sorting: vec![("s".into(), 1.0)],
         attempts: 2,
+        is_open: false,
     };
     let routes = vec![
         route("/fragile/", RouteClass::Fragile),
         route("/outbound/", RouteClass::Outbound),
         route("/safe/", RouteClass::Safe),
     ];
-    let services = vec![Service { name: "s".into(), health_path: "/health".into(), line_cap: 64 }];
+    let services =
+        vec![Service { name: "s".into(), health_path: "/health".into(), line_cap: 64, dedupes: false }];
     let limits = Limits { header_bytes: 16 << 10, body_bytes: 64 << 20, header: ms(300), idle: ms(15_000) };
-    Configuration { edition: 1, routes, services, limits, licences: None }
+    Configuration { edition: 1, routes, services, limits, customers: None, licences: None }
 }
 
 pub fn berth(server: &Server) -> Berth {
--- a/crates/registry/examples/home_slopes.rs
+++ b/crates/registry/examples/home_slopes.rs
@@ -73,17 +73,19 @@
         priority: 1,
         sorting: vec![(format!("service-{:03}", i % SERVICES).into(), 1.0)],
         attempts: 2,
+        is_open: false,
     };
     let service = |i: usize| Service {
         name: format!("service-{i:03}").into(),
         health_path: "/health".into(),
         line_cap: 64,
+        dedupes: false,
     };
     let limits = Limits { header_bytes: 16384, body_bytes: 1 << 20, header: 3 * SECOND, idle: 15 * SECOND };
     let mut routes: Vec<Route> = (0..routes).map(route).collect();
     routes.sort_by(|a, b| (&a.depot, &a.lane_prefix).cmp(&(&b.depot, &b.lane_prefix)));
     let services = (0..SERVICES).map(service).collect();
-    Arc::new(Configuration { edition, routes, services, limits, licences: None })
+    Arc::new(Configuration { edition, routes, services, limits, customers: None, licences: None })
 }
 
 fn beat(i: usize, postmark: u64, closing: bool) -> Beat {
--- a/crates/registry/tests/world/mod.rs
+++ b/crates/registry/tests/world/mod.rs
@@ -120,11 +120,20 @@
         priority: 1,
         sorting: vec![("shop".into(), 1.0)],
         attempts: 2,
+        is_open: false,
     };
-    let service = Service { name: "shop".into(), health_path: "/health".into(), line_cap: 64 };
+    let service =
+        Service { name: "shop".into(), health_path: "/health".into(), line_cap: 64, dedupes: false };
     let limits = Limits { header_bytes: 16384, body_bytes: 1 << 20, header: 3000 * MS, idle: 15_000 * MS };
     let routes = (0..routes).map(route).collect();
-    Arc::new(Configuration { edition, routes, services: vec![service], limits, licences: None })
+    Arc::new(Configuration {
+        edition,
+        routes,
+        services: vec![service],
+        limits,
+        customers: None,
+        licences: None,
+    })
 }
 
 /// Bytes that leave for a whole table of so many routes, and for what leads on from it to so many.
--- a/crates/routing/tests/fleet.rs
+++ b/crates/routing/tests/fleet.rs
@@ -14,7 +14,7 @@
 }
 
 fn view(berths: Vec<Berth>) -> View {
-    let services = vec![Service { name: "s".into(), health_path: "/".into(), line_cap: 130 }];
+    let services = vec![Service { name: "s".into(), health_path: "/".into(), line_cap: 130, dedupes: false }];
     let limits = Limits { header_bytes: 1, body_bytes: 1, header: ms(1), idle: ms(1) };
     View {
         configuration: Arc::new(Configuration {
@@ -22,6 +22,7 @@
             routes: vec![],
             services,
             limits,
+            customers: None,
             licences: None,
         }),
         berths,
--- a/crates/tenants/examples/ledger_slopes.rs
+++ b/crates/tenants/examples/ledger_slopes.rs
@@ -27,6 +27,7 @@
         priority: 1,
         sorting: vec![(format!("service-{:03}", i % 330).into(), 1.0)],
         attempts: 2,
+        is_open: false,
     }
 }
 
@@ -76,12 +77,14 @@
         name: format!("service-{i:03}").into(),
         health_path: "/health".into(),
         line_cap: 64,
+        dedupes: false,
     };
     let operator = Configuration {
         edition: 1,
         routes: (0..1800.min(accounts)).map(|i| route(i * 16 + 100_000, false)).collect(),
         services: (0..330).map(service).collect(),
         limits: Limits::default(),
+        customers: None,
         licences: None,
     };
     for (what, routes) in [("bare", false), ("with_a_route", true)] {
--- a/crates/tenants/src/accounts.rs
+++ b/crates/tenants/src/accounts.rs
@@ -69,7 +69,7 @@
     });
     let mut classes = BTreeSet::new();
     top.field("classes").elements(faults, RouteClass::ALL.len(), |faults, field| {
-        classes.extend(field.must(faults, "safe, fragile or outbound", class));
+        classes.extend(field.must(faults, "safe, fragile, outbound or registered", class));
     });
     let mut figure = |key: &str, usual: u32, most: u32| {
         top.field(key).may(faults, "a number", |v| count(v, 0, most)).unwrap_or(usual)
--- a/crates/tenants/src/shown.rs
+++ b/crates/tenants/src/shown.rs
@@ -43,7 +43,7 @@
 
 fn limits(allowance: &Allowance) -> String {
     let count = |n: u32| figure(n, f64::from(u32::MAX));
-    let rates = RouteClass::ALL.into_iter().zip(allowance.rates);
+    let rates = RouteClass::RATED.into_iter().zip(allowance.rates);
     let rates: Vec<String> =
         rates.map(|(class, rate)| format!(r#""{}":{}"#, class.word(), figure(rate, f64::INFINITY))).collect();
     format!(
