--- a/crates/admin/src/tales.rs
+++ b/crates/admin/src/tales.rs
@@ -104,6 +104,29 @@
             "{got}, as this node lacked for too long what its home knows: what was routed by may have been overtaken; see \
              view_age_seconds of its figures"
         ),
+        Some(Why::NoKey) => format!(
+            "{got}, as it had no key that edition {edition} knows, and {route} is not open: see its customer's stamps"
+        ),
+        Some(Why::Lapsed) => format!(
+            "{got}, as no home has confirmed for too long that keys still hold: see view_age_seconds and the keepers"
+        ),
+        Some(Why::OverQuota) => format!("{got}, as its customer's rate and burst over all nodes are used up"),
+        Some(Why::NoToken) => {
+            format!(
+                "{got}, as the home of its customer's quota did not answer in time: see quota_parts of the keepers"
+            )
+        }
+        Some(Why::NoOperationKey) => {
+            format!("{got}, as {route} is registered and it had no X-Idempotency-Key")
+        }
+        Some(Why::InWork) => format!("{got}, as another request carries out its operation at this moment"),
+        Some(Why::Repeated) => format!("{got}, the answer of the first request of its operation"),
+        Some(Why::Forgotten) => format!(
+            "{got}, as another request had begun its operation, and what became of that is not known: it is not run again"
+        ),
+        Some(Why::Unclaimed) => format!(
+            "{got}, as no majority of disks said that its operation was not begun elsewhere: see settled in status"
+        ),
         Some(Why::NoServer) => {
             format!(
                 "{got}, as no open server of {service} was known: all are drained, lost or not started; see fleet servers"
--- a/crates/control-state/src/contact.rs
+++ b/crates/control-state/src/contact.rs
@@ -55,6 +55,12 @@
         Some(config.min(self.read_of(Key::Accounts)?).min(ends))
     }
 
+    /// The configuration that was committed before then is known here: it is read at a majority again and again. None: it has not
+    /// been read since the start.
+    pub fn configuration_read_since(&self) -> Option<Duration> {
+        self.read_of(Key::Config)
+    }
+
     /// All ends of servers that were committed before then are known here. None: they have not been read since the start.
     pub fn ends_read_since(&self) -> Option<Duration> {
         self.read_of(Key::ServerEnds)
--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -55,6 +55,8 @@
     There(Ipv4Addr, u64),
     /// This supervisor itself, for the end of a server, by its number.
     End(u64),
+    /// This supervisor itself, for the lock of a part of the quotas.
+    Quota(u32),
 }
 
 /// What this supervisor makes of a keeper by its answers.
--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -10,13 +10,13 @@
 use fallgap_control_state::{Answer, Call, Key, Out as KeeperOut, subjects};
 use fallgap_health::{KINDS, LightWord, Out as LightOut, Verdict};
 use fallgap_membership::{Out as BeaconOut, State};
+use fallgap_proxy::OperationState;
 use fallgap_registry::{
     FollowerOut, Knows, LeaseQuestion, Out as RosterOut, Outcome, RosterWord, ServerReport, Told as TableTold,
 };
 use fallgap_routing::Place;
 use fallgap_tenants::Ledger;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
-use std::sync::atomic::Ordering::Relaxed;
 use std::sync::mpsc::SyncSender;
 use std::time::Duration;
 
@@ -27,6 +27,7 @@
             let mut more = self.carry_beacon(now);
             more |= self.carry_keeper(now);
             more |= self.carry_roster(now);
+            more |= self.carry_admission(now);
             while let Some(word) = self.own.pop_front() {
                 more = true;
                 self.heard(now, self.me, word);
@@ -92,7 +93,10 @@
                 KeeperOut::Committed { key: Key::ServerEnds, value } => {
                     self.hub.iter_mut().for_each(|hub| hub.servers_ended(now, &value));
                 }
-                KeeperOut::Committed { .. } | KeeperOut::Voted { .. } => {}
+                KeeperOut::Committed { .. } => {}
+                KeeperOut::Voted { from, number, epoch, quorum, vote } => {
+                    self.quay.iter_mut().for_each(|quay| quay.voted(now, from, number, epoch, quorum, vote));
+                }
                 KeeperOut::Note(line) => tracing::info!("{line}"),
             }
         }
@@ -184,8 +188,7 @@
                     self.rollouts.in_force(now, view.configuration.edition);
                     self.view = Some(view.clone());
                     self.quay.iter_mut().for_each(|quay| quay.view(now, view.clone()));
-                    let ready = self.leaving.is_none() && self.quay.as_ref().is_some_and(|q| q.is_ready());
-                    self.ready.store(ready, Relaxed);
+                    self.see_whether_ready();
                 }
                 FollowerOut::Note(line) => tracing::info!("{line}"),
             }
@@ -209,7 +212,7 @@
 
     /// A follower is told what this home knows, and how old that knowledge is.
     fn answer_lease(&mut self, now: Duration, to: Ipv4Addr, question: LeaseQuestion, knows: Knows) {
-        if let Some(since) = self.keeper.read_since() {
+        if let Some(since) = self.keeper.configuration_read_since() {
             let read_age = now.saturating_sub(since);
             self.say(now, to, Word::Roster(RosterWord::Lease { question, knows, read_age }));
         }
@@ -301,6 +304,21 @@
                 self.say(now, from, Word::Heeded { id, in_force: held || routed });
             }
             Word::Heeded { id, in_force } => self.spread.heeded(now, id, from, in_force),
+            Word::OperationAsked { number, operation, attempt } => {
+                let state = self.quay.as_ref().map(|quay| quay.operation_state(operation, attempt));
+                let state = state.unwrap_or(OperationState::NotHere);
+                self.say(now, from, Word::OperationTold { number, state });
+            }
+            Word::OperationTold { number, state } => {
+                self.quay.iter_mut().for_each(|quay| quay.owner_told(now, number, &state));
+            }
+            Word::QuotaAsked(asks) => self.quota_asked(now, from, &asks),
+            Word::QuotaGranted(grants) => {
+                for grant in &grants {
+                    self.quay.iter_mut().for_each(|quay| quay.quota_granted(now, grant));
+                }
+            }
+            Word::NotQuotaHome(customers) => self.not_quota_home(from, &customers),
         }
     }
 
@@ -401,6 +419,7 @@
             }
             Step::Answer(Caller::There(to, id), answer) => self.say(now, to, Word::Forwarded { id, answer }),
             Step::Answer(Caller::End(id), answer) => self.beats.kept(id, answer),
+            Step::Answer(Caller::Quota(shard), answer) => self.quotas.answered(now, shard, &answer),
         }
     }
 
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -130,16 +130,6 @@
 }
 
 /// What an office shows that it is one.
-/// A configuration that asks for what is not carried out yet is refused rather than half kept.
-fn supported(configuration: chart::Configuration) -> Result<chart::Configuration, Refused> {
-    let registered = configuration.routes.iter().any(|route| route.class == chart::RouteClass::Registered);
-    if registered || configuration.customers.is_some() {
-        let what = chart::What::Against("customers and registered routes are not carried out yet".into());
-        return Err(Refused::Faults(chart::Faults::one(what)));
-    }
-    Ok(configuration)
-}
-
 fn key(request: &Request) -> &str {
     request.header("x-office-key").unwrap_or_default()
 }
@@ -180,7 +170,7 @@
                 // Read only when there is room for it: reading a large one takes a while.
                 let call = || {
                     let body = self.body(request, self.terms.configuration)?;
-                    let edition = supported(chart::read_configuration(body)?)?.edition;
+                    let edition = chart::read_configuration(body)?.edition;
                     self.put_configuration(edition, body)
                 };
                 self.waits(call)?
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -1,6 +1,7 @@
 //! The one thread that holds all cores: it waits for sockets, threads and times, and tells the cores what happened.
 //! Nothing here decides. What the cores hand back is carried out in `carry.rs`.
 
+use crate::admission::quota_terms;
 use crate::ages::Ages;
 use crate::asks::{Ask, Asked, Told};
 use crate::beats::Beats;
@@ -12,6 +13,7 @@
 use crate::line_pace::LinePace;
 use crate::links::Links;
 use crate::preference;
+use crate::quotas::Quotas;
 use crate::signals::Heard;
 use crate::spread::Spread;
 use crate::turns::{Activity, Turns};
@@ -65,6 +67,7 @@
     /// The processes that were here when it was last looked.
     pub lives: BTreeMap<Ipv4Addr, u64>,
     pub beats: Beats,
+    pub quotas: Quotas,
     /// What operators asked that others have to answer, and the editions that were in force here.
     pub surveys: Surveys<SyncSender<Told>>,
     pub history: History,
@@ -173,6 +176,9 @@
             self.carry(now);
             self.spent(Activity::Timers);
             self.see_to_connections(now);
+            if self.carry_admission(now) {
+                self.carry(now);
+            }
             if let Some(long) = self.turns.end(self.now()) {
                 tracing::warn!("gateway: a turn of the loop took {long}");
             }
@@ -186,8 +192,18 @@
     fn see_to_view(&mut self, now: Duration) {
         let ViewTimes { known, committed, is_reached } = self.follower.view_times(now);
         let confirmed = self.follower.age(now).map(|age| now.saturating_sub(age));
+        let committed = committed.map(|at| fallgap_routing::Before { asked: at.asked, age: at.age });
         let times = fallgap_routing::ViewTimes { confirmed, known, committed, is_reached };
         self.quay.iter_mut().for_each(|quay| quay.view_times(times));
+        if !self.ready.load(Relaxed) {
+            self.see_whether_ready();
+        }
+    }
+
+    /// Whether clients may be sent here.
+    pub fn see_whether_ready(&mut self) {
+        let ready = self.leaving.is_none() && self.quay.as_ref().is_some_and(Quay::is_ready);
+        self.ready.store(ready, Relaxed);
     }
 
     /// Connections of clients and servers get their turn, behind what others have said meanwhile.
@@ -222,6 +238,7 @@
             self.spread.next_wake(),
             self.rollouts.next_wake(),
             self.beats.next_wake(),
+            self.quotas_wake(),
         ];
         let rest = [self.follower.next_wake(), quay, urgent].into_iter().chain(asked).flatten();
         let all = [self.beacon.next_wake(), self.keeper.next_wake(), self.slow, self.reports];
@@ -265,6 +282,9 @@
             let steps = self.calls.woke(now, self.me, order);
             steps.into_iter().for_each(|step| self.step(now, step));
         }
+        if self.quotas_wake().is_some_and(|at| at <= now) {
+            self.quotas_woke(now);
+        }
         if self.surveys.next_wake().is_some_and(|at| at <= now) {
             self.surveys_woke(now);
         }
@@ -460,6 +480,9 @@
                 let seeds = settings.seeds.iter().map(|seed| *seed.ip()).collect();
                 self.beacon.seeds(now, seeds);
                 self.settings.bounds = settings.bounds;
+                let terms = quota_terms(&settings.bounds);
+                self.quotas.set_terms(terms);
+                self.quay.iter_mut().for_each(|quay| quay.quota_terms(terms));
                 self.rollouts.set_patience(Patience::within(settings.bounds.config));
             }
             Err(why) => tracing::info!("gateway: the settings stay, the file cannot be used: {why}"),
@@ -503,6 +526,7 @@
             let gone = self.beacon.peers().filter(|p| p.state == State::Gone);
             gone.for_each(|peer| hub.distribution.left(peer.card.node));
         }
+        self.admission_view_changed();
         let here: Vec<Ipv4Addr> = self.lives.keys().copied().chain([self.me]).collect();
         let count = here.len();
         let place = calls::by_key(&Key::Config, here).iter().position(|node| *node == self.me).unwrap_or(0);
--- a/crates/gateway/src/figures.rs
+++ b/crates/gateway/src/figures.rs
@@ -58,6 +58,11 @@
             abandoned,
             closed_early,
             unheard,
+            no_key,
+            keys_lapsed,
+            over_quota,
+            operations_repeated,
+            operations_unknown,
         } = *counters;
         let totals = [
             ("client_connections", accepted),
@@ -83,6 +88,11 @@
             ("clients_broke_early", abandoned),
             ("clients_closed_early", closed_early),
             ("answers_unheard", unheard),
+            ("requests_without_key", no_key),
+            ("requests_keys_lapsed", keys_lapsed),
+            ("requests_over_quota", over_quota),
+            ("operations_repeated", operations_repeated),
+            ("operations_unknown", operations_unknown),
         ];
         totals.into_iter().for_each(|(name, value)| self.total(name, value));
     }
@@ -130,6 +140,12 @@
             figures.total("late_beats", hub.registry.late_beats());
             figures.total("ends_told_unheard", hub.ends.told_unheard());
         }
+        let held = quay.map(|quay| quay.admission_held()).unwrap_or_default();
+        let names =
+            ["quota_tokens_held", "requests_wait_for_quota", "operations_kept", "operation_answer_bytes"];
+        names.into_iter().zip(held).for_each(|(name, value)| figures.now(name, value as f64));
+        figures.now("quota_parts", self.quotas.parts_held(now) as f64);
+        figures.now("claims_held", self.keeper.claims_held() as f64);
         figures.total("editions_acknowledged_early", self.acknowledged_early);
         figures.now("disk_wait_seconds", self.keeper.disk_wait(now).as_secs_f64());
         figures.now("majority_wait_seconds", self.keeper.majority_sync(now).as_secs_f64());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,6 +1,7 @@
 //! The parts of `gateway`, fallgap's gateway. The cores that match answers to who waits for them are here for their
 //! tests as well: `beats`, `calls`, `spread`, `links`, `words`.
 
+pub mod admission;
 pub mod ages;
 pub mod ask;
 pub mod asked;
@@ -24,6 +25,7 @@
 pub mod memory;
 pub mod offices;
 pub mod preference;
+pub mod quotas;
 pub mod signals;
 pub mod slow_disk;
 pub mod spread;
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -1,5 +1,6 @@
 //! How a supervisor starts: settings, signals, disk, sockets, cores, in this order.
 
+use crate::admission;
 use crate::ages::Ages;
 use crate::asks::Desk;
 use crate::beats::Beats;
@@ -14,6 +15,7 @@
 use crate::line_pace::LinePace;
 use crate::links::{self, Links};
 use crate::memory::{Memory, Remembered};
+use crate::quotas::Quotas;
 use crate::signals;
 use crate::spread::Spread;
 use crate::turns::Turns;
@@ -155,6 +157,7 @@
     };
     let terms = fallgap_control_state::Terms {
         history: settings.bounds.history,
+        claim_lifetime: admission::claim_lifetime(&settings.bounds),
         ..fallgap_control_state::Terms::for_machine(settings.resources.memory_mb, disk_mb)
     };
     let keeper = Keeper::start(now, rng.u64(..), who, Kept { records: kept }, terms)?;
@@ -209,6 +212,7 @@
         ages: Ages::default(),
         life,
         beats: Beats::new(rng.u64(1..1 << 62)),
+        quotas: Quotas::new(me, life, admission::quota_terms(&settings.bounds)),
         surveys: Surveys::new(fallgap_admin::Terms::USUAL, rng.u64(1..1 << 62)),
         history: History::default(),
         leavers: Leavers::default(),
@@ -269,16 +273,23 @@
     terms.pilot.retry_window = bounds.retry_window;
     terms.link_mbps = settings.resources.link_mbps;
     terms.lease.behind = view_lease(bounds);
+    terms.lease.keys = bounds.revoked.then(|| lease_within(bounds.revoke));
+    terms.quota = admission::quota_terms(bounds);
+    terms.operation_lifetime = admission::claim_lifetime(bounds);
     terms
 }
 
 /// How long a view may be routed by that its home has not confirmed. What the home learned right behind the last confirmation
 /// may have been acknowledged at that moment, and binds after the shorter of the two times.
 fn view_lease(bounds: &fallgap_config::Bounds) -> Duration {
+    lease_within(bounds.config.min(bounds.drain))
+}
+
+/// A lease that is over before that time, by a clock that is slow.
+fn lease_within(time: Duration) -> Duration {
     /// Clocks of two machines differ in rate by less than one in 16.
     const RATE_MARGIN: u32 = 16;
     /// From the decision on a request to its arrival at a server.
     const ON_ITS_WAY: Duration = Duration::from_millis(50);
-    let shorter = bounds.config.min(bounds.drain);
-    (shorter - shorter / RATE_MARGIN).saturating_sub(ON_ITS_WAY)
+    (time - time / RATE_MARGIN).saturating_sub(ON_ITS_WAY)
 }
--- a/crates/gateway/src/words.rs
+++ b/crates/gateway/src/words.rs
@@ -4,12 +4,14 @@
 
 use crate::ages::Stamp;
 use fallgap_config::Beat;
-use fallgap_control_state::{Answer, Call, Message};
+use fallgap_control_state::{Answer, Attempt, Call, Message, OperationId};
+use fallgap_proxy::OperationState;
 use fallgap_registry::{Line, RosterWord};
-use fallgap_routing::Place;
+use fallgap_routing::{Place, QuotaAsk, QuotaGrant};
 use lz4_flex::block::{compress_prepend_size, decompress, uncompressed_size};
 use serde::{Deserialize, Serialize};
 use std::net::Ipv4Addr;
+use std::sync::Arc;
 
 /// Bytes of one frame at most: a configuration of the largest size fits. A longer one ends the link.
 pub const FRAME: usize = 20 << 20;
@@ -70,6 +72,20 @@
     Withdraw {
         id: u64,
     },
+    /// To the supervisor that made an attempt at an operation: what became of it?
+    OperationAsked {
+        number: u64,
+        operation: OperationId,
+        attempt: Attempt,
+    },
+    OperationTold {
+        number: u64,
+        state: OperationState,
+    },
+    /// To the home of customers' quotas, and its answers.
+    QuotaAsked(Vec<QuotaAsk>),
+    QuotaGranted(Vec<QuotaGrant>),
+    NotQuotaHome(Vec<Arc<str>>),
 }
 
 /// Withdrawals go before the rest of what was read at one time, which stays in its order: a call that comes along with
--- a/crates/gateway/tests/calls_model.rs
+++ b/crates/gateway/tests/calls_model.rs
@@ -315,7 +315,7 @@
                     self.say(at, place(to), Word::Withdraw(id));
                 }
                 Step::Answer(Caller::Here(reply), answer) => _ = reply.try_send(Told::Answer(answer)),
-                Step::Answer(Caller::End(_), _) => unreachable!("no server ends here"),
+                Step::Answer(Caller::End(_) | Caller::Quota(_), _) => unreachable!("no server ends here"),
                 Step::Answer(Caller::There(to, id), answer) => {
                     self.say(at, place(to), Word::Forwarded(id, answer));
                 }
--- a/crates/proxy/src/ops.rs
+++ b/crates/proxy/src/ops.rs
@@ -1,15 +1,18 @@
 //! Ops: from a whole request to its answer.
 
+use crate::admission::{KEYED_DEADLINE, Refused};
 use crate::client::{ClientState, Outgoing};
 use crate::clients::Ahead;
 use crate::line::TryAt;
 use crate::logbook::{Draft, Over};
+use crate::operations::OperationState;
 use crate::quay::Quay;
 use crate::timers::{ClientKey, LineKey, OpKey, Who};
-use fallgap_config::{RouteClass, plain_host};
+use fallgap_config::{Configuration, RouteClass, plain_host};
+use fallgap_control_state::{Attempt, OperationId};
 use fallgap_routing::{
-    Answer, Ended, Final, Next, Op, Plan, Request, ServerKey, ServiceKey, TryOutcome, Why, answer_head,
-    own_answer,
+    Answer, Ended, Final, KeptAnswer, Next, Op, Plan, Request, Sender, ServerKey, ServiceKey, TryOutcome,
+    Why, answer_head, own_answer,
 };
 use std::sync::Arc;
 use std::time::Duration;
@@ -30,10 +33,36 @@
     pub hedge_at: Option<Duration>,
     pub noted: Option<Duration>,
     pub edition: u64,
+    pub sender: Sender,
+    /// It has a token of its customer's quota.
+    pub has_token: bool,
+    /// What it is to carry out once.
+    pub operation: Option<OperationId>,
+    pub claim: Option<Claim>,
+    pub stage: Stage,
     /// What is told of it afterwards.
     pub draft: Draft,
 }
 
+/// The own attempt at an operation.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Claim {
+    pub attempt: Attempt,
+}
+
+/// What an op waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Stage {
+    /// A token of its customer's quota.
+    Quota,
+    /// Votes on its claim.
+    Votes,
+    /// The word of the supervisor that began its operation.
+    Owner { number: u64, by_majority: bool, until: Duration },
+    /// Servers.
+    Tries,
+}
+
 /// A try that is under way.
 #[derive(Clone, Copy)]
 pub(crate) struct Try {
@@ -84,9 +113,24 @@
             self.refused(now, began, &request, 404, Why::NoRoute, None);
             return self.own_answer(now, key, &request, 404, None);
         };
-        let plan = Plan::new(began, route, head.wait, self.terms.pilot.connects);
-        let below = self.last_priority.saturating_sub(plan.priority);
-        let route_name = route.name.clone();
+        let configuration = configuration.clone();
+        let mut plan = Plan::new(began, route, head.wait, self.terms.pilot.connects);
+        let (route_name, route) = (route.name.clone(), route.clone());
+        let sender = match self.identify(now, &configuration, head, route.is_open) {
+            Ok(sender) => sender,
+            Err(refused) => return self.not_admitted(now, key, began, &request, refused, route_name),
+        };
+        let operation = match self.operation(route.class, head, &sender) {
+            Ok(operation) => operation,
+            Err(refused) => return self.not_admitted(now, key, began, &request, refused, route_name),
+        };
+        if let Some(operation) = operation {
+            plan.deadline = plan.deadline.min(began + KEYED_DEADLINE);
+            if self.repeats(now, key, began, &request, operation) {
+                return;
+            }
+        }
+        let below = self.ranks_below(&configuration, &sender, plan.priority);
         let service = self.fleet.sorted(&route.sorting);
         let let_in = service.filter(|service| self.fleet.arrives(now, *service, below));
         let Some(service) = let_in.filter(|_| now < plan.deadline) else {
@@ -123,6 +167,11 @@
             hedge_at,
             noted: None,
             edition,
+            sender,
+            has_token: false,
+            operation,
+            claim: None,
+            stage: Stage::Tries,
             draft: Draft::default(),
         };
         self.memory += entry.request.body.len();
@@ -131,7 +180,34 @@
             client.until = plan.deadline;
             client.turn(now, ClientState::Working(op));
         }
-        self.start_try(now, op);
+        self.admit(now, op);
+    }
+
+    /// How many ranks stand under a request's own: its customer's weighs more than its route's.
+    fn ranks_below(&self, configuration: &Configuration, sender: &Sender, priority: u8) -> u8 {
+        let below = self.last_priority.saturating_sub(priority);
+        let Some(customers) = &configuration.customers else { return below };
+        let lowest = customers.lowest_priority();
+        let customer = sender.customer().and_then(|name| customers.named(name));
+        let above = lowest.saturating_sub(customer.map_or(lowest, |customer| customer.priority));
+        above.saturating_mul(self.last_priority.saturating_add(1)).saturating_add(below)
+    }
+
+    fn not_admitted(
+        &mut self, now: Duration, key: ClientKey, began: Duration, request: &Request, refused: Refused,
+        route: Arc<str>,
+    ) {
+        let Refused(status, why) = refused;
+        self.refused(now, began, request, status, why, Some((route, None)));
+        match why {
+            Why::NoKey => self.counters.no_key += 1,
+            Why::NoOperationKey => self.counters.malformed += 1,
+            _ => self.counters.keys_lapsed += 1,
+        }
+        if status == 503 {
+            return self.not_run(now, key, request);
+        }
+        self.own_answer(now, key, request, status, None);
     }
 
     /// Does what an op's core says.
@@ -145,6 +221,7 @@
                     self.draught.brought(&op.route, answer.told_length.unwrap_or(answer.body.len()));
                 }
                 let status = answer.as_ref().map_or(502, |answer| answer.status);
+                self.keep_answer(op, answer.as_ref());
                 self.finish(now, op, status, |quay, client, request| match answer {
                     Some(answer) => quay.pass(now, client, request, answer),
                     None => quay.own_answer(now, client, request, status, None),
@@ -176,10 +253,11 @@
     }
 
     /// An op is over: its tries end, and its client gets an answer.
-    fn finish(
+    pub(crate) fn finish(
         &mut self, now: Duration, key: OpKey, status: u16,
         answer: impl FnOnce(&mut Quay, ClientKey, &Request),
     ) {
+        self.end_admission(key);
         let Some(mut op) = self.ops.remove(key) else { return };
         self.timers.set(&mut op.noted, None, Who::Op(key));
         self.memory = self.memory.saturating_sub(op.request.body.len());
@@ -206,8 +284,32 @@
         }
     }
 
+    /// An op's answer is kept for the repeats of its operation.
+    fn keep_answer(&mut self, key: OpKey, answer: Option<&Answer>) {
+        let Some(op) = self.ops.get_mut(key) else { return };
+        if let (Some(claim), Some(operation)) = (op.claim.take(), op.operation) {
+            self.operations.ended(operation, claim.attempt, answer.map(KeptAnswer::of));
+        }
+    }
+
+    /// An op ends: what it has claimed and not begun is free again, and its token is another's if it was not spent.
+    fn end_admission(&mut self, key: OpKey) {
+        let Some(op) = self.ops.get(key) else { return };
+        if op.has_token
+            && !op.core.was_sent()
+            && let Some(customer) = op.sender.customer()
+        {
+            self.quotas.put_back(customer);
+        }
+        if op.core.may_have_run() {
+            self.keep_answer(key, None);
+        } else {
+            self.give_claim_up(key);
+        }
+    }
+
     /// An op is refused before it is one.
-    fn refused(
+    pub(crate) fn refused(
         &mut self, now: Duration, came: Duration, request: &Request, status: u16, why: Why,
         route: Option<(Arc<str>, Option<ServiceKey>)>,
     ) {
@@ -295,7 +397,7 @@
         self.own_answer(now, key, request, 503, Some(again));
     }
 
-    fn own_answer(
+    pub(crate) fn own_answer(
         &mut self, now: Duration, key: ClientKey, request: &Request, status: u16, again: Option<Duration>,
     ) {
         let ends = self.ends(key, request.head.keep);
@@ -333,7 +435,8 @@
         let Some(op) = self.ops.get_mut(key) else { return };
         let connecting = op.tries.iter().filter(|one| !one.sent).map(|one| one.began + connect).min();
         let hedge = op.hedge_at.filter(|_| op.tries.len() == 1);
-        let due = [connecting, hedge].into_iter().flatten().fold(op.core.plan.deadline, Duration::min);
+        let owner = if let Stage::Owner { until, .. } = op.stage { Some(until) } else { None };
+        let due = [connecting, hedge, owner].into_iter().flatten().fold(op.core.plan.deadline, Duration::min);
         self.timers.set(&mut op.noted, Some(due), Who::Op(key));
     }
 
@@ -347,6 +450,11 @@
         }
         let connect = self.connect_most(target);
         let Some(op) = self.ops.get_mut(key) else { return };
+        if let Stage::Owner { by_majority, until, .. } = op.stage
+            && now >= until
+        {
+            return self.owner_has_told(now, key, &OperationState::NotHere, by_majority);
+        }
         if now >= op.core.plan.deadline {
             let next = op.core.late();
             op.draft.why = if next == Next::Break { Why::Broke } else { Why::Time };
--- a/crates/proxy/src/quay.rs
+++ b/crates/proxy/src/quay.rs
@@ -1,21 +1,27 @@
 //! The quay as its owner sees it.
 
+use crate::admission::Errand;
 use crate::client::{Client, ClientState};
 use crate::line::Line;
 use crate::lines::Pool;
 use crate::logbook::{Logbook, Tale};
+use crate::operations::Operations;
 use crate::ops::OpEntry;
 use crate::ready::ReadyQueue;
 use crate::terms::Terms;
 use crate::timers::{ClientKey, LineKey, OpKey, Timers, Who};
 use fallgap_config::{Limits, Routing, View};
+use fallgap_control_state::NodeId;
+use fallgap_control_state::attempts::{AttemptTerms, Attempts};
 use fallgap_health::Verdict;
-use fallgap_routing::{Draught, Ends, Fleet, Lease, Place, Report, ServerKey, ServiceKey, ViewTimes};
+use fallgap_routing::{
+    Draught, Ends, Fleet, Lease, Place, QuotaFront, QuotaTerms, Report, ServerKey, ServiceKey, ViewTimes,
+};
 use mio::event::Event;
 use mio::net::TcpListener;
 use mio::{Interest, Registry, Token};
 use slotmap::{Key, SecondaryMap, SlotMap};
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::net::{SocketAddr, SocketAddrV4};
 use std::ops::Range;
 use std::sync::Arc;
@@ -78,6 +84,14 @@
     pub closed_early: u64,
     /// Answers that came for clients that had closed their connection.
     pub unheard: u64,
+    /// Refused for want of a customer's key, or as keys may have been taken away without a word here.
+    pub no_key: u64,
+    pub keys_lapsed: u64,
+    /// Refused as their customer had used up its quota.
+    pub over_quota: u64,
+    /// Requests that got the answer of the first one of their operation, and those whose operation has no answer that is known.
+    pub operations_repeated: u64,
+    pub operations_unknown: u64,
 }
 
 pub struct Quay {
@@ -113,6 +127,16 @@
     pub(crate) terms: Terms,
     pub(crate) counters: Counters,
     pub(crate) logbook: Logbook,
+    pub(crate) me: NodeId,
+    /// Those that may be members of the control state.
+    pub(crate) members: Vec<NodeId>,
+    pub(crate) quotas: QuotaFront<OpKey>,
+    pub(crate) operations: Operations,
+    pub(crate) attempts: Attempts,
+    /// Whose attempts are counted, by their numbers.
+    pub(crate) claiming: HashMap<u64, OpKey>,
+    pub(crate) next_question: u64,
+    pub(crate) errands: Vec<Errand>,
 }
 
 /// Bytes read at once.
@@ -173,10 +197,18 @@
             memory: 0,
             connect_typical: 0.0,
             leaving: None,
-            rng,
             terms,
             counters: Counters::default(),
             logbook: Logbook::new(terms.pages),
+            me: NodeId::UNSPECIFIED,
+            members: Vec::new(),
+            quotas: QuotaFront::new(terms.quota),
+            operations: Operations::default(),
+            attempts: Attempts::new(AttemptTerms::default(), rng.u64(1..1 << 62)),
+            claiming: HashMap::new(),
+            next_question: rng.u64(1..1 << 62),
+            errands: Vec::new(),
+            rng,
         })
     }
 
@@ -227,6 +259,7 @@
 
     /// The time that [`Quay::next_wake`] gave has come. Where very many are due at once, some are due still.
     pub fn woke(&mut self, now: Duration) {
+        self.admission_woke(now);
         for _ in 0..TIMERS {
             let Some(who) = self.timers.pop(now) else { return };
             match who {
@@ -242,7 +275,11 @@
     }
 
     pub fn next_wake(&self) -> Option<Duration> {
-        if self.ready.is_empty() { self.timers.next() } else { Some(Duration::ZERO) }
+        if !self.ready.is_empty() || !self.errands.is_empty() {
+            return Some(Duration::ZERO);
+        }
+        let wakes = [self.timers.next(), self.attempts.next_wake(), self.quotas.next_wake()];
+        wakes.into_iter().flatten().min()
     }
 
     /// New routes and servers. What is not in it gets nothing any more.
@@ -274,6 +311,17 @@
         self.lease.heed(now, revision, places)
     }
 
+    /// What binds quotas from here on.
+    pub fn quota_terms(&mut self, terms: QuotaTerms) {
+        self.quotas.set_terms(terms);
+    }
+
+    /// Tokens held and requests that wait for one, operations known and bytes of their answers.
+    pub fn admission_held(&self) -> [u64; 4] {
+        let ((tokens, waiting), (operations, bytes)) = (self.quotas.held(), self.operations.held());
+        [tokens, waiting, operations as u64, bytes as u64]
+    }
+
     /// How many supervisors are known, with this one, and its place among them in an order that all share: what is
     /// shared by all is shared by so many.
     pub fn supervisors(&mut self, place: usize, count: usize) {
@@ -321,9 +369,12 @@
         self.fleet.verdicts(now, verdicts);
     }
 
-    /// There are routes, and servers for some.
+    /// There are routes, servers for some, and a home has confirmed keys if they are needed.
     pub fn is_ready(&self) -> bool {
-        self.routing.as_ref().is_some_and(|routing| !routing.configuration().routes.is_empty())
+        let configuration = self.routing.as_ref().map(Routing::configuration);
+        let needs_keys = configuration.is_some_and(|configuration| configuration.customers.is_some());
+        configuration.is_some_and(|configuration| !configuration.routes.is_empty())
+            && (!needs_keys || self.lease.keys_were_confirmed())
             && self.fleet.services().any(|(_, servers)| servers > 0)
     }
 
--- a/crates/proxy/src/terms.rs
+++ b/crates/proxy/src/terms.rs
@@ -9,6 +9,9 @@
     pub pilot: fallgap_routing::Terms,
     /// How long a view may be routed by that its home has not confirmed.
     pub lease: fallgap_routing::LeaseTerms,
+    pub quota: fallgap_routing::QuotaTerms,
+    /// An operation's answer is kept for its repeats for so long.
+    pub operation_lifetime: Duration,
     /// Connections of clients. Over it the one at rest for longest is closed for a new one; with none at rest, new
     /// ones wait in the kernel's queue.
     pub connections: usize,
@@ -60,6 +63,8 @@
         Terms {
             pilot: fallgap_routing::Terms::default(),
             lease: fallgap_routing::LeaseTerms::default(),
+            quota: fallgap_routing::QuotaTerms::default(),
+            operation_lifetime: Duration::from_secs(75),
             connections: 2500,
             lines: 1000,
             memory: 48 << 20,
--- a/crates/proxy/src/tries.rs
+++ b/crates/proxy/src/tries.rs
@@ -61,7 +61,7 @@
     fn line_for(
         &mut self, now: Duration, server: ServerKey, at: TryAt, class: RouteClass,
     ) -> Option<LineKey> {
-        if let Some(line) = self.resting_line(now, server, class == RouteClass::Fragile) {
+        if let Some(line) = self.resting_line(now, server, !class.may_run_again()) {
             return Some(line);
         }
         let known = self.fleet.server(server)?;
@@ -84,7 +84,8 @@
             let left = op.core.plan.deadline.saturating_sub(now);
             Quay::bear_silence(line, left.max(self.terms.silence));
             line.head.clear();
-            forwarded_head(&op.request.head, &server.id, left, op.request.body.len(), &mut line.head);
+            let length = op.request.body.len();
+            forwarded_head(&op.request.head, &op.sender, &server.id, left, length, &mut line.head);
         }
         let written = write_from(&mut line.stream, &mut line.sent, &line.head, &op.request.body);
         let first = line.sent > 0 && !op.tries.iter().any(|one| one.number == at.number && one.sent);
--- a/crates/proxy/tests/world/mod.rs
+++ b/crates/proxy/tests/world/mod.rs
@@ -2,7 +2,7 @@
 #![allow(dead_code)]
 
 use fallgap_config::{Berth, Configuration, Limits, Route, RouteClass, Service, View};
-use fallgap_proxy::{Quay, Terms};
+use fallgap_proxy::{Errand, Quay, Terms};
 use fallgap_routing::ViewTimes;
 pub use fallgap_test_support::gateway::{Client, Does, Reply, Server, get, ok};
 use mio::{Events, Poll, Token, Waker};
@@ -33,6 +33,9 @@
 
 type Order = Box<dyn FnOnce(&mut Quay, Duration) + Send>;
 
+/// What members of the control state, other supervisors and homes of quotas do with what they are told.
+pub type Others = Box<dyn FnMut(&mut Quay, Duration, Errand) + Send>;
+
 /// A quay in a thread of its own.
 pub struct World {
     pub front: SocketAddr,
@@ -43,6 +46,10 @@
 
 impl World {
     pub fn new(terms: Terms) -> World {
+        World::among(terms, Box::new(|_, _, _| ()))
+    }
+
+    pub fn among(terms: Terms, mut others: Others) -> World {
         let poll = Poll::new().unwrap();
         let waker = Arc::new(Waker::new(poll.registry(), WAKER).unwrap());
         let quay = Quay::open(poll.registry(), 1..10_000, LOOPBACK, "here".into(), 1, terms).unwrap();
@@ -60,6 +67,9 @@
                 }
                 quay.woke(start.elapsed());
                 quay.work(start.elapsed(), |_| ());
+                for errand in quay.errands(start.elapsed()) {
+                    others(&mut quay, start.elapsed(), errand);
+                }
                 loop {
                     match taken.try_recv() {
                         Ok(order) => order(&mut quay, start.elapsed()),
@@ -81,8 +91,12 @@
 
     /// A view that a home goes on confirming.
     pub fn view(&self, servers: &[&Server]) {
+        self.view_of(configuration(), servers);
+    }
+
+    pub fn view_of(&self, configuration: Configuration, servers: &[&Server]) {
         let view = Arc::new(View {
-            configuration: Arc::new(configuration()),
+            configuration: Arc::new(configuration),
             berths: servers.iter().map(|server| berth(server)).collect(),
         });
         self.ask(move |quay, now| {
@@ -137,6 +151,7 @@
     let routes = vec![
         route("/fragile/", RouteClass::Fragile),
         route("/outbound/", RouteClass::Outbound),
+        route("/registered/", RouteClass::Registered),
         route("/safe/", RouteClass::Safe),
     ];
     let services =
--- a/crates/registry/src/leases.rs
+++ b/crates/registry/src/leases.rs
@@ -11,13 +11,26 @@
 /// Answers that wait for what they name. Over it the oldest is let go of.
 const MOST: usize = 16;
 
+/// The moment `age` before `asked`, which may be before this process began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Before {
+    pub asked: Duration,
+    pub age: Duration,
+}
+
+impl Before {
+    fn is_later_than(&self, other: &Before) -> bool {
+        self.asked + other.age > other.asked + self.age
+    }
+}
+
 /// Up to when a supervisor's view is known to be complete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ViewTimes {
     /// All that the home knew by then is in the view.
     pub known: Duration,
     /// All that was committed by then is in the view. `None`: no home has said so in this life.
-    pub committed: Option<Duration>,
+    pub committed: Option<Before>,
     /// Others have had words lately, and no home that it cannot be followed: what is missing can be expected.
     pub is_reached: bool,
 }
@@ -25,7 +38,7 @@
 /// An answer that names what the view may not hold yet.
 struct Waiting {
     asked: Duration,
-    committed: Option<Duration>,
+    committed: Before,
     knows: Knows,
 }
 
@@ -35,7 +48,7 @@
     period: Duration,
     ask: Duration,
     known: Duration,
-    committed: Option<Duration>,
+    committed: Option<Before>,
     waiting: VecDeque<Waiting>,
 }
 
@@ -65,7 +78,7 @@
         if self.waiting.len() >= MOST {
             self.waiting.pop_front();
         }
-        let committed = question.asked.checked_sub(read_age);
+        let committed = Before { asked: question.asked, age: read_age };
         self.waiting.push_back(Waiting { asked: question.asked, committed, knows });
     }
 
@@ -74,7 +87,9 @@
         let holds = |knows: &Knows| knows.epoch == epoch && version >= knows.version && ends >= knows.ends;
         while let Some(one) = self.waiting.pop_front_if(|one| holds(&one.knows)) {
             self.known = self.known.max(one.asked);
-            self.committed = self.committed.max(one.committed);
+            if self.committed.is_none_or(|before| one.committed.is_later_than(&before)) {
+                self.committed = Some(one.committed);
+            }
         }
     }
 
--- a/crates/registry/tests/behind.rs
+++ b/crates/registry/tests/behind.rs
@@ -45,8 +45,8 @@
 
 fn is_behind(world: &World, at: usize, lease: &mut Lease) -> bool {
     let times = world.followers[&node(at)].view_times(world.now);
-    let (known, committed, is_reached) = (times.known, times.committed, times.is_reached);
-    lease.view_times(ViewTimes { confirmed: None, known, committed, is_reached });
+    let (known, is_reached) = (times.known, times.is_reached);
+    lease.view_times(ViewTimes { confirmed: None, known, committed: None, is_reached });
     lease.is_behind(world.now)
 }
 
--- a/crates/registry/tests/rollout.rs
+++ b/crates/registry/tests/rollout.rs
@@ -26,9 +26,9 @@
 fn someone_routes_below(world: &World, due: u64) -> bool {
     let routes = |at: usize| {
         let times = world.followers[&node(at)].view_times(world.now);
-        let (known, committed, is_reached) = (times.known, times.committed, times.is_reached);
+        let (known, is_reached) = (times.known, times.is_reached);
         let mut lease = Lease::new(LeaseTerms { behind: LEASE, ..LeaseTerms::default() });
-        lease.view_times(ViewTimes { confirmed: None, known, committed, is_reached });
+        lease.view_times(ViewTimes { confirmed: None, known, committed: None, is_reached });
         !lease.is_behind(world.now)
     };
     let here = (0..NODES).filter(|at| world.followers.contains_key(&node(*at)));
--- a/crates/routing/src/head.rs
+++ b/crates/routing/src/head.rs
@@ -128,6 +128,19 @@
         self.text(&self.id)
     }
 
+    /// The value of a line that goes along and stands there once. Two of the name are no value.
+    pub fn only_line(&self, name: &str) -> Option<&str> {
+        let lines = self.along().filter_map(|line| from_utf8(line).ok()?.split_once(':'));
+        let mut found = lines.filter(|(key, _)| key.eq_ignore_ascii_case(name));
+        let (_, value) = found.next()?;
+        found.next().is_none().then(|| value.trim())
+    }
+
+    /// Whether a line of that name goes along.
+    pub fn has_line(&self, name: &str) -> bool {
+        self.line(name).is_some()
+    }
+
     /// The value of a line that goes along, trimmed; the first of that name.
     pub fn line(&self, name: &str) -> Option<&str> {
         let lines = self.along().filter_map(|line| from_utf8(line).ok()?.split_once(':'));
--- a/crates/routing/src/lease.rs
+++ b/crates/routing/src/lease.rs
@@ -27,6 +27,22 @@
     pub words: usize,
     /// So long a view may be routed by while its home has news that has not come.
     pub behind: Duration,
+    /// So long keys of customers are gone by after all that was committed was known; none: for good.
+    pub keys: Option<Duration>,
+}
+
+/// The moment `age` before `asked`, which may be before this process began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Before {
+    pub asked: Duration,
+    pub age: Duration,
+}
+
+impl Before {
+    /// Whether it is no further back than that.
+    fn is_within(&self, now: Duration, time: Duration) -> bool {
+        now + self.age <= self.asked + time
+    }
 }
 
 /// Up to when the view that is routed by is known to be complete.
@@ -37,7 +53,7 @@
     /// All that the home knew by then is in it.
     pub known: Duration,
     /// All that was committed by then is in it.
-    pub committed: Option<Duration>,
+    pub committed: Option<Before>,
     /// Others have had words lately, and no home that it cannot be followed: what is missing can be expected.
     pub is_reached: bool,
 }
@@ -45,7 +61,7 @@
 impl Default for LeaseTerms {
     fn default() -> Self {
         let ms = Duration::from_millis;
-        LeaseTerms { confirmed: ms(1000), heeded: ms(5000), words: 64, behind: ms(2250) }
+        LeaseTerms { confirmed: ms(1000), heeded: ms(5000), words: 64, behind: ms(2250), keys: None }
     }
 }
 
@@ -80,6 +96,17 @@
         self.times.is_reached && now > self.times.known + self.terms.behind
     }
 
+    /// Whether keys may have been taken away for too long without a word here, whoever is in touch.
+    pub fn keys_lapsed(&self, now: Duration) -> bool {
+        let held = |keys| self.times.committed.is_some_and(|at| at.is_within(now, keys));
+        self.terms.keys.is_some_and(|keys| !held(keys))
+    }
+
+    /// Whether a home has ever confirmed in this process which keys hold.
+    pub fn keys_were_confirmed(&self) -> bool {
+        self.terms.keys.is_none() || self.times.committed.is_some()
+    }
+
     /// Routes by a revision from here on.
     pub fn holds(&mut self, revision: u64) {
         self.revision = revision;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -11,6 +11,7 @@
 mod health;
 mod lease;
 mod op;
+mod quota;
 mod request;
 mod server;
 mod terms;
@@ -26,10 +27,13 @@
 pub use gate::Gate;
 pub use head::{Framing, Head};
 pub use health::{Health, HealthState};
-pub use lease::{Lease, LeaseTerms, Place, ViewTimes};
+pub use lease::{Before, Lease, LeaseTerms, Place, ViewTimes};
 pub use op::{Final, Next, Op, Plan, TryOutcome, TryState};
+pub use quota::{QuotaAsk, QuotaFront, QuotaGrant, QuotaHome, QuotaTerms, Room, SHARDS, Taken, shard_of};
 pub use request::{Inbox, Refusal, Request, Step};
 pub use server::{Ended, Report, Server};
 pub use terms::Terms;
 pub use why::{Why, try_word};
-pub use wire::{Ends, answer_head, forwarded_head, own_answer};
+pub use wire::{
+    CREDENTIAL, CUSTOMER, Ends, IDEMPOTENCY_KEY, KeptAnswer, Sender, answer_head, forwarded_head, own_answer,
+};
--- a/crates/routing/src/op.rs
+++ b/crates/routing/src/op.rs
@@ -239,7 +239,8 @@
         bars.into_iter().find(|(bars, _)| *bars).map(|(_, why)| why)
     }
 
-    fn may_have_run(&self) -> bool {
+    /// Whether a server may have carried it out.
+    pub fn may_have_run(&self) -> bool {
         use TryOutcome as O;
         self.any(|state| {
             matches!(state, TryState::Sent | TryState::Ended(O::Unknown | O::Failed | O::Answered))
--- a/crates/routing/src/why.rs
+++ b/crates/routing/src/why.rs
@@ -15,6 +15,24 @@
     Unconfirmed,
     /// The view lacks for too long what its home knows.
     Behind,
+    /// The request has no key of a customer, or one that no customer has.
+    NoKey,
+    /// No home has confirmed for too long that keys still hold.
+    Lapsed,
+    /// Its customer has used up its quota.
+    OverQuota,
+    /// Its customer's quota could not be asked in time.
+    NoToken,
+    /// Its route wants an idempotency key, and it has none.
+    NoOperationKey,
+    /// Its operation is being carried out for another request.
+    InWork,
+    /// It got the answer of the first request of its operation.
+    Repeated,
+    /// Its operation was begun by another request, and what became of that is not known.
+    Forgotten,
+    /// No majority of disks could be asked whether its operation was begun.
+    Unclaimed,
     /// No open server of the service is known.
     NoServer,
     /// Each server that may be asked works on all that it takes, or was asked already.
@@ -42,12 +60,21 @@
 }
 
 impl Why {
-    const ALL: [Why; 17] = [
+    const ALL: [Why; 26] = [
         Why::Answered,
         Why::NoView,
         Why::NoRoute,
         Why::Unconfirmed,
         Why::Behind,
+        Why::NoKey,
+        Why::Lapsed,
+        Why::OverQuota,
+        Why::NoToken,
+        Why::NoOperationKey,
+        Why::InWork,
+        Why::Repeated,
+        Why::Forgotten,
+        Why::Unclaimed,
         Why::NoServer,
         Why::NoRoom,
         Why::Gate,
@@ -69,6 +96,15 @@
             Why::NoRoute => "no-route",
             Why::Unconfirmed => "unconfirmed",
             Why::Behind => "behind",
+            Why::NoKey => "no-key",
+            Why::Lapsed => "keys-lapsed",
+            Why::OverQuota => "over-quota",
+            Why::NoToken => "no-token",
+            Why::NoOperationKey => "no-idempotency-key",
+            Why::InWork => "in-work",
+            Why::Repeated => "repeated",
+            Why::Forgotten => "outcome-unknown",
+            Why::Unclaimed => "unclaimed",
             Why::NoServer => "no-server",
             Why::NoRoom => "no-room",
             Why::Gate => "gate",
--- a/crates/routing/src/wire.rs
+++ b/crates/routing/src/wire.rs
@@ -2,7 +2,9 @@
 
 use crate::answer::Answer;
 use crate::head::{Framing, Head};
+use serde::{Deserialize, Serialize};
 use std::io::Write;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// What becomes of a client's connection behind an answer.
@@ -13,8 +15,44 @@
     Closed,
 }
 
+/// Whose key a request carries.
+pub const CREDENTIAL: &str = "X-Credential";
+/// Names a request's customer to a server.
+pub const CUSTOMER: &str = "X-Tenant";
+/// Names an operation that is to be carried out once.
+pub const IDEMPOTENCY_KEY: &str = "X-Idempotency-Key";
+
+/// Who sent a request, as its server is told.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum Sender {
+    /// There are no customers: what the client says of itself goes along.
+    #[default]
+    Unmanaged,
+    /// It needed no key and had none.
+    Anonymous,
+    Customer(Arc<str>),
+}
+
+impl Sender {
+    pub fn customer(&self) -> Option<&Arc<str>> {
+        match self {
+            Sender::Customer(name) => Some(name),
+            Sender::Unmanaged | Sender::Anonymous => None,
+        }
+    }
+
+    /// Whether a client's line goes on to the server.
+    fn lets_on(&self, line: &[u8]) -> bool {
+        let name = line.split(|byte| *byte == b':').next().unwrap_or_default();
+        let ours = [CREDENTIAL, CUSTOMER].iter().any(|ours| name.eq_ignore_ascii_case(ours.as_bytes()));
+        *self == Sender::Unmanaged || !ours
+    }
+}
+
 /// The head of a request as a server gets it. `left`: how long the client still waits.
-pub fn forwarded_head(head: &Head, server: &str, left: Duration, body: usize, out: &mut Vec<u8>) {
+pub fn forwarded_head(
+    head: &Head, sender: &Sender, server: &str, left: Duration, body: usize, out: &mut Vec<u8>,
+) {
     let line = |out: &mut Vec<u8>, parts: [&[u8]; 2]| {
         parts.iter().for_each(|part| out.extend_from_slice(part));
         out.extend_from_slice(b"\r\n");
@@ -25,7 +63,10 @@
     line(out, [b"Host: ", head.host().as_bytes()]);
     line(out, [b"X-Request-Id: ", head.id().as_bytes()]);
     line(out, [b"X-Expect-Server: ", server.as_bytes()]);
-    head.along().for_each(|other| line(out, [other, b""]));
+    head.along().filter(|other| sender.lets_on(other)).for_each(|other| line(out, [other, b""]));
+    if let Some(customer) = sender.customer() {
+        line(out, [b"X-Tenant: ", customer.as_bytes()]);
+    }
     // Writing to memory does not fail.
     let _ = write!(out, "X-Deadline-Ms: {}\r\n", left.as_millis());
     if head.framing != Framing::None {
@@ -52,6 +93,48 @@
     write_ends(ends, out);
 }
 
+/// An answer that is kept for repeats of its request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeptAnswer {
+    pub status: u16,
+    #[serde(with = "serde_bytes")]
+    reason: Vec<u8>,
+    lines: Vec<Vec<u8>>,
+    #[serde(with = "serde_bytes")]
+    pub body: Vec<u8>,
+}
+
+impl KeptAnswer {
+    pub fn of(answer: &Answer) -> KeptAnswer {
+        KeptAnswer {
+            status: answer.status,
+            reason: answer.reason().to_vec(),
+            lines: answer.along().map(<[u8]>::to_vec).collect(),
+            body: answer.body.clone(),
+        }
+    }
+
+    /// Bytes that it holds.
+    pub fn held(&self) -> usize {
+        self.body.len() + self.lines.iter().map(Vec::len).sum::<usize>() + self.reason.len()
+    }
+
+    /// The head as the client of a repeat gets it.
+    pub fn head(&self, id: &str, ends: Ends, out: &mut Vec<u8>) {
+        let _ = write!(out, "HTTP/1.1 {:03} ", self.status);
+        out.extend_from_slice(&self.reason);
+        let _ = write!(out, "\r\nX-Request-Id: {id}\r\n");
+        for line in &self.lines {
+            out.extend_from_slice(line);
+            out.extend_from_slice(b"\r\n");
+        }
+        if !matches!(self.status, 204 | 304) {
+            let _ = write!(out, "Content-Length: {}\r\n", self.body.len());
+        }
+        write_ends(ends, out);
+    }
+}
+
 /// An answer of the system's own, whole.
 pub fn own_answer(status: u16, id: Option<&str>, again: Option<Duration>, ends: Ends, out: &mut Vec<u8>) {
     let _ = write!(out, "HTTP/1.1 {status} {}\r\nContent-Length: 0\r\n", reason(status));
@@ -74,9 +157,12 @@
 fn reason(status: u16) -> &'static str {
     match status {
         400 => "Bad Request",
+        401 => "Unauthorized",
         404 => "Not Found",
+        409 => "Conflict",
         408 => "Request Timeout",
         413 => "Content Too Large",
+        429 => "Too Many Requests",
         431 => "Request Header Fields Too Large",
         502 => "Bad Gateway",
         503 => "Service Unavailable",
--- a/crates/routing/tests/requests.rs
+++ b/crates/routing/tests/requests.rs
@@ -1,7 +1,7 @@
 //! Requests are read in one way only, however they arrive.
 
 use fallgap_config::Limits;
-use fallgap_routing::{Inbox, Refusal, Request, Step, forwarded_head};
+use fallgap_routing::{Inbox, Refusal, Request, Sender, Step, forwarded_head};
 use std::time::Duration;
 
 fn limits() -> Limits {
@@ -127,7 +127,7 @@
         Content-Length: 2\r\nX-Last: 3\r\n";
     let (requests, _) = read(request("POST /a?b HTTP/1.1", lines, "ab").as_bytes(), 1000);
     let mut out = Vec::new();
-    forwarded_head(&requests[0].head, "i-1", Duration::from_millis(700), 2, &mut out);
+    forwarded_head(&requests[0].head, &Sender::Unmanaged, "i-1", Duration::from_millis(700), 2, &mut out);
     let expected = "POST /a?b HTTP/1.1\r\nHost: h\r\nX-Request-Id: 1\r\nX-Expect-Server: i-1\r\nX-Empty:\r\nX-A: 1\r\n\
         X-Last: 3\r\nX-Deadline-Ms: 700\r\nContent-Length: 2\r\n\r\n";
     assert_eq!(String::from_utf8(out).unwrap(), expected);
--- a/crates/test-support/src/gateway/landing.rs
+++ b/crates/test-support/src/gateway/landing.rs
@@ -37,6 +37,8 @@
     pub machines: Vec<Supervisor>,
     /// What processes that are started from here on find in their environment, by name.
     pub environment: Vec<(String, String)>,
+    /// Bounds in the settings of processes that are started from here on, as `name=value`.
+    pub bounds: Vec<String>,
 }
 
 /// A port that is free at all of the addresses, for streams and datagrams.
@@ -79,7 +81,7 @@
         let machines: Vec<Supervisor> = ips.into_iter().zip(disks).zip(zones).map(machine).collect();
         machines.iter().try_for_each(|machine| fs::create_dir_all(&machine.folder))?;
         let (program, folder) = (program.to_owned(), folder.to_owned());
-        Ok(Landing { program, folder, machines, environment: Vec::new() })
+        Ok(Landing { program, folder, machines, environment: Vec::new(), bounds: vec!["grace_s=3".into()] })
     }
 
     /// Starts the process of one machine, or all that do not run.
@@ -89,8 +91,10 @@
     pub fn start(&mut self, at: usize, first_start: bool) -> io::Result<()> {
         let seeds = self.machines.iter().take(3).map(|m| format!("\"{}\"", m.control()));
         let seeds = seeds.collect::<Vec<_>>().join(",");
+        let bounds = self.bounds.iter().map(|bound| format!("\"{bound}\""));
+        let bounds = bounds.collect::<Vec<_>>().join(",");
         let Some(machine) = self.machines.get_mut(at) else { return Ok(()) };
-        fs::write(machine.settings(), machine.settings_text(&seeds, first_start))?;
+        fs::write(machine.settings(), machine.settings_text(&seeds, &bounds, first_start))?;
         let log = File::options().create(true).append(true).open(machine.log())?;
         let mut child = Command::new(&self.program)
             .arg("serve")
@@ -162,7 +166,7 @@
         self.folder.join("log")
     }
 
-    fn settings_text(&self, seeds: &str, first_start: bool) -> String {
+    fn settings_text(&self, seeds: &str, bounds: &str, first_start: bool) -> String {
         let Supervisor { ip, zone, disk, ports, .. } = self;
         let Ports { front, ready, control, inner: [first, last] } = ports;
         let data = if *disk { format!(r#""data_dir":"{}","#, self.data().display()) } else { String::new() };
@@ -171,7 +175,7 @@
 "counters_at":{{"front":"{ip}:{front}","ready":"{ip}:{ready}","control":"{ip}:{control}"}},
 "inner_ports":[{first},{last}],"seeds":[{seeds}],"first_start":{first_start},"counted":{disk},{data}
 "limits":{{"cpu_share":1.0,"memory_mb":260,"file_handles":1024,"link_mbps":1000.0,"disk_mb":64}},
-"beat_s":0.5,"tolerate":{{"machines":1}},"bounds":["grace_s=3"]}}"#
+"beat_s":0.5,"tolerate":{{"machines":1}},"bounds":[{bounds}]}}"#
         )
     }
 
@@ -210,6 +214,13 @@
         rest.split([',', '}']).next()?.parse().ok()
     }
 
+    /// A figure of its page of figures, whole.
+    pub fn metric(&self, name: &str) -> Option<u64> {
+        let page = call(self.metrics(), "GET", "/metrics", "")?.text();
+        let line = page.lines().find_map(|line| line.strip_prefix(&format!("fallgap_{name} ")))?;
+        line.trim().parse::<f64>().ok().map(|value| value as u64)
+    }
+
     pub fn is_ready(&self) -> bool {
         call(self.ready(), "GET", "/-/ready", "").is_some_and(|reply| reply.status == 200)
     }
