--- a/crates/gateway/tests/shared_counts.rs
+++ b/crates/gateway/tests/shared_counts.rs
@@ -155,10 +155,13 @@
     );
 }
 
+/// An operation, and the answers that were got.
+type Order = (String, Vec<String>);
+
 /// Clients that repeat their orders at any machine, whatever they are told, until they have an answer.
 struct Orders {
     ends: Arc<AtomicBool>,
-    threads: Vec<JoinHandle<Vec<(String, Vec<String>)>>>,
+    threads: Vec<JoinHandle<Vec<Order>>>,
 }
 
 impl Orders {
@@ -192,7 +195,7 @@
     }
 
     /// Each operation, with the answers that were got.
-    fn end(self) -> Vec<(String, Vec<String>)> {
+    fn end(self) -> Vec<Order> {
         self.ends.store(true, Relaxed);
         self.threads.into_iter().flat_map(|thread| thread.join().unwrap()).collect()
     }
