--- a/crates/proxy/src/lines.rs
+++ b/crates/proxy/src/lines.rs
@@ -24,6 +24,7 @@
 const FOREIGN: u32 = 2;
 
 /// What reading from a line gave.
+#[derive(Clone, Copy, PartialEq, Eq)]
 enum Heard {
     /// The answer is not whole yet. `foreign`: an answer of another request came, and was let fall. `spent`: the line's
     /// turn is over, and there may be more to be read.
@@ -277,16 +278,16 @@
                 let answer = line.reader.take();
                 self.answered(now, key, at, answer, fit);
             }
-            Heard::TooLong => {
-                self.counters.too_long += 1;
-                self.try_ended(now, at, TryOutcome::Unknown, Ended::TooLong, None);
-            }
-            Heard::Broken => {
-                self.counters.void += 1;
+            ended @ (Heard::TooLong | Heard::Broken) => {
+                let how = if ended == Heard::TooLong { Ended::TooLong } else { Ended::Failed };
+                match how {
+                    Ended::TooLong => self.counters.too_long += 1,
+                    _ => self.counters.void += 1,
+                }
                 // What ended before a byte had left has not run.
                 let sent = self.lines.get(key).is_some_and(|line| line.sent > 0);
                 let outcome = if sent { TryOutcome::Unknown } else { TryOutcome::NotSent };
-                self.try_ended(now, at, outcome, Ended::Failed, None);
+                self.try_ended(now, at, outcome, how, None);
             }
         }
     }
--- a/crates/proxy/tests/sockets.rs
+++ b/crates/proxy/tests/sockets.rs
@@ -398,3 +398,28 @@
         |tale: &fallgap_proxy::Tale| (tale.why.word(), tale.tries.first().and_then(|t| t.server.clone()));
     assert_eq!(tales.iter().map(of).collect::<Vec<_>>(), [("once", Some("i-1".into())), ("no-server", None)]);
 }
+
+/// It sends more than a head may be long as soon as a connection is up. Whether it has read the request is not known once a byte
+/// of it has left: no other server is asked.
+#[test]
+fn a_server_that_speaks_first_and_too_long_is_not_taken_for_one_that_ran_nothing() {
+    use std::io::Write;
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let std::net::SocketAddr::V4(address) = listener.local_addr().unwrap() else { unreachable!("as bound") };
+    let speaks = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let head = format!("HTTP/1.1 200 OK\r\nX-Long: {}\r\n", "x".repeat(1 << 20));
+        // The other end closes as soon as it has read too much.
+        let _ = stream.write_all(head.as_bytes());
+        stream
+    });
+    let quiet = Server::start("i-2", |got| Does::Sends(ok(got, "bytes")));
+    let world = World::new(fallgap_proxy::Terms::default());
+    let first = fallgap_config::Berth { id: "i-1".into(), address, ..berth(&quiet) };
+    let view = fallgap_config::View { configuration: configuration().into(), berths: vec![first] };
+    world.ask(move |quay, now| quay.view(now, view.into()));
+    assert_eq!(world.get("/fragile/", "1").status, 502);
+    let counters = world.ask(|quay, _| quay.counters());
+    assert_eq!((counters.too_long, counters.void, counters.sent), (1, 0, 1));
+    drop(speaks.join().unwrap());
+}
