Quotas: another keeper takes a home's lock in turn; who is cut off says so and is not ready

A part's home was its first keeper as the beacon has it. Now whoever is in contact takes a lock that its disk shows as free, after those before it; fronts pass over a home that does not answer. Where customers have keys, a supervisor that hears nobody is not ready, and turns away at once what would have to wait for others.

--- a/crates/control-state/src/seen.rs
+++ b/crates/control-state/src/seen.rs
@@ -30,4 +30,13 @@
         });
         seen.take(most).collect()
     }
+
+    /// Who holds a lock, as far as this disk knows.
+    pub fn lock_holder(&self, now: Duration, name: &str) -> Option<String> {
+        let register = self.acceptor.get(&Key::Lock(name.to_owned()))?;
+        let accepted = register.accepted.as_ref()?;
+        let age = accepted.age.saturating_add(now.saturating_sub(accepted.at));
+        let (holder, _, left) = lock_seen(accepted.value.bytes(), age)?;
+        holder.filter(|_| !left.is_zero())
+    }
 }
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -6,7 +6,7 @@
 use fallgap_config::{Bounds, Customers};
 use fallgap_membership::State;
 use fallgap_proxy::Errand;
-use fallgap_routing::{QuotaAsk, QuotaTerms};
+use fallgap_routing::{QuotaAsk, QuotaGrant, QuotaTerms};
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
@@ -67,7 +67,7 @@
                     self.say(now, attempt.node, Word::OperationAsked { number, operation, attempt });
                 }
                 Errand::Quota(ask) => {
-                    let home = self.quotas.home_of(&ask.customer, &keepers);
+                    let home = self.quotas.home_of(now, &ask.customer, &keepers);
                     home.into_iter().for_each(|home| asks.entry(home).or_default().push(ask.clone()));
                 }
             }
@@ -96,6 +96,15 @@
         }
     }
 
+    /// The home of customers' quotas has answered.
+    pub fn quota_granted(&mut self, now: Duration, from: Ipv4Addr, grants: &[QuotaGrant]) {
+        let keepers = self.keepers();
+        for grant in grants {
+            self.quotas.home_answers(&grant.customer, from, &keepers);
+            self.quay.iter_mut().for_each(|quay| quay.quota_granted(now, grant));
+        }
+    }
+
     /// The supervisor that was asked is not the home of these customers.
     pub fn not_quota_home(&mut self, from: Ipv4Addr, customers: &[Arc<str>]) {
         let keepers = self.keepers();
@@ -120,7 +129,9 @@
     /// Locks of the parts of which this supervisor is to be the home.
     pub fn quotas_woke(&mut self, now: Duration) {
         let keepers = self.keepers();
-        for (shard, call) in self.quotas.woke(now, &keepers, self.leaving.is_some()) {
+        let may_hold = self.leaving.is_none() && self.keeper.in_contact(now);
+        let holder = |name: &str| self.keeper.lock_holder(now, name);
+        for (shard, call) in self.quotas.woke(now, &keepers, holder, may_hold) {
             let order = calls::by_key(&call.key(), self.keepers());
             let steps = self.calls.came(now, self.me, Caller::Quota(shard), call, &order);
             steps.into_iter().for_each(|step| self.step(now, step));
--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -188,7 +188,7 @@
                     self.rollouts.in_force(now, view.configuration.edition);
                     self.view = Some(view.clone());
                     self.quay.iter_mut().for_each(|quay| quay.view(now, view.clone()));
-                    self.see_whether_ready();
+                    self.see_whether_ready(now);
                 }
                 FollowerOut::Note(line) => tracing::info!("{line}"),
             }
@@ -313,11 +313,7 @@
                 self.quay.iter_mut().for_each(|quay| quay.owner_told(now, number, &state));
             }
             Word::QuotaAsked(asks) => self.quota_asked(now, from, &asks),
-            Word::QuotaGranted(grants) => {
-                for grant in &grants {
-                    self.quay.iter_mut().for_each(|quay| quay.quota_granted(now, grant));
-                }
-            }
+            Word::QuotaGranted(grants) => self.quota_granted(now, from, &grants),
             Word::NotQuotaHome(customers) => self.not_quota_home(from, &customers),
         }
     }
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -195,14 +195,12 @@
         let committed = committed.map(|at| fallgap_routing::Before { asked: at.asked, age: at.age });
         let times = fallgap_routing::ViewTimes { confirmed, known, committed, is_reached };
         self.quay.iter_mut().for_each(|quay| quay.view_times(times));
-        if !self.ready.load(Relaxed) {
-            self.see_whether_ready();
-        }
+        self.see_whether_ready(now);
     }
 
     /// Whether clients may be sent here.
-    pub fn see_whether_ready(&mut self) {
-        let ready = self.leaving.is_none() && self.quay.as_ref().is_some_and(Quay::is_ready);
+    pub fn see_whether_ready(&mut self, now: Duration) {
+        let ready = self.leaving.is_none() && self.quay.as_ref().is_some_and(|quay| quay.is_ready(now));
         self.ready.store(ready, Relaxed);
     }
 
--- a/crates/gateway/src/quotas.rs
+++ b/crates/gateway/src/quotas.rs
@@ -1,5 +1,6 @@
 //! Homes of customers' quotas. Each part of the customers has one home at a time: the keeper that holds the part's lock, a lease
-//! on a majority of disks. Who holds it grants tokens until a moment before the lease could be another's.
+//! on a majority of disks. Who holds it grants tokens until a moment before the lease could be another's. The first of the part's
+//! keepers takes the lock, and if it does not, another one in turn.
 
 use crate::calls::by_key;
 use fallgap_config::Customers;
@@ -10,12 +11,16 @@
 use std::time::Duration;
 
 /// A part's lock is held for so long, counted from when it was asked for.
-const HOLD: Duration = Duration::from_millis(2500);
+const HOLD: Duration = Duration::from_millis(2000);
 /// Keepers give a lock away no sooner than it ends by the holder's clock; this is for what is under way.
 const HOLD_MARGIN: Duration = Duration::from_millis(200);
 /// A lock that is held is asked for again after so long, and one that is not, or is another's.
-const RENEW: Duration = Duration::from_millis(800);
+const RENEW: Duration = Duration::from_millis(600);
 const RETRY: Duration = Duration::from_millis(300);
+/// A lock that nobody holds is left so long to each keeper that stands before this one.
+const TURN: Duration = Duration::from_millis(250);
+/// A home that has not answered for so long is looked for elsewhere.
+const SILENT_HOME: Duration = Duration::from_millis(650);
 /// A call that was not answered by then is made again.
 const UNANSWERED: Duration = Duration::from_millis(1000);
 
@@ -29,6 +34,8 @@
     /// When the lock was asked for, if that is not answered.
     asked: Option<Duration>,
     next: Duration,
+    /// Since when nobody is known to hold it.
+    free: Option<Duration>,
 }
 
 impl Lease {
@@ -37,14 +44,28 @@
     }
 }
 
+/// Where a part's home is looked for: a place among its keepers, and since when that one has not answered.
+#[derive(Clone, Copy, Debug, Default)]
+struct Search {
+    at: usize,
+    waits: Option<Duration>,
+}
+
+impl Search {
+    fn next(&mut self, keepers: usize) {
+        self.at = (self.at + 1) % keepers.max(1);
+        self.waits = None;
+    }
+}
+
 /// What this supervisor does for quotas besides spending tokens.
 pub struct Quotas {
     me: Ipv4Addr,
     holder: String,
     leases: [Lease; SHARDS as usize],
     home: QuotaHome,
-    /// Where the home of each part is looked for, by the place among its keepers.
-    candidate: [usize; SHARDS as usize],
+    /// Where the home of each part is looked for.
+    searches: [Search; SHARDS as usize],
 }
 
 /// The name of a part's lock: no caller's lock has a slash.
@@ -60,8 +81,9 @@
 impl Quotas {
     pub fn new(me: Ipv4Addr, life: u64, terms: QuotaTerms) -> Quotas {
         let holder = format!("{me}/{life:x}");
-        let (leases, candidate) = ([Lease::default(); SHARDS as usize], [0; SHARDS as usize]);
-        Quotas { me, holder, leases, home: QuotaHome::new(terms), candidate }
+        let leases = [Lease::default(); SHARDS as usize];
+        let searches = [Search::default(); SHARDS as usize];
+        Quotas { me, holder, leases, home: QuotaHome::new(terms), searches }
     }
 
     pub fn set_terms(&mut self, terms: QuotaTerms) {
@@ -70,12 +92,15 @@
 
     /// Who is there has changed: homes are looked for from the first one on.
     pub fn keepers_changed(&mut self) {
-        self.candidate = [0; SHARDS as usize];
+        self.searches = [Search::default(); SHARDS as usize];
     }
 
-    /// Locks to be asked for, renewed or given back, by their parts. `keepers`: those that may be homes; none where no customer is
-    /// limited.
-    pub fn woke(&mut self, now: Duration, keepers: &[Ipv4Addr], is_leaving: bool) -> Vec<(u32, Call)> {
+    /// Locks to be asked for, renewed or given back, by their parts. `keepers`: those that may be homes. `holder`: who has a lock, as
+    /// far as this keeper's disk knows. `may_hold`: this one is to be a home at all.
+    pub fn woke(
+        &mut self, now: Duration, keepers: &[Ipv4Addr], holder: impl Fn(&str) -> Option<String>,
+        may_hold: bool,
+    ) -> Vec<(u32, Call)> {
         let mut calls = Vec::new();
         for (shard, lease) in (0..SHARDS).zip(&mut self.leases) {
             let is_asked = lease.asked.is_some_and(|at| now < at + UNANSWERED);
@@ -83,8 +108,13 @@
                 continue;
             }
             let name = lock_name(shard);
-            let is_first = order(shard, keepers).first() == Some(&self.me) && !is_leaving;
-            if is_first {
+            let is_free = holder(&name).is_none_or(|holder| holder == self.holder);
+            let free = if is_free { lease.free.or(Some(now)) } else { None };
+            lease.free = free;
+            let place = order(shard, keepers).iter().position(|keeper| *keeper == self.me);
+            let is_due = |place: usize| free.is_some_and(|since| now >= since + TURN * place as u32);
+            let is_own = lease.held.is_some() || place.is_some_and(is_due);
+            if is_own && may_hold {
                 lease.asked = Some(now);
                 lease.next = now + RENEW;
                 calls.push((shard, Call::LockStart { name, holder: self.holder.clone(), hold: HOLD }));
@@ -135,11 +165,25 @@
         Some(self.home.ask(now, lease.since, front, customer, ask))
     }
 
-    /// Where a customer's home is looked for.
-    pub fn home_of(&self, customer: &str, keepers: &[Ipv4Addr]) -> Option<Ipv4Addr> {
+    /// Where a customer's home is looked for. One that has not answered for too long is passed over.
+    pub fn home_of(&mut self, now: Duration, customer: &str, keepers: &[Ipv4Addr]) -> Option<Ipv4Addr> {
         let shard = shard_of(customer);
-        let at = self.candidate.get(shard as usize).copied().unwrap_or_default();
-        order(shard, keepers).get(at).copied()
+        let order = order(shard, keepers);
+        let search = self.searches.get_mut(shard as usize)?;
+        if search.waits.is_some_and(|since| now >= since + SILENT_HOME) {
+            search.next(order.len());
+        }
+        search.waits = search.waits.or(Some(now));
+        order.get(search.at).copied()
+    }
+
+    /// A customer's home has answered.
+    pub fn home_answers(&mut self, customer: &str, from: Ipv4Addr, keepers: &[Ipv4Addr]) {
+        let shard = shard_of(customer);
+        let Some(at) = order(shard, keepers).iter().position(|keeper| *keeper == from) else { return };
+        if let Some(search) = self.searches.get_mut(shard as usize) {
+            *search = Search { at, waits: None };
+        }
     }
 
     /// That keeper is not the customer's home. Tells whether another one is to be asked at once; after the last one the first is
@@ -147,12 +191,12 @@
     pub fn not_home(&mut self, customer: &Arc<str>, from: Ipv4Addr, keepers: &[Ipv4Addr]) -> bool {
         let shard = shard_of(customer);
         let order = order(shard, keepers);
-        let Some(at) = self.candidate.get_mut(shard as usize) else { return false };
-        if order.get(*at) != Some(&from) {
+        let Some(search) = self.searches.get_mut(shard as usize) else { return false };
+        if order.get(search.at) != Some(&from) {
             return false;
         }
-        *at = (*at + 1) % order.len().max(1);
-        *at > 0
+        search.next(order.len());
+        search.at > 0
     }
 
     /// Parts of which this supervisor is the home.
--- a/crates/proxy/src/admission.rs
+++ b/crates/proxy/src/admission.rs
@@ -89,7 +89,9 @@
         match limited.filter(|_| !op.has_token) {
             Some(customer) => match self.quotas.take(now, &customer, key) {
                 Taken::Now => self.has_token(now, key),
-                Taken::Waits => self.waits(key, Stage::Quota),
+                Taken::Waits if self.lease.is_reached() => self.waits(key, Stage::Quota),
+                // It is cut off: its client does better elsewhere at once.
+                Taken::Waits => self.end_before_tries(now, key, 503, Why::NoToken),
             },
             None => self.claim(now, key),
         }
@@ -122,6 +124,9 @@
             op.stage = Stage::Tries;
             return self.start_try(now, key);
         };
+        if !self.lease.is_reached() {
+            return self.unclaimed(now, key);
+        }
         let attempt = Attempt { node: self.me, number: self.rng.u64(1..) };
         let Some(number) = self.attempts.begin(now, operation, attempt, &self.members) else {
             return self.unclaimed(now, key);
--- a/crates/proxy/src/quay.rs
+++ b/crates/proxy/src/quay.rs
@@ -369,12 +369,13 @@
         self.fleet.verdicts(now, verdicts);
     }
 
-    /// There are routes, servers for some, and a home has confirmed keys if they are needed.
-    pub fn is_ready(&self) -> bool {
+    /// There are routes and servers for some. Where customers have keys, it can ask others for what requests need, and keys hold for
+    /// a good while yet.
+    pub fn is_ready(&self, now: Duration) -> bool {
         let configuration = self.routing.as_ref().map(Routing::configuration);
         let needs_keys = configuration.is_some_and(|configuration| configuration.customers.is_some());
         configuration.is_some_and(|configuration| !configuration.routes.is_empty())
-            && (!needs_keys || self.lease.keys_were_confirmed())
+            && (!needs_keys || (self.lease.is_reached() && self.lease.keys_hold_on(now)))
             && self.fleet.services().any(|(_, servers)| servers > 0)
     }
 
--- a/crates/proxy/tests/world/mod.rs
+++ b/crates/proxy/tests/world/mod.rs
@@ -100,7 +100,9 @@
             berths: servers.iter().map(|server| berth(server)).collect(),
         });
         self.ask(move |quay, now| {
-            quay.view_times(ViewTimes { confirmed: Some(now + LONG), ..ViewTimes::default() });
+            let until = now + LONG;
+            let known = ViewTimes { confirmed: Some(until), known: until, committed: None, is_reached: true };
+            quay.view_times(known);
             quay.view(now, view);
         });
     }
--- a/crates/routing/src/lease.rs
+++ b/crates/routing/src/lease.rs
@@ -102,9 +102,15 @@
         self.terms.keys.is_some_and(|keys| !held(keys))
     }
 
-    /// Whether a home has ever confirmed in this process which keys hold.
-    pub fn keys_were_confirmed(&self) -> bool {
-        self.terms.keys.is_none() || self.times.committed.is_some()
+    /// Whether others can be asked something: they have had words lately, and a home that can be followed.
+    pub fn is_reached(&self) -> bool {
+        self.times.is_reached
+    }
+
+    /// Whether keys hold for a good while yet: a third of their time is left.
+    pub fn keys_hold_on(&self, now: Duration) -> bool {
+        let held = |keys: Duration| self.times.committed.is_some_and(|at| at.is_within(now, keys * 2 / 3));
+        self.terms.keys.is_none_or(held)
     }
 
     /// Routes by a revision from here on.
