--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -4,6 +4,7 @@
 mod diff;
 mod doctor;
 mod history;
+mod operation;
 mod plan;
 mod status;
 mod surveys;
@@ -15,6 +16,7 @@
 pub use diff::{Diff, diff, same_but_edition};
 pub use doctor::{Finding, examine, findings_text};
 pub use history::History;
+pub use operation::operation_text;
 pub use plan::{Plan, Planned, plan};
 pub use status::{Summary, cut_off, fleet_line, node_text};
 pub use surveys::{Surveyed, Surveys};
--- a/crates/admin/src/told.rs
+++ b/crates/admin/src/told.rs
@@ -23,6 +23,10 @@
     Tales {
         id: Option<String>,
     },
+    /// An operation that is carried out once, by its digest in hexadecimal digits, on all nodes.
+    Operation {
+        id: String,
+    },
 }
 
 /// What a node asks others for it. Variants are only ever added at the end.
@@ -31,6 +35,7 @@
     Standing,
     Locks { after: String },
     Tales { id: Option<String> },
+    Operation { id: String },
 }
 
 /// What they answer.
@@ -39,6 +44,7 @@
     Standing(Box<Standing>),
     Locks(Locks),
     Tales(Vec<Tale>),
+    Operation(OperationSeen),
 }
 
 /// How one node stands, by its own word.
@@ -250,6 +256,25 @@
     pub tales: Vec<Tale>,
 }
 
+/// What one node knows of an operation.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OperationSeen {
+    pub node: Ipv4Addr,
+    /// It was begun there: `in work`, `answered 200`, or `outcome unknown`.
+    pub begun: Option<String>,
+    /// Its disk has granted it to a request at this node.
+    pub granted_to: Option<Ipv4Addr>,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Operation {
+    pub asked: Option<Ipv4Addr>,
+    pub answered: u64,
+    pub silent: Vec<Ipv4Addr>,
+    /// Nodes that know something of it.
+    pub seen: Vec<OperationSeen>,
+}
+
 /// What an operator is told, as it goes out.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 #[serde(untagged)]
@@ -260,4 +285,5 @@
     Locks(Locks),
     Editions(Editions),
     Tales(Tales),
+    Operation(Operation),
 }
--- a/crates/control-state/src/claims.rs
+++ b/crates/control-state/src/claims.rs
@@ -24,6 +24,20 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct OperationId(pub [u8; 16]);
 
+impl OperationId {
+    /// Its bytes in hexadecimal digits.
+    pub fn digits(&self) -> String {
+        self.0.iter().map(|byte| format!("{byte:02x}")).collect()
+    }
+
+    /// From 32 hexadecimal digits.
+    pub fn from_digits(text: &str) -> Option<OperationId> {
+        let is_whole = text.len() == 32 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        let number = u128::from_str_radix(text, 16).ok().filter(|_| is_whole)?;
+        Some(OperationId(number.to_be_bytes()))
+    }
+}
+
 /// One attempt at an operation: the supervisor that makes it, and a number that is drawn for it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Attempt {
@@ -218,6 +232,11 @@
         self.pen.reply(self.fenced, from, given);
     }
 
+    /// To whom this disk has granted an operation.
+    pub fn granted(&self, operation: OperationId) -> Option<Attempt> {
+        self.claims.claims.get(&operation).map(|claim| claim.attempt)
+    }
+
     /// Operations that this disk has granted.
     pub fn claims_held(&self) -> usize {
         self.claims.len()
--- a/crates/gateway/src/asked/mod.rs
+++ b/crates/gateway/src/asked/mod.rs
@@ -130,6 +130,14 @@
     judged(text, ready)
 }
 
+/// Exit code 1 if nobody knows of it.
+pub fn operation(asked: &Asked, customer: &str, key: &str) -> Result<String, Failed> {
+    let id = fallgap_proxy::operation_of(customer, key).digits();
+    let (_, operation): (_, desk::Operation) = one(asked, &format!("/-/desk/operation?id={id}"))?;
+    let is_known = !operation.seen.is_empty();
+    judged(shown(asked, &operation, || desk::operation_text(&operation))?, is_known)
+}
+
 pub fn doctor(asked: &Asked) -> Result<String, Failed> {
     let fleet = nodes(asked)?;
     let found = desk::examine(&fleet);
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -261,6 +261,7 @@
             "routes" => Question::Routes { after },
             "locks" => Question::Locks { after },
             "history" => Question::History,
+            "operation" => Question::Operation { id: param("id")? },
             "tales" => Question::Tales { id: Some(param("id")?).filter(|id| !id.is_empty()) },
             _ => return Err(Refused::Unknown),
         };
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -6,8 +6,9 @@
 use crate::words::Word;
 use fallgap_admin::{self as desk, Answer, Errand, Node, Part, Question, Surveyed, Terms};
 use fallgap_config::View;
-use fallgap_control_state::Answer as Called;
+use fallgap_control_state::{Answer as Called, OperationId};
 use fallgap_membership::{Peer, State};
+use fallgap_proxy::OperationState;
 use fallgap_registry::State as Life;
 use fallgap_routing::HealthState;
 use std::collections::{BTreeMap, BTreeSet};
@@ -68,6 +69,12 @@
                 nodes.truncate(TERMS.asked);
                 (Errand::Tales { id: id.clone() }, nodes)
             }
+            Question::Operation { id } => {
+                let mut nodes = self.all_nodes();
+                nodes.retain(|node| *node == self.me || self.may_answer(*node));
+                nodes.truncate(TERMS.asked);
+                (Errand::Operation { id: id.clone() }, nodes)
+            }
         };
         let others: Vec<Ipv4Addr> = nodes.iter().copied().filter(|node| *node != self.me).collect();
         if others.is_empty() {
@@ -112,6 +119,7 @@
             Errand::Standing => Part::Standing(Box::new(self.standing(now))),
             Errand::Locks { after } => Part::Locks(self.locks(now, &after)),
             Errand::Tales { id } => Part::Tales(self.tales(now, id.as_deref())),
+            Errand::Operation { id } => Part::Operation(self.operation_seen(&id)),
         }
     }
 
@@ -139,6 +147,17 @@
                 tales.sort_by_key(|tale| std::cmp::Reverse(tale.ago_ms));
                 Answer::Tales(desk::Tales { asked: Some(self.me), answered, silent, tales })
             }
+            Question::Operation { id } => {
+                let answered = parts.len() as u64 + 1;
+                let others = parts.into_iter().filter_map(|(_, part)| match part {
+                    Part::Operation(seen) => Some(seen),
+                    _ => None,
+                });
+                let mut seen: Vec<desk::OperationSeen> = others.chain([self.operation_seen(&id)]).collect();
+                seen.retain(|seen| seen.begun.is_some() || seen.granted_to.is_some());
+                seen.sort_by_key(|seen| seen.node);
+                Answer::Operation(desk::Operation { asked: Some(self.me), answered, silent, seen })
+            }
             Question::Servers { .. } | Question::Routes { .. } | Question::History => return,
         };
         tell(&reply, answer);
@@ -334,6 +353,19 @@
         desk::Locks { keeper: Some(self.me), settled: self.keeper.is_settled(now), locks, next }
     }
 
+    /// What this node knows of an operation.
+    fn operation_seen(&self, id: &str) -> desk::OperationSeen {
+        let operation = OperationId::from_digits(id);
+        let begun = operation.and_then(|id| self.quay.as_ref()?.operation_begun(id));
+        let begun = begun.map(|state| match state {
+            OperationState::InWork => "in work".to_owned(),
+            OperationState::Answered(answer) => format!("answered {}", answer.status),
+            OperationState::Unknown | OperationState::NotHere => "outcome unknown".to_owned(),
+        });
+        let granted_to = operation.and_then(|id| self.keeper.granted(id)).map(|attempt| attempt.node);
+        desk::OperationSeen { node: self.me, begun, granted_to }
+    }
+
     fn tales(&self, now: Duration, id: Option<&str>) -> Vec<desk::Tale> {
         let tales = self.quay.iter().flat_map(|quay| quay.tales(now, id, TERMS.tales));
         let us = |time: Duration| u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -70,6 +70,15 @@
         /// The request's X-Request-Id
         id: Option<String>,
     },
+    /// Tell what became of an operation that is carried out once, by its customer and idempotency key
+    Operation {
+        #[command(flatten)]
+        asked: asked::Asked,
+        /// The customer's name; empty where there are no customers
+        customer: String,
+        /// The X-Idempotency-Key
+        key: String,
+    },
     /// Tell what is wrong with the fleet, and what to do
     Doctor {
         #[command(flatten)]
@@ -157,6 +166,7 @@
         Verb::Fleet { what } => ask::done(asked::fleet(&what)),
         Verb::Trace { asked, id } => ask::done(asked::trace(&asked, &id)),
         Verb::Why { asked, id } => ask::done(asked::why(&asked, id.as_deref())),
+        Verb::Operation { asked, customer, key } => ask::done(asked::operation(&asked, &customer, &key)),
         Verb::Doctor { asked } => ask::done(asked::doctor(&asked)),
         Verb::Completions { shell } => {
             let mut command = <Asked as clap::CommandFactory>::command();
--- a/crates/gateway/tests/shared_counts.rs
+++ b/crates/gateway/tests/shared_counts.rs
@@ -8,6 +8,7 @@
 use landing::*;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::process::Command;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
@@ -245,3 +246,24 @@
     assert!(answered * 10 >= told.len() * 8, "{answered} of {}", told.len());
     assert!(repeated > 0);
 }
+
+#[test]
+fn an_operator_sees_what_became_of_an_operation() {
+    let mut fleet = unstarted(&FLEET);
+    let _noting = serving(&mut fleet);
+    assert_eq!(tell(fleet.machines[4].front(), &order("1", "a-1", "k")).map(|reply| reply.status), Some(200));
+    let asked = |key: &str| {
+        let at = fleet.machines[0].control().to_string();
+        let program = env!("CARGO_BIN_EXE_gateway");
+        let output = Command::new(program).args(["operation", "--at", &at, "ann", key]).output().unwrap();
+        (output.status.code(), String::from_utf8(output.stdout).unwrap())
+    };
+    let (code, text) = asked("k");
+    let (began, keeper) = (fleet.machines[4].ip, fleet.machines[0].ip);
+    assert_eq!(code, Some(0), "{text}");
+    assert!(text.contains(&format!("begun at {began}: answered 200")), "{text}");
+    assert!(text.contains(&format!("granted to {began} by the disk of {keeper}")), "{text}");
+    let (code, text) = asked("other");
+    assert_eq!(code, Some(1), "{text}");
+    assert!(text.contains("nobody knows of it"), "{text}");
+}
--- a/crates/proxy/src/admission.rs
+++ b/crates/proxy/src/admission.rs
@@ -193,6 +193,11 @@
         self.operations.told(operation, attempt)
     }
 
+    /// What is known here of an operation that was begun here.
+    pub fn operation_begun(&self, operation: OperationId) -> Option<OperationState> {
+        self.operations.state(operation).cloned()
+    }
+
     /// The supervisor that began an operation has answered.
     pub fn owner_told(&mut self, now: Duration, number: u64, state: &OperationState) {
         let asked = |op: &OpEntry| matches!(op.stage, Stage::Owner { number: its, .. } if its == number);
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -18,7 +18,7 @@
 pub use admission::Errand;
 pub use fallgap_routing::Report;
 pub use logbook::{Pages, Tale, TryTale};
-pub use operations::OperationState;
+pub use operations::{OperationState, operation_of};
 pub use quay::{Counters, Peer, Quay, QuayError};
 pub use ready::ReadyQueue;
 pub use terms::Terms;
--- a/crates/proxy/src/operations.rs
+++ b/crates/proxy/src/operations.rs
@@ -17,7 +17,7 @@
 const LONGEST: usize = 256 << 10;
 
 /// The operation of a customer's key.
-pub(crate) fn operation_of(customer: &str, key: &str) -> OperationId {
+pub fn operation_of(customer: &str, key: &str) -> OperationId {
     let mut digest = Sha256::new();
     digest.update((customer.len() as u64).to_le_bytes());
     digest.update(customer.as_bytes());
