Gateway: what the engine hears and words on servers have files of their own; one type for a moment before

The moment before a process's start, the margin of clocks and the deadline of keyed requests stood twice. No behaviour changed.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -3,6 +3,7 @@
 //! Every reading goes to the end and tells all faults at once, each with its place in the document. Nothing here
 //! does I/O.
 
+mod before;
 mod berth;
 mod bounds;
 mod calls;
@@ -18,6 +19,7 @@
 mod terms;
 mod types;
 
+pub use before::Before;
 pub use bounds::Bounds;
 pub use calls::{
     Beat, CellPut, LockBeat, LockEnd, LockStart, is_name, read_beat, read_cell_put, read_lock_beat,
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -5,17 +5,15 @@
 use crate::words::Word;
 use fallgap_config::{Bounds, Customers};
 use fallgap_membership::State;
-use fallgap_proxy::Errand;
+use fallgap_proxy::{Errand, KEYED_DEADLINE};
 use fallgap_routing::{QuotaAsk, QuotaGrant, QuotaTerms};
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Clocks of two machines differ in rate by less than one in 16.
-const RATE_MARGIN: u32 = 16;
-/// A request with an idempotency key goes to a server so long after its claim at most.
-const KEYED_DEADLINE: Duration = Duration::from_secs(10);
+/// Clocks of two machines differ in rate by less than one in so many.
+pub const RATE_MARGIN: u32 = 16;
 
 /// What binds quotas, by the settings.
 pub fn quota_terms(bounds: &Bounds) -> QuotaTerms {
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -3,10 +3,10 @@
 
 use crate::admission::quota_terms;
 use crate::ages::Ages;
-use crate::asks::{Ask, Asked, Told};
+use crate::asks::{Ask, Told};
 use crate::beats::Beats;
-use crate::calls::{self, Caller, Calls};
-use crate::disk::{Disk, Done, Work};
+use crate::calls::{self, Calls};
+use crate::disk::{Disk, Work};
 use crate::holdup::HoldUp;
 use crate::hub::Hub;
 use crate::leavers::Leavers;
@@ -20,15 +20,14 @@
 use crate::words::{Word, withdrawals_first};
 use fallgap_admin::{History, Surveys};
 use fallgap_config::{Settings, View};
-use fallgap_control_state::{Answer, Keeper, Key, Peer as KeeperPeer};
+use fallgap_control_state::{Keeper, Key, Peer as KeeperPeer};
 use fallgap_membership::{Beacon, State};
 use fallgap_proxy::{Peer, Quay};
-use fallgap_registry::{Follower, Patience, Rollouts, ViewTimes, last_beat};
+use fallgap_registry::{Follower, Patience, Rollouts, ViewTimes};
 use mio::net::UdpSocket;
 use mio::{Events, Poll};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::io::ErrorKind;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::Ipv4Addr;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
@@ -99,9 +98,6 @@
     pub settings_seen: Option<std::time::SystemTime>,
 }
 
-/// Datagrams that are read, and asks of callers that are heard, before others get their turn.
-const TURN_DATAGRAMS: usize = 256;
-const TURN_ASKS: usize = 64;
 /// How often stalled links and the settings file are looked at, and what servers did is told to the home.
 const SLOW: Duration = Duration::from_millis(500);
 const REPORTS: Duration = Duration::from_millis(1000);
@@ -111,8 +107,6 @@
 const LINGER: Duration = Duration::from_millis(2600);
 /// Before the platform ends the process.
 const MARGIN: Duration = Duration::from_millis(500);
-/// So long before its time is over a call that waits is told how far it has come.
-const MARGIN_OF_CALL: Duration = Duration::from_millis(30);
 /// So long before it may end the keeper takes nothing more, and asks those that stay what they hold.
 const PARTING: Duration = Duration::from_millis(600);
 
@@ -192,7 +186,6 @@
     fn see_to_view(&mut self, now: Duration) {
         let ViewTimes { known, committed, is_reached } = self.follower.view_times(now);
         let confirmed = self.follower.age(now).map(|age| now.saturating_sub(age));
-        let committed = committed.map(|at| fallgap_routing::Before { asked: at.asked, age: at.age });
         let times = fallgap_routing::ViewTimes { confirmed, known, committed, is_reached };
         self.quay.iter_mut().for_each(|quay| quay.view_times(times));
         self.see_whether_ready(now);
@@ -342,99 +335,6 @@
         here.map(|peer| peer.card.node).chain([self.me]).collect()
     }
 
-    /// Hears what the socket holds, up to a bound: more may come as fast as it is read.
-    fn hear_datagrams(&mut self, now: Duration) {
-        if !std::mem::take(&mut self.datagrams_wait) {
-            return;
-        }
-        for _ in 0..TURN_DATAGRAMS {
-            let (length, from) = match self.datagrams.recv_from(&mut self.buffer) {
-                Ok((length, SocketAddr::V4(from))) => (length, from),
-                // Told of one that was sent: its receiver is gone. Others may wait.
-                Err(error) if error.kind() != ErrorKind::WouldBlock => continue,
-                Ok(_) => continue,
-                Err(_) => return,
-            };
-            let Some(bytes) = self.buffer.get(..length) else { continue };
-            if let Ok(message) = postcard::from_bytes(bytes) {
-                self.links.met(now, self.poll.registry(), *from.ip());
-                self.follower.met(now);
-                self.beacon.heard(now, *from.ip(), message);
-            }
-        }
-        self.datagrams_wait = true;
-    }
-
-    /// What threads have sent: callers, the disk, signals.
-    fn hear_threads(&mut self, now: Duration) {
-        self.hear_callers(now);
-        while let Some(done) = self.disk.as_ref().and_then(|d| d.done.try_recv().ok()) {
-            match done {
-                Done::Synced(number) => self.keeper.synced(now, number),
-                Done::WantsCheckpoint => {
-                    let snapshot = self.keeper.snapshot();
-                    self.disk.iter().for_each(|d| _ = d.work.send(Work::Checkpoint(snapshot.clone())));
-                }
-            }
-        }
-        self.hear_signals(now);
-    }
-
-    /// Callers ask, up to a bound: more may come as fast as they are answered.
-    fn hear_callers(&mut self, now: Duration) {
-        self.callers_wait = false;
-        for _ in 0..TURN_ASKS {
-            let Ok(Ask { asked, reply }) = self.inbox.try_recv() else { return };
-            match asked {
-                Asked::Call(call) if self.hold_up.turns_away(now, &call) => {
-                    let _ = reply.try_send(Told::Answer(Answer::Busy));
-                }
-                Asked::Call(call) => {
-                    let order = calls::by_key(&call.key(), self.keepers());
-                    let steps = self.calls.came(now, self.me, Caller::Here(reply), call, &order);
-                    steps.into_iter().for_each(|step| self.step(now, step));
-                }
-                Asked::Beat(beat) => self.beat(now, beat, reply),
-                // Some say nothing before: what is acknowledged holds as for one that closes.
-                Asked::Left(server) => self.beat(now, last_beat(server), reply),
-                Asked::Desk(question) => self.desk_asked(now, question, reply),
-                Asked::Spread(revision, places) => self.spread(now, reply, revision, &places),
-                Asked::RollOut(edition, within) => {
-                    self.rollouts.begin(now, edition, now + within.saturating_sub(MARGIN_OF_CALL), reply);
-                }
-                Asked::Status => {
-                    let _ = reply.try_send(Told::Status(self.status(now)));
-                }
-                Asked::Figures => {
-                    let _ = reply.try_send(Told::Status(self.figures(now)));
-                }
-                Asked::Verdicts => {
-                    let _ = reply.try_send(Told::Status(self.verdicts(now)));
-                }
-            }
-        }
-        self.callers_wait = true;
-    }
-
-    fn hear_signals(&mut self, now: Duration) {
-        if self.heard.changed.swap(false, Relaxed) {
-            tracing::info!("gateway: told to read the settings again");
-            self.settings_seen = None;
-            self.look_at_settings(now);
-        }
-        if self.heard.end.load(Relaxed) && self.leaving.is_none() {
-            tracing::info!(
-                "gateway: told to end, {} ops at work",
-                self.quay.as_ref().map_or(0, Quay::at_work)
-            );
-            self.leaving = Some(now);
-            self.ready.store(false, Relaxed);
-            self.beacon.leaving(now);
-            self.keeper.leaving(now);
-            self.quay.iter_mut().for_each(|quay| quay.leave(now));
-        }
-    }
-
     fn is_idle(&self) -> bool {
         self.quay.as_ref().is_none_or(|q| q.at_work() == 0) && self.calls.under_way() == 0
     }
@@ -464,7 +364,7 @@
     }
 
     /// The settings file may change with a signal or without.
-    fn look_at_settings(&mut self, now: Duration) {
+    pub fn look_at_settings(&mut self, now: Duration) {
         let changed = std::fs::metadata(&self.settings_path).and_then(|m| m.modified()).ok();
         if changed.is_none() || changed == self.settings_seen {
             return;
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -287,9 +287,7 @@
 
 /// A lease that is over before that time, by a clock that is slow.
 fn lease_within(time: Duration) -> Duration {
-    /// Clocks of two machines differ in rate by less than one in 16.
-    const RATE_MARGIN: u32 = 16;
     /// From the decision on a request to its arrival at a server.
     const ON_ITS_WAY: Duration = Duration::from_millis(50);
-    (time - time / RATE_MARGIN).saturating_sub(ON_ITS_WAY)
+    (time - time / admission::RATE_MARGIN).saturating_sub(ON_ITS_WAY)
 }
--- a/crates/proxy/src/admission.rs
+++ b/crates/proxy/src/admission.rs
@@ -17,7 +17,7 @@
 /// The supervisor that began an operation is waited for so long.
 const OWNER_PATIENCE: Duration = Duration::from_millis(600);
 /// A request with an idempotency key is sent to servers within this, or not at all: claims outlive it.
-pub(crate) const KEYED_DEADLINE: Duration = Duration::from_secs(10);
+pub const KEYED_DEADLINE: Duration = Duration::from_secs(10);
 /// Bytes of an idempotency key.
 const LONGEST_KEY: usize = 512;
 
--- a/crates/proxy/tests/customers.rs
+++ b/crates/proxy/tests/customers.rs
@@ -2,9 +2,9 @@
 
 mod world;
 
-use fallgap_config::{Configuration, Customer, Customers};
+use fallgap_config::{Before, Configuration, Customer, Customers};
 use fallgap_proxy::{Errand, Terms};
-use fallgap_routing::{Before, QuotaGrant, ViewTimes};
+use fallgap_routing::{QuotaGrant, ViewTimes};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use world::*;
--- a/crates/registry/src/leases.rs
+++ b/crates/registry/src/leases.rs
@@ -5,25 +5,13 @@
 use crate::NodeId;
 use crate::distribution::{Distribution, Out};
 use crate::messages::{Knows, LeaseQuestion};
+use fallgap_config::Before;
 use std::collections::VecDeque;
 use std::time::Duration;
 
 /// Answers that wait for what they name. Over it the oldest is let go of.
 const MOST: usize = 16;
 
-/// The moment `age` before `asked`, which may be before this process began.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Before {
-    pub asked: Duration,
-    pub age: Duration,
-}
-
-impl Before {
-    fn is_later_than(&self, other: &Before) -> bool {
-        self.asked + other.age > other.asked + self.age
-    }
-}
-
 /// Up to when a supervisor's view is known to be complete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ViewTimes {
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -29,7 +29,6 @@
 pub use fallgap_feed::wire::Told;
 pub use fitness::{Fit, Fitness, Ground};
 pub use follower::{Follower, FollowerOut};
-pub use leases::Before;
 pub use leases::ViewTimes;
 pub use lives::{Life, State, last_beat};
 pub use messages::{Compare, Knows, LeaseQuestion, Record, Records, RosterWord, ServerReport};
--- a/crates/routing/src/lease.rs
+++ b/crates/routing/src/lease.rs
@@ -10,6 +10,7 @@
 //! touches; and a home that has not confirmed for too long what is held, for all routes of offices. Nor is it known then that
 //! a route is not there: it may have been added since.
 
+use fallgap_config::Before;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -31,20 +32,6 @@
     pub keys: Option<Duration>,
 }
 
-/// The moment `age` before `asked`, which may be before this process began.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Before {
-    pub asked: Duration,
-    pub age: Duration,
-}
-
-impl Before {
-    /// Whether it is no further back than that.
-    fn is_within(&self, now: Duration, time: Duration) -> bool {
-        now + self.age <= self.asked + time
-    }
-}
-
 /// Up to when the view that is routed by is known to be complete.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ViewTimes {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -27,7 +27,7 @@
 pub use gate::Gate;
 pub use head::{Framing, Head};
 pub use health::{Health, HealthState};
-pub use lease::{Before, Lease, LeaseTerms, Place, ViewTimes};
+pub use lease::{Lease, LeaseTerms, Place, ViewTimes};
 pub use op::{Final, Next, Op, Plan, TryOutcome, TryState};
 pub use quota::{QuotaAsk, QuotaFront, QuotaGrant, QuotaHome, QuotaTerms, Room, SHARDS, Taken, shard_of};
 pub use request::{Inbox, Refusal, Request, Step};
