Quotas: a machine's new process has its homes' locks at once

After a loss of all power the locks were held by processes that were gone, for two seconds and more in which limited customers got no token. The holder is the machine now; buckets begin empty as for any new home.

--- a/crates/gateway/src/quotas.rs
+++ b/crates/gateway/src/quotas.rs
@@ -79,8 +79,9 @@
 }
 
 impl Quotas {
-    pub fn new(me: Ipv4Addr, life: u64, terms: QuotaTerms) -> Quotas {
-        let holder = format!("{me}/{life:x}");
+    /// The holder of its locks is the machine: a process that starts anew has them at once, and begins with empty buckets.
+    pub fn new(me: Ipv4Addr, terms: QuotaTerms) -> Quotas {
+        let holder = me.to_string();
         let leases = [Lease::default(); SHARDS as usize];
         let searches = [Search::default(); SHARDS as usize];
         Quotas { me, holder, leases, home: QuotaHome::new(terms), searches }
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -212,7 +212,7 @@
         ages: Ages::default(),
         life,
         beats: Beats::new(rng.u64(1..1 << 62)),
-        quotas: Quotas::new(me, life, admission::quota_terms(&settings.bounds)),
+        quotas: Quotas::new(me, admission::quota_terms(&settings.bounds)),
         surveys: Surveys::new(fallgap_admin::Terms::USUAL, rng.u64(1..1 << 62)),
         history: History::default(),
         leavers: Leavers::default(),
--- a/crates/gateway/tests/inner/quotas.rs
+++ b/crates/gateway/tests/inner/quotas.rs
@@ -10,7 +10,7 @@
 }
 
 fn quotas() -> Quotas {
-    Quotas::new(ME, 7, QuotaTerms::default())
+    Quotas::new(ME, QuotaTerms::default())
 }
 
 fn customers() -> Customers {
