--- a/crates/control-state/tests/attempts.rs
+++ b/crates/control-state/tests/attempts.rs
@@ -18,13 +18,15 @@
     (1..=5).map(member).collect()
 }
 
-/// What an attempt comes to by these votes of five members: who, epoch, vote.
-fn counted(votes: &[(u8, u64, Vote)]) -> Option<Verdict> {
+/// A member's number, its epoch, and its vote.
+type Cast = (u8, u64, Vote);
+
+/// What an attempt comes to by these votes of five members.
+fn counted(votes: &[Cast]) -> Option<Verdict> {
     let mut attempts = Attempts::new(AttemptTerms::default(), 1);
     let number = attempts.begin(Duration::ZERO, OPERATION, attempt(1), &members()).expect("there is room");
-    let voted = |(n, epoch, vote): &(u8, u64, Vote)| {
-        attempts.voted(Duration::ZERO, member(*n), number, *epoch, 3, *vote)
-    };
+    let voted =
+        |(n, epoch, vote): &Cast| attempts.voted(Duration::ZERO, member(*n), number, *epoch, 3, *vote);
     votes.iter().find_map(voted)
 }
 
@@ -33,7 +35,7 @@
     use Vote::{Abstains, Granted};
     let taken = Vote::Taken(attempt(2));
     let by = attempt(2);
-    let cases: [(&str, &[(u8, u64, Vote)], Option<Verdict>); 9] = [
+    let cases: [(&str, &[Cast], Option<Verdict>); 9] = [
         ("three of five", &[(1, 4, Granted), (2, 4, Granted), (3, 4, Granted)], Some(Verdict::Granted)),
         ("two of five", &[(1, 4, Granted), (2, 4, Granted)], None),
         ("one that says it twice", &[(1, 4, Granted), (2, 4, Granted), (2, 4, Granted)], None),
