Operations: a retry that is quicker than the freeing of its claim is told to come again

A client that has a 503 may ask another supervisor before members have heard that the claim is given up; that one asked the first, which knew nothing of it any more, and said 502, that the outcome was not known. An attempt that was given up is remembered as such, and the answer is 503 and when to come back. The test waits for the members to have heard; a second one holds that back, and failed before.

--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -360,6 +360,7 @@
         let begun = begun.map(|state| match state {
             OperationState::InWork => "in work".to_owned(),
             OperationState::Answered(answer) => format!("answered {}", answer.status),
+            OperationState::GivenUp => "given up".to_owned(),
             OperationState::Unknown | OperationState::NotHere => "outcome unknown".to_owned(),
         });
         let granted_to = operation.and_then(|id| self.keeper.granted(id)).map(|attempt| attempt.node);
--- a/crates/proxy/src/admission.rs
+++ b/crates/proxy/src/admission.rs
@@ -318,6 +318,6 @@
         OperationState::Answered(answer) => (answer.status, Why::Repeated),
         OperationState::Unknown => (502, Why::Forgotten),
         OperationState::NotHere if by_majority => (502, Why::Forgotten),
-        OperationState::NotHere => (503, Why::Unclaimed),
+        OperationState::NotHere | OperationState::GivenUp => (503, Why::Unclaimed),
     }
 }
--- a/crates/proxy/src/operations.rs
+++ b/crates/proxy/src/operations.rs
@@ -34,8 +34,10 @@
     Answered(Arc<KeptAnswer>),
     /// It was sent to a server, and there is no answer.
     Unknown,
-    /// Nothing is known of it here: of an earlier process, or given up before it began.
+    /// Nothing is known of it here: it is of an earlier process.
     NotHere,
+    /// It was given up before anything was sent: members may not have heard yet that the operation is free.
+    GivenUp,
 }
 
 struct Known {
@@ -54,7 +56,8 @@
 
 impl Operations {
     pub fn state(&self, operation: OperationId) -> Option<&OperationState> {
-        self.known.get(&operation).map(|known| &known.state)
+        let known = self.known.get(&operation).map(|known| &known.state);
+        known.filter(|state| **state != OperationState::GivenUp)
     }
 
     /// What another supervisor is told of one of this one's attempts.
@@ -73,8 +76,8 @@
 
     /// It has not begun, and never will.
     pub fn given_up(&mut self, operation: OperationId, attempt: Attempt) {
-        if self.known.get(&operation).is_some_and(|known| known.attempt == attempt) {
-            self.known.remove(&operation);
+        if let Some(known) = self.known.get_mut(&operation).filter(|known| known.attempt == attempt) {
+            known.state = OperationState::GivenUp;
         }
     }
 
--- a/crates/proxy/tests/operations.rs
+++ b/crates/proxy/tests/operations.rs
@@ -16,6 +16,8 @@
 struct Members {
     claims: Arc<Mutex<HashMap<OperationId, Attempt>>>,
     silent: Arc<Mutex<bool>>,
+    /// They do not hear that a claim is given up.
+    keeps_claims: Arc<Mutex<bool>>,
     left: Arc<Mutex<Vec<Errand>>>,
 }
 
@@ -33,6 +35,7 @@
             Errand::Member(node, Message::Claim { number, operation, attempt }) => {
                 quay.voted(now, node, number, 1, 2, members.vote(operation, attempt));
             }
+            Errand::Member(_, Message::ClaimGivenUp { .. }) if *members.keeps_claims.lock().unwrap() => {}
             Errand::Member(_, Message::ClaimGivenUp { operation, attempt }) => {
                 let mut claims = members.claims.lock().unwrap();
                 if claims.get(&operation) == Some(&attempt) {
@@ -147,9 +150,30 @@
     let members = Members::default();
     let (first, second) = (members.world(1, &[&server]), members.world(2, &[&server]));
     assert_eq!(first.client().ask(&order("1", "k")).status, 503);
+    // Members hear that it is free a moment after the client has its answer.
+    until(|| members.claims.lock().unwrap().is_empty());
     assert_eq!(second.client().ask(&order("2", "k")).text(), "ran");
 }
 
+/// A retry that is quicker than the word to the members that the operation is free: it is told to come again, not that the
+/// outcome is unknown.
+#[test]
+fn a_retry_that_comes_before_the_claim_is_free_is_told_to_come_again() {
+    let server = Server::start("i-1", |got| match got.id() {
+        "1" => Does::Sends(status(got, 503, "X-Not-Run: 1\r\n")),
+        _ => Does::Sends(ok(got, "ran")),
+    });
+    let members = Members::default();
+    let (first, second) = (members.world(1, &[&server]), members.world(2, &[&server]));
+    *members.keeps_claims.lock().unwrap() = true;
+    assert_eq!(first.client().ask(&order("1", "k")).status, 503);
+    let mut asking = second.client();
+    asking.send(&order("2", "k"));
+    members.carry(&second, &first);
+    let reply = asking.reply().expect("an answer");
+    assert_eq!((reply.status, reply.line("retry-after").is_some()), (503, true));
+}
+
 /// A client that leaves before the answer: the operation is finished, and its repeat gets what came.
 #[test]
 fn an_operation_outlives_its_client() {
