Read again: one writer of answers' heads, nothing copied of a route, limits known beforehand

A request no longer copies its route (since customers were built it did, with its list of services), and looks its customer up once, not three times; whether any customer has a quota is known from the configuration's reading, where each turn of the loop went through all. Heads of servers' answers and of kept ones are written by one piece; the outcome of a repeat is judged once; clocks' margin is one constant. The claim of an op is its attempt. Tests: one look at who is behind, one server that refuses first; claims_cost uses the simulation's member. What the proxy has for others is called a peer message.

--- a/crates/config/src/customers.rs
+++ b/crates/config/src/customers.rs
@@ -30,6 +30,7 @@
     list: Vec<Customer>,
     by_key: HashMap<Arc<str>, usize>,
     lowest_priority: u8,
+    has_limits: bool,
 }
 
 impl Customers {
@@ -48,7 +49,8 @@
             }
         }
         let lowest_priority = list.iter().map(|customer| customer.priority).max().unwrap_or(0);
-        Some(Customers { list, by_key, lowest_priority })
+        let has_limits = list.iter().any(Customer::is_limited);
+        Some(Customers { list, by_key, lowest_priority, has_limits })
     }
 
     /// Whose key it is.
@@ -66,6 +68,11 @@
         &self.list
     }
 
+    /// Whether any of them has a quota.
+    pub fn has_limits(&self) -> bool {
+        self.has_limits
+    }
+
     pub fn lowest_priority(&self) -> u8 {
         self.lowest_priority
     }
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -5,16 +5,13 @@
 use crate::words::Word;
 use fallgap_config::{Bounds, Customers};
 use fallgap_membership::State;
-use fallgap_proxy::{Errand, KEYED_DEADLINE};
-use fallgap_routing::{QuotaAsk, QuotaGrant, QuotaTerms};
+use fallgap_proxy::{KEYED_DEADLINE, PeerMessage};
+use fallgap_routing::{QuotaAsk, QuotaGrant, QuotaTerms, RATE_MARGIN};
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Clocks of two machines differ in rate by less than one in so many.
-pub const RATE_MARGIN: u32 = 16;
-
 /// What binds quotas, by the settings.
 pub fn quota_terms(bounds: &Bounds) -> QuotaTerms {
     QuotaTerms {
@@ -53,18 +50,18 @@
 
     /// Carries out what the proxy wants of others.
     pub fn carry_admission(&mut self, now: Duration) -> bool {
-        let errands = self.quay.as_mut().map(|quay| quay.errands(now)).unwrap_or_default();
-        let any = !errands.is_empty();
+        let peer_messages = self.quay.as_mut().map(|quay| quay.peer_messages(now)).unwrap_or_default();
+        let any = !peer_messages.is_empty();
         let mut asks: BTreeMap<Ipv4Addr, Vec<QuotaAsk>> = BTreeMap::new();
         let keepers = if any { self.keepers() } else { Vec::new() };
-        for errand in errands {
-            match errand {
-                Errand::Member(to, message) if to == self.me => self.keeper.attempt_here(now, message),
-                Errand::Member(to, message) => self.say(now, to, Word::Keeper(message)),
-                Errand::AskOwner { number, operation, attempt } => {
+        for message in peer_messages {
+            match message {
+                PeerMessage::Member(to, message) if to == self.me => self.keeper.attempt_here(now, message),
+                PeerMessage::Member(to, message) => self.say(now, to, Word::Keeper(message)),
+                PeerMessage::AskOwner { number, operation, attempt } => {
                     self.say(now, attempt.node, Word::OperationAsked { number, operation, attempt });
                 }
-                Errand::Quota(ask) => {
+                PeerMessage::Quota(ask) => {
                     let home = self.quotas.home_of(now, &ask.customer, &keepers);
                     home.into_iter().for_each(|home| asks.entry(home).or_default().push(ask.clone()));
                 }
@@ -121,7 +118,7 @@
     /// Whether this supervisor may be a home of quotas.
     fn limits_customers(&self) -> bool {
         let customers = self.view.as_ref().and_then(|view| view.configuration.customers.as_ref());
-        self.disk.is_some() && customers.is_some_and(|all| all.all().iter().any(|one| one.is_limited()))
+        self.disk.is_some() && customers.is_some_and(|all| all.has_limits())
     }
 
     /// Locks of the parts of which this supervisor is to be the home.
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -289,5 +289,5 @@
 fn lease_within(time: Duration) -> Duration {
     /// From the decision on a request to its arrival at a server.
     const ON_ITS_WAY: Duration = Duration::from_millis(50);
-    (time - time / admission::RATE_MARGIN).saturating_sub(ON_ITS_WAY)
+    (time - time / fallgap_routing::RATE_MARGIN).saturating_sub(ON_ITS_WAY)
 }
--- a/crates/proxy/src/admission.rs
+++ b/crates/proxy/src/admission.rs
@@ -2,7 +2,7 @@
 
 use crate::client::Outgoing;
 use crate::operations::{OperationState, operation_of};
-use crate::ops::{Claim, OpEntry, Stage};
+use crate::ops::{OpEntry, Stage};
 use crate::quay::Quay;
 use crate::timers::{ClientKey, OpKey};
 use fallgap_config::{Configuration, RouteClass};
@@ -23,7 +23,7 @@
 
 /// Something that other supervisors are to be told.
 #[derive(Debug)]
-pub enum Errand {
+pub enum PeerMessage {
     /// To a member of the control state.
     Member(NodeId, Message),
     /// To the supervisor that began an operation: what became of it? `number` is this one's for the question.
@@ -78,15 +78,14 @@
         let Some(state) = self.operations.state(operation).cloned() else { return false };
         let (status, why) = outcome(&state, true);
         self.refused(now, began, request, status, why, None);
-        self.repeated(now, client, request, &state, true);
+        self.repeated(now, client, request, status, &state);
         true
     }
 
-    /// Whatever a request still needs, one after the other; then a server is asked.
-    pub(crate) fn admit(&mut self, now: Duration, key: OpKey) {
+    /// Whatever a request still needs, one after the other; then a server is asked. `is_limited`: its customer has a quota.
+    pub(crate) fn admit(&mut self, now: Duration, key: OpKey, is_limited: bool) {
         let Some(op) = self.ops.get(key) else { return };
-        let limited = op.sender.customer().cloned().filter(|name| self.is_limited(name));
-        match limited.filter(|_| !op.has_token) {
+        match op.sender.customer().filter(|_| is_limited).cloned() {
             Some(customer) => match self.quotas.take(now, &customer, key) {
                 Taken::Now => self.has_token(now, key),
                 Taken::Waits if self.lease.is_reached() => self.waits(key, Stage::Quota),
@@ -97,12 +96,6 @@
         }
     }
 
-    fn is_limited(&self, customer: &str) -> bool {
-        let configuration = self.routing.as_ref().map(|routing| routing.configuration());
-        let customers = configuration.and_then(|configuration| configuration.customers.as_ref());
-        customers.and_then(|all| all.named(customer)).is_some_and(fallgap_config::Customer::is_limited)
-    }
-
     fn waits(&mut self, key: OpKey, stage: Stage) {
         if let Some(op) = self.ops.get_mut(key) {
             op.stage = stage;
@@ -131,7 +124,7 @@
         let Some(number) = self.attempts.begin(now, operation, attempt, &self.members) else {
             return self.unclaimed(now, key);
         };
-        op.claim = Some(Claim { attempt });
+        op.claim = Some(attempt);
         op.stage = Stage::Votes;
         self.operations.begun(now, operation, attempt);
         self.claiming.insert(number, key);
@@ -171,8 +164,8 @@
         let Some(op) = self.ops.get_mut(key) else { return };
         if let (Some(claim), Some(operation)) = (op.claim.take(), op.operation) {
             self.claiming.retain(|_, its| *its != key);
-            self.attempts.give_up(operation, claim.attempt, &self.members);
-            self.operations.given_up(operation, claim.attempt);
+            self.attempts.give_up(operation, claim, &self.members);
+            self.operations.given_up(operation, claim);
         }
     }
 
@@ -184,7 +177,7 @@
         }
         let number = self.next_question;
         self.next_question += 1;
-        self.errands.push(Errand::AskOwner { number, operation, attempt: owner });
+        self.peer_messages.push(PeerMessage::AskOwner { number, operation, attempt: owner });
         self.waits(key, Stage::Owner { number, by_majority, until: now + OWNER_PATIENCE });
     }
 
@@ -216,20 +209,18 @@
         }
         let state = state.clone();
         self.finish(now, key, status, |quay, client, request| {
-            quay.repeated(now, client, request, &state, by_majority);
+            quay.repeated(now, client, request, status, &state);
         });
     }
 
     /// What a request gets whose operation was begun by another one.
     fn repeated(
-        &mut self, now: Duration, client: ClientKey, request: &Request, state: &OperationState,
-        by_majority: bool,
+        &mut self, now: Duration, client: ClientKey, request: &Request, status: u16, state: &OperationState,
     ) {
         if let OperationState::Answered(answer) = state {
             self.counters.operations_repeated += 1;
             return self.replay(now, client, request, answer);
         }
-        let (status, _) = outcome(state, by_majority);
         match status {
             502 => {
                 self.counters.operations_unknown += 1;
@@ -298,11 +289,12 @@
     }
 
     /// What other supervisors are to be told.
-    pub fn errands(&mut self, now: Duration) -> Vec<Errand> {
-        let mut errands = std::mem::take(&mut self.errands);
-        errands.extend(self.attempts.take().into_iter().map(|(to, message)| Errand::Member(to, message)));
-        errands.extend(self.quotas.asks(now).into_iter().map(Errand::Quota));
-        errands
+    pub fn peer_messages(&mut self, now: Duration) -> Vec<PeerMessage> {
+        let mut peer_messages = std::mem::take(&mut self.peer_messages);
+        peer_messages
+            .extend(self.attempts.take().into_iter().map(|(to, message)| PeerMessage::Member(to, message)));
+        peer_messages.extend(self.quotas.asks(now).into_iter().map(PeerMessage::Quota));
+        peer_messages
     }
 
     /// This supervisor, and those that may be members of the control state.
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -15,7 +15,7 @@
 mod timers;
 mod tries;
 
-pub use admission::{Errand, KEYED_DEADLINE};
+pub use admission::{KEYED_DEADLINE, PeerMessage};
 pub use fallgap_routing::Report;
 pub use logbook::{Pages, Tale, TryTale};
 pub use operations::{OperationState, operation_of};
--- a/crates/proxy/src/ops.rs
+++ b/crates/proxy/src/ops.rs
@@ -8,7 +8,7 @@
 use crate::operations::OperationState;
 use crate::quay::Quay;
 use crate::timers::{ClientKey, LineKey, OpKey, Who};
-use fallgap_config::{Configuration, RouteClass, plain_host};
+use fallgap_config::{Configuration, Customer, RouteClass, plain_host};
 use fallgap_control_state::{Attempt, OperationId};
 use fallgap_routing::{
     Answer, Ended, Final, KeptAnswer, Next, Op, Plan, Request, Sender, ServerKey, ServiceKey, TryOutcome,
@@ -38,18 +38,13 @@
     pub has_token: bool,
     /// What it is to carry out once.
     pub operation: Option<OperationId>,
-    pub claim: Option<Claim>,
+    /// The own attempt at it.
+    pub claim: Option<Attempt>,
     pub stage: Stage,
     /// What is told of it afterwards.
     pub draft: Draft,
 }
 
-/// The own attempt at an operation.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Claim {
-    pub attempt: Attempt,
-}
-
 /// What an op waits for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Stage {
@@ -94,7 +89,7 @@
             return self.not_run(now, key, &request);
         };
         let found = routing.find_index(head.host(), head.path());
-        let configuration = routing.configuration();
+        let configuration = routing.configuration().clone();
         let edition = configuration.edition;
         let owner = configuration.licences.as_ref().and_then(|licences| licences.owner(found?));
         if (owner.is_some() || self.lease.is_told())
@@ -113,9 +108,8 @@
             self.refused(now, began, &request, 404, Why::NoRoute, None);
             return self.own_answer(now, key, &request, 404, None);
         };
-        let configuration = configuration.clone();
         let mut plan = Plan::new(began, route, head.wait, self.terms.pilot.connects);
-        let (route_name, route) = (route.name.clone(), route.clone());
+        let route_name = route.name.clone();
         let sender = match self.identify(now, &configuration, head, route.is_open) {
             Ok(sender) => sender,
             Err(refused) => return self.not_admitted(now, key, began, &request, refused, route_name),
@@ -130,7 +124,9 @@
                 return;
             }
         }
-        let below = self.ranks_below(&configuration, &sender, plan.priority);
+        let customer = customer_of(&configuration, &sender);
+        let below = self.ranks_below(&configuration, customer, plan.priority);
+        let is_limited = customer.is_some_and(Customer::is_limited);
         let service = self.fleet.sorted(&route.sorting);
         let let_in = service.filter(|service| self.fleet.arrives(now, *service, below));
         let Some(service) = let_in.filter(|_| now < plan.deadline) else {
@@ -180,15 +176,14 @@
             client.until = plan.deadline;
             client.turn(now, ClientState::Working(op));
         }
-        self.admit(now, op);
+        self.admit(now, op, is_limited);
     }
 
     /// How many ranks stand under a request's own: its customer's weighs more than its route's.
-    fn ranks_below(&self, configuration: &Configuration, sender: &Sender, priority: u8) -> u8 {
+    fn ranks_below(&self, configuration: &Configuration, customer: Option<&Customer>, priority: u8) -> u8 {
         let below = self.last_priority.saturating_sub(priority);
         let Some(customers) = &configuration.customers else { return below };
         let lowest = customers.lowest_priority();
-        let customer = sender.customer().and_then(|name| customers.named(name));
         let above = lowest.saturating_sub(customer.map_or(lowest, |customer| customer.priority));
         above.saturating_mul(self.last_priority.saturating_add(1)).saturating_add(below)
     }
@@ -288,7 +283,7 @@
     fn keep_answer(&mut self, key: OpKey, answer: Option<&Answer>) {
         let Some(op) = self.ops.get_mut(key) else { return };
         if let (Some(claim), Some(operation)) = (op.claim.take(), op.operation) {
-            self.operations.ended(operation, claim.attempt, answer.map(KeptAnswer::of));
+            self.operations.ended(operation, claim, answer.map(KeptAnswer::of));
         }
     }
 
@@ -472,3 +467,8 @@
         self.set_op_due(key);
     }
 }
+
+/// Who a request is of, as this configuration has it.
+fn customer_of<'a>(configuration: &'a Configuration, sender: &Sender) -> Option<&'a Customer> {
+    configuration.customers.as_ref()?.named(sender.customer()?)
+}
--- a/crates/proxy/src/quay.rs
+++ b/crates/proxy/src/quay.rs
@@ -1,6 +1,6 @@
 //! The quay as its owner sees it.
 
-use crate::admission::Errand;
+use crate::admission::PeerMessage;
 use crate::client::{Client, ClientState};
 use crate::line::Line;
 use crate::lines::Pool;
@@ -137,7 +137,7 @@
     /// Whose attempts are counted, by their numbers.
     pub(crate) claiming: HashMap<u64, OpKey>,
     pub(crate) next_question: u64,
-    pub(crate) errands: Vec<Errand>,
+    pub(crate) peer_messages: Vec<PeerMessage>,
 }
 
 /// Bytes read at once.
@@ -208,7 +208,7 @@
             attempts: Attempts::new(AttemptTerms::default(), rng.u64(1..1 << 62)),
             claiming: HashMap::new(),
             next_question: rng.u64(1..1 << 62),
-            errands: Vec::new(),
+            peer_messages: Vec::new(),
             rng,
         })
     }
@@ -276,7 +276,7 @@
     }
 
     pub fn next_wake(&self) -> Option<Duration> {
-        if !self.ready.is_empty() || !self.errands.is_empty() {
+        if !self.ready.is_empty() || !self.peer_messages.is_empty() {
             return Some(Duration::ZERO);
         }
         let wakes = [self.timers.next(), self.attempts.next_wake(), self.quotas.next_wake()];
--- a/crates/proxy/tests/customers.rs
+++ b/crates/proxy/tests/customers.rs
@@ -3,7 +3,7 @@
 mod world;
 
 use fallgap_config::{Before, Configuration, Customer, Customers};
-use fallgap_proxy::{Errand, Terms};
+use fallgap_proxy::{PeerMessage, Terms};
 use fallgap_routing::{QuotaGrant, ViewTimes};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -122,8 +122,8 @@
     let (server, told) = telling();
     let granted = Arc::new(Mutex::new(3));
     let left = granted.clone();
-    let others: Others = Box::new(move |quay, now, errand| {
-        let Errand::Quota(ask) = errand else { return };
+    let others: Others = Box::new(move |quay, now, message| {
+        let PeerMessage::Quota(ask) = message else { return };
         let mut left = left.lock().unwrap();
         let granted = ask.needs.min(*left);
         *left -= granted;
--- a/crates/proxy/tests/operations.rs
+++ b/crates/proxy/tests/operations.rs
@@ -3,7 +3,7 @@
 mod world;
 
 use fallgap_control_state::{Attempt, Message, NodeId, OperationId, Vote};
-use fallgap_proxy::{Errand, OperationState, Terms};
+use fallgap_proxy::{OperationState, PeerMessage, Terms};
 use fallgap_test_support::gateway::status;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
@@ -18,7 +18,7 @@
     silent: Arc<Mutex<bool>>,
     /// They do not hear that a claim is given up.
     keeps_claims: Arc<Mutex<bool>>,
-    left: Arc<Mutex<Vec<Errand>>>,
+    left: Arc<Mutex<Vec<PeerMessage>>>,
 }
 
 impl Members {
@@ -30,13 +30,14 @@
 
     fn others(&self) -> Others {
         let members = self.clone();
-        Box::new(move |quay, now, errand| match errand {
-            Errand::Member(..) if *members.silent.lock().unwrap() => {}
-            Errand::Member(node, Message::Claim { number, operation, attempt }) => {
+        Box::new(move |quay, now, message| match message {
+            PeerMessage::Member(..) if *members.silent.lock().unwrap() => {}
+            PeerMessage::Member(node, Message::Claim { number, operation, attempt }) => {
                 quay.voted(now, node, number, 1, 2, members.vote(operation, attempt));
             }
-            Errand::Member(_, Message::ClaimGivenUp { .. }) if *members.keeps_claims.lock().unwrap() => {}
-            Errand::Member(_, Message::ClaimGivenUp { operation, attempt }) => {
+            PeerMessage::Member(_, Message::ClaimGivenUp { .. }) if *members.keeps_claims.lock().unwrap() => {
+            }
+            PeerMessage::Member(_, Message::ClaimGivenUp { operation, attempt }) => {
                 let mut claims = members.claims.lock().unwrap();
                 if claims.get(&operation) == Some(&attempt) {
                     claims.remove(&operation);
@@ -56,8 +57,8 @@
     /// What one supervisor asks another one is answered by it.
     fn carry(&self, from: &World, to: &World) {
         until(|| !self.left.lock().unwrap().is_empty());
-        for errand in std::mem::take(&mut *self.left.lock().unwrap()) {
-            let Errand::AskOwner { number, operation, attempt } = errand else { continue };
+        for message in std::mem::take(&mut *self.left.lock().unwrap()) {
+            let PeerMessage::AskOwner { number, operation, attempt } = message else { continue };
             let state = to.ask(move |quay, _| quay.operation_state(operation, attempt));
             from.ask(move |quay, now| quay.owner_told(now, number, &state));
         }
@@ -141,12 +142,17 @@
     assert_eq!(asking.reply().map(|reply| reply.status), Some(502));
 }
 
-#[test]
-fn what_did_not_run_may_be_run_by_a_later_request() {
-    let server = Server::start("i-1", |got| match got.id() {
+/// It does not run the first request.
+fn refusing_first() -> Server {
+    Server::start("i-1", |got| match got.id() {
         "1" => Does::Sends(status(got, 503, "X-Not-Run: 1\r\n")),
         _ => Does::Sends(ok(got, "ran")),
-    });
+    })
+}
+
+#[test]
+fn what_did_not_run_may_be_run_by_a_later_request() {
+    let server = refusing_first();
     let members = Members::default();
     let (first, second) = (members.world(1, &[&server]), members.world(2, &[&server]));
     assert_eq!(first.client().ask(&order("1", "k")).status, 503);
@@ -159,10 +165,7 @@
 /// outcome is unknown.
 #[test]
 fn a_retry_that_comes_before_the_claim_is_free_is_told_to_come_again() {
-    let server = Server::start("i-1", |got| match got.id() {
-        "1" => Does::Sends(status(got, 503, "X-Not-Run: 1\r\n")),
-        _ => Does::Sends(ok(got, "ran")),
-    });
+    let server = refusing_first();
     let members = Members::default();
     let (first, second) = (members.world(1, &[&server]), members.world(2, &[&server]));
     *members.keeps_claims.lock().unwrap() = true;
--- a/crates/proxy/tests/world/mod.rs
+++ b/crates/proxy/tests/world/mod.rs
@@ -2,7 +2,7 @@
 #![allow(dead_code)]
 
 use fallgap_config::{Berth, Configuration, Limits, Route, RouteClass, Service, View};
-use fallgap_proxy::{Errand, Quay, Terms};
+use fallgap_proxy::{PeerMessage, Quay, Terms};
 use fallgap_routing::ViewTimes;
 pub use fallgap_test_support::gateway::{Client, Does, Reply, Server, get, ok};
 use mio::{Events, Poll, Token, Waker};
@@ -34,7 +34,7 @@
 type Order = Box<dyn FnOnce(&mut Quay, Duration) + Send>;
 
 /// What members of the control state, other supervisors and homes of quotas do with what they are told.
-pub type Others = Box<dyn FnMut(&mut Quay, Duration, Errand) + Send>;
+pub type Others = Box<dyn FnMut(&mut Quay, Duration, PeerMessage) + Send>;
 
 /// A quay in a thread of its own.
 pub struct World {
@@ -67,8 +67,8 @@
                 }
                 quay.woke(start.elapsed());
                 quay.work(start.elapsed(), |_| ());
-                for errand in quay.errands(start.elapsed()) {
-                    others(&mut quay, start.elapsed(), errand);
+                for message in quay.peer_messages(start.elapsed()) {
+                    others(&mut quay, start.elapsed(), message);
                 }
                 loop {
                     match taken.try_recv() {
--- a/crates/registry/tests/behind.rs
+++ b/crates/registry/tests/behind.rs
@@ -4,7 +4,6 @@
 mod world;
 
 use fallgap_registry::Patience;
-use fallgap_routing::{Lease, LeaseTerms, ViewTimes};
 use std::collections::BTreeSet;
 use std::time::Duration;
 use world::{Link, MS, World, node};
@@ -39,17 +38,6 @@
     ended_server: usize,
 }
 
-fn lease(behind: Duration) -> Lease {
-    Lease::new(LeaseTerms { behind, ..LeaseTerms::default() })
-}
-
-fn is_behind(world: &World, at: usize, lease: &mut Lease) -> bool {
-    let times = world.followers[&node(at)].view_times(world.now);
-    let (known, is_reached) = (times.known, times.is_reached);
-    lease.view_times(ViewTimes { confirmed: None, known, committed: None, is_reached });
-    lease.is_behind(world.now)
-}
-
 fn quiet_start(case: &Case) -> World {
     let mut world = World::new(7, KEEPERS, case.nodes, SERVERS);
     world.configure(1, ROUTES);
@@ -66,7 +54,6 @@
 fn changes(case: &Case, behind: Duration) -> Seen {
     let slow = case.nodes - 1;
     let mut world = quiet_start(case);
-    let mut leases: Vec<Lease> = (0..case.nodes).map(|_| lease(behind)).collect();
     let mut seen = Seen::default();
     let mut ends: Vec<(Duration, String)> = Vec::new();
     let mut held = Duration::ZERO;
@@ -80,21 +67,21 @@
             held = (held + MS * 25).min(case.held);
             world.slow.insert(node(slow), (held, held + MS * 100));
             world.run(STEP);
-            look(&world, &mut leases, &ends, &mut seen);
+            look(&world, case.nodes, behind, &ends, &mut seen);
         }
     }
     seen
 }
 
 /// Who routes at this moment, and by what.
-fn look(world: &World, leases: &mut [Lease], ends: &[(Duration, String)], seen: &mut Seen) {
-    let slow = leases.len() - 1;
+fn look(world: &World, nodes: usize, behind: Duration, ends: &[(Duration, String)], seen: &mut Seen) {
+    let slow = nodes - 1;
     let edition = world.in_force_by_now(IN_FORCE);
     let over = ends.iter().filter(|(at, _)| world.now > *at + IN_FORCE);
     let over: BTreeSet<&String> = over.map(|(_, id)| id).collect();
     seen.looks += 1;
-    for (at, lease) in leases.iter_mut().enumerate() {
-        if is_behind(world, at, lease) {
+    for at in 0..nodes {
+        if world.is_behind(at, behind) {
             seen.refused_by_slow += usize::from(at == slow);
             seen.refused_by_others += usize::from(at != slow);
             continue;
--- a/crates/registry/tests/rollout.rs
+++ b/crates/registry/tests/rollout.rs
@@ -4,7 +4,6 @@
 mod world;
 
 use fallgap_registry::Patience;
-use fallgap_routing::{Lease, LeaseTerms, ViewTimes};
 use std::time::Duration;
 use world::{Link, MS, World, node};
 
@@ -24,15 +23,8 @@
 
 /// Whether a supervisor that lacks that edition routes.
 fn someone_routes_below(world: &World, due: u64) -> bool {
-    let routes = |at: usize| {
-        let times = world.followers[&node(at)].view_times(world.now);
-        let (known, is_reached) = (times.known, times.is_reached);
-        let mut lease = Lease::new(LeaseTerms { behind: LEASE, ..LeaseTerms::default() });
-        lease.view_times(ViewTimes { confirmed: None, known, committed: None, is_reached });
-        !lease.is_behind(world.now)
-    };
     let here = (0..NODES).filter(|at| world.followers.contains_key(&node(*at)));
-    here.into_iter().any(|at| world.seen[&node(at)].edition() < due && routes(at))
+    here.into_iter().any(|at| world.seen[&node(at)].edition() < due && !world.is_behind(at, LEASE))
 }
 
 /// How many looks found a supervisor that was behind for too long, and one that routed all the same.
--- a/crates/registry/tests/world/mod.rs
+++ b/crates/registry/tests/world/mod.rs
@@ -10,6 +10,7 @@
 use fallgap_registry::{
     Distribution, Follower, FollowerOut, Knows, LeaseQuestion, Out, Record, Registry, RosterWord, Terms,
 };
+use fallgap_routing::{Lease, LeaseTerms, ViewTimes};
 pub use links::Link;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -563,6 +564,15 @@
         Some(self.now - since)
     }
 
+    /// Whether a supervisor does not route, as its view has lacked for so long what its home knows.
+    pub fn is_behind(&self, at: usize, behind: Duration) -> bool {
+        let times = self.followers[&node(at)].view_times(self.now);
+        let (known, is_reached) = (times.known, times.is_reached);
+        let mut lease = Lease::new(LeaseTerms { behind, ..LeaseTerms::default() });
+        lease.view_times(ViewTimes { confirmed: None, known, committed: None, is_reached });
+        lease.is_behind(self.now)
+    }
+
     /// Every process that runs, and is not cut off, holds that.
     pub fn all(&self, holds: impl Fn(&Seen) -> bool) -> bool {
         let up = self.followers.keys().filter(|id| !self.cut.contains(id));
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -29,7 +29,9 @@
 pub use health::{Health, HealthState};
 pub use lease::{Lease, LeaseTerms, Place, ViewTimes};
 pub use op::{Final, Next, Op, Plan, TryOutcome, TryState};
-pub use quota::{QuotaAsk, QuotaFront, QuotaGrant, QuotaHome, QuotaTerms, Room, SHARDS, Taken, shard_of};
+pub use quota::{
+    QuotaAsk, QuotaFront, QuotaGrant, QuotaHome, QuotaTerms, RATE_MARGIN, Room, SHARDS, Taken, shard_of,
+};
 pub use request::{Inbox, Refusal, Request, Step};
 pub use server::{Ended, Report, Server};
 pub use terms::Terms;
--- a/crates/routing/src/quota/mod.rs
+++ b/crates/routing/src/quota/mod.rs
@@ -56,7 +56,7 @@
 }
 
 /// Clocks of two machines differ in rate by less than one in so many.
-const RATE_MARGIN: f64 = 16.0;
+pub const RATE_MARGIN: u32 = 16;
 /// Of the room that the bound leaves beside the rate, so much is used.
 const ROOM_USED: f64 = 0.9;
 /// Of that, what fronts may hold unspent.
@@ -72,7 +72,7 @@
 impl QuotaTerms {
     pub fn room(&self, customer: &Customer) -> Room {
         let over_window = customer.rate_per_second * self.window.as_secs_f64();
-        let excess = (self.excess - 1.0 / RATE_MARGIN).max(0.0) * over_window;
+        let excess = (self.excess - 1.0 / f64::from(RATE_MARGIN)).max(0.0) * over_window;
         let room = (customer.burst * (1.0 + self.excess) + excess + self.slack) * ROOM_USED;
         Room { depth: room * (1.0 - HELD), held: room * HELD }
     }
--- a/crates/routing/src/wire.rs
+++ b/crates/routing/src/wire.rs
@@ -77,13 +77,7 @@
 
 /// The head of a server's answer as the client gets it.
 pub fn answer_head(answer: &Answer, id: &str, ends: Ends, out: &mut Vec<u8>) {
-    let _ = write!(out, "HTTP/1.1 {:03} ", answer.status);
-    out.extend_from_slice(answer.reason());
-    let _ = write!(out, "\r\nX-Request-Id: {id}\r\n");
-    for line in answer.along() {
-        out.extend_from_slice(line);
-        out.extend_from_slice(b"\r\n");
-    }
+    status_and_lines(answer.status, answer.reason(), id, answer.along(), out);
     match (answer.status, answer.told_length) {
         (204 | 304, _) => {}
         (_, None) if answer.bodiless => {}
@@ -93,6 +87,19 @@
     write_ends(ends, out);
 }
 
+/// What a server's answer begins with: its status, the request's id, and the lines that go along.
+fn status_and_lines<'a>(
+    status: u16, reason: &[u8], id: &str, lines: impl Iterator<Item = &'a [u8]>, out: &mut Vec<u8>,
+) {
+    let _ = write!(out, "HTTP/1.1 {status:03} ");
+    out.extend_from_slice(reason);
+    let _ = write!(out, "\r\nX-Request-Id: {id}\r\n");
+    for line in lines {
+        out.extend_from_slice(line);
+        out.extend_from_slice(b"\r\n");
+    }
+}
+
 /// An answer that is kept for repeats of its request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KeptAnswer {
@@ -121,13 +128,7 @@
 
     /// The head as the client of a repeat gets it.
     pub fn head(&self, id: &str, ends: Ends, out: &mut Vec<u8>) {
-        let _ = write!(out, "HTTP/1.1 {:03} ", self.status);
-        out.extend_from_slice(&self.reason);
-        let _ = write!(out, "\r\nX-Request-Id: {id}\r\n");
-        for line in &self.lines {
-            out.extend_from_slice(line);
-            out.extend_from_slice(b"\r\n");
-        }
+        status_and_lines(self.status, &self.reason, id, self.lines.iter().map(Vec::as_slice), out);
         if !matches!(self.status, 204 | 304) {
             let _ = write!(out, "Content-Length: {}\r\n", self.body.len());
         }
--- a/crates/control-state/examples/claims_cost.rs
+++ b/crates/simulation/examples/claims_cost.rs
@@ -1,34 +1,12 @@
 //! What a claim on an operation costs a member: processor time, bytes of messages and records, memory, and a snapshot. Simulated: one
 //! of three members, a disk that syncs at once. Prints `figure NAME VALUE`.
 
-use fallgap_control_state::charter::{Charter, Member};
-use fallgap_control_state::{Attempt, Keeper, Kept, Me, Message, NodeId, OperationId, Out, Terms};
+use fallgap_control_state::{Attempt, Message, OperationId, Out};
+use fallgap_simulation::waters::{node, one_of_three};
 use std::time::{Duration, Instant};
 
 const CLAIMS: u64 = 46_000;
 
-fn node(n: u8) -> NodeId {
-    NodeId::new(10, 0, 0, n)
-}
-
-fn member() -> Keeper {
-    let members = (1..4).map(|n| Member { node: node(n), disk: u64::from(n), joined: 1 }).collect();
-    let me = Me {
-        node: node(1),
-        disk: Some(1),
-        life: 1,
-        first_start: true,
-        empty: true,
-        seeds: vec![node(1)],
-        tolerate: 1,
-    };
-    let mut keeper = Keeper::start(Duration::ZERO, 1, me, Kept::default(), Terms::default())
-        .expect("an empty disk is in order");
-    keeper.heard(Duration::ZERO, node(9), Message::Members(Charter { number: 1, members, grown: false }));
-    keeper.take();
-    keeper
-}
-
 /// Bytes of this process in memory.
 fn resident() -> f64 {
     let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
@@ -37,7 +15,8 @@
 }
 
 fn main() {
-    let mut keeper = member();
+    let mut keeper = one_of_three(Duration::ZERO, 1, 1);
+    keeper.take();
     let before = resident();
     let (mut asked, mut told, mut written) = (0, 0, 0);
     let began = Instant::now();
