--- a/crates/routing/tests/quota.rs
+++ b/crates/routing/tests/quota.rs
@@ -161,6 +161,26 @@
     }
 }
 
+/// Fronts that die with tokens in hand, and begin anew with none: what they held is lost, and never granted beyond the bound.
+#[test]
+fn fronts_that_die_holding_tokens_make_none() {
+    for (rate, burst) in [(10.0, 10.0), (37.0, 37.0), (336.0, 336.0)] {
+        for seed in 0..3 {
+            let mut world = World::new(seed, 80, customer(rate, burst));
+            for second in 0..24 {
+                let dies = world.rng.usize(..world.fronts.len());
+                world.fronts[dies] = QuotaFront::new(QuotaTerms::default());
+                // What was under way to it reaches nobody.
+                world.net.retain(|_, word| !matches!(word, Word::Grant(at, _) if *at == dies));
+                world.run(ms(1000), rate * if second % 3 == 0 { 5.0 } else { 0.6 });
+            }
+            let (worst, allowed) = world.worst_window();
+            assert!(worst as f64 <= allowed, "{rate} a second, seed {seed}: {worst} of {allowed}");
+            assert!(worst as f64 >= rate * 5.0 * 0.9, "{rate} a second, seed {seed}: {worst} only");
+        }
+    }
+}
+
 #[test]
 fn what_is_below_the_limit_is_not_refused() {
     for rate in [4.0, 37.0, 336.0] {
